--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of real daemons; run by `make bench`."""
--- /dev/null
+++ b/lentilmount/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Placing tasks on workers and seeing each to its end exactly once."""
--- /dev/null
+++ b/lentilmount/batch/manager.py
@@ -0,0 +1,142 @@
+"""Which slices this daemon owns: taken by lease, run until lost."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import logbook
+
+from lentilmount.batch.ledger import Ledger
+from lentilmount.batch.owner import Owner, OwnerOptions
+from lentilmount.batch.records import make_slice_key
+from lentilmount.configuration import Configuration
+from lentilmount.coordination.leases import (
+    Lease,
+    LeaseKeeper,
+    LeaseLostError,
+)
+from lentilmount.coordination.membership import Membership
+from lentilmount.coordination.table import (
+    ConflictError,
+    Table,
+    UnavailableError,
+)
+from lentilmount.events import EventKind, EventLog
+from lentilmount.slices import find_worker_slice, get_zone, rank_by_hash
+from lentilmount.upstream.hosts import Host
+from lentilmount.upstream.workers import Workers
+
+log = logbook.Logger('slices')
+
+POLL_SECONDS = 1.0
+
+
+class SliceManager:
+    """Takes, runs and gives up slices.
+
+    Attributes:
+      owners: The slices that this daemon runs.
+      hosts: The host list as last read.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        workers: Workers,
+        configuration: Configuration,
+        membership: Membership,
+        events: EventLog,
+        options: OwnerOptions,
+        slices_per_zone: int,
+        monotonic: Callable[[], float],
+    ):
+        self.owners: dict[str, Owner] = {}
+        self.hosts: list[Host] = []
+        self._table = table
+        self._workers = workers
+        self._configuration = configuration
+        self._membership = membership
+        self._events = events
+        self._options = options
+        self._slices_per_zone = slices_per_zone
+        self._monotonic = monotonic
+        me = membership.me
+        self._keeper = LeaseKeeper(
+            table,
+            f'{me.name}/{me.incarnation}',
+            options.lease_seconds,
+            monotonic,
+        )
+        self._stopping = False
+
+    async def run(self) -> None:
+        """Looks after every slice until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for slice_name in self._options.slices:
+                group.create_task(self._look_after(slice_name))
+
+    def stop(self) -> None:
+        """Makes this daemon give its slices up and take no more."""
+        self._stopping = True
+        for owner in self.owners.values():
+            owner.stop()
+
+    async def _look_after(self, slice_name: str) -> None:
+        while True:
+            if not self._stopping and self._is_mine(slice_name):
+                with contextlib.suppress(UnavailableError):
+                    lease = await self._keeper.try_acquire(
+                        make_slice_key(slice_name)
+                    )
+                    if lease is not None:
+                        await self._own(slice_name, lease)
+            await asyncio.sleep(POLL_SECONDS)
+
+    def _is_mine(self, slice_name: str) -> bool:
+        # Daemons that see each other differently may both try; the lease
+        # lets one in. A zone without daemons is looked after by all others.
+        local = self._membership.list_up(get_zone(slice_name))
+        names = [m.name for m in local or self._membership.list_up()]
+        return rank_by_hash(slice_name, names)[0] == self._membership.me.name
+
+    async def _own(self, slice_name: str, lease: Lease) -> None:
+        self._events.record('slices', EventKind.SLICE_TAKEN, slice_name)
+        log.info('Slice {} taken, epoch {}.', slice_name, lease.epoch)
+        ledger = Ledger(
+            slice_name, self._table, self._keeper, lease, self._events
+        )
+        try:
+            await ledger.load()
+            owner = Owner(
+                ledger,
+                self._table,
+                self._workers,
+                self._configuration,
+                lambda: self._list_hosts(slice_name),
+                self._options,
+                self._monotonic,
+            )
+            self.owners[slice_name] = owner
+            await owner.run()
+            await self._keeper.release(ledger.lease)
+            cause = 'given up'
+        except* LeaseLostError:
+            cause = 'taken by another daemon'
+        except* (ConflictError, UnavailableError) as group:
+            cause = str(group.exceptions[0])
+        finally:
+            self.owners.pop(slice_name, None)
+        self._events.record(
+            'slices', EventKind.SLICE_LOST, slice_name, cause=cause
+        )
+        log.info('Slice {} lost: {}.', slice_name, cause)
+
+    def _list_hosts(self, slice_name: str) -> list[Host]:
+        return [
+            host
+            for host in self.hosts
+            if find_worker_slice(host.zone, host.name, self._slices_per_zone)
+            == slice_name
+        ]
--- /dev/null
+++ b/lentilmount/batch/owner.py
@@ -0,0 +1,302 @@
+"""The owner of a slice: admits, places, and keeps a link to each worker."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+import logbook
+
+from lentilmount.batch.inbox import Request, Wish
+from lentilmount.batch.ledger import Draft, Ledger
+from lentilmount.batch.links import Link, LinkOptions
+from lentilmount.batch.placement import choose_worker, explain_refusal
+from lentilmount.batch.queue import order_pending
+from lentilmount.batch.records import (
+    Task,
+    WorkerRecord,
+    make_inbox_partition,
+)
+from lentilmount.batch.states import HOLDING, STOPPING, Move
+from lentilmount.codec import structure
+from lentilmount.configuration import Configuration
+from lentilmount.coordination.table import Row, Table
+from lentilmount.resources import Kind, Phase, ServiceSpec, Urgency
+from lentilmount.slices import find_replica_slice, get_zone
+from lentilmount.upstream.hosts import Host
+from lentilmount.upstream.workers import Workers
+
+log = logbook.Logger('batch')
+
+STEP_SECONDS = 1.0
+INBOX_PAGE = 40
+
+
+@attrs.frozen
+class OwnerOptions:
+    """How an owner works.
+
+    Attributes:
+      links: Times of the leases of tasks.
+      slices: Every slice of the deployment.
+      lease_seconds: How long the slice is held without renewal.
+    """
+
+    links: LinkOptions
+    slices: tuple[str, ...]
+    lease_seconds: float
+
+
+class Owner:
+    """Runs one slice for as long as its lease is held.
+
+    Args:
+      ledger: The slice's rows, loaded.
+      table: Where the inbox is.
+      workers: How workers are reached.
+      configuration: What operators declared.
+      list_hosts: The workers of this slice, as the host list tells.
+      options: How to work.
+      monotonic: The clock for durations.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        table: Table,
+        workers: Workers,
+        configuration: Configuration,
+        list_hosts: Callable[[], list[Host]],
+        options: OwnerOptions,
+        monotonic: Callable[[], float],
+    ):
+        self.ledger = ledger
+        self.links: dict[str, Link] = {}
+        self._table = table
+        self._workers = workers
+        self._configuration = configuration
+        self._list_hosts = list_hosts
+        self._options = options
+        self._monotonic = monotonic
+        self._wake = asyncio.Event()
+        self._tasks: asyncio.TaskGroup | None = None
+        self._running: list[asyncio.Task[None]] = []
+        self._stopped = asyncio.Event()
+
+    def wake(self) -> None:
+        """Makes the owner look at its inbox now."""
+        self._wake.set()
+
+    def stop(self) -> None:
+        """Makes `run` return when no write is under way."""
+        self._stopped.set()
+
+    async def run(self) -> None:
+        """Works until told to stop or the slice is lost.
+
+        Raises:
+          ExceptionGroup: With a `LeaseLostError`.
+        """
+        async with asyncio.TaskGroup() as group:
+            self._tasks = group
+            for name in self.ledger.workers:
+                self._add_link(name)
+            self._start(self._keep_lease())
+            self._start(self._work())
+            await self._stopped.wait()
+            async with self.ledger.change():
+                for task in self._running:
+                    task.cancel()
+
+    async def _keep_lease(self) -> None:
+        pause = self._options.lease_seconds / 3
+        while True:
+            renewed_at = self.ledger.lease.renewed_at
+            if self._monotonic() - renewed_at >= pause:
+                await self.ledger.renew()
+            await asyncio.sleep(pause / 3)
+
+    async def _work(self) -> None:
+        while True:
+            await self._meet_hosts()
+            await self._answer_inbox()
+            await self._reconcile_services()
+            await self._drain_workers()
+            await self._place()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), STEP_SECONDS)
+            self._wake.clear()
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        assert self._tasks is not None
+        self._running.append(self._tasks.create_task(work))
+
+    def _add_link(self, name: str) -> None:
+        link = Link(
+            name,
+            self.ledger,
+            self._workers,
+            self._options.links,
+            self._monotonic,
+            self.wake,
+        )
+        self.links[name] = link
+        self._start(link.run())
+
+    async def _meet_hosts(self) -> None:
+        hosts = {host.name: host for host in self._list_hosts()}
+        stale = [h for h in hosts.values() if self._is_stale(h)]
+        for start in range(0, len(stale), INBOX_PAGE):
+            async with self.ledger.change() as draft:
+                for host in stale[start : start + INBOX_PAGE]:
+                    draft.set_worker(self._update_worker(host))
+        for name in self.ledger.workers:
+            if name not in self.links:
+                self._add_link(name)
+
+    def _is_stale(self, host: Host) -> bool:
+        known = self.ledger.workers.get(host.name)
+        return known is None or known != self._update_worker(host)
+
+    def _update_worker(self, host: Host) -> WorkerRecord:
+        known = self.ledger.workers.get(host.name)
+        spec = self._configuration.get_worker(host.name)
+        record = known or WorkerRecord(
+            host.name, host.address, host.zone, host.rack
+        )
+        return attrs.evolve(
+            record,
+            address=host.address,
+            cordoned=spec.cordoned or spec.drain,
+            leaving=record.leaving or host.leaving,
+        )
+
+    async def _answer_inbox(self) -> None:
+        partition = make_inbox_partition(self.ledger.slice_name)
+        while True:
+            rows = await self._table.scan(partition, limit=INBOX_PAGE)
+            if not rows:
+                return
+            async with self.ledger.change() as draft:
+                for row in rows:
+                    if draft.is_full:
+                        break
+                    self._answer(draft, row)
+            self._wake_stopping()
+
+    def _answer(self, draft: Draft, row: Row) -> None:
+        request = structure(row.body, Request)
+        draft.consumed.append(row)
+        task = draft.get_task(request.task_id)
+        if request.wish is Wish.SUBMIT and task is None and request.task:
+            self._admit(draft, request.task)
+        elif request.wish is Wish.CANCEL and task is not None:
+            draft.move(task, Move.CANCEL, cancel=True, reason='cancelled')
+
+    def _admit(self, draft: Draft, task: Task) -> None:
+        draft.admit(task)
+        reason = explain_refusal(task.demand, self.ledger.workers.values())
+        if reason:
+            draft.move(task, Move.REFUSE, reason=reason)
+
+    def _wake_stopping(self) -> None:
+        for task in self.ledger.tasks.values():
+            if task.phase in STOPPING and task.worker in self.links:
+                self.links[task.worker].wake()
+
+    async def _reconcile_services(self) -> None:
+        if not self._configuration.is_ready:
+            return
+        wanted = self._list_wanted_replicas()
+        held = self.ledger.tasks
+        missing = [t for t in wanted.values() if t.id not in held]
+        extra = [
+            task
+            for task in held.values()
+            if task.is_service
+            and task.id not in wanted
+            and task.phase is not Phase.CANCELLING
+        ]
+        while missing or extra:
+            async with self.ledger.change() as draft:
+                while missing and not draft.is_full:
+                    draft.admit(missing.pop())
+                while extra and not draft.is_full:
+                    draft.move(extra.pop(), Move.CANCEL, reason='not wanted')
+        self._wake_stopping()
+
+    def _list_wanted_replicas(self) -> dict[str, Task]:
+        wanted = {}
+        for resource in self._configuration.list_kind(Kind.SERVICE):
+            spec = resource.spec
+            assert isinstance(spec, ServiceSpec)
+            slices = [
+                name
+                for name in self._options.slices
+                if not spec.zones or get_zone(name) in spec.zones
+            ]
+            for index in range(spec.replicas if slices else 0):
+                where = find_replica_slice(index, slices)
+                if where == self.ledger.slice_name:
+                    task = Task(
+                        id=f'{resource.path}/{index}',
+                        demand=spec.demand,
+                        job_class=resource.metadata.name,
+                        urgency=Urgency.URGENT,
+                        payload=spec.payload,
+                        accepted=time.time(),
+                    )
+                    wanted[task.id] = task
+        return wanted
+
+    async def _drain_workers(self) -> None:
+        moving = [
+            task
+            for task in self.ledger.tasks.values()
+            if task.phase in (Phase.STARTING, Phase.RUNNING)
+            and self._is_emptying(task.worker)
+        ]
+        while moving:
+            async with self.ledger.change() as draft:
+                while moving and not draft.is_full:
+                    task = draft.get_task(moving.pop().id)
+                    if task and task.phase in (Phase.STARTING, Phase.RUNNING):
+                        draft.move(
+                            task, Move.EVICT, reason='the worker is leaving'
+                        )
+            self._wake_stopping()
+
+    def _is_emptying(self, worker: str) -> bool:
+        record = self.ledger.workers.get(worker)
+        leaving = record is not None and record.leaving
+        return leaving or self._configuration.get_worker(worker).drain
+
+    async def _place(self) -> None:
+        pending = order_pending(self.ledger.tasks.values())
+        while pending:
+            placed: list[Task] = []
+            async with self.ledger.change() as draft:
+                while pending and not draft.is_full:
+                    task = draft.get_task(pending.pop(0).id)
+                    if task is None or task.phase is not Phase.PENDING:
+                        continue
+                    worker = choose_worker(task, self._list_open(draft))
+                    if worker is not None:
+                        placed.append(draft.place(task, worker))
+            for worker_name in {task.worker for task in placed}:
+                self.links[worker_name].wake()
+
+    def _list_open(self, draft: Draft) -> list[WorkerRecord]:
+        return [
+            draft.get_worker(name)
+            for name, link in self.links.items()
+            if link.reachable
+        ]
+
+    def count_held(self) -> int:
+        """Returns how many tasks are committed on workers."""
+        return sum(t.phase in HOLDING for t in self.ledger.tasks.values())
--- /dev/null
+++ b/lentilmount/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that changes a resource."""
--- /dev/null
+++ b/lentilmount/commands/configure.py
@@ -0,0 +1,197 @@
+"""Accepting a change of the configuration: one transaction, one revision."""
+
+from __future__ import annotations
+
+import attrs
+
+from lentilmount.batch.records import make_change_key
+from lentilmount.codec import structure_resource
+from lentilmount.configuration import CONFIGURATION_LOG
+from lentilmount.coordination.table import (
+    ABSENT,
+    ConflictError,
+    Delete,
+    Key,
+    Operation,
+    Put,
+    Row,
+    Table,
+    UnavailableError,
+)
+from lentilmount.coordination.transactions import commit
+from lentilmount.errors import (
+    ConflictError as RaceError,
+)
+from lentilmount.errors import NotFoundError, StoreError
+from lentilmount.resources import Resource
+from lentilmount.rows import (
+    REVISION_KEY,
+    encode_resource,
+    make_request_key,
+    make_resource_key,
+)
+
+RACES = 10
+"""How often a command yields to others that changed other resources."""
+
+RETRY_AFTER_SECONDS = 2.0
+
+
+@attrs.frozen
+class Accepted:
+    """The answer to a command.
+
+    Attributes:
+      revision: The configuration's revision that carries it.
+      changed: Whether there was anything to change.
+      resource: The resource as accepted; None if deleted.
+    """
+
+    revision: int
+    changed: bool
+    resource: Resource | None
+
+
+class Configurer:
+    """Carries out commands on what takes part in the configuration."""
+
+    def __init__(self, table: Table):
+        self._table = table
+
+    async def apply(self, resource: Resource, request_id: str) -> Accepted:
+        """Creates or changes a resource.
+
+        Args:
+          resource: What is wanted; `metadata.revision` is the one that the
+            operator saw, 0 for a resource that is new.
+          request_id: Names the command, so that a retry is not a second one.
+
+        Raises:
+          ConflictError: The resource is not at the revision given.
+          StoreError: Not known whether it was accepted; retry with the id.
+        """
+        return await self._accept(resource.path, resource, request_id)
+
+    async def delete(
+        self, path: str, revision: int, request_id: str
+    ) -> Accepted:
+        """Deletes a resource; see `apply`.
+
+        Raises:
+          NotFoundError: There is no such resource.
+        """
+        return await self._accept(path, None, request_id, revision)
+
+    async def _accept(
+        self,
+        path: str,
+        resource: Resource | None,
+        request_id: str,
+        revision: int = 0,
+    ) -> Accepted:
+        for _ in range(RACES):
+            try:
+                return await self._try_accept(
+                    path, resource, request_id, revision
+                )
+            except ConflictError:
+                # Somebody changed something between our read and our write;
+                # the next read tells whether it was this resource.
+                continue
+            except UnavailableError as error:
+                raise StoreError(
+                    'the table service does not answer; send the command '
+                    'again with the same request id',
+                    retry_after=RETRY_AFTER_SECONDS,
+                ) from error
+        raise StoreError(
+            'too many others change the configuration; try again',
+            retry_after=RETRY_AFTER_SECONDS,
+        )
+
+    async def _try_accept(
+        self,
+        path: str,
+        resource: Resource | None,
+        request_id: str,
+        revision: int,
+    ) -> Accepted:
+        key = make_resource_key(path)
+        request_key = make_request_key(request_id)
+        rows = await self._table.read([REVISION_KEY, key, request_key])
+        if request_key in rows:
+            return _read_answer(rows[request_key])
+        counter = rows.get(REVISION_KEY)
+        newest = counter.version if counter else ABSENT
+        row = rows.get(key)
+        if resource is not None:
+            revision = resource.metadata.revision
+        if row is not None and resource is not None:
+            current = structure_resource(row.body)
+            if current.spec == resource.spec:
+                return Accepted(newest, False, current)
+        _check_revision(path, revision, row, resource)
+        return await self._write(path, resource, row, newest, request_key)
+
+    async def _write(
+        self,
+        path: str,
+        resource: Resource | None,
+        row: Row | None,
+        newest: int,
+        request_key: Key,
+    ) -> Accepted:
+        key = make_resource_key(path)
+        accepted = Accepted(newest + 1, True, _stamp(resource, newest + 1))
+        stamped = accepted.resource
+        plain = encode_resource(stamped) if stamped else None
+        operations: list[Operation] = [
+            Put(REVISION_KEY, {}, newest),
+            Put(
+                make_change_key(CONFIGURATION_LOG, newest + 1),
+                {'path': path, 'resource': plain},
+            ),
+            Put(request_key, {'revision': newest + 1, 'resource': plain}),
+        ]
+        if plain is not None:
+            version = row.version if row else ABSENT
+            operations.append(Put(key, plain, version))
+        elif row is not None:
+            operations.append(Delete(key, row.version))
+        await commit(self._table, operations, request_key)
+        return accepted
+
+
+def _stamp(resource: Resource | None, revision: int) -> Resource | None:
+    if resource is None:
+        return None
+    metadata = attrs.evolve(resource.metadata, revision=revision)
+    return attrs.evolve(resource, metadata=metadata)
+
+
+def _read_answer(row: Row) -> Accepted:
+    plain = row.body['resource']
+    resource = structure_resource(plain) if plain else None
+    return Accepted(row.body['revision'], True, resource)
+
+
+def _check_revision(
+    path: str, given: int, row: Row | None, resource: Resource | None
+) -> None:
+    if row is None:
+        if resource is None:
+            raise NotFoundError(f'there is no {path}')
+        if given:
+            raise RaceError(
+                f'{path} does not exist, but revision {given} was given; '
+                f'leave metadata.revision out to create it',
+                extra={'given_revision': given, 'current_revision': 0},
+            )
+        return
+    current = structure_resource(row.body).metadata.revision
+    if given != current:
+        raise RaceError(
+            f'{path} is at revision {current}, not {given}; read it again '
+            f'and send metadata.revision {current}',
+            extra={'given_revision': given, 'current_revision': current},
+        )
--- /dev/null
+++ b/lentilmount/coordination/leases.py
@@ -0,0 +1,175 @@
+"""Leases with epochs on rows of the table.
+
+Nobody compares clocks. A holder counts its lease from before it sent the
+write that renewed it; everybody else counts from when they first saw that
+write. Each takeover raises the epoch, and every write of the holder expects
+the version of the lease's row, so a holder that wakes up late writes nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from lentilmount.coordination.table import (
+    ABSENT,
+    Check,
+    ConflictError,
+    Key,
+    Operation,
+    Put,
+    Row,
+    Table,
+    UnavailableError,
+)
+from lentilmount.coordination.transactions import commit
+
+CLOCK_DRIFT = 0.01
+"""Two monotonic clocks differ in rate by less than this share."""
+
+
+class LeaseLostError(Exception):
+    """The lease is held by another, or may be."""
+
+
+@attrs.define
+class Lease:
+    """A lease that this process holds, as far as it knows.
+
+    Attributes:
+      key: The lease's row.
+      holder: Who holds it.
+      epoch: Raised by each takeover; the fencing token.
+      version: Version of the row after our last write.
+      renewed_at: Monotonic time before the last write that renewed it.
+      valid_until: Monotonic time up to which nobody else can have taken it.
+      data: What else the row carries.
+    """
+
+    key: Key
+    holder: str
+    epoch: int
+    version: int
+    renewed_at: float
+    valid_until: float
+    data: dict[str, Any]
+
+    def make_put(self) -> Put:
+        """Returns the write that renews the lease; put it in a transaction."""
+        body = {'holder': self.holder, 'epoch': self.epoch, 'data': self.data}
+        return Put(self.key, body, self.version)
+
+    def make_check(self) -> Check:
+        """Returns the condition that the lease is still ours."""
+        return Check(self.key, self.version)
+
+
+class LeaseKeeper:
+    """Acquires, renews and releases leases for one holder.
+
+    Args:
+      table: Where the leases are.
+      holder: A name no other process ever has (name and incarnation).
+      duration: Seconds a lease is good for without renewal.
+      monotonic: The clock for durations.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        holder: str,
+        duration: float,
+        monotonic: Callable[[], float],
+    ):
+        self._table = table
+        self._holder = holder
+        self._duration = duration
+        self._monotonic = monotonic
+        self._seen: dict[Key, tuple[int, float]] = {}
+
+    async def try_acquire(self, key: Key) -> Lease | None:
+        """Takes a lease if it is free or surely lapsed.
+
+        Returns:
+          The lease, or None where another holds it.
+
+        Raises:
+          UnavailableError: The table does not answer.
+        """
+        rows = await self._table.read([key])
+        return await self.try_take(key, rows.get(key))
+
+    async def try_take(self, key: Key, row: Row | None) -> Lease | None:
+        """Takes a lease whose row was just read; see `try_acquire`."""
+        if row is not None and not self._is_free(key, row):
+            return None
+        lease = Lease(
+            key=key,
+            holder=self._holder,
+            epoch=row.body['epoch'] + 1 if row else 1,
+            version=row.version if row else ABSENT,
+            renewed_at=0.0,
+            valid_until=0.0,
+            data=dict(row.body['data']) if row else {},
+        )
+        try:
+            await self.renew(lease)
+        except LeaseLostError:
+            return None
+        return lease
+
+    def _is_free(self, key: Key, row: Row) -> bool:
+        if not row.body['holder']:
+            return True
+        version, since = self._seen.get(key, (ABSENT, 0.0))
+        now = self._monotonic()
+        if version != row.version:
+            self._seen[key] = (row.version, now)
+            return False
+        return now - since > self._duration * (1 + CLOCK_DRIFT)
+
+    async def renew(
+        self,
+        lease: Lease,
+        operations: list[Operation] | None = None,
+        token: str = '',
+    ) -> None:
+        """Writes the lease's row and `operations` in one transaction.
+
+        Raises:
+          LeaseLostError: Another took the lease; nothing was written.
+          ConflictError: Another row conflicted; the lease is still ours.
+          UnavailableError: It is not known whether it was applied. Call
+            again with the same token and operations before anything else.
+        """
+        sent_at = self._monotonic()
+        put = lease.make_put()
+        try:
+            await commit(
+                self._table,
+                [put, *(operations or [])],
+                lease.key,
+                token=token,
+            )
+        except ConflictError as error:
+            if lease.key in error.keys:
+                raise LeaseLostError(str(lease.key)) from error
+            raise
+        lease.version += 1
+        lease.renewed_at = sent_at
+        lease.valid_until = sent_at + self._duration
+
+    async def release(self, lease: Lease) -> None:
+        """Gives the lease up, so that another need not wait for its end."""
+        body = {'holder': '', 'epoch': lease.epoch, 'data': lease.data}
+        try:
+            await commit(
+                self._table,
+                [Put(lease.key, body, lease.version)],
+                lease.key,
+            )
+        except (ConflictError, UnavailableError):
+            return
+        lease.valid_until = 0.0
--- /dev/null
+++ b/lentilmount/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon `lentilmountd`: everything that runs on an entry host."""
--- /dev/null
+++ b/lentilmount/daemon/callers.py
@@ -0,0 +1,93 @@
+"""The listener of callers: interactive requests."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tornado.web import Application
+
+from lentilmount.access import Gate, Verb
+from lentilmount.daemon.web import Handler, NoRouteHandler
+from lentilmount.errors import FieldProblem, InvalidError
+from lentilmount.routing.forward import Call, filter_headers
+from lentilmount.routing.router import Router
+
+DEADLINE_HEADER = 'Lentilmount-Timeout-Ms'
+IDEMPOTENT_HEADER = 'Lentilmount-Idempotent'
+IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS'})
+
+_BOOLEANS = {'true': True, 'false': False}
+
+
+class CallHandler(Handler):
+    """Routes one request to a service."""
+
+    def initialize(self, gate: Gate, router: Router) -> None:  # type: ignore[override]
+        """Keeps the router."""
+        super().initialize(gate)
+        self.router = router
+
+    async def respond(self, team: str, service: str, path: str) -> None:
+        """Answers with what the upstream answered."""
+        self.admit().require(Verb.CALL, team)
+        query = self.request.query
+        call = Call(
+            id=self.request_id,
+            service=f'{team}/{service}',
+            method=self.request.method or 'GET',
+            path=f'{path}?{query}' if query else path,
+            headers=tuple(filter_headers(self.request.headers.get_all())),
+            body=self.request.body,
+            idempotent=self._is_idempotent(),
+        )
+        reply = await self.router.route(call, self._read_timeout())
+        self.set_status(reply.status)
+        self.clear_header('Content-Type')
+        for name, value in reply.headers:
+            self.set_header(name, value)
+        self.finish(reply.body)
+
+    get = head = post = put = delete = patch = options = respond
+
+    def _is_idempotent(self) -> bool:
+        default = self.request.method in IDEMPOTENT_METHODS
+        given = self.request.headers.get(IDEMPOTENT_HEADER)
+        if given is None:
+            return default
+        if given not in _BOOLEANS:
+            raise InvalidError(
+                f'{IDEMPOTENT_HEADER} must be true or false, not {given!r}'
+            )
+        return _BOOLEANS[given]
+
+    def _read_timeout(self) -> float | None:
+        given = self.request.headers.get(DEADLINE_HEADER)
+        if given is None:
+            return None
+        try:
+            millis = float(given)
+        except ValueError:
+            millis = 0.0
+        if not 0 < millis < float('inf'):
+            raise InvalidError(
+                f'{DEADLINE_HEADER} must be a positive number of '
+                f'milliseconds, not {given!r}',
+                fields=(FieldProblem(DEADLINE_HEADER, 'not positive'),),
+            )
+        return millis / 1000
+
+
+def make_callers_app(gate: Gate, router: Router) -> Application:
+    """Builds the callers' HTTP application."""
+    parts: dict[str, Any] = {'gate': gate}
+    return Application(
+        [
+            (
+                r'/call/([^/]+)/([^/]+)/(.*)',
+                CallHandler,
+                {**parts, 'router': router},
+            )
+        ],
+        default_handler_class=NoRouteHandler,
+        default_handler_args=parts,
+    )
--- /dev/null
+++ b/lentilmount/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that reads."""
--- /dev/null
+++ b/lentilmount/resources.py
@@ -0,0 +1,307 @@
+"""The resources that operators declare and follow."""
+
+from __future__ import annotations
+
+import enum
+import re
+from typing import Any
+
+import attrs
+
+API_VERSION = 'v1'
+NAME_PATTERN = re.compile(r'[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?')
+
+
+class Kind(enum.Enum):
+    """The kinds of resource."""
+
+    SERVICE = 'Service'
+    JOB = 'Job'
+    WORKER = 'Worker'
+    TEAM = 'Team'
+    UPSTREAM = 'Upstream'
+    CONFIGURATION = 'Configuration'
+
+
+class Phase(enum.Enum):
+    """Where a resource or task is in its life."""
+
+    ACCEPTED = 'accepted'
+    PENDING = 'pending'
+    STARTING = 'starting'
+    RUNNING = 'running'
+    EVICTING = 'evicting'
+    CANCELLING = 'cancelling'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    REFUSED = 'refused'
+    CANCELLED = 'cancelled'
+
+
+FINAL_PHASES = frozenset(
+    {Phase.COMPLETED, Phase.FAILED, Phase.REFUSED, Phase.CANCELLED}
+)
+
+
+class Urgency(enum.Enum):
+    """How soon a job has to start."""
+
+    URGENT = 'urgent'
+    BATCH = 'batch'
+
+
+def _check_name(
+    _: object, attribute: attrs.Attribute[Any], value: object
+) -> None:
+    if not isinstance(value, str) or not NAME_PATTERN.fullmatch(value):
+        raise ValueError(
+            f"'{attribute.name}' must be 1 to 63 of a-z, 0-9, - and ., "
+            f'beginning and ending with a letter or digit, not {value!r}'
+        )
+
+
+def _positive(default: Any = attrs.NOTHING) -> Any:
+    return attrs.field(default=default, validator=attrs.validators.gt(0))
+
+
+def _not_negative(default: Any = attrs.NOTHING) -> Any:
+    return attrs.field(default=default, validator=attrs.validators.ge(0))
+
+
+@attrs.frozen
+class Demand:
+    """What a task takes of its worker.
+
+    Attributes:
+      cores: Processors, in whole or part.
+      memory_mb: Memory in MiB.
+      accelerators: Whole accelerators.
+    """
+
+    cores: float = _positive()
+    memory_mb: int = _positive()
+    accelerators: int = _not_negative(0)
+
+    def fits(self, free: Demand | Room) -> bool:
+        """Tells whether the demand fits in what is free."""
+        return (
+            self.cores <= free.cores + 1e-9
+            and self.memory_mb <= free.memory_mb
+            and self.accelerators <= free.accelerators
+        )
+
+
+@attrs.frozen
+class Room:
+    """An amount of processors, memory and accelerators, which may be none."""
+
+    cores: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def add(self, other: Demand | Room) -> Room:
+        """Returns the sum."""
+        return Room(
+            self.cores + other.cores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def subtract(self, other: Demand | Room) -> Room:
+        """Returns the difference."""
+        return Room(
+            self.cores - other.cores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+
+@attrs.frozen
+class Metadata:
+    """Names a resource.
+
+    Attributes:
+      team: The team that owns it; '' for what belongs to the platform.
+      name: Unique for its kind and team.
+      revision: Version of the resource; 0 before it is accepted.
+    """
+
+    name: str = attrs.field(validator=_check_name)
+    team: str = ''
+    revision: int = _not_negative(0)
+
+
+@attrs.frozen
+class ServiceSpec:
+    """A latency-critical service.
+
+    Attributes:
+      demand: What each task takes.
+      replicas: Tasks to keep running, over all availability zones.
+      slots: Requests a task runs at once.
+      connections: Most connections to a task, over all entry hosts.
+      target_ms: Target of the 99th percentile, in milliseconds.
+      deadline_ms: Longest a request may take, in milliseconds.
+      zones: Availability zones to spread over; all if empty.
+      payload: Given to the workers as it is.
+    """
+
+    demand: Demand
+    replicas: int = _positive()
+    slots: int = _positive(8)
+    connections: int = _positive(64)
+    target_ms: float = _positive(100.0)
+    deadline_ms: float = _positive(2000.0)
+    zones: tuple[str, ...] = ()
+    payload: str = ''
+
+
+@attrs.frozen
+class JobSpec:
+    """A batch job: one task that is to complete exactly once.
+
+    Attributes:
+      demand: What the task is declared to take.
+      expected_seconds: Declared run time.
+      job_class: Jobs that behave alike; learning is per class.
+      urgency: Urgent jobs go ahead of batch.
+      payload: Given to the worker as it is.
+      zone: Availability zone to run in; any if empty.
+    """
+
+    demand: Demand
+    expected_seconds: float = _positive(60.0)
+    job_class: str = 'default'
+    urgency: Urgency = Urgency.BATCH
+    payload: str = ''
+    zone: str = ''
+
+
+@attrs.frozen
+class TeamSpec:
+    """A team's share.
+
+    Attributes:
+      quota: Most that its batch tasks may hold at once.
+      weight: Its weight in the fair share.
+      requests_per_second: Limit of interactive requests; 0 for none.
+    """
+
+    quota: Room = Room(1e9, 2**40, 2**20)
+    weight: float = _positive(1.0)
+    requests_per_second: float = _not_negative(0.0)
+
+
+@attrs.frozen
+class WorkerSpec:
+    """What operators may set of a worker.
+
+    Attributes:
+      cordoned: Give it no new work.
+      drain: Also move its work elsewhere.
+    """
+
+    cordoned: bool = False
+    drain: bool = False
+
+
+@attrs.frozen
+class UpstreamSpec:
+    """What operators may set of an upstream.
+
+    Attributes:
+      drain: Send it no new request.
+    """
+
+    drain: bool = False
+
+
+@attrs.frozen
+class ConfigurationSpec:
+    """How this deployment weighs things.
+
+    Attributes:
+      tail_weight: Weight of a service's tail latency.
+      eviction_weight: Weight of an eviction.
+      evictions_per_hour: Budget of evictions a slice may spend.
+      hedge_share: Most hedges as a share of recent requests.
+      retry_share: Most retries as a share of recent requests.
+      spill_ms: Queueing cost beyond which another zone is used.
+    """
+
+    tail_weight: float = _not_negative(1.0)
+    eviction_weight: float = _not_negative(1.0)
+    evictions_per_hour: float = _not_negative(60.0)
+    hedge_share: float = _not_negative(0.05)
+    retry_share: float = _not_negative(0.1)
+    spill_ms: float = _not_negative(3.0)
+
+
+Spec = (
+    ServiceSpec
+    | JobSpec
+    | TeamSpec
+    | WorkerSpec
+    | UpstreamSpec
+    | ConfigurationSpec
+)
+
+SPECS: dict[Kind, type[Spec]] = {
+    Kind.SERVICE: ServiceSpec,
+    Kind.JOB: JobSpec,
+    Kind.WORKER: WorkerSpec,
+    Kind.TEAM: TeamSpec,
+    Kind.UPSTREAM: UpstreamSpec,
+    Kind.CONFIGURATION: ConfigurationSpec,
+}
+
+
+@attrs.frozen
+class Condition:
+    """One more thing that is so about a resource."""
+
+    name: str
+    reason: str = ''
+
+
+@attrs.frozen
+class Status:
+    """What the system says of a resource.
+
+    Attributes:
+      phase: Where it is in its life.
+      reason: Why, in a few words.
+      attempt: Number of the current or last attempt.
+      worker: Where it runs or ran.
+      evictions: How often it was evicted.
+      output: Name of the committed output.
+      conditions: What else holds.
+    """
+
+    phase: Phase = Phase.ACCEPTED
+    reason: str = ''
+    attempt: int = 0
+    worker: str = ''
+    evictions: int = 0
+    output: str = ''
+    conditions: tuple[Condition, ...] = ()
+
+
+@attrs.frozen
+class Resource:
+    """A resource of any kind."""
+
+    kind: Kind
+    metadata: Metadata
+    spec: Spec
+    status: Status = Status()
+
+    @property
+    def path(self) -> str:
+        """Names the resource as kind/team/name."""
+        return make_path(self.kind, self.metadata.team, self.metadata.name)
+
+
+def make_path(kind: Kind, team: str, name: str) -> str:
+    """Names a resource as kind/team/name."""
+    return f'{kind.value}/{team}/{name}'
--- /dev/null
+++ b/lentilmount/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The entry path: choosing an upstream and answering the caller."""
--- /dev/null
+++ b/lentilmount/rows.py
@@ -0,0 +1,33 @@
+"""Keys of the rows that commands write and queries read."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lentilmount.codec import unstructure
+from lentilmount.coordination.table import Key
+from lentilmount.resources import Resource
+
+REVISION_KEY = Key('configuration', 'revision')
+RESOURCES = 'resource'
+
+
+def make_resource_key(path: str) -> Key:
+    """Key of a resource that takes part in the configuration."""
+    return Key(RESOURCES, path)
+
+
+def make_job_key(team: str, name: str) -> Key:
+    """Key of a job as it was accepted."""
+    return Key(f'job/{team}', name)
+
+
+def make_request_key(request_id: str) -> Key:
+    """Key of the answer to a command that carried a request id."""
+    return Key('request', request_id)
+
+
+def encode_resource(resource: Resource) -> dict[str, Any]:
+    """Builds the plain form of a resource."""
+    plain: dict[str, Any] = unstructure(resource)
+    return plain
--- /dev/null
+++ b/lentilmount/slices.py
@@ -0,0 +1,50 @@
+"""How workers, services and jobs are spread over slices.
+
+A slice is a share of one availability zone's workers, named zone/number. One
+daemon at a time owns it, by lease.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+
+def hash_text(text: str) -> int:
+    """Hashes a text to 64 bits, the same in every process."""
+    digest: int = xxhash.xxh64_intdigest(text.encode())
+    return digest
+
+
+def list_slices(zones: Iterable[str], per_zone: int) -> list[str]:
+    """Names every slice."""
+    return [f'{zone}/{n}' for zone in sorted(zones) for n in range(per_zone)]
+
+
+def get_zone(slice_name: str) -> str:
+    """Returns the availability zone of a slice."""
+    return slice_name.partition('/')[0]
+
+
+def find_worker_slice(zone: str, worker: str, per_zone: int) -> str:
+    """Returns the slice that a worker belongs to."""
+    return f'{zone}/{hash_text(worker) % per_zone}'
+
+
+def rank_by_hash(key: str, names: Iterable[str]) -> list[str]:
+    """Orders names for a key by rendezvous hash, best first.
+
+    Source: Thaler and Ravishankar, "A Name-Based Mapping Scheme for
+    Rendezvous", 1996.
+    """
+    return sorted(
+        names,
+        key=lambda name: (hash_text(f'{key}\0{name}'), name),
+        reverse=True,
+    )
+
+
+def find_replica_slice(index: int, slices: Sequence[str]) -> str:
+    """Returns the slice that runs one replica of a service."""
+    return slices[index % len(slices)]
--- /dev/null
+++ b/lentilmount/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols and clients for the platform that lentilmount runs on."""
--- /dev/null
+++ b/lentilmount/upstream/hosts.py
@@ -0,0 +1,65 @@
+"""The platform's host list, as Prometheus HTTP service discovery."""
+
+from __future__ import annotations
+
+import json
+from typing import Protocol
+
+import attrs
+
+from lentilmount.errors import StoreError
+from lentilmount.upstream.http import HttpCaller
+
+
+@attrs.frozen
+class Host:
+    """A host of the list; the list lags behind the truth.
+
+    Attributes:
+      name: The worker's name.
+      address: IP number and port of its API.
+      zone: Its availability zone.
+      rack: Its rack.
+      leaving: Whether it is going away.
+    """
+
+    name: str
+    address: str
+    zone: str
+    rack: str
+    leaving: bool
+
+
+class Hosts(Protocol):
+    """The platform's host list."""
+
+    async def list_hosts(self) -> list[Host]:
+        """Reads the whole list."""
+
+
+class HttpHosts:
+    """The `Hosts` protocol over HTTP."""
+
+    def __init__(self, base: str, timeout: float = 2.0):
+        self._caller = HttpCaller(base, timeout)
+
+    async def list_hosts(self) -> list[Host]:
+        """See `Hosts`."""
+        answer = await self._caller.call('GET', '/v1/hosts')
+        if answer.status != 200:
+            raise StoreError(f'host list: HTTP status {answer.status}')
+        return [
+            Host(
+                name=group['labels']['name'],
+                address=target,
+                zone=group['labels']['zone'],
+                rack=group['labels']['rack'],
+                leaving=group['labels'].get('state') == 'leaving',
+            )
+            for group in json.loads(answer.body)
+            for target in group['targets']
+        ]
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._caller.close()
--- /dev/null
+++ b/lentilmount/upstream/http.py
@@ -0,0 +1,69 @@
+"""Calls to the platform over HTTP, by the curl client."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPRequest, HTTPResponse
+
+CONNECT_SECONDS = 1.0
+CURL_ERROR = 599
+
+
+@attrs.frozen
+class Answer:
+    """An HTTP answer; status 599 where there was none."""
+
+    status: int
+    body: bytes
+    headers: Mapping[str, str]
+
+
+class HttpCaller:
+    """Sends requests to one base address.
+
+    Args:
+      base: Scheme, host and port, such as http://127.0.0.1:7001.
+      timeout: Seconds for a whole call.
+      clients: Most calls at once.
+    """
+
+    def __init__(self, base: str, timeout: float = 5.0, clients: int = 32):
+        self.base = base
+        self.timeout = timeout
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=clients
+        )
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout: float | None = None,
+    ) -> Answer:
+        """Sends one request; never raises for a status or a failure."""
+        request = HTTPRequest(
+            self.base + path,
+            method=method,
+            body=body,
+            headers=headers,
+            connect_timeout=CONNECT_SECONDS,
+            request_timeout=timeout or self.timeout,
+            follow_redirects=False,
+            allow_nonstandard_methods=True,
+        )
+        try:
+            response: HTTPResponse = await self._client.fetch(
+                request, raise_error=False
+            )
+        except CurlError as error:
+            return Answer(CURL_ERROR, str(error).encode(), {})
+        return Answer(response.code, response.body or b'', response.headers)
+
+    def close(self) -> None:
+        """Closes the client's connections."""
+        self._client.close()
--- /dev/null
+++ b/lentilmount/upstream/objects.py
@@ -0,0 +1,50 @@
+"""The platform's object store, over the S3 REST protocol."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from urllib.parse import quote
+
+from lentilmount.errors import StoreError
+from lentilmount.upstream.http import HttpCaller
+
+BUCKET = 'lentilmount'
+
+
+class Objects(Protocol):
+    """The platform's object store."""
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Writes an object whole."""
+
+    async def get(self, name: str) -> bytes | None:
+        """Reads an object, or None where there is none."""
+
+
+class HttpObjects:
+    """The `Objects` protocol over HTTP."""
+
+    def __init__(self, base: str, timeout: float = 5.0):
+        self._caller = HttpCaller(base, timeout)
+
+    async def put(self, name: str, data: bytes) -> None:
+        """See `Objects`."""
+        answer = await self._caller.call('PUT', self._path(name), data)
+        if answer.status != 200:
+            raise StoreError(f'object {name}: HTTP status {answer.status}')
+
+    async def get(self, name: str) -> bytes | None:
+        """See `Objects`."""
+        answer = await self._caller.call('GET', self._path(name))
+        if answer.status == 404:
+            return None
+        if answer.status != 200:
+            raise StoreError(f'object {name}: HTTP status {answer.status}')
+        return answer.body
+
+    def _path(self, name: str) -> str:
+        return f'/{BUCKET}/{quote(name)}'
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._caller.close()
--- /dev/null
+++ b/lentilmount/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages between daemons; made by `make wire`."""
--- /dev/null
+++ b/stand_ins/worker.py
@@ -0,0 +1,490 @@
+"""A worker that runs tasks under leases, in memory.
+
+It holds many workers in one process. Work is sleeping: a service answers
+after a time drawn from a log-normal distribution, a job counts progress up
+to its length. Tasks that share a worker slow each other down by a table.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+import random
+import time
+import uuid
+from typing import Any
+
+import attrs
+from tornado.web import Application
+
+from lentilmount.codec import decode, encode
+from lentilmount.resources import Demand, Room
+from lentilmount.upstream.objects import Objects
+from lentilmount.upstream.workers import (
+    SYNC_PATH,
+    Action,
+    AttemptReport,
+    AttemptState,
+    Command,
+    Outcome,
+    SyncAnswer,
+    SyncRequest,
+    Usage,
+)
+from stand_ins.faults import FAULTS_PATH, Faults, FaultsHandler, FaultyHandler
+
+TICK_SECONDS = 0.05
+CHECKPOINT_SECONDS = 0.5
+LATENCIES_KEPT = 200
+SERVICE_SPREAD = 0.25
+"""Sigma of the log-normal distribution of a service's times."""
+
+
+@attrs.frozen
+class Run:
+    """When an attempt truly ran, on one clock outside the system."""
+
+    worker: str
+    task: str
+    attempt: int
+    began: float
+    ended: float
+    state: str
+
+
+@attrs.define
+class Attempt:
+    """An attempt on a worker.
+
+    Attributes:
+      command: The start that made it.
+      lease_until: When it ends unless renewed, on the worker's clock.
+      began: When it started.
+      state: How it stands.
+      share: Share of the processors that it may use.
+      done: Seconds of work done, as if running alone.
+      checkpoint: Name of the last whole checkpoint.
+      output: Name of its output.
+      ended: When it ended, or 0.
+      stopping: Whether it was told to stop.
+      in_use: Slots in use.
+      latencies: Recent times of answers, in milliseconds.
+    """
+
+    command: Command
+    lease_until: float
+    began: float
+    state: AttemptState = AttemptState.RUNNING
+    share: float = 1.0
+    done: float = 0.0
+    checkpoint: str = ''
+    output: str = ''
+    message: str = ''
+    ended: float = 0.0
+    stopping: bool = False
+    in_use: int = 0
+    latencies: collections.deque[float] = attrs.Factory(
+        lambda: collections.deque(maxlen=LATENCIES_KEPT)
+    )
+    work: dict[str, Any] = attrs.Factory(dict)
+
+    @property
+    def is_service(self) -> bool:
+        """Whether it serves requests."""
+        return self.command.task.startswith('Service/')
+
+
+@attrs.define
+class WorkerOptions:
+    """What a stand-in worker is like.
+
+    Attributes:
+      name: Its name.
+      zone: Its availability zone.
+      rack: Its rack.
+      capacity: What it has.
+      usage_lag: Seconds by which measurements are late.
+      interference: Factor on (service or job) class by the class beside it.
+      clock_rate: Rate of its clock, as a share of true time.
+    """
+
+    name: str
+    zone: str
+    rack: str
+    capacity: Room
+    usage_lag: float = 2.0
+    interference: dict[str, dict[str, float]] = attrs.Factory(dict)
+    clock_rate: float = 1.0
+
+
+class Worker:
+    """One worker: attempts, leases, measurements, and a record of runs."""
+
+    def __init__(self, options: WorkerOptions, objects: Objects, seed: int):
+        self.options = options
+        self.faults = Faults()
+        self.leaving = False
+        self.endpoint = ''
+        self.runs: list[Run] = []
+        self.served: collections.Counter[str] = collections.Counter()
+        self._objects = objects
+        self._random = random.Random(seed)
+        self._measured: collections.deque[tuple[float, Usage]] = (
+            collections.deque(maxlen=4096)
+        )
+        self._next_measure = 0.0
+        self.restart()
+
+    def restart(self) -> None:
+        """Boots anew: a new boot id, and every attempt is gone."""
+        for attempt in getattr(self, 'attempts', {}).values():
+            if attempt.state is AttemptState.RUNNING:
+                self._end(attempt, AttemptState.LAPSED)
+        self.boot = uuid.uuid4().hex[:12]
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self._epochs: dict[str, int] = {}
+        self._born = time.monotonic()
+
+    def read_clock(self) -> float:
+        """Returns the worker's monotonic time, which starts at its boot."""
+        return (time.monotonic() - self._born) * self.options.clock_rate
+
+    def sync(self, request: SyncRequest) -> SyncAnswer:
+        """Carries out the commands and reports the state."""
+        self.tick()
+        highest = self._epochs.get(request.scope, 0)
+        self._epochs[request.scope] = max(highest, request.epoch)
+        outcomes = tuple(
+            self._obey(request, command) for command in request.commands
+        )
+        return SyncAnswer(
+            boot=self.boot,
+            clock=self.read_clock(),
+            capacity=self.options.capacity,
+            outcomes=outcomes,
+            attempts=tuple(self._report(a) for a in self.attempts.values()),
+            usage=self._get_usage(),
+            leaving=self.leaving,
+        )
+
+    def _obey(self, request: SyncRequest, command: Command) -> Outcome:
+        if request.epoch < self._epochs[request.scope]:
+            return Outcome.FENCED
+        if request.boot and request.boot != self.boot:
+            return Outcome.FENCED
+        if command.not_after and self.read_clock() > command.not_after:
+            return Outcome.LATE
+        obey = {
+            Action.START: self._start,
+            Action.RENEW: self._renew,
+            Action.THROTTLE: self._throttle,
+            Action.CHECKPOINT: self._renew,
+            Action.STOP: self._stop,
+            Action.FORGET: self._forget,
+        }
+        return obey[command.action](command)
+
+    def _start(self, command: Command) -> Outcome:
+        key = (command.task, command.attempt)
+        if key in self.attempts:
+            return Outcome.DONE
+        if self.faults.fail_starts:
+            attempt = Attempt(command, 0.0, time.monotonic())
+            self.attempts[key] = attempt
+            self._end(attempt, AttemptState.FAILED, 'the worker is broken')
+            return Outcome.DONE
+        attempt = Attempt(command, command.lease_until, time.monotonic())
+        attempt.work = json.loads(command.payload) if command.payload else {}
+        self.attempts[key] = attempt
+        if command.resume_from:
+            attempt.checkpoint = command.resume_from
+            asyncio.ensure_future(self._load(attempt))
+        return Outcome.DONE
+
+    async def _load(self, attempt: Attempt) -> None:
+        data = await self._objects.get(attempt.command.resume_from)
+        if data:
+            attempt.done += json.loads(data)['done']
+
+    def _get(self, command: Command) -> Attempt | None:
+        return self.attempts.get((command.task, command.attempt))
+
+    def _renew(self, command: Command) -> Outcome:
+        attempt = self._get(command)
+        if attempt is None or attempt.state is not AttemptState.RUNNING:
+            return Outcome.UNKNOWN
+        attempt.lease_until = max(attempt.lease_until, command.lease_until)
+        return Outcome.DONE
+
+    def _throttle(self, command: Command) -> Outcome:
+        attempt = self._get(command)
+        if attempt is None:
+            return Outcome.UNKNOWN
+        attempt.share = command.share
+        return Outcome.DONE
+
+    def _stop(self, command: Command) -> Outcome:
+        attempt = self._get(command)
+        if attempt is None:
+            return Outcome.UNKNOWN
+        if attempt.state is AttemptState.RUNNING and not attempt.stopping:
+            attempt.stopping = True
+            asyncio.ensure_future(self._save_and_stop(attempt))
+        return Outcome.DONE
+
+    async def _save_and_stop(self, attempt: Attempt) -> None:
+        await self._save(attempt)
+        if attempt.state is AttemptState.RUNNING:
+            self._end(attempt, AttemptState.STOPPED)
+
+    def _forget(self, command: Command) -> Outcome:
+        attempt = self._get(command)
+        if attempt is not None and attempt.state is not AttemptState.RUNNING:
+            del self.attempts[command.task, command.attempt]
+        return Outcome.DONE
+
+    def _end(
+        self, attempt: Attempt, state: AttemptState, message: str = ''
+    ) -> None:
+        attempt.state = state
+        attempt.message = message
+        attempt.ended = time.monotonic()
+        self.runs.append(
+            Run(
+                self.options.name,
+                attempt.command.task,
+                attempt.command.attempt,
+                attempt.began,
+                attempt.ended,
+                state.value,
+            )
+        )
+
+    def list_runs(self) -> list[Run]:
+        """Returns every run, those that go on included."""
+        going = [
+            Run(
+                self.options.name,
+                attempt.command.task,
+                attempt.command.attempt,
+                attempt.began,
+                0.0,
+                attempt.state.value,
+            )
+            for attempt in self.attempts.values()
+            if attempt.state is AttemptState.RUNNING
+        ]
+        return self.runs + going
+
+    async def run(self) -> None:
+        """Lets time pass for the tasks."""
+        last = time.monotonic()
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = time.monotonic()
+            self.tick()
+            self._progress(now - last)
+            if now >= self._next_measure:
+                self._next_measure = now + 1.0
+                self._measure(now)
+            last = now
+
+    def tick(self) -> None:
+        """Ends the attempts whose lease has lapsed."""
+        clock = self.read_clock()
+        for attempt in self.attempts.values():
+            running = attempt.state is AttemptState.RUNNING
+            if running and clock > attempt.lease_until:
+                self._end(attempt, AttemptState.LAPSED)
+
+    def _progress(self, seconds: float) -> None:
+        for attempt in list(self.attempts.values()):
+            if attempt.is_service or attempt.stopping:
+                continue
+            if attempt.state is not AttemptState.RUNNING:
+                continue
+            speed = attempt.share / self.get_slowdown(attempt)
+            before = attempt.done
+            attempt.done += seconds * speed
+            if attempt.work.get('fail'):
+                self._end(attempt, AttemptState.FAILED, 'told to fail')
+            elif attempt.done >= attempt.work.get('seconds', 1.0):
+                self._finish(attempt)
+            elif int(before / CHECKPOINT_SECONDS) != int(
+                attempt.done / CHECKPOINT_SECONDS
+            ):
+                asyncio.ensure_future(self._save(attempt))
+
+    def _finish(self, attempt: Attempt) -> None:
+        attempt.output = attempt.command.save_as + '/output'
+        self._end(attempt, AttemptState.FINISHED)
+        asyncio.ensure_future(
+            self._objects.put(attempt.output, encode({'done': attempt.done}))
+        )
+
+    async def _save(self, attempt: Attempt) -> None:
+        if attempt.is_service:
+            return
+        name = f'{attempt.command.save_as}/checkpoint-{attempt.done:.3f}'
+        try:
+            await self._objects.put(name, encode({'done': attempt.done}))
+        except Exception:
+            return
+        attempt.checkpoint = name
+
+    def get_slowdown(self, attempt: Attempt) -> float:
+        """Returns how much slower the attempt is for what runs beside it."""
+        table = self.options.interference.get(attempt.command.job_class, {})
+        factor = 1.0
+        for other in self.attempts.values():
+            if other is attempt or other.state is not AttemptState.RUNNING:
+                continue
+            factor *= (
+                1 + (table.get(other.command.job_class, 1.0) - 1) * other.share
+            )
+        return factor
+
+    def _measure(self, now: float) -> None:
+        for attempt in self.attempts.values():
+            if attempt.state is not AttemptState.RUNNING:
+                continue
+            demand = attempt.command.demand or Demand(1.0, 1)
+            times = sorted(attempt.latencies)
+            slots = attempt.work.get('slots', 8)
+            usage = Usage(
+                task=attempt.command.task,
+                attempt=attempt.command.attempt,
+                age=0.0,
+                cores=attempt.work.get('cores', demand.cores) * attempt.share,
+                memory_mb=attempt.work.get('memory_mb', demand.memory_mb),
+                p99_ms=times[int(len(times) * 0.99)] if times else 0.0,
+                load=attempt.in_use / slots,
+                progress=attempt.share / self.get_slowdown(attempt),
+            )
+            self._measured.append((now, usage))
+
+    def _get_usage(self) -> tuple[Usage, ...]:
+        now = time.monotonic()
+        newest: dict[str, Usage] = {}
+        for at, usage in self._measured:
+            age = now - at
+            if age >= self.options.usage_lag:
+                newest[usage.task] = attrs.evolve(usage, age=age)
+        held = {task for task, _ in self.attempts}
+        return tuple(u for u in newest.values() if u.task in held)
+
+    def _report(self, attempt: Attempt) -> AttemptReport:
+        return AttemptReport(
+            task=attempt.command.task,
+            attempt=attempt.command.attempt,
+            state=attempt.state,
+            endpoint=self.endpoint if attempt.is_service else '',
+            output=attempt.output,
+            checkpoint=attempt.checkpoint,
+            message=attempt.message,
+        )
+
+    def find_service(self, name: str) -> Attempt | None:
+        """Finds the running attempt of a service, named as team/name."""
+        prefix = f'Service/{name}/'
+        for attempt in self.attempts.values():
+            running = attempt.state is AttemptState.RUNNING
+            if running and attempt.command.task.startswith(prefix):
+                return attempt
+        return None
+
+    async def serve(self, attempt: Attempt, request: str) -> float:
+        """Runs one request and returns the milliseconds it took."""
+        began = time.monotonic()
+        slots = attempt.work.get('slots', 8)
+        while attempt.in_use >= slots:
+            await asyncio.sleep(0.001)
+        attempt.in_use += 1
+        try:
+            self.served[request] += 1
+            base = attempt.work.get('service_ms', 10.0) / 1000
+            factor = self._random.lognormvariate(0, SERVICE_SPREAD)
+            factor *= self.get_slowdown(attempt) * self.faults.slowdown
+            await asyncio.sleep(base * factor)
+        finally:
+            attempt.in_use -= 1
+        took = (time.monotonic() - began) * 1000
+        attempt.latencies.append(took)
+        return took
+
+
+class SyncHandler(FaultyHandler):
+    """Serves the worker's own API."""
+
+    def post(self) -> None:
+        """Carries out the commands."""
+        worker: Worker = self.parts['worker']
+        answer = worker.sync(decode(self.request.body, SyncRequest))
+        if self.lose_answer():
+            return
+        self.finish(encode(answer))
+
+
+class ServeHandler(FaultyHandler):
+    """Serves the requests of callers, as an upstream."""
+
+    async def respond(self, *_: str) -> None:
+        """Answers with the request's own body and id."""
+        worker: Worker = self.parts['worker']
+        name = self.request.headers.get('Lentilmount-Service', '')
+        request = self.request.headers.get('Lentilmount-Request', '')
+        attempt = worker.find_service(name)
+        if attempt is None:
+            self.set_header('Lentilmount-Ran', 'no')
+            self.reply({'error': f'{name} does not run here'}, 503)
+            return
+        await worker.serve(attempt, request)
+        self.set_header('Lentilmount-Request', request)
+        self.reply(
+            {
+                'request': request,
+                'worker': worker.options.name,
+                'echo': self.request.body.decode('latin-1'),
+            }
+        )
+
+    get = post = put = delete = respond
+
+
+class WorkerRecordHandler(FaultyHandler):
+    """Tells what truly ran, for checkers."""
+
+    def get(self) -> None:
+        """Answers with the runs and the count of each request."""
+        worker: Worker = self.parts['worker']
+        self.finish(
+            {
+                'name': worker.options.name,
+                'boot': worker.boot,
+                'runs': [attrs.asdict(run) for run in worker.list_runs()],
+                'served': dict(worker.served),
+            }
+        )
+
+    def post(self) -> None:
+        """Restarts the worker, or marks it as leaving."""
+        worker: Worker = self.parts['worker']
+        change = json.loads(self.request.body)
+        worker.leaving = change.get('leaving', worker.leaving)
+        if change.get('restart'):
+            worker.restart()
+        self.finish({'boot': worker.boot})
+
+
+def make_worker_app(worker: Worker) -> Application:
+    """Builds the HTTP application of a worker."""
+    parts: dict[str, Any] = {'worker': worker, 'faults': worker.faults}
+    return Application(
+        [
+            (FAULTS_PATH, FaultsHandler, {'faults': worker.faults}),
+            ('/_record', WorkerRecordHandler, parts),
+            (SYNC_PATH, SyncHandler, parts),
+            ('/(.*)', ServeHandler, parts),
+        ]
+    )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, a file for each feature."""
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,97 @@
+"""Leases: one holder at a time, and a late one writes nothing."""
+
+import pytest
+
+from lentilmount.clock import ManualClock
+from lentilmount.coordination.leases import LeaseKeeper, LeaseLostError
+from lentilmount.coordination.table import (
+    Key,
+    Operation,
+    Put,
+    UnavailableError,
+)
+from stand_ins.table import MemoryTable
+from tests.helpers import run
+
+KEY = Key('slice', 'a/0')
+DATA = Key('data', 'x')
+
+
+class LossyTable(MemoryTable):
+    """Loses the answers of the next writes, after they took effect."""
+
+    lost = 0
+
+    async def transact(self, token: str, operations: list[Operation]) -> None:
+        await super().transact(token, operations)
+        if self.lost:
+            self.lost -= 1
+            raise UnavailableError('answer lost')
+
+
+def make_keeper(
+    table: MemoryTable, name: str, clock: ManualClock
+) -> LeaseKeeper:
+    return LeaseKeeper(table, name, 3.0, clock.monotonic)
+
+
+def test_a_lapsed_lease_is_taken_over_with_a_higher_epoch() -> None:
+    async def check() -> None:
+        table, clock = MemoryTable(), ManualClock()
+        first = await make_keeper(table, 'one', clock).try_acquire(KEY)
+        second = make_keeper(table, 'two', clock)
+        assert first is not None
+        assert await second.try_acquire(KEY) is None
+        clock.advance(2.9)
+        assert await second.try_acquire(KEY) is None
+        clock.advance(0.2)
+        taken = await second.try_acquire(KEY)
+        assert taken is not None
+        assert taken.epoch == first.epoch + 1
+
+    run(check())
+
+
+def test_a_paused_holder_writes_nothing_when_it_wakes() -> None:
+    """A holder is paused past its lease, and another takes over.
+
+    The first wakes and sends the write that it had in hand. The write expects
+    the version of the lease's row, which the takeover raised, so it fails
+    whole and the row that it would have written stays absent.
+    """
+
+    async def check() -> None:
+        table, clock = MemoryTable(), ManualClock()
+        keeper = make_keeper(table, 'one', clock)
+        lease = await keeper.try_acquire(KEY)
+        other = make_keeper(table, 'two', clock)
+        assert lease is not None
+        await other.try_acquire(KEY)
+        clock.advance(4.0)
+        assert await other.try_acquire(KEY) is not None
+        with pytest.raises(LeaseLostError):
+            await keeper.renew(lease, [Put(DATA, {'late': True})])
+        assert await table.read([DATA]) == {}
+
+    run(check())
+
+
+def test_a_lost_answer_is_one_write() -> None:
+    """The answer to a renewal is lost after it took effect.
+
+    The holder sends the same transaction again; it conflicts with its own
+    first copy, whose token on the lease's row says that it applied.
+    """
+
+    async def check() -> None:
+        table, clock = LossyTable(), ManualClock()
+        keeper = make_keeper(table, 'one', clock)
+        lease = await keeper.try_acquire(KEY)
+        assert lease is not None
+        table.lost = 1
+        await keeper.renew(lease, [Put(DATA, {'n': 1})])
+        assert (await table.read([DATA]))[DATA].version == 1
+        await keeper.renew(lease)
+        assert (await table.read([KEY]))[KEY].version == 3
+
+    run(check())
