--- a/lentilmount/batch/inbox.py
+++ b/lentilmount/batch/inbox.py
@@ -11,8 +11,15 @@
 import attrs
 
 from lentilmount.batch.records import Task, make_inbox_partition
-from lentilmount.codec import unstructure
-from lentilmount.coordination.table import Key, Put
+from lentilmount.codec import structure, unstructure
+from lentilmount.coordination.table import Key, Put, Row
+from lentilmount.errors import InvalidError
+
+FORMAT = 1
+"""Raised when older owners could not carry a request out."""
+
+URGENT_ORDER = '0'
+"""Requests whose order begins with this are answered first."""
 
 
 class Wish(enum.Enum):
@@ -46,4 +53,27 @@
       request: What is asked.
     """
     key = Key(make_inbox_partition(slice_name), order)
-    return Put(key, unstructure(request))
+    return Put(key, {'format': FORMAT, 'request': unstructure(request)})
+
+
+def is_newer(row: Row) -> bool:
+    """Tells whether a newer version wrote a row, and has to answer it."""
+    newer = row.body.get('format', FORMAT)
+    return isinstance(newer, int) and newer > FORMAT
+
+
+def is_urgent(row: Row) -> bool:
+    """Tells whether a row goes ahead of the limit on writes."""
+    return row.key.sort.startswith(URGENT_ORDER)
+
+
+def read_request(row: Row) -> Request:
+    """Reads a row of an inbox.
+
+    Raises:
+      InvalidError: The row is damaged.
+    """
+    request = structure(row.body.get('request'), Request)
+    if request.wish is Wish.SUBMIT and request.task is None:
+        raise InvalidError('request: a submit without a task')
+    return request
--- a/lentilmount/batch/links.py
+++ b/lentilmount/batch/links.py
@@ -13,9 +13,16 @@
 
 import attrs
 
-from lentilmount.batch.ledger import MOVES_A_TRANSACTION, Draft, Ledger
+from lentilmount.batch.drafts import Draft
+from lentilmount.batch.ledger import Ledger
 from lentilmount.batch.records import Task, WorkerRecord
-from lentilmount.batch.states import HOLDING, STOPPING, Move
+from lentilmount.batch.reports import (
+    AttemptKey,
+    apply_report,
+    is_news,
+    update_worker,
+)
+from lentilmount.batch.states import HOLDING, STOPPING
 from lentilmount.coordination.leases import CLOCK_DRIFT
 from lentilmount.resources import Phase
 from lentilmount.upstream.workers import (
@@ -23,6 +30,7 @@
     AttemptReport,
     AttemptState,
     Command,
+    Outcome,
     SyncAnswer,
     SyncRequest,
     Usage,
@@ -30,16 +38,11 @@
     Workers,
 )
 
-FAILURES_OF_JOB = 3
-"""A job that fails on this many workers is at fault itself."""
+LAST_CHECKPOINT_SHARE = 0.1
+"""Share of the promise before its end in which tasks save a checkpoint."""
 
-_MOVES_BY_STATE = {
-    AttemptState.RUNNING: Move.STARTED,
-    AttemptState.FINISHED: Move.FINISH,
-    AttemptState.FAILED: Move.FAIL,
-    AttemptState.STOPPED: Move.STOPPED,
-    AttemptState.LAPSED: Move.LOST,
-}
+NOTE_CHECKPOINT_SECONDS = 300.0
+"""How often a task's newest checkpoint is recorded in the table."""
 
 
 @attrs.frozen
@@ -96,16 +99,27 @@
         self._on_change = on_change
         self._anchor: _Anchor | None = None
         self._wake = asyncio.Event()
-        self._orders: list[Command] = []
-        self._born = monotonic()
-        self._starts: dict[tuple[str, int], float] = {}
+        self._orders: dict[tuple[Action, str, int], Command] = {}
         self._intake: asyncio.Task[None] | None = None
-        # Until this time a task on the worker may be running under a lease
-        # that somebody gave. A former owner may have renewed up to the end of
-        # its promise, until the worker has seen our epoch and refuses it.
-        self._horizon = monotonic() + (
-            options.promise_seconds + options.lease_seconds
+        # When each start was last sent, while it may still take effect.
+        self._starts: dict[AttemptKey, float] = {}
+        self._refused: set[AttemptKey] = set()
+        # Attempts that are being given up. They get no command any more: the
+        # transaction may apply at any later time, so a worker that comes back
+        # meanwhile must not begin or go on with them.
+        self._ending: set[AttemptKey] = set()
+        self._checkpoints: dict[AttemptKey, str] = {}
+        self._noted: dict[AttemptKey, float] = {}
+        self._saved: dict[AttemptKey, float] = {}
+        # Until these times a task on the worker may be running under a lease
+        # that a former owner gave, or that this one gave. A former owner may
+        # renew up to the end of its promise, until the worker has seen our
+        # epoch and refuses it.
+        self._others_horizon = monotonic() + (
+            ledger.promise_seconds + ledger.task_lease_seconds
         ) * (1 + CLOCK_DRIFT)
+        self._own_horizon = 0.0
+        self._is_fenced = False
 
     @property
     def record(self) -> WorkerRecord:
@@ -117,11 +131,19 @@
         self._wake.set()
 
     def send(self, command: Command) -> None:
-        """Sends a command with the next call, once."""
-        self._orders.append(command)
+        """Sends a command with the next call, and again until answered.
+
+        A newer command of the same kind for the same attempt replaces it.
+        """
+        key = (command.action, command.task, command.attempt)
+        self._orders[key] = command
 
     async def run(self) -> None:
-        """Keeps the link until cancelled."""
+        """Keeps the link until cancelled.
+
+        Raises:
+          LeaseLostError: Another daemon holds the slice.
+        """
         try:
             while True:
                 await self._synchronize()
@@ -130,6 +152,8 @@
                         self._wake.wait(), self._options.sync_seconds
                     )
                 self._wake.clear()
+                if self._intake is not None and self._intake.done():
+                    self._intake.result()
         finally:
             if self._intake is not None:
                 self._intake.cancel()
@@ -139,22 +163,44 @@
         request = self._make_request(sent_at)
         if request.commands:
             own = self._get_own_horizon(sent_at)
-            self._horizon = max(self._horizon, own)
+            self._own_horizon = max(self._own_horizon, own)
         try:
             answer = await self._workers.sync(self.record.address, request)
         except WorkerError:
             self.reachable = False
-            if self._monotonic() > self._horizon:
-                self._spawn(self._give_up('the worker is not reachable'))
+            horizon = max(self._own_horizon, self._others_horizon)
+            if self._monotonic() > horizon:
+                self._spawn(self._give_up())
             return
-        # The worker has our epoch now, so only our own leases count.
-        self._horizon = self._get_own_horizon(sent_at)
-        self._anchor = _Anchor(answer.boot, answer.clock, self._monotonic())
+        self._take_answer(request, answer)
+        self._spawn(self._take_in(answer, sent_at))
+
+    def _take_answer(self, request: SyncRequest, answer: SyncAnswer) -> None:
+        now = self._monotonic()
+        if not self._is_fenced:
+            # The worker has our epoch now and refuses former owners; the
+            # last lease that one of them gave it ends within a lease's time.
+            self._is_fenced = True
+            lease = self._ledger.task_lease_seconds
+            self._others_horizon = now + lease * (1 + 2 * CLOCK_DRIFT)
+        self._anchor = _Anchor(answer.boot, answer.clock, now)
         self.usage = answer.usage
+        for command, outcome in zip(
+            request.commands, answer.outcomes, strict=False
+        ):
+            self._take_outcome(command, outcome)
         if not self.reachable:
             self.reachable = True
             self.wake()
-        self._spawn(self._take_in(answer, sent_at))
+
+    def _take_outcome(self, command: Command, outcome: Outcome) -> None:
+        attempt = (command.task, command.attempt)
+        if command.action is Action.START and outcome is Outcome.REFUSED:
+            self._refused.add(attempt)
+        order = (command.action, *attempt)
+        sent = self._orders.get(order)
+        if sent is not None and sent.share == command.share:
+            del self._orders[order]
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         # Taking a report in waits for the table. Leases must be renewed
@@ -178,50 +224,52 @@
         # tasks have surely lapsed and can be placed elsewhere.
         if self._anchor is None or not self.reachable:
             return SyncRequest(scope, epoch)
-        orders, self._orders = self._orders, []
         commands = [
             command
-            for task in self._list_held()
+            for task in self.list_held()
             for command in self._make_commands(task, now)
         ]
-        return SyncRequest(
-            scope, epoch, self._anchor.boot, tuple(commands + orders)
-        )
+        # An order that is delayed on its way must not undo a later one.
+        clock = self._read_remote_clock(now)
+        late = clock + self._options.start_seconds
+        commands += [
+            attrs.evolve(order, not_after=order.not_after or late)
+            for order in self._orders.values()
+        ]
+        return SyncRequest(scope, epoch, self._anchor.boot, tuple(commands))
 
-    def _list_held(self) -> list[Task]:
+    def _read_remote_clock(self, now: float) -> float:
+        assert self._anchor is not None
+        return self._anchor.remote + (now - self._anchor.local)
+
+    def list_held(self) -> list[Task]:
+        """Returns the tasks that are committed on the worker."""
         return [
             task
-            for task in self._ledger.tasks.values()
-            if task.worker == self.name and task.phase in HOLDING
+            for commitment in self.record.commitments
+            if (task := self._ledger.tasks.get(commitment.rpartition('#')[0]))
+            and task.worker == self.name
+            and task.phase in HOLDING
         ]
 
     def _make_commands(self, task: Task, now: float) -> list[Command]:
         assert self._anchor is not None
-        clock = self._anchor.remote + (now - self._anchor.local)
-        lease_until = clock + self._options.lease_seconds
-        if task.phase is Phase.STARTING:
-            self._starts[task.id, task.attempt] = now
-            return [
-                Command(
-                    action=Action.START,
-                    task=task.id,
-                    attempt=task.attempt,
-                    lease_until=lease_until,
-                    not_after=clock + self._options.start_seconds,
-                    demand=task.demand,
-                    job_class=task.job_class,
-                    payload=task.payload,
-                    resume_from=task.checkpoint,
-                    save_as=task.save_as,
-                )
-            ]
+        key = (task.id, task.attempt)
+        # An attempt belongs to one boot of its worker. After a restart the
+        # table will be told that it is over; started on the new boot, it
+        # would go on there after that.
+        if key in self._ending or task.boot != self._anchor.boot:
+            return []
         if task.phase in STOPPING:
             return [Command(Action.STOP, task.id, task.attempt)]
         if not self._may_renew(now):
             return []
+        if task.phase is Phase.STARTING:
+            return self._make_start(task, now)
+        lease_until = self._read_remote_clock(now) + self._options.lease_seconds
         return [
             Command(
-                Action.RENEW,
+                self._choose_renewal(task, now),
                 task.id,
                 task.attempt,
                 lease_until=lease_until,
@@ -229,137 +277,196 @@
             )
         ]
 
+    def _make_start(self, task: Task, now: float) -> list[Command]:
+        key = (task.id, task.attempt)
+        if key in self._refused:
+            return []
+        self._starts[key] = now
+        clock = self._read_remote_clock(now)
+        return [
+            Command(
+                action=Action.START,
+                task=task.id,
+                attempt=task.attempt,
+                lease_until=clock + self._options.lease_seconds,
+                not_after=clock + self._options.start_seconds,
+                demand=task.demand,
+                job_class=task.job_class,
+                payload=task.payload,
+                resume_from=task.checkpoint,
+                save_as=task.save_as,
+            )
+        ]
+
     def _may_renew(self, now: float) -> bool:
         # A store outage must not disturb running work, but a new owner that
-        # cannot reach the worker waits out just this promise.
+        # cannot reach the worker waits out just this promise. A start is
+        # bound by it as well: a daemon that was paused, or cut off from the
+        # table, would else start what was given up long ago.
         renewed_at = self._ledger.lease.renewed_at
         return now < renewed_at + self._options.promise_seconds
 
+    def _choose_renewal(self, task: Task, now: float) -> Action:
+        # Before the promise ends each task saves what it has, once, so that
+        # it resumes from there when the table is back.
+        renewed_at = self._ledger.lease.renewed_at
+        promise = self._options.promise_seconds
+        key = (task.id, task.attempt)
+        early = now < renewed_at + promise * (1 - LAST_CHECKPOINT_SHARE)
+        if early or task.is_service or self._saved.get(key) == renewed_at:
+            return Action.RENEW
+        self._saved[key] = renewed_at
+        return Action.CHECKPOINT
+
     async def _take_in(self, answer: SyncAnswer, sent_at: float) -> None:
         reports = {(r.task, r.attempt): r for r in answer.attempts}
+        for key, report in reports.items():
+            if report.checkpoint:
+                self._checkpoints[key] = report.checkpoint
         moves = self._find_moves(answer, reports, sent_at)
-        if moves or self._has_changed(answer):
+        due = self._list_due_checkpoints(sent_at)
+        if moves or due or self._has_changed(answer):
             async with self._ledger.change() as draft:
-                self._update_record(draft, answer)
-                for task_id, report in moves[:MOVES_A_TRANSACTION]:
-                    self._apply(draft, task_id, report)
+                update_worker(draft, self.name, answer)
+                self._apply(draft, moves)
+                self._note_checkpoints(draft, due, sent_at)
             self._on_change()
             self.wake()
-        self._forget_finished(reports)
+        self._forget_finished(reports, sent_at)
+        self._clean_up(reports)
+
+    def _apply(
+        self, draft: Draft, moves: list[tuple[str, AttemptReport]]
+    ) -> None:
+        # What does not fit is reported again with the next call.
+        for task_id, report in moves:
+            if draft.is_full:
+                break
+            known = self._checkpoints.get((task_id, report.attempt), '')
+            checkpoint = report.checkpoint or known
+            whole = attrs.evolve(report, checkpoint=checkpoint)
+            apply_report(draft, task_id, whole, self.name)
 
     def _has_changed(self, answer: SyncAnswer) -> bool:
         record = self.record
         now = (answer.boot, answer.capacity, answer.leaving or record.leaving)
         return now != (record.boot, record.capacity, record.leaving)
 
-    def _update_record(self, draft: Draft, answer: SyncAnswer) -> None:
-        record = draft.get_worker(self.name)
-        draft.set_worker(
-            attrs.evolve(
-                record,
-                boot=answer.boot,
-                capacity=answer.capacity,
-                leaving=answer.leaving or record.leaving,
-            )
-        )
-
     def _find_moves(
         self,
         answer: SyncAnswer,
-        reports: dict[tuple[str, int], AttemptReport],
+        reports: dict[AttemptKey, AttemptReport],
         sent_at: float,
     ) -> list[tuple[str, AttemptReport]]:
         moves = []
-        for task in self._list_held():
+        for task in self.list_held():
             report = reports.get((task.id, task.attempt))
-            if report is None and self._is_gone(task, answer, sent_at):
-                report = AttemptReport(
-                    task.id, task.attempt, AttemptState.LAPSED
-                )
-            if report and self._is_news(task, report):
+            if report is None:
+                report = self._explain_absence(task, answer, sent_at)
+            if report and is_news(task, report):
                 moves.append((task.id, report))
         return moves
 
-    def _is_gone(self, task: Task, answer: SyncAnswer, sent_at: float) -> bool:
+    def _explain_absence(
+        self, task: Task, answer: SyncAnswer, sent_at: float
+    ) -> AttemptReport | None:
         # Another boot holds nothing of the old one. On the same boot, an
         # attempt that was known to run and is no longer held is over. One
-        # that was told to stop before its start was answered is over once
-        # a start still on its way would come too late to take effect.
-        if task.boot != answer.boot or task.phase is Phase.RUNNING:
-            return True
-        if task.phase not in STOPPING:
-            return False
-        started = self._starts.get((task.id, task.attempt), self._born)
-        limit = self._options.start_seconds * (1 + CLOCK_DRIFT)
-        return sent_at > started + limit
-
-    def _is_news(self, task: Task, report: AttemptReport) -> bool:
-        if report.state is not AttemptState.RUNNING:
-            return True
-        return task.phase is Phase.STARTING
-
-    def _apply(self, draft: Draft, task_id: str, report: AttemptReport) -> None:
-        task = draft.get_task(task_id)
-        if task is None or task.attempt != report.attempt:
-            return
-        if task.phase not in HOLDING:
-            return
-        if report.state is AttemptState.RUNNING:
-            if task.phase is Phase.STARTING:
-                draft.move(task, Move.STARTED, endpoint=report.endpoint)
-            return
-        move = _MOVES_BY_STATE[report.state]
-        if move is Move.STOPPED and task.phase not in STOPPING:
-            move = Move.LOST
-        if move is Move.FAIL:
-            self._apply_failure(draft, task, report)
-            return
-        evicted = move in (Move.STOPPED, Move.LOST)
-        draft.move(
-            task,
-            move,
-            output=report.output if move is Move.FINISH else '',
-            checkpoint=report.checkpoint or task.checkpoint,
-            evictions=task.evictions + evicted,
-            reason='lease lapsed' if move is Move.LOST else task.reason,
+        # whose start was not yet answered is over once a start still on its
+        # way would come too late to take effect; a start that a former owner
+        # sent has no effect since the worker saw our epoch.
+        key = (task.id, task.attempt)
+        gone = (
+            task.boot != answer.boot
+            or task.phase is Phase.RUNNING
+            or key in self._ending
         )
+        if gone:
+            return AttemptReport(*key, AttemptState.LAPSED)
+        if self._may_still_start(key, sent_at):
+            return None
+        if key in self._refused:
+            message = 'the worker refused to start it'
+            return AttemptReport(*key, AttemptState.FAILED, message=message)
+        if task.phase in STOPPING:
+            return AttemptReport(*key, AttemptState.LAPSED)
+        return None
 
-    def _apply_failure(
-        self, draft: Draft, task: Task, report: AttemptReport
-    ) -> None:
-        failed_on = (*task.failed_on, self.name)
-        hopeless = len(set(failed_on)) >= FAILURES_OF_JOB
-        draft.move(
-            task,
-            Move.GIVE_UP if hopeless and not task.is_service else Move.FAIL,
-            failed_on=failed_on,
-            reason=report.message,
-            checkpoint=report.checkpoint or task.checkpoint,
-        )
+    def _may_still_start(self, key: AttemptKey, sent_at: float) -> bool:
+        if key not in self._starts:
+            return False
+        limit = self._options.start_seconds * (1 + 2 * CLOCK_DRIFT)
+        return sent_at <= self._starts[key] + limit
 
     def _forget_finished(
-        self, reports: dict[tuple[str, int], AttemptReport]
+        self, reports: dict[AttemptKey, AttemptReport], sent_at: float
     ) -> None:
-        for (task_id, attempt), report in reports.items():
-            task = self._ledger.tasks.get(task_id)
-            current = task is not None and task.attempt == attempt
+        for key, report in reports.items():
+            task = self._ledger.tasks.get(key[0])
+            current = task is not None and task.attempt == key[1]
             if current and task is not None and task.phase in HOLDING:
                 continue
-            forget = report.state is not AttemptState.RUNNING
-            action = Action.FORGET if forget else Action.STOP
-            self.send(Command(action, task_id, attempt))
-
-    async def _give_up(self, reason: str) -> None:
-        held = self._list_held()
+            if key[0] in self._ledger.unread:
+                continue
+            if report.state is AttemptState.RUNNING:
+                self.send(Command(Action.STOP, *key))
+            # Once forgotten, an attempt would be begun again by a copy of
+            # its start that was delayed on the way.
+            elif not self._may_still_start(key, sent_at):
+                self.send(Command(Action.FORGET, *key))
+
+    def _list_due_checkpoints(self, now: float) -> list[Task]:
+        # Without this, progress is lost when a worker and the owner of its
+        # slice are lost together; written at each report, it would be a
+        # write storm.
+        due = []
+        for task in self.list_held():
+            key = (task.id, task.attempt)
+            since = self._noted.setdefault(key, now)
+            known = self._checkpoints.get(key, '')
+            fresh = known not in ('', task.checkpoint)
+            if fresh and now - since >= NOTE_CHECKPOINT_SECONDS:
+                due.append(task)
+        return due
+
+    def _note_checkpoints(
+        self, draft: Draft, due: list[Task], now: float
+    ) -> None:
+        for task in due:
+            key = (task.id, task.attempt)
+            current = draft.get_task(task.id)
+            if draft.is_full or current is None or current.phase not in HOLDING:
+                continue
+            if current.attempt == task.attempt:
+                draft.set_checkpoint(current, self._checkpoints[key])
+                self._noted[key] = now
+
+    def _clean_up(self, reports: dict[AttemptKey, AttemptReport]) -> None:
+        held = {(task.id, task.attempt) for task in self.list_held()}
+        known = held | set(reports)
+        self._ending &= held
+        self._refused &= held
+        for kept in (self._checkpoints, self._noted, self._saved, self._starts):
+            for key in [key for key in kept if key not in known]:
+                del kept[key]
+
+    async def _give_up(self) -> None:
+        held = self.list_held()
         if not held:
             return
+        self._ending.update((task.id, task.attempt) for task in held)
         async with self._ledger.change() as draft:
-            for task in held[:MOVES_A_TRANSACTION]:
-                current = draft.get_task(task.id)
-                if current and current.attempt == task.attempt:
-                    draft.move(
-                        current,
-                        Move.LOST,
-                        evictions=current.evictions + 1,
-                        reason=reason,
-                    )
+            for task in held:
+                if draft.is_full:
+                    break
+                report = AttemptReport(
+                    task.id,
+                    task.attempt,
+                    AttemptState.LAPSED,
+                    checkpoint=self._checkpoints.get(
+                        (task.id, task.attempt), ''
+                    ),
+                    message='the worker is not reachable',
+                )
+                apply_report(draft, task.id, report, self.name)
+        self._on_change()
--- a/lentilmount/batch/manager.py
+++ b/lentilmount/batch/manager.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from lentilmount.batch.ledger import Ledger
+from lentilmount.batch.ledger import Ledger, LedgerOptions
 from lentilmount.batch.owner import Owner, OwnerOptions
 from lentilmount.batch.records import make_slice_key
 from lentilmount.configuration import Configuration
@@ -19,6 +19,7 @@
 )
 from lentilmount.coordination.membership import Membership
 from lentilmount.coordination.table import (
+    MAX_OPERATIONS,
     ConflictError,
     Table,
     UnavailableError,
@@ -31,6 +32,11 @@
 log = logbook.Logger('slices')
 
 POLL_SECONDS = 1.0
+FAULT_SECONDS = 5.0
+"""How long a slice is left alone after a fault in its own rows or code."""
+
+ROWS_PER_SECOND = 400.0
+"""Most rows that all slices together write, but for what is urgent."""
 
 
 class SliceManager:
@@ -69,6 +75,13 @@
             options.lease_seconds,
             monotonic,
         )
+        rows = ROWS_PER_SECOND / max(1, len(options.slices))
+        self._ledger_options = LedgerOptions(
+            rows_per_second=rows,
+            burst_rows=max(rows, MAX_OPERATIONS),
+            promise_seconds=options.links.promise_seconds,
+            task_lease_seconds=options.links.lease_seconds,
+        )
         self._stopping = False
 
     async def run(self) -> None:
@@ -88,7 +101,8 @@
             if not self._stopping and self._is_mine(slice_name):
                 with contextlib.suppress(UnavailableError):
                     lease = await self._keeper.try_acquire(
-                        make_slice_key(slice_name)
+                        make_slice_key(slice_name),
+                        self._ledger_options.extend_promise,
                     )
                     if lease is not None:
                         await self._own(slice_name, lease)
@@ -105,8 +119,15 @@
         self._events.record('slices', EventKind.SLICE_TAKEN, slice_name)
         log.info('Slice {} taken, epoch {}.', slice_name, lease.epoch)
         ledger = Ledger(
-            slice_name, self._table, self._keeper, lease, self._events
+            slice_name,
+            self._table,
+            self._keeper,
+            lease,
+            self._events,
+            self._ledger_options,
+            self._monotonic,
         )
+        pause = 0.0
         try:
             await ledger.load()
             owner = Owner(
@@ -120,18 +141,27 @@
             )
             self.owners[slice_name] = owner
             await owner.run()
-            await self._keeper.release(ledger.lease)
             cause = 'given up'
         except* LeaseLostError:
             cause = 'taken by another daemon'
         except* (ConflictError, UnavailableError) as group:
+            # The rows are not as in memory, or could not be read; whoever
+            # owns the slice next reads them again.
+            cause = str(group.exceptions[0])
+        except* Exception as group:
+            # One slice's fault must not end the daemon: the next daemon would
+            # take the slice, meet the same fault and end as well.
+            log.exception('Slice {} failed.', slice_name)
             cause = str(group.exceptions[0])
+            pause = FAULT_SECONDS
         finally:
             self.owners.pop(slice_name, None)
+        await self._keeper.release(ledger.lease)
         self._events.record(
             'slices', EventKind.SLICE_LOST, slice_name, cause=cause
         )
         log.info('Slice {} lost: {}.', slice_name, cause)
+        await asyncio.sleep(pause)
 
     def _list_hosts(self, slice_name: str) -> list[Host]:
         return [
--- a/lentilmount/batch/owner.py
+++ b/lentilmount/batch/owner.py
@@ -11,8 +11,14 @@
 import attrs
 import logbook
 
-from lentilmount.batch.inbox import Request, Wish
-from lentilmount.batch.ledger import Draft, Ledger
+from lentilmount.batch.drafts import Draft
+from lentilmount.batch.inbox import (
+    Wish,
+    is_newer,
+    is_urgent,
+    read_request,
+)
+from lentilmount.batch.ledger import Ledger
 from lentilmount.batch.links import Link, LinkOptions
 from lentilmount.batch.placement import choose_worker, explain_refusal
 from lentilmount.batch.queue import order_pending
@@ -22,9 +28,9 @@
     make_inbox_partition,
 )
 from lentilmount.batch.states import HOLDING, STOPPING, Move
-from lentilmount.codec import structure
 from lentilmount.configuration import Configuration
-from lentilmount.coordination.table import Row, Table
+from lentilmount.coordination.table import Row, Table, UnavailableError
+from lentilmount.errors import InvalidError
 from lentilmount.resources import Kind, Phase, ServiceSpec, Urgency
 from lentilmount.slices import find_replica_slice, get_zone
 from lentilmount.upstream.hosts import Host
@@ -101,16 +107,19 @@
         Raises:
           ExceptionGroup: With a `LeaseLostError`.
         """
-        async with asyncio.TaskGroup() as group:
-            self._tasks = group
-            for name in self.ledger.workers:
-                self._add_link(name)
-            self._start(self._keep_lease())
-            self._start(self._work())
-            await self._stopped.wait()
-            async with self.ledger.change():
-                for task in self._running:
-                    task.cancel()
+        try:
+            async with asyncio.TaskGroup() as group:
+                self._tasks = group
+                for name in self.ledger.workers:
+                    self._add_link(name)
+                self._start(self._keep_lease())
+                self._start(self._work())
+                await self._stopped.wait()
+                async with self.ledger.change(urgent=True):
+                    for task in self._running:
+                        task.cancel()
+        finally:
+            self.ledger.close()
 
     async def _keep_lease(self) -> None:
         pause = self._options.lease_seconds / 3
@@ -150,20 +159,24 @@
     async def _meet_hosts(self) -> None:
         hosts = {host.name: host for host in self._list_hosts()}
         stale = [h for h in hosts.values() if self._is_stale(h)]
-        for start in range(0, len(stale), INBOX_PAGE):
+        while stale:
             async with self.ledger.change() as draft:
-                for host in stale[start : start + INBOX_PAGE]:
-                    draft.set_worker(self._update_worker(host))
+                while stale and not draft.is_full:
+                    draft.set_worker(self._update_worker(stale.pop(), draft))
         for name in self.ledger.workers:
             if name not in self.links:
                 self._add_link(name)
 
     def _is_stale(self, host: Host) -> bool:
+        if host.name in self.ledger.unread:
+            return False
         known = self.ledger.workers.get(host.name)
-        return known is None or known != self._update_worker(host)
+        return known is None or known != self._update_worker(host, None)
 
-    def _update_worker(self, host: Host) -> WorkerRecord:
+    def _update_worker(self, host: Host, draft: Draft | None) -> WorkerRecord:
         known = self.ledger.workers.get(host.name)
+        if known is not None and draft is not None:
+            known = draft.get_worker(host.name)
         spec = self._configuration.get_worker(host.name)
         record = known or WorkerRecord(
             host.name, host.address, host.zone, host.rack
@@ -176,20 +189,41 @@
         )
 
     async def _answer_inbox(self) -> None:
+        # Urgent requests come first in the inbox and are not held up. Others
+        # wait for the limit on writes, so that a wave of cancellations is
+        # worked off over many steps.
+        with contextlib.suppress(UnavailableError):
+            while rows := await self._read_inbox():
+                urgent = is_urgent(rows[0])
+                if self.ledger.is_paced and not urgent:
+                    return
+                async with self.ledger.change(urgent=urgent) as draft:
+                    for row in rows:
+                        if draft.is_full or is_urgent(row) is not urgent:
+                            break
+                        self._answer(draft, row)
+                self._wake_stopping()
+
+    async def _read_inbox(self) -> list[Row]:
         partition = make_inbox_partition(self.ledger.slice_name)
-        while True:
-            rows = await self._table.scan(partition, limit=INBOX_PAGE)
-            if not rows:
-                return
-            async with self.ledger.change() as draft:
-                for row in rows:
-                    if draft.is_full:
-                        break
-                    self._answer(draft, row)
-            self._wake_stopping()
+        after = ''
+        while rows := await self._table.scan(partition, after, INBOX_PAGE):
+            known = [row for row in rows if not is_newer(row)]
+            if known:
+                return known
+            # What a newer version accepted waits for an owner of its version.
+            after = rows[-1].key.sort
+        return []
 
     def _answer(self, draft: Draft, row: Row) -> None:
-        request = structure(row.body, Request)
+        # A row that cannot be read would come first in the inbox for ever,
+        # and nothing behind it would be answered.
+        try:
+            request = read_request(row)
+        except InvalidError as error:
+            log.error('Request {} is set aside: {}.', row.key, error)
+            draft.set_aside(row, str(error))
+            return
         draft.consumed.append(row)
         task = draft.get_task(request.task_id)
         if request.wish is Wish.SUBMIT and task is None and request.task:
@@ -222,7 +256,7 @@
             and task.phase is not Phase.CANCELLING
         ]
         while missing or extra:
-            async with self.ledger.change() as draft:
+            async with self.ledger.change(urgent=True) as draft:
                 while missing and not draft.is_full:
                     draft.admit(missing.pop())
                 while extra and not draft.is_full:
@@ -279,7 +313,8 @@
         pending = order_pending(self.ledger.tasks.values())
         while pending:
             placed: list[Task] = []
-            async with self.ledger.change() as draft:
+            urgent = pending[0].urgency is Urgency.URGENT
+            async with self.ledger.change(urgent=urgent) as draft:
                 while pending and not draft.is_full:
                     task = draft.get_task(pending.pop(0).id)
                     if task is None or task.phase is not Phase.PENDING:
--- a/lentilmount/batch/records.py
+++ b/lentilmount/batch/records.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from lentilmount.coordination.table import Key
+from lentilmount.codec import structure
+from lentilmount.coordination.table import Key, Row
 from lentilmount.resources import Demand, Phase, Room, Urgency
 
 
@@ -157,6 +158,19 @@
     return f'inbox/{slice_name}'
 
 
+def make_aside_key(slice_name: str, order: str) -> Key:
+    """Key of an inbox row that could not be read, kept for operators."""
+    return Key(f'aside/{slice_name}', order)
+
+
 def make_change_key(log: str, sequence: int) -> Key:
     """Key of an entry of a change log."""
     return Key(f'change/{log}', f'{sequence:012d}')
+
+
+def read_changes(row: Row) -> list[tuple[str, Task]]:
+    """Reads an entry of a slice's change log: events with tasks, in order."""
+    return [
+        (change['event'], structure(change['task'], Task))
+        for change in row.body['changes']
+    ]
--- /dev/null
+++ b/lentilmount/batch/reports.py
@@ -0,0 +1,97 @@
+"""What a worker's report means for the tasks committed on it."""
+
+from __future__ import annotations
+
+import attrs
+
+from lentilmount.batch.drafts import Draft
+from lentilmount.batch.records import Task
+from lentilmount.batch.states import HOLDING, STOPPING, Move
+from lentilmount.resources import Phase
+from lentilmount.upstream.workers import AttemptReport, AttemptState, SyncAnswer
+
+FAILURES_OF_JOB = 3
+"""A job that fails on this many workers is at fault itself."""
+
+AttemptKey = tuple[str, int]
+"""A task's id and the number of an attempt."""
+
+_MOVES_BY_STATE = {
+    AttemptState.RUNNING: Move.STARTED,
+    AttemptState.FINISHED: Move.FINISH,
+    AttemptState.FAILED: Move.FAIL,
+    AttemptState.STOPPED: Move.STOPPED,
+    AttemptState.LAPSED: Move.LOST,
+}
+
+
+def is_news(task: Task, report: AttemptReport) -> bool:
+    """Tells whether a report of a task's attempt calls for a move."""
+    if report.state is not AttemptState.RUNNING:
+        return True
+    return task.phase is Phase.STARTING
+
+
+def apply_report(
+    draft: Draft, task_id: str, report: AttemptReport, worker: str
+) -> None:
+    """Makes the move that a report calls for, if it is of the current attempt.
+
+    A report of an earlier attempt changes nothing, so that an attempt that
+    was given up and finished all the same commits no output.
+    """
+    task = draft.get_task(task_id)
+    if task is None or task.attempt != report.attempt:
+        return
+    if task.phase not in HOLDING or task.worker != worker:
+        return
+    if report.state is AttemptState.RUNNING:
+        if task.phase is Phase.STARTING:
+            draft.move(task, Move.STARTED, endpoint=report.endpoint)
+        return
+    move = _MOVES_BY_STATE[report.state]
+    if move is Move.STOPPED and task.phase not in STOPPING:
+        move = Move.LOST
+    if move is Move.FAIL:
+        _apply_failure(draft, task, report, worker)
+        return
+    evicted = move in (Move.STOPPED, Move.LOST)
+    draft.move(
+        task,
+        move,
+        output=report.output if move is Move.FINISH else '',
+        checkpoint=report.checkpoint or task.checkpoint,
+        evictions=task.evictions + evicted,
+        reason=(report.message or 'lease lapsed')
+        if move is Move.LOST
+        else task.reason,
+    )
+
+
+def _apply_failure(
+    draft: Draft, task: Task, report: AttemptReport, worker: str
+) -> None:
+    failed_on = (*task.failed_on, worker)
+    hopeless = len(set(failed_on)) >= FAILURES_OF_JOB
+    draft.move(
+        task,
+        Move.GIVE_UP if hopeless and not task.is_service else Move.FAIL,
+        failed_on=failed_on,
+        reason=report.message,
+        checkpoint=report.checkpoint or task.checkpoint,
+    )
+
+
+def update_worker(draft: Draft, name: str, answer: SyncAnswer) -> None:
+    """Takes over a worker's boot, capacity and leaving mark where changed."""
+    record = draft.get_worker(name)
+    # A mark of leaving stays for the boot that it was about.
+    stays = record.leaving and record.boot in ('', answer.boot)
+    fresh = attrs.evolve(
+        record,
+        boot=answer.boot,
+        capacity=answer.capacity,
+        leaving=answer.leaving or stays,
+    )
+    if fresh != record:
+        draft.set_worker(fresh)
--- a/lentilmount/coordination/leases.py
+++ b/lentilmount/coordination/leases.py
@@ -26,6 +26,9 @@
 )
 from lentilmount.coordination.transactions import commit
 
+Amend = Callable[[dict[str, Any]], dict[str, Any]]
+"""Makes a lease's data at a takeover from the data before."""
+
 CLOCK_DRIFT = 0.01
 """Two monotonic clocks differ in rate by less than this share."""
 
@@ -46,6 +49,8 @@
       renewed_at: Monotonic time before the last write that renewed it.
       valid_until: Monotonic time up to which nobody else can have taken it.
       data: What else the row carries.
+      unknown: Token of a write whose fate is not known, and when it was
+        first sent.
     """
 
     key: Key
@@ -55,6 +60,7 @@
     renewed_at: float
     valid_until: float
     data: dict[str, Any]
+    unknown: tuple[str, float] = ('', 0.0)
 
     def make_put(self) -> Put:
         """Returns the write that renews the lease; put it in a transaction."""
@@ -89,9 +95,17 @@
         self._monotonic = monotonic
         self._seen: dict[Key, tuple[int, float]] = {}
 
-    async def try_acquire(self, key: Key) -> Lease | None:
+    async def try_acquire(self, key: Key, amend: Amend = dict) -> Lease | None:
         """Takes a lease if it is free or surely lapsed.
 
+        A lease that this keeper held before is taken at once, with a higher
+        epoch, so that writes of its earlier use fail.
+
+        Args:
+          key: The lease's row.
+          amend: Gives the row's data after the takeover from those before;
+            what others must know of a holder has to be in its first write.
+
         Returns:
           The lease, or None where another holds it.
 
@@ -99,9 +113,11 @@
           UnavailableError: The table does not answer.
         """
         rows = await self._table.read([key])
-        return await self.try_take(key, rows.get(key))
+        return await self.try_take(key, rows.get(key), amend)
 
-    async def try_take(self, key: Key, row: Row | None) -> Lease | None:
+    async def try_take(
+        self, key: Key, row: Row | None, amend: Amend = dict
+    ) -> Lease | None:
         """Takes a lease whose row was just read; see `try_acquire`."""
         if row is not None and not self._is_free(key, row):
             return None
@@ -112,7 +128,7 @@
             version=row.version if row else ABSENT,
             renewed_at=0.0,
             valid_until=0.0,
-            data=dict(row.body['data']) if row else {},
+            data=amend(row.body['data'] if row else {}),
         )
         try:
             await self.renew(lease)
@@ -121,7 +137,7 @@
         return lease
 
     def _is_free(self, key: Key, row: Row) -> bool:
-        if not row.body['holder']:
+        if row.body['holder'] in ('', self._holder):
             return True
         version, since = self._seen.get(key, (ABSENT, 0.0))
         now = self._monotonic()
@@ -144,7 +160,13 @@
           UnavailableError: It is not known whether it was applied. Call
             again with the same token and operations before anything else.
         """
+        # A write sent again may have taken effect the first time. Counted
+        # from the last time, the holder would believe in its lease for longer
+        # than those do who saw the first write.
         sent_at = self._monotonic()
+        if token and lease.unknown[0] == token:
+            sent_at = lease.unknown[1]
+        lease.unknown = (token, sent_at)
         put = lease.make_put()
         try:
             await commit(
--- a/lentilmount/daemon/follower.py
+++ b/lentilmount/daemon/follower.py
@@ -12,6 +12,7 @@
     Task,
     make_change_key,
     make_slice_key,
+    read_changes,
 )
 from lentilmount.codec import structure, structure_resource
 from lentilmount.configuration import (
@@ -104,8 +105,11 @@
             await self._follow_configuration(rows[REVISION_KEY].version)
         for name, key in zip(self._slices, keys, strict=True):
             if key in rows:
-                newest = int(rows[key].body['data'].get('sequence', 0))
-                await self._follow_slice(name, newest)
+                data = rows[key].body['data']
+                # Entries that were not read yet may have been pruned.
+                if self.sequences.get(name, 0) + 1 < data.get('oldest', 1):
+                    self.sequences.pop(name, None)
+                await self._follow_slice(name, int(data.get('sequence', 0)))
 
     async def _follow_configuration(self, newest: int) -> None:
         configuration = self._configuration
@@ -142,6 +146,6 @@
             if not rows:
                 break
             for row in rows:
-                task = structure(row.body['task'], Task)
-                self._directory.update(name, task)
+                for _, task in read_changes(row):
+                    self._directory.update(name, task)
             self.sequences[name] = int(rows[-1].key.sort)
--- /dev/null
+++ b/stand_ins/cell.py
@@ -0,0 +1,271 @@
+"""A zone in one process on virtual time: real slice managers, fake platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+import attrs
+
+from lentilmount.batch.inbox import Request, Wish, make_request_put
+from lentilmount.batch.links import LinkOptions
+from lentilmount.batch.manager import SliceManager
+from lentilmount.batch.owner import Owner, OwnerOptions
+from lentilmount.batch.records import Task
+from lentilmount.clock import ManualClock
+from lentilmount.configuration import Configuration
+from lentilmount.coordination.membership import Member, Membership
+from lentilmount.coordination.table import Put
+from lentilmount.events import EventLog
+from lentilmount.resources import Demand, Room, Urgency
+from lentilmount.rows import make_job_key
+from lentilmount.upstream.hosts import Host
+from stand_ins.checker import Violation, check_history
+from stand_ins.local import (
+    MemoryObjects,
+    PathFaults,
+    TableView,
+    WorkersView,
+)
+from stand_ins.table import MemoryTable
+from stand_ins.worker import Run, Worker, WorkerOptions
+
+ZONE = 'a'
+SLICE = f'{ZONE}/0'
+TEAM = 'crew'
+BEAT_SECONDS = 0.5
+SILENCE_SECONDS = 2.0
+
+
+@attrs.define
+class CellOptions:
+    """What a cell is like.
+
+    Attributes:
+      workers: How many workers, two to a rack.
+      daemons: How many daemons.
+      capacity: What each worker has.
+      links: Times of the leases of tasks.
+      slice_lease: Seconds that a slice is held without renewal.
+      clock_rates: Rates of the workers' clocks; the last one repeats.
+      tick_seconds: How often tasks make progress.
+    """
+
+    workers: int = 3
+    daemons: int = 2
+    capacity: Room = Room(4.0, 16_000, 0)
+    links: LinkOptions = LinkOptions(promise_seconds=60.0)
+    slice_lease: float = 3.0
+    clock_rates: tuple[float, ...] = (1.0,)
+    tick_seconds: float = 0.25
+
+
+class CellDaemon:
+    """One daemon's batch part.
+
+    Attributes:
+      table: How it reaches the table.
+      workers: How it reaches the workers.
+      manager: Its slice manager.
+    """
+
+    def __init__(self, cell: Cell, name: str, seed: int):
+        self.name = name
+        self.gate = asyncio.Event()
+        self.gate.set()
+        clock = cell.clock
+        self.table = TableView(cell.table, PathFaults(), self.gate, seed)
+        self.workers = WorkersView(cell.workers, self.gate, seed)
+        self.events = EventLog(name, clock)
+        self.membership = Membership(
+            Member(name, ZONE, name, seed), SILENCE_SECONDS, clock.monotonic
+        )
+        self.manager = SliceManager(
+            self.table,
+            self.workers,
+            Configuration(),
+            self.membership,
+            self.events,
+            OwnerOptions(
+                cell.options.links, (SLICE,), cell.options.slice_lease
+            ),
+            1,
+            clock.monotonic,
+        )
+        self.manager.hosts = cell.hosts
+        self.task = asyncio.create_task(self.manager.run())
+
+    @property
+    def owner(self) -> Owner | None:
+        """The slice's owner here, if it believes to be it."""
+        return self.manager.owners.get(SLICE)
+
+    @property
+    def is_up(self) -> bool:
+        """Whether others hear of it."""
+        return self.gate.is_set() and not self.task.done()
+
+    async def kill(self) -> None:
+        """Ends it at once; nothing is released."""
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+
+    def pause(self) -> None:
+        """Stops it as a stopped process would be."""
+        self.gate.clear()
+
+    def wake(self) -> None:
+        """Lets it go on with what it had in hand."""
+        self.gate.set()
+
+
+class Cell:
+    """A table, an object store, workers and daemons."""
+
+    def __init__(self, clock: ManualClock, options: CellOptions | None = None):
+        self.clock = clock
+        self.options = options or CellOptions()
+        self.table = MemoryTable(clock.monotonic)
+        self.objects = MemoryObjects()
+        self.workers = [
+            self._make_worker(number) for number in range(self.options.workers)
+        ]
+        self.hosts = [
+            Host(w.options.name, w.options.name, ZONE, w.options.rack, False)
+            for w in self.workers
+        ]
+        self.daemons: list[CellDaemon] = []
+        self.accepted: list[str] = []
+        self.cancelled: set[str] = set()
+        self._seeds = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _make_worker(self, number: int) -> Worker:
+        rates = self.options.clock_rates
+        options = WorkerOptions(
+            name=f'{ZONE}-{number:03d}',
+            zone=ZONE,
+            rack=f'{ZONE}-r{number // 2}',
+            capacity=self.options.capacity,
+            clock_rate=rates[min(number, len(rates) - 1)],
+            tick_seconds=self.options.tick_seconds,
+        )
+        return Worker(options, self.objects, number, self.clock.monotonic)
+
+    async def __aenter__(self) -> Cell:
+        """Starts workers and daemons."""
+        for worker in self.workers:
+            self._tasks.append(asyncio.create_task(worker.run()))
+        for _ in range(self.options.daemons):
+            self.add_daemon()
+        self._tasks.append(asyncio.create_task(self._beat()))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Ends everything."""
+        for daemon in self.daemons:
+            await daemon.kill()
+        for task in self._tasks:
+            task.cancel()
+
+    def add_daemon(self) -> CellDaemon:
+        """Starts another daemon."""
+        self._seeds += 1
+        daemon = CellDaemon(self, f'entry-{self._seeds}', self._seeds)
+        self.daemons.append(daemon)
+        return daemon
+
+    async def _beat(self) -> None:
+        while True:
+            up = [d for d in self.daemons if d.is_up]
+            news = [d.membership.beat() for d in up]
+            for daemon in up:
+                daemon.membership.observe(news)
+            await asyncio.sleep(BEAT_SECONDS)
+
+    def find_owner(self) -> CellDaemon | None:
+        """Returns the daemon that holds the slice, if one believes so."""
+        owners = [d for d in self.daemons if d.is_up and d.owner]
+        return owners[-1] if owners else None
+
+    async def wait_for_owner(self, other_than: str = '') -> CellDaemon:
+        """Waits until a daemon owns the slice and reaches a worker."""
+        while True:
+            daemon = self.find_owner()
+            if daemon and daemon.owner and daemon.name != other_than:
+                links = daemon.owner.links.values()
+                if any(link.reachable for link in links):
+                    return daemon
+            await asyncio.sleep(0.1)
+
+    async def submit(
+        self,
+        name: str,
+        seconds: float = 10.0,
+        cores: float = 1.0,
+        urgency: Urgency = Urgency.BATCH,
+    ) -> str:
+        """Accepts a job, as a command of an operator does."""
+        task = Task(
+            f'Job/{TEAM}/{name}/0',
+            Demand(cores, 1000),
+            urgency=urgency,
+            payload=json.dumps({'seconds': seconds}),
+            accepted=float(len(self.accepted)),
+        )
+        rank = '0' if urgency is Urgency.URGENT else '1'
+        order = f'{rank}-{len(self.accepted):06d}'
+        request = Request(Wish.SUBMIT, task.id, task)
+        job = Put(make_job_key(TEAM, name), {})
+        await self.table.transact(
+            f'submit-{name}', [job, make_request_put(SLICE, order, request)]
+        )
+        self.accepted.append(task.id)
+        return task.id
+
+    async def cancel(self, task: str) -> None:
+        """Accepts a cancellation."""
+        self.cancelled.add(task)
+        request = Request(Wish.CANCEL, task)
+        order = f'2-{len(self.cancelled):06d}-{task}'
+        await self.table.transact(
+            f'cancel-{task}', [make_request_put(SLICE, order, request)]
+        )
+
+    def list_runs(self) -> list[Run]:
+        """Returns what truly ran."""
+        return [run for worker in self.workers for run in worker.list_runs()]
+
+    def list_history(self) -> list[dict[str, Any]]:
+        """Returns every write of the table."""
+        return self.table.list_history()
+
+    def find_violations(self) -> list[Violation]:
+        """Holds what happened so far against what must always hold."""
+        for worker in self.workers:
+            if not worker.paused:
+                worker.tick()
+        capacities = {w.options.name: w.options.capacity for w in self.workers}
+        return check_history(
+            self.list_runs(), self.list_history(), capacities, self.clock.now
+        )
+
+    def list_done(self) -> list[str]:
+        """Returns the tasks that are over."""
+        return [
+            write.key.sort
+            for write in self.table.history
+            if write.key.partition == f'done/{SLICE}'
+        ]
+
+    async def finish(self, seconds: float = 600.0) -> bool:
+        """Waits until every job is over; False if it takes too long."""
+        end = self.clock.now + seconds
+        while set(self.list_done()) != set(self.accepted):
+            if self.clock.now > end:
+                return False
+            await asyncio.sleep(1.0)
+        return True
--- a/stand_ins/demo.py
+++ b/stand_ins/demo.py
@@ -332,11 +332,11 @@
         percentile = self.tally.histogram.get_value_at_percentile
         done = count_completions(history)
         events = [
-            write['body']['event']
+            change['event']
             for write in history
-            if write['partition'].startswith('change/')
-            and write['body']
-            and write['body'].get('task', {}).get('id') in ids
+            if write['partition'].startswith('change/') and write['body']
+            for change in write['body'].get('changes', ())
+            if change['task']['id'] in ids
         ]
         return [
             [
--- a/stand_ins/table.py
+++ b/stand_ins/table.py
@@ -6,6 +6,7 @@
 import collections
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -49,7 +50,8 @@
       calls: Calls by name.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, monotonic: Callable[[], float] = time.monotonic) -> None:
+        self._monotonic = monotonic
         self._rows: SortedDict = SortedDict()
         self.history: collections.deque[Write] = collections.deque(
             maxlen=HISTORY_SIZE
@@ -89,6 +91,20 @@
         for operation in operations:
             self._apply(token, operation)
 
+    def list_history(self) -> list[dict[str, Any]]:
+        """Returns every write as plain values, as checkers read them."""
+        return [
+            {
+                'at': write.at,
+                'partition': write.key.partition,
+                'sort': write.key.sort,
+                'version': write.version,
+                'token': write.token,
+                'body': write.body,
+            }
+            for write in self.history
+        ]
+
     def _version(self, key: Key) -> int:
         return self._rows[key].version if key in self._rows else ABSENT
 
@@ -102,7 +118,7 @@
             del self._rows[key]
         else:
             self._rows[key] = Row(key, version, token, body)
-        self.history.append(Write(time.monotonic(), key, version, token, body))
+        self.history.append(Write(self._monotonic(), key, version, token, body))
 
 
 def _read_operation(item: dict[str, Any]) -> Operation:
@@ -211,16 +227,7 @@
             'calls': dict(table.calls),
         }
         if self.get_query_argument('history', ''):
-            answer['history'] = [
-                {
-                    'at': write.at,
-                    'partition': write.key.partition,
-                    'sort': write.key.sort,
-                    'version': write.version,
-                    'body': write.body,
-                }
-                for write in table.history
-            ]
+            answer['history'] = table.list_history()
         self.finish(json.dumps(answer))
 
 
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -10,9 +10,11 @@
 import asyncio
 import collections
 import json
+import math
 import random
 import time
 import uuid
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -36,6 +38,7 @@
 
 TICK_SECONDS = 0.05
 CHECKPOINT_SECONDS = 0.5
+OBJECT_RETRY_SECONDS = 1.0
 LATENCIES_KEPT = 200
 SERVICE_SPREAD = 0.25
 """Sigma of the log-normal distribution of a service's times."""
@@ -68,6 +71,8 @@
       output: Name of its output.
       ended: When it ended, or 0.
       stopping: Whether it was told to stop.
+      loading: Whether it waits for the checkpoint that it resumes from.
+      saving: Whether it is done and writes its output.
       in_use: Slots in use.
       latencies: Recent times of answers, in milliseconds.
     """
@@ -83,6 +88,8 @@
     message: str = ''
     ended: float = 0.0
     stopping: bool = False
+    loading: bool = False
+    saving: bool = False
     in_use: int = 0
     latencies: collections.deque[float] = attrs.Factory(
         lambda: collections.deque(maxlen=LATENCIES_KEPT)
@@ -107,6 +114,7 @@
       usage_lag: Seconds by which measurements are late.
       interference: Factor on (service or job) class by the class beside it.
       clock_rate: Rate of its clock, as a share of true time.
+      tick_seconds: How often its tasks make progress.
     """
 
     name: str
@@ -116,13 +124,22 @@
     usage_lag: float = 2.0
     interference: dict[str, dict[str, float]] = attrs.Factory(dict)
     clock_rate: float = 1.0
+    tick_seconds: float = TICK_SECONDS
 
 
 class Worker:
     """One worker: attempts, leases, measurements, and a record of runs."""
 
-    def __init__(self, options: WorkerOptions, objects: Objects, seed: int):
+    def __init__(
+        self,
+        options: WorkerOptions,
+        objects: Objects,
+        seed: int,
+        monotonic: Callable[[], float] = time.monotonic,
+    ):
         self.options = options
+        self.paused = False
+        self._monotonic = monotonic
         self.faults = Faults()
         self.leaving = False
         self.endpoint = ''
@@ -144,11 +161,11 @@
         self.boot = uuid.uuid4().hex[:12]
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self._epochs: dict[str, int] = {}
-        self._born = time.monotonic()
+        self._born = self._monotonic()
 
     def read_clock(self) -> float:
         """Returns the worker's monotonic time, which starts at its boot."""
-        return (time.monotonic() - self._born) * self.options.clock_rate
+        return (self._monotonic() - self._born) * self.options.clock_rate
 
     def sync(self, request: SyncRequest) -> SyncAnswer:
         """Carries out the commands and reports the state."""
@@ -179,7 +196,7 @@
             Action.START: self._start,
             Action.RENEW: self._renew,
             Action.THROTTLE: self._throttle,
-            Action.CHECKPOINT: self._renew,
+            Action.CHECKPOINT: self._checkpoint,
             Action.STOP: self._stop,
             Action.FORGET: self._forget,
         }
@@ -190,22 +207,38 @@
         if key in self.attempts:
             return Outcome.DONE
         if self.faults.fail_starts:
-            attempt = Attempt(command, 0.0, time.monotonic())
+            attempt = Attempt(command, 0.0, self._monotonic())
             self.attempts[key] = attempt
             self._end(attempt, AttemptState.FAILED, 'the worker is broken')
             return Outcome.DONE
-        attempt = Attempt(command, command.lease_until, time.monotonic())
+        attempt = Attempt(command, command.lease_until, self._monotonic())
         attempt.work = json.loads(command.payload) if command.payload else {}
         self.attempts[key] = attempt
         if command.resume_from:
-            attempt.checkpoint = command.resume_from
+            attempt.loading = True
             asyncio.ensure_future(self._load(attempt))
         return Outcome.DONE
 
     async def _load(self, attempt: Attempt) -> None:
-        data = await self._objects.get(attempt.command.resume_from)
-        if data:
+        # Begun without its checkpoint, the attempt would do again what was
+        # done; it waits for the object store instead, under its lease.
+        while attempt.state is AttemptState.RUNNING:
+            try:
+                data = await self._objects.get(attempt.command.resume_from)
+            except Exception:
+                await asyncio.sleep(OBJECT_RETRY_SECONDS)
+                continue
+            if attempt.state is not AttemptState.RUNNING:
+                return
+            if data is None:
+                name = attempt.command.resume_from
+                message = f'checkpoint {name} is missing'
+                self._end(attempt, AttemptState.FAILED, message)
+                return
             attempt.done += json.loads(data)['done']
+            attempt.checkpoint = attempt.command.resume_from
+            attempt.loading = False
+            return
 
     def _get(self, command: Command) -> Attempt | None:
         return self.attempts.get((command.task, command.attempt))
@@ -217,6 +250,13 @@
         attempt.lease_until = max(attempt.lease_until, command.lease_until)
         return Outcome.DONE
 
+    def _checkpoint(self, command: Command) -> Outcome:
+        outcome = self._renew(command)
+        attempt = self._get(command)
+        if outcome is Outcome.DONE and attempt is not None:
+            asyncio.ensure_future(self._save(attempt))
+        return outcome
+
     def _throttle(self, command: Command) -> Outcome:
         attempt = self._get(command)
         if attempt is None:
@@ -245,11 +285,15 @@
         return Outcome.DONE
 
     def _end(
-        self, attempt: Attempt, state: AttemptState, message: str = ''
+        self,
+        attempt: Attempt,
+        state: AttemptState,
+        message: str = '',
+        at: float = math.inf,
     ) -> None:
         attempt.state = state
         attempt.message = message
-        attempt.ended = time.monotonic()
+        attempt.ended = min(at, self._monotonic())
         self.runs.append(
             Run(
                 self.options.name,
@@ -279,10 +323,13 @@
 
     async def run(self) -> None:
         """Lets time pass for the tasks."""
-        last = time.monotonic()
+        last = self._monotonic()
         while True:
-            await asyncio.sleep(TICK_SECONDS)
-            now = time.monotonic()
+            await asyncio.sleep(self.options.tick_seconds)
+            now = self._monotonic()
+            if self.paused:
+                last = now
+                continue
             self.tick()
             self._progress(now - last)
             if now >= self._next_measure:
@@ -296,11 +343,14 @@
         for attempt in self.attempts.values():
             running = attempt.state is AttemptState.RUNNING
             if running and clock > attempt.lease_until:
-                self._end(attempt, AttemptState.LAPSED)
+                # A worker that was paused past a lease ran nothing since.
+                at = self._born + attempt.lease_until / self.options.clock_rate
+                self._end(attempt, AttemptState.LAPSED, at=at)
 
     def _progress(self, seconds: float) -> None:
         for attempt in list(self.attempts.values()):
-            if attempt.is_service or attempt.stopping:
+            held_up = attempt.stopping or attempt.loading or attempt.saving
+            if attempt.is_service or held_up:
                 continue
             if attempt.state is not AttemptState.RUNNING:
                 continue
@@ -317,14 +367,25 @@
                 asyncio.ensure_future(self._save(attempt))
 
     def _finish(self, attempt: Attempt) -> None:
-        attempt.output = attempt.command.save_as + '/output'
-        self._end(attempt, AttemptState.FINISHED)
-        asyncio.ensure_future(
-            self._objects.put(attempt.output, encode({'done': attempt.done}))
-        )
+        attempt.saving = True
+        asyncio.ensure_future(self._save_output(attempt))
+
+    async def _save_output(self, attempt: Attempt) -> None:
+        # An attempt is finished when its output is whole; before that its
+        # owner would commit the name of an object that may never be there.
+        name = attempt.command.save_as + '/output'
+        while attempt.state is AttemptState.RUNNING:
+            try:
+                await self._objects.put(name, encode({'done': attempt.done}))
+            except Exception:
+                await asyncio.sleep(OBJECT_RETRY_SECONDS)
+                continue
+            if attempt.state is AttemptState.RUNNING:
+                attempt.output = name
+                self._end(attempt, AttemptState.FINISHED)
 
     async def _save(self, attempt: Attempt) -> None:
-        if attempt.is_service:
+        if attempt.is_service or attempt.loading:
             return
         name = f'{attempt.command.save_as}/checkpoint-{attempt.done:.3f}'
         try:
@@ -365,7 +426,7 @@
             self._measured.append((now, usage))
 
     def _get_usage(self) -> tuple[Usage, ...]:
-        now = time.monotonic()
+        now = self._monotonic()
         newest: dict[str, Usage] = {}
         for at, usage in self._measured:
             age = now - at
@@ -396,7 +457,7 @@
 
     async def serve(self, attempt: Attempt, request: str) -> float:
         """Runs one request and returns the milliseconds it took."""
-        began = time.monotonic()
+        began = self._monotonic()
         slots = attempt.work.get('slots', 8)
         while attempt.in_use >= slots:
             await asyncio.sleep(0.001)
@@ -409,7 +470,7 @@
             await asyncio.sleep(base * factor)
         finally:
             attempt.in_use -= 1
-        took = (time.monotonic() - began) * 1000
+        took = (self._monotonic() - began) * 1000
         attempt.latencies.append(took)
         return took
 
