Tell every wrong field of settings and resources at once

Change: on failure the input is built again field by field and every problem kept; the tokens of the text give each path its line; checks over several fields run on the plain values; settings for TLS and limits.

--- a/lentilmount/resources.py
+++ b/lentilmount/resources.py
@@ -50,6 +50,13 @@
     BATCH = 'batch'
 
 
+def _check_team(
+    _: object, attribute: attrs.Attribute[Any], value: object
+) -> None:
+    if value != '':
+        _check_name(_, attribute, value)
+
+
 def _check_name(
     _: object, attribute: attrs.Attribute[Any], value: object
 ) -> None:
@@ -127,7 +134,7 @@
     """
 
     name: str = attrs.field(validator=_check_name)
-    team: str = ''
+    team: str = attrs.field(default='', validator=_check_team)
     revision: int = _not_negative(0)
 
 
--- a/lentilmount/settings.py
+++ b/lentilmount/settings.py
@@ -12,8 +12,16 @@
 
 from lentilmount.codec import structure
 from lentilmount.errors import FieldProblem, InvalidError, SettingsError
+from lentilmount.lines import find_line, find_lines, find_open_comment
 
-LOOPBACK_HOSTS = ('127.0.0.1', '::1')
+LISTENERS = ('callers', 'operators', 'metrics', 'peers')
+
+ORDERED_TIMES = (
+    ('heartbeat', 'silence'),
+    ('sync', 'task_lease'),
+    ('task_lease', 'task_promise'),
+)
+"""Pairs of times of which the first must be shorter than the second."""
 
 
 def _check_address(
@@ -52,6 +60,10 @@
     return attrs.field(default=default, validator=attrs.validators.gt(0))
 
 
+def _count(default: int) -> Any:
+    return attrs.field(default=default, validator=attrs.validators.gt(0))
+
+
 @attrs.frozen
 class ListenSettings:
     """Where the daemon listens; port 0 lets the system choose."""
@@ -62,6 +74,55 @@
     peers: str = _address('127.0.0.1:0')
 
 
+@attrs.frozen
+class TlsSettings:
+    """How a listener is secured.
+
+    Attributes:
+      certificate: PEM file of the certificate chain.
+      key: PEM file of the certificate's key.
+      minimum_version: Least version of TLS, 1.2 or 1.3.
+      authority: PEM file of the authority that clients' certificates must
+        come from; without one, clients need no certificate. Peers need one.
+    """
+
+    certificate: str
+    key: str
+    minimum_version: str = attrs.field(
+        default='1.2', validator=attrs.validators.in_(('1.2', '1.3'))
+    )
+    authority: str = ''
+
+
+@attrs.frozen
+class ListenerTlsSettings:
+    """TLS of each listener; null for none."""
+
+    callers: TlsSettings | None = None
+    operators: TlsSettings | None = None
+    metrics: TlsSettings | None = None
+    peers: TlsSettings | None = None
+
+
+@attrs.frozen
+class LimitSettings:
+    """What one client may take of an HTTP listener.
+
+    Attributes:
+      header_kb: Largest request header, in KiB.
+      body_kb: Largest request body, in KiB.
+      connections: Most connections to one listener at once.
+      slow_seconds: Longest time for a header, or for a body, to arrive.
+      watches: Most watches and followed time lines at once.
+    """
+
+    header_kb: int = _count(16)
+    body_kb: int = _count(4096)
+    connections: int = _count(1024)
+    slow_seconds: float = _seconds(20.0)
+    watches: int = _count(64)
+
+
 @attrs.frozen
 class PlatformSettings:
     """Where the platform is."""
@@ -132,6 +193,10 @@
       platform: Where the platform is.
       listen: Where to listen.
       peers: Addresses of peers to begin with; others are found.
+      tls: TLS of each listener.
+      allow_plaintext: Whether a listener without TLS may be reached from
+        other hosts; otherwise it must be on a loopback address.
+      limits: What one client may take.
       access: Who may do what; empty means that nobody is let in.
       times: Times.
       slices_per_zone: Shares into which a zone's workers are split.
@@ -140,12 +205,18 @@
       log_level: debug, info, warning or error.
     """
 
-    name: str
+    name: str = attrs.field(validator=attrs.validators.min_len(1))
     zone: str
     zones: tuple[str, ...] = attrs.field(validator=attrs.validators.min_len(1))
     platform: PlatformSettings
     listen: ListenSettings = ListenSettings()
-    peers: tuple[str, ...] = ()
+    tls: ListenerTlsSettings = ListenerTlsSettings()
+    allow_plaintext: bool = False
+    limits: LimitSettings = LimitSettings()
+    peers: tuple[str, ...] = attrs.field(
+        default=(),
+        validator=attrs.validators.deep_iterable(_check_address),
+    )
     access: tuple[AccessSettings, ...] = ()
     times: TimeSettings = TimeSettings()
     slices_per_zone: int = attrs.field(
@@ -176,35 +247,116 @@
 
 def parse_settings(text: str, path: str = 'settings') -> Settings:
     """Checks the text of a settings file; see `read_settings`."""
-    try:
-        value = json5.loads(text)
-    except ValueError as error:
-        raise SettingsError(f'{path}: {error}') from error
+    value = _parse(text, path)
+    problems: list[FieldProblem] = []
     try:
         settings = structure(value, Settings)
     except InvalidError as error:
-        fields = tuple(_find_line(text, field) for field in error.fields)
-        lines = '\n'.join(f'  {field}' for field in fields)
-        raise SettingsError(f'{path}:\n{lines}', fields=fields) from error
-    if settings.zone not in settings.zones:
-        field = FieldProblem(
-            'zone', f'{settings.zone!r} is not one of zones', 'add it there'
-        )
-        field = _find_line(text, field)
-        raise SettingsError(f'{path}:\n  {field}', fields=(field,))
+        problems += error.fields
+    if isinstance(value, dict):
+        problems += _check_zone(value)
+        problems += _check_listeners(value)
+        problems += _check_times(value)
+    if problems:
+        raise _make_error(text, path, problems)
     return settings
 
 
-def _find_line(text: str, problem: FieldProblem) -> FieldProblem:
-    """Adds the line where the last part of the field's path stands."""
-    line = 1
-    position = 0
-    for name in re.findall(r'[A-Za-z_]\w*', problem.field):
-        found = re.compile(rf'["\']?\b{name}\b["\']?\s*:').search(
-            text, position
+def _parse(text: str, path: str) -> Any:
+    try:
+        return json5.loads(text, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        problem = str(error)
+        line = find_open_comment(text)
+        if line is not None:
+            problem = (
+                f'line {line}: a comment begins with /* and never ends; '
+                f'close it with */'
+            )
+        raise SettingsError(f'{path}: {problem}') from error
+
+
+def _make_error(
+    text: str, path: str, problems: list[FieldProblem]
+) -> SettingsError:
+    lines = find_lines(text)
+    fields = [
+        attrs.evolve(problem, line=find_line(lines, problem.field))
+        for problem in problems
+    ]
+    fields.sort(key=lambda field: field.line or 0)
+    shown = '\n'.join(f'  {field}' for field in fields)
+    return SettingsError(f'{path}:\n{shown}', fields=tuple(fields))
+
+
+# What concerns several fields is checked on the plain values, so that it is
+# told together with single fields that are wrong.
+
+
+def _check_zone(value: dict[str, Any]) -> list[FieldProblem]:
+    zone, zones = value.get('zone'), value.get('zones')
+    if not isinstance(zones, list) or zone is None or zone in zones:
+        return []
+    return [
+        FieldProblem('zone', f'{zone!r} is not one of zones', 'add it there')
+    ]
+
+
+def _check_listeners(value: dict[str, Any]) -> list[FieldProblem]:
+    listen, tls = _get_object(value, 'listen'), _get_object(value, 'tls')
+    problems = []
+    for name in LISTENERS:
+        host = str(listen.get(name, '127.0.0.1:0')).rpartition(':')[0]
+        plain = not tls.get(name) and value.get('allow_plaintext') is not True
+        if plain and not _is_loopback(host):
+            problems.append(
+                FieldProblem(
+                    f'listen.{name}',
+                    f'{host} can be reached from other hosts without TLS',
+                    f'set tls.{name}, a loopback address, or '
+                    f'allow_plaintext to true',
+                )
+            )
+    peers = tls.get('peers')
+    if isinstance(peers, dict) and not peers.get('authority'):
+        problems.append(
+            FieldProblem(
+                'tls.peers',
+                'authority is missing',
+                'daemons check each other: name the authority of both',
+            )
         )
-        if found is None:
-            break
-        position = found.start()
-        line = text.count('\n', 0, position) + 1
-    return attrs.evolve(problem, line=line)
+    return problems
+
+
+def _is_loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host.strip('[]')).is_loopback
+    except ValueError:
+        # No IP number at all is told by the field's own check.
+        return True
+
+
+def _check_times(value: dict[str, Any]) -> list[FieldProblem]:
+    given = _get_object(value, 'times')
+    defaults = attrs.asdict(TimeSettings())
+    problems = []
+    for shorter, longer in ORDERED_TIMES:
+        low = given.get(shorter, defaults[shorter])
+        high = given.get(longer, defaults[longer])
+        numbers = isinstance(low, int | float) and isinstance(high, int | float)
+        if numbers and low >= high:
+            field = shorter if shorter in given else longer
+            problems.append(
+                FieldProblem(
+                    f'times.{field}',
+                    f'{shorter} is {low} and {longer} is {high}',
+                    f'{shorter} must be shorter than {longer}',
+                )
+            )
+    return problems
+
+
+def _get_object(value: dict[str, Any], name: str) -> dict[str, Any]:
+    found = value.get(name)
+    return found if isinstance(found, dict) else {}
