--- a/lentilmount/access.py
+++ b/lentilmount/access.py
@@ -42,9 +42,18 @@
         """Tells whether a team's things are visible."""
         return self.team in (EVERY_TEAM, team)
 
+    @property
+    def sees_platform(self) -> bool:
+        """Whether what belongs to no team is visible."""
+        return self.team == EVERY_TEAM
+
     def require(self, verb: Verb, team: str) -> None:
         """Checks that the token allows a verb on a team's things.
 
+        The answer depends on the token and the team alone, and is given
+        before anything is looked up, so it tells nobody whether a resource of
+        another team exists.
+
         Raises:
           AccessError: It does not.
         """
@@ -66,6 +75,10 @@
     def __init__(self, access: Iterable[AccessSettings]):
         self._access = tuple(access)
 
+    def replace(self, access: Iterable[AccessSettings]) -> None:
+        """Takes new grants; requests that are under way keep theirs."""
+        self._access = tuple(access)
+
     def admit(self, header: str) -> Grant:
         """Returns the grant of an Authorization header.
 
--- /dev/null
+++ b/lentilmount/commands/checks.py
@@ -0,0 +1,58 @@
+"""What is checked of a resource beyond its own fields."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lentilmount.errors import FieldProblem, InvalidError
+from lentilmount.resources import JobSpec, Kind, Resource, ServiceSpec
+
+PLATFORM_KINDS = frozenset({Kind.WORKER, Kind.TEAM, Kind.CONFIGURATION})
+"""Kinds that belong to the platform, not to a team."""
+
+
+def check_resource(resource: Resource, zones: Iterable[str]) -> None:
+    """Checks a resource before it is accepted, and for a dry run.
+
+    Raises:
+      InvalidError: With every wrong field.
+    """
+    known = sorted(set(zones))
+    problems = [*_check_owner(resource), *_check_zones(resource, known)]
+    if problems:
+        summary = '; '.join(str(problem) for problem in problems)
+        raise InvalidError(summary, fields=tuple(problems))
+
+
+def _check_owner(resource: Resource) -> list[FieldProblem]:
+    team = resource.metadata.team
+    if resource.kind in PLATFORM_KINDS:
+        if not team:
+            return []
+        problem = f'{resource.kind.value} belongs to no team, not to {team}'
+        return [FieldProblem('metadata.team', problem, 'leave it out')]
+    if team:
+        return []
+    return [
+        FieldProblem(
+            'metadata.team', 'is missing, and required', 'name the owning team'
+        )
+    ]
+
+
+def _check_zones(resource: Resource, known: list[str]) -> list[FieldProblem]:
+    spec = resource.spec
+    asked: list[tuple[str, str]] = []
+    if isinstance(spec, ServiceSpec):
+        asked = [(f'spec.zones[{n}]', z) for n, z in enumerate(spec.zones)]
+    elif isinstance(spec, JobSpec) and spec.zone:
+        asked = [('spec.zone', spec.zone)]
+    return [
+        FieldProblem(
+            field,
+            f'there is no availability zone {zone}',
+            f'use one of {", ".join(known)}',
+        )
+        for field, zone in asked
+        if zone not in known
+    ]
--- a/lentilmount/commands/configure.py
+++ b/lentilmount/commands/configure.py
@@ -72,6 +72,28 @@
         """
         return await self._accept(resource.path, resource, request_id)
 
+    async def preview(self, resource: Resource) -> Resource | None:
+        """Checks a resource as `apply` does, and writes nothing.
+
+        Returns:
+          The resource as it is now, or None where it would be new.
+
+        Raises:
+          ConflictError: The resource is not at the revision given.
+          StoreError: The table does not answer.
+        """
+        key = make_resource_key(resource.path)
+        try:
+            row = (await self._table.read([key])).get(key)
+        except UnavailableError as error:
+            raise StoreError('the table service does not answer') from error
+        current = structure_resource(row.body) if row else None
+        if current is None or current.spec != resource.spec:
+            _check_revision(
+                resource.path, resource.metadata.revision, row, resource
+            )
+        return current
+
     async def delete(
         self, path: str, revision: int, request_id: str
     ) -> Accepted:
--- a/lentilmount/commands/jobs.py
+++ b/lentilmount/commands/jobs.py
@@ -7,10 +7,12 @@
 import attrs
 
 from lentilmount.batch.inbox import Request, Wish, make_request_put
-from lentilmount.batch.records import Task
+from lentilmount.batch.records import Task, make_done_key
 from lentilmount.codec import structure_resource
 from lentilmount.coordination.table import (
     ConflictError,
+    Delete,
+    Operation,
     Put,
     Row,
     Table,
@@ -24,22 +26,25 @@
     NotFoundError,
     StoreError,
 )
-from lentilmount.resources import JobSpec, Kind, Resource, Urgency, make_path
-from lentilmount.rows import encode_resource, make_job_key
+from lentilmount.resources import JobSpec, Resource, Urgency
+from lentilmount.rows import (
+    encode_resource,
+    is_deleted,
+    make_job_key,
+    make_task_id,
+)
 from lentilmount.slices import get_zone, rank_by_hash
 
 RETRY_AFTER_SECONDS = 2.0
 
+JOB_REVISION = 1
+"""The only revision of a job: its spec never changes."""
+
 # An inbox is read in the order of its keys. A cancellation is accepted only
 # after its job, and sorts behind every job, so it never comes first.
 _URGENT, _BATCH, _CANCEL = '0', '1', '2'
 
 
-def make_task_id(team: str, name: str) -> str:
-    """Id of a job's only task."""
-    return f'{make_path(Kind.JOB, team, name)}/0'
-
-
 @attrs.frozen
 class Submitted:
     """The answer to a command on a job: the slice whose owner carries on."""
@@ -60,14 +65,15 @@
         """Accepts a job; the same job again changes nothing.
 
         Raises:
-          ConflictError: There is another job of that name.
+          ConflictError: There is another job of that name, or was one.
           InvalidError: No slice is in the zone that it asks for.
           StoreError: Not known whether it was accepted; send it again.
         """
         spec = resource.spec
         assert isinstance(spec, JobSpec)
         slice_name = self._choose_slice(resource, spec)
-        metadata = attrs.evolve(resource.metadata, revision=1)
+        _check_revision(resource)
+        metadata = attrs.evolve(resource.metadata, revision=JOB_REVISION)
         resource = attrs.evolve(resource, metadata=metadata)
         key = make_job_key(metadata.team, metadata.name)
         task = _make_task(resource, spec)
@@ -86,6 +92,24 @@
             raise _make_store_error() from error
         return Submitted(slice_name, resource, True)
 
+    async def preview(self, resource: Resource) -> Resource | None:
+        """Checks a job as `submit` does, and writes nothing.
+
+        Returns:
+          The job as it is now, or None where it would be new.
+
+        Raises:
+          LentilmountError: As `submit` raises.
+        """
+        spec = resource.spec
+        assert isinstance(spec, JobSpec)
+        self._choose_slice(resource, spec)
+        _check_revision(resource)
+        try:
+            return (await self._find_twin(resource)).resource
+        except NotFoundError:
+            return None
+
     def _choose_slice(self, resource: Resource, spec: JobSpec) -> str:
         slices = [
             name
@@ -107,24 +131,37 @@
         return rank_by_hash(resource.path, slices)[0]
 
     async def _find_twin(self, resource: Resource) -> Submitted:
-        row = await self._read(resource.metadata.team, resource.metadata.name)
+        metadata = resource.metadata
+        row = await self._find(metadata.team, metadata.name)
+        if is_deleted(row):
+            raise RaceError(
+                f'{resource.path} was deleted, and the names of jobs are not '
+                f'used again; give the new one another name',
+                extra={'given_revision': metadata.revision},
+            )
         twin = structure_resource(row.body['resource'])
         if twin.spec != resource.spec:
             raise RaceError(
                 f'{resource.path} exists with another spec; a job cannot be '
                 f'changed: give the new one another name',
-                extra={'given_revision': 0, 'current_revision': 1},
+                extra={
+                    'given_revision': metadata.revision,
+                    'current_revision': JOB_REVISION,
+                },
             )
         return Submitted(row.body['slice'], twin, False)
 
     async def cancel(self, team: str, name: str) -> Submitted:
-        """Accepts a cancellation.
+        """Accepts a cancellation; of a job that is over it changes nothing.
 
         Raises:
           NotFoundError: There is no such job.
           StoreError: Not known whether it was accepted; send it again.
         """
         row = await self._read(team, name)
+        resource = structure_resource(row.body['resource'])
+        if await self._find_done(row, team, name) is not None:
+            return Submitted(row.body['slice'], resource, False)
         request = make_request_put(
             row.body['slice'],
             _make_order(_CANCEL),
@@ -134,10 +171,53 @@
             await commit(self._table, [request], request.key)
         except UnavailableError as error:
             raise _make_store_error() from error
-        resource = structure_resource(row.body['resource'])
         return Submitted(row.body['slice'], resource, True)
 
+    async def delete(self, team: str, name: str) -> Submitted:
+        """Deletes a job that is over.
+
+        The row stays, without the spec, and keeps the name: a new job of the
+        same name would have the same task id, and what a worker still says
+        of the old one's attempts could be taken for the new one's.
+
+        Raises:
+          NotFoundError: There is no such job.
+          ConflictError: It is not over.
+          StoreError: Not known whether it was deleted; send it again.
+        """
+        row = await self._read(team, name)
+        done = await self._find_done(row, team, name)
+        if done is None:
+            raise RaceError(f'the job {team}/{name} is not over; cancel it')
+        slice_name = row.body['slice']
+        stone = {'deleted': True, 'slice': slice_name}
+        operations: list[Operation] = [
+            Put(row.key, stone, row.version),
+            Delete(done.key, done.version),
+        ]
+        try:
+            await commit(self._table, operations, row.key)
+        except ConflictError as error:
+            raise NotFoundError(f'there is no job {team}/{name}') from error
+        except UnavailableError as error:
+            raise _make_store_error() from error
+        resource = structure_resource(row.body['resource'])
+        return Submitted(slice_name, resource, True)
+
+    async def _find_done(self, row: Row, team: str, name: str) -> Row | None:
+        key = make_done_key(row.body['slice'], make_task_id(team, name))
+        try:
+            return (await self._table.read([key])).get(key)
+        except UnavailableError as error:
+            raise _make_store_error() from error
+
     async def _read(self, team: str, name: str) -> Row:
+        row = await self._find(team, name)
+        if is_deleted(row):
+            raise NotFoundError(f'there is no job {team}/{name}')
+        return row
+
+    async def _find(self, team: str, name: str) -> Row:
         key = make_job_key(team, name)
         try:
             rows = await self._table.read([key])
@@ -148,6 +228,16 @@
         return rows[key]
 
 
+def _check_revision(resource: Resource) -> None:
+    given = resource.metadata.revision
+    if given not in (0, JOB_REVISION):
+        raise RaceError(
+            f'{resource.path} can only be at revision {JOB_REVISION}, not '
+            f'{given}: a job cannot be changed',
+            extra={'given_revision': given, 'current_revision': JOB_REVISION},
+        )
+
+
 def _make_task(resource: Resource, spec: JobSpec) -> Task:
     return Task(
         id=make_task_id(resource.metadata.team, resource.metadata.name),
--- a/lentilmount/daemon/__main__.py
+++ b/lentilmount/daemon/__main__.py
@@ -4,21 +4,70 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable
+
+import logbook
 
 from lentilmount.daemon.lifecycle import Daemon, print_addresses
+from lentilmount.daemon.reload import LIVE_TIMES, Change, Reloader
+from lentilmount.daemon.security import Security
 from lentilmount.errors import LentilmountError
-from lentilmount.logs import make_handler
+from lentilmount.logs import LEVELS, capture_libraries, make_handler
 from lentilmount.settings import Settings, read_settings
 from lentilmount.status import ExitStatus
 
+EXAMPLE = """
+example:
+  lentilmountd --settings examples/lentilmountd.json --check-settings
+
+signals:
+  SIGTERM, SIGINT  stop gracefully: nothing in flight is cut off
+  SIGHUP           read the settings again; the log tells what is in force
+                   and what needs a restart
+"""
+
+
+def make_reloader(
+    daemon: Daemon, read: Callable[[], Settings], handler: logbook.Handler
+) -> Reloader:
+    """Builds what takes new settings while the daemon runs."""
+
+    def set_access(new: Settings) -> None:
+        daemon.gate.replace(new.access)
+
+    def set_level(new: Settings) -> None:
+        handler.level = LEVELS[new.log_level]
+
+    def set_time(name: str) -> Change:
+        def change(new: Settings) -> None:
+            daemon.set_time(name, getattr(new.times, name))
+
+        return change
+
+    changes: dict[str, Change] = {'access': set_access, 'log_level': set_level}
+    changes |= {f'times.{name}': set_time(name) for name in LIVE_TIMES}
+    return Reloader(daemon.settings, read, changes, daemon.security.renew)
+
+
+async def run(
+    settings: Settings,
+    read: Callable[[], Settings],
+    handler: logbook.Handler,
+) -> ExitStatus:
+    """Runs a daemon until it is told to stop.
 
-async def run(settings: Settings) -> ExitStatus:
-    """Runs a daemon until it is told to stop."""
+    Args:
+      settings: What it is told.
+      read: Reads the settings again.
+      handler: Where it logs to.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     async with Daemon(settings) as daemon:
+        reloader = make_reloader(daemon, read, handler)
+        loop.add_signal_handler(signal.SIGHUP, reloader.reload)
         print_addresses(daemon)
         ends = [
             asyncio.create_task(event.wait()) for event in (stop, daemon.failed)
@@ -33,7 +82,10 @@
 def main() -> int:
     """Reads the settings and runs."""
     parser = argparse.ArgumentParser(
-        prog='lentilmountd', description='The daemon of an entry host.'
+        prog='lentilmountd',
+        description='The daemon of an entry host.',
+        epilog=EXAMPLE,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument('--settings', required=True, metavar='FILE')
     parser.add_argument(
@@ -44,11 +96,15 @@
     args = parser.parse_args()
     try:
         settings = read_settings(args.settings)
+        Security(settings.tls)
         if args.check_settings:
             print(f'{args.settings}: valid')
             return ExitStatus.OK
-        with make_handler(settings.log_format, settings.log_level):
-            return asyncio.run(run(settings))
+        handler = make_handler(settings.log_format, settings.log_level)
+        with handler, capture_libraries():
+            return asyncio.run(
+                run(settings, lambda: read_settings(args.settings), handler)
+            )
     except LentilmountError as error:
         print(f'lentilmountd: {error.detail}', file=sys.stderr)
         return error.answer.exit_status
--- a/lentilmount/daemon/lifecycle.py
+++ b/lentilmount/daemon/lifecycle.py
@@ -11,9 +11,6 @@
 import attrs
 import logbook
 from grpclib.server import Server
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
-from tornado.web import Application
 
 from lentilmount.access import Gate
 from lentilmount.batch.links import LinkOptions
@@ -22,7 +19,7 @@
 from lentilmount.clock import SystemClock
 from lentilmount.commands.configure import Configurer
 from lentilmount.commands.jobs import JobDesk, Submitted
-from lentilmount.configuration import Configuration
+from lentilmount.configuration import CONFIGURATION_LOG, Configuration
 from lentilmount.coordination.membership import Member, Membership
 from lentilmount.coordination.table import (
     Key,
@@ -31,13 +28,24 @@
     scan_all,
 )
 from lentilmount.coordination.transactions import make_token
+from lentilmount.daemon.api import Api
 from lentilmount.daemon.callers import make_callers_app
 from lentilmount.daemon.follower import Follower
-from lentilmount.daemon.operators import Api, make_operators_app
+from lentilmount.daemon.listeners import bind, name_address, serve
+from lentilmount.daemon.metrics import (
+    AnswerCounter,
+    gauge_tasks,
+    make_metrics_app,
+)
+from lentilmount.daemon.operators import make_operators_app
 from lentilmount.daemon.peers import News, Peers
-from lentilmount.errors import LentilmountError, SettingsError
+from lentilmount.daemon.security import Security
+from lentilmount.daemon.survey import Survey
+from lentilmount.errors import LentilmountError
 from lentilmount.events import EventKind, EventLog
+from lentilmount.metrics import Gauged, Metrics
 from lentilmount.queries.resources import Reader
+from lentilmount.queries.watch import Watcher
 from lentilmount.routing.directory import Directory
 from lentilmount.routing.forward import CurlForwarder
 from lentilmount.routing.router import Router, RouterOptions
@@ -68,6 +76,8 @@
         self.addresses: dict[str, str] = {}
         self.stopping = False
         self.failed = asyncio.Event()
+        self.gate = Gate(settings.access)
+        self.security = Security(settings.tls)
         times = settings.times
         clock = SystemClock()
         self.events = EventLog(settings.name, clock)
@@ -110,7 +120,9 @@
             self._get_news,
             self._take_news,
             self._wake_slice,
+            self.security.peer_client,
         )
+        self.metrics = Metrics(self._read_gauges)
         self.manager = SliceManager(
             self.table,
             self._workers,
@@ -174,40 +186,78 @@
         self.failed.set()
 
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
-        gate = Gate(self.settings.access)
         listen = self.settings.listen
-        server = Server([self._peers.make_service()])
-        self.addresses['peers'] = await self._serve_peers(
-            stack, server, listen.peers
-        )
+        server = Server([self._peers.make_service(self.describe)])
+        bound = bind(listen.peers, 'listen.peers')
+        self.addresses['peers'] = name_address(bound)
+        await server.start(sock=bound, ssl=self.security.servers['peers'])
+        stack.push_async_callback(server.wait_closed)
+        stack.callback(server.close)
         self.membership.me = attrs.evolve(
             self.membership.me, address=self.addresses['peers']
         )
-        api = Api(
-            gate,
-            self.configuration,
-            Configurer(self.table),
-            JobDesk(self.table, self._slices),
-            Reader(
-                self.table, self.configuration, self.directory, self._slices
+        counter = AnswerCounter(self.metrics, self.configuration)
+        listeners = (
+            (
+                'callers',
+                make_callers_app(self.gate, self.router),
+                counter.count_call,
+            ),
+            (
+                'operators',
+                make_operators_app(self._make_api()),
+                counter.count_command,
             ),
-            self,
+            (
+                'metrics',
+                make_metrics_app(self.gate, self.metrics),
+                lambda _: None,
+            ),
+        )
+        for name, app, on_answer in listeners:
+            bound = bind(getattr(listen, name), f'listen.{name}')
+            self.addresses[name] = name_address(bound)
+            tls = self.security.servers[name]
+            limits = self.settings.limits
+            serve(stack, app, bound, limits, tls, on_answer)
+
+    def _make_api(self) -> Api:
+        reader = Reader(
+            self.table, self.configuration, self.directory, self._slices
+        )
+        return Api(
+            gate=self.gate,
+            configuration=self.configuration,
+            configurer=Configurer(self.table),
+            jobs=JobDesk(self.table, self._slices),
+            reader=reader,
+            watcher=Watcher(self.table, self._slices, self._get_positions),
+            survey=Survey(self._peers),
+            events=self.events,
+            status=self,
+            zones=self.settings.zones,
+            most_watches=self.settings.limits.watches,
         )
-        apps = {
-            'callers': make_callers_app(gate, self.router),
-            'operators': make_operators_app(api),
+
+    def _get_positions(self) -> dict[str, int]:
+        revision = self.configuration.revision
+        return {CONFIGURATION_LOG: revision, **self._follower.sequences}
+
+    def _read_gauges(self) -> list[Gauged]:
+        owners = list(self.manager.owners.values())
+        values = {
+            'ready': not self.find_fault(),
+            'store_up': self._follower.store_up,
+            'revision': self.configuration.revision,
+            'known_revision': self.configuration.known,
+            'slices': len(owners),
+            'members': len(self.membership.list_up()),
+            'in_flight': sum(self.router.in_flight.values()),
         }
-        for name, app in apps.items():
-            self.addresses[name] = _serve(stack, app, getattr(listen, name))
-
-    async def _serve_peers(
-        self, stack: contextlib.AsyncExitStack, server: Server, address: str
-    ) -> str:
-        (socket,) = _bind(address)
-        await server.start(sock=socket)
-        stack.push_async_callback(server.wait_closed)
-        stack.callback(server.close)
-        return _name(socket)
+        return [
+            *(Gauged(f'lentilmount_{n}', float(v)) for n, v in values.items()),
+            *gauge_tasks(t for o in owners for t in o.ledger.tasks.values()),
+        ]
 
     async def _watch_hosts(self) -> None:
         while True:
@@ -287,6 +337,11 @@
             return 'no revision of the configuration is in force yet'
         return ''
 
+    def set_time(self, name: str, seconds: float) -> None:
+        """Changes one of the times that are read whenever they are needed."""
+        times = attrs.evolve(self.settings.times, **{name: seconds})
+        self.settings = attrs.evolve(self.settings, times=times)
+
     async def stop(self) -> None:
         """Shuts down so that no request in flight is cut off.
 
@@ -309,33 +364,6 @@
         await task
 
 
-def _bind(address: str) -> list[Any]:
-    host, _, port = address.rpartition(':')
-    try:
-        return bind_sockets(int(port), host.strip('[]'))
-    except OSError as error:
-        raise SettingsError(
-            f'listen: {address} cannot be used: {error.strerror}; choose '
-            f'another address, or port 0 to let the system choose'
-        ) from error
-
-
-def _name(socket: Any) -> str:
-    host, port = socket.getsockname()[:2]
-    return f'{host}:{port}'
-
-
-def _serve(
-    stack: contextlib.AsyncExitStack, app: Application, address: str
-) -> str:
-    (socket,) = _bind(address)
-    server = HTTPServer(app)
-    server.add_socket(socket)
-    stack.push_async_callback(server.close_all_connections)
-    stack.callback(server.stop)
-    return _name(socket)
-
-
 def print_addresses(daemon: Daemon) -> None:
     """Prints where the daemon listens, as one line of JSON."""
     print(json.dumps(daemon.addresses), flush=True)
--- /dev/null
+++ b/lentilmount/daemon/listeners.py
@@ -0,0 +1,105 @@
+"""Listeners: addresses, TLS, and what one client may take."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from lentilmount.daemon.web import BODY_LIMIT
+from lentilmount.errors import FieldProblem, SettingsError
+from lentilmount.settings import LimitSettings
+
+log = logbook.Logger('http')
+
+KIB = 1024
+
+LIBRARY_BODY_LIMIT = 2**40
+"""Beyond what the library refuses by itself; `web.Handler` refuses earlier."""
+
+OnAnswer = Callable[[RequestHandler], None]
+
+
+class LimitedServer(HTTPServer):
+    """An HTTP server that takes a bounded number of connections.
+
+    Attributes:
+      most: Most connections at once.
+    """
+
+    most = 0
+
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        """Serves a connection, or closes it where there are too many."""
+        if len(self._connections) >= self.most:
+            log.warning('A connection of {} is one too many.', address[0])
+            stream.close()
+            return
+        super().handle_stream(stream, address)
+
+
+def bind(address: str, field: str) -> socket.socket:
+    """Binds a listener's address.
+
+    Raises:
+      SettingsError: The address is taken or is not of this host.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        (found,) = bind_sockets(int(port), host.strip('[]'))
+    except OSError as error:
+        problem = FieldProblem(
+            field,
+            f'{address} cannot be used: {error.strerror}',
+            'choose another address, or port 0 to let the system choose',
+        )
+        raise SettingsError(str(problem), fields=(problem,)) from error
+    return found
+
+
+def name_address(bound: socket.socket) -> str:
+    """Returns the address of a bound socket."""
+    host, port = bound.getsockname()[:2]
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+
+
+def serve(
+    stack: contextlib.AsyncExitStack,
+    app: Application,
+    bound: socket.socket,
+    limits: LimitSettings,
+    tls: ssl.SSLContext | None,
+    on_answer: OnAnswer,
+) -> None:
+    """Serves an application until the stack closes.
+
+    Args:
+      stack: What closes the server.
+      app: What answers.
+      bound: Where to listen.
+      limits: What one client may take.
+      tls: How connections are secured, or None.
+      on_answer: Called after each answer.
+    """
+    app.settings[BODY_LIMIT] = limits.body_kb * KIB
+    app.settings['log_function'] = on_answer
+    server = LimitedServer(
+        app,
+        ssl_options=tls,
+        max_header_size=limits.header_kb * KIB,
+        max_body_size=LIBRARY_BODY_LIMIT,
+        idle_connection_timeout=limits.slow_seconds,
+        body_timeout=limits.slow_seconds,
+    )
+    server.most = limits.connections
+    server.add_socket(bound)
+    stack.push_async_callback(server.close_all_connections)
+    stack.callback(server.stop)
--- a/lentilmount/daemon/operators.py
+++ b/lentilmount/daemon/operators.py
@@ -2,101 +2,46 @@
 
 from __future__ import annotations
 
-from typing import Any, Protocol
+import hashlib
+from typing import Any
 
-import attrs
 from tornado.web import Application
 
 from lentilmount import resources
-from lentilmount.access import Gate, Grant, Verb
+from lentilmount.access import Grant, Verb
 from lentilmount.codec import (
     parse_json,
     structure_resource,
     unstructure,
 )
-from lentilmount.commands.configure import Configurer
-from lentilmount.commands.jobs import JobDesk, Submitted
-from lentilmount.configuration import CONFIGURED_KINDS, Configuration
-from lentilmount.daemon.web import Handler, NoRouteHandler
+from lentilmount.commands.checks import PLATFORM_KINDS, check_resource
+from lentilmount.daemon.api import (
+    ROOT,
+    Api,
+    ApiHandler,
+    find_kind,
+    list_visible,
+)
+from lentilmount.daemon.streams import Seats, TimeLineHandler, WatchHandler
+from lentilmount.daemon.web import NoRouteHandler
 from lentilmount.errors import (
     ErrorKind,
     FieldProblem,
     InvalidError,
     LentilmountError,
-    NotFoundError,
 )
-from lentilmount.queries.resources import Reader
-from lentilmount.resources import Kind, Resource
+from lentilmount.queries.difference import list_changes
+from lentilmount.queries.pages import DEFAULT_LIMIT, ListFilter
+from lentilmount.resources import Kind, Phase, Resource
 
-ROOT = f'/{resources.API_VERSION}'
 MAX_LIMIT = 1000
+MAX_REVISION = 2**53
 
-PLATFORM_KINDS = frozenset({Kind.WORKER, Kind.TEAM, Kind.CONFIGURATION})
-"""Kinds that belong to the platform, not to a team."""
-
-
-class StatusSource(Protocol):
-    """What can tell how the daemon is."""
-
-    def describe(self) -> dict[str, Any]:
-        """Returns the daemon's state in plain values."""
-
-    def find_fault(self) -> str:
-        """Returns why the daemon is not ready, or ''."""
-
-    async def announce(self, submitted: Submitted) -> None:
-        """Tells the owner of a slice that its inbox has something new."""
-
-    async def reach(self, revision: int) -> None:
-        """Waits a while until an accepted revision is in force here."""
+NO_TEAM = '-'
+"""Stands in a route for the team of what belongs to the platform."""
 
-
-@attrs.frozen
-class Api:
-    """The parts that the API stands on."""
-
-    gate: Gate
-    configuration: Configuration
-    configurer: Configurer
-    jobs: JobDesk
-    reader: Reader
-    status: StatusSource
-
-
-def find_kind(name: str) -> Kind:
-    """Finds a kind by its name in a route, such as services.
-
-    Raises:
-      NotFoundError: There is no such kind.
-    """
-    for kind in Kind:
-        if name in (kind.value.lower(), kind.value.lower() + 's'):
-            return kind
-    known = ', '.join(kind.value.lower() for kind in Kind)
-    raise NotFoundError(f'there is no kind {name}; there are {known}')
-
-
-class ApiHandler(Handler):
-    """A handler of the resource API."""
-
-    def initialize(self, api: Api) -> None:  # type: ignore[override]
-        """Keeps the parts."""
-        super().initialize(api.gate)
-        self.api = api
-
-    def read_number(self, name: str, default: int, most: int) -> int:
-        """Reads a number from the query.
-
-        Raises:
-          InvalidError: Not a whole number from 0 to `most`.
-        """
-        given = self.get_query_argument(name, str(default))
-        if not given.isdecimal() or int(given) > most:
-            problem = f'must be a whole number from 0 to {most}, not {given!r}'
-            raise InvalidError(
-                f'{name} {problem}', fields=(FieldProblem(name, problem),)
-            )
-        return int(given)
+_PUBLIC_STATUS = ('daemon', 'zone', 'revision', 'ready', 'fault')
+"""What a token of one team is told of a daemon."""
 
 
 class ResourcesHandler(ApiHandler):
@@ -106,33 +51,41 @@
         """Answers with a page of resources."""
         grant = self.admit()
         kind = find_kind(kind_name)
-        team = self._read_team(grant, kind)
-        grant.require(Verb.READ, team)
+        team = self.read_team(grant)
+        if kind in (Kind.WORKER, Kind.CONFIGURATION):
+            grant.require(Verb.READ, '')
+        # Taken before the read: a watch from it may tell again what the list
+        # holds already, but misses nothing.
+        cursor = self.api.watcher.make_cursor()
         page = await self.api.reader.list_page(
-            kind,
-            team,
-            self.get_query_argument('after', ''),
-            max(1, self.read_number('limit', 100, MAX_LIMIT)),
+            ListFilter(
+                kind,
+                list_visible(grant),
+                team,
+                self.get_query_argument('name', ''),
+                self._read_phase(),
+                self.get_query_argument('after', ''),
+                max(1, self.read_number('limit', DEFAULT_LIMIT, MAX_LIMIT)),
+            )
         )
-        phase = self.get_query_argument('phase', '')
-        items = [
-            item
-            for item in page.items
-            if not phase or item.status.phase.value == phase
-        ]
         self.reply(
             {
-                'items': items,
+                'items': page.items,
                 'next': page.next,
                 'revision': self.api.configuration.revision,
+                'cursor': cursor,
             }
         )
 
-    def _read_team(self, grant: Grant, kind: Kind) -> str:
-        if kind in PLATFORM_KINDS:
-            return ''
-        default = '' if grant.team == '*' else grant.team
-        return self.get_query_argument('team', default)
+    def _read_phase(self) -> Phase | None:
+        given = self.get_query_argument('phase', '')
+        allowed = [phase.value for phase in Phase]
+        if given and given not in allowed:
+            problem = f'must be one of {", ".join(allowed)}, not {given!r}'
+            raise InvalidError(
+                f'phase {problem}', fields=(FieldProblem('phase', problem),)
+            )
+        return Phase(given) if given else None
 
     async def post(self, kind_name: str) -> None:
         """Applies a resource."""
@@ -140,27 +93,67 @@
         kind = find_kind(kind_name)
         resource = structure_resource(parse_json(self.request.body))
         _check_kind(kind, resource)
+        check_resource(resource, self.api.zones)
         verb = Verb.ADMIN if kind in PLATFORM_KINDS else Verb.WRITE
         grant.require(verb, resource.metadata.team)
+        if kind is Kind.WORKER:
+            # A mistyped name would be accepted, and the worker that was meant
+            # would go on getting work.
+            await self.api.reader.get(kind, '', resource.metadata.name)
         if self.get_query_argument('dry_run', ''):
-            self.reply({'resource': resource, 'dry_run': True})
-            return
-        if kind is Kind.JOB:
-            submitted = await self.api.jobs.submit(resource)
-            await self.api.status.announce(submitted)
-            self.reply(
-                {
-                    'resource': submitted.resource,
-                    'changed': submitted.changed,
-                },
-                201 if submitted.changed else 200,
-            )
-            return
-        accepted = await self.api.configurer.apply(resource, self.request_id)
+            await self._preview(resource)
+        elif kind is Kind.JOB:
+            await self._submit(resource)
+        else:
+            await self._apply(grant, resource)
+
+    async def _preview(self, resource: Resource) -> None:
+        desk = (
+            self.api.jobs if resource.kind is Kind.JOB else self.api.configurer
+        )
+        current = await desk.preview(resource)
+        changes = list_changes(current, resource)
+        self.reply(
+            {
+                'resource': resource,
+                'current': current,
+                'changed': current is None or bool(changes),
+                'changes': changes,
+                'dry_run': True,
+            }
+        )
+
+    async def _submit(self, resource: Resource) -> None:
+        submitted = await self.api.jobs.submit(resource)
+        await self.api.status.announce(submitted)
+        answer = {
+            'resource': submitted.resource,
+            'changed': submitted.changed,
+        }
+        self.reply(answer, 201 if submitted.changed else 200)
+
+    async def _apply(self, grant: Grant, resource: Resource) -> None:
+        accepted = await self.api.configurer.apply(
+            resource, make_command_id(self, grant)
+        )
         await self.api.status.reach(accepted.revision)
         self.reply(unstructure(accepted), 201 if accepted.changed else 200)
 
 
+def make_command_id(handler: ApiHandler, grant: Grant) -> str:
+    """Names a command, so that sending it again changes nothing more.
+
+    The id that the caller chose is not enough: another caller could send the
+    same one and would be answered with the first one's resource.
+    """
+    digest = hashlib.sha256()
+    for part in (grant.name, grant.team, handler.request.method or ''):
+        digest.update(part.encode() + b'\0')
+    digest.update(handler.request.uri.encode() + b'\0')
+    digest.update(handler.request.body)
+    return f'{handler.request_id}/{digest.hexdigest()[:32]}'
+
+
 class ResourceHandler(ApiHandler):
     """Reads and deletes one resource."""
 
@@ -169,7 +162,7 @@
         grant = self.admit()
         kind = find_kind(kind_name)
         team = _read_team_part(team)
-        grant.require(Verb.READ, team)
+        grant.require(Verb.READ, name if kind is Kind.TEAM else team)
         self.reply(await self.api.reader.get(kind, team, name))
 
     async def delete(self, kind_name: str, team: str, name: str) -> None:
@@ -179,14 +172,14 @@
         team = _read_team_part(team)
         verb = Verb.ADMIN if kind in PLATFORM_KINDS else Verb.WRITE
         grant.require(verb, team)
-        if kind not in CONFIGURED_KINDS:
-            raise LentilmountError(
-                'a job is not deleted; cancel it', kind=ErrorKind.METHOD
-            )
+        if kind is Kind.JOB:
+            deleted = await self.api.jobs.delete(team, name)
+            self.reply({'resource': deleted.resource, 'changed': True})
+            return
         accepted = await self.api.configurer.delete(
             resources.make_path(kind, team, name),
-            self.read_number('revision', 0, 2**53),
-            self.request_id,
+            self.read_number('revision', 0, MAX_REVISION),
+            make_command_id(self, grant),
         )
         await self.api.status.reach(accepted.revision)
         self.reply(accepted)
@@ -199,8 +192,13 @@
         """Accepts the cancellation."""
         self.admit().require(Verb.WRITE, team)
         submitted = await self.api.jobs.cancel(team, name)
-        await self.api.status.announce(submitted)
-        self.reply({'resource': submitted.resource, 'changed': True}, 202)
+        if submitted.changed:
+            await self.api.status.announce(submitted)
+        answer = {
+            'resource': submitted.resource,
+            'changed': submitted.changed,
+        }
+        self.reply(answer, 202 if submitted.changed else 200)
 
 
 class StatusHandler(ApiHandler):
@@ -208,8 +206,35 @@
 
     def get(self) -> None:
         """Answers with the daemon's state."""
-        self.admit().require(Verb.READ, self.admit().team)
-        self.reply(self.api.status.describe())
+        grant = self.admit()
+        grant.require(Verb.READ, grant.team)
+        self.reply(_show_status(grant, self.api.status.describe()))
+
+
+class DaemonsHandler(ApiHandler):
+    """Tells how every daemon is."""
+
+    async def get(self) -> None:
+        """Answers with the state of all daemons, and who did not answer."""
+        grant = self.admit()
+        grant.require(Verb.READ, grant.team)
+        others = await self.api.survey.describe_all()
+        found = [own for own in others.values() if own is not None]
+        found.append(self.api.status.describe())
+        found.sort(key=lambda daemon: str(daemon['daemon']))
+        unreachable = [name for name, own in others.items() if own is None]
+        self.reply(
+            {
+                'daemons': [_show_status(grant, daemon) for daemon in found],
+                'unreachable': sorted(unreachable),
+            }
+        )
+
+
+def _show_status(grant: Grant, daemon: dict[str, Any]) -> dict[str, Any]:
+    if grant.sees_platform:
+        return daemon
+    return {name: daemon[name] for name in _PUBLIC_STATUS}
 
 
 class HealthHandler(ApiHandler):
@@ -234,35 +259,31 @@
 
 
 def _read_team_part(team: str) -> str:
-    return '' if team == '-' else team
+    return '' if team == NO_TEAM else team
 
 
 def _check_kind(kind: Kind, resource: Resource) -> None:
     if resource.kind is not kind:
-        raise InvalidError(
-            f'kind: {resource.kind.value} was sent to the route of {kind.value}'
-        )
-    if kind is Kind.UPSTREAM or kind in PLATFORM_KINDS:
-        return
-    if not resource.metadata.team:
-        raise InvalidError(
-            'metadata.team: required field team is missing',
-            fields=(
-                FieldProblem(
-                    'metadata.team', 'is missing', 'name the owning team'
-                ),
-            ),
+        problem = FieldProblem(
+            'kind',
+            f'{resource.kind.value} was sent to the route of {kind.value}',
+            f'post it to {ROOT}/{resource.kind.value.lower()}s',
         )
+        raise InvalidError(str(problem), fields=(problem,))
 
 
 def make_operators_app(api: Api) -> Application:
     """Builds the resource API's HTTP application."""
     parts: dict[str, Any] = {'api': api}
+    streams = {**parts, 'seats': Seats(api.most_watches)}
     return Application(
         [
             ('/healthz', HealthHandler, parts),
             ('/readyz', ReadyHandler, parts),
             (f'{ROOT}/status', StatusHandler, parts),
+            (f'{ROOT}/daemons', DaemonsHandler, parts),
+            (f'{ROOT}/watch', WatchHandler, streams),
+            (f'{ROOT}/timeline', TimeLineHandler, parts),
             (rf'{ROOT}/jobs/([^/]+)/([^/]+)/cancel', CancelHandler, parts),
             (rf'{ROOT}/([a-z]+)', ResourcesHandler, parts),
             (rf'{ROOT}/([a-z]+)/([^/]+)/([^/]+)', ResourceHandler, parts),
--- a/lentilmount/daemon/peers.py
+++ b/lentilmount/daemon/peers.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import ssl
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 import logbook
@@ -16,6 +18,7 @@
 from lentilmount.codec import encode
 from lentilmount.coordination.membership import Member, Membership
 from lentilmount.events import EventKind, EventLog
+from lentilmount.queries.timeline import EventFilter, select_events
 from lentilmount.wire import peer_grpc, peer_pb2
 
 log = logbook.Logger('peers')
@@ -64,6 +67,7 @@
       get_news: Returns what this daemon tells.
       take_news: Takes what a peer told.
       wake_slice: Called when a slice's inbox has something new.
+      tls: How calls to peers are secured, or None.
     """
 
     def __init__(
@@ -75,8 +79,10 @@
         get_news: Callable[[], News],
         take_news: Callable[[News], None],
         wake_slice: Callable[[str], None],
+        tls: ssl.SSLContext | None = None,
     ):
         self._membership = membership
+        self._tls = tls
         self._events = events
         self._seeds = seeds
         self._heartbeat_seconds = heartbeat_seconds
@@ -126,7 +132,7 @@
     def _get_channel(self, address: str) -> Channel:
         if address not in self._channels:
             host, _, port = address.rpartition(':')
-            self._channels[address] = Channel(host, int(port))
+            self._channels[address] = Channel(host, int(port), ssl=self._tls)
         return self._channels[address]
 
     def _make_heartbeat(self) -> peer_pb2.Heartbeat:
@@ -166,9 +172,19 @@
                     peer_pb2.Nudge(slice=slice_name), timeout=CALL_SECONDS
                 )
 
-    def make_service(self) -> PeerService:
+    def list_others(self) -> list[Member]:
+        """Returns every other daemon that was not stopped as planned."""
+        return [m for m in self._membership.list_known() if not m.stopping]
+
+    def get_stub(self, address: str) -> peer_grpc.PeerStub:
+        """Returns the stub of a daemon."""
+        return peer_grpc.PeerStub(self._get_channel(address))
+
+    def make_service(
+        self, describe: Callable[[], dict[str, Any]]
+    ) -> PeerService:
         """Builds the API that peers call."""
-        return PeerService(self, self._events, self._wake_slice)
+        return PeerService(self, self._events, self._wake_slice, describe)
 
     def answer_heartbeat(
         self, message: peer_pb2.Heartbeat
@@ -191,10 +207,12 @@
         peers: Peers,
         events: EventLog,
         wake_slice: Callable[[str], None],
+        describe: Callable[[], dict[str, Any]],
     ):
         self._peers = peers
         self._events = events
         self._wake_slice = wake_slice
+        self._describe = describe
 
     async def Beat(  # noqa: N802
         self, stream: Stream[peer_pb2.Heartbeat, peer_pb2.Heartbeat]
@@ -230,7 +248,21 @@
         if message is None:
             return
         after = Stamp(message.after_millis, message.after_counter)
-        found = self._events.select(after, message.resource)
+        wanted = EventFilter(
+            message.resource,
+            message.request,
+            until_millis=message.until_millis,
+            limit=message.limit,
+        )
+        found = select_events(self._events, wanted, after)
         await stream.send_message(
             peer_pb2.EventsReply(events=[encode(event) for event in found])
         )
+
+    async def Describe(  # noqa: N802
+        self, stream: Stream[peer_pb2.Empty, peer_pb2.Description]
+    ) -> None:
+        """Answers with this daemon's state."""
+        await stream.recv_message()
+        body = encode(self._describe())
+        await stream.send_message(peer_pb2.Description(body=body))
--- a/lentilmount/daemon/web.py
+++ b/lentilmount/daemon/web.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import logbook
-from tornado.web import HTTPError, RequestHandler
+from tornado.web import HTTPError, RequestHandler, stream_request_body
 
 from lentilmount.access import Gate, Grant
 from lentilmount.codec import encode
@@ -20,11 +20,16 @@
     NotFoundError,
     make_problem,
 )
+from lentilmount.logs import bind
 
 log = logbook.Logger('http')
 
 REQUEST_ID_HEADER = 'Lentilmount-Request'
 MAX_REQUEST_ID = 100
+DEFAULT_BODY_LIMIT = 4 * 1024 * 1024
+
+BODY_LIMIT = 'body_limit'
+"""The application's setting that holds the largest body, in bytes."""
 
 _KINDS_BY_STATUS = {
     400: ErrorKind.INVALID,
@@ -34,9 +39,13 @@
 }
 
 
+@stream_request_body
 class Handler(RequestHandler):
     """A handler whose every failure is a problem document.
 
+    The body is taken in here, piece by piece, because the library would
+    answer one that is too large without a problem document.
+
     Attributes:
       request_id: The caller's id of the request, or a new one.
     """
@@ -44,9 +53,11 @@
     def initialize(self, gate: Gate) -> None:
         """Keeps the gate."""
         self.gate = gate
+        self._pieces: list[bytes] = []
+        self._expected = 0
 
     def prepare(self) -> None:
-        """Gives the request its id."""
+        """Gives the request its id, and refuses a body that is too large."""
         given = self.request.headers.get(REQUEST_ID_HEADER, '')
         self.request_id = given or uuid.uuid4().hex
         self.set_header(REQUEST_ID_HEADER, self.request_id[:MAX_REQUEST_ID])
@@ -55,6 +66,31 @@
                 f'{REQUEST_ID_HEADER} must be at most {MAX_REQUEST_ID} '
                 f'printable characters'
             )
+        bind(request=self.request_id)
+        self._check_length()
+
+    def _check_length(self) -> None:
+        most = self.settings.get(BODY_LIMIT, DEFAULT_BODY_LIMIT)
+        length = self.request.headers.get('Content-Length', '0')
+        self._expected = int(length) if length.isdecimal() else 0
+        # The rest of a refused body is read and dropped, within the time for
+        # slow senders: closing at once would reset the connection and could
+        # lose the answer on its way.
+        connection: Any = self.request.connection
+        connection.set_max_body_size(max(most, self._expected))
+        if self._expected > most:
+            raise LentilmountError(
+                f'the body has {self._expected} bytes; at most {most} '
+                f'are taken',
+                kind=ErrorKind.TOO_LARGE,
+            )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes a piece of the body; called by tornado."""
+        self._pieces.append(chunk)
+        if not self._expected or sum(map(len, self._pieces)) == self._expected:
+            self.request.body = b''.join(self._pieces)
+            self._pieces = [self.request.body]
 
     def admit(self) -> Grant:
         """Returns what the request's token allows."""
@@ -74,7 +110,6 @@
         self.set_status(error.answer.http)
         self.set_header('Content-Type', PROBLEM_TYPE)
         self.set_header(RAN_HEADER, error.ran.value)
-        self.set_header(REQUEST_ID_HEADER, self.request_id[:MAX_REQUEST_ID])
         if error.retry_after is not None:
             self.set_header(
                 'Retry-After', str(max(1, round(error.retry_after)))
@@ -87,9 +122,7 @@
         """Logs what nobody expected."""
         if isinstance(value, LentilmountError | HTTPError):
             return
-        log.error(
-            'Request {} failed.', self.request_id, exc_info=(typ, value, tb)
-        )
+        log.error('A request failed.', exc_info=(typ, value, tb))
 
 
 def _wrap(status: int, error: BaseException | None) -> LentilmountError:
--- a/lentilmount/logs.py
+++ b/lentilmount/logs.py
@@ -1,17 +1,21 @@
-"""Log lines: a prefix for each part and a short sentence, or JSON."""
+"""Log lines: a prefix for each part and a short sentence, or JSON.
+
+Ids that a part binds, such as the request's, stand on each line that is
+logged from the same asyncio task.
+"""
 
 from __future__ import annotations
 
+import contextlib
+import contextvars
 import json
+import logging
 import sys
+from collections.abc import Iterator, Mapping
 from typing import TextIO
 
 import logbook
-
-TEXT_FORMAT = (
-    '{record.time:%H:%M:%S.%f} {record.level_name:7} '
-    '{record.channel}: {record.message}'
-)
+from logbook.compat import RedirectLoggingHandler
 
 LEVELS = {
     'debug': logbook.DEBUG,
@@ -20,6 +24,40 @@
     'error': logbook.ERROR,
 }
 
+_bound: contextvars.ContextVar[Mapping[str, str]] = contextvars.ContextVar(
+    'bound'
+)
+
+
+def bind(**ids: str) -> contextvars.Token[Mapping[str, str]]:
+    """Puts ids on the lines that this asyncio task logs from now on."""
+    return _bound.set({**_bound.get({}), **ids})
+
+
+@contextlib.contextmanager
+def bound(**ids: str) -> Iterator[None]:
+    """Puts ids on the lines that are logged in the block."""
+    token = bind(**ids)
+    try:
+        yield
+    finally:
+        _bound.reset(token)
+
+
+def _list_ids(record: logbook.LogRecord) -> dict[str, str]:
+    return {**_bound.get({}), **record.extra}
+
+
+def _format_text(record: logbook.LogRecord, _: logbook.Handler) -> str:
+    ids = ' '.join(f'{name}={id}' for name, id in _list_ids(record).items())
+    line = (
+        f'{record.time:%H:%M:%S.%f} {record.level_name:7} '
+        f'{record.channel}: {record.message}'
+    )
+    line = f'{line} [{ids}]' if ids else line
+    trace = record.formatted_exception
+    return f'{line}\n{trace}' if trace else line
+
 
 def _format_json(record: logbook.LogRecord, _: logbook.Handler) -> str:
     line = {
@@ -27,11 +65,16 @@
         'level': record.level_name.lower(),
         'part': record.channel,
         'message': record.message,
-        **record.extra,
+        **_list_ids(record),
     }
+    if record.formatted_exception:
+        line['trace'] = record.formatted_exception
     return json.dumps(line, default=str)
 
 
+_FORMATTERS = {'text': _format_text, 'json': _format_json}
+
+
 def make_handler(
     log_format: str, level: str, stream: TextIO | None = None
 ) -> logbook.Handler:
@@ -39,7 +82,19 @@
     handler = logbook.StreamHandler(
         stream or sys.stderr, level=LEVELS[level], bubble=False
     )
-    handler.format_string = TEXT_FORMAT
-    if log_format == 'json':
-        handler.formatter = _format_json
+    handler.formatter = _FORMATTERS[log_format]
     return handler
+
+
+@contextlib.contextmanager
+def capture_libraries() -> Iterator[None]:
+    """Sends what libraries log by `logging` the way of all other lines."""
+    root = logging.getLogger()
+    before, level = root.handlers[:], root.level
+    root.handlers[:] = [RedirectLoggingHandler()]
+    root.setLevel(logging.WARNING)
+    try:
+        yield
+    finally:
+        root.handlers[:] = before
+        root.setLevel(level)
--- a/lentilmount/queries/resources.py
+++ b/lentilmount/queries/resources.py
@@ -4,44 +4,32 @@
 
 import attrs
 
-from lentilmount.batch.records import (
-    Task,
-    WorkerRecord,
-    make_done_key,
-    make_task_key,
-)
-from lentilmount.codec import structure, structure_resource
-from lentilmount.commands.jobs import make_task_id
+from lentilmount.batch.records import WorkerRecord, make_worker_key
+from lentilmount.codec import structure
 from lentilmount.configuration import Configuration
-from lentilmount.coordination.table import (
-    Row,
-    Table,
-    UnavailableError,
-    scan_all,
-)
+from lentilmount.coordination.table import Table, UnavailableError
 from lentilmount.errors import NotFoundError, StoreError
+from lentilmount.queries.jobs import JobReader
+from lentilmount.queries.pages import ListFilter, Page, make_page
+from lentilmount.queries.statuses import (
+    make_service_status,
+    make_upstream_status,
+    make_worker_status,
+)
 from lentilmount.resources import (
-    Condition,
     Kind,
     Metadata,
-    Phase,
     Resource,
     ServiceSpec,
     Status,
     UpstreamSpec,
+    WorkerSpec,
 )
-from lentilmount.routing.directory import Directory
-from lentilmount.rows import make_job_key
-
-READ_AT_ONCE = 50
+from lentilmount.routing.directory import Directory, Upstream
+from lentilmount.slices import find_worker_slice, get_zone
 
-
-@attrs.frozen
-class Page:
-    """Some resources, and the name to go on after, or ''."""
-
-    items: tuple[Resource, ...]
-    next: str = ''
+MOST_ROWS = 2000
+"""Rows of the table that one list may read; the rest is for the next page."""
 
 
 class Reader:
@@ -58,6 +46,7 @@
         self._configuration = configuration
         self._directory = directory
         self._slices = slices
+        self._jobs = JobReader(table)
 
     async def get(self, kind: Kind, team: str, name: str) -> Resource:
         """Returns one resource.
@@ -69,173 +58,142 @@
         try:
             found = await self._find(kind, team, name)
         except UnavailableError as error:
-            raise StoreError('the table service does not answer') from error
+            raise _make_store_error() from error
         if found is None:
-            raise NotFoundError(f'there is no {kind.value} {team}/{name}')
+            owner = f'{team}/' if team else ''
+            raise NotFoundError(f'there is no {kind.value} {owner}{name}')
         return found
 
     async def _find(self, kind: Kind, team: str, name: str) -> Resource | None:
         if kind is Kind.JOB:
-            key = make_job_key(team, name)
-            rows = await self._table.read([key])
-            jobs = await self._add_status(list(rows.values()))
-            return jobs[0] if jobs else None
-        if kind in (Kind.WORKER, Kind.UPSTREAM):
-            page = await self.list_page(kind, team)
-            return next(
-                (r for r in page.items if r.metadata.name == name), None
-            )
+            return await self._jobs.find(team, name)
+        if kind is Kind.WORKER:
+            return await self._find_worker(name)
+        if kind is Kind.UPSTREAM:
+            named = (u for u in self._list_upstreams() if u.path.endswith(name))
+            wanted = Metadata(name, team)
+            return next((u for u in named if _is_same(u, wanted)), None)
         resource = self._configuration.get(kind, team, name)
         return self._add_service_status(resource) if resource else None
 
-    async def list_page(
-        self, kind: Kind, team: str, after: str = '', limit: int = 100
-    ) -> Page:
-        """Returns a page of the resources of one kind and team.
+    async def list_page(self, wanted: ListFilter) -> Page:
+        """Returns a page of resources, in the order of team and name.
+
+        Workers come in the order of slice and name. A page can be short of
+        the limit, even empty, and yet not be the last one: one call reads a
+        bounded number of rows.
 
         Raises:
           StoreError: The table does not answer.
         """
         try:
-            if kind is Kind.JOB:
-                return await self._list_jobs(team, after, limit)
-            if kind is Kind.WORKER:
-                items = await self._list_workers()
-            elif kind is Kind.UPSTREAM:
-                items = self._list_upstreams(team)
-            else:
-                items = [
-                    self._add_service_status(resource)
-                    for resource in self._configuration.list_kind(kind)
-                    if resource.metadata.team == team
-                ]
+            if wanted.kind is Kind.JOB:
+                teams = self._list_job_teams(wanted)
+                return await self._jobs.list_page(wanted, teams, MOST_ROWS)
+            if wanted.kind is Kind.WORKER:
+                return await self._list_workers(wanted)
         except UnavailableError as error:
-            raise StoreError('the table service does not answer') from error
-        later = [item for item in items if item.metadata.name > after]
-        return _make_page(later, limit)
-
-    async def _list_jobs(self, team: str, after: str, limit: int) -> Page:
-        rows = await self._table.scan(f'job/{team}', after, limit + 1)
-        jobs = await self._add_status(rows[:limit])
-        more = len(rows) > limit
-        return Page(tuple(jobs), jobs[-1].metadata.name if more else '')
-
-    async def _add_status(self, rows: list[Row]) -> list[Resource]:
-        jobs = []
-        for start in range(0, len(rows), READ_AT_ONCE):
-            some = rows[start : start + READ_AT_ONCE]
-            jobs += await self._add_some_status(some)
-        return jobs
-
-    async def _add_some_status(self, rows: list[Row]) -> list[Resource]:
-        resources = [structure_resource(row.body['resource']) for row in rows]
-        keys = []
-        for row, resource in zip(rows, resources, strict=True):
-            task_id = make_task_id(
-                resource.metadata.team, resource.metadata.name
-            )
-            where = row.body['slice']
-            keys.append(
-                (make_task_key(where, task_id), make_done_key(where, task_id))
-            )
-        found = await self._table.read([k for pair in keys for k in pair])
-        return [
-            _set_status(resource, found.get(live), found.get(done))
-            for resource, (live, done) in zip(resources, keys, strict=True)
+            raise _make_store_error() from error
+        if wanted.kind is Kind.UPSTREAM:
+            items = self._list_upstreams()
+        else:
+            items = [
+                self._add_service_status(resource)
+                for resource in self._configuration.list_kind(wanted.kind)
+            ]
+        return make_page(items, wanted)
+
+    def _list_job_teams(self, wanted: ListFilter) -> list[str]:
+        """Returns the teams whose jobs are to be listed.
+
+        Without a team in the filter, these are the declared ones: the table
+        has no list of teams.
+        """
+        if wanted.team:
+            return [wanted.team]
+        declared = self._configuration.list_kind(Kind.TEAM)
+        names = (resource.metadata.name for resource in declared)
+        return [name for name in names if wanted.sees(name)]
+
+    async def _find_worker(self, name: str) -> Resource | None:
+        zones = sorted({get_zone(name) for name in self._slices})
+        per_zone = len(self._slices) // len(zones)
+        keys = [
+            make_worker_key(find_worker_slice(zone, name, per_zone), name)
+            for zone in zones
         ]
+        for row in (await self._table.read(keys)).values():
+            return self._make_worker(structure(row.body, WorkerRecord))
+        return None
+
+    async def _list_workers(self, wanted: ListFilter) -> Page:
+        items: list[Resource] = []
+        first, _, after = wanted.after.partition('~')
+        read = 0
+        for slice_name in sorted(self._slices):
+            if slice_name < first:
+                continue
+            start = after if slice_name == first else ''
+            while True:
+                limit = wanted.limit + 1
+                rows = await self._table.scan(
+                    f'worker/{slice_name}', start, limit
+                )
+                read += len(rows)
+                for row in rows:
+                    if len(items) == wanted.limit:
+                        return Page(tuple(items), f'{slice_name}~{start}')
+                    start = row.key.sort
+                    worker = self._make_worker(
+                        structure(row.body, WorkerRecord)
+                    )
+                    if wanted.accepts(worker):
+                        items.append(worker)
+                if len(rows) < limit:
+                    break
+                if read >= MOST_ROWS:
+                    return Page(tuple(items), f'{slice_name}~{start}')
+        return Page(tuple(items))
+
+    def _make_worker(self, record: WorkerRecord) -> Resource:
+        known = self._configuration.get(Kind.WORKER, '', record.name)
+        return Resource(
+            Kind.WORKER,
+            known.metadata if known else Metadata(record.name),
+            known.spec if known else WorkerSpec(),
+            make_worker_status(record),
+        )
 
     def _add_service_status(self, resource: Resource) -> Resource:
         if not isinstance(resource.spec, ServiceSpec):
             return resource
         metadata = resource.metadata
-        upstreams = self._directory.list_service(
-            f'{metadata.team}/{metadata.name}'
-        )
-        running, wanted = len(upstreams), resource.spec.replicas
-        status = Status(
-            phase=Phase.RUNNING if running else Phase.PENDING,
-            reason=f'{running} of {wanted} replicas run',
-            conditions=(Condition('Complete', f'{running}/{wanted}'),),
-        )
+        name = f'{metadata.team}/{metadata.name}'
+        running = len(self._directory.list_service(name))
+        status = make_service_status(running, resource.spec.replicas)
         return attrs.evolve(resource, status=status)
 
-    async def _list_workers(self) -> list[Resource]:
-        workers = []
-        for name in self._slices:
-            for row in await scan_all(self._table, f'worker/{name}'):
-                record = structure(row.body, WorkerRecord)
-                workers.append(self._make_worker(record))
-        return sorted(workers, key=lambda w: w.metadata.name)
+    def _list_upstreams(self) -> list[Resource]:
+        items = [self._make_upstream(u) for u in self._directory.list_all()]
+        return sorted(items, key=lambda item: item.path)
 
-    def _make_worker(self, record: WorkerRecord) -> Resource:
-        spec = self._configuration.get_worker(record.name)
-        known = self._configuration.get(Kind.WORKER, '', record.name)
-        free = record.free
-        conditions = [
-            Condition('Free', f'{free.cores:g} cores, {free.memory_mb} MiB'),
-            Condition('Zone', record.zone),
-        ]
-        if record.quarantined:
-            conditions.append(Condition('Quarantined', record.quarantined))
-        if record.leaving:
-            conditions.append(Condition('Leaving'))
+    def _make_upstream(self, upstream: Upstream) -> Resource:
+        _, team, rest = upstream.task.split('/', 2)
+        name = rest.replace('/', '.')
+        known = self._configuration.get(Kind.UPSTREAM, team, name)
+        status: Status = make_upstream_status(upstream)
         return Resource(
-            Kind.WORKER,
-            known.metadata if known else Metadata(record.name),
-            spec,
-            Status(
-                phase=Phase.RUNNING,
-                reason=f'{len(record.commitments)} tasks',
-                worker=record.name,
-                conditions=tuple(conditions),
-            ),
+            Kind.UPSTREAM,
+            known.metadata if known else Metadata(name, team),
+            known.spec if known else UpstreamSpec(),
+            status,
         )
 
-    def _list_upstreams(self, team: str) -> list[Resource]:
-        items = [
-            Resource(
-                Kind.UPSTREAM,
-                Metadata(
-                    upstream.task.split('/', 2)[2].replace('/', '.'), team
-                ),
-                UpstreamSpec(),
-                Status(
-                    phase=Phase.RUNNING,
-                    attempt=upstream.attempt,
-                    worker=upstream.worker,
-                    conditions=(
-                        Condition('Zone', upstream.zone),
-                        Condition('Address', upstream.address),
-                    ),
-                ),
-            )
-            for upstream in self._directory.list_all()
-            if upstream.service.startswith(team + '/')
-        ]
-        return sorted(items, key=lambda item: item.metadata.name)
-
-
-def _set_status(
-    resource: Resource, live: Row | None, done: Row | None
-) -> Resource:
-    if done is not None:
-        task = structure(done.body['task'], Task)
-    elif live is not None:
-        task = structure(live.body, Task)
-    else:
-        return resource
-    status = Status(
-        phase=task.phase,
-        reason=task.reason,
-        attempt=task.attempt,
-        worker=task.worker,
-        evictions=task.evictions,
-        output=task.output,
-    )
-    return attrs.evolve(resource, status=status)
-
-
-def _make_page(items: list[Resource], limit: int) -> Page:
-    page = tuple(items[:limit])
-    more = len(items) > limit
-    return Page(page, page[-1].metadata.name if more else '')
+
+def _is_same(resource: Resource, wanted: Metadata) -> bool:
+    metadata = resource.metadata
+    return (metadata.team, metadata.name) == (wanted.team, wanted.name)
+
+
+def _make_store_error() -> StoreError:
+    return StoreError('the table service does not answer', retry_after=2.0)
--- /dev/null
+++ b/lentilmount/queries/statuses.py
@@ -0,0 +1,62 @@
+"""What callers are told of tasks, services, workers and upstreams."""
+
+from __future__ import annotations
+
+from lentilmount.batch.records import Task, WorkerRecord
+from lentilmount.resources import Condition, Phase, Status
+from lentilmount.routing.directory import Upstream
+
+
+def make_status(task: Task) -> Status:
+    """Returns what callers are told of a task."""
+    return Status(
+        phase=task.phase,
+        reason=task.reason,
+        attempt=task.attempt,
+        worker=task.worker,
+        evictions=task.evictions,
+        output=task.output,
+    )
+
+
+def make_service_status(running: int, wanted: int) -> Status:
+    """Returns what callers are told of a service."""
+    return Status(
+        phase=Phase.RUNNING if running else Phase.PENDING,
+        reason=f'{running} of {wanted} replicas run',
+        conditions=(Condition('Complete', f'{running}/{wanted}'),),
+    )
+
+
+def make_worker_status(record: WorkerRecord) -> Status:
+    """Returns what callers are told of a worker."""
+    free = record.free
+    conditions = [
+        Condition('Free', f'{free.cores:g} cores, {free.memory_mb} MiB'),
+        Condition('Zone', record.zone),
+    ]
+    if record.cordoned:
+        conditions.append(Condition('Cordoned'))
+    if record.quarantined:
+        conditions.append(Condition('Quarantined', record.quarantined))
+    if record.leaving:
+        conditions.append(Condition('Leaving'))
+    return Status(
+        phase=Phase.RUNNING,
+        reason=f'{len(record.commitments)} tasks',
+        worker=record.name,
+        conditions=tuple(conditions),
+    )
+
+
+def make_upstream_status(upstream: Upstream) -> Status:
+    """Returns what callers are told of an upstream."""
+    return Status(
+        phase=Phase.RUNNING,
+        attempt=upstream.attempt,
+        worker=upstream.worker,
+        conditions=(
+            Condition('Zone', upstream.zone),
+            Condition('Address', upstream.address),
+        ),
+    )
--- /dev/null
+++ b/lentilmount/queries/watch.py
@@ -0,0 +1,238 @@
+"""Following changes: a stream that goes on from a cursor.
+
+A cursor holds a position in each change log of the table, so any daemon can
+carry on from any other's cursor.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import attrs
+
+from lentilmount.batch.records import Task, make_slice_key
+from lentilmount.codec import structure, structure_resource
+from lentilmount.configuration import CONFIGURATION_LOG
+from lentilmount.coordination.table import Key, Row, Table, UnavailableError
+from lentilmount.errors import StoreError
+from lentilmount.queries.feed import (
+    Feed,
+    Positions,
+    decode_cursor,
+    encode_cursor,
+    get_number,
+    make_cursor_error,
+)
+from lentilmount.queries.statuses import make_status
+from lentilmount.resources import Kind, Metadata, Resource, Status
+from lentilmount.rows import REVISION_KEY
+
+LOOK_SECONDS = 0.1
+BOOKMARK_SECONDS = 5.0
+
+
+@attrs.frozen
+class WatchFilter:
+    """Which changes are wanted.
+
+    Attributes:
+      teams: Teams whose resources are visible; None for everything.
+      kind: Only this kind, if given.
+      team: Only this team, if given.
+      name: Only names that begin so.
+    """
+
+    teams: frozenset[str] | None = None
+    kind: Kind | None = None
+    team: str = ''
+    name: str = ''
+
+    def accepts(self, kind: Kind, team: str, name: str) -> bool:
+        """Tells whether a change of a resource is wanted."""
+        owner = name if kind is Kind.TEAM else team
+        return (
+            (self.teams is None or owner in self.teams)
+            and (self.kind is None or kind is self.kind)
+            and (not self.team or owner == self.team)
+            and name.startswith(self.name)
+        )
+
+
+@attrs.frozen
+class Notice:
+    """One line of a watch.
+
+    Attributes:
+      cursor: Where a watch goes on after this line.
+      event: An event's kind; applied or deleted for the configuration;
+        bookmark for a line that only moves the cursor.
+      resource: The resource after the change; None for a bookmark.
+      task: Id of the task that changed, or ''.
+    """
+
+    cursor: str
+    event: str
+    resource: dict[str, Any] | None = None
+    task: str = ''
+
+
+BOOKMARK = 'bookmark'
+
+
+class Watcher:
+    """Follows the change logs for any number of callers.
+
+    Args:
+      table: Where the logs are.
+      slices: The names of all slices.
+      get_newest: Returns the newest entry that is known of each log.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        slices: tuple[str, ...],
+        get_newest: Callable[[], Positions],
+    ):
+        self._table = table
+        self._logs = (CONFIGURATION_LOG, *slices)
+        self._get_newest = get_newest
+        self._feed = Feed(table)
+
+    def make_cursor(self) -> str:
+        """Returns a cursor that holds all that is known now."""
+        newest = self._get_newest()
+        return encode_cursor({log: newest.get(log, 0) for log in self._logs})
+
+    async def read_cursor(self, cursor: str) -> Positions:
+        """Checks where a watch is to go on.
+
+        Raises:
+          InvalidError: It is none of ours, or tells of changes that nobody
+            has made yet.
+          LentilmountError: Of kind GONE; see `Feed.read`.
+          StoreError: The table does not answer.
+        """
+        positions = decode_cursor(cursor or self.make_cursor())
+        if not positions.keys() <= set(self._logs):
+            raise make_cursor_error('is of another deployment')
+        try:
+            newest = await self._read_newest(positions)
+            for log, position in positions.items():
+                if position > newest[log]:
+                    raise make_cursor_error(
+                        f'is from the future: {log} is at {newest[log]}, '
+                        f'not {position}'
+                    )
+                if position < newest[log]:
+                    await self._feed.read(log, position)
+        except UnavailableError as error:
+            raise StoreError('the table service does not answer') from error
+        return {log: positions.get(log, 0) for log in self._logs}
+
+    async def _read_newest(self, positions: Positions) -> Positions:
+        """Returns how long the logs are; asks the table where it must.
+
+        Another daemon may have given a cursor that is ahead of what this
+        one has seen.
+        """
+        newest = {log: self._get_newest().get(log, 0) for log in self._logs}
+        if all(newest[log] >= at for log, at in positions.items()):
+            return newest
+        keys = {log: _make_head_key(log) for log in self._logs}
+        rows = await self._table.read(list(keys.values()))
+        for log, key in keys.items():
+            if key in rows:
+                newest[log] = max(newest[log], _read_head(log, rows[key]))
+        return newest
+
+    async def follow(
+        self, positions: Positions, wanted: WatchFilter
+    ) -> AsyncIterator[Notice | None]:
+        """Yields notices for ever, and None at times when there is none.
+
+        Raises:
+          LentilmountError: Of kind GONE; see `Feed.read`.
+        """
+        yield Notice(encode_cursor(positions), BOOKMARK)
+        told = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        while True:
+            for row in await self._read_more(positions):
+                log = row.key.partition.partition('/')[2]
+                positions[log] = get_number(row)
+                notice = _make_notice(row, encode_cursor(positions), wanted)
+                if notice is not None:
+                    told = loop.time()
+                    yield notice
+            if loop.time() - told >= BOOKMARK_SECONDS:
+                told = loop.time()
+                yield Notice(encode_cursor(positions), BOOKMARK)
+            if self._is_current(positions):
+                yield None
+                await asyncio.sleep(LOOK_SECONDS)
+
+    def _is_current(self, positions: Positions) -> bool:
+        newest = self._get_newest()
+        return all(at >= newest.get(log, 0) for log, at in positions.items())
+
+    async def _read_more(self, positions: Positions) -> list[Row]:
+        newest = self._get_newest()
+        for log, position in positions.items():
+            if position < newest.get(log, 0):
+                try:
+                    return await self._feed.read(log, position)
+                except UnavailableError:
+                    # Nothing is lost: the position stays, and the entries
+                    # are read once the table is back.
+                    await asyncio.sleep(LOOK_SECONDS)
+        return []
+
+
+def _make_head_key(log: str) -> Key:
+    return REVISION_KEY if log == CONFIGURATION_LOG else make_slice_key(log)
+
+
+def _read_head(log: str, row: Row) -> int:
+    if log == CONFIGURATION_LOG:
+        return row.version
+    return int(row.body['data'].get('sequence', 0))
+
+
+def _make_notice(row: Row, cursor: str, wanted: WatchFilter) -> Notice | None:
+    if 'task' in row.body:
+        task = structure(row.body['task'], Task)
+        kind, team, name = task.resource.split('/')
+        if not wanted.accepts(Kind(kind), team, name):
+            return None
+        event = row.body['event']
+        return Notice(cursor, event, _describe_task(task), task.id)
+    kind, team, name = row.body['path'].split('/')
+    if not wanted.accepts(Kind(kind), team, name):
+        return None
+    plain = row.body['resource']
+    if plain is None:
+        gone = Metadata(name, team, get_number(row))
+        return Notice(cursor, 'deleted', _describe(Kind(kind), gone))
+    resource: Resource = structure_resource(plain)
+    metadata = resource.metadata
+    return Notice(cursor, 'applied', _describe(resource.kind, metadata))
+
+
+def _describe(
+    kind: Kind, metadata: Metadata, status: Status | None = None
+) -> dict[str, Any]:
+    plain: dict[str, Any] = {
+        'kind': kind.value,
+        'metadata': attrs.asdict(metadata),
+    }
+    if status is not None:
+        plain['status'] = {**attrs.asdict(status), 'phase': status.phase.value}
+    return plain
+
+
+def _describe_task(task: Task) -> dict[str, Any]:
+    kind, team, name = task.resource.split('/')
+    return _describe(Kind(kind), Metadata(name, team), make_status(task))
--- a/lentilmount/rows.py
+++ b/lentilmount/rows.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from lentilmount.codec import unstructure
-from lentilmount.coordination.table import Key
-from lentilmount.resources import Resource
+from lentilmount.coordination.table import Key, Row
+from lentilmount.resources import Kind, Resource, make_path
 
 REVISION_KEY = Key('configuration', 'revision')
 RESOURCES = 'resource'
@@ -22,6 +22,16 @@
     return Key(f'job/{team}', name)
 
 
+def make_task_id(team: str, name: str) -> str:
+    """Id of a job's only task."""
+    return f'{make_path(Kind.JOB, team, name)}/0'
+
+
+def is_deleted(row: Row) -> bool:
+    """Tells whether a job's row only keeps its name from being used again."""
+    return bool(row.body.get('deleted'))
+
+
 def make_request_key(request_id: str) -> Key:
     """Key of the answer to a command that carried a request id."""
     return Key('request', request_id)
--- a/lentilmount/wire/peer_grpc.py
+++ b/lentilmount/wire/peer_grpc.py
@@ -30,6 +30,10 @@
     async def ListEvents(self, stream: 'grpclib.server.Stream[lentilmount.wire.peer_pb2.EventsRequest, lentilmount.wire.peer_pb2.EventsReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Describe(self, stream: 'grpclib.server.Stream[lentilmount.wire.peer_pb2.Empty, lentilmount.wire.peer_pb2.Description]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/lentilmount.wire.Peer/Beat': grpclib.const.Handler(
@@ -56,6 +60,12 @@
                 lentilmount.wire.peer_pb2.EventsRequest,
                 lentilmount.wire.peer_pb2.EventsReply,
             ),
+            '/lentilmount.wire.Peer/Describe': grpclib.const.Handler(
+                self.Describe,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                lentilmount.wire.peer_pb2.Empty,
+                lentilmount.wire.peer_pb2.Description,
+            ),
         }
 
 
@@ -86,3 +96,9 @@
             lentilmount.wire.peer_pb2.EventsRequest,
             lentilmount.wire.peer_pb2.EventsReply,
         )
+        self.Describe = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/lentilmount.wire.Peer/Describe',
+            lentilmount.wire.peer_pb2.Empty,
+            lentilmount.wire.peer_pb2.Description,
+        )
