Place, share, steer and evict by a policy that learns

Cause: jobs went first come, first served to the fullest worker, by declared sizes, without quotas, interference, preemption or quarantine; a job was refused by the workers of its own slice alone.

Change: lentilmount/batch gains an index of free room, a queue by groups with dominant-resource fair share under quotas, reservations and preemption, learned sizes and interference, throttling and eviction within a budget, quarantine with probation, and shapes of workers published in the row of each slice's lease, so a refusal is judged over all slices. The owner calls Policy in each round. A link calls its worker every 0.2 s while it stops something, as urgent work waits for the room.

Conclusion: the parts are in force together; quotas are divided equally over slices, which is strict but refuses a job larger than a slice's part.

--- a/lentilmount/batch/ledger.py
+++ b/lentilmount/batch/ledger.py
@@ -119,6 +119,7 @@
       lease: The slice's lease.
       tasks: Tasks that are not over, by id.
       workers: Workers, by name.
+      observers: Called with each task as a transaction left it.
       unread: Tasks and workers whose rows cannot be read; left alone.
       promise_seconds: The longest promise that a former owner may be keeping.
       task_lease_seconds: The longest lease that it may have given.
@@ -138,6 +139,7 @@
         self.lease = lease
         self.tasks: dict[str, Task] = {}
         self.workers: dict[str, WorkerRecord] = {}
+        self.observers: list[Callable[[Task], None]] = []
         self.unread: set[str] = set()
         self._table = table
         self._keeper = keeper
@@ -368,6 +370,8 @@
                 self.tasks.pop(task.id, None)
             else:
                 self.tasks[task.id] = task
+            for observe in self.observers:
+                observe(task)
         self.workers.update(draft.workers)
         for kind, task, cause in draft.notes:
             self._events.record(
--- a/lentilmount/batch/links.py
+++ b/lentilmount/batch/links.py
@@ -18,6 +18,7 @@
 from lentilmount.batch.records import Task, WorkerRecord
 from lentilmount.batch.reports import (
     AttemptKey,
+    JudgeFailure,
     apply_report,
     is_news,
     update_worker,
@@ -38,6 +39,10 @@
     Workers,
 )
 
+STOPPING_SECONDS = 0.2
+"""How often a worker is called while it stops something: urgent work waits
+for the room, and a worker takes a moment to save a checkpoint."""
+
 LAST_CHECKPOINT_SHARE = 0.1
 """Share of the promise before its end in which tasks save a checkpoint."""
 
@@ -88,6 +93,7 @@
         options: LinkOptions,
         monotonic: Callable[[], float],
         on_change: Callable[[], None],
+        judge_failure: JudgeFailure,
     ):
         self.name = name
         self.reachable = False
@@ -97,6 +103,7 @@
         self._options = options
         self._monotonic = monotonic
         self._on_change = on_change
+        self._judge_failure = judge_failure
         self._anchor: _Anchor | None = None
         self._wake = asyncio.Event()
         self._orders: dict[tuple[Action, str, int], Command] = {}
@@ -148,9 +155,7 @@
             while True:
                 await self._synchronize()
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(
-                        self._wake.wait(), self._options.sync_seconds
-                    )
+                    await asyncio.wait_for(self._wake.wait(), self._pause())
                 self._wake.clear()
                 if self._intake is not None and self._intake.done():
                     self._intake.result()
@@ -158,6 +163,11 @@
             if self._intake is not None:
                 self._intake.cancel()
 
+    def _pause(self) -> float:
+        stopping = any(task.phase in STOPPING for task in self.list_held())
+        pause = self._options.sync_seconds
+        return min(pause, STOPPING_SECONDS) if stopping else pause
+
     async def _synchronize(self) -> None:
         sent_at = self._monotonic()
         request = self._make_request(sent_at)
@@ -345,7 +355,7 @@
             known = self._checkpoints.get((task_id, report.attempt), '')
             checkpoint = report.checkpoint or known
             whole = attrs.evolve(report, checkpoint=checkpoint)
-            apply_report(draft, task_id, whole, self.name)
+            apply_report(draft, task_id, whole, self.name, self._judge_failure)
 
     def _has_changed(self, answer: SyncAnswer) -> bool:
         record = self.record
@@ -468,5 +478,7 @@
                     ),
                     message='the worker is not reachable',
                 )
-                apply_report(draft, task.id, report, self.name)
+                apply_report(
+                    draft, task.id, report, self.name, self._judge_failure
+                )
         self._on_change()
--- a/lentilmount/batch/owner.py
+++ b/lentilmount/batch/owner.py
@@ -20,13 +20,13 @@
 )
 from lentilmount.batch.ledger import Ledger
 from lentilmount.batch.links import Link, LinkOptions
-from lentilmount.batch.placement import choose_worker, explain_refusal
-from lentilmount.batch.queue import order_pending
+from lentilmount.batch.policy import Policy
 from lentilmount.batch.records import (
     Task,
     WorkerRecord,
     make_inbox_partition,
 )
+from lentilmount.batch.shapes import ShapeBoard, publish_shapes
 from lentilmount.batch.states import HOLDING, STOPPING, Move
 from lentilmount.configuration import Configuration
 from lentilmount.coordination.table import Row, Table, UnavailableError
@@ -92,6 +92,10 @@
         self._tasks: asyncio.TaskGroup | None = None
         self._running: list[asyncio.Task[None]] = []
         self._stopped = asyncio.Event()
+        self.policy = Policy(
+            ledger, self.links, configuration, len(options.slices), monotonic
+        )
+        self._shapes = ShapeBoard(table, options.slices, monotonic)
 
     def wake(self) -> None:
         """Makes the owner look at its inbox now."""
@@ -135,6 +139,8 @@
             await self._answer_inbox()
             await self._reconcile_services()
             await self._drain_workers()
+            await self._refuse_hopeless()
+            await self._enforce()
             await self._place()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), STEP_SECONDS)
@@ -152,6 +158,7 @@
             self._options.links,
             self._monotonic,
             self.wake,
+            self.policy.judge_failure,
         )
         self.links[name] = link
         self._start(link.run())
@@ -233,7 +240,8 @@
 
     def _admit(self, draft: Draft, task: Task) -> None:
         draft.admit(task)
-        reason = explain_refusal(task.demand, self.ledger.workers.values())
+        shapes = self._shapes.list_shapes(task.zone)
+        reason = self.policy.explain_refusal(task, shapes)
         if reason:
             draft.move(task, Move.REFUSE, reason=reason)
 
@@ -309,28 +317,37 @@
         leaving = record is not None and record.leaving
         return leaving or self._configuration.get_worker(worker).drain
 
+    async def _refuse_hopeless(self) -> None:
+        publish_shapes(self.ledger.lease.data, self.ledger.workers.values())
+        await self._shapes.refresh()
+        hopeless = self.policy.list_hopeless(self._shapes.list_shapes)
+        while hopeless:
+            async with self.ledger.change() as draft:
+                while hopeless and not draft.is_full:
+                    task_id, reason = hopeless.pop()
+                    task = draft.get_task(task_id)
+                    if task is not None and task.phase is Phase.PENDING:
+                        draft.move(task, Move.REFUSE, reason=reason)
+
+    async def _enforce(self) -> None:
+        plan = self.policy.plan()
+        while plan.is_open:
+            async with self.ledger.change() as draft:
+                workers = self.policy.carry_out(draft, plan)
+            self._wake_links(workers)
+
     async def _place(self) -> None:
-        pending = order_pending(self.ledger.tasks.values())
-        while pending:
-            placed: list[Task] = []
-            urgent = pending[0].urgency is Urgency.URGENT
+        more = len(self.policy.scheduler.queue) > 0
+        while more:
+            urgent = self.policy.has_urgent
             async with self.ledger.change(urgent=urgent) as draft:
-                while pending and not draft.is_full:
-                    task = draft.get_task(pending.pop(0).id)
-                    if task is None or task.phase is not Phase.PENDING:
-                        continue
-                    worker = choose_worker(task, self._list_open(draft))
-                    if worker is not None:
-                        placed.append(draft.place(task, worker))
-            for worker_name in {task.worker for task in placed}:
-                self.links[worker_name].wake()
-
-    def _list_open(self, draft: Draft) -> list[WorkerRecord]:
-        return [
-            draft.get_worker(name)
-            for name, link in self.links.items()
-            if link.reachable
-        ]
+                placed = self.policy.place(draft)
+            self._wake_links(placed.workers)
+            more = placed.more
+
+    def _wake_links(self, workers: set[str]) -> None:
+        for name in workers & self.links.keys():
+            self.links[name].wake()
 
     def count_held(self) -> int:
         """Returns how many tasks are committed on workers."""
--- a/lentilmount/batch/records.py
+++ b/lentilmount/batch/records.py
@@ -16,6 +16,8 @@
     Attributes:
       id: kind/team/name/index.
       demand: What the ledger holds for it on its worker.
+      declared: What its owner asked for, where `demand` was learned.
+      zone: Availability zone that it has to run in, or ''.
       job_class: Tasks that behave alike.
       urgency: Urgent tasks go first.
       payload: Given to the worker as it is.
@@ -52,6 +54,8 @@
     evictions: int = 0
     failed_on: tuple[str, ...] = ()
     cancel: bool = False
+    declared: Demand | None = None
+    zone: str = ''
 
     @property
     def team(self) -> str:
--- a/lentilmount/batch/reports.py
+++ b/lentilmount/batch/reports.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 from lentilmount.batch.drafts import Draft
@@ -10,12 +12,12 @@
 from lentilmount.resources import Phase
 from lentilmount.upstream.workers import AttemptReport, AttemptState, SyncAnswer
 
-FAILURES_OF_JOB = 3
-"""A job that fails on this many workers is at fault itself."""
-
 AttemptKey = tuple[str, int]
 """A task's id and the number of an attempt."""
 
+JudgeFailure = Callable[[Task, str], bool]
+"""Told of a failure on a worker, tells whether to give the job up."""
+
 _MOVES_BY_STATE = {
     AttemptState.RUNNING: Move.STARTED,
     AttemptState.FINISHED: Move.FINISH,
@@ -33,7 +35,11 @@
 
 
 def apply_report(
-    draft: Draft, task_id: str, report: AttemptReport, worker: str
+    draft: Draft,
+    task_id: str,
+    report: AttemptReport,
+    worker: str,
+    judge_failure: JudgeFailure,
 ) -> None:
     """Makes the move that a report calls for, if it is of the current attempt.
 
@@ -53,7 +59,8 @@
     if move is Move.STOPPED and task.phase not in STOPPING:
         move = Move.LOST
     if move is Move.FAIL:
-        _apply_failure(draft, task, report, worker)
+        hopeless = judge_failure(task, worker)
+        _apply_failure(draft, task, report, worker, hopeless)
         return
     evicted = move in (Move.STOPPED, Move.LOST)
     draft.move(
@@ -69,14 +76,16 @@
 
 
 def _apply_failure(
-    draft: Draft, task: Task, report: AttemptReport, worker: str
+    draft: Draft,
+    task: Task,
+    report: AttemptReport,
+    worker: str,
+    hopeless: bool,
 ) -> None:
-    failed_on = (*task.failed_on, worker)
-    hopeless = len(set(failed_on)) >= FAILURES_OF_JOB
     draft.move(
         task,
-        Move.GIVE_UP if hopeless and not task.is_service else Move.FAIL,
-        failed_on=failed_on,
+        Move.GIVE_UP if hopeless else Move.FAIL,
+        failed_on=(*task.failed_on, worker),
         reason=report.message,
         checkpoint=report.checkpoint or task.checkpoint,
     )
--- /dev/null
+++ b/lentilmount/batch/steering.py
@@ -0,0 +1,332 @@
+"""Learning interference from measurements, and acting on it."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator, Mapping
+from typing import Protocol
+
+import attrs
+
+from lentilmount.batch.interference import InterferenceModel, find_band
+from lentilmount.batch.isolation import (
+    Evict,
+    Isolator,
+    Limits,
+    Neighbour,
+    Throttle,
+    make_limits,
+)
+from lentilmount.batch.learning import SizeLearner, name_class
+from lentilmount.batch.occupancy import Occupancy, is_movable
+from lentilmount.batch.overruns import OverrunWatch
+from lentilmount.batch.placement import Cost
+from lentilmount.batch.records import Task, WorkerRecord
+from lentilmount.resources import ConfigurationSpec
+from lentilmount.upstream.workers import Action, Command, Usage
+
+WINDOW_SECONDS = 5.0
+"""Time over which a worker takes the 99th percentile that it reports."""
+
+PEAK_SECONDS = 900.0
+"""Work is placed for the highest load band of this time, as load returns."""
+
+CAUTION = 0.5
+"""Standard deviations by which a slowdown is taken for worse than known."""
+
+CORES_A_DOUBLING = 12.0
+"""What a service that becomes e times slower costs, in cores left free."""
+
+CONFIDENT = 0.5
+OVERRUN = 'uses more than was committed for it'
+RESEND_SECONDS = 10.0
+"""A throttle is sent again so often, as an order may be lost."""
+
+SAME_SECONDS = 0.5
+
+
+class WorkerLink(Protocol):
+    """What the policy needs of the link to a worker."""
+
+    @property
+    def name(self) -> str:
+        """The worker."""
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call was answered."""
+
+    @property
+    def usage(self) -> tuple[Usage, ...]:
+        """What it last reported; a new object for each report."""
+
+    def send(self, command: Command) -> None:
+        """Sends a command with the next call, once."""
+
+    def wake(self) -> None:
+        """Makes the link call now."""
+
+
+@attrs.frozen
+class _Reading:
+    """What one measurement says of a service."""
+
+    service: str
+    band: int
+    ratio: float
+    at: float
+
+
+@attrs.define
+class _Strain:
+    """How one service on one worker stands, kept until something changes.
+
+    Attributes:
+      service: The service.
+      band: The load band that work is placed for.
+      total: Logarithm of the expected slowdown.
+      variance: Of that.
+    """
+
+    service: str
+    band: int
+    total: float
+    variance: float
+
+
+class Steering:
+    """Keeps services near their speed alone.
+
+    Args:
+      occupancy: Which tasks are where.
+      sizes: Learns sizes from the same measurements.
+      overruns: Judges jobs by the same measurements.
+      try_spend: Spends one eviction if the budget allows it.
+    """
+
+    def __init__(
+        self,
+        occupancy: Occupancy,
+        sizes: SizeLearner,
+        overruns: OverrunWatch,
+        try_spend: Callable[[], bool],
+    ):
+        self.model = InterferenceModel()
+        self._occupancy = occupancy
+        self._sizes = sizes
+        self._overruns = overruns
+        self._try_spend = try_spend
+        self._isolator = Isolator(try_spend)
+        self._weights = ConfigurationSpec()
+        self._limits = Limits()
+        self._read: dict[str, tuple[Usage, ...]] = {}
+        self._measured: dict[str, float] = {}
+        self._bands: dict[str, dict[int, float]] = {}
+        self._strains: dict[str, list[_Strain]] = {}
+        self._sent: dict[tuple[str, int], float] = {}
+        self._caps: dict[str, float] = {}
+
+    def set_weights(self, weights: ConfigurationSpec) -> None:
+        """Takes over how the deployment weighs things."""
+        if weights != self._weights:
+            self._weights = weights
+            self._limits = make_limits(weights)
+
+    def note_change(self, worker: str) -> None:
+        """Takes note that other tasks are on a worker."""
+        self._strains.pop(worker, None)
+
+    def forget(self, task: str) -> None:
+        """Drops what is remembered of a task that left its worker."""
+        self._measured.pop(task, None)
+        self._bands.pop(task, None)
+        self._caps.pop(task, None)
+
+    def read(self, link: WorkerLink, now: float) -> list[Evict]:
+        """Takes in what a worker measured, and acts on it.
+
+        Returns:
+          The jobs to evict; throttles are sent.
+        """
+        if self._read.get(link.name) is link.usage:
+            return []
+        self._read[link.name] = link.usage
+        evictions: list[Evict] = []
+        worst: _Reading | None = None
+        for task, usage in self._list_fresh(link, now):
+            if not task.is_service:
+                evictions += self._judge(link, task, usage, now)
+                continue
+            reading = self._learn(link.name, task, usage, now - usage.age)
+            if reading and (worst is None or reading.ratio > worst.ratio):
+                worst = reading
+        if worst is not None:
+            evictions += self._protect(link, worst, now)
+        return evictions
+
+    def _list_fresh(
+        self, link: WorkerLink, now: float
+    ) -> Iterator[tuple[Task, Usage]]:
+        for usage in link.usage:
+            task = self._occupancy.get(usage.task)
+            if task is None or task.attempt != usage.attempt:
+                continue
+            at = now - usage.age
+            if at > self._measured.get(task.id, -math.inf) + SAME_SECONDS:
+                self._measured[task.id] = at
+                yield task, usage
+
+    def _judge(
+        self, link: WorkerLink, job: Task, usage: Usage, now: float
+    ) -> list[Evict]:
+        share = self._occupancy.get_share(job.id, job.attempt)
+        self._sizes.observe(usage, share)
+        verdict = self._overruns.judge(job, usage, share, now)
+        if verdict is None:
+            return []
+        if verdict.share < share:
+            self._caps[job.id] = verdict.share
+            self.throttle(link, Throttle(job.id, job.attempt, share), now)
+        if verdict.move and is_movable(job) and self._try_spend():
+            return [Evict(job.id, job.attempt, OVERRUN)]
+        return []
+
+    def _protect(
+        self, link: WorkerLink, worst: _Reading, now: float
+    ) -> list[Evict]:
+        acts = self._isolator.decide(
+            link.name,
+            worst.ratio,
+            worst.at,
+            now,
+            self._list_neighbours(link.name, worst, now),
+            self._limits,
+        )
+        for act in acts:
+            if isinstance(act, Throttle):
+                self.throttle(link, act, now)
+        return [act for act in acts if isinstance(act, Evict)]
+
+    def _learn(
+        self, worker: str, task: Task, usage: Usage, at: float
+    ) -> _Reading | None:
+        if usage.p99_ms <= 0:
+            return None
+        band = find_band(usage.load)
+        self._bands.setdefault(task.id, {})[band] = at
+        self._strains.pop(worker, None)
+        mix = self._occupancy.get_mean_mix(worker, at - WINDOW_SECONDS, at)
+        if mix is None:
+            return None
+        name = task.resource
+        self.model.observe(name, band, mix, usage.p99_ms, at)
+        ratio = self.model.get_ratio(name, band, usage.p99_ms)
+        expected = self.model.predict(name, band, mix, at)
+        # One measured percentile is noisy; what was learned steadies it.
+        if expected.confidence >= CONFIDENT:
+            ratio = math.sqrt(ratio * expected.ratio)
+        return _Reading(name, band, ratio, at)
+
+    def _list_neighbours(
+        self, worker: str, worst: _Reading, now: float
+    ) -> list[Neighbour]:
+        return [
+            Neighbour(
+                task=job.id,
+                attempt=job.attempt,
+                effect=self.model.get_effect(
+                    worst.service, name_class(job), worst.band
+                ),
+                share=self._occupancy.get_share(job.id, job.attempt),
+                cost=self._occupancy.get_seconds(job.id, now),
+            )
+            for job in self._occupancy.list_jobs(worker)
+        ]
+
+    def throttle(self, link: WorkerLink, act: Throttle, now: float) -> None:
+        """Gives a job another share of its processors."""
+        job = self._occupancy.get(act.task)
+        if job is None or job.attempt != act.attempt:
+            return
+        share = min(act.share, self._caps.get(job.id, 1.0))
+        self._occupancy.set_share(job, share, now)
+        self._strains.pop(job.worker, None)
+        self._send(link, job, share, now)
+
+    def resend(self, links: Mapping[str, WorkerLink], now: float) -> None:
+        """Sends throttles again that may have been lost."""
+        throttled = self._occupancy.list_throttled()
+        for job, share in throttled:
+            sent = self._sent.get((job.id, job.attempt), -math.inf)
+            if job.worker in links and now - sent >= RESEND_SECONDS:
+                self._send(links[job.worker], job, share, now)
+        kept = {(job.id, job.attempt) for job, _ in throttled}
+        for key in [k for k in self._sent if k not in kept]:
+            del self._sent[key]
+
+    def _send(
+        self, link: WorkerLink, job: Task, share: float, now: float
+    ) -> None:
+        link.send(Command(Action.THROTTLE, job.id, job.attempt, share=share))
+        link.wake()
+        self._sent[job.id, job.attempt] = now
+
+    def make_cost(self, task: Task, now: float) -> Cost:
+        """Returns what placing a task on a worker costs its services.
+
+        A job is kept off where a service would probably become slower than
+        the limit. A service, which has to run, just prefers quiet workers.
+        """
+        if task.is_service:
+            return lambda record: self._price_service(task, record, now)
+        name = name_class(task)
+        return lambda record: self._price_job(name, record, now)
+
+    def _price_job(self, name: str, record: WorkerRecord, now: float) -> float:
+        price = 0.0
+        limit = math.log(self._limits.high)
+        for strain in self._get_strains(record.name, now):
+            mean, variance = self.model.get_term(
+                strain.service, name, strain.band, now
+            )
+            total = strain.total + mean
+            worst = total + CAUTION * math.sqrt(strain.variance + variance)
+            if worst > limit:
+                return math.inf
+            price += mean + worst
+        return price * CORES_A_DOUBLING * self._weights.tail_weight
+
+    def _price_service(
+        self, task: Task, record: WorkerRecord, now: float
+    ) -> float:
+        mix = self._occupancy.get_mix(record.name)
+        band = find_band(1.0)
+        expected = self.model.predict(task.resource, band, mix, now)
+        weight = CORES_A_DOUBLING * self._weights.tail_weight
+        return weight * math.log(expected.ratio)
+
+    def _get_strains(self, worker: str, now: float) -> list[_Strain]:
+        strains = self._strains.get(worker)
+        if strains is None:
+            strains = [
+                self._strain(task, now)
+                for task in self._occupancy.list_tasks(worker)
+                if task.is_service
+            ]
+            self._strains[worker] = strains
+        return strains
+
+    def _strain(self, task: Task, now: float) -> _Strain:
+        seen = self._bands.get(task.id, {})
+        bands = [b for b, at in seen.items() if now - at < PEAK_SECONDS]
+        strain = _Strain(task.resource, max(bands, default=0), 0.0, 0.0)
+        for job in self._occupancy.list_tasks(task.worker):
+            if job.is_service:
+                continue
+            share = self._occupancy.get_share(job.id, job.attempt)
+            mean, variance = self.model.get_term(
+                strain.service, name_class(job), strain.band, now
+            )
+            strain.total += share * mean
+            strain.variance += share * share * variance
+        return strain
--- a/lentilmount/commands/jobs.py
+++ b/lentilmount/commands/jobs.py
@@ -8,6 +8,7 @@
 
 from lentilmount.batch.inbox import Request, Wish, make_request_put
 from lentilmount.batch.records import Task, make_done_key
+from lentilmount.batch.shapes import ShapeBoard
 from lentilmount.codec import structure_resource
 from lentilmount.coordination.table import (
     ConflictError,
@@ -60,6 +61,7 @@
     def __init__(self, table: Table, slices: tuple[str, ...]):
         self._table = table
         self._slices = slices
+        self._shapes = ShapeBoard(table, slices, time.monotonic)
 
     async def submit(self, resource: Resource) -> Submitted:
         """Accepts a job; the same job again changes nothing.
@@ -71,6 +73,7 @@
         """
         spec = resource.spec
         assert isinstance(spec, JobSpec)
+        await self._shapes.refresh()
         slice_name = self._choose_slice(resource, spec)
         _check_revision(resource)
         metadata = attrs.evolve(resource.metadata, revision=JOB_REVISION)
@@ -128,7 +131,8 @@
                     ),
                 ),
             )
-        return rank_by_hash(resource.path, slices)[0]
+        able = self._shapes.select(spec.demand, slices)
+        return rank_by_hash(resource.path, able)[0]
 
     async def _find_twin(self, resource: Resource) -> Submitted:
         metadata = resource.metadata
@@ -246,6 +250,7 @@
         urgency=spec.urgency,
         payload=spec.payload,
         expected_seconds=spec.expected_seconds,
+        zone=spec.zone,
         accepted=time.time(),
     )
 
