Rebuild membership, following and planned stop

Cause: every daemon called every other twice a second, each end of a pair for itself, and polled every slice's row; at 42 daemons that is far beyond the budget. A daemon cut off from the table learnt nothing, a peer's address was called for ever, a replacement with a slow clock was taken for its predecessor, the first daemon of a zone kept every slice, and a planned stop counted only calls to upstreams.

Change: one stream a pair instead of unary calls, a full mesh only within a zone, beats relayed and judged by age; changes fetched from peers first; slices spread by rendezvous hash with a bound and handed over; requests counted from header to end of answer; request ids bound to their command; the change log and the answers to commands pruned.

--- a/lentilmount/batch/ledger.py
+++ b/lentilmount/batch/ledger.py
@@ -324,6 +324,10 @@
             operations.append(Delete(key, ABSENT + 1))
             oldest += 1
         data.update(sequence=newest, oldest=oldest)
+        # Routing follows services only, and need not read what jobs do.
+        data.setdefault('services', 0)
+        if any(c['task']['id'].startswith('Service/') for c in changes):
+            data['services'] = newest
         return operations
 
     def _write_task(self, task: Task) -> list[Operation]:
--- a/lentilmount/batch/manager.py
+++ b/lentilmount/batch/manager.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import logbook
 
 from lentilmount.batch.ledger import Ledger, LedgerOptions
 from lentilmount.batch.owner import Owner, OwnerOptions
+from lentilmount.batch.preference import Preference, PreferenceOptions
 from lentilmount.batch.records import make_slice_key
 from lentilmount.configuration import Configuration
 from lentilmount.coordination.leases import (
@@ -25,7 +26,7 @@
     UnavailableError,
 )
 from lentilmount.events import EventKind, EventLog
-from lentilmount.slices import find_worker_slice, get_zone, rank_by_hash
+from lentilmount.slices import find_worker_slice
 from lentilmount.upstream.hosts import Host
 from lentilmount.upstream.workers import Workers
 
@@ -38,10 +39,25 @@
 ROWS_PER_SECOND = 400.0
 """Most rows that all slices together write, but for what is urgent."""
 
+RELEASED_POLL_SECONDS = 0.02
+
 
 class SliceManager:
     """Takes, runs and gives up slices.
 
+    Args:
+      table: Where the slices' leases are.
+      workers: How workers are reached.
+      configuration: What operators declared.
+      membership: Who is there.
+      events: The time line.
+      options: How an owner works.
+      slices_per_zone: Shares into which a zone's workers are split.
+      monotonic: The clock for durations.
+      announce_release: Called when a slice was given up, so that the next
+        owner need not find out by itself.
+      preference: Who should own what; one of its own if not given.
+
     Attributes:
       owners: The slices that this daemon runs.
       hosts: The host list as last read.
@@ -57,13 +73,21 @@
         options: OwnerOptions,
         slices_per_zone: int,
         monotonic: Callable[[], float],
+        announce_release: Callable[[str], None] = lambda _: None,
+        preference: Preference | None = None,
     ):
         self.owners: dict[str, Owner] = {}
         self.hosts: list[Host] = []
         self._table = table
         self._workers = workers
         self._configuration = configuration
-        self._membership = membership
+        self._preference = preference or Preference(
+            membership, PreferenceOptions(options.slices), monotonic
+        )
+        self._announce_release = announce_release
+        self._wakes = {name: asyncio.Event() for name in options.slices}
+        self._versions: dict[str, int] = {}
+        self._owning: set[str] = set()
         self._events = events
         self._options = options
         self._slices_per_zone = slices_per_zone
@@ -96,26 +120,73 @@
         for owner in self.owners.values():
             owner.stop()
 
+    async def wait_released(self) -> None:
+        """Waits until every slice that was owned is released."""
+        while self._owning:
+            await asyncio.sleep(RELEASED_POLL_SECONDS)
+
+    def wake(self, slice_name: str) -> None:
+        """Looks at a slice now: its inbox, or whether it is free."""
+        if slice_name in self.owners:
+            self.owners[slice_name].wake()
+        elif slice_name in self._wakes:
+            self._wakes[slice_name].set()
+
     async def _look_after(self, slice_name: str) -> None:
         while True:
-            if not self._stopping and self._is_mine(slice_name):
-                with contextlib.suppress(UnavailableError):
+            with contextlib.suppress(UnavailableError):
+                if not self._stopping and await self._is_mine(slice_name):
                     lease = await self._keeper.try_acquire(
                         make_slice_key(slice_name),
                         self._ledger_options.extend_promise,
                     )
                     if lease is not None:
                         await self._own(slice_name, lease)
-            await asyncio.sleep(POLL_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._wakes[slice_name].wait(), POLL_SECONDS
+                )
+            self._wakes[slice_name].clear()
+
+    async def _is_mine(self, slice_name: str) -> bool:
+        if self._preference.is_first(slice_name):
+            return True
+        if not self._preference.is_candidate(slice_name):
+            return False
+        rows = await self._table.read([make_slice_key(slice_name)])
+        row = rows.get(make_slice_key(slice_name))
+        version = row.version if row else 0
+        held = row is not None and bool(row.body['holder'])
+        if held and version != self._versions.get(slice_name):
+            self._preference.note_held(slice_name)
+        self._versions[slice_name] = version
+        return self._preference.should_try(slice_name)
+
+    @contextlib.asynccontextmanager
+    async def _watch(
+        self, slice_name: str, owner: Owner
+    ) -> AsyncIterator[None]:
+        task = asyncio.create_task(self._watch_preference(slice_name, owner))
+        try:
+            yield
+        finally:
+            task.cancel()
 
-    def _is_mine(self, slice_name: str) -> bool:
-        # Daemons that see each other differently may both try; the lease
-        # lets one in. A zone without daemons is looked after by all others.
-        local = self._membership.list_up(get_zone(slice_name))
-        names = [m.name for m in local or self._membership.list_up()]
-        return rank_by_hash(slice_name, names)[0] == self._membership.me.name
+    async def _watch_preference(self, slice_name: str, owner: Owner) -> None:
+        while not self._preference.should_hand_over(slice_name):
+            await asyncio.sleep(POLL_SECONDS)
+        log.info('Slice {} goes to a daemon that has fewer.', slice_name)
+        owner.stop()
 
     async def _own(self, slice_name: str, lease: Lease) -> None:
+        self._owning.add(slice_name)
+        try:
+            await self._run_owner(slice_name, lease)
+        finally:
+            self._owning.discard(slice_name)
+        self._announce_release(slice_name)
+
+    async def _run_owner(self, slice_name: str, lease: Lease) -> None:
         self._events.record('slices', EventKind.SLICE_TAKEN, slice_name)
         log.info('Slice {} taken, epoch {}.', slice_name, lease.epoch)
         ledger = Ledger(
@@ -140,7 +211,10 @@
                 self._monotonic,
             )
             self.owners[slice_name] = owner
-            await owner.run()
+            if self._stopping:
+                owner.stop()
+            async with self._watch(slice_name, owner):
+                await owner.run()
             cause = 'given up'
         except* LeaseLostError:
             cause = 'taken by another daemon'
--- a/lentilmount/commands/configure.py
+++ b/lentilmount/commands/configure.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+import hashlib
+import random
+import time
+from typing import Any
+
 import attrs
 
 from lentilmount.batch.records import make_change_key
-from lentilmount.codec import structure_resource
+from lentilmount.codec import encode, structure_resource
 from lentilmount.configuration import CONFIGURATION_LOG
 from lentilmount.coordination.table import (
     ABSENT,
@@ -22,7 +28,7 @@
 from lentilmount.errors import (
     ConflictError as RaceError,
 )
-from lentilmount.errors import NotFoundError, StoreError
+from lentilmount.errors import InvalidError, NotFoundError, StoreError
 from lentilmount.resources import Resource
 from lentilmount.rows import (
     REVISION_KEY,
@@ -31,11 +37,16 @@
     make_resource_key,
 )
 
-RACES = 10
-"""How often a command yields to others that changed other resources."""
+RACE_SECONDS = 5.0
+"""How long a command yields to others that change other resources."""
 
+LONGEST_RACE_PAUSE_SECONDS = 0.2
 RETRY_AFTER_SECONDS = 2.0
 
+LOG_KEPT = 1000
+"""Entries of the change log that are kept; who needs older ones takes a
+snapshot. At 1,900 changes a day this is half a day."""
+
 
 @attrs.frozen
 class Accepted:
@@ -57,6 +68,7 @@
 
     def __init__(self, table: Table):
         self._table = table
+        self._lock = asyncio.Lock()
 
     async def apply(self, resource: Resource, request_id: str) -> Accepted:
         """Creates or changes a resource.
@@ -68,6 +80,7 @@
 
         Raises:
           ConflictError: The resource is not at the revision given.
+          InvalidError: The id was used for another command.
           StoreError: Not known whether it was accepted; retry with the id.
         """
         return await self._accept(resource.path, resource, request_id)
@@ -111,15 +124,22 @@
         request_id: str,
         revision: int = 0,
     ) -> Accepted:
-        for _ in range(RACES):
+        digest = _make_digest(path, resource, revision)
+        until = time.monotonic() + RACE_SECONDS
+        pause = 0.005
+        while time.monotonic() < until:
             try:
-                return await self._try_accept(
-                    path, resource, request_id, revision
-                )
+                # Every change raises the one counter, so two at once in one
+                # daemon would only make each other fail.
+                async with self._lock:
+                    return await self._try_accept(
+                        path, resource, request_id, revision, digest
+                    )
             except ConflictError:
                 # Somebody changed something between our read and our write;
                 # the next read tells whether it was this resource.
-                continue
+                await asyncio.sleep(pause * random.uniform(0.5, 1.5))
+                pause = min(2 * pause, LONGEST_RACE_PAUSE_SECONDS)
             except UnavailableError as error:
                 raise StoreError(
                     'the table service does not answer; send the command '
@@ -137,12 +157,13 @@
         resource: Resource | None,
         request_id: str,
         revision: int,
+        digest: str,
     ) -> Accepted:
         key = make_resource_key(path)
         request_key = make_request_key(request_id)
         rows = await self._table.read([REVISION_KEY, key, request_key])
         if request_key in rows:
-            return _read_answer(rows[request_key])
+            return _read_answer(rows[request_key], digest)
         counter = rows.get(REVISION_KEY)
         newest = counter.version if counter else ABSENT
         row = rows.get(key)
@@ -153,7 +174,9 @@
             if current.spec == resource.spec:
                 return Accepted(newest, False, current)
         _check_revision(path, revision, row, resource)
-        return await self._write(path, resource, row, newest, request_key)
+        return await self._write(
+            path, resource, row, newest, request_key, digest
+        )
 
     async def _write(
         self,
@@ -162,6 +185,7 @@
         row: Row | None,
         newest: int,
         request_key: Key,
+        digest: str,
     ) -> Accepted:
         key = make_resource_key(path)
         accepted = Accepted(newest + 1, True, _stamp(resource, newest + 1))
@@ -173,7 +197,16 @@
                 make_change_key(CONFIGURATION_LOG, newest + 1),
                 {'path': path, 'resource': plain},
             ),
-            Put(request_key, {'revision': newest + 1, 'resource': plain}),
+            Put(
+                request_key,
+                {
+                    'revision': newest + 1,
+                    'resource': plain,
+                    'digest': digest,
+                    'at': time.time(),
+                },
+            ),
+            *await self._prune_log(newest + 1),
         ]
         if plain is not None:
             version = row.version if row else ABSENT
@@ -183,6 +216,18 @@
         await commit(self._table, operations, request_key)
         return accepted
 
+    async def _prune_log(self, newest: int) -> list[Operation]:
+        key = make_change_key(CONFIGURATION_LOG, max(0, newest - LOG_KEPT))
+        rows = await self._table.read([key])
+        return [Delete(row.key, row.version) for row in rows.values()]
+
+
+def _make_digest(path: str, resource: Resource | None, revision: int) -> str:
+    """Hashes a command, to tell another one with the same request id."""
+    body: Any = encode(resource) if resource else b''
+    text = f'{path}\0{revision}\0'.encode() + body
+    return hashlib.sha256(text).hexdigest()
+
 
 def _stamp(resource: Resource | None, revision: int) -> Resource | None:
     if resource is None:
@@ -191,7 +236,12 @@
     return attrs.evolve(resource, metadata=metadata)
 
 
-def _read_answer(row: Row) -> Accepted:
+def _read_answer(row: Row, digest: str) -> Accepted:
+    if row.body.get('digest', digest) != digest:
+        raise InvalidError(
+            f'request id {row.key.sort} was used for another command; '
+            f'send this one with a new id'
+        )
     plain = row.body['resource']
     resource = structure_resource(plain) if plain else None
     return Accepted(row.body['revision'], True, resource)
--- a/lentilmount/configuration.py
+++ b/lentilmount/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -31,6 +32,9 @@
 CONFIGURATION_LOG = 'configuration'
 DEFAULT_NAME = 'default'
 
+RECENT_CHANGES = 500
+"""Most changes kept for peers that are behind; others get a snapshot."""
+
 
 @attrs.frozen
 class Change:
@@ -52,13 +56,28 @@
     def __init__(self) -> None:
         self.revision = 0
         self.known = 0
+        self._was_current = False
         self._resources: dict[str, Resource] = {}
+        self._recent: collections.deque[Change] = collections.deque(
+            maxlen=RECENT_CHANGES
+        )
         self._changed = asyncio.Event()
 
     @property
     def is_ready(self) -> bool:
-        """Whether a revision is in force."""
-        return self.revision > 0
+        """Whether the newest revision known was ever in force here.
+
+        A daemon that starts and learns that a newer revision exists is not
+        ready until it has it: what it would serve by may have been replaced
+        long ago. One that was current and falls behind stays ready, as
+        taking every daemon of a cut zone out would stop that zone.
+        """
+        return self._was_current
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether a revision is known that is not in force here."""
+        return self.revision < self.known
 
     def apply(self, changes: Iterable[Change]) -> None:
         """Puts changes in force, each once and in order.
@@ -71,6 +90,7 @@
                 continue
             self._set(change.path, change.resource)
             self.revision = change.revision
+            self._recent.append(change)
         self._wake()
 
     def load(self, revision: int, resources: Iterable[Resource]) -> None:
@@ -78,6 +98,7 @@
         if revision <= self.revision:
             return
         self._resources = {r.path: r for r in resources}
+        self._recent.clear()
         self.revision = revision
         self._wake()
 
@@ -85,6 +106,17 @@
         """Takes note that a revision exists somewhere."""
         self.known = max(self.known, revision)
 
+    def list_after(self, revision: int) -> list[Change] | None:
+        """Returns the changes after a revision; None if not all are kept."""
+        changes = [c for c in self._recent if c.revision > revision]
+        if len(changes) != max(0, self.revision - revision):
+            return None
+        return changes
+
+    def list_all(self) -> list[Resource]:
+        """Returns every resource."""
+        return list(self._resources.values())
+
     def _set(self, path: str, resource: Resource | None) -> None:
         if resource is None:
             self._resources.pop(path, None)
@@ -93,6 +125,8 @@
 
     def _wake(self) -> None:
         self.known = max(self.known, self.revision)
+        if self.revision and not self.is_behind:
+            self._was_current = True
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/lentilmount/coordination/membership.py
+++ b/lentilmount/coordination/membership.py
@@ -1,16 +1,26 @@
-"""Who is there: heartbeats straight between peers, judged by silence.
+"""Who is there: beats of each process, judged by silence.
 
 Each process has a name, an incarnation that is higher after each start, and
 a beat that it raises with every heartbeat. News with a lower incarnation or
 beat than what is known is old and ignored, so that a paused or replaced
-process never speaks for its successor.
+process never speaks for its successor. A newer beat counts whichever path it
+came by: a dead process makes no new ones, so two others that repeat its last
+beat to each other cannot keep it up.
 """
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable, Iterable
 
 import attrs
+import xxhash
+
+FAR_FACTOR = 2.0
+"""Factor on the silence for other zones, whose beats come by more hops."""
+
+MAX_REMEMBERED = 4096
+"""Most names of which the newest age is kept after they are forgotten."""
 
 
 @attrs.frozen
@@ -24,6 +34,8 @@
       incarnation: Higher after each start.
       beat: Raised with each heartbeat.
       stopping: Whether it is shutting down.
+      eligible: Whether it may own leases: it reaches the table and was not
+        paused lately.
     """
 
     name: str
@@ -32,30 +44,76 @@
     incarnation: int
     beat: int = 0
     stopping: bool = False
+    eligible: bool = True
 
     @property
     def age(self) -> tuple[int, int]:
         """Orders what is known of one name by time."""
         return (self.incarnation, self.beat)
 
+    @property
+    def id(self) -> int:
+        """A number for this incarnation, the same in every process."""
+        text = f'{self.name}/{self.incarnation}'
+        digest: int = xxhash.xxh64_intdigest(text.encode())
+        return digest
+
+
+@attrs.frozen
+class Beat:
+    """What changes of a member within one incarnation.
+
+    Attributes:
+      id: The member's id.
+      beat: Its beat.
+      stopping: See `Member`.
+      eligible: See `Member`.
+    """
+
+    id: int
+    beat: int
+    stopping: bool = False
+    eligible: bool = True
+
 
 class Membership:
     """What this process knows of the others.
 
+    A member is up here while its newer beats arrive, by any path. So with a
+    one-way cut the two ends can differ: the one that is heard is up for the
+    other and not the other way round. Nothing unsafe follows, as ownership
+    is decided by leases; it only decides who tries first.
+
     Args:
       me: This process.
       silence: Seconds without news after which a member counts as down.
       monotonic: The clock for durations.
+      forget: Seconds without news after which a member is forgotten.
+
+    Attributes:
+      me: This process as it describes itself.
+      rival: Newer news under this process's own name, or None.
     """
 
     def __init__(
-        self, me: Member, silence: float, monotonic: Callable[[], float]
+        self,
+        me: Member,
+        silence: float,
+        monotonic: Callable[[], float],
+        forget: float = 60.0,
     ):
         self.me = me
+        self.rival: Member | None = None
         self._silence = silence
+        self._forget = forget
         self._monotonic = monotonic
         self._members: dict[str, Member] = {}
+        self._names: dict[int, str] = {}
         self._heard: dict[str, float] = {}
+        self._noted: dict[str, float] = {}
+        self._ages: collections.OrderedDict[str, tuple[int, int]] = (
+            collections.OrderedDict()
+        )
 
     def beat(self) -> Member:
         """Raises this process's own beat."""
@@ -66,36 +124,124 @@
         """Marks this process as shutting down."""
         self.me = attrs.evolve(self.me, stopping=True)
 
+    def set_eligible(self, eligible: bool) -> None:
+        """Marks whether this process may own leases."""
+        self.me = attrs.evolve(self.me, eligible=eligible)
+
+    def outlive(self, incarnation: int) -> None:
+        """Raises this process's incarnation above that of a predecessor.
+
+        A replacement whose clock is behind starts below the incarnation of
+        the process that it replaces; its news would be taken for old.
+        """
+        if incarnation >= self.me.incarnation:
+            self.me = attrs.evolve(self.me, incarnation=incarnation + 1)
+        self.rival = None
+
     def observe(self, members: Iterable[Member]) -> None:
-        """Takes in news from a peer or the table."""
+        """Takes in what members say, straight or through others."""
         for member in members:
-            if member.name == self.me.name:
-                continue
-            known = self._members.get(member.name)
-            if known is not None and member.age <= known.age:
+            if self._is_news(member):
+                self._set(member)
+                self._hear(member.name)
+
+    def advance(self, beats: Iterable[Beat]) -> None:
+        """Takes in newer beats of members that are known."""
+        for beat in beats:
+            name = self._names.get(beat.id)
+            if name is None:
                 continue
-            self._members[member.name] = member
-            self._heard[member.name] = self._monotonic()
+            member = attrs.evolve(
+                self._members[name],
+                beat=beat.beat,
+                stopping=beat.stopping,
+                eligible=beat.eligible,
+            )
+            self.observe([member])
 
     def discover(self, members: Iterable[Member]) -> None:
         """Takes in names from a list; it says nothing of who is up."""
         for member in members:
-            known = self._members.get(member.name)
-            newer = known is None or member.incarnation > known.incarnation
-            if member.name != self.me.name and newer:
-                self._members[member.name] = member
-                self._heard.setdefault(member.name, float('-inf'))
+            known = self._ages.get(member.name, (-1, 0))
+            forgotten = member.name not in self._members
+            newer = member.incarnation > known[0]
+            current = forgotten and member.incarnation == known[0]
+            if member.name == self.me.name:
+                self._note_rival(member)
+            elif newer or current:
+                self._set(member)
+
+    def _is_news(self, member: Member) -> bool:
+        if member.name == self.me.name:
+            self._note_rival(member)
+            return False
+        known = self._ages.get(member.name)
+        return known is None or member.age > known
+
+    def _note_rival(self, member: Member) -> None:
+        other = member.address != self.me.address
+        if other and member.incarnation >= self.me.incarnation:
+            self.rival = member
+
+    def _set(self, member: Member) -> None:
+        old = self._members.get(member.name)
+        if old is not None and old.id != member.id:
+            del self._names[old.id]
+            self._heard.pop(member.name, None)
+        self._members[member.name] = member
+        self._names[member.id] = member.name
+        self._noted[member.name] = self._monotonic()
+        known = self._ages.pop(member.name, (-1, 0))
+        self._ages[member.name] = max(member.age, known)
+        while len(self._ages) > MAX_REMEMBERED:
+            self._ages.popitem(last=False)
+
+    def _hear(self, name: str) -> None:
+        self._heard[name] = self._monotonic()
+        address = self._members[name].address
+        for other in self.list_known():
+            taken = other.address == address and other.name != name
+            if taken and not self.is_up(other.name):
+                self._remove(other)
+
+    def _remove(self, member: Member) -> None:
+        del self._members[member.name]
+        del self._names[member.id]
+        self._heard.pop(member.name, None)
+        self._noted.pop(member.name, None)
+
+    def forget(self) -> None:
+        """Drops members of which nothing was heard for long."""
+        horizon = self._monotonic() - self._forget
+        for member in self.list_known():
+            if self._noted[member.name] < horizon:
+                self._remove(member)
+
+    def note_pause(self, seconds: float) -> None:
+        """Takes note that this process stood still.
+
+        A process that stood still heard nobody. Without this it would take
+        every other for down when it wakes, and itself for the only one.
+        """
+        now = self._monotonic()
+        for times in (self._heard, self._noted):
+            for name, heard in times.items():
+                times[name] = min(now, heard + seconds)
 
     def list_known(self) -> list[Member]:
-        """Returns every other member that was ever heard of."""
+        """Returns every other member that is not forgotten."""
         return list(self._members.values())
 
     def is_up(self, name: str) -> bool:
         """Tells whether a member was heard of lately."""
         if name == self.me.name:
             return True
-        heard = self._heard.get(name, float('-inf'))
-        return self._monotonic() - heard <= self._silence
+        heard = self._heard.get(name)
+        if heard is None:
+            return False
+        near = self._members[name].zone == self.me.zone
+        silence = self._silence * (1.0 if near else FAR_FACTOR)
+        return self._monotonic() - heard <= silence
 
     def list_up(self, zone: str = '') -> list[Member]:
         """Returns members that are up and staying, this one included."""
@@ -107,3 +253,7 @@
             and not member.stopping
             and (not zone or member.zone == zone)
         ]
+
+    def list_eligible(self, zone: str = '') -> list[Member]:
+        """Returns the members of `list_up` that may own leases."""
+        return [member for member in self.list_up(zone) if member.eligible]
--- a/lentilmount/daemon/__main__.py
+++ b/lentilmount/daemon/__main__.py
@@ -16,6 +16,10 @@
 from lentilmount.settings import Settings, read_settings
 from lentilmount.status import ExitStatus
 
+log = logbook.Logger('daemon')
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 EXAMPLE = """
 example:
   lentilmountd --settings examples/lentilmountd.json --check-settings
@@ -27,6 +31,22 @@
 """
 
 
+def _note_stop(stop: asyncio.Event) -> None:
+    if stop.is_set():
+        log.info('Told to stop again; the stop is under way.')
+    stop.set()
+
+
+def _ignore_stops() -> None:
+    # The event loop takes its handlers with it, and a second SIGTERM would
+    # then meet the default action and turn a clean end into a death by
+    # signal.
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def make_reloader(
     daemon: Daemon, read: Callable[[], Settings], handler: logbook.Handler
 ) -> Reloader:
@@ -63,8 +83,8 @@
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, _note_stop, stop)
     async with Daemon(settings) as daemon:
         reloader = make_reloader(daemon, read, handler)
         loop.add_signal_handler(signal.SIGHUP, reloader.reload)
@@ -76,6 +96,7 @@
         if daemon.failed.is_set():
             return ExitStatus.ERROR
         await daemon.stop()
+    _ignore_stops()
     return ExitStatus.OK
 
 
--- /dev/null
+++ b/lentilmount/daemon/heartbeats.py
@@ -0,0 +1,296 @@
+"""Heartbeats as messages, and one stream of them between two daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import attrs
+
+from lentilmount.clock import HybridClock, Stamp
+from lentilmount.coordination.membership import Beat, Member, Membership
+from lentilmount.wire import peer_pb2
+
+BEATS_BEHIND = 1
+"""Beats by which the other end of a stream may lag before it is told."""
+
+
+@attrs.define
+class News:
+    """What a heartbeat tells besides who is there.
+
+    Attributes:
+      revision: The newest configuration in force at the sender.
+      sequences: The newest change of each slice.
+      services: The newest change of a service in each slice; the sender can
+        be asked for what leads up to it.
+      sender: Address of the daemon that told it; empty in what is told.
+      zone: Availability zone of that daemon.
+      origins: Zone of the daemon that told this one of a slice; absent for
+        what it read itself.
+    """
+
+    revision: int = 0
+    sequences: dict[str, int] = attrs.Factory(dict)
+    services: dict[str, int] = attrs.Factory(dict)
+    sender: str = ''
+    zone: str = ''
+    origins: dict[str, str] = attrs.Factory(dict)
+
+    def list_for(self, zone: str) -> set[str]:
+        """Returns the slices of which a daemon in a zone has to be told.
+
+        What came from its own zone it heard from there, as within a zone
+        each talks to each.
+        """
+        return {
+            name
+            for name in self.sequences
+            if not zone or self.origins.get(name) != zone
+        }
+
+
+def write_member(member: Member) -> peer_pb2.Member:
+    """Builds the message of a member."""
+    return peer_pb2.Member(**attrs.asdict(member))
+
+
+def read_member(message: peer_pb2.Member) -> Member:
+    """Reads the message of a member."""
+    return Member(
+        message.name,
+        message.zone,
+        message.address,
+        message.incarnation,
+        message.beat,
+        message.stopping,
+        message.eligible,
+    )
+
+
+def _write_beat(member: Member) -> peer_pb2.MemberBeat:
+    return peer_pb2.MemberBeat(
+        id=member.id,
+        beat=member.beat,
+        stopping=member.stopping,
+        eligible=member.eligible,
+    )
+
+
+def _read_beat(message: peer_pb2.MemberBeat) -> Beat:
+    return Beat(message.id, message.beat, message.stopping, message.eligible)
+
+
+@attrs.define
+class Told:
+    """What the two ends of a stream told each other, so that less follows.
+
+    A stream delivers in order or breaks, and what breaks is forgotten with
+    it, so what was sent once need not be sent again.
+
+    Attributes:
+      peer: Id of the other end, once it is heard.
+      zone: Its availability zone.
+      beats: The newest beat that either end told, by member.
+      ids: Ids of the members that this end described.
+      sequences: What this end told of slices.
+      services: What this end told of services in slices.
+    """
+
+    peer: int = 0
+    zone: str = ''
+    beats: dict[int, int] = attrs.Factory(dict)
+    ids: set[int] = attrs.Factory(set)
+    sequences: dict[str, int] = attrs.Factory(dict)
+    services: dict[str, int] = attrs.Factory(dict)
+
+    def hear(self, known: Iterable[Member | Beat]) -> None:
+        """Takes note of what the other end knows."""
+        for one in known:
+            self.beats[one.id] = max(one.beat, self.beats.get(one.id, 0))
+
+    def take_members(
+        self, up: list[Member]
+    ) -> tuple[list[Member], list[Member]]:
+        """Returns the members to describe, and those of which to tell beats.
+
+        Most beats come to both ends straight from the member; only one that
+        the other end lags behind with is told.
+        """
+        present = {member.id for member in up}
+        # A member that went down may be forgotten at the other end, where
+        # beats alone would not bring it back.
+        self.ids &= present
+        self.beats = {i: b for i, b in self.beats.items() if i in present}
+        late = [
+            member
+            for member in up
+            if member.id != self.peer
+            and self.beats.get(member.id, -1) < member.beat - BEATS_BEHIND
+        ]
+        new = [member for member in late if member.id not in self.ids]
+        old = [member for member in late if member.id in self.ids]
+        self.ids.update(member.id for member in new)
+        self.beats.update((member.id, member.beat) for member in late)
+        return new, old
+
+
+def _take_changed(told: dict[str, int], now: dict[str, int]) -> dict[str, int]:
+    """Returns what is higher than was told, and notes it as told."""
+    changed = {
+        name: number
+        for name, number in now.items()
+        if told.get(name, -1) < number
+    }
+    told.update(changed)
+    return changed
+
+
+class Courier:
+    """Writes this daemon's heartbeats and reads those of others.
+
+    Args:
+      membership: Who is there.
+      hybrid: The clock of the time line.
+      get_news: Returns what this daemon tells.
+      take_news: Takes what a peer told.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        hybrid: HybridClock,
+        get_news: Callable[[], News],
+        take_news: Callable[[News], None],
+    ):
+        self._membership = membership
+        self._hybrid = hybrid
+        self._get_news = get_news
+        self._take_news = take_news
+
+    def write(self, told: Told) -> peer_pb2.Heartbeat:
+        """Builds the next heartbeat of a stream."""
+        news = self._get_news()
+        stamp = self._hybrid.tick()
+        names = news.list_for(told.zone)
+        new, old = told.take_members(
+            [
+                member
+                for member in self._membership.list_known()
+                if self._membership.is_up(member.name)
+            ]
+        )
+        return peer_pb2.Heartbeat(
+            sender=write_member(self._membership.me),
+            revision=news.revision,
+            members=[write_member(member) for member in new],
+            beats=[_write_beat(member) for member in old],
+            stamp_millis=stamp.millis,
+            stamp_counter=stamp.counter,
+            sequences=_take_changed(
+                told.sequences, _choose(news.sequences, names)
+            ),
+            services=_take_changed(
+                told.services, _choose(news.services, names)
+            ),
+        )
+
+    def read(self, message: peer_pb2.Heartbeat, told: Told) -> None:
+        """Takes in a heartbeat."""
+        sender = read_member(message.sender)
+        told.peer, told.zone = sender.id, sender.zone
+        members = [read_member(member) for member in message.members]
+        beats = [_read_beat(beat) for beat in message.beats]
+        told.hear(members)
+        told.hear(beats)
+        self._membership.observe([sender, *members])
+        self._membership.advance(beats)
+        self._hybrid.observe(Stamp(message.stamp_millis, message.stamp_counter))
+        self._take_news(
+            News(
+                message.revision,
+                dict(message.sequences),
+                dict(message.services),
+                sender.address,
+                sender.zone,
+            )
+        )
+
+
+def _choose(numbers: dict[str, int], names: set[str]) -> dict[str, int]:
+    return {name: n for name, n in numbers.items() if name in names}
+
+
+class HeartbeatStream(Protocol):
+    """Either end of a stream of heartbeats."""
+
+    async def send_message(self, message: peer_pb2.Heartbeat) -> None:
+        """Sends one."""
+
+    async def recv_message(self) -> peer_pb2.Heartbeat | None:
+        """Receives one; None where the other end is done."""
+
+
+async def converse(
+    stream: HeartbeatStream,
+    courier: Courier,
+    pause: Callable[[], asyncio.Event],
+    interval: float,
+    silence: float,
+    on_heartbeat: Callable[[peer_pb2.Heartbeat], None],
+) -> None:
+    """Sends and receives on a stream until it ends or falls silent.
+
+    Args:
+      stream: The stream.
+      courier: Writes and reads heartbeats.
+      pause: Returns an event that cuts the wait for the next one short.
+      interval: Seconds between two heartbeats.
+      silence: Seconds after which a silent or stalled stream is given up.
+      on_heartbeat: Called with each heartbeat once it is taken in.
+
+    Raises:
+      TimeoutError: The other end fell silent, or takes nothing.
+    """
+    told = Told()
+
+    async def send() -> None:
+        while True:
+            urgent = pause()
+            async with asyncio.timeout(silence):
+                await stream.send_message(courier.write(told))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(urgent.wait(), interval)
+
+    sending = asyncio.create_task(send())
+    receiving = asyncio.create_task(
+        _receive(stream, courier, told, silence, on_heartbeat)
+    )
+    both = (sending, receiving)
+    try:
+        await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in both:
+            task.cancel()
+        ends = await asyncio.gather(*both, return_exceptions=True)
+    for end in ends:
+        if isinstance(end, Exception):
+            raise end
+
+
+async def _receive(
+    stream: HeartbeatStream,
+    courier: Courier,
+    told: Told,
+    silence: float,
+    on_heartbeat: Callable[[peer_pb2.Heartbeat], None],
+) -> None:
+    while True:
+        async with asyncio.timeout(silence):
+            message = await stream.recv_message()
+        if message is None:
+            return
+        courier.read(message, told)
+        on_heartbeat(message)
--- a/lentilmount/daemon/lifecycle.py
+++ b/lentilmount/daemon/lifecycle.py
@@ -16,21 +16,18 @@
 from lentilmount.batch.links import LinkOptions
 from lentilmount.batch.manager import SliceManager
 from lentilmount.batch.owner import OwnerOptions
+from lentilmount.batch.preference import Preference, PreferenceOptions
 from lentilmount.clock import SystemClock
 from lentilmount.commands.configure import Configurer
 from lentilmount.commands.jobs import JobDesk, Submitted
 from lentilmount.configuration import CONFIGURATION_LOG, Configuration
 from lentilmount.coordination.membership import Member, Membership
-from lentilmount.coordination.table import (
-    Key,
-    Put,
-    TableError,
-    scan_all,
-)
-from lentilmount.coordination.transactions import make_token
 from lentilmount.daemon.api import Api
 from lentilmount.daemon.callers import make_callers_app
+from lentilmount.daemon.draining import Drain
 from lentilmount.daemon.follower import Follower
+from lentilmount.daemon.heartbeats import News
+from lentilmount.daemon.housekeeping import run_housekeeping
 from lentilmount.daemon.listeners import bind, name_address, serve
 from lentilmount.daemon.metrics import (
     AnswerCounter,
@@ -38,7 +35,8 @@
     make_metrics_app,
 )
 from lentilmount.daemon.operators import make_operators_app
-from lentilmount.daemon.peers import News, Peers
+from lentilmount.daemon.peers import PeerOptions, Peers, PeerService
+from lentilmount.daemon.registry import Registry
 from lentilmount.daemon.security import Security
 from lentilmount.daemon.survey import Survey
 from lentilmount.errors import LentilmountError
@@ -50,16 +48,19 @@
 from lentilmount.routing.forward import CurlForwarder
 from lentilmount.routing.router import Router, RouterOptions
 from lentilmount.settings import Settings
-from lentilmount.slices import list_slices
+from lentilmount.slices import get_zone, list_slices
 from lentilmount.upstream.hosts import HttpHosts
 from lentilmount.upstream.table import HttpTable
 from lentilmount.upstream.workers import HttpWorkers
+from lentilmount.wire import peer_pb2
 
 log = logbook.Logger('daemon')
 
-MEMBERS = 'member'
-DISCOVERY_SECONDS = 2.0
 REACH_SECONDS = 2.0
+QUIET_SECONDS = 0.5
+"""A stop ends when no request came for this long after the drain time."""
+
+ELIGIBLE_LOOK_SECONDS = 0.5
 
 
 class Daemon:
@@ -76,6 +77,7 @@
         self.addresses: dict[str, str] = {}
         self.stopping = False
         self.failed = asyncio.Event()
+        self._calls: set[asyncio.Task[None]] = set()
         self.gate = Gate(settings.access)
         self.security = Security(settings.tls)
         times = settings.times
@@ -98,30 +100,47 @@
             RouterOptions(settings.zone, settings.entry_hosts),
             clock.monotonic,
         )
-        self._follower = Follower(
-            self.table,
-            self.configuration,
-            self.directory,
-            self._slices,
-            self.events,
-            times.poll,
-        )
         incarnation = int(time.time() * 1000)
         self.membership = Membership(
             Member(settings.name, settings.zone, '', incarnation),
             times.silence,
             clock.monotonic,
+            times.forget,
+        )
+        self._preference = Preference(
+            self.membership,
+            PreferenceOptions(self._slices, times.settle, times.slice_lease),
+            clock.monotonic,
         )
         self._peers = Peers(
             self.membership,
             self.events,
-            settings.peers,
-            times.heartbeat,
+            PeerOptions(
+                settings.peers,
+                times.heartbeat,
+                times.silence,
+                settings.zone_links,
+            ),
             self._get_news,
             self._take_news,
-            self._wake_slice,
+            clock.monotonic,
             self.security.peer_client,
         )
+        self._follower = Follower(
+            self.table,
+            self.configuration,
+            self.directory,
+            self._slices,
+            self.events,
+            times.poll,
+            self._is_reader,
+            self._peers.fetch_changes,
+            self._peers.push,
+        )
+        self._registry = Registry(
+            self.table, self.membership, times.members, clock.monotonic
+        )
+        self._drain = Drain(clock.monotonic)
         self.metrics = Metrics(self._read_gauges)
         self.manager = SliceManager(
             self.table,
@@ -140,6 +159,8 @@
             ),
             settings.slices_per_zone,
             clock.monotonic,
+            self._announce_release,
+            self._preference,
         )
 
     async def __aenter__(self) -> Daemon:
@@ -159,7 +180,9 @@
                 self._peers.run(),
                 self.manager.run(),
                 self._watch_hosts(),
-                self._watch_members(),
+                self._registry.run(),
+                self._watch_eligibility(),
+                run_housekeeping(self.table, self._is_housekeeper),
             ):
                 task = asyncio.create_task(work)
                 task.add_done_callback(self._note_end)
@@ -187,7 +210,14 @@
 
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         listen = self.settings.listen
-        server = Server([self._peers.make_service(self.describe)])
+        service = PeerService(
+            self._peers,
+            self.events,
+            self.manager.wake,
+            self._answer_peer,
+            self.describe,
+        )
+        server = Server([service])
         bound = bind(listen.peers, 'listen.peers')
         self.addresses['peers'] = name_address(bound)
         await server.start(sock=bound, ssl=self.security.servers['peers'])
@@ -219,7 +249,7 @@
             self.addresses[name] = name_address(bound)
             tls = self.security.servers[name]
             limits = self.settings.limits
-            serve(stack, app, bound, limits, tls, on_answer)
+            serve(stack, app, bound, limits, tls, on_answer, self._drain)
 
     def _make_api(self) -> Api:
         reader = Reader(
@@ -241,7 +271,7 @@
 
     def _get_positions(self) -> dict[str, int]:
         revision = self.configuration.revision
-        return {CONFIGURATION_LOG: revision, **self._follower.sequences}
+        return {CONFIGURATION_LOG: revision, **self._follower.logs.heads}
 
     def _read_gauges(self) -> list[Gauged]:
         owners = list(self.manager.owners.values())
@@ -252,7 +282,7 @@
             'known_revision': self.configuration.known,
             'slices': len(owners),
             'members': len(self.membership.list_up()),
-            'in_flight': sum(self.router.in_flight.values()),
+            'in_flight': self._drain.in_flight,
         }
         return [
             *(Gauged(f'lentilmount_{n}', float(v)) for n, v in values.items()),
@@ -265,49 +295,49 @@
                 self.manager.hosts = await self._hosts.list_hosts()
             await asyncio.sleep(self.settings.times.host_list)
 
-    async def _watch_members(self) -> None:
-        announced = False
+    async def _watch_eligibility(self) -> None:
+        """Keeps this daemon from owning slices where it could not serve them.
+
+        One that cannot reach the table loses its leases anyway; as long as
+        the others know, they do not hand it new ones.
+        """
         while True:
-            with contextlib.suppress(TableError):
-                if not announced:
-                    await self._announce_member()
-                    announced = True
-                rows = await scan_all(self.table, MEMBERS)
-                self.membership.discover(Member(**r.body) for r in rows)
-            await asyncio.sleep(DISCOVERY_SECONDS)
-
-    async def _announce_member(self) -> None:
-        me = self.membership.me
-        key = Key(MEMBERS, me.name)
-        rows = await self.table.read([key])
-        version = rows[key].version if key in rows else 0
-        put = Put(key, attrs.asdict(me), version)
-        await self.table.transact(make_token(), [put])
+            able = self._follower.store_up and not self._registry.replaced
+            self.membership.set_eligible(able)
+            await asyncio.sleep(ELIGIBLE_LOOK_SECONDS)
+
+    def _is_housekeeper(self) -> bool:
+        names = [m.name for m in self.membership.list_eligible()]
+        return bool(names) and min(names) == self.membership.me.name
+
+    def _is_reader(self, slice_name: str) -> bool:
+        owned = slice_name in self.manager.owners
+        return owned or self._preference.is_first(slice_name)
 
     def _get_news(self) -> News:
-        return News(self.configuration.revision, self._follower.sequences)
+        return self._follower.get_news()
 
     def _take_news(self, news: News) -> None:
-        known = self._follower.sequences
-        newer = any(
-            sequence > known.get(name, 0)
-            for name, sequence in news.sequences.items()
-        )
-        if newer or news.revision > self.configuration.known:
-            self.configuration.note(news.revision)
-            self._follower.wake()
+        self._follower.hear(news)
+
+    def _answer_peer(
+        self, request: peer_pb2.ChangesRequest
+    ) -> peer_pb2.ChangesReply:
+        return self._follower.answer(request)
 
-    def _wake_slice(self, slice_name: str) -> None:
-        owner = self.manager.owners.get(slice_name)
-        if owner is not None:
-            owner.wake()
+    def _announce_release(self, slice_name: str) -> None:
+        work = self._peers.wake_owner(slice_name, get_zone(slice_name))
+        self._calls.add(task := asyncio.create_task(work))
+        task.add_done_callback(self._calls.discard)
 
     async def announce(self, submitted: Submitted) -> None:
         """See `StatusSource`."""
         if submitted.slice_name in self.manager.owners:
-            self._wake_slice(submitted.slice_name)
+            self.manager.wake(submitted.slice_name)
             return
-        await self._peers.wake_owner(submitted.slice_name)
+        await self._peers.wake_owner(
+            submitted.slice_name, get_zone(submitted.slice_name)
+        )
 
     async def reach(self, revision: int) -> None:
         """See `StatusSource`."""
@@ -321,11 +351,12 @@
             'daemon': self.settings.name,
             'zone': self.settings.zone,
             'revision': self.configuration.revision,
+            'known_revision': self.configuration.known,
             'ready': not self.find_fault(),
             'fault': self.find_fault(),
             'slices': sorted(self.manager.owners),
             'members': sorted(m.name for m in self.membership.list_up()),
-            'in_flight': sum(self.router.in_flight.values()),
+            'in_flight': self._drain.in_flight,
             'addresses': self.addresses,
         }
 
@@ -333,8 +364,13 @@
         """See `StatusSource`."""
         if self.stopping:
             return 'the daemon is stopping'
+        if self._registry.replaced:
+            return 'another daemon was started under the same name'
         if not self.configuration.is_ready:
-            return 'no revision of the configuration is in force yet'
+            return (
+                f'revision {self.configuration.known} of the configuration '
+                f'is not in force yet'
+            )
         return ''
 
     def set_time(self, name: str, seconds: float) -> None:
@@ -346,22 +382,32 @@
         """Shuts down so that no request in flight is cut off.
 
         The balancer goes on sending for a while after the daemon says that
-        it is not ready, so the daemon goes on serving for as long.
+        it is not ready, so the daemon goes on serving for as long, and then
+        until no more requests come. Slices go to others meanwhile.
         """
         self.stopping = True
         self.membership.stop()
+        self._peers.push()
+        self._drain.refuse_keep_alive()
         self.manager.stop()
         self.events.record('daemon', EventKind.STOPPING)
         log.info('Daemon {} is stopping.', self.settings.name)
-        await asyncio.sleep(self.settings.times.drain)
-        while sum(self.router.in_flight.values()):
-            await asyncio.sleep(0.02)
+        try:
+            async with asyncio.timeout(self.settings.times.stop_limit):
+                await asyncio.sleep(self.settings.times.drain)
+                await self.manager.wait_released()
+                await asyncio.gather(*self._calls)
+                await self._drain.wait_quiet(QUIET_SECONDS)
+        except TimeoutError:
+            log.warning(
+                'The stop limit is over; {} requests are cut off.',
+                self._drain.in_flight,
+            )
 
 
 async def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
+    await asyncio.gather(task, return_exceptions=True)
 
 
 def print_addresses(daemon: Daemon) -> None:
--- a/lentilmount/daemon/listeners.py
+++ b/lentilmount/daemon/listeners.py
@@ -14,6 +14,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from lentilmount.daemon.draining import Drain
 from lentilmount.daemon.web import BODY_LIMIT
 from lentilmount.errors import FieldProblem, SettingsError
 from lentilmount.settings import LimitSettings
@@ -78,6 +79,7 @@
     limits: LimitSettings,
     tls: ssl.SSLContext | None,
     on_answer: OnAnswer,
+    drain: Drain,
 ) -> None:
     """Serves an application until the stack closes.
 
@@ -88,11 +90,12 @@
       limits: What one client may take.
       tls: How connections are secured, or None.
       on_answer: Called after each answer.
+      drain: Counts the requests under way.
     """
     app.settings[BODY_LIMIT] = limits.body_kb * KIB
     app.settings['log_function'] = on_answer
     server = LimitedServer(
-        app,
+        drain.wrap(app),
         ssl_options=tls,
         max_header_size=limits.header_kb * KIB,
         max_body_size=LIBRARY_BODY_LIMIT,
@@ -100,6 +103,7 @@
         body_timeout=limits.slow_seconds,
     )
     server.most = limits.connections
+    drain.watch(server)
     server.add_socket(bound)
     stack.push_async_callback(server.close_all_connections)
     stack.callback(server.stop)
--- a/lentilmount/rows.py
+++ b/lentilmount/rows.py
@@ -10,6 +10,7 @@
 
 REVISION_KEY = Key('configuration', 'revision')
 RESOURCES = 'resource'
+REQUESTS = 'request'
 
 
 def make_resource_key(path: str) -> Key:
@@ -34,7 +35,7 @@
 
 def make_request_key(request_id: str) -> Key:
     """Key of the answer to a command that carried a request id."""
-    return Key('request', request_id)
+    return Key(REQUESTS, request_id)
 
 
 def encode_resource(resource: Resource) -> dict[str, Any]:
--- a/lentilmount/settings.py
+++ b/lentilmount/settings.py
@@ -169,6 +169,11 @@
       task_promise: How long tasks are renewed while the table is out.
       sync: Between two calls to a worker.
       drain: Before a planned stop closes the listeners: the balancer's lag.
+      stop_limit: Most time that a planned stop takes in all.
+      settle: For how long another daemon has to be the better owner of a
+        slice before the slice goes to it.
+      forget: After which a silent peer is forgotten.
+      members: Between two looks at the rows of the daemons.
     """
 
     heartbeat: float = _seconds(0.5)
@@ -180,6 +185,10 @@
     task_promise: float = _seconds(600.0)
     sync: float = _seconds(2.0)
     drain: float = _seconds(2.0)
+    stop_limit: float = _seconds(40.0)
+    settle: float = _seconds(4.0)
+    forget: float = _seconds(60.0)
+    members: float = _seconds(10.0)
 
 
 @attrs.frozen
@@ -200,6 +209,7 @@
       access: Who may do what; empty means that nobody is let in.
       times: Times.
       slices_per_zone: Shares into which a zone's workers are split.
+      zone_links: Streams of heartbeats that join two availability zones.
       entry_hosts: Most entry hosts at once, replacements included.
       log_format: text or json.
       log_level: debug, info, warning or error.
@@ -222,6 +232,7 @@
     slices_per_zone: int = attrs.field(
         default=1, validator=attrs.validators.gt(0)
     )
+    zone_links: int = attrs.field(default=2, validator=attrs.validators.gt(0))
     entry_hosts: int = attrs.field(default=8, validator=attrs.validators.gt(0))
     log_format: str = attrs.field(
         default='text', validator=attrs.validators.in_(('text', 'json'))
--- a/lentilmount/slices.py
+++ b/lentilmount/slices.py
@@ -48,3 +48,25 @@
 def find_replica_slice(index: int, slices: Sequence[str]) -> str:
     """Returns the slice that runs one replica of a service."""
     return slices[index % len(slices)]
+
+
+def assign_evenly(keys: Iterable[str], names: Iterable[str]) -> dict[str, str]:
+    """Gives each key to a name, none more than one above an even share.
+
+    Each key goes to its best name by rendezvous hash that still has room, so
+    most keys stay where they are when a name comes or goes.
+
+    Source: Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with
+    Bounded Loads", 2016, over rendezvous hashing.
+    """
+    keys, names = sorted(keys, key=hash_text), list(names)
+    most = -(-len(keys) // len(names)) if names else 0
+    held = dict.fromkeys(names, 0)
+    assigned = {}
+    for key in keys:
+        for name in rank_by_hash(key, names):
+            if held[name] < most:
+                held[name] += 1
+                assigned[key] = name
+                break
+    return assigned
--- a/lentilmount/wire/peer_grpc.py
+++ b/lentilmount/wire/peer_grpc.py
@@ -15,7 +15,7 @@
 class PeerBase(abc.ABC):
 
     @abc.abstractmethod
-    async def Beat(self, stream: 'grpclib.server.Stream[lentilmount.wire.peer_pb2.Heartbeat, lentilmount.wire.peer_pb2.Heartbeat]') -> None:
+    async def Exchange(self, stream: 'grpclib.server.Stream[lentilmount.wire.peer_pb2.Heartbeat, lentilmount.wire.peer_pb2.Heartbeat]') -> None:
         pass
 
     @abc.abstractmethod
@@ -36,9 +36,9 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            '/lentilmount.wire.Peer/Beat': grpclib.const.Handler(
-                self.Beat,
-                grpclib.const.Cardinality.UNARY_UNARY,
+            '/lentilmount.wire.Peer/Exchange': grpclib.const.Handler(
+                self.Exchange,
+                grpclib.const.Cardinality.STREAM_STREAM,
                 lentilmount.wire.peer_pb2.Heartbeat,
                 lentilmount.wire.peer_pb2.Heartbeat,
             ),
@@ -72,9 +72,9 @@
 class PeerStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Beat = grpclib.client.UnaryUnaryMethod(
+        self.Exchange = grpclib.client.StreamStreamMethod(
             channel,
-            '/lentilmount.wire.Peer/Beat',
+            '/lentilmount.wire.Peer/Exchange',
             lentilmount.wire.peer_pb2.Heartbeat,
             lentilmount.wire.peer_pb2.Heartbeat,
         )
