--- a/lentilmount/cli/definition.py
+++ b/lentilmount/cli/definition.py
@@ -3,57 +3,292 @@
 from __future__ import annotations
 
 import argparse
+import sys
+from typing import Any
 
+import attrs
+
+import lentilmount
 from lentilmount.context import Environment
 
 SERVER_VARIABLE = 'LENTILMOUNT_SERVER'
 TOKEN_VARIABLE = 'LENTILMOUNT_TOKEN'
+AUTHORITY_VARIABLE = 'LENTILMOUNT_AUTHORITY'
+DEFAULT_SERVER = 'http://127.0.0.1:7000'
+DEFAULT_WAIT_SECONDS = 300.0
+
 KINDS = 'service, job, worker, team, upstream or configuration'
 
+EXIT_STATUSES = """
+exit statuses:
+  0    done
+  1    an internal error, or what was waited for failed
+  2    wrong use of the command line
+  3    the input is not valid
+  4    there is no such resource
+  5    the resource changed meanwhile, or a cursor is too old
+  6    the token is missing, wrong, or does not allow this
+  7    the daemon, or the platform behind it, cannot answer now
+  8    the time for waiting is over
+  130  interrupted
+"""
+
+
+@attrs.frozen
+class Option:
+    """One option or argument: its names, and what argparse takes."""
+
+    names: tuple[str, ...]
+    parameters: dict[str, Any]
+
+
+def _option(*names: str, **parameters: Any) -> Option:
+    return Option(names, parameters)
+
+
+def _flag(name: str, text: str) -> Option:
+    return _option(name, action='store_true', help=text)
+
+
+@attrs.frozen
+class Command:
+    """One command of the tool.
+
+    Attributes:
+      name: How it is called.
+      text: What it does.
+      example: A command line that works.
+      options: What it takes.
+    """
+
+    name: str
+    text: str
+    example: str
+    options: tuple[Option, ...] = ()
+
+
+KIND = _option('kind', help=KINDS)
+NAME = _option('name', help='team/name, or the name alone')
+NAMES = _option('names', nargs='+', metavar='name', help='team/name')
+WORKERS = _option('names', nargs='+', metavar='worker', help='a worker')
+FILE = _option(
+    '-f', '--file', required=True, metavar='FILE', help='a file; - for stdin'
+)
+TEAM = _option('--team', default='', help='only this team')
+PREFIX = _option('--name', default='', help='only names that begin so')
+OUTPUT = _option(
+    '--output',
+    choices=('table', 'json', 'jsonl'),
+    default='table',
+    help='form of the output (default: table)',
+)
+WAIT = _flag('--wait', 'wait until it is done, and show the progress')
+TIMEOUT = _option(
+    '--timeout',
+    type=float,
+    default=DEFAULT_WAIT_SECONDS,
+    metavar='SECONDS',
+    help='longest wait (default: 300)',
+)
+
+COMMANDS = (
+    Command(
+        'apply',
+        'create or change the resources of a file',
+        'lentilmount apply -f examples/nilewave.json --dry-run',
+        (
+            FILE,
+            _flag('--dry-run', 'check, and show what would change'),
+            WAIT,
+            TIMEOUT,
+        ),
+    ),
+    Command(
+        'validate',
+        'check a file without asking a daemon',
+        'lentilmount validate -f examples/nilewave.json',
+        (FILE,),
+    ),
+    Command(
+        'get',
+        'show one resource',
+        'lentilmount get job nilewave-billing/run-1 --output json',
+        (KIND, NAME, OUTPUT),
+    ),
+    Command(
+        'describe',
+        'show one resource with its latest events',
+        'lentilmount describe service nilewave-desk/airtime-desk',
+        (KIND, NAME),
+    ),
+    Command(
+        'list',
+        'list resources of a kind',
+        'lentilmount list job --team nilewave-billing --phase running',
+        (
+            KIND,
+            TEAM,
+            PREFIX,
+            _option('--phase', default='', help='only in this phase'),
+            OUTPUT,
+        ),
+    ),
+    Command(
+        'watch',
+        'follow resources as they change',
+        'lentilmount watch job --team nilewave-billing --output jsonl',
+        (
+            _option('kind', nargs='?', default='', help=KINDS),
+            TEAM,
+            PREFIX,
+            _option('--cursor', default='', help='go on after this place'),
+            _option(
+                '--count', type=int, default=0, help='end after so many lines'
+            ),
+            OUTPUT,
+        ),
+    ),
+    Command(
+        'cancel',
+        'cancel jobs',
+        'lentilmount cancel nilewave-billing/run-1 --wait',
+        (NAMES, WAIT, TIMEOUT),
+    ),
+    Command(
+        'cordon',
+        'give workers no new work',
+        'lentilmount cordon alex-a-w0',
+        (WORKERS,),
+    ),
+    Command(
+        'uncordon',
+        'give workers new work again',
+        'lentilmount uncordon alex-a-w0',
+        (WORKERS,),
+    ),
+    Command(
+        'drain',
+        'move the work of workers elsewhere, or the requests of upstreams',
+        'lentilmount drain alex-a-w0 --wait',
+        (
+            _option('names', nargs='+', metavar='name', help='what to drain'),
+            _option(
+                '--kind',
+                choices=('worker', 'upstream'),
+                default='worker',
+                help='what the names are (default: worker)',
+            ),
+            WAIT,
+            TIMEOUT,
+        ),
+    ),
+    Command(
+        'delete',
+        'delete one resource; a job must be over',
+        'lentilmount delete service nilewave-desk/airtime-desk',
+        (
+            KIND,
+            NAME,
+            _option(
+                '--revision', type=int, default=0, help='only at this revision'
+            ),
+        ),
+    ),
+    Command(
+        'status',
+        'show every daemon: revision in force, slices held, ready or not',
+        'lentilmount status',
+        (OUTPUT,),
+    ),
+    Command(
+        'timeline',
+        'show the events of all daemons in order',
+        'lentilmount timeline --resource Job/nilewave-billing --since 10m',
+        (
+            _option('--resource', default='', help='kind, kind/team or more'),
+            _option('--request', default='', help='id of a request'),
+            _option(
+                '--since', default='', help='such as 30s, 10m, 2h, or a time'
+            ),
+            _option(
+                '--until', default='', help='such as 30s, 10m, 2h, or a time'
+            ),
+            _option(
+                '--limit',
+                type=int,
+                default=1000,
+                help='newest events of each daemon (default: 1000)',
+            ),
+            _flag('--follow', 'go on showing new events'),
+            _option(
+                '--export', metavar='FILE', help='write a Chrome trace (JSON)'
+            ),
+            OUTPUT,
+        ),
+    ),
+)
+
+
+class Parser(argparse.ArgumentParser):
+    """A parser that writes to the streams it is given.
+
+    Attributes:
+      env: Where its messages go.
+    """
+
+    env: Environment
+
+    def _print_message(self, message: str, file: Any = None) -> None:
+        is_result = file in (None, sys.stdout)
+        wanted = self.env.stdout if is_result else self.env.stderr
+        print(message, end='', file=wanted)
+
 
 def make_parser(env: Environment) -> argparse.ArgumentParser:
     """Builds the parser."""
-    parser = argparse.ArgumentParser(
+    parser = Parser(
         prog='lentilmount',
         description='Declares and follows services and jobs.',
+        epilog=EXIT_STATUSES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.env = env
+    parser.add_argument(
+        '--version', action='version', version=lentilmount.__version__
+    )
+    _add_globals(parser, env)
+    commands: argparse._SubParsersAction[Parser] = parser.add_subparsers(
+        dest='command', required=True, metavar='command', parser_class=Parser
     )
+    for command in COMMANDS:
+        sub = commands.add_parser(
+            command.name,
+            help=command.text,
+            description=command.text.capitalize() + '.',
+            epilog=f'example:\n  {command.example}',
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        sub.env = env
+        for option in command.options:
+            sub.add_argument(*option.names, **option.parameters)
+    return parser
+
+
+def _add_globals(parser: argparse.ArgumentParser, env: Environment) -> None:
     parser.add_argument(
         '--server',
-        default=env.variables.get(SERVER_VARIABLE, 'http://127.0.0.1:7000'),
+        default=env.variables.get(SERVER_VARIABLE, DEFAULT_SERVER),
         help=f'address of the resource API (${SERVER_VARIABLE})',
     )
     parser.add_argument(
         '--token',
         default=env.variables.get(TOKEN_VARIABLE, ''),
-        help=f'bearer token (${TOKEN_VARIABLE})',
+        help=f'bearer token (${TOKEN_VARIABLE}, which other users of the '
+        f'host cannot see)',
+    )
+    parser.add_argument(
+        '--authority',
+        default=env.variables.get(AUTHORITY_VARIABLE, ''),
+        metavar='FILE',
+        help=f'PEM file of the authority to trust (${AUTHORITY_VARIABLE})',
     )
-    commands = parser.add_subparsers(dest='command', required=True)
-    _add_apply(commands)
-    _add_reads(commands)
-    _add_changes(commands)
-    return parser
-
-
-def _add_apply(commands: argparse._SubParsersAction) -> None:  # type: ignore[type-arg]
-    apply = commands.add_parser('apply', help='create or change resources')
-    apply.add_argument('-f', '--file', required=True, metavar='FILE')
-    apply.add_argument('--dry-run', action='store_true')
-
-
-def _add_reads(commands: argparse._SubParsersAction) -> None:  # type: ignore[type-arg]
-    get = commands.add_parser('get', help='show one resource')
-    get.add_argument('kind', help=KINDS)
-    get.add_argument('name', help='team/name, or the name alone')
-    listing = commands.add_parser('list', help='list resources')
-    listing.add_argument('kind', help=KINDS)
-    listing.add_argument('--team', default='')
-    for command in (get, listing):
-        command.add_argument(
-            '--output', choices=('table', 'json', 'jsonl'), default='table'
-        )
-    commands.add_parser('status', help='show how the daemon is')
-
-
-def _add_changes(commands: argparse._SubParsersAction) -> None:  # type: ignore[type-arg]
-    cancel = commands.add_parser('cancel', help='cancel a job')
-    cancel.add_argument('name', help='team/name')
--- a/lentilmount/context.py
+++ b/lentilmount/context.py
@@ -30,3 +30,8 @@
     def is_terminal(self) -> bool:
         """Whether a person reads the output."""
         return self.stdout.isatty()
+
+    @property
+    def has_colour(self) -> bool:
+        """Whether the output may be coloured; see no-color.org."""
+        return self.is_terminal and not self.variables.get('NO_COLOR')
--- a/lentilmount/core.py
+++ b/lentilmount/core.py
@@ -5,9 +5,10 @@
 import argparse
 import asyncio
 
-from lentilmount.cli.actions import ACTIONS, Context
+from lentilmount.cli.actions import ACTIONS
 from lentilmount.cli.client import ApiClient
 from lentilmount.cli.definition import make_parser
+from lentilmount.cli.session import Session
 from lentilmount.context import Environment
 from lentilmount.errors import LentilmountError
 from lentilmount.status import ExitStatus
@@ -24,22 +25,35 @@
       The status that the process ends with.
     """
     env = env or Environment()
-    options = make_parser(env).parse_args(args)
     try:
+        options = make_parser(env).parse_args(args)
         return asyncio.run(_run(options, env))
+    except SystemExit as end:
+        return ExitStatus(int(end.code or 0))
     except LentilmountError as error:
-        print(f'lentilmount: {error.detail}', file=env.stderr)
-        for field in error.fields:
-            print(f'  {field}', file=env.stderr)
+        _tell(error, env)
         return error.answer.exit_status
+    except BrokenPipeError:
+        # Whoever read the output, such as head, has seen enough.
+        return ExitStatus.OK
     except KeyboardInterrupt:
         return ExitStatus.INTERRUPTED
 
 
+def _tell(error: LentilmountError, env: Environment) -> None:
+    detail = error.answer.title if error.fields else error.detail
+    print(f'lentilmount: {detail}', file=env.stderr)
+    for field in error.fields:
+        print(f'  {field}', file=env.stderr)
+    if error.retry_after is not None:
+        print(f'  try again in {error.retry_after:g} s', file=env.stderr)
+    if 'request' in error.extra:
+        print(f'  request {error.extra["request"]}', file=env.stderr)
+
+
 async def _run(options: argparse.Namespace, env: Environment) -> ExitStatus:
-    client = ApiClient(options.server, options.token)
+    client = ApiClient(options.server, options.token, options.authority)
     try:
-        action = ACTIONS[options.command]
-        return await action(Context(client, options, env))
+        return await ACTIONS[options.command](Session(client, options, env))
     finally:
         client.close()
--- a/lentilmount/upstream/http.py
+++ b/lentilmount/upstream/http.py
@@ -28,10 +28,18 @@
       base: Scheme, host and port, such as http://127.0.0.1:7001.
       timeout: Seconds for a whole call.
       clients: Most calls at once.
+      authority: PEM file of the authority to trust; the system's if empty.
     """
 
-    def __init__(self, base: str, timeout: float = 5.0, clients: int = 32):
+    def __init__(
+        self,
+        base: str,
+        timeout: float = 5.0,
+        clients: int = 32,
+        authority: str = '',
+    ):
         self.base = base
+        self._authority = authority or None
         self.timeout = timeout
         self._client = CurlAsyncHTTPClient(
             force_instance=True, max_clients=clients
@@ -54,6 +62,7 @@
             connect_timeout=CONNECT_SECONDS,
             request_timeout=timeout or self.timeout,
             follow_redirects=False,
+            ca_certs=self._authority,
             allow_nonstandard_methods=True,
         )
         try:
