--- a/lentilmount/cli/definition.py
+++ b/lentilmount/cli/definition.py
@@ -157,19 +157,19 @@
     Command(
         'cordon',
         'give workers no new work',
-        'lentilmount cordon alex-a-w0',
+        'lentilmount cordon alex-a-000',
         (WORKERS,),
     ),
     Command(
         'uncordon',
         'give workers new work again',
-        'lentilmount uncordon alex-a-w0',
+        'lentilmount uncordon alex-a-000',
         (WORKERS,),
     ),
     Command(
         'drain',
         'move the work of workers elsewhere, or the requests of upstreams',
-        'lentilmount drain alex-a-w0 --wait',
+        'lentilmount drain alex-a-000 --wait',
         (
             _option('names', nargs='+', metavar='name', help='what to drain'),
             _option(
--- a/lentilmount/daemon/lifecycle.py
+++ b/lentilmount/daemon/lifecycle.py
@@ -11,6 +11,7 @@
 import attrs
 import logbook
 from grpclib.server import Server
+from tornado.web import Application
 
 from lentilmount.access import Gate
 from lentilmount.batch.links import LinkOptions
@@ -68,6 +69,7 @@
 
     Attributes:
       addresses: Where it listens, by listener.
+      apps: The HTTP applications, by listener.
       stopping: Whether a planned stop has begun.
       failed: Set when a part of the daemon died.
     """
@@ -75,6 +77,7 @@
     def __init__(self, settings: Settings):
         self.settings = settings
         self.addresses: dict[str, str] = {}
+        self.apps: dict[str, Application] = {}
         self.stopping = False
         self.failed = asyncio.Event()
         self._calls: set[asyncio.Task[None]] = set()
@@ -247,6 +250,7 @@
         for name, app, on_answer in listeners:
             bound = bind(getattr(listen, name), f'listen.{name}')
             self.addresses[name] = name_address(bound)
+            self.apps[name] = app
             tls = self.security.servers[name]
             limits = self.settings.limits
             serve(stack, app, bound, limits, tls, on_answer, self._drain)
