--- a/lentilmount/queries/feed.py
+++ b/lentilmount/queries/feed.py
@@ -12,6 +12,8 @@
 import json
 from collections.abc import Mapping
 
+import attrs
+
 from lentilmount.batch.records import make_change_key
 from lentilmount.codec import structure
 from lentilmount.coordination.table import Row, Table
@@ -26,13 +28,29 @@
 RING = 512
 """Entries of each log that are kept, so that watchers seldom read the table."""
 
-Positions = dict[str, int]
-"""Number of the last entry taken of each log."""
+
+@attrs.frozen
+class Place:
+    """A place in a change log.
+
+    Attributes:
+      number: Number of the last entry that was told whole.
+      taken: Changes of the next entry that were told already; an entry
+        holds the changes of one transaction.
+    """
+
+    number: int = 0
+    taken: int = 0
+
+
+Positions = dict[str, Place]
+"""How far each log was told."""
 
 
-def encode_cursor(positions: Mapping[str, int]) -> str:
+def encode_cursor(positions: Mapping[str, Place]) -> str:
     """Builds a cursor; callers are not to look into it."""
-    plain = json.dumps(dict(sorted(positions.items())), separators=(',', ':'))
+    pairs = {log: [p.number, p.taken] for log, p in sorted(positions.items())}
+    plain = json.dumps(pairs, separators=(',', ':'))
     return base64.urlsafe_b64encode(plain.encode()).decode().rstrip('=')
 
 
@@ -45,11 +63,14 @@
     padded = cursor + '=' * (-len(cursor) % 4)
     try:
         plain = json.loads(base64.urlsafe_b64decode(padded.encode()))
-        return structure(plain, dict[str, int])
+        pairs = structure(plain, dict[str, tuple[int, int]])
     except (binascii.Error, ValueError, InvalidError) as error:
         raise make_cursor_error('is not one that a list or watch gave') from (
             error
         )
+    if any(number < 0 or taken < 0 for number, taken in pairs.values()):
+        raise make_cursor_error('is not one that a list or watch gave')
+    return {log: Place(*pair) for log, pair in pairs.items()}
 
 
 def make_cursor_error(problem: str) -> InvalidError:
--- a/lentilmount/queries/watch.py
+++ b/lentilmount/queries/watch.py
@@ -7,18 +7,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Any
 
 import attrs
 
-from lentilmount.batch.records import Task, make_slice_key
-from lentilmount.codec import structure, structure_resource
+from lentilmount.batch.records import Task, make_slice_key, read_changes
+from lentilmount.codec import structure_resource
 from lentilmount.configuration import CONFIGURATION_LOG
 from lentilmount.coordination.table import Key, Row, Table, UnavailableError
 from lentilmount.errors import StoreError
 from lentilmount.queries.feed import (
     Feed,
+    Place,
     Positions,
     decode_cursor,
     encode_cursor,
@@ -26,7 +27,7 @@
     make_cursor_error,
 )
 from lentilmount.queries.statuses import make_status
-from lentilmount.resources import Kind, Metadata, Resource, Status
+from lentilmount.resources import Kind, Metadata, Status
 from lentilmount.rows import REVISION_KEY
 
 LOOK_SECONDS = 0.1
@@ -87,14 +88,14 @@
     Args:
       table: Where the logs are.
       slices: The names of all slices.
-      get_newest: Returns the newest entry that is known of each log.
+      get_newest: Returns the number of the newest known entry of each log.
     """
 
     def __init__(
         self,
         table: Table,
         slices: tuple[str, ...],
-        get_newest: Callable[[], Positions],
+        get_newest: Callable[[], dict[str, int]],
     ):
         self._table = table
         self._logs = (CONFIGURATION_LOG, *slices)
@@ -104,7 +105,9 @@
     def make_cursor(self) -> str:
         """Returns a cursor that holds all that is known now."""
         newest = self._get_newest()
-        return encode_cursor({log: newest.get(log, 0) for log in self._logs})
+        return encode_cursor(
+            {log: Place(newest.get(log, 0)) for log in self._logs}
+        )
 
     async def read_cursor(self, cursor: str) -> Positions:
         """Checks where a watch is to go on.
@@ -120,26 +123,29 @@
             raise make_cursor_error('is of another deployment')
         try:
             newest = await self._read_newest(positions)
-            for log, position in positions.items():
-                if position > newest[log]:
+            for log, place in positions.items():
+                if place.number + bool(place.taken) > newest[log]:
                     raise make_cursor_error(
                         f'is from the future: {log} is at {newest[log]}, '
-                        f'not {position}'
+                        f'not {place.number}'
                     )
-                if position < newest[log]:
-                    await self._feed.read(log, position)
+                if place.number < newest[log]:
+                    await self._feed.read(log, place.number)
         except UnavailableError as error:
             raise StoreError('the table service does not answer') from error
-        return {log: positions.get(log, 0) for log in self._logs}
+        return {log: positions.get(log, Place()) for log in self._logs}
 
-    async def _read_newest(self, positions: Positions) -> Positions:
+    async def _read_newest(self, positions: Positions) -> dict[str, int]:
         """Returns how long the logs are; asks the table where it must.
 
         Another daemon may have given a cursor that is ahead of what this
         one has seen.
         """
         newest = {log: self._get_newest().get(log, 0) for log in self._logs}
-        if all(newest[log] >= at for log, at in positions.items()):
+        if all(
+            newest[log] >= p.number + bool(p.taken)
+            for log, p in positions.items()
+        ):
             return newest
         keys = {log: _make_head_key(log) for log in self._logs}
         rows = await self._table.read(list(keys.values()))
@@ -161,10 +167,7 @@
         loop = asyncio.get_running_loop()
         while True:
             for row in await self._read_more(positions):
-                log = row.key.partition.partition('/')[2]
-                positions[log] = get_number(row)
-                notice = _make_notice(row, encode_cursor(positions), wanted)
-                if notice is not None:
+                for notice in _tell_entry(row, positions, wanted):
                     told = loop.time()
                     yield notice
             if loop.time() - told >= BOOKMARK_SECONDS:
@@ -176,14 +179,17 @@
 
     def _is_current(self, positions: Positions) -> bool:
         newest = self._get_newest()
-        return all(at >= newest.get(log, 0) for log, at in positions.items())
+        return all(
+            place.number >= newest.get(log, 0)
+            for log, place in positions.items()
+        )
 
     async def _read_more(self, positions: Positions) -> list[Row]:
         newest = self._get_newest()
-        for log, position in positions.items():
-            if position < newest.get(log, 0):
+        for log, place in positions.items():
+            if place.number < newest.get(log, 0):
                 try:
-                    return await self._feed.read(log, position)
+                    return await self._feed.read(log, place.number)
                 except UnavailableError:
                     # Nothing is lost: the position stays, and the entries
                     # are read once the table is back.
@@ -201,24 +207,45 @@
     return int(row.body['data'].get('sequence', 0))
 
 
-def _make_notice(row: Row, cursor: str, wanted: WatchFilter) -> Notice | None:
-    if 'task' in row.body:
-        task = structure(row.body['task'], Task)
-        kind, team, name = task.resource.split('/')
-        if not wanted.accepts(Kind(kind), team, name):
-            return None
-        event = row.body['event']
-        return Notice(cursor, event, _describe_task(task), task.id)
+def _tell_entry(
+    row: Row, positions: Positions, wanted: WatchFilter
+) -> Iterator[Notice]:
+    """Yields the notices of one entry, and moves the position on."""
+    log = row.key.partition.partition('/')[2]
+    number, taken = get_number(row), positions[log].taken
+    if log == CONFIGURATION_LOG:
+        parts = [_tell_configuration(row, wanted)]
+    else:
+        changes = read_changes(row)
+        parts = [_tell_task(event, task, wanted) for event, task in changes]
+    for index, notice in enumerate(parts):
+        if index < taken:
+            continue
+        is_last = index + 1 == len(parts)
+        positions[log] = (
+            Place(number) if is_last else Place(number - 1, index + 1)
+        )
+        if notice is not None:
+            yield attrs.evolve(notice, cursor=encode_cursor(positions))
+    positions[log] = Place(number)
+
+
+def _tell_configuration(row: Row, wanted: WatchFilter) -> Notice | None:
     kind, team, name = row.body['path'].split('/')
     if not wanted.accepts(Kind(kind), team, name):
         return None
-    plain = row.body['resource']
-    if plain is None:
+    if row.body['resource'] is None:
         gone = Metadata(name, team, get_number(row))
-        return Notice(cursor, 'deleted', _describe(Kind(kind), gone))
-    resource: Resource = structure_resource(plain)
-    metadata = resource.metadata
-    return Notice(cursor, 'applied', _describe(resource.kind, metadata))
+        return Notice('', 'deleted', _describe(Kind(kind), gone))
+    resource = structure_resource(row.body['resource'])
+    return Notice('', 'applied', _describe(resource.kind, resource.metadata))
+
+
+def _tell_task(event: str, task: Task, wanted: WatchFilter) -> Notice | None:
+    kind, team, name = task.resource.split('/')
+    if not wanted.accepts(Kind(kind), team, name):
+        return None
+    return Notice('', event, _describe_task(task), task.id)
 
 
 def _describe(
