--- a/lentilmount/daemon/web.py
+++ b/lentilmount/daemon/web.py
@@ -110,6 +110,7 @@
         self.set_status(error.answer.http)
         self.set_header('Content-Type', PROBLEM_TYPE)
         self.set_header(RAN_HEADER, error.ran.value)
+        self.set_header(REQUEST_ID_HEADER, self.request_id[:MAX_REQUEST_ID])
         if error.retry_after is not None:
             self.set_header(
                 'Retry-After', str(max(1, round(error.retry_after)))
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,246 @@
+"""Bad input: each a clear error of the closed list, and nothing lost."""
+
+from __future__ import annotations
+
+import json
+import socket
+from typing import Any
+
+import pytest
+
+from lentilmount.errors import ANSWERS, ErrorKind
+from tests.site import Site, make_job, make_service
+
+HUGE = 5 * 1024 * 1024
+
+
+def read_problem(answer: Any) -> dict[str, Any]:
+    """Checks that an answer is a problem document, and returns it."""
+    problem: dict[str, Any] = json.loads(answer.body)
+    assert answer.headers['Content-Type'] == 'application/problem+json'
+    row = ANSWERS[ErrorKind(problem['kind'])]
+    assert (problem['status'], problem['title']) == (row.http, row.title)
+    assert answer.status == row.http
+    assert problem['request'] == answer.headers['Lentilmount-Request']
+    return problem
+
+
+@pytest.mark.parametrize(
+    ('body', 'kind', 'detail'),
+    [
+        (b'', 'invalid', 'the body is empty'),
+        (b'  \n', 'invalid', 'the body is empty'),
+        (b'\xff\xfe{}', 'invalid', 'not UTF-8 at byte 0'),
+        (b'{"kind": "Job"', 'invalid', 'line 1, column'),
+        (b'[' * 100_000, 'invalid', 'nested too deeply'),
+        (b'[]', 'invalid', 'must be an object'),
+        (b'{"kind": NaN}', 'invalid', 'NaN is not a JSON number'),
+        (b'{"kind": 1, "kind": 2}', 'invalid', 'kind is given twice'),
+        (b'x' * HUGE, 'too-large', f'the body has {HUGE} bytes'),
+    ],
+)
+def test_bodies(site: Site, body: bytes, kind: str, detail: str) -> None:
+    problem = read_problem(site.send('POST', '/v1/jobs', body))
+    assert problem['kind'] == kind
+    assert detail in problem['detail']
+
+
+def test_a_huge_body_to_a_service_did_not_run(site: Site) -> None:
+    answer = site.send(
+        'POST', '/call/desk/airtime/x', b'x' * HUGE, listener='callers'
+    )
+    assert read_problem(answer)['kind'] == 'too-large'
+    assert answer.headers['Lentilmount-Ran'] == 'no'
+
+
+def test_a_body_of_unknown_length_is_cut_at_the_limit(site: Site) -> None:
+    host, port = site.daemons[0].addresses['operators'].split(':')
+    head = (
+        b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer admin\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n'
+    )
+    piece = b'100000\r\n' + b'x' * 0x100000 + b'\r\n'
+    with socket.create_connection((host, int(port)), 5) as link:
+        link.sendall(head)
+        try:
+            for _ in range(8):
+                link.sendall(piece)
+            answer = link.recv(100)
+        except ConnectionError:
+            answer = b''
+    assert answer[:12] in (b'', b'HTTP/1.1 400')
+
+
+@pytest.mark.parametrize(
+    ('spec', 'wrong'),
+    [
+        ({'colour': 'red'}, 'spec.colour'),
+        ({'demand': {'cores': 1}}, 'spec.demand.memory_mb'),
+        ({'demand': {'cores': '1', 'memory_mb': 1}}, 'spec.demand.cores'),
+        ({'demand': {'cores': True, 'memory_mb': 1}}, 'spec.demand.cores'),
+        ({'demand': {'cores': -1, 'memory_mb': 1}}, 'spec.demand.cores'),
+        ({'demand': []}, 'spec.demand'),
+        ({'expected_seconds': 0}, 'spec.expected_seconds'),
+        ({'urgency': 'now'}, 'spec.urgency'),
+        ({'payload': 5}, 'spec.payload'),
+        ({'payload': '\ud800'}, 'spec.payload'),
+        ({'zone': 'atlantis'}, 'spec.zone'),
+    ],
+)
+def test_fields(site: Site, spec: dict[str, Any], wrong: str) -> None:
+    body = json.dumps(make_job('wrong', **spec)).encode()
+    for path in ('/v1/jobs', '/v1/jobs?dry_run=1'):
+        problem = read_problem(site.send('POST', path, body))
+        assert problem['kind'] == 'invalid'
+        assert [field['field'] for field in problem['fields']] == [wrong]
+    assert site.send('GET', '/v1/jobs/desk/wrong').status == 404
+
+
+@pytest.mark.parametrize(
+    ('metadata', 'wrong'),
+    [
+        ({'name': 'x'}, 'metadata.team'),
+        ({'team': 'desk'}, 'metadata.name'),
+        ({'team': 'a/b', 'name': 'x'}, 'metadata.team'),
+        ({'team': 'desk', 'name': '../x'}, 'metadata.name'),
+        ({'team': 'desk', 'name': 'x' * 64}, 'metadata.name'),
+        ({'team': 'desk', 'name': 'x', 'revision': -1}, 'metadata.revision'),
+    ],
+)
+def test_metadata(site: Site, metadata: Any, wrong: str) -> None:
+    value = {**make_job('x'), 'metadata': metadata}
+    problem = read_problem(
+        site.send('POST', '/v1/jobs', json.dumps(value).encode())
+    )
+    assert [field['field'] for field in problem['fields']] == [wrong]
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'kind'),
+    [
+        ('GET', '/v1/boats', 'not-found'),
+        ('GET', '/v2/jobs', 'not-found'),
+        ('GET', '/v1/jobs/desk/none', 'not-found'),
+        ('GET', '/v1/jobs?limit=-1', 'invalid'),
+        ('GET', '/v1/jobs?limit=99999', 'invalid'),
+        ('GET', '/v1/jobs?limit=' + '9' * 5000, 'invalid'),
+        ('GET', '/v1/jobs?phase=asleep', 'invalid'),
+        ('GET', '/v1/timeline?cursor=x', 'invalid'),
+        ('GET', '/v1/watch?cursor=x', 'invalid'),
+        ('GET', '/v1/watch?kind=boat', 'not-found'),
+        ('PATCH', '/v1/jobs', 'method-not-allowed'),
+        ('POST', '/v1/services', 'invalid'),
+        ('POST', '/v1/jobs/desk/none/cancel', 'not-found'),
+        ('DELETE', '/v1/services/desk/none', 'not-found'),
+    ],
+)
+def test_routes(site: Site, method: str, path: str, kind: str) -> None:
+    body = b'' if method in ('POST', 'PATCH') else None
+    problem = read_problem(site.send(method, path, body))
+    assert problem['kind'] == kind
+
+
+def test_a_wrong_token(site: Site) -> None:
+    for token in ('', 'wrong', 'admin2'):
+        problem = read_problem(site.send('GET', '/v1/jobs', token=token))
+        assert problem['kind'] == 'unauthenticated'
+    basic = site.send('GET', '/v1/jobs', Authorization='Basic YTpi')
+    assert basic.status == 401
+
+
+def test_a_stale_revision_loses_and_is_told_both(site: Site) -> None:
+    """Two operators read one revision, and both send a change.
+
+    The first is accepted. The second would silently undo it, so it is
+    refused with the revision that it gave and the one in force.
+    """
+    made = site.call('POST', '/v1/services', make_service('race', 'desk'))
+    seen = made['resource']['metadata']['revision']
+
+    def change(replicas: int) -> Any:
+        value = make_service('race', 'desk', replicas=replicas)
+        value['metadata']['revision'] = seen
+        body = json.dumps(value).encode()
+        return site.send('POST', '/v1/services', body)
+
+    assert change(3).status == 201
+    problem = read_problem(change(4))
+    assert problem['kind'] == 'conflict'
+    assert problem['given_revision'] == seen
+    assert problem['current_revision'] > seen
+    kept = site.call('GET', '/v1/services/desk/race')
+    assert kept['spec']['replicas'] == 3
+    stale = site.send('DELETE', f'/v1/services/desk/race?revision={seen}')
+    assert read_problem(stale)['kind'] == 'conflict'
+
+
+def test_a_job_is_not_changed_and_its_name_not_used_again(site: Site) -> None:
+    """A job is deleted and another of the same name is sent.
+
+    Both would have the same task id, and a late word of a worker on the old
+    one could be taken for the new one's. So the name stays taken.
+    """
+    site.tool('apply', '-f', '-', '--wait', stdin=json.dumps(make_job('once')))
+    other = json.dumps(make_job('once', payload='{}')).encode()
+    assert read_problem(site.send('POST', '/v1/jobs', other))['kind'] == (
+        'conflict'
+    )
+    assert site.send('DELETE', '/v1/jobs/desk/once').status == 200
+    assert site.send('GET', '/v1/jobs/desk/once').status == 404
+    assert site.send('DELETE', '/v1/jobs/desk/once').status == 404
+    names = [
+        item['metadata']['name']
+        for item in site.call('GET', '/v1/jobs?team=desk')['items']
+    ]
+    assert 'once' not in names
+    again = json.dumps(make_job('once')).encode()
+    assert read_problem(site.send('POST', '/v1/jobs', again))['kind'] == (
+        'conflict'
+    )
+
+
+def test_pages_hold_every_job_once_whatever_the_filter(site: Site) -> None:
+    for number in range(7):
+        site.call('POST', '/v1/jobs', make_job(f'page-{number}', 'rival'))
+    site.call('POST', '/v1/jobs', make_job('pagf', 'rival'))
+    for filters in ('', '&team=rival'):
+        names: list[str] = []
+        after = ''
+        while True:
+            page = site.call(
+                'GET', f'/v1/jobs?name=page-&limit=3&after={after}{filters}'
+            )
+            names += [item['metadata']['name'] for item in page['items']]
+            after = page['next']
+            if not after:
+                break
+        assert names == [f'page-{number}' for number in range(7)]
+    workers: list[str] = []
+    after = ''
+    while True:
+        page = site.call('GET', f'/v1/workers?limit=1&after={after}')
+        workers += [item['metadata']['name'] for item in page['items']]
+        after = page['next']
+        if not after:
+            break
+    assert sorted(workers) == sorted(set(workers))
+    assert len(workers) == 4
+
+
+def test_a_slow_sender_is_cut_off(site: Site) -> None:
+    """A client sends half a header, or half a body, and no more.
+
+    Its connection is closed after the time for slow senders; without that,
+    such clients could hold all connections for good.
+    """
+    from tests.test_listeners import open_listener  # noqa: PLC0415
+
+    with open_listener(site, slow_seconds=0.2) as (host, port):
+        for sent in (
+            b'GET / HT',
+            b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nx',
+        ):
+            with socket.create_connection((host, port), 5) as link:
+                link.sendall(sent)
+                while link.recv(1000):
+                    pass
--- /dev/null
+++ b/tests/test_listeners.py
@@ -0,0 +1,219 @@
+"""Listeners: TLS, limits, and addresses that cannot be used."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+import ssl
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import pytest
+import trustme
+
+from lentilmount.daemon.draining import Drain
+from lentilmount.daemon.lifecycle import Daemon
+from lentilmount.daemon.listeners import bind, name_address, serve
+from lentilmount.daemon.security import Security
+from lentilmount.errors import SettingsError
+from lentilmount.settings import (
+    LimitSettings,
+    ListenerTlsSettings,
+    TlsSettings,
+)
+from lentilmount.upstream.http import HttpCaller
+from tests.site import Site, run_tool
+
+LOOPBACK = '127.0.0.1'
+
+
+@contextlib.contextmanager
+def open_listener(site: Site, **limits: Any) -> Iterator[tuple[str, int]]:
+    """Serves the resource API once more, with other limits."""
+    stack = contextlib.AsyncExitStack()
+    bound = bind(f'{LOOPBACK}:0', 'listen.operators')
+    app = site.daemons[0].apps['operators']
+    before = dict(app.settings)
+
+    async def start() -> None:
+        settings = LimitSettings(**limits)
+        serve(
+            stack,
+            app,
+            bound,
+            settings,
+            None,
+            lambda _: None,
+            Drain(time.monotonic),
+        )
+
+    host, port = name_address(bound).split(':')
+    site.run(start())
+    try:
+        yield host, int(port)
+    finally:
+        app.settings.update(before)
+        site.run(stack.aclose())
+
+
+def test_a_taken_port_is_told() -> None:
+    with socket.socket() as taken:
+        taken.bind((LOOPBACK, 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        with pytest.raises(SettingsError) as caught:
+            bind(f'{LOOPBACK}:{port}', 'listen.callers')
+    text = str(caught.value)
+    assert f'listen.callers: {LOOPBACK}:{port} cannot be used' in text
+    assert 'choose another address' in text
+
+
+def test_a_connection_too_many_is_closed(site: Site) -> None:
+    ask = b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n'
+    with open_listener(site, connections=2) as address:
+        links = [socket.create_connection(address, 5) for _ in range(2)]
+        for link in links:
+            link.sendall(ask)
+            assert link.recv(15).startswith(b'HTTP/1.1 200')
+        with (
+            socket.create_connection(address, 5) as third,
+            contextlib.suppress(ConnectionError),
+        ):
+            third.sendall(ask)
+            assert third.recv(100) == b''
+        for link in links:
+            link.close()
+
+
+def test_a_huge_header_is_refused(site: Site) -> None:
+    with (
+        open_listener(site, header_kb=1) as address,
+        socket.create_connection(address, 5) as link,
+    ):
+        link.sendall(b'GET /healthz HTTP/1.1\r\nX: ' + b'x' * 4096)
+        with contextlib.suppress(ConnectionError):
+            assert b'200' not in link.recv(100)
+
+
+@attrs.frozen
+class Authority:
+    """An authority, and files of certificates that it signed."""
+
+    authority: trustme.CA
+    folder: pathlib.Path
+
+    def issue(self, name: str) -> TlsSettings:
+        certificate = self.authority.issue_cert(LOOPBACK, 'localhost')
+        paths = {
+            part: self.folder / f'{name}-{part}.pem'
+            for part in ('certificate', 'key', 'authority')
+        }
+        certificate.cert_chain_pems[0].write_to_path(paths['certificate'])
+        certificate.private_key_pem.write_to_path(paths['key'])
+        self.authority.cert_pem.write_to_path(paths['authority'])
+        return TlsSettings(
+            str(paths['certificate']),
+            str(paths['key']),
+            '1.3',
+            str(paths['authority']),
+        )
+
+
+@pytest.fixture
+def authority(tmp_path: pathlib.Path) -> Authority:
+    return Authority(trustme.CA(), tmp_path)
+
+
+def test_daemons_and_operators_over_tls(
+    site: Site, authority: Authority
+) -> None:
+    """A third daemon with TLS on every listener, and a fourth as its peer.
+
+    The two find each other by mutual TLS. A client without a certificate of
+    the authority gets no connection to the peers' listener, and one that
+    speaks an older TLS than allowed gets none to the operators'.
+    """
+    tls = authority.issue('one')
+    open_to_all = attrs.evolve(tls, authority='')
+    listeners = ListenerTlsSettings(open_to_all, open_to_all, open_to_all, tls)
+
+    async def start(name: str, peers: tuple[str, ...]) -> Daemon:
+        settings = site.make_settings(name, 'lodz', tls=listeners, peers=peers)
+        return await stack.enter_async_context(Daemon(settings))
+
+    async def see(daemon: Daemon, name: str) -> None:
+        async with asyncio.timeout(10):
+            while not daemon.membership.is_up(name):
+                await asyncio.sleep(0.02)
+
+    stack = contextlib.AsyncExitStack()
+    first = site.run(start('tls-0', ()))
+    second = site.run(start('tls-1', (first.addresses['peers'],)))
+    try:
+        site.run(see(first, 'tls-1'))
+        site.run(see(second, 'tls-0'))
+        server = f'https://{first.addresses["operators"]}'
+        args = ('--server', server, '--token', 'admin', 'status')
+        told = run_tool('--authority', tls.authority, *args)
+        assert 'tls-1' in told.out, told
+        assert run_tool(*args).status == 7
+        host, _, port = first.addresses['peers'].partition(':')
+        stranger = ssl.create_default_context(cafile=tls.authority)
+        # With TLS 1.3 the client learns of its refusal after the handshake. A
+        # server that let it in would send its HTTP/2 settings at once.
+        with (
+            contextlib.suppress(OSError),
+            socket.create_connection((host, int(port)), 5) as link,
+            stranger.wrap_socket(link, server_hostname=host) as secured,
+        ):
+            assert secured.recv(100) == b''
+        host, _, port = first.addresses['operators'].partition(':')
+        stranger.maximum_version = ssl.TLSVersion.TLSv1_2
+        with (
+            pytest.raises(ssl.SSLError),
+            socket.create_connection((host, int(port)), 5) as link,
+        ):
+            stranger.wrap_socket(link, server_hostname=host)
+    finally:
+        site.run(stack.aclose())
+
+
+def test_a_renewed_certificate_is_taken(
+    site: Site, authority: Authority
+) -> None:
+    tls = authority.issue('one')
+    security = Security(ListenerTlsSettings(operators=tls))
+    other = Authority(trustme.CA(), authority.folder)
+    other.issue('one')
+    security.renew()
+    pathlib.Path(tls.key).write_text('broken')
+    with pytest.raises(SettingsError) as caught:
+        security.renew()
+    assert 'tls' in str(caught.value)
+    with pytest.raises(SettingsError) as caught:
+        Security(ListenerTlsSettings(peers=tls))
+    assert str(caught.value).startswith('tls.peers: cannot be used')
+
+
+def test_plain_http_to_a_tls_listener_gets_nothing(
+    site: Site, authority: Authority
+) -> None:
+    tls = attrs.evolve(authority.issue('one'), authority='')
+    stack = contextlib.AsyncExitStack()
+
+    async def check() -> int:
+        settings = site.make_settings(
+            'tls-2', 'lodz', tls=ListenerTlsSettings(callers=tls)
+        )
+        daemon = await stack.enter_async_context(Daemon(settings))
+        caller = HttpCaller(f'http://{daemon.addresses["callers"]}')
+        answer = await caller.call('GET', '/call/desk/airtime/x')
+        caller.close()
+        await stack.aclose()
+        return answer.status
+
+    assert site.run(check()) == 599
