--- a/lentilmount/daemon/__main__.py
+++ b/lentilmount/daemon/__main__.py
@@ -13,7 +13,8 @@
 from lentilmount.daemon.security import Security
 from lentilmount.errors import LentilmountError
 from lentilmount.logs import LEVELS, capture_libraries, make_handler
-from lentilmount.settings import Settings, read_settings
+from lentilmount.settings import Settings
+from lentilmount.settingsfile import read_settings
 from lentilmount.status import ExitStatus
 
 log = logbook.Logger('daemon')
--- a/lentilmount/daemon/reload.py
+++ b/lentilmount/daemon/reload.py
@@ -13,7 +13,7 @@
 
 log = logbook.Logger('settings')
 
-LIVE_TIMES = ('drain', 'host_list')
+LIVE_TIMES = ('drain', 'host_list', 'stop_limit')
 """Times that are read each time they are needed."""
 
 Change = Callable[[Settings], None]
--- a/lentilmount/settings.py
+++ b/lentilmount/settings.py
@@ -1,28 +1,15 @@
-"""The daemon's settings: JSON with comments, checked whole before use."""
+"""What a daemon is told before it starts."""
 
 from __future__ import annotations
 
 import ipaddress
-import pathlib
 import re
 from typing import Any
 
 import attrs
-import json5
-
-from lentilmount.codec import structure
-from lentilmount.errors import FieldProblem, InvalidError, SettingsError
-from lentilmount.lines import find_line, find_lines, find_open_comment
 
 LISTENERS = ('callers', 'operators', 'metrics', 'peers')
 
-ORDERED_TIMES = (
-    ('heartbeat', 'silence'),
-    ('sync', 'task_lease'),
-    ('task_lease', 'task_promise'),
-)
-"""Pairs of times of which the first must be shorter than the second."""
-
 
 def _check_address(
     _: object, attribute: attrs.Attribute[Any], value: str
@@ -66,7 +53,14 @@
 
 @attrs.frozen
 class ListenSettings:
-    """Where the daemon listens; port 0 lets the system choose."""
+    """Where the daemon listens: IP number and port; 0 lets the system choose.
+
+    Attributes:
+      callers: Interactive requests.
+      operators: The resource API, health and readiness.
+      metrics: Metrics.
+      peers: Other daemons.
+    """
 
     callers: str = _address('127.0.0.1:0')
     operators: str = _address('127.0.0.1:0')
@@ -96,7 +90,14 @@
 
 @attrs.frozen
 class ListenerTlsSettings:
-    """TLS of each listener; null for none."""
+    """TLS of each listener; null for none.
+
+    Attributes:
+      callers: Interactive requests.
+      operators: The resource API, health and readiness.
+      metrics: Metrics.
+      peers: Other daemons; needs an authority, which checks both sides.
+    """
 
     callers: TlsSettings | None = None
     operators: TlsSettings | None = None
@@ -113,7 +114,7 @@
       body_kb: Largest request body, in KiB.
       connections: Most connections to one listener at once.
       slow_seconds: Longest time for a header, or for a body, to arrive.
-      watches: Most watches and followed time lines at once.
+      watches: Most watches at once.
     """
 
     header_kb: int = _count(16)
@@ -125,7 +126,13 @@
 
 @attrs.frozen
 class PlatformSettings:
-    """Where the platform is."""
+    """Where the platform is: scheme, IP number and port of each service.
+
+    Attributes:
+      table: The transactional table service.
+      objects: The object store.
+      hosts: The host list.
+    """
 
     table: str = _base()
     objects: str = _base()
@@ -241,133 +248,3 @@
         default='info',
         validator=attrs.validators.in_(('debug', 'info', 'warning', 'error')),
     )
-
-
-def read_settings(path: str) -> Settings:
-    """Reads and checks a settings file.
-
-    Raises:
-      SettingsError: With every wrong field.
-    """
-    try:
-        text = pathlib.Path(path).read_text('utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f'{path}: {error}') from error
-    return parse_settings(text, path)
-
-
-def parse_settings(text: str, path: str = 'settings') -> Settings:
-    """Checks the text of a settings file; see `read_settings`."""
-    value = _parse(text, path)
-    problems: list[FieldProblem] = []
-    try:
-        settings = structure(value, Settings)
-    except InvalidError as error:
-        problems += error.fields
-    if isinstance(value, dict):
-        problems += _check_zone(value)
-        problems += _check_listeners(value)
-        problems += _check_times(value)
-    if problems:
-        raise _make_error(text, path, problems)
-    return settings
-
-
-def _parse(text: str, path: str) -> Any:
-    try:
-        return json5.loads(text, allow_duplicate_keys=False)
-    except (ValueError, RecursionError) as error:
-        problem = str(error)
-        line = find_open_comment(text)
-        if line is not None:
-            problem = (
-                f'line {line}: a comment begins with /* and never ends; '
-                f'close it with */'
-            )
-        raise SettingsError(f'{path}: {problem}') from error
-
-
-def _make_error(
-    text: str, path: str, problems: list[FieldProblem]
-) -> SettingsError:
-    lines = find_lines(text)
-    fields = [
-        attrs.evolve(problem, line=find_line(lines, problem.field))
-        for problem in problems
-    ]
-    fields.sort(key=lambda field: field.line or 0)
-    shown = '\n'.join(f'  {field}' for field in fields)
-    return SettingsError(f'{path}:\n{shown}', fields=tuple(fields))
-
-
-# What concerns several fields is checked on the plain values, so that it is
-# told together with single fields that are wrong.
-
-
-def _check_zone(value: dict[str, Any]) -> list[FieldProblem]:
-    zone, zones = value.get('zone'), value.get('zones')
-    if not isinstance(zones, list) or zone is None or zone in zones:
-        return []
-    return [
-        FieldProblem('zone', f'{zone!r} is not one of zones', 'add it there')
-    ]
-
-
-def _check_listeners(value: dict[str, Any]) -> list[FieldProblem]:
-    listen, tls = _get_object(value, 'listen'), _get_object(value, 'tls')
-    problems = []
-    for name in LISTENERS:
-        host = str(listen.get(name, '127.0.0.1:0')).rpartition(':')[0]
-        plain = not tls.get(name) and value.get('allow_plaintext') is not True
-        if plain and not _is_loopback(host):
-            problems.append(
-                FieldProblem(
-                    f'listen.{name}',
-                    f'{host} can be reached from other hosts without TLS',
-                    f'set tls.{name}, a loopback address, or '
-                    f'allow_plaintext to true',
-                )
-            )
-    peers = tls.get('peers')
-    if isinstance(peers, dict) and not peers.get('authority'):
-        problems.append(
-            FieldProblem(
-                'tls.peers',
-                'authority is missing',
-                'daemons check each other: name the authority of both',
-            )
-        )
-    return problems
-
-
-def _is_loopback(host: str) -> bool:
-    try:
-        return ipaddress.ip_address(host.strip('[]')).is_loopback
-    except ValueError:
-        # No IP number at all is told by the field's own check.
-        return True
-
-
-def _check_times(value: dict[str, Any]) -> list[FieldProblem]:
-    given = _get_object(value, 'times')
-    defaults = attrs.asdict(TimeSettings())
-    problems = []
-    for shorter, longer in ORDERED_TIMES:
-        low = given.get(shorter, defaults[shorter])
-        high = given.get(longer, defaults[longer])
-        numbers = isinstance(low, int | float) and isinstance(high, int | float)
-        if numbers and low >= high:
-            field = shorter if shorter in given else longer
-            problems.append(
-                FieldProblem(
-                    f'times.{field}',
-                    f'{shorter} is {low} and {longer} is {high}',
-                    f'{shorter} must be shorter than {longer}',
-                )
-            )
-    return problems
-
-
-def _get_object(value: dict[str, Any], name: str) -> dict[str, Any]:
-    found = value.get(name)
-    return found if isinstance(found, dict) else {}
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -128,8 +128,15 @@
     return Authority(trustme.CA(), tmp_path)
 
 
+@pytest.fixture
+def own_site() -> Iterator[Site]:
+    """A deployment of its own, whose daemons may fail to reach each other."""
+    with Site() as opened:
+        yield opened
+
+
 def test_daemons_and_operators_over_tls(
-    site: Site, authority: Authority
+    own_site: Site, authority: Authority
 ) -> None:
     """A third daemon with TLS on every listener, and a fourth as its peer.
 
@@ -142,7 +149,9 @@
     listeners = ListenerTlsSettings(open_to_all, open_to_all, open_to_all, tls)
 
     async def start(name: str, peers: tuple[str, ...]) -> Daemon:
-        settings = site.make_settings(name, 'lodz', tls=listeners, peers=peers)
+        settings = own_site.make_settings(
+            name, 'lodz', tls=listeners, peers=peers
+        )
         return await stack.enter_async_context(Daemon(settings))
 
     async def see(daemon: Daemon, name: str) -> None:
@@ -151,11 +160,11 @@
                 await asyncio.sleep(0.02)
 
     stack = contextlib.AsyncExitStack()
-    first = site.run(start('tls-0', ()))
-    second = site.run(start('tls-1', (first.addresses['peers'],)))
+    first = own_site.run(start('tls-0', ()))
+    second = own_site.run(start('tls-1', (first.addresses['peers'],)))
     try:
-        site.run(see(first, 'tls-1'))
-        site.run(see(second, 'tls-0'))
+        own_site.run(see(first, 'tls-1'))
+        own_site.run(see(second, 'tls-0'))
         server = f'https://{first.addresses["operators"]}'
         args = ('--server', server, '--token', 'admin', 'status')
         told = run_tool('--authority', tls.authority, *args)
@@ -179,7 +188,7 @@
         ):
             stranger.wrap_socket(link, server_hostname=host)
     finally:
-        site.run(stack.aclose())
+        own_site.run(stack.aclose())
 
 
 def test_a_renewed_certificate_is_taken(
@@ -213,6 +222,7 @@
         caller = HttpCaller(f'http://{daemon.addresses["callers"]}')
         answer = await caller.call('GET', '/call/desk/airtime/x')
         caller.close()
+        await daemon.stop()
         await stack.aclose()
         return answer.status
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,9 +1,31 @@
 """Settings: JSON with comments, and every wrong field at once."""
 
+import io
+import json
+import logging
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+import attrs
+import json5
+import logbook
 import pytest
 
-from lentilmount.errors import SettingsError
-from lentilmount.settings import parse_settings
+from lentilmount.access import Gate
+from lentilmount.daemon.__main__ import make_reloader
+from lentilmount.daemon.lifecycle import Daemon
+from lentilmount.errors import AccessError, SettingsError
+from lentilmount.logs import bound, capture_libraries, make_handler
+from lentilmount.settings import AccessSettings, Settings
+from lentilmount.settingsfile import parse_settings
+from lentilmount.status import ExitStatus
+from stand_ins.processes import hash_token
+
+EXAMPLE = (
+    pathlib.Path(__file__).parent.parent / 'examples' / 'lentilmountd.json'
+)
 
 GOOD = """{
   // An entry host.
@@ -35,6 +57,196 @@
     assert found == {'times.poll': 11, 'platform.objects': 8}
 
 
-def test_an_open_comment_is_told() -> None:
-    with pytest.raises(SettingsError):
-        parse_settings(GOOD + '/* open')
+def test_everything_wrong_is_told_at_once() -> None:
+    text = """{
+      "name": "", "zone": "q", "zones": ["a"], /* { "zone": */
+      "platform": {"table": "x", "objects": 3, "extra": 1},
+      "listen": {"callers": "0.0.0.0:3", "peers": "h:1"},
+      'access': [{"name": "a", "sha256": "x", "team": "t", "verbs": ["no"]},
+        {"name": 4}],
+      tls: {peers: {certificate: "a", key: "b", minimum_version: "1.0"}},
+      "times": {"poll": -1, "heartbeat": 5, "drain": NaN},
+      "zones_": "a"
+    }"""
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text)
+    found = [(f.line, f.field) for f in caught.value.fields]
+    assert sorted(found) == [
+        (2, 'name'),
+        (2, 'zone'),
+        (3, 'platform.extra'),
+        (3, 'platform.hosts'),
+        (3, 'platform.objects'),
+        (3, 'platform.table'),
+        (4, 'listen.callers'),
+        (4, 'listen.peers'),
+        (5, 'access[0].sha256'),
+        (5, 'access[0].verbs'),
+        (6, 'access[1].name'),
+        (6, 'access[1].sha256'),
+        (6, 'access[1].team'),
+        (6, 'access[1].verbs'),
+        (7, 'tls.peers'),
+        (7, 'tls.peers.minimum_version'),
+        (8, 'times.drain'),
+        (8, 'times.heartbeat'),
+        (8, 'times.poll'),
+        (9, 'zones_'),
+    ]
+
+
+@pytest.mark.parametrize(
+    ('text', 'told'),
+    [
+        (GOOD + '/* open', 'line 12: a comment begins with /* and never ends'),
+        ('', 'Empty'),
+        ('{"name": ', 'end of input'),
+        ('[]', 'must be an object'),
+        (GOOD.replace('"zone":', '"name": "x", "zone":'), 'Duplicate key'),
+    ],
+)
+def test_what_is_no_settings_file(text: str, told: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text)
+    assert told in str(caught.value)
+
+
+def test_without_tls_only_loopback_unless_told_by_name() -> None:
+    wide = GOOD.replace(
+        '"times"', '"listen": {"metrics": "0.0.0.0:1"}, "times"'
+    )
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(wide)
+    assert 'set tls.metrics, a loopback address' in str(caught.value)
+    allowed = wide.replace('"times"', '"allow_plaintext": true, "times"')
+    assert parse_settings(allowed).listen.metrics == '0.0.0.0:1'
+
+
+def list_fields(cls: Any, value: Any, path: str = '') -> list[str]:
+    """Returns the fields that a plain value lacks."""
+    missing = []
+    for name, field in attrs.fields_dict(cls).items():
+        if name not in value:
+            missing.append(path + name)
+        elif (
+            isinstance(value[name], dict)
+            and field.type
+            and attrs.has(field.type)
+        ):
+            missing += list_fields(field.type, value[name], f'{path}{name}.')
+    return missing
+
+
+def test_the_example_loads_and_names_every_field() -> None:
+    text = EXAMPLE.read_text('utf-8')
+    parse_settings(text)
+    attrs.resolve_types(Settings)
+    value = json5.loads(text)
+    assert list_fields(Settings, value) == []
+    for name in ('certificate', 'key', 'minimum_version', 'authority'):
+        assert f'"{name}"' in text
+    defaults = Settings('x', 'x', ('x',), parse_settings(GOOD).platform)
+    for field in ('times', 'limits'):
+        assert value[field] == attrs.asdict(getattr(defaults, field))
+
+
+def test_check_settings_as_a_process(tmp_path: pathlib.Path) -> None:
+    wrong = tmp_path / 'wrong.json'
+    wrong.write_text(GOOD.replace('0.5', '-1'))
+    statuses = {}
+    for path in (EXAMPLE, wrong, tmp_path / 'none.json'):
+        ended = subprocess.run(
+            [
+                *(sys.executable, '-m', 'lentilmount.daemon'),
+                *('--settings', str(path), '--check-settings'),
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        statuses[path.name] = ended.returncode
+        if path == wrong:
+            assert 'line 11, times.poll: must be > 0' in ended.stderr
+    assert statuses == {
+        'lentilmountd.json': ExitStatus.OK,
+        'wrong.json': ExitStatus.INVALID,
+        'none.json': ExitStatus.INVALID,
+    }
+
+
+def test_a_reload_takes_what_may_change_and_tells_the_rest() -> None:
+    """New settings come by SIGHUP: some may change, some need a restart.
+
+    The first file changes both kinds, the second is wrong and changes
+    nothing at all, the third differs from what is in force, which the wrong
+    one must not have become.
+    """
+    old = parse_settings(GOOD)
+    new = attrs.evolve(
+        old,
+        zone_links=5,
+        log_level='debug',
+        times=attrs.evolve(old.times, drain=9.0, poll=7.0),
+        access=(AccessSettings('a', hash_token('t'), 'x', ('read',)),),
+    )
+    files: list[Settings | Exception] = [
+        new,
+        SettingsError('wrong'),
+        attrs.evolve(new, log_level='error'),
+    ]
+
+    def read() -> Settings:
+        given = files.pop(0)
+        if isinstance(given, Exception):
+            raise given
+        return given
+
+    daemon = Daemon(old)
+    handler = make_handler('text', 'info', io.StringIO())
+    reloader = make_reloader(daemon, read, handler)
+    with pytest.raises(AccessError):
+        daemon.gate.admit('Bearer t')
+    with logbook.TestHandler() as log:
+        assert reloader.reload() == ('times.poll', 'zone_links')
+        assert log.has_warning('Only a restart changes times.poll, zone_links.')
+    assert daemon.gate.admit('Bearer t').team == 'x'
+    assert daemon.settings.times.drain == 9.0
+    assert daemon.settings.times.poll == old.times.poll
+    assert handler.level == logbook.DEBUG
+    with logbook.TestHandler() as log:
+        assert reloader.reload() == ()
+        assert log.has_error('The settings stay as they were: wrong')
+    assert handler.level == logbook.DEBUG
+    assert reloader.reload() == ('times.poll', 'zone_links')
+    assert handler.level == logbook.ERROR
+
+
+def test_log_lines_carry_ids_and_libraries_log_the_same_way() -> None:
+    text, lines = io.StringIO(), io.StringIO()
+    log = logbook.Logger('part')
+    with make_handler('text', 'info', text), bound(request='r1'):
+        log.info('It went {}.', 'well', extra={'task': 'Job/a/b/0'})
+        log.debug('Not shown.')
+    assert text.getvalue().endswith(
+        'INFO    part: It went well. [request=r1 task=Job/a/b/0]\n'
+    )
+    with make_handler('json', 'info', lines), capture_libraries():
+        log.info('After.')
+        logging.getLogger('tornado.general').warning('Old style.')
+        try:
+            raise ValueError('reason')
+        except ValueError:
+            log.exception('It failed.')
+    after, library, failed = map(json.loads, lines.getvalue().splitlines())
+    assert 'request' not in after
+    assert after['part'] == 'part'
+    assert library['part'] == 'tornado.general'
+    assert 'ValueError: reason' in failed['trace']
+
+
+def test_tokens_are_compared_by_hash() -> None:
+    gate = Gate([AccessSettings('a', hash_token('secret'), '*', ('read',))])
+    assert gate.admit('bearer secret').name == 'a'
+    for header in ('', 'Bearer', 'secret', f'Bearer {hash_token("secret")}'):
+        with pytest.raises(AccessError):
+            gate.admit(header)
