--- a/lentilmount/resources.py
+++ b/lentilmount/resources.py
@@ -100,7 +100,13 @@
 
 @attrs.frozen
 class Room:
-    """An amount of processors, memory and accelerators, which may be none."""
+    """An amount of processors, memory and accelerators, which may be none.
+
+    Attributes:
+      cores: Processors, in whole or part.
+      memory_mb: Memory in MiB.
+      accelerators: Whole accelerators.
+    """
 
     cores: float = 0.0
     memory_mb: int = 0
@@ -184,6 +190,12 @@
     zone: str = ''
 
 
+def _check_quota(_: object, __: object, quota: Room) -> None:
+    # What is left of a worker may be negative in between; a quota may not.
+    if min(quota.cores, quota.memory_mb, quota.accelerators) < 0:
+        raise ValueError('must not be negative')
+
+
 @attrs.frozen
 class TeamSpec:
     """A team's share.
@@ -194,7 +206,9 @@
       requests_per_second: Limit of interactive requests; 0 for none.
     """
 
-    quota: Room = Room(1e9, 2**40, 2**20)
+    quota: Room = attrs.field(
+        default=Room(1e9, 2**40, 2**20), validator=_check_quota
+    )
     weight: float = _positive(1.0)
     requests_per_second: float = _not_negative(0.0)
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -140,6 +140,18 @@
     assert problem['kind'] == kind
 
 
+def test_a_negative_quota(site: Site) -> None:
+    value = {
+        'kind': 'Team',
+        'metadata': {'name': 'desk'},
+        'spec': {'quota': {'cores': -1}},
+    }
+    problem = read_problem(
+        site.send('POST', '/v1/teams', json.dumps(value).encode())
+    )
+    assert [field['field'] for field in problem['fields']] == ['spec.quota']
+
+
 def test_a_wrong_token(site: Site) -> None:
     for token in ('', 'wrong', 'admin2'):
         problem = read_problem(site.send('GET', '/v1/jobs', token=token))
