--- a/lentilmount/daemon/callers.py
+++ b/lentilmount/daemon/callers.py
@@ -9,10 +9,14 @@
 from lentilmount.access import Gate, Verb
 from lentilmount.daemon.web import Handler, NoRouteHandler
 from lentilmount.errors import FieldProblem, InvalidError
-from lentilmount.routing.forward import Call, filter_headers
+from lentilmount.routing.forward import (
+    TIMEOUT_HEADER,
+    Call,
+    Reply,
+    filter_headers,
+)
 from lentilmount.routing.router import Router
 
-DEADLINE_HEADER = 'Lentilmount-Timeout-Ms'
 IDEMPOTENT_HEADER = 'Lentilmount-Idempotent'
 IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS'})
 
@@ -20,12 +24,17 @@
 
 
 class CallHandler(Handler):
-    """Routes one request to a service."""
+    """Routes one request to a service.
+
+    Attributes:
+      gone: Whether the caller closed its connection.
+    """
 
     def initialize(self, gate: Gate, router: Router) -> None:  # type: ignore[override]
         """Keeps the router."""
         super().initialize(gate)
         self.router = router
+        self.gone = False
 
     async def respond(self, team: str, service: str, path: str) -> None:
         """Answers with what the upstream answered."""
@@ -39,14 +48,25 @@
             headers=tuple(filter_headers(self.request.headers.get_all())),
             body=self.request.body,
             idempotent=self._is_idempotent(),
+            is_gone=lambda: self.gone,
         )
         reply = await self.router.route(call, self._read_timeout())
+        if not self.gone:
+            self._pass_on(reply)
+
+    def _pass_on(self, reply: Reply) -> None:
         self.set_status(reply.status)
         self.clear_header('Content-Type')
+        for name in {name for name, _ in reply.headers}:
+            self.clear_header(name)
         for name, value in reply.headers:
-            self.set_header(name, value)
+            self.add_header(name, value)
         self.finish(reply.body)
 
+    def on_connection_close(self) -> None:
+        """Takes note that the caller left; called by tornado."""
+        self.gone = True
+
     get = head = post = put = delete = patch = options = respond
 
     def _is_idempotent(self) -> bool:
@@ -61,7 +81,7 @@
         return _BOOLEANS[given]
 
     def _read_timeout(self) -> float | None:
-        given = self.request.headers.get(DEADLINE_HEADER)
+        given = self.request.headers.get(TIMEOUT_HEADER)
         if given is None:
             return None
         try:
@@ -70,9 +90,9 @@
             millis = 0.0
         if not 0 < millis < float('inf'):
             raise InvalidError(
-                f'{DEADLINE_HEADER} must be a positive number of '
+                f'{TIMEOUT_HEADER} must be a positive number of '
                 f'milliseconds, not {given!r}',
-                fields=(FieldProblem(DEADLINE_HEADER, 'not positive'),),
+                fields=(FieldProblem(TIMEOUT_HEADER, 'not positive'),),
             )
         return millis / 1000
 
--- /dev/null
+++ b/lentilmount/daemon/gossip.py
@@ -0,0 +1,49 @@
+"""What heartbeats carry of the entry path: loads and leaving marks."""
+
+from __future__ import annotations
+
+from lentilmount.routing.leaving import Mark
+from lentilmount.routing.loads import LoadReport
+from lentilmount.routing.pools import Pools
+from lentilmount.wire import peer_pb2
+
+
+class Gossip:
+    """Writes and reads the routing's part of a heartbeat."""
+
+    def __init__(self, pools: Pools):
+        self._pools = pools
+
+    def write(
+        self, message: peer_pb2.Heartbeat, zone: str, told: set[Mark]
+    ) -> None:
+        """Adds what a peer has to know.
+
+        Args:
+          message: The heartbeat.
+          zone: The peer's availability zone; '' before it is known.
+          told: The marks that were told on this stream; gets the new ones.
+        """
+        for mark in self._pools.marks.list_marks():
+            if mark not in told:
+                told.add(mark)
+                message.leaving.add(worker=mark.worker, boot=mark.boot)
+        if not zone:
+            return
+        for report in self._pools.list_loads(zone):
+            message.loads.add(
+                source=report.source,
+                service=report.service,
+                counts=report.counts,
+            )
+
+    def read(self, message: peer_pb2.Heartbeat) -> None:
+        """Takes in what a peer told."""
+        for leaving in message.leaving:
+            mark = Mark(leaving.worker, leaving.boot)
+            self._pools.mark_leaving(mark, message.sender.name)
+        if message.loads:
+            self._pools.take_loads(
+                LoadReport(load.source, load.service, load.counts)
+                for load in message.loads
+            )
--- a/lentilmount/daemon/heartbeats.py
+++ b/lentilmount/daemon/heartbeats.py
@@ -11,6 +11,8 @@
 
 from lentilmount.clock import HybridClock, Stamp
 from lentilmount.coordination.membership import Beat, Member, Membership
+from lentilmount.daemon.gossip import Gossip
+from lentilmount.routing.leaving import Mark
 from lentilmount.wire import peer_pb2
 
 BEATS_BEHIND = 1
@@ -97,6 +99,7 @@
       ids: Ids of the members that this end described.
       sequences: What this end told of slices.
       services: What this end told of services in slices.
+      marks: Leaving marks that this end told.
     """
 
     peer: int = 0
@@ -105,6 +108,7 @@
     ids: set[int] = attrs.Factory(set)
     sequences: dict[str, int] = attrs.Factory(dict)
     services: dict[str, int] = attrs.Factory(dict)
+    marks: set[Mark] = attrs.Factory(set)
 
     def hear(self, known: Iterable[Member | Beat]) -> None:
         """Takes note of what the other end knows."""
@@ -156,6 +160,7 @@
       hybrid: The clock of the time line.
       get_news: Returns what this daemon tells.
       take_news: Takes what a peer told.
+      gossip: Writes and reads what concerns the entry path.
     """
 
     def __init__(
@@ -164,11 +169,13 @@
         hybrid: HybridClock,
         get_news: Callable[[], News],
         take_news: Callable[[News], None],
+        gossip: Gossip | None = None,
     ):
         self._membership = membership
         self._hybrid = hybrid
         self._get_news = get_news
         self._take_news = take_news
+        self._gossip = gossip
 
     def write(self, told: Told) -> peer_pb2.Heartbeat:
         """Builds the next heartbeat of a stream."""
@@ -182,7 +189,7 @@
                 if self._membership.is_up(member.name)
             ]
         )
-        return peer_pb2.Heartbeat(
+        message = peer_pb2.Heartbeat(
             sender=write_member(self._membership.me),
             revision=news.revision,
             members=[write_member(member) for member in new],
@@ -196,6 +203,9 @@
                 told.services, _choose(news.services, names)
             ),
         )
+        if self._gossip is not None:
+            self._gossip.write(message, told.zone, told.marks)
+        return message
 
     def read(self, message: peer_pb2.Heartbeat, told: Told) -> None:
         """Takes in a heartbeat."""
@@ -208,6 +218,8 @@
         self._membership.observe([sender, *members])
         self._membership.advance(beats)
         self._hybrid.observe(Stamp(message.stamp_millis, message.stamp_counter))
+        if self._gossip is not None:
+            self._gossip.read(message)
         self._take_news(
             News(
                 message.revision,
--- a/lentilmount/daemon/lifecycle.py
+++ b/lentilmount/daemon/lifecycle.py
@@ -26,7 +26,9 @@
 from lentilmount.daemon.api import Api
 from lentilmount.daemon.callers import make_callers_app
 from lentilmount.daemon.draining import Drain
+from lentilmount.daemon.feed import WorkerFeed
 from lentilmount.daemon.follower import Follower
+from lentilmount.daemon.gossip import Gossip
 from lentilmount.daemon.heartbeats import News
 from lentilmount.daemon.housekeeping import run_housekeeping
 from lentilmount.daemon.listeners import bind, name_address, serve
@@ -100,8 +102,10 @@
             self.directory,
             self.configuration,
             self._forwarder,
-            RouterOptions(settings.zone, settings.entry_hosts),
+            RouterOptions(settings.zone, settings.name, settings.entry_hosts),
             clock.monotonic,
+            self.events,
+            count_daemons=lambda: len(self.membership.list_up()),
         )
         incarnation = int(time.time() * 1000)
         self.membership = Membership(
@@ -128,7 +132,9 @@
             self._take_news,
             clock.monotonic,
             self.security.peer_client,
+            Gossip(self.router.pools),
         )
+        self.router.pools.on_mark = self._peers.push
         self._follower = Follower(
             self.table,
             self.configuration,
@@ -183,6 +189,7 @@
                 self._peers.run(),
                 self.manager.run(),
                 self._watch_hosts(),
+                WorkerFeed(self.manager, self.router.pools).run(),
                 self._registry.run(),
                 self._watch_eligibility(),
                 run_housekeeping(self.table, self._is_housekeeper),
@@ -297,6 +304,7 @@
         while True:
             with contextlib.suppress(LentilmountError):
                 self.manager.hosts = await self._hosts.list_hosts()
+                self.router.pools.take_hosts(self.manager.hosts)
             await asyncio.sleep(self.settings.times.host_list)
 
     async def _watch_eligibility(self) -> None:
--- a/lentilmount/daemon/peers.py
+++ b/lentilmount/daemon/peers.py
@@ -20,6 +20,7 @@
 from lentilmount.codec import encode
 from lentilmount.coordination.membership import Member, Membership
 from lentilmount.coordination.mesh import choose_partners
+from lentilmount.daemon.gossip import Gossip
 from lentilmount.daemon.heartbeats import Courier, News, converse
 from lentilmount.events import EventKind, EventLog
 from lentilmount.queries.timeline import EventFilter, select_events
@@ -75,6 +76,7 @@
       take_news: Takes what a peer told.
       monotonic: The clock for durations.
       tls: How calls to peers are secured, or None.
+      gossip: What heartbeats carry of the entry path.
     """
 
     def __init__(
@@ -86,11 +88,14 @@
         take_news: Callable[[News], None],
         monotonic: Callable[[], float],
         tls: ssl.SSLContext | None = None,
+        gossip: Gossip | None = None,
     ):
         self._membership = membership
         self._events = events
         self._options = options
-        self._courier = Courier(membership, events.hybrid, get_news, take_news)
+        self._courier = Courier(
+            membership, events.hybrid, get_news, take_news, gossip
+        )
         self._monotonic = monotonic
         self._tls = tls
         self._urgent = asyncio.Event()
--- a/lentilmount/routing/directory.py
+++ b/lentilmount/routing/directory.py
@@ -21,6 +21,8 @@
       address: IP number and port where it serves.
       zone: Its availability zone.
       worker: The worker that it runs on.
+      boot: The boot of that worker.
+      slice_name: The slice that told of it.
     """
 
     task: str
@@ -28,28 +30,47 @@
     address: str
     zone: str
     worker: str
+    boot: str = ''
+    slice_name: str = ''
 
     @property
     def service(self) -> str:
         """The service, as team/name."""
         return self.task.partition('/')[2].rpartition('/')[0]
 
+    @property
+    def number(self) -> int:
+        """Its number among the replicas of the service."""
+        return int(self.task.rpartition('/')[2])
+
+    @property
+    def resource(self) -> str:
+        """Its name as a resource of the kind Upstream, without the team."""
+        return self.task.split('/', 2)[2].replace('/', '.')
+
 
 class Directory:
-    """Upstreams by service; changed by what the slices' logs say."""
+    """Upstreams by service; changed by what the slices' logs say.
+
+    Attributes:
+      version: Raised with each change.
+    """
 
     def __init__(self) -> None:
+        self.version = 0
         self._upstreams: dict[str, dict[str, Upstream]] = {}
         self._attempts: dict[str, int] = {}
 
     def load(self, slice_name: str, tasks: Iterable[Task]) -> None:
         """Replaces what is known of a slice."""
-        zone = get_zone(slice_name)
+        tasks = list(tasks)
         present = {task.id for task in tasks}
         for service in self._upstreams.values():
             for upstream in list(service.values()):
-                if upstream.zone == zone and upstream.task not in present:
+                gone = upstream.task not in present
+                if upstream.slice_name == slice_name and gone:
                     del service[upstream.task]
+        self.version += 1
         for task in tasks:
             self.update(slice_name, task)
 
@@ -60,6 +81,7 @@
         if task.attempt < self._attempts.get(task.id, 0):
             return
         self._attempts[task.id] = task.attempt
+        self.version += 1
         name = task.resource.partition('/')[2]
         service = self._upstreams.setdefault(name, {})
         if task.phase is Phase.RUNNING and task.endpoint:
@@ -69,6 +91,8 @@
                 task.endpoint,
                 get_zone(slice_name),
                 task.worker,
+                task.boot,
+                slice_name,
             )
         else:
             service.pop(task.id, None)
--- /dev/null
+++ b/lentilmount/routing/ejection.py
@@ -0,0 +1,140 @@
+"""Keeping traffic from upstreams that fail, stall or are far too slow.
+
+SERVING -> EJECTED for a while that doubles -> RETURNING, with one request at
+a time and a rising share of the traffic -> SERVING. Never more than a set
+share of a service's upstreams is ejected: where most look bad, the cause is
+elsewhere, and the rest would be crushed.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+import attrs
+
+MOST_EJECTED_SHARE = 0.3
+FAILURES = 5
+"""Failures in a row that eject."""
+
+SLOW_FACTOR = 3.0
+"""Ratio to the median of the service's upstreams that ejects."""
+
+STALL_FACTOR = 4.0
+"""Time without any answer, as a multiple of the service's high quantile."""
+
+LEAST_STALL_SECONDS = 0.1
+EJECT_SECONDS = 2.0
+MOST_EJECT_SECONDS = 60.0
+RETURN_SECONDS = 5.0
+FIRST_SHARE = 0.05
+JITTER = 0.2
+
+
+class State(enum.Enum):
+    """How an upstream stands."""
+
+    SERVING = 'serving'
+    EJECTED = 'ejected'
+    RETURNING = 'returning'
+
+
+@attrs.define
+class Health:
+    """One upstream's state.
+
+    Attributes:
+      state: How it stands.
+      until: Monotonic time when the state ends by itself.
+      failures: Failures in a row.
+      ejections: Ejections without a full return in between.
+    """
+
+    state: State = State.SERVING
+    until: float = 0.0
+    failures: int = 0
+    ejections: int = 0
+
+    def advance(self, now: float) -> None:
+        """Moves on when the time of a state is over."""
+        if self.state is State.SERVING or now < self.until:
+            return
+        if self.state is State.EJECTED:
+            self.state = State.RETURNING
+            self.until = now + RETURN_SECONDS
+            self.failures = 0
+        else:
+            self.state = State.SERVING
+            self.ejections = 0
+
+    def get_share(self, now: float) -> float:
+        """Returns the share of its traffic that an upstream gets now."""
+        if self.state is State.SERVING:
+            return 1.0
+        if self.state is State.EJECTED:
+            return 0.0
+        return max(FIRST_SHARE, 1.0 - (self.until - now) / RETURN_SECONDS)
+
+    def eject(self, now: float, chance: random.Random) -> None:
+        """Ejects, for longer each time."""
+        seconds = min(MOST_EJECT_SECONDS, EJECT_SECONDS * 2.0**self.ejections)
+        # Daemons that ejected together would also come back together.
+        seconds *= chance.uniform(1 - JITTER, 1 + JITTER)
+        self.state = State.EJECTED
+        self.until = now + seconds
+        self.ejections += 1
+        self.failures = 0
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether its failures in a row are too many."""
+        if self.state is State.RETURNING:
+            return self.failures > 0
+        return self.failures >= FAILURES
+
+
+class Ejectable(Protocol):
+    """What an upstream's ejection is judged by."""
+
+    @property
+    def health(self) -> Health:
+        """Its state."""
+
+    @property
+    def recent(self) -> float:
+        """Smoothed seconds of its answers; 0 where there is none."""
+
+    def get_silence(self, now: float) -> float:
+        """Returns the seconds that it has owed an answer."""
+
+
+def has_room(healths: Sequence[Health]) -> bool:
+    """Tells whether one more of these may be ejected."""
+    out = sum(health.state is State.EJECTED for health in healths)
+    return out + 1 <= max(1, int(len(healths) * MOST_EJECTED_SHARE)) and (
+        len(healths) > 1
+    )
+
+
+def find_fault(
+    target: Ejectable, median: float, high: float, now: float
+) -> str:
+    """Tells why an upstream should be ejected; '' if it should not.
+
+    Args:
+      target: The upstream.
+      median: Median of the smoothed times of the service's upstreams.
+      high: High quantile of the service's times; 0 if unknown.
+      now: Monotonic time.
+    """
+    if target.health.is_failing:
+        return 'it fails'
+    if high:
+        stall = max(LEAST_STALL_SECONDS, high * STALL_FACTOR)
+        if target.get_silence(now) > stall:
+            return 'it does not answer'
+    if median and target.recent > median * SLOW_FACTOR:
+        return 'it is slow'
+    return ''
--- a/lentilmount/routing/forward.py
+++ b/lentilmount/routing/forward.py
@@ -3,24 +3,34 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Protocol
 
 import attrs
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
 
 from lentilmount.errors import RAN_HEADER
-from lentilmount.upstream.http import CONNECT_SECONDS
 
 REQUEST_HEADER = 'Lentilmount-Request'
 SERVICE_HEADER = 'Lentilmount-Service'
+TIMEOUT_HEADER = 'Lentilmount-Timeout-Ms'
+LEAVING_HEADER = 'Lentilmount-Leaving'
+
 MAX_CLIENTS = 512
-"""Most requests in flight; the client makes a 4 KiB handle for each at once."""
+"""Most requests in flight for each connection share; libcurl's handles are
+made beforehand and take memory.
+"""
 
-_NEVER_SENT = frozenset(
-    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
-)
+CONNECT_SECONDS = 0.25
+"""Round trips within a region take a few milliseconds."""
+
+DISTRUST_SECONDS = 130.0
+"""Longer than libcurl keeps an idle connection (118 s)."""
+
+KEPT_CONNECTIONS = 1024
 
 _HOP_BY_HOP = frozenset(
     {
@@ -38,6 +48,8 @@
     }
 )
 
+_BODILESS = frozenset({204, 304})
+
 
 class Result(enum.Enum):
     """What became of a request at an upstream."""
@@ -47,6 +59,10 @@
     UNKNOWN = 'unknown'
 
 
+def _never() -> bool:
+    return False
+
+
 @attrs.frozen
 class Call:
     """A caller's request.
@@ -59,6 +75,7 @@
       headers: The caller's headers.
       body: The whole body.
       idempotent: Whether running it twice does no harm.
+      is_gone: Tells whether the caller has left.
     """
 
     id: str
@@ -68,6 +85,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
     idempotent: bool = False
+    is_gone: Callable[[], bool] = attrs.field(default=_never, eq=False)
 
 
 @attrs.frozen
@@ -80,6 +98,9 @@
       headers: Headers that go to the caller.
       body: The whole body.
       error: Why there is no answer.
+      is_busy: Whether the upstream refused it.
+      is_late: Whether the time ran out.
+      is_leaving: Whether the upstream says that it is going away.
     """
 
     result: Result
@@ -87,46 +108,90 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
     error: str = ''
+    is_busy: bool = False
+    is_late: bool = False
+    is_leaving: bool = False
 
 
 class Forwarder(Protocol):
     """What sends requests to upstreams."""
 
-    async def send(self, address: str, call: Call, timeout: float) -> Reply:
-        """Sends a call to an upstream; never raises."""
+    async def send(
+        self, address: str, call: Call, timeout: float, connections: int
+    ) -> Reply:
+        """Sends a call to an upstream; never raises.
+
+        Args:
+          address: IP number and port.
+          call: The request.
+          timeout: Seconds until the caller's deadline.
+          connections: Most connections of this daemon to the address.
+        """
+
+
+class _Client(CurlAsyncHTTPClient):
+    """The curl client, which also tells whether a failed request was sent."""
 
+    def limit(self, connections: int) -> None:
+        """Limits the connections to each address, idle ones included."""
+        self._multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, connections)
+        # libcurl's default follows the requests in flight and would close
+        # most idle connections when traffic is low.
+        self._multi.setopt(pycurl.M_MAXCONNECTS, KEPT_CONNECTIONS)
 
-def _force_fresh_connection(curl: Any) -> None:
+    def fetch_impl(
+        self, request: HTTPRequest, callback: Callable[[HTTPResponse], None]
+    ) -> None:
+        """Adds the times of the transfer to the error, if there is one."""
+
+        def add_times(response: HTTPResponse) -> None:
+            if isinstance(response.error, CurlError):
+                response.error.response = response
+            callback(response)
+
+        super().fetch_impl(request, add_times)
+
+
+def _use_once(curl: Any) -> None:
     # libcurl sends a request again by itself when a kept-alive connection
     # turns out dead before any byte of the answer. The upstream may have run
     # the first copy, so a non-idempotent request would run twice. On a fresh
-    # connection there is no such second try.
+    # connection there is no such second try. It is closed after use, so that
+    # such connections do not push out the kept ones.
     curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
 
 
 class CurlForwarder:
-    """Sends requests with the curl client."""
+    """Sends requests with the curl client.
 
-    def __init__(self) -> None:
-        self._client = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
-        )
+    A connection is used again only for idempotent requests to upstreams whose
+    answers name the request that they answer. Without the name, an upstream
+    that answered twice would have its second answer taken for the answer to
+    the next request on that connection.
+    """
 
-    async def send(self, address: str, call: Call, timeout: float) -> Reply:
+    def __init__(self) -> None:
+        self._clients: dict[int, _Client] = {}
+        self._naming: set[str] = set()
+        self._distrusted: dict[str, float] = {}
+
+    def _get_client(self, connections: int) -> _Client:
+        if connections not in self._clients:
+            client = _Client(force_instance=True, max_clients=MAX_CLIENTS)
+            client.limit(connections)
+            self._clients[connections] = client
+        return self._clients[connections]
+
+    async def send(
+        self, address: str, call: Call, timeout: float, connections: int
+    ) -> Reply:
         """See `Forwarder`."""
+        client = self._get_client(connections)
         request = HTTPRequest(
             f'http://{address}/{call.path}',
             method=call.method,
-            headers=dict(
-                [
-                    *call.headers,
-                    (REQUEST_HEADER, call.id),
-                    (SERVICE_HEADER, call.service),
-                    # libcurl would wait for the upstream's word before it
-                    # sends a large body.
-                    ('Expect', ''),
-                ]
-            ),
+            headers=_make_headers(call, timeout),
             body=call.body if call.body or call.method != 'GET' else None,
             connect_timeout=min(timeout, CONNECT_SECONDS),
             request_timeout=timeout,
@@ -134,42 +199,132 @@
             allow_nonstandard_methods=True,
             decompress_response=False,
             prepare_curl_callback=None
-            if call.idempotent
-            else _force_fresh_connection,
+            if call.idempotent and self._is_reusable(address, client)
+            else _use_once_or_keep(call),
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await client.fetch(request, raise_error=False)
         except CurlError as error:
             return _make_failure(error)
-        echoed = response.headers.get(REQUEST_HEADER)
-        if echoed is not None and echoed != call.id:
+        except ValueError as error:
+            # A header that HTTP cannot carry; found before connecting.
+            return Reply(Result.NOT_RUN, error=str(error))
+        return self._read_answer(address, call, client, response)
+
+    def _is_reusable(self, address: str, client: _Client) -> bool:
+        until = self._distrusted.get(address)
+        if until is not None:
+            if client.io_loop.time() < until:
+                return False
+            del self._distrusted[address]
+        return address in self._naming
+
+    def _read_answer(
+        self, address: str, call: Call, client: _Client, response: HTTPResponse
+    ) -> Reply:
+        headers = response.headers
+        named = headers.get(REQUEST_HEADER)
+        leaving = headers.get(LEAVING_HEADER) == 'true'
+        if named is None:
+            self._naming.discard(address)
+        elif named != call.id:
+            until = client.io_loop.time() + DISTRUST_SECONDS
+            self._distrusted[address] = until
             return Reply(
                 Result.UNKNOWN, error='the answer is to another request'
             )
-        if response.headers.get(RAN_HEADER) == 'no':
-            return Reply(Result.NOT_RUN, error='the upstream refused it')
+        else:
+            self._naming.add(address)
+        if headers.get(RAN_HEADER) == 'no':
+            return Reply(
+                Result.NOT_RUN,
+                error='the upstream refused it',
+                is_busy=True,
+                is_leaving=leaving,
+            )
+        if not _is_whole(call.method, response):
+            return Reply(
+                Result.UNKNOWN,
+                error='the answer has no length, so it may be cut short',
+                is_leaving=leaving,
+            )
         return Reply(
             Result.ANSWERED,
             response.code,
-            tuple(filter_headers(response.headers.get_all())),
+            tuple(filter_headers(headers.get_all())),
             response.body or b'',
+            is_leaving=leaving,
         )
 
     def close(self) -> None:
         """Closes the connections."""
-        self._client.close()
+        for client in self._clients.values():
+            client.close()
 
 
-def _make_failure(error: CurlError) -> Reply:
-    never_sent = error.errno in _NEVER_SENT
-    result = Result.NOT_RUN if never_sent else Result.UNKNOWN
-    return Reply(result, error=str(error))
+def _keep_after(curl: Any) -> None:
+    # The first idempotent request to an address: nothing is known of its
+    # answers yet, but the connection may serve later ones.
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
+def _use_once_or_keep(call: Call) -> Callable[[Any], None]:
+    return _keep_after if call.idempotent else _use_once
+
+
+def _make_headers(call: Call, timeout: float) -> HTTPHeaders:
+    headers = HTTPHeaders()
+    for name, value in call.headers:
+        headers.add(name, value)
+    headers[REQUEST_HEADER] = call.id
+    headers[SERVICE_HEADER] = call.service
+    headers[TIMEOUT_HEADER] = str(max(1, int(timeout * 1000)))
+    # libcurl would wait for the upstream's word before it sends a large body.
+    headers['Expect'] = ''
+    return headers
+
 
+def _is_whole(method: str, response: HTTPResponse) -> bool:
+    """Tells whether a cut would have been noticed.
 
-def filter_headers(headers: Any) -> list[tuple[str, str]]:
+    An answer that ends with its connection looks the same when the upstream
+    dies in the middle of it. With a length or chunks libcurl reports that.
+    """
+    if method == 'HEAD' or response.code in _BODILESS:
+        return True
+    headers = response.headers
+    coding = headers.get('Transfer-Encoding', '').lower()
+    return 'Content-Length' in headers or coding.endswith('chunked')
+
+
+_BEFORE_SENDING = frozenset(
+    {
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_OPERATION_TIMEDOUT,
+    }
+)
+
+
+def _make_failure(error: CurlError) -> Reply:
+    # The kind of error is not enough: when a kept-alive connection died after
+    # the request went out, and the second connection was refused, libcurl
+    # reports only the refusal. The time until sending adds up over both, so
+    # it is zero only if nothing was ever sent.
+    times = error.response.time_info if error.response else {}
+    unsent = times.get('pretransfer', 1.0) == 0.0
+    never_sent = unsent and error.errno in _BEFORE_SENDING
+    return Reply(
+        Result.NOT_RUN if never_sent else Result.UNKNOWN,
+        error=str(error),
+        is_late=error.errno == pycurl.E_OPERATION_TIMEDOUT,
+    )
+
+
+def filter_headers(
+    headers: Iterable[tuple[str, str]],
+) -> Iterator[tuple[str, str]]:
     """Leaves out the headers that belong to one connection."""
-    return [
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_BY_HOP
-    ]
+    for name, value in headers:
+        if name.lower() not in _HOP_BY_HOP:
+            yield name, value
--- /dev/null
+++ b/lentilmount/routing/pool.py
@@ -0,0 +1,224 @@
+"""The upstreams of one service: taking one, giving it back, reviewing all."""
+
+from __future__ import annotations
+
+import random
+import statistics
+from collections.abc import Callable, Collection, Iterable
+
+import attrs
+
+from lentilmount.events import EventKind, EventLog
+from lentilmount.resources import ServiceSpec
+from lentilmount.routing.balance import Balancer, choose_by_zone
+from lentilmount.routing.directory import Upstream
+from lentilmount.routing.ejection import State, find_fault, has_room
+from lentilmount.routing.forward import Reply, Result
+from lentilmount.routing.hedges import RecentTimes
+from lentilmount.routing.queue import WaitQueue
+from lentilmount.routing.retries import Budget
+from lentilmount.routing.target import Target
+
+REVIEW_SECONDS = 0.1
+FAILED_STATUSES = frozenset({500, 502, 503, 504})
+
+
+@attrs.frozen
+class PoolOptions:
+    """What a pool is told of its daemon.
+
+    Attributes:
+      daemon: The daemon's name.
+      zone: Its availability zone.
+      seats: Daemons among which connections are shared.
+    """
+
+    daemon: str
+    zone: str
+    seats: int
+
+
+class Pool:
+    """One service's upstreams on this daemon.
+
+    Attributes:
+      spec: What the service declares.
+      targets: Every upstream, leaving ones included, by task.
+      waiting: Requests that wait for an upstream.
+      retries: What may be spent on retries.
+      hedges: What may be spent on hedges.
+      times: Times of recent answers.
+      in_flight: Requests at all of its upstreams.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        spec: ServiceSpec,
+        options: PoolOptions,
+        balancer: Balancer,
+        events: EventLog,
+        chance: random.Random,
+    ):
+        self.spec = spec
+        self.targets: dict[str, Target] = {}
+        self.waiting = WaitQueue(name)
+        self.retries = Budget()
+        self.hedges = Budget()
+        self.times = RecentTimes()
+        self.in_flight = 0
+        self._options = options
+        self._balancer = balancer
+        self._events = events
+        self._chance = chance
+        self._local: list[Target] = []
+        self._remote: list[Target] = []
+        self._spill = 0.0
+        self._next_review = 0.0
+
+    def update(
+        self,
+        spec: ServiceSpec,
+        spill: float,
+        upstreams: Iterable[Upstream],
+        is_closed: Callable[[Upstream], bool],
+    ) -> None:
+        """Takes in what is in force and which upstreams there are.
+
+        Args:
+          spec: What the service declares.
+          spill: Seconds by which another zone must be faster.
+          upstreams: Every upstream.
+          is_closed: Tells whether an upstream gets no new work.
+        """
+        self.spec = spec
+        self._spill = spill
+        before, self.targets = self.targets, {}
+        for upstream in upstreams:
+            target = before.get(upstream.task)
+            if target is None or target.upstream.attempt != upstream.attempt:
+                target = self._make_target(upstream)
+            target.upstream = upstream
+            target.resize(spec.slots, self.share)
+            self.targets[upstream.task] = target
+        open_ones = [
+            t for t in self.targets.values() if not is_closed(t.upstream)
+        ]
+        zone = self._options.zone
+        self._local = [t for t in open_ones if t.upstream.zone == zone]
+        self._remote = [t for t in open_ones if t.upstream.zone != zone]
+        if self.is_empty:
+            self.waiting.refuse_all()
+
+    def _make_target(self, upstream: Upstream) -> Target:
+        return Target(upstream, self.spec.slots, self.share)
+
+    @property
+    def share(self) -> int:
+        """Connections to each upstream that are this daemon's.
+
+        Daemons see each other late, so a share that follows who is up would
+        pass the upstream's limit whenever one comes or returns. A fixed share
+        for each seat holds without any of them knowing of the others.
+        """
+        return self.spec.connections // self._options.seats
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no upstream may get new work."""
+        return not self._local and not self._remote
+
+    def set_daemons(self, count: int) -> None:
+        """Sets among how many daemons the slots are shared."""
+        for target in self.targets.values():
+            target.fair = max(1, -(-target.slots // max(1, count)))
+
+    def take(self, tried: Collection[str], now: float) -> Target | None:
+        """Chooses an upstream and counts it as in use."""
+        if now >= self._next_review:
+            self.review(now)
+        target = choose_by_zone(
+            self._balancer,
+            self._local,
+            self._remote,
+            tried,
+            self.times.typical,
+            self._spill,
+            now,
+        )
+        if target is None and not self.in_flight:
+            target = self._find_any(tried)
+        if target is not None:
+            target.begin(now)
+            self.in_flight += 1
+        return target
+
+    def _find_any(self, tried: Collection[str]) -> Target | None:
+        # With nothing in flight no release would ever wake the queue, so
+        # health alone must not hold requests back.
+        for target in self._local + self._remote:
+            if target.own < target.share and target.upstream.task not in tried:
+                return target
+        return None
+
+    def give_back(
+        self, target: Target, reply: Reply, began: float, now: float
+    ) -> None:
+        """Takes in what became of a request and lets the next one in."""
+        seconds = now - began
+        if reply.result is Result.ANSWERED:
+            target.observe(seconds, now)
+            self.times.add(seconds)
+        failed = self._is_failed(reply, seconds)
+        target.health.failures = target.health.failures + 1 if failed else 0
+        if reply.is_busy:
+            target.limit.note_busy()
+        target.end(now)
+        self.in_flight -= 1
+        if target.health.is_failing:
+            self._next_review = 0.0
+        self.wake(now)
+
+    def _is_failed(self, reply: Reply, seconds: float) -> bool:
+        if reply.result is Result.ANSWERED:
+            return reply.status in FAILED_STATUSES
+        # A caller in a hurry must not make a healthy upstream look dead.
+        hurried = reply.is_late and seconds < self.times.high
+        return not reply.is_busy and not hurried
+
+    def wake(self, now: float) -> None:
+        """Gives free upstreams to requests that wait."""
+        if self.waiting:
+            self.waiting.grant(lambda: self.take((), now))
+
+    def review(self, now: float) -> None:
+        """Ejects upstreams that are at fault and lets others return."""
+        self._next_review = now + REVIEW_SECONDS
+        targets = self._local + self._remote
+        for target in targets:
+            before = target.health.state
+            target.health.advance(now)
+            if before is State.EJECTED and before is not target.health.state:
+                target.restart()
+                self._record(EventKind.RESTORED, target, '')
+        measured = [t.recent for t in targets if t.recent]
+        median = statistics.median(measured) if measured else 0.0
+        healths = [t.health for t in targets]
+        for target in targets:
+            if target.health.state is State.EJECTED:
+                continue
+            cause = find_fault(target, median, self.times.high, now)
+            if cause and has_room(healths):
+                target.health.eject(now, self._chance)
+                self._record(EventKind.EJECTED, target, cause)
+
+    def _record(self, kind: EventKind, target: Target, cause: str) -> None:
+        upstream = target.upstream
+        self._events.record(
+            'routing',
+            kind,
+            upstream.task,
+            attempt=upstream.attempt,
+            worker=upstream.worker,
+            cause=cause,
+        )
--- /dev/null
+++ b/lentilmount/routing/pools.py
@@ -0,0 +1,190 @@
+"""Every service's pool, kept up to what is in force and what others tell."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+from lentilmount.configuration import Configuration
+from lentilmount.events import EventKind, EventLog
+from lentilmount.resources import Kind, ServiceSpec, UpstreamSpec
+from lentilmount.routing.balance import Balancer
+from lentilmount.routing.directory import Directory, Upstream
+from lentilmount.routing.leaving import LeavingMarks, Mark
+from lentilmount.routing.loads import LoadBook, LoadReport, pack_counts
+from lentilmount.routing.pool import Pool, PoolOptions
+from lentilmount.upstream.hosts import Host
+from lentilmount.upstream.workers import Usage
+
+
+def _do_nothing() -> None:
+    return
+
+
+class Pools:
+    """The upstreams of every service that was called here.
+
+    Attributes:
+      marks: Workers that are leaving.
+      on_mark: Called when a mark is new, to tell peers soon.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        configuration: Configuration,
+        options: PoolOptions,
+        balancer: Balancer,
+        events: EventLog,
+        chance: random.Random,
+        monotonic: Callable[[], float],
+        count_daemons: Callable[[], int],
+    ):
+        self.marks = LeavingMarks()
+        self._directory = directory
+        self._configuration = configuration
+        self._options = options
+        self._balancer = balancer
+        self._events = events
+        self._chance = chance
+        self._monotonic = monotonic
+        self._count_daemons = count_daemons
+        self.on_mark: Callable[[], None] = _do_nothing
+        self._pools: dict[str, Pool] = {}
+        self._versions = (-1, -1, -1)
+        self._book = LoadBook(options.daemon, options.zone)
+
+    @property
+    def in_flight(self) -> dict[str, int]:
+        """Requests that this daemon has at each upstream, by task."""
+        return {
+            task: target.own
+            for pool in self._pools.values()
+            for task, target in pool.targets.items()
+            if target.own
+        }
+
+    def get(self, service: str, spec: ServiceSpec) -> Pool:
+        """Returns a service's pool, up to date."""
+        self.refresh()
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = self._pools[service] = Pool(
+                service,
+                spec,
+                self._options,
+                self._balancer,
+                self._events,
+                self._chance,
+            )
+            self._fill(service, pool)
+        return pool
+
+    def refresh(self) -> None:
+        """Takes in what changed of upstreams, configuration and marks."""
+        versions = (
+            self._directory.version,
+            self._configuration.revision,
+            self.marks.version,
+        )
+        if versions == self._versions:
+            return
+        self._versions = versions
+        for service, pool in list(self._pools.items()):
+            self._fill(service, pool)
+
+    def _fill(self, service: str, pool: Pool) -> None:
+        team, _, name = service.partition('/')
+        spec = self._configuration.get_service(team, name)
+        if spec is None:
+            if not pool.in_flight:
+                del self._pools[service]
+            return
+        upstreams = self._directory.list_service(service)
+        spill = self._configuration.get_weights().spill_ms / 1000
+        pool.update(spec, spill, upstreams, self._is_closed)
+        self._share_loads()
+        pool.wake(self._monotonic())
+
+    def _is_closed(self, upstream: Upstream) -> bool:
+        """Tells whether an upstream gets no new work."""
+        team = upstream.service.partition('/')[0]
+        found = self._configuration.get(Kind.UPSTREAM, team, upstream.resource)
+        drained = (
+            found is not None
+            and isinstance(found.spec, UpstreamSpec)
+            and found.spec.drain
+        )
+        return (
+            drained
+            or self._configuration.get_worker(upstream.worker).drain
+            or self.marks.is_leaving(upstream.worker, upstream.boot)
+        )
+
+    def mark_leaving(self, mark: Mark, source: str) -> None:
+        """Takes note that a boot of a worker is leaving.
+
+        Args:
+          mark: The worker and its boot.
+          source: Who said so, for the time line.
+        """
+        if self.marks.add(mark):
+            self._note_leaving(mark, source)
+
+    def take_hosts(self, hosts: Iterable[Host]) -> None:
+        """Takes in which hosts the host list calls leaving."""
+        boots = {u.worker: u.boot for u in self._directory.list_all()}
+        names = [host.name for host in hosts if host.leaving]
+        for mark in self.marks.take_host_list(names, boots):
+            self._note_leaving(mark, 'the host list')
+        self.refresh()
+
+    def _note_leaving(self, mark: Mark, source: str) -> None:
+        self._events.record(
+            'routing', EventKind.LEAVING, worker=mark.worker, cause=source
+        )
+        self.on_mark()
+        self.refresh()
+
+    def list_loads(self, zone: str) -> list[LoadReport]:
+        """Returns the loads to tell a daemon in a zone."""
+        now = self._monotonic()
+        own = {
+            service: pack_counts(
+                {
+                    target.upstream.number: round(target.read_average(now))
+                    for target in pool.targets.values()
+                }
+            )
+            for service, pool in self._pools.items()
+        }
+        return self._book.list_for(zone, own, now)
+
+    def take_loads(self, reports: Iterable[LoadReport]) -> None:
+        """Takes in the loads that a peer told."""
+        self._book.take(reports, self._monotonic())
+        self._share_loads()
+        for pool in list(self._pools.values()):
+            pool.wake(self._monotonic())
+
+    def _share_loads(self) -> None:
+        now = self._monotonic()
+        count = self._count_daemons()
+        for service, pool in self._pools.items():
+            others = self._book.sum_others(service, now)
+            pool.set_daemons(count)
+            for target in pool.targets.values():
+                number = target.upstream.number
+                known = number < len(others)
+                target.others = float(others[number]) if known else 0.0
+
+    def take_usage(self, usages: Iterable[Usage]) -> None:
+        """Takes in what workers measured of services, with its lag."""
+        for usage in usages:
+            service = usage.task.partition('/')[2].rpartition('/')[0]
+            pool = self._pools.get(service)
+            target = pool.targets.get(usage.task) if pool else None
+            if target is not None and usage.p99_ms:
+                target.latency.take_report(
+                    usage.load, usage.p99_ms / 1000, usage.age
+                )
--- /dev/null
+++ b/lentilmount/routing/retries.py
@@ -0,0 +1,55 @@
+"""Budgets for extra copies of requests, and the pause before a retry.
+
+Blind retries multiply the load just when there is no room for it. A budget
+earns a small share with every request, so extra copies stay that share of
+the traffic whatever happens.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+MOST_SAVED = 20.0
+"""Copies that quiet times can save up, for when several fail together."""
+
+FIRST_SAVED = 3.0
+PAUSE_SECONDS = 0.004
+MOST_PAUSE_SECONDS = 0.1
+
+
+@attrs.define
+class Budget:
+    """What may be spent on extra copies of requests.
+
+    Attributes:
+      saved: Copies that may be sent now.
+    """
+
+    saved: float = FIRST_SAVED
+
+    def earn(self, share: float) -> None:
+        """Takes note of a request of a caller."""
+        self.saved = min(MOST_SAVED, self.saved + share)
+
+    def spend(self) -> bool:
+        """Takes one copy if there is one."""
+        if self.saved < 1.0:
+            return False
+        self.saved -= 1.0
+        return True
+
+
+def choose_pause(tries: int, left: float, chance: random.Random) -> float:
+    """Returns the seconds to wait before a retry, with full jitter.
+
+    Source: Brooker, "Exponential Backoff And Jitter", 2015.
+
+    Args:
+      tries: How many tries there were.
+      left: Seconds until the deadline.
+      chance: Where randomness comes from.
+    """
+    longest = min(MOST_PAUSE_SECONDS, PAUSE_SECONDS * 2.0**tries)
+    return min(left / 4, chance.uniform(0.0, longest))
--- a/lentilmount/routing/router.py
+++ b/lentilmount/routing/router.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import collections
+import asyncio
+import random
 from collections.abc import Callable
 
 import attrs
@@ -14,12 +15,21 @@
     Ran,
     UpstreamError,
 )
-from lentilmount.resources import ServiceSpec
-from lentilmount.routing.directory import Directory, Upstream
+from lentilmount.events import EventKind, EventLog
+from lentilmount.routing.balance import Balancer, PowerOfTwo
+from lentilmount.routing.directory import Directory
 from lentilmount.routing.forward import Call, Forwarder, Reply, Result
+from lentilmount.routing.leaving import Mark
+from lentilmount.routing.pool import Pool, PoolOptions
+from lentilmount.routing.pools import Pools
+from lentilmount.routing.retries import choose_pause
+from lentilmount.routing.target import Target
+from lentilmount.routing.teams import TeamLimits
 
 RETRY_AFTER_SECONDS = 0.5
 MAX_TRIES = 3
+LEAST_SECONDS = 0.001
+"""Shortest timeout that libcurl takes; it reads 0 as none."""
 
 
 @attrs.define
@@ -28,18 +38,40 @@
 
     Attributes:
       zone: The availability zone whose upstreams come first.
+      daemon: This daemon's name.
       entry_hosts: Most entry hosts that share an upstream's connections.
+      seed: Seed of every random choice.
     """
 
     zone: str
+    daemon: str = 'entry-0'
     entry_hosts: int = 8
+    seed: int | None = None
+
+
+@attrs.define
+class _Progress:
+    """What became of a request so far.
+
+    Attributes:
+      call: The request.
+      deadline: Monotonic time when the caller stops waiting.
+      tried: Tasks that got a copy.
+      may_have_run: Whether any copy may have run.
+    """
+
+    call: Call
+    deadline: float
+    tried: set[str] = attrs.Factory(set)
+    may_have_run: bool = False
 
 
 class Router:
     """Chooses upstreams for requests.
 
     Attributes:
-      in_flight: Requests that this daemon has at each upstream, by task.
+      pending: Requests of callers that are not answered yet.
+      pools: The upstreams of each service.
     """
 
     def __init__(
@@ -49,13 +81,33 @@
         forwarder: Forwarder,
         options: RouterOptions,
         monotonic: Callable[[], float],
+        events: EventLog | None = None,
+        balancer: Balancer | None = None,
+        count_daemons: Callable[[], int] = lambda: 1,
     ):
-        self.in_flight: collections.Counter[str] = collections.Counter()
-        self._directory = directory
+        self.pending = 0
         self._configuration = configuration
         self._forwarder = forwarder
-        self._options = options
         self._monotonic = monotonic
+        self._events = events or EventLog('router')
+        self._chance = random.Random(options.seed)
+        self._teams = TeamLimits()
+        self._count_daemons = count_daemons
+        self.pools = Pools(
+            directory,
+            configuration,
+            PoolOptions(options.daemon, options.zone, options.entry_hosts),
+            balancer or PowerOfTwo(self._chance),
+            self._events,
+            self._chance,
+            monotonic,
+            self._count_daemons,
+        )
+
+    @property
+    def in_flight(self) -> dict[str, int]:
+        """Requests that this daemon has at each upstream, by task."""
+        return self.pools.in_flight
 
     async def route(self, call: Call, timeout: float | None) -> Reply:
         """Answers a call.
@@ -72,70 +124,165 @@
         spec = self._configuration.get_service(team, name)
         if spec is None:
             raise NotFoundError(f'there is no service {call.service}')
+        now = self._monotonic()
+        rate = self._configuration.get_team(team).requests_per_second
+        if rate:
+            self._teams.admit(team, rate, self._count_daemons(), now)
         longest = spec.deadline_ms / 1000
-        deadline = self._monotonic() + min(timeout or longest, longest)
-        return await self._try_upstreams(call, spec, deadline)
+        deadline = now + min(timeout or longest, longest)
+        self.pending += 1
+        try:
+            pool = self.pools.get(call.service, spec)
+            return await self._answer(pool, _Progress(call, deadline))
+        finally:
+            self.pending -= 1
 
-    async def _try_upstreams(
-        self, call: Call, spec: ServiceSpec, deadline: float
-    ) -> Reply:
-        tried: set[str] = set()
-        for _ in range(MAX_TRIES):
-            upstream = self._choose(call.service, spec, tried)
-            tried.add(upstream.task)
-            reply = await self._send(upstream, call, deadline)
+    async def _answer(self, pool: Pool, progress: _Progress) -> Reply:
+        weights = self._configuration.get_weights()
+        pool.retries.earn(weights.retry_share)
+        pool.hedges.earn(weights.hedge_share)
+        target: Target | None = await self._take_first(pool, progress)
+        while target is not None:
+            reply = await self._send(pool, target, progress)
             if reply.result is Result.ANSWERED:
                 return reply
-            if reply.result is Result.UNKNOWN and not call.idempotent:
-                break
-            if self._monotonic() >= deadline:
-                break
-        ran = Ran.NO if reply.result is Result.NOT_RUN else Ran.UNKNOWN
-        late = self._monotonic() >= deadline
-        raise UpstreamError(
-            f'{upstream.task}: {reply.error}',
-            kind=ErrorKind.DEADLINE if late else None,
-            ran=ran,
-            retry_after=RETRY_AFTER_SECONDS,
-        )
+            target = await self._take_again(pool, progress, reply)
+        raise self._make_error(progress, reply)
 
-    async def _send(
-        self, upstream: Upstream, call: Call, deadline: float
-    ) -> Reply:
-        self.in_flight[upstream.task] += 1
-        try:
-            left = max(0.001, deadline - self._monotonic())
-            return await self._forwarder.send(upstream.address, call, left)
-        finally:
-            self.in_flight[upstream.task] -= 1
-
-    def _choose(
-        self, service: str, spec: ServiceSpec, tried: set[str]
-    ) -> Upstream:
-        share = max(1, spec.connections // self._options.entry_hosts)
-        upstreams = self._directory.list_service(service)
-        if not upstreams:
+    async def _take_first(self, pool: Pool, progress: _Progress) -> Target:
+        call = progress.call
+        if pool.is_empty or not pool.share:
             raise UpstreamError(
-                f'no upstream of {service} is running',
+                f'no upstream of {call.service} is running'
+                if pool.is_empty
+                else f'{call.service} allows fewer connections than there '
+                'are entry hosts',
                 kind=ErrorKind.NO_UPSTREAM,
                 retry_after=RETRY_AFTER_SECONDS,
             )
-        free = [
-            upstream
-            for upstream in upstreams
-            if self.in_flight[upstream.task] < share
-            and upstream.task not in tried
-        ]
-        if not free:
-            raise UpstreamError(
-                f'every upstream of {service} is busy',
-                kind=ErrorKind.OVERLOADED,
-                retry_after=RETRY_AFTER_SECONDS,
+        now = self._monotonic()
+        typical = pool.times.typical
+        left = progress.deadline - now
+        if not pool.waiting:
+            target = pool.take((), now)
+            if target is not None:
+                return target
+        predicted = pool.waiting.predict(typical, pool.in_flight)
+        patience = min(left - typical, pool.spec.target_ms / 1000)
+        return await pool.waiting.wait(predicted, patience, call.is_gone)
+
+    async def _take_again(
+        self, pool: Pool, progress: _Progress, reply: Reply
+    ) -> Target | None:
+        """Takes an upstream for a retry, if there may be one."""
+        call = progress.call
+        if progress.may_have_run and not call.idempotent:
+            return None
+        if len(progress.tried) >= MAX_TRIES or call.is_gone():
+            return None
+        left = progress.deadline - self._monotonic()
+        if left <= pool.times.typical or not pool.retries.spend():
+            return None
+        pause = choose_pause(len(progress.tried), left, self._chance)
+        await asyncio.sleep(pause)
+        self.pools.refresh()
+        target = pool.take(progress.tried, self._monotonic())
+        if target is not None:
+            self._record(EventKind.RETRY, target, call, reply.error)
+        return target
+
+    async def _send(
+        self, pool: Pool, target: Target, progress: _Progress
+    ) -> Reply:
+        """Sends a copy, and a second one where the first is slow."""
+        delay = pool.times.high
+        if not progress.call.idempotent or not delay:
+            return await self._send_one(pool, target, progress)
+        first = asyncio.create_task(self._send_one(pool, target, progress))
+        done, _ = await asyncio.wait({first}, timeout=delay)
+        if done:
+            return first.result()
+        target.latency.observe(target.get_load(), delay)
+        other = self._take_hedge(pool, progress)
+        if other is None:
+            return await first
+        second = asyncio.create_task(self._send_one(pool, other, progress))
+        return await _get_first_answer(first, second)
+
+    def _take_hedge(self, pool: Pool, progress: _Progress) -> Target | None:
+        left = progress.deadline - self._monotonic()
+        if left <= pool.times.typical or progress.call.is_gone():
+            return None
+        # A copy for a service without free slots would only make the queue
+        # of the others longer.
+        if pool.waiting or pool.hedges.saved < 1.0:
+            return None
+        other = pool.take(progress.tried, self._monotonic())
+        if other is not None:
+            pool.hedges.spend()
+            self._record(EventKind.HEDGE, other, progress.call, 'slow')
+        return other
+
+    async def _send_one(
+        self, pool: Pool, target: Target, progress: _Progress
+    ) -> Reply:
+        upstream = target.upstream
+        progress.tried.add(upstream.task)
+        began = self._monotonic()
+        left = max(LEAST_SECONDS, progress.deadline - began)
+        reply = await self._forwarder.send(
+            upstream.address, progress.call, left, pool.share
+        )
+        if reply.result is not Result.NOT_RUN:
+            progress.may_have_run = True
+        if reply.is_leaving:
+            self.pools.mark_leaving(
+                Mark(upstream.worker, upstream.boot), 'itself'
             )
-        return min(free, key=self._rank)
+        # What waits must not be given an upstream that left meanwhile.
+        self.pools.refresh()
+        pool.give_back(target, reply, began, self._monotonic())
+        return reply
+
+    def _make_error(self, progress: _Progress, reply: Reply) -> UpstreamError:
+        late = self._monotonic() >= progress.deadline
+        busy = reply.is_busy and not progress.may_have_run
+        kind = ErrorKind.OVERLOADED if busy else ErrorKind.UPSTREAM_FAILED
+        return UpstreamError(
+            f'{progress.call.service}: {reply.error}',
+            kind=ErrorKind.DEADLINE if late else kind,
+            ran=Ran.UNKNOWN if progress.may_have_run else Ran.NO,
+            retry_after=RETRY_AFTER_SECONDS,
+        )
 
-    def _rank(self, upstream: Upstream) -> tuple[int, bool]:
-        return (
-            self.in_flight[upstream.task],
-            upstream.zone != self._options.zone,
+    def _record(
+        self, kind: EventKind, target: Target, call: Call, cause: str
+    ) -> None:
+        upstream = target.upstream
+        self._events.record(
+            'routing',
+            kind,
+            upstream.task,
+            attempt=upstream.attempt,
+            worker=upstream.worker,
+            request=call.id,
+            cause=cause,
         )
+
+
+async def _get_first_answer(
+    first: asyncio.Task[Reply], second: asyncio.Task[Reply]
+) -> Reply:
+    """Returns the first whole answer, or the last failure.
+
+    The slower copy is not cancelled: it occupies the upstream until it ends,
+    and is counted there for as long.
+    """
+    done, pending = await asyncio.wait(
+        {first, second}, return_when=asyncio.FIRST_COMPLETED
+    )
+    reply = done.pop().result()
+    others = done or pending
+    if reply.result is not Result.ANSWERED and others:
+        return await others.pop()
+    return reply
--- /dev/null
+++ b/stand_ins/raw.py
@@ -0,0 +1,368 @@
+"""A fast upstream without a framework, for load and for broken answers.
+
+It runs requests in slots, first come first served, and counts what it ran
+and how many connections it had. Run by itself it serves many upstreams:
+`python -m stand_ins.raw FILE`, where FILE holds `RawOptions` as JSON.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import enum
+import json
+import math
+import pathlib
+import random
+import sys
+from collections.abc import Callable
+
+import attrs
+
+from lentilmount.codec import decode
+
+LOOPBACK = '127.0.0.1'
+RECORD_PATH = '/_record'
+FAULTS_PATH = '/_faults'
+
+
+class Act(enum.Enum):
+    """What becomes of a request."""
+
+    ANSWER = 'answer'
+    RESET_BEFORE = 'reset before it runs'
+    RESET_AFTER = 'reset after it ran'
+    CUT_BODY = 'cut in the body'
+    CUT_BODY_WITHOUT_LENGTH = 'cut in a body that has no length'
+    ANSWER_ANOTHER = 'answer another request'
+    ANSWER_TWICE = 'answer twice'
+    ANSWER_UNNAMED = 'answer without naming the request'
+    ANSWER_UNNAMED_TWICE = 'answer twice without naming the request'
+    CLOSE_UNTOLD = 'answer, then close without telling'
+    REFUSE = 'refuse it'
+    IGNORE = 'never answer'
+
+
+@attrs.frozen
+class RawRequest:
+    """A request as it was read."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """Its request id."""
+        return self.headers.get('lentilmount-request', '')
+
+
+@attrs.define
+class RawOptions:
+    """What the upstreams of one process are like.
+
+    Attributes:
+      names: Their names.
+      slots: Requests that each runs at once.
+      mean_ms: Mean time of a request in a slot.
+      spread: Sigma of the log-normal distribution of that time.
+      seed: Seed of the times.
+    """
+
+    names: tuple[str, ...] = ('raw',)
+    slots: int = 8
+    mean_ms: float = 0.0
+    spread: float = 0.25
+    seed: int = 1
+
+
+def _always_answer(_: RawRequest) -> Act:
+    return Act.ANSWER
+
+
+class RawUpstream:
+    """One upstream.
+
+    Attributes:
+      address: IP number and port.
+      choose_act: Chooses what becomes of a request.
+      factor: Factor on the time of each request.
+      silent: Whether it takes in requests and answers nothing.
+      leaving: Whether its answers say that it is leaving.
+      served: How often each request ran.
+      connections: Connections open now.
+      most_connections: Most that were open at once.
+      accepted: Connections there ever were.
+    """
+
+    def __init__(self, options: RawOptions):
+        self.address = ''
+        self.choose_act: Callable[[RawRequest], Act] = _always_answer
+        self.factor = 1.0
+        self.silent = False
+        self.leaving = False
+        self.served: collections.Counter[str] = collections.Counter()
+        self.connections: set[RawConnection] = set()
+        self.most_connections = 0
+        self.accepted = 0
+        self._options = options
+        self._free = options.slots
+        self._waiting: collections.deque[Callable[[], None]] = (
+            collections.deque()
+        )
+        self._random = random.Random(options.seed)
+        self._server: asyncio.Server | None = None
+
+    async def start(self, port: int = 0) -> RawUpstream:
+        """Starts to listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: RawConnection(self), LOOPBACK, port, backlog=512
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'{LOOPBACK}:{port}'
+        return self
+
+    def stop(self) -> None:
+        """Stops listening and resets every connection."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def run(self, request: RawRequest, done: Callable[[], None]) -> None:
+        """Runs a request in a slot."""
+        if self._free:
+            self._free -= 1
+            self._begin(request, done)
+        else:
+            self._waiting.append(lambda: self._begin(request, done))
+
+    def _begin(self, request: RawRequest, done: Callable[[], None]) -> None:
+        self.served[request.id] += 1
+        spread = self._options.spread
+        # The mean of a log-normal distribution is exp(mu + sigma^2 / 2).
+        share = self._random.lognormvariate(-(spread**2) / 2, spread)
+        seconds = self._options.mean_ms / 1000 * share * self.factor
+        loop = asyncio.get_running_loop()
+        if seconds:
+            loop.call_later(seconds, self._end, done)
+        else:
+            loop.call_soon(self._end, done)
+
+    def _end(self, done: Callable[[], None]) -> None:
+        self._free += 1
+        if self._waiting:
+            self._free -= 1
+            self._waiting.popleft()()
+        done()
+
+    def answer_control(self, request: RawRequest) -> bytes:
+        """Sets switches and tells what was counted."""
+        if request.path == FAULTS_PATH:
+            for name, value in json.loads(request.body).items():
+                setattr(self, name, value)
+        return json.dumps(
+            {
+                'served': self.served if request.path == RECORD_PATH else {},
+                'most_connections': self.most_connections,
+                'accepted': self.accepted,
+            }
+        ).encode()
+
+
+class RawConnection(asyncio.Protocol):
+    """One connection; requests on it are answered in order."""
+
+    def __init__(self, upstream: RawUpstream):
+        self._upstream = upstream
+        self._buffer = b''
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        upstream = self._upstream
+        upstream.connections.add(self)
+        upstream.accepted += 1
+        upstream.most_connections = max(
+            upstream.most_connections, len(upstream.connections)
+        )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Counts it out."""
+        self._upstream.connections.discard(self)
+
+    def abort(self) -> None:
+        """Resets the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Takes in whole requests."""
+        self._buffer += data
+        while b'\r\n\r\n' in self._buffer:
+            head, _, rest = self._buffer.partition(b'\r\n\r\n')
+            lines = head.decode('latin-1').split('\r\n')
+            method, path, _ = lines[0].split(' ')
+            pairs = (line.partition(':') for line in lines[1:])
+            headers = {name.lower(): value.strip() for name, _, value in pairs}
+            length = int(headers.get('content-length', 0))
+            if len(rest) < length:
+                return
+            self._buffer = rest[length:]
+            self._take(RawRequest(method, path, headers, rest[:length]))
+
+    def _take(self, request: RawRequest) -> None:
+        upstream = self._upstream
+        if request.path in (RECORD_PATH, FAULTS_PATH):
+            self._write(request, upstream.answer_control(request))
+            return
+        act = upstream.choose_act(request)
+        if upstream.silent or act is Act.IGNORE:
+            return
+        if act is Act.RESET_BEFORE:
+            self.abort()
+        elif act is Act.REFUSE:
+            self._write(request, b'busy', 503, ('Lentilmount-Ran: no',))
+        else:
+            upstream.run(request, lambda: self._finish(request, act))
+
+    def _finish(self, request: RawRequest, act: Act) -> None:
+        body = request.method.encode() + b' ' + request.body
+        finish = _FINISHES.get(act, RawConnection._write)
+        finish(self, request, body)
+
+    def _write(
+        self,
+        request: RawRequest,
+        body: bytes,
+        status: int = 200,
+        headers: tuple[str, ...] = (),
+        name: str | None = None,
+    ) -> None:
+        self.send(self.make_head(request, body, status, headers, name) + body)
+
+    def make_head(
+        self,
+        request: RawRequest,
+        body: bytes,
+        status: int = 200,
+        headers: tuple[str, ...] = (),
+        name: str | None = None,
+    ) -> bytes:
+        """Builds an answer's head; `name` '' leaves the request unnamed."""
+        lines = [f'HTTP/1.1 {status} -', f'Content-Length: {len(body)}']
+        lines += headers
+        name = request.id if name is None else name
+        if name:
+            lines.append(f'Lentilmount-Request: {name}')
+        if self._upstream.leaving:
+            lines.append('Lentilmount-Leaving: true')
+        return '\r\n'.join([*lines, '', '']).encode('latin-1')
+
+    def send(self, data: bytes) -> None:
+        """Writes if the connection is still there."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def close(self) -> None:
+        """Closes after what was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+def _reset(connection: RawConnection, _: RawRequest, __: bytes) -> None:
+    connection.abort()
+
+
+def _cut(connection: RawConnection, request: RawRequest, body: bytes) -> None:
+    connection.send(connection.make_head(request, body) + body[:-2])
+    connection.close()
+
+
+def _cut_without_length(
+    connection: RawConnection, request: RawRequest, body: bytes
+) -> None:
+    head = f'HTTP/1.1 200 -\r\nLentilmount-Request: {request.id}\r\n\r\n'
+    connection.send(head.encode() + body[:-2])
+    connection.close()
+
+
+def _answer_another(
+    connection: RawConnection, request: RawRequest, _: bytes
+) -> None:
+    body = b"another's"
+    connection.send(connection.make_head(request, body, name='another') + body)
+
+
+def _answer_twice(
+    connection: RawConnection, request: RawRequest, body: bytes
+) -> None:
+    connection.send((connection.make_head(request, body) + body) * 2)
+
+
+def _answer_unnamed(
+    connection: RawConnection, request: RawRequest, body: bytes
+) -> None:
+    connection.send(connection.make_head(request, body, name='') + body)
+
+
+def _answer_unnamed_twice(
+    connection: RawConnection, request: RawRequest, body: bytes
+) -> None:
+    answer = connection.make_head(request, body, name='') + body
+    connection.send(answer)
+    # The second one comes when the connection looks idle and sound.
+    asyncio.get_running_loop().call_later(0.005, connection.send, answer)
+
+
+def _close_untold(
+    connection: RawConnection, request: RawRequest, body: bytes
+) -> None:
+    connection.send(connection.make_head(request, body) + body)
+    connection.close()
+
+
+_FINISHES: dict[Act, Callable[[RawConnection, RawRequest, bytes], None]] = {
+    Act.RESET_AFTER: _reset,
+    Act.CUT_BODY: _cut,
+    Act.CUT_BODY_WITHOUT_LENGTH: _cut_without_length,
+    Act.ANSWER_ANOTHER: _answer_another,
+    Act.ANSWER_TWICE: _answer_twice,
+    Act.ANSWER_UNNAMED: _answer_unnamed,
+    Act.ANSWER_UNNAMED_TWICE: _answer_unnamed_twice,
+    Act.CLOSE_UNTOLD: _close_untold,
+}
+
+
+def get_capacity(upstreams: int, options: RawOptions) -> float:
+    """Returns the requests a second that full slots can serve."""
+    seconds = options.mean_ms / 1000
+    return math.inf if not seconds else upstreams * options.slots / seconds
+
+
+async def serve(options: RawOptions) -> None:
+    """Serves every upstream until ended; prints their addresses."""
+    addresses = {}
+    for number, name in enumerate(options.names):
+        upstream = RawUpstream(
+            attrs.evolve(options, seed=options.seed * 1000 + number)
+        )
+        addresses[name] = (await upstream.start()).address
+    print(json.dumps(addresses), flush=True)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Reads the options and serves."""
+    data = pathlib.Path(sys.argv[1]).read_bytes()
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve(decode(data, RawOptions)))
+
+
+if __name__ == '__main__':
+    main()
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -496,7 +496,10 @@
         name = self.request.headers.get('Lentilmount-Service', '')
         request = self.request.headers.get('Lentilmount-Request', '')
         attempt = worker.find_service(name)
+        if worker.leaving:
+            self.set_header('Lentilmount-Leaving', 'true')
         if attempt is None:
+            self.set_header('Lentilmount-Request', request)
             self.set_header('Lentilmount-Ran', 'no')
             self.reply({'error': f'{name} does not run here'}, 503)
             return
