Prove the entry path's promises by provoking each failure

Cause: the decisions had no tests, and writing them showed faults.

Found and mended on the way: - libcurl's times don't tell whether a request was sent (the time until sending is filled in for a refused connect as well).

The plain client is shown to run a POST twice on a dead kept connection, ours once.

--- a/lentilmount/daemon/callers.py
+++ b/lentilmount/daemon/callers.py
@@ -36,9 +36,11 @@
         self.router = router
         self.gone = False
 
-    async def respond(self, team: str, service: str, path: str) -> None:
+    async def respond(self, team: str, service: str, _: str) -> None:
         """Answers with what the upstream answered."""
         self.admit().require(Verb.CALL, team)
+        # The route's own match is decoded, and would name another path.
+        path = self.request.path.split('/', 4)[4]
         query = self.request.query
         call = Call(
             id=self.request_id,
--- a/lentilmount/routing/balance.py
+++ b/lentilmount/routing/balance.py
@@ -18,6 +18,12 @@
 PROBES = 6
 """Random looks for two open upstreams before all are looked at."""
 
+CLEARLY = 1.25
+"""Ratio of two expected times beyond which the lower one decides."""
+
+CLEARLY_SECONDS = 0.001
+"""Difference that counts at least; event loops add as much by chance."""
+
 Names = Collection[str]
 
 
@@ -55,20 +61,21 @@
         now: float,
     ) -> Target | None:
         """See `Balancer`."""
-        first: Target | None = None
         chance = self._chance.random
         count = len(targets)
-        for _ in range(PROBES if count > 2 else 0):
+        first: Target | None = None
+        for _ in range(PROBES if count > 1 else 0):
             target = targets[int(chance() * count)]
             if target is first or not self._is_usable(target, tried, now):
                 continue
-            if first is None:
-                first = target
-                continue
-            return _get_cheaper(first, target, unknown)
-        return find_cheapest(
-            [t for t in targets if self._is_usable(t, tried, now)], unknown
-        )
+            if first is not None:
+                return get_better(first, target, unknown, now)
+            first = target
+        usable = [t for t in targets if self._is_usable(t, tried, now)]
+        if len(usable) < 2:
+            return usable[0] if usable else None
+        one, other = self._chance.sample(usable, 2)
+        return get_better(one, other, unknown, now)
 
     def _is_usable(self, target: Target, tried: Names, now: float) -> bool:
         if not target.is_open() or target.upstream.task in tried:
@@ -78,19 +85,21 @@
         return self._chance.random() < target.health.get_share(now)
 
 
-def _get_cheaper(one: Target, other: Target, unknown: float) -> Target:
-    one_cost = (one.get_cost(unknown), one.get_load())
-    other_cost = (other.get_cost(unknown), other.get_load())
-    return one if one_cost <= other_cost else other
-
+def get_better(
+    one: Target, other: Target, unknown: float, now: float
+) -> Target:
+    """Returns the target with the clearly lower expected time, else load.
 
-def find_cheapest(targets: Sequence[Target], unknown: float) -> Target | None:
-    """Returns the target with the least expected time; plain and slow."""
-    return min(
-        targets,
-        key=lambda t: (t.get_cost(unknown), t.get_load()),
-        default=None,
-    )
+    Expected times are estimates. If a difference within their error decided,
+    an upstream that once was a little slow would not be measured again.
+    """
+    one_cost = one.get_cost(unknown, now)
+    other_cost = other.get_cost(unknown, now)
+    if one_cost > other_cost * CLEARLY + CLEARLY_SECONDS:
+        return other
+    if other_cost > one_cost * CLEARLY + CLEARLY_SECONDS:
+        return one
+    return other if other.get_load() < one.get_load() else one
 
 
 def choose_by_zone(
@@ -117,10 +126,10 @@
     near = balancer.choose(local, tried, unknown, now)
     if near is None:
         return balancer.choose(remote, tried, unknown, now)
-    cost = near.get_cost(unknown)
+    cost = near.get_cost(unknown, now)
     if cost <= unknown + spill and near.get_load() <= 1.0:
         return near
     far = balancer.choose(remote, tried, unknown, now)
-    if far is None or far.get_cost(unknown) + spill >= cost:
+    if far is None or far.get_cost(unknown, now) + spill >= cost:
         return near
     return far
--- a/lentilmount/routing/forward.py
+++ b/lentilmount/routing/forward.py
@@ -129,6 +129,44 @@
         """
 
 
+class _Request(HTTPRequest):
+    """A request that knows whether any of it was sent.
+
+    Attributes:
+      was_sent: Whether a byte of it went out, on whichever connection.
+    """
+
+    def __init__(self, url: str, fresh: bool, once: bool, **options: Any):
+        super().__init__(url, prepare_curl_callback=self._prepare, **options)
+        self.was_sent = True
+        self._fresh = fresh
+        self._once = once
+        self._curl: Any = None
+
+    def _prepare(self, curl: Any) -> None:
+        self._curl = curl
+        # libcurl sends a request again by itself when a kept-alive connection
+        # turns out dead before any byte of the answer. The upstream may have
+        # run the first copy, so a non-idempotent request would run twice. On
+        # a fresh connection there is no such second try. It is closed after
+        # use, so that such connections do not push out the kept ones.
+        curl.setopt(pycurl.FRESH_CONNECT, self._fresh)
+        curl.setopt(pycurl.FORBID_REUSE, self._once)
+        # libcurl would resolve dots in the path by itself.
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+
+    def note_end(self) -> None:
+        """Reads what was sent, before the client uses its handle again.
+
+        The error is not enough: when a kept-alive connection died after the
+        request went out, and the second connection was refused, libcurl
+        reports only the refusal. It counts the bytes over both.
+        """
+        if self._curl is not None:
+            self.was_sent = self._curl.getinfo(pycurl.REQUEST_SIZE) > 0
+            self._curl = None
+
+
 class _Client(CurlAsyncHTTPClient):
     """The curl client, which also tells whether a failed request was sent."""
 
@@ -142,24 +180,14 @@
     def fetch_impl(
         self, request: HTTPRequest, callback: Callable[[HTTPResponse], None]
     ) -> None:
-        """Adds the times of the transfer to the error, if there is one."""
+        """See `AsyncHTTPClient`."""
 
-        def add_times(response: HTTPResponse) -> None:
-            if isinstance(response.error, CurlError):
-                response.error.response = response
+        def finish(response: HTTPResponse) -> None:
+            if response.error is not None:
+                request.note_end()  # type: ignore[attr-defined]
             callback(response)
 
-        super().fetch_impl(request, add_times)
-
-
-def _use_once(curl: Any) -> None:
-    # libcurl sends a request again by itself when a kept-alive connection
-    # turns out dead before any byte of the answer. The upstream may have run
-    # the first copy, so a non-idempotent request would run twice. On a fresh
-    # connection there is no such second try. It is closed after use, so that
-    # such connections do not push out the kept ones.
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
-    curl.setopt(pycurl.FORBID_REUSE, 1)
+        super().fetch_impl(request, finish)
 
 
 class CurlForwarder:
@@ -188,8 +216,11 @@
     ) -> Reply:
         """See `Forwarder`."""
         client = self._get_client(connections)
-        request = HTTPRequest(
+        reuse = call.idempotent and self._is_reusable(address, client)
+        request = _Request(
             f'http://{address}/{call.path}',
+            fresh=not reuse,
+            once=not call.idempotent,
             method=call.method,
             headers=_make_headers(call, timeout),
             body=call.body if call.body or call.method != 'GET' else None,
@@ -198,16 +229,13 @@
             follow_redirects=False,
             allow_nonstandard_methods=True,
             decompress_response=False,
-            prepare_curl_callback=None
-            if call.idempotent and self._is_reusable(address, client)
-            else _use_once_or_keep(call),
         )
         try:
             response = await client.fetch(request, raise_error=False)
         except CurlError as error:
-            return _make_failure(error)
+            return _make_failure(request, error)
         except ValueError as error:
-            # A header that HTTP cannot carry; found before connecting.
+            # A path that is not ASCII; found before connecting.
             return Reply(Result.NOT_RUN, error=str(error))
         return self._read_answer(address, call, client, response)
 
@@ -262,16 +290,6 @@
             client.close()
 
 
-def _keep_after(curl: Any) -> None:
-    # The first idempotent request to an address: nothing is known of its
-    # answers yet, but the connection may serve later ones.
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
-
-
-def _use_once_or_keep(call: Call) -> Callable[[Any], None]:
-    return _keep_after if call.idempotent else _use_once
-
-
 def _make_headers(call: Call, timeout: float) -> HTTPHeaders:
     headers = HTTPHeaders()
     for name, value in call.headers:
@@ -297,25 +315,9 @@
     return 'Content-Length' in headers or coding.endswith('chunked')
 
 
-_BEFORE_SENDING = frozenset(
-    {
-        pycurl.E_COULDNT_CONNECT,
-        pycurl.E_COULDNT_RESOLVE_HOST,
-        pycurl.E_OPERATION_TIMEDOUT,
-    }
-)
-
-
-def _make_failure(error: CurlError) -> Reply:
-    # The kind of error is not enough: when a kept-alive connection died after
-    # the request went out, and the second connection was refused, libcurl
-    # reports only the refusal. The time until sending adds up over both, so
-    # it is zero only if nothing was ever sent.
-    times = error.response.time_info if error.response else {}
-    unsent = times.get('pretransfer', 1.0) == 0.0
-    never_sent = unsent and error.errno in _BEFORE_SENDING
+def _make_failure(request: _Request, error: CurlError) -> Reply:
     return Reply(
-        Result.NOT_RUN if never_sent else Result.UNKNOWN,
+        Result.UNKNOWN if request.was_sent else Result.NOT_RUN,
         error=str(error),
         is_late=error.errno == pycurl.E_OPERATION_TIMEDOUT,
     )
--- a/lentilmount/routing/latency.py
+++ b/lentilmount/routing/latency.py
@@ -18,6 +18,10 @@
 """Age at which a report counts for half."""
 
 
+FRESH_SECONDS = 2.0
+"""Age of the last answer or report from which it counts less and less."""
+
+
 def find_band(load: float) -> int:
     """Returns the band of a share of slots in use."""
     return max(0, min(BANDS - 1, int(load * BANDS)))
@@ -26,39 +30,52 @@
 class LatencyModel:
     """Mean time by load band of one upstream, in seconds."""
 
-    __slots__ = ('_means',)
+    __slots__ = ('_at', '_means')
 
     def __init__(self) -> None:
         self._means = [0.0] * BANDS
+        self._at = 0.0
 
-    def observe(self, load: float, seconds: float) -> None:
+    def observe(self, load: float, seconds: float, now: float) -> None:
         """Takes in an answer of this daemon's own."""
-        self._blend(find_band(load), seconds, SMOOTHING)
+        self._blend(find_band(load), seconds, SMOOTHING, now)
 
-    def take_report(self, load: float, p99: float, age: float) -> None:
+    def take_report(
+        self, load: float, p99: float, age: float, now: float
+    ) -> None:
         """Takes in a worker's measurement, the older the less."""
         weight = REPORT_SMOOTHING / (1.0 + age / FADING_SECONDS)
-        self._blend(find_band(load), p99 / TAIL_FACTOR, weight)
+        self._blend(find_band(load), p99 / TAIL_FACTOR, weight, now)
 
-    def _blend(self, band: int, seconds: float, weight: float) -> None:
+    def _blend(
+        self, band: int, seconds: float, weight: float, now: float
+    ) -> None:
         known = self._means[band]
         if known:
             seconds = known + (seconds - known) * weight
         self._means[band] = seconds
+        self._at = now
 
-    def estimate(self, load: float, unknown: float) -> float:
+    def estimate(self, load: float, unknown: float, now: float) -> float:
         """Returns the expected seconds of an answer.
 
+        What was learned long ago fades towards `unknown`: an upstream that
+        was slow would otherwise never be tried, nor found to be well again.
+
         Args:
           load: Share of the slots in use, the new request included; above 1
             the request waits for a slot.
           unknown: What to expect where nothing is known.
+          now: Monotonic time.
         """
         means = self._means
         band = find_band(load)
         mean = means[band]
         if not mean:
             mean = self._find_nearest(band) or unknown
+        age = now - self._at
+        if age > FRESH_SECONDS:
+            mean = unknown + (mean - unknown) * FRESH_SECONDS / age
         return mean * load if load > 1.0 else mean
 
     def _find_nearest(self, band: int) -> float:
--- a/lentilmount/routing/pools.py
+++ b/lentilmount/routing/pools.py
@@ -186,5 +186,8 @@
             target = pool.targets.get(usage.task) if pool else None
             if target is not None and usage.p99_ms:
                 target.latency.take_report(
-                    usage.load, usage.p99_ms / 1000, usage.age
+                    usage.load,
+                    usage.p99_ms / 1000,
+                    usage.age,
+                    self._monotonic(),
                 )
--- a/lentilmount/routing/router.py
+++ b/lentilmount/routing/router.py
@@ -202,7 +202,7 @@
         done, _ = await asyncio.wait({first}, timeout=delay)
         if done:
             return first.result()
-        target.latency.observe(target.get_load(), delay)
+        target.latency.observe(target.get_load(), delay, self._monotonic())
         other = self._take_hedge(pool, progress)
         if other is None:
             return await first
--- a/lentilmount/routing/target.py
+++ b/lentilmount/routing/target.py
@@ -88,9 +88,9 @@
         """Returns the share of the slots in use, one more included."""
         return (self.own + self.others + 1.0) / self.slots
 
-    def get_cost(self, unknown: float) -> float:
+    def get_cost(self, unknown: float, now: float) -> float:
         """Returns the expected seconds of one more request."""
-        return self.latency.estimate(self.get_load(), unknown)
+        return self.latency.estimate(self.get_load(), unknown, now)
 
     def begin(self, now: float) -> None:
         """Takes note that a request is sent."""
@@ -109,7 +109,7 @@
         """Takes in the time of an answer; called before `end`."""
         self.limit.observe(seconds, self.own, now)
         load = (self.own + self.others) / self.slots
-        self.latency.observe(load, seconds)
+        self.latency.observe(load, seconds, now)
 
     def _average_load(self, now: float) -> None:
         passed = now - self._averaged_at
--- a/stand_ins/raw.py
+++ b/stand_ins/raw.py
@@ -25,6 +25,7 @@
 LOOPBACK = '127.0.0.1'
 RECORD_PATH = '/_record'
 FAULTS_PATH = '/_faults'
+AGAIN_SECONDS = 0.005
 
 
 class Act(enum.Enum):
@@ -299,25 +300,30 @@
     connection.send(connection.make_head(request, body, name='another') + body)
 
 
-def _answer_twice(
+def _answer_unnamed(
     connection: RawConnection, request: RawRequest, body: bytes
 ) -> None:
-    connection.send((connection.make_head(request, body) + body) * 2)
+    connection.send(connection.make_head(request, body, name='') + body)
 
 
-def _answer_unnamed(
+def _send_twice(connection: RawConnection, answer: bytes) -> None:
+    connection.send(answer)
+    # The second one comes when the connection looks idle and sound.
+    loop = asyncio.get_running_loop()
+    loop.call_later(AGAIN_SECONDS, connection.send, answer)
+
+
+def _answer_twice(
     connection: RawConnection, request: RawRequest, body: bytes
 ) -> None:
-    connection.send(connection.make_head(request, body, name='') + body)
+    _send_twice(connection, connection.make_head(request, body) + body)
 
 
 def _answer_unnamed_twice(
     connection: RawConnection, request: RawRequest, body: bytes
 ) -> None:
-    answer = connection.make_head(request, body, name='') + body
-    connection.send(answer)
-    # The second one comes when the connection looks idle and sound.
-    asyncio.get_running_loop().call_later(0.005, connection.send, answer)
+    head = connection.make_head(request, body, name='')
+    _send_twice(connection, head + body)
 
 
 def _close_untold(
--- /dev/null
+++ b/tests/test_routing_answers.py
@@ -0,0 +1,223 @@
+"""Each caller gets the whole answer to its own request, or none."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from lentilmount.access import Gate
+from lentilmount.daemon.callers import make_callers_app
+from lentilmount.errors import Ran, UpstreamError
+from lentilmount.routing.forward import Result
+from lentilmount.routing.router import Router
+from lentilmount.settings import AccessSettings
+from stand_ins.processes import hash_token
+from stand_ins.raw import Act, RawOptions, RawRequest
+from tests.helpers import run
+from tests.routing_scene import Scene, make_call
+
+BROKEN = (
+    Act.CUT_BODY,
+    Act.CUT_BODY_WITHOUT_LENGTH,
+    Act.ANSWER_ANOTHER,
+    Act.RESET_AFTER,
+)
+
+
+@pytest.mark.parametrize('act', BROKEN)
+def test_broken_answer_is_never_passed_on(act: Act) -> None:
+    """The caller sees an error that says "unknown", never a wrong answer.
+
+    The only upstream runs the request and then cuts the body, cuts a body
+    that has no length, answers another request, or resets. Each looks like
+    an answer at first; only its length and its request's name tell.
+    """
+
+    async def play() -> None:
+        async with await Scene.start(1) as scene:
+            scene.upstreams[0].choose_act = lambda _: act
+            with pytest.raises(UpstreamError) as caught:
+                await scene.router.route(make_call(1), None)
+            assert caught.value.ran is Ran.UNKNOWN
+
+    run(play())
+
+
+@pytest.mark.parametrize('act', BROKEN)
+def test_broken_answer_is_retried_elsewhere(act: Act) -> None:
+    """The caller sees its own answer, from the second upstream.
+
+    One of two upstreams is broken; the idempotent request goes to the other
+    one after the first copy failed.
+    """
+
+    async def play() -> None:
+        async with await Scene.start(2) as scene:
+            scene.upstreams[0].choose_act = lambda _: act
+            for number in range(4):
+                call = make_call(number)
+                reply = await scene.router.route(call, None)
+                assert reply.body == b'POST ' + call.body
+
+    run(play())
+
+
+@pytest.mark.parametrize(
+    'act', [Act.ANSWER_TWICE, Act.ANSWER_UNNAMED_TWICE, Act.CLOSE_UNTOLD]
+)
+def test_second_answer_never_reaches_another_caller(act: Act) -> None:
+    """Callers see their own answers although every answer comes twice.
+
+    The upstream answers each request twice on its connection, or closes it
+    without telling. The second answer waits there when the next request is
+    sent on the same connection and would be taken for that one's answer.
+    """
+
+    async def play() -> None:
+        async with await Scene.start(1) as scene:
+            scene.upstreams[0].choose_act = lambda _: act
+            failed = 0
+            for number in range(30):
+                call = make_call(number)
+                reply = await scene.forwarder.send(
+                    scene.upstreams[0].address, call, 1.0, 8
+                )
+                await asyncio.sleep(0.001)
+                if reply.result is Result.ANSWERED:
+                    assert reply.body == b'POST ' + call.body
+                else:
+                    failed += 1
+            # After the first wrong name no connection is used again.
+            assert failed <= 1
+
+    run(play())
+
+
+def test_answers_out_of_order_reach_their_callers() -> None:
+    """Forty callers at once see their own answers, whatever the order.
+
+    Times in the slots vary tenfold, so that late answers cross with those to
+    requests sent later on other connections.
+    """
+
+    async def play() -> None:
+        options = RawOptions(mean_ms=5, spread=1.0)
+        async with await Scene.start(2, options) as scene:
+            calls = [make_call(n, idempotent=n % 2 == 0) for n in range(40)]
+            replies = await asyncio.gather(
+                *(scene.router.route(call, None) for call in calls)
+            )
+            for call, reply in zip(calls, replies, strict=True):
+                assert reply.body == b'POST ' + call.body
+
+    run(play())
+
+
+TOKEN = 'token'
+ACCESS = AccessSettings('caller', hash_token(TOKEN), '*', ('call',))
+
+
+def serve(router: Router) -> tuple[HTTPServer, int]:
+    """Serves callers on an ephemeral port."""
+    (socket,) = bind_sockets(0, '127.0.0.1')
+    server = HTTPServer(make_callers_app(Gate((ACCESS,)), router))
+    server.add_socket(socket)
+    return server, socket.getsockname()[1]
+
+
+def make_request(number: int) -> bytes:
+    body = b'body-%d' % number
+    return (
+        b'POST /call/desk/quota/check HTTP/1.1\r\nHost: x\r\n'
+        b'Authorization: Bearer token\r\nLentilmount-Idempotent: true\r\n'
+        b'Lentilmount-Request: request-%d\r\nContent-Length: %d\r\n\r\n%s'
+        % (number, len(body), body)
+    )
+
+
+async def read_answer(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    head = await reader.readuntil(b'\r\n\r\n')
+    lines = head.lower().split(b'\r\n')
+    (length,) = [x for x in lines if x.startswith(b'content-length')]
+    return head, await reader.readexactly(int(length.partition(b':')[2]))
+
+
+def test_leaving_caller_disturbs_nobody() -> None:
+    """The next caller on a kept connection sees its own answer.
+
+    A caller sends a request and leaves before the answer. Another sends two
+    requests at once on one connection, and the answers come in order. The
+    upstream still runs the first caller's request meanwhile.
+    """
+
+    async def play() -> None:
+        options = RawOptions(mean_ms=20)
+        async with await Scene.start(1, options) as scene:
+            server, port = serve(scene.router)
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(make_request(0))
+            await asyncio.sleep(0.005)
+            writer.transport.abort()
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            for number in (1, 2):
+                writer.write(make_request(number) + make_request(number + 10))
+                for n in (number, number + 10):
+                    _, body = await read_answer(reader)
+                    assert body == b'POST body-%d' % n
+            writer.close()
+            server.stop()
+            await server.close_all_connections()
+
+    run(play())
+
+
+def test_path_arrives_as_it_was_sent() -> None:
+    async def play() -> None:
+        async with await Scene.start(1) as scene:
+            paths: list[str] = []
+
+            def note_path(request: RawRequest) -> Act:
+                paths.append(request.path)
+                return Act.ANSWER
+
+            scene.upstreams[0].choose_act = note_path
+            server, port = serve(scene.router)
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            path = b'a%20b/%2E%2E/../c%3Fd?e=%26&f'
+            writer.write(make_request(1).replace(b'check', path))
+            await read_answer(reader)
+            assert paths == ['/' + path.decode()]
+            writer.close()
+            server.stop()
+            await server.close_all_connections()
+
+    run(play())
+
+
+def test_repeated_headers_are_kept() -> None:
+    async def play() -> None:
+        async with await Scene.start(1) as scene:
+            upstream = scene.upstreams[0]
+
+            def add_cookies(request: RawRequest) -> Act:
+                for connection in upstream.connections:
+                    body = b'POST ' + request.body
+                    cookies = ('Set-Cookie: a=1', 'Set-Cookie: b=2')
+                    head = connection.make_head(request, body, 200, cookies)
+                    connection.send(head + body)
+                return Act.IGNORE
+
+            upstream.choose_act = add_cookies
+            server, port = serve(scene.router)
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(make_request(1))
+            head, _ = await read_answer(reader)
+            assert head.lower().count(b'set-cookie') == 2
+            writer.close()
+            server.stop()
+            await server.close_all_connections()
+
+    run(play())
--- /dev/null
+++ b/tests/test_routing_decision.py
@@ -0,0 +1,180 @@
+"""The routing decision against a naive, plainly right version.
+
+The naive one keeps the whole history and works everything out anew from it
+for each decision: who is open, what each costs, which zone is near enough.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import hypothesis.strategies as st
+from hypothesis import given, settings
+
+from lentilmount.clock import ManualClock
+from lentilmount.events import EventLog
+from lentilmount.routing.balance import PowerOfTwo
+from lentilmount.routing.directory import Directory
+from lentilmount.routing.forward import Reply, Result
+from lentilmount.routing.leaving import Mark
+from lentilmount.routing.pool import PoolOptions
+from lentilmount.routing.pools import Pools
+from lentilmount.routing.target import Target
+from tests.routing_scene import SERVICE, SPEC, make_configuration, make_task
+
+ZONES = ('near', 'near', 'far')
+SEATS = 8
+SPILL = 0.003
+TYPICAL = 0.1
+STALE = 2.0
+
+Step = tuple[str, int, int]
+
+
+@attrs.define
+class History:
+    """Everything that happened, in order."""
+
+    now: float = 1000.0
+    taken: list[int] = attrs.Factory(list)
+    ended: list[int] = attrs.Factory(list)
+    reports: list[tuple[float, str, dict[int, int]]] = attrs.Factory(list)
+    left: list[int] = attrs.Factory(list)
+
+    def count_own(self, index: int) -> int:
+        return self.taken.count(index) - self.ended.count(index)
+
+    def find_reports(self) -> dict[str, dict[int, int]]:
+        newest = {daemon: (at, loads) for at, daemon, loads in self.reports}
+        return {
+            daemon: loads
+            for daemon, (at, loads) in newest.items()
+            if self.now - at <= STALE
+        }
+
+    def count_others(self, index: int) -> int:
+        return sum(x.get(index, 0) for x in self.find_reports().values())
+
+    def is_open(self, index: int) -> bool:
+        daemons = 1 + len(self.find_reports())
+        fair = max(1, -(-SPEC.slots // daemons))
+        room = max(fair, SPEC.slots - self.count_others(index))
+        most = min(SPEC.connections // SEATS, room)
+        return index not in self.left and self.count_own(index) < most
+
+    def get_cost(self, index: int) -> float:
+        load = self.count_own(index) + self.count_others(index) + 1
+        return TYPICAL * max(1.0, load / SPEC.slots)
+
+    def list_right(self) -> set[int]:
+        """Returns every choice that is right now."""
+        opened = [n for n in range(len(ZONES)) if self.is_open(n)]
+        near = [n for n in opened if ZONES[n] == 'near']
+        far = [n for n in opened if ZONES[n] == 'far']
+        if not near or not far:
+            return self.drop_worst(near or far)
+        right = self.drop_worst(near)
+        worth = {n for n in right if self.get_cost(n) > TYPICAL + SPILL}
+        for n in self.drop_worst(far) if worth else ():
+            if any(self.get_cost(n) + SPILL < self.get_cost(m) for m in worth):
+                right.add(n)
+        return right
+
+    def drop_worst(self, some: list[int]) -> set[int]:
+        """Drops the ones that lose against every other.
+
+        Of two random ones the clearly cheaper is taken, else the less
+        loaded, so that only a strictly worst one can never be chosen.
+        """
+
+        def beats(one: int, other: int) -> bool:
+            return (self.get_cost(one), self.count_load(one)) < (
+                self.get_cost(other),
+                self.count_load(other),
+            )
+
+        return {
+            n
+            for n in some
+            if len(some) == 1
+            or not all(beats(other, n) for other in some if other != n)
+        }
+
+    def count_load(self, index: int) -> int:
+        return self.count_own(index) + self.count_others(index)
+
+
+def make_pools(clock: ManualClock) -> Pools:
+    directory = Directory()
+    for index, zone in enumerate(ZONES):
+        directory.update(f'{zone}/0', make_task(index, f'a{index}', zone))
+    chance = random.Random(1)
+    return Pools(
+        directory,
+        make_configuration(),
+        PoolOptions('near', SEATS),
+        PowerOfTwo(chance),
+        EventLog('entry-0'),
+        chance,
+        clock.monotonic,
+    )
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ('take', 'take', 'take', 'end', 'report', 'leave', 'wait')
+        ),
+        st.integers(0, len(ZONES) - 1),
+        st.integers(0, 9),
+    ),
+    min_size=30,
+    max_size=90,
+)
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(STEPS)
+def test_decision_is_one_of_the_right_ones(steps: list[Step]) -> None:
+    clock = ManualClock()
+    pools = make_pools(clock)
+    pool = pools.get(SERVICE, SPEC)
+    pool.times.typical = TYPICAL
+    history = History(clock.now)
+    held: list[tuple[int, Target]] = []
+    for kind, index, amount in steps:
+        if kind == 'take':
+            right = history.list_right()
+            pools.refresh()
+            target = pool.take((), clock.now)
+            if target is None:
+                assert not right
+                continue
+            chosen = int(target.upstream.task.rpartition('/')[2])
+            assert chosen in right
+            history.taken.append(chosen)
+            held.append((chosen, target))
+        elif kind == 'end' and held:
+            chosen, target = held.pop(amount % len(held))
+            refused = Reply(Result.NOT_RUN, is_late=True)
+            pool.give_back(target, refused, clock.now - 1, clock.now)
+            target.health.failures = 0
+            history.ended.append(chosen)
+        elif kind == 'report':
+            daemon = f'entry-{amount % 3 + 1}'
+            loads = {n: amount // (1 + (n == index)) for n in range(len(ZONES))}
+            pools.take_loads(
+                daemon, {f'Service/{SERVICE}/{n}': x for n, x in loads.items()}
+            )
+            history.reports.append((clock.now, daemon, loads))
+        elif kind == 'leave' and amount == 0:
+            worker = f'{ZONES[index]}-{index}'
+            pools.mark_leaving(Mark(worker, 'boot-1'), 'entry-1')
+            history.left.append(index)
+        elif kind == 'wait':
+            clock.advance(amount / 10)
+            history.now = clock.now
+            # Heartbeats come all the time; each makes old reports expire.
+            pools.take_loads('entry-9', {})
+            history.reports.append((clock.now, 'entry-9', {}))
--- /dev/null
+++ b/tests/test_routing_ran.py
@@ -0,0 +1,211 @@
+"""What is said of a failed request, held against what truly ran."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+
+from lentilmount.errors import ErrorKind, Ran, UpstreamError
+from lentilmount.resources import ConfigurationSpec
+from lentilmount.routing.forward import Call, CurlForwarder, Result
+from stand_ins.raw import LOOPBACK, Act, RawOptions, RawRequest, RawUpstream
+from tests.helpers import run
+from tests.routing_scene import Scene, make_call, make_configuration
+
+FAILURES = (
+    Act.RESET_BEFORE,
+    Act.RESET_AFTER,
+    Act.CUT_BODY,
+    Act.ANSWER_ANOTHER,
+    Act.REFUSE,
+    Act.IGNORE,
+)
+
+
+async def try_route(scene: Scene, call: Call, timeout: float) -> Ran | None:
+    """Routes a call; returns what a failure said, None for an answer."""
+    try:
+        await scene.router.route(call, timeout)
+    except UpstreamError as error:
+        return error.ran
+    return None
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+@pytest.mark.parametrize('act', FAILURES)
+def test_not_run_is_only_said_when_true(act: Act, idempotent: bool) -> None:
+    """The caller sees "not run" only if no upstream counted the request.
+
+    Three upstreams fail in one way for every second request: reset before
+    or after it ran, cut, cross, refuse, or stay silent until the deadline. A
+    non-idempotent request is sent on only after a failure that surely did
+    not run it, so that it runs at most once.
+    """
+
+    async def play() -> None:
+        async with await Scene.start(3) as scene:
+            for number, upstream in enumerate(scene.upstreams):
+                upstream.choose_act = lambda _, broken=number != 2: (
+                    act if broken else Act.ANSWER
+                )
+            calls = [make_call(n, idempotent) for n in range(12)]
+            said = await asyncio.gather(
+                *(try_route(scene, call, 0.2) for call in calls)
+            )
+            for call, ran in zip(calls, said, strict=True):
+                runs = scene.count_runs(call)
+                assert ran is not Ran.NO or runs == 0
+                assert idempotent or runs <= 1
+                if ran is None:
+                    assert runs >= 1
+
+    run(play())
+
+
+def test_refused_connections_are_not_run() -> None:
+    async def play() -> None:
+        async with await Scene.start(2) as scene:
+            for upstream in scene.upstreams:
+                upstream.stop()
+            with pytest.raises(UpstreamError) as caught:
+                await scene.router.route(make_call(1, False), None)
+            assert caught.value.ran is Ran.NO
+
+    run(play())
+
+
+def test_refusing_upstreams_are_told_as_overload() -> None:
+    async def play() -> None:
+        async with await Scene.start(2) as scene:
+            for upstream in scene.upstreams:
+                upstream.choose_act = lambda _: Act.REFUSE
+            with pytest.raises(UpstreamError) as caught:
+                await scene.router.route(make_call(1, False), None)
+            assert caught.value.kind is ErrorKind.OVERLOADED
+            assert caught.value.ran is Ran.NO
+            assert caught.value.retry_after
+
+    run(play())
+
+
+def die_after_first(upstream: RawUpstream) -> None:
+    """Answers one request, then runs the next on its connection and dies."""
+    answered: list[str] = []
+
+    def choose(request: RawRequest) -> Act:
+        answered.append(request.id)
+        return Act.ANSWER if len(answered) == 1 else Act.RESET_AFTER
+
+    upstream.choose_act = choose
+
+
+async def post_plainly(
+    client: CurlAsyncHTTPClient, address: str, call: Call
+) -> None:
+    """Posts as a program would that knows nothing of this matter."""
+    with contextlib.suppress(CurlError):
+        await client.fetch(
+            f'http://{address}/check',
+            method='POST',
+            body=call.body,
+            headers={'Lentilmount-Request': call.id},
+        )
+
+
+@pytest.mark.parametrize('ours', [False, True])
+def test_library_sends_again_on_a_dead_connection(ours: bool) -> None:
+    """A plain client runs a POST twice; ours runs it once.
+
+    The upstream answers one request and keeps the connection. It runs the
+    next one on it and resets without an answer. libcurl takes the kept
+    connection for dead from the start and sends the request again by itself.
+    """
+
+    async def play() -> int:
+        async with await Scene.start(1) as scene:
+            upstream = scene.upstreams[0]
+            die_after_first(upstream)
+            client = CurlAsyncHTTPClient(force_instance=True)
+            for number in (1, 2):
+                call = make_call(number, idempotent=False)
+                if ours:
+                    await scene.forwarder.send(upstream.address, call, 1.0, 8)
+                else:
+                    await post_plainly(client, upstream.address, call)
+            client.close()
+            return upstream.served['request-2']
+
+    assert run(play()) == (1 if ours else 2)
+
+
+def test_refusal_after_a_library_retry_is_unknown() -> None:
+    """The caller sees "unknown" although the last error is "refused".
+
+    An idempotent request goes out on a kept connection; the upstream runs
+    it, stops listening and resets. libcurl connects again by itself, is
+    refused, and reports only that. The request has run all the same.
+    """
+
+    async def play() -> None:
+        async with await Scene.start(1) as scene:
+            upstream = scene.upstreams[0]
+            first = make_call(1)
+            await scene.forwarder.send(upstream.address, first, 1.0, 8)
+
+            def stop(request: RawRequest) -> Act:
+                upstream.served[request.id] += 1
+                upstream.stop()
+                return Act.IGNORE
+
+            upstream.choose_act = stop
+            call = make_call(2)
+            reply = await scene.forwarder.send(upstream.address, call, 1.0, 8)
+            assert upstream.served[call.id] == 1
+            assert upstream.accepted == 1
+            assert reply.result is Result.UNKNOWN
+
+    run(play())
+
+
+def test_hedge_is_only_for_idempotent_requests() -> None:
+    """A slow non-idempotent request runs once; an idempotent one twice.
+
+    Both upstreams have answered quickly, then one gets fifty times slower.
+    Idempotent requests that hang there get a second copy at the other, which
+    answers first; the rest wait for the slow answer.
+    """
+
+    async def play() -> None:
+        weights = ConfigurationSpec(hedge_share=1.0)
+        configuration = make_configuration(weights=weights)
+        options = RawOptions(mean_ms=2)
+        async with await Scene.start(
+            2, options, configuration, entry_hosts=1
+        ) as scene:
+            for number in range(100):
+                await scene.router.route(make_call(number), None)
+            scene.upstreams[0].factor = 50.0
+            calls = [make_call(n, n % 2 == 0) for n in range(200, 208)]
+            said = await asyncio.gather(
+                *(try_route(scene, call, 1.0) for call in calls)
+            )
+            assert said == [None] * len(calls)
+            runs = [scene.count_runs(call) for call in calls]
+            assert max(runs[::2]) == 2
+            assert set(runs[1::2]) == {1}
+
+    run(play())
+
+
+def test_path_that_cannot_be_sent_is_not_run() -> None:
+    async def play() -> None:
+        forwarder = CurlForwarder()
+        call = Call('r', 'desk/quota', 'GET', 'caf\u00e9')
+        reply = await forwarder.send(f'{LOOPBACK}:1', call, 1.0, 8)
+        assert reply.result is Result.NOT_RUN
+        forwarder.close()
+
+    run(play())
