--- a/lentilmount/daemon/__main__.py
+++ b/lentilmount/daemon/__main__.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from lentilmount import events
 from lentilmount.daemon.lifecycle import Daemon, print_addresses
 from lentilmount.daemon.reload import LIVE_TIMES, Change, Reloader
 from lentilmount.daemon.security import Security
@@ -48,6 +49,12 @@
         signal.signal(number, signal.SIG_IGN)
 
 
+def set_log_level(handler: logbook.Handler, level: str) -> None:
+    """Sets from which level on lines are logged."""
+    handler.level = LEVELS[level]
+    events.log.level = LEVELS[level]
+
+
 def make_reloader(
     daemon: Daemon, read: Callable[[], Settings], handler: logbook.Handler
 ) -> Reloader:
@@ -57,7 +64,7 @@
         daemon.gate.replace(new.access)
 
     def set_level(new: Settings) -> None:
-        handler.level = LEVELS[new.log_level]
+        set_log_level(handler, new.log_level)
 
     def set_time(name: str) -> Change:
         def change(new: Settings) -> None:
@@ -123,6 +130,7 @@
             print(f'{args.settings}: valid')
             return ExitStatus.OK
         handler = make_handler(settings.log_format, settings.log_level)
+        set_log_level(handler, settings.log_level)
         with handler, capture_libraries():
             return asyncio.run(
                 run(settings, lambda: read_settings(args.settings), handler)
--- a/lentilmount/daemon/operators.py
+++ b/lentilmount/daemon/operators.py
@@ -5,6 +5,7 @@
 import hashlib
 from typing import Any
 
+import logbook
 from tornado.web import Application
 
 from lentilmount import resources
@@ -34,6 +35,8 @@
 from lentilmount.queries.pages import DEFAULT_LIMIT, ListFilter
 from lentilmount.resources import Kind, Phase, Resource
 
+log = logbook.Logger('operators')
+
 MAX_LIMIT = 1000
 MAX_REVISION = 2**53
 
@@ -96,14 +99,15 @@
         check_resource(resource, self.api.zones)
         verb = Verb.ADMIN if kind in PLATFORM_KINDS else Verb.WRITE
         grant.require(verb, resource.metadata.team)
-        if kind is Kind.WORKER:
-            # A mistyped name would be accepted, and the worker that was meant
-            # would go on getting work.
-            await self.api.reader.get(kind, '', resource.metadata.name)
+        if kind in (Kind.WORKER, Kind.UPSTREAM):
+            # A mistyped name would be accepted, and what was meant would go on
+            # getting work.
+            metadata = resource.metadata
+            await self.api.reader.get(kind, metadata.team, metadata.name)
         if self.get_query_argument('dry_run', ''):
             await self._preview(resource)
         elif kind is Kind.JOB:
-            await self._submit(resource)
+            await self._submit(grant, resource)
         else:
             await self._apply(grant, resource)
 
@@ -123,9 +127,10 @@
             }
         )
 
-    async def _submit(self, resource: Resource) -> None:
+    async def _submit(self, grant: Grant, resource: Resource) -> None:
         submitted = await self.api.jobs.submit(resource)
         await self.api.status.announce(submitted)
+        _log_change(grant, 'submitted', resource.path, submitted.changed)
         answer = {
             'resource': submitted.resource,
             'changed': submitted.changed,
@@ -136,10 +141,16 @@
         accepted = await self.api.configurer.apply(
             resource, make_command_id(self, grant)
         )
+        _log_change(grant, 'applied', resource.path, accepted.changed)
         await self.api.status.reach(accepted.revision)
         self.reply(unstructure(accepted), 201 if accepted.changed else 200)
 
 
+def _log_change(grant: Grant, verb: str, path: str, changed: bool) -> None:
+    if changed:
+        log.info('{} {} {}.', grant.name, verb, path)
+
+
 def make_command_id(handler: ApiHandler, grant: Grant) -> str:
     """Names a command, so that sending it again changes nothing more.
 
@@ -172,15 +183,18 @@
         team = _read_team_part(team)
         verb = Verb.ADMIN if kind in PLATFORM_KINDS else Verb.WRITE
         grant.require(verb, team)
+        path = resources.make_path(kind, team, name)
         if kind is Kind.JOB:
             deleted = await self.api.jobs.delete(team, name)
+            _log_change(grant, 'deleted', path, changed=True)
             self.reply({'resource': deleted.resource, 'changed': True})
             return
         accepted = await self.api.configurer.delete(
-            resources.make_path(kind, team, name),
+            path,
             self.read_number('revision', 0, MAX_REVISION),
             make_command_id(self, grant),
         )
+        _log_change(grant, 'deleted', path, changed=True)
         await self.api.status.reach(accepted.revision)
         self.reply(accepted)
 
@@ -190,8 +204,11 @@
 
     async def post(self, team: str, name: str) -> None:
         """Accepts the cancellation."""
-        self.admit().require(Verb.WRITE, team)
+        grant = self.admit()
+        grant.require(Verb.WRITE, team)
         submitted = await self.api.jobs.cancel(team, name)
+        path = resources.make_path(Kind.JOB, team, name)
+        _log_change(grant, 'cancelled', path, submitted.changed)
         if submitted.changed:
             await self.api.status.announce(submitted)
         answer = {
--- a/lentilmount/events.py
+++ b/lentilmount/events.py
@@ -7,9 +7,14 @@
 from collections.abc import Iterator
 
 import attrs
+import logbook
 
 from lentilmount.clock import Clock, HybridClock, Stamp, SystemClock
 
+log = logbook.Logger('events', level=logbook.INFO)
+"""Events are debug lines. The level stands here too, because a line that a
+handler drops has cost most of its time by then."""
+
 RING_SIZE = 8192
 
 
@@ -114,6 +119,8 @@
             seconds,
         )
         self._ring.append(event)
+        if log.level <= logbook.DEBUG:
+            _log(event)
         return event
 
     def select(
@@ -123,6 +130,27 @@
         for event in tuple(self._ring):
             if after is not None and event.stamp <= after:
                 continue
-            if resource and not event.resource.startswith(resource):
-                continue
-            yield event
+            if is_within(event.resource, resource):
+                yield event
+
+
+def is_within(resource: str, wanted: str) -> bool:
+    """Tells whether a path is another one or lies below it; '' holds all."""
+    wanted = wanted.rstrip('/')
+    return not wanted or f'{resource}/'.startswith(f'{wanted}/')
+
+
+def _log(event: Event) -> None:
+    ids = {
+        'task': event.resource,
+        'attempt': event.attempt,
+        'worker': event.worker,
+        'request': event.request,
+    }
+    log.debug(
+        '{}: {}{}.',
+        event.part,
+        event.kind.value,
+        f', {event.cause}' if event.cause else '',
+        extra={name: value for name, value in ids.items() if value},
+    )
--- a/lentilmount/queries/timeline.py
+++ b/lentilmount/queries/timeline.py
@@ -9,7 +9,7 @@
 import attrs
 
 from lentilmount.clock import Stamp
-from lentilmount.events import Event, EventLog
+from lentilmount.events import Event, EventLog, is_within
 from lentilmount.resources import Kind
 
 DEFAULT_LIMIT = 1000
@@ -41,18 +41,13 @@
         """Tells whether an event is wanted."""
         until = self.until_millis
         return (
-            _is_within(event.resource, self.resource)
+            is_within(event.resource, self.resource)
             and (not self.request or event.request == self.request)
             and event.stamp.millis > self.since_millis
             and (not until or event.stamp.millis <= until)
         )
 
 
-def _is_within(resource: str, wanted: str) -> bool:
-    wanted = wanted.rstrip('/')
-    return not wanted or f'{resource}/'.startswith(f'{wanted}/')
-
-
 @attrs.frozen
 class TimeLine:
     """Events in order, and from whom there are none.
--- a/stand_ins/processes.py
+++ b/stand_ins/processes.py
@@ -158,6 +158,10 @@
         self.daemons[name] = process
         return process
 
+    def get_settings_path(self, name: str) -> pathlib.Path:
+        """Returns the settings file of a daemon."""
+        return self._folder / f'{name}.json'
+
     def read_log(self, name: str) -> str:
         """Returns what a process logged."""
         return (self._folder / f'{name}.log').read_text('utf-8')
