Note requests that went wrong in the time line

Cause: the time line could be filtered by request, but only retries and hedges carried one. Change: an answer with status 429 or above, or later than the service's target, is an event with the request's id; at most 5 a second, so that a wave of refusals leaves the rest of the ring alone.

--- a/lentilmount/daemon/lifecycle.py
+++ b/lentilmount/daemon/lifecycle.py
@@ -236,7 +236,7 @@
         self.membership.me = attrs.evolve(
             self.membership.me, address=self.addresses['peers']
         )
-        counter = AnswerCounter(self.metrics, self.configuration)
+        counter = AnswerCounter(self.metrics, self.configuration, self.events)
         listeners = (
             (
                 'callers',
--- a/lentilmount/daemon/metrics.py
+++ b/lentilmount/daemon/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import time
 from collections.abc import Iterable, Iterator
 from typing import Any
 
@@ -13,6 +14,7 @@
 from lentilmount.configuration import Configuration
 from lentilmount.daemon.callers import CallHandler
 from lentilmount.daemon.web import Handler, NoRouteHandler
+from lentilmount.events import EventKind, EventLog
 from lentilmount.metrics import TEAM_LABEL, Gauged, Metrics
 
 
@@ -45,12 +47,28 @@
     )
 
 
+NOTABLE_PER_SECOND = 5
+"""Most answers a second that the time line tells. A wave of refusals would
+otherwise push everything else out of the ring."""
+
+
 class AnswerCounter:
-    """Counts answers of the listeners."""
+    """Counts answers of the listeners, and notes those that went wrong.
+
+    Args:
+      metrics: What counts.
+      configuration: What tells which services there are.
+      events: The time line.
+    """
 
-    def __init__(self, metrics: Metrics, configuration: Configuration):
+    def __init__(
+        self, metrics: Metrics, configuration: Configuration, events: EventLog
+    ):
         self._metrics = metrics
         self._configuration = configuration
+        self._events = events
+        self._second = 0
+        self._noted = 0
 
     def count_call(self, handler: RequestHandler) -> None:
         """Counts the answer to an interactive request.
@@ -58,16 +76,34 @@
         Only declared services get series of their own: any path can be
         asked for, and each would stay in memory for good.
         """
-        team, service = '', ''
+        team, service, target_ms = '', '', float('inf')
         if isinstance(handler, CallHandler) and len(handler.path_args) > 1:
             named = handler.path_args[:2]
-            if self._configuration.get_service(*named) is not None:
-                team, service = named
-        self._metrics.observe_call(
-            team,
+            spec = self._configuration.get_service(*named)
+            if spec is not None:
+                (team, service), target_ms = named, spec.target_ms
+        status = handler.get_status()
+        seconds = handler.request.request_time()
+        self._metrics.observe_call(team, service, status, seconds)
+        if service and (status >= 429 or seconds * 1000 > target_ms):
+            self._note(handler, f'Service/{team}/{service}', seconds)
+
+    def _note(
+        self, handler: RequestHandler, service: str, seconds: float
+    ) -> None:
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._noted = second, 0
+        self._noted += 1
+        if self._noted > NOTABLE_PER_SECOND:
+            return
+        self._events.record(
+            'callers',
+            EventKind.REQUEST,
             service,
-            handler.get_status(),
-            handler.request.request_time(),
+            request=getattr(handler, 'request_id', ''),
+            cause=f'HTTP status {handler.get_status()}',
+            seconds=seconds,
         )
 
     def count_command(self, handler: RequestHandler) -> None:
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -156,3 +156,21 @@
     wrong = site.tool('timeline', '--since', 'yesterday')
     assert wrong.status == 3
     assert '--since: is neither an age nor a time' in wrong.err
+
+
+def test_a_request_that_went_wrong_is_found_by_its_id(site: Site) -> None:
+    site.send(
+        *('GET', '/call/desk/airtime/x'),
+        listener='callers',
+        Lentilmount_Request='late-one',
+        Lentilmount_Timeout_Ms='0.001',
+    )
+    shown = site.tool(
+        *('timeline', '--request', 'late-one', '--output', 'jsonl'),
+        token='desk',
+    )
+    event = json.loads(shown.out.splitlines()[-1])
+    assert event['kind'] == 'request'
+    assert event['resource'] == 'Service/desk/airtime'
+    assert event['cause'].startswith('HTTP status 5')
+    assert event['seconds'] > 0
