Test that evicted work is followed and a stop ends watches

Cause: only the straight way of a job was followed in a test, and nothing showed that a planned stop does not wait for watches. Change: a refused job, a drained worker, a stopping daemon, daemons that cannot be reached; the in-process site moves to the stand-ins.

--- a/tests/site.py
+++ b/stand_ins/site.py
@@ -61,6 +61,7 @@
     stdin: str = '',
     variables: dict[str, str] | None = None,
 ) -> Outcome:
+    """Runs the command-line tool in this process."""
     out, err = io.StringIO(), io.StringIO()
     env = Environment(io.StringIO(stdin), out, err, variables or {})
     status = main(list(args), env)
@@ -94,6 +95,7 @@
             await self._stop.wait()
 
     def make_settings(self, name: str, zone: str, **changes: Any) -> Settings:
+        """Builds the settings of one more daemon."""
         addresses = self.platform.get_addresses()
         settings = Settings(
             name=name,
@@ -112,18 +114,22 @@
         return attrs.evolve(settings, **changes)
 
     def __enter__(self) -> Site:
+        """Starts the thread, and waits until all listen."""
         self._thread.start()
         assert self._ready.wait(20)
         return self
 
     def __exit__(self, *_: object) -> None:
+        """Stops everything."""
         self.loop.call_soon_threadsafe(self._stop.set)
         self._thread.join(20)
 
     def run(self, work: Coroutine[Any, Any, T]) -> T:
+        """Runs a coroutine on the loop of the daemons."""
         return asyncio.run_coroutine_threadsafe(work, self.loop).result(30)
 
     def base(self, listener: str = 'operators', daemon: int = 0) -> str:
+        """Returns scheme, host and port of a listener."""
         return f'http://{self.daemons[daemon].addresses[listener]}'
 
     def send(
@@ -155,6 +161,7 @@
         return self.run(call())
 
     def call(self, method: str, path: str, value: Any = None, **kw: Any) -> Any:
+        """Sends JSON, and returns the JSON of the answer; see `send`."""
         body = None if value is None else json.dumps(value).encode()
         answer = self.send(method, path, body, **kw)
         return json.loads(answer.body)
@@ -162,6 +169,7 @@
     def tool(
         self, *args: str, token: str = 'admin', stdin: str = ''
     ) -> Outcome:
+        """Runs the command-line tool against the first daemon."""
         return run_tool(
             *('--server', self.base(), '--token', token), *args, stdin=stdin
         )
@@ -169,12 +177,14 @@
 
 @contextlib.contextmanager
 def open_site() -> Iterator[Site]:
+    """Opens a site with two teams and a service."""
     with Site() as site:
         site.tool('apply', '-f', '-', stdin=json.dumps(DECLARED))
         yield site
 
 
 def make_job(name: str, team: str = 'desk', **spec: Any) -> dict[str, Any]:
+    """Builds a small job."""
     demand = {'cores': 1, 'memory_mb': 64}
     return {
         'kind': 'Job',
@@ -188,6 +198,7 @@
 
 
 def make_service(name: str, team: str, **spec: Any) -> dict[str, Any]:
+    """Builds a small service."""
     return {
         'kind': 'Service',
         'metadata': {'team': team, 'name': name},
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.site import Site, open_site
+from stand_ins.site import Site, open_site
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 MOST_KNOWN_RED = 3
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -8,7 +8,7 @@
 from tornado.routing import PathMatches
 
 from lentilmount.daemon.lifecycle import Daemon
-from tests.site import Site, make_job, make_service
+from stand_ins.site import Site, make_job, make_service
 
 JOB = json.dumps(make_job('secret-run')).encode()
 SERVICE = json.dumps(make_service('airtime', 'desk')).encode()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lentilmount.errors import ANSWERS, ErrorKind
-from tests.site import Site, make_job, make_service
+from stand_ins.site import Site, make_job, make_service
 
 HUGE = 5 * 1024 * 1024
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,7 +10,7 @@
 from lentilmount.cli.definition import COMMANDS, make_parser
 from lentilmount.context import Environment
 from lentilmount.status import ExitStatus
-from tests.site import Site, make_job, make_service, run_tool
+from stand_ins.site import Site, make_job, make_service, run_tool
 
 
 def test_wait_for_jobs_and_list_them(site: Site) -> None:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -22,7 +22,7 @@
 from lentilmount.metrics import GAUGES
 from lentilmount.resources import SPECS, Kind, Metadata, Status
 from lentilmount.status import ExitStatus
-from tests.site import Site, run_tool
+from stand_ins.site import Site, run_tool
 
 ROOT = pathlib.Path(__file__).parent.parent
 DOCS = ROOT / 'docs'
--- a/tests/test_faults_of_commands.py
+++ b/tests/test_faults_of_commands.py
@@ -23,7 +23,7 @@
 from lentilmount.status import ExitStatus
 from stand_ins.platform import PlatformOptions, make_zones
 from stand_ins.processes import Deployment
-from tests.site import Site, make_job, make_service
+from stand_ins.site import Site, make_job, make_service
 
 
 def test_a_command_whose_answers_are_lost_is_one_change(site: Site) -> None:
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import re
 import socket
 import ssl
 import time
@@ -26,7 +27,7 @@
     TlsSettings,
 )
 from lentilmount.upstream.http import HttpCaller
-from tests.site import Site, run_tool
+from stand_ins.site import Site, run_tool
 
 LOOPBACK = '127.0.0.1'
 
@@ -169,6 +170,12 @@
         args = ('--server', server, '--token', 'admin', 'status')
         told = run_tool('--authority', tls.authority, *args)
         assert 'tls-1' in told.out, told
+        # The plain daemons are known from the table, and cannot be asked.
+        assert told.status == 7
+        for name in ('entry-0', 'entry-1'):
+            assert re.search(
+                rf'^{name} .* no .*does not answer', told.out, re.M
+            )
         assert run_tool(*args).status == 7
         host, _, port = first.addresses['peers'].partition(':')
         stranger = ssl.create_default_context(cafile=tls.authority)
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -19,8 +19,8 @@
     merge_events,
     select_events,
 )
+from stand_ins.site import Site, make_job
 from tests.helpers import run
-from tests.site import Site, make_job
 
 
 @attrs.define
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import Any
 
@@ -11,17 +12,19 @@
 from hypothesis import strategies as st
 
 from lentilmount.batch.records import Task, make_change_key, make_slice_key
+from lentilmount.cli.client import ApiClient
 from lentilmount.codec import unstructure
 from lentilmount.configuration import CONFIGURATION_LOG
 from lentilmount.coordination.table import Delete, Key, Put, UnavailableError
+from lentilmount.daemon.lifecycle import Daemon
 from lentilmount.errors import ErrorKind, InvalidError, LentilmountError
 from lentilmount.queries.feed import Place, encode_cursor
 from lentilmount.queries.watch import BOOKMARK, Watcher, WatchFilter
 from lentilmount.resources import Demand, Kind
 from lentilmount.rows import REVISION_KEY
+from stand_ins.site import Site, make_job
 from stand_ins.table import MemoryTable
 from tests.helpers import run
-from tests.site import Site, make_job
 
 SLICE = 'alex-a/0'
 ALL = WatchFilter()
@@ -260,6 +263,80 @@
     assert [json.loads(n)['event'] for n in rest.out.splitlines()] == events[2:]
 
 
+def test_refused_evicted_and_resumed_work_is_followed(site: Site) -> None:
+    """One job fits no worker; the worker of the other is drained.
+
+    The first is refused at once with the reason. The second is stopped where
+    it runs, resumes elsewhere and completes, in its second attempt.
+    """
+    start = site.call('GET', '/v1/jobs')['cursor']
+    large = make_job('large', demand={'cores': 1000, 'memory_mb': 1})
+    told = site.tool('apply', '-f', '-', '--wait', stdin=json.dumps(large))
+    assert told.status == 1
+    assert 'Job desk/large: refused' in told.out
+    moved = make_job('moved', payload='{"seconds": 1.5}')
+    site.tool('apply', '-f', '-', stdin=json.dumps(moved))
+    seen = site.tool(
+        *('watch', 'job', '--name', 'moved', '--cursor', start),
+        *('--count', '3', '--output', 'jsonl'),
+    )
+    worker = json.loads(seen.out.splitlines()[-1])['resource']['status'][
+        'worker'
+    ]
+    assert site.tool('drain', worker, '--wait').status == 0
+    site.tool('apply', '-f', '-', '--wait', stdin=json.dumps(moved))
+    site.tool('uncordon', worker)
+    events: dict[str, list[str]] = {'large': [], 'moved': []}
+    shown = site.tool(
+        *('watch', 'job', '--cursor', start, '--team', 'desk'),
+        *('--count', '10', '--output', 'jsonl'),
+    )
+    for line in shown.out.splitlines():
+        notice = json.loads(line)
+        events[notice['resource']['metadata']['name']].append(notice['event'])
+    assert events == {
+        'large': ['accepted', 'refused'],
+        'moved': [
+            *('accepted', 'placed', 'running', 'evicted', 'stopped'),
+            *('resumed', 'running', 'completed'),
+        ],
+    }
+
+
+def test_a_watch_ends_with_the_daemon_and_goes_on_elsewhere(
+    site: Site,
+) -> None:
+    """A daemon is told to stop while somebody watches there.
+
+    The watch has no end of its own. Were it not ended, the stop would wait
+    for it until its limit and then cut it off.
+    """
+
+    async def check() -> list[str]:
+        settings = site.make_settings('watched', 'lodz')
+        async with Daemon(settings) as daemon, asyncio.timeout(20):
+            while daemon.find_fault():
+                await asyncio.sleep(0.02)
+            client = ApiClient(
+                f'http://{daemon.addresses["operators"]}', 'admin'
+            )
+            lines = client.stream('/v1/watch')
+            cursors = [(await anext(lines))['cursor']]
+            stop = asyncio.create_task(daemon.stop())
+            cursors += [line['cursor'] async for line in lines]
+            await stop
+            client.close()
+        return cursors
+
+    cursor = site.run(check())[-1]
+    site.call('POST', '/v1/jobs', make_job('after-stop'))
+    seen = site.tool(
+        *('watch', '--name', 'after-stop', '--cursor', cursor),
+        *('--count', '1'),
+    )
+    assert 'accepted' in seen.out
+
+
 def test_a_watch_from_the_future_is_refused(site: Site) -> None:
     cursor = encode_cursor({CONFIGURATION_LOG: Place(10**9)})
     told = site.tool('watch', '--cursor', cursor)
