--- a/lentilmount/daemon/follower.py
+++ b/lentilmount/daemon/follower.py
@@ -124,7 +124,7 @@
         """Follows until cancelled."""
         monotonic = asyncio.get_running_loop().time
         while True:
-            await self._ask_peers()
+            await self.ask_peers()
             if monotonic() >= self._due:
                 self._due = monotonic() + self._get_pause()
                 await self._try_look()
@@ -213,13 +213,14 @@
                 cause=f'revision {revision}',
             )
 
-    async def _ask_peers(self) -> None:
+    async def ask_peers(self) -> None:
+        """Gets what peers said that they have and this daemon has not."""
         told = self._told_revision
         before = self._configuration.revision
         if told.revision > before:
             reply = await self._fetch(told.sender, CONFIGURATION_LOG, before)
             if reply is not None:
-                self._take_changes(reply)
+                self.take_changes(reply)
             self._note_revision(before)
             if self._configuration.is_behind:
                 self._told_revision = News()
@@ -232,7 +233,8 @@
                     self.logs.take(name, reply)
                 del self._told_slices[name]
 
-    def _take_changes(self, reply: peer_pb2.ChangesReply) -> None:
+    def take_changes(self, reply: peer_pb2.ChangesReply) -> None:
+        """Puts a peer's answer in force; what is old of it is ignored."""
         if reply.snapshot:
             resources = [
                 structure_resource(json.loads(change.body))
