--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,6 +1,7 @@
 """The configuration in force: accepted once, and it never reverts."""
 
 import asyncio
+from typing import Any
 
 import pytest
 from hypothesis import settings
@@ -205,7 +206,7 @@
             for team in TEAMS:
                 assert daemon.weigh(team) == weights.get(f'Team//{team}')
 
-    def read_log(self) -> dict[int, dict[str, object]]:
+    def read_log(self) -> dict[int, Any]:
         log = {
             int(write.key.sort): write.body
             for write in self.table.history
@@ -263,7 +264,7 @@
     class Busy(FaultyTable):
         weight = 2.0
 
-        async def scan(self, partition: str, *args: object) -> list:  # type: ignore[override, type-arg]
+        async def scan(self, partition: str, *args: object) -> list:  # type: ignore[type-arg]
             rows = await super().scan(partition, *args)  # type: ignore[arg-type]
             if partition == 'resource' and self.weight < 3.0:
                 self.weight = 3.0
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,198 @@
+"""A planned stop cuts nothing off; a kill loses answers but doubles nothing."""
+
+import http.client
+import json
+import signal
+import socket
+import threading
+import time
+import urllib.request
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from lentilmount.resources import Room
+from lentilmount.settings import TimeSettings
+from stand_ins.platform import PlatformOptions, make_zones
+from stand_ins.processes import ADMIN_TOKEN, Deployment, Process
+
+ROOM = Room(32.0, 125 * 1024, 0)
+ACCESS = {'Authorization': f'Bearer {ADMIN_TOKEN}'}
+TIMES = TimeSettings(heartbeat=0.2, silence=0.8, drain=1.0, sync=0.5)
+SERVICE_SECONDS = 0.25
+SERVICE = {
+    'kind': 'Service',
+    'metadata': {'team': 't', 'name': 's'},
+    'spec': {
+        'replicas': 2,
+        'demand': {'cores': 4, 'memory_mb': 1024},
+        'deadline_ms': 5000,
+        'payload': json.dumps(
+            {'service_ms': SERVICE_SECONDS * 1000, 'slots': 8}
+        ),
+    },
+}
+
+
+@pytest.fixture(scope='module')
+def deployment() -> Iterator[Deployment]:
+    zones = make_zones(('a',), 2, 2, ROOM)
+    with Deployment(PlatformOptions(zones), TIMES) as deployment:
+        for name in ('e0', 'e1', 'e2'):
+            deployment.start_daemon(name, 'a')
+        ask(deployment.daemons['e0'], 'POST', '/v1/services', SERVICE)
+        wait_for_replicas(deployment)
+        yield deployment
+
+
+def ask(process: Process, method: str, path: str, value: Any = None) -> Any:
+    request = urllib.request.Request(
+        f'http://{process.addresses["operators"]}{path}',
+        None if value is None else json.dumps(value).encode(),
+        ACCESS,
+        method=method,
+    )
+    with urllib.request.urlopen(request, timeout=5) as answer:
+        return json.load(answer)
+
+
+def wait_for_replicas(deployment: Deployment) -> None:
+    daemons = list(deployment.daemons.values())
+    for _ in range(200):
+        status = ask(daemons[0], 'GET', '/v1/services/t/s')['status']
+        served = {send_once(process)[0] for process in daemons}
+        if status['reason'].startswith('2 of') and served == {200}:
+            return
+        time.sleep(0.1)
+    raise AssertionError(status)
+
+
+def connect(process: Process) -> http.client.HTTPConnection:
+    host, _, port = process.addresses['callers'].rpartition(':')
+    return http.client.HTTPConnection(host, int(port), timeout=10)
+
+
+def send(
+    connection: http.client.HTTPConnection, name: str = ''
+) -> tuple[int, bytes, str]:
+    headers = {**ACCESS, 'Lentilmount-Request': name} if name else ACCESS
+    connection.request('POST', '/call/t/s/x', b'body', headers)
+    answer = connection.getresponse()
+    return answer.status, answer.read(), answer.getheader('Connection', '')
+
+
+def send_once(process: Process) -> tuple[int, bytes, str]:
+    connection = connect(process)
+    try:
+        return send(connection)
+    finally:
+        connection.close()
+
+
+class Caller(threading.Thread):
+    """Sends one request after the other on kept connections."""
+
+    def __init__(self, process: Process, until: float):
+        super().__init__()
+        self.process = process
+        self.until = until
+        self.answers: list[tuple[float, int, str]] = []
+        self.failures: list[Exception] = []
+
+    def run(self) -> None:
+        connection = connect(self.process)
+        while time.monotonic() < self.until:
+            try:
+                status, _, closing = send(connection)
+            except (OSError, http.client.HTTPException) as error:
+                self.failures.append(error)
+                return
+            self.answers.append((time.monotonic(), status, closing))
+
+
+def test_a_planned_stop_cuts_nothing_off(deployment: Deployment) -> None:
+    """SIGTERM comes twice while the balancer still sends for 0.9 s.
+
+    Every request is answered, also one whose body arrives over the whole
+    time. Kept connections are told to close from the signal on, so that the
+    balancer opens the next one elsewhere. Slices go to the other daemon, and
+    the process ends with status 0.
+    """
+    stopping = deployment.daemons['e0']
+    slow = start_slow_request(stopping)
+    callers = [Caller(stopping, time.monotonic() + 1.4) for _ in range(6)]
+    for caller in callers:
+        caller.start()
+    time.sleep(0.5)
+    signalled = time.monotonic()
+    stopping.send(signal.SIGTERM)
+    time.sleep(0.3)
+    stopping.send(signal.SIGTERM)
+    for caller in callers:
+        caller.join()
+    assert finish_slow_request(slow).startswith(b'HTTP/1.1 200')
+    assert stopping.popen.wait(10) == 0
+    assert [caller.failures for caller in callers] == [[]] * 6
+    answers = [answer for caller in callers for answer in caller.answers]
+    assert {status for _, status, _ in answers} == {200}
+    late = {c for at, _, c in answers if at > signalled + 2 * SERVICE_SECONDS}
+    assert late == {'close'}
+    left = [deployment.daemons[name] for name in ('e1', 'e2')]
+    owned = [ask(daemon, 'GET', '/v1/status')['slices'] for daemon in left]
+    assert sorted(owned) == [[], ['a/0']]
+
+
+def start_slow_request(process: Process) -> socket.socket:
+    host, _, port = process.addresses['callers'].rpartition(':')
+    connection = socket.create_connection((host, int(port)), timeout=10)
+    head = (
+        'POST /call/t/s/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n'
+        f'Authorization: {ACCESS["Authorization"]}\r\n\r\nbo'
+    )
+    connection.sendall(head.encode())
+    return connection
+
+
+def finish_slow_request(connection: socket.socket) -> bytes:
+    connection.sendall(b'dy')
+    answer = connection.recv(65536)
+    connection.close()
+    return answer
+
+
+def test_a_killed_daemon_doubles_nothing(deployment: Deployment) -> None:
+    """SIGKILL comes while requests run.
+
+    Their callers see the connection end without an answer: nobody says that
+    they did not run. Each ran once at most, and each that was sent on ran.
+    """
+    killed = deployment.daemons['e2']
+    ends: list[str] = []
+
+    def call(name: str) -> None:
+        try:
+            ends.append(str(send(connect(killed), name)[0]))
+        except (OSError, http.client.HTTPException):
+            ends.append('reset')
+
+    names = [f'killed-{number}' for number in range(8)]
+    threads = [threading.Thread(target=call, args=(n,)) for n in names]
+    for thread in threads:
+        thread.start()
+    time.sleep(SERVICE_SECONDS / 2)
+    killed.kill()
+    for thread in threads:
+        thread.join()
+    assert ends == ['reset'] * 8
+    time.sleep(SERVICE_SECONDS)
+    workers = deployment.platform.addresses['workers'].values()
+    served = [fetch_record(address)['served'] for address in workers]
+    counts = [sum(s.get(name, 0) for s in served) for name in names]
+    assert counts == [1] * 8
+    assert send_once(deployment.daemons['e1'])[0] == 200
+
+
+def fetch_record(address: str) -> Any:
+    with urllib.request.urlopen(f'http://{address}/_record') as answer:
+        return json.load(answer)
