Bound what all bodies hold, and admit before they are read

Cause: a caller without a token could make a daemon hold a body on each of 1024 connections; a token was looked up by comparing with every entry; idle connections of the balancer were closed after the time meant for slow senders; each of 64 watches looked for news ten times a second; a request id that cannot be kept came back in the answer. Change: the token is checked when the header is in; room for bodies is promised before they are read (limits.buffered_kb); idle_seconds apart from body_seconds; grants by hash; one look for all watches. Ruled out: comparing hashes in constant time, which protects nothing where the look-up is by the hash of a token.

--- a/lentilmount/access.py
+++ b/lentilmount/access.py
@@ -4,7 +4,6 @@
 
 import enum
 import hashlib
-import hmac
 from collections.abc import Iterable
 
 import attrs
@@ -73,25 +72,33 @@
     """Finds the grant of a token."""
 
     def __init__(self, access: Iterable[AccessSettings]):
-        self._access = tuple(access)
+        self._grants: dict[str, Grant] = {}
+        self.replace(access)
 
     def replace(self, access: Iterable[AccessSettings]) -> None:
         """Takes new grants; requests that are under way keep theirs."""
-        self._access = tuple(access)
+        self._grants = {
+            entry.sha256: Grant(
+                entry.name,
+                entry.team,
+                frozenset(Verb(verb) for verb in entry.verbs),
+            )
+            for entry in access
+        }
 
     def admit(self, header: str) -> Grant:
         """Returns the grant of an Authorization header.
 
+        The look-up is by the token's hash. How long it takes can tell only
+        about hashes, from which no token can be found.
+
         Raises:
           AccessError: There is no valid token.
         """
         scheme, _, token = header.partition(' ')
         given = hashlib.sha256(token.strip().encode()).hexdigest()
-        if scheme.lower() == 'bearer':
-            for entry in self._access:
-                if hmac.compare_digest(entry.sha256, given):
-                    verbs = frozenset(Verb(verb) for verb in entry.verbs)
-                    return Grant(entry.name, entry.team, verbs)
+        if scheme.lower() == 'bearer' and given in self._grants:
+            return self._grants[given]
         raise AccessError(
             'send a known token as "Authorization: Bearer TOKEN"',
             kind=ErrorKind.UNAUTHENTICATED,
--- a/lentilmount/daemon/callers.py
+++ b/lentilmount/daemon/callers.py
@@ -68,6 +68,7 @@
     def on_connection_close(self) -> None:
         """Takes note that the caller left; called by tornado."""
         self.gone = True
+        super().on_connection_close()
 
     get = head = post = put = delete = patch = options = respond
 
--- a/lentilmount/daemon/listeners.py
+++ b/lentilmount/daemon/listeners.py
@@ -14,8 +14,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from lentilmount.daemon.bodies import BODY_LIMITS, BodyLimits
 from lentilmount.daemon.draining import Drain
-from lentilmount.daemon.web import BODY_LIMIT
 from lentilmount.errors import FieldProblem, SettingsError
 from lentilmount.settings import LimitSettings
 
@@ -92,15 +92,17 @@
       on_answer: Called after each answer.
       drain: Counts the requests under way.
     """
-    app.settings[BODY_LIMIT] = limits.body_kb * KIB
+    app.settings[BODY_LIMITS] = BodyLimits(
+        limits.body_kb * KIB, limits.buffered_kb * KIB
+    )
     app.settings['log_function'] = on_answer
     server = LimitedServer(
         drain.wrap(app),
         ssl_options=tls,
         max_header_size=limits.header_kb * KIB,
         max_body_size=LIBRARY_BODY_LIMIT,
-        idle_connection_timeout=limits.slow_seconds,
-        body_timeout=limits.slow_seconds,
+        idle_connection_timeout=limits.idle_seconds,
+        body_timeout=limits.body_seconds,
     )
     server.most = limits.connections
     drain.watch(server)
--- a/lentilmount/daemon/operators.py
+++ b/lentilmount/daemon/operators.py
@@ -257,6 +257,8 @@
 class HealthHandler(ApiHandler):
     """Tells that the process lives."""
 
+    is_open = True
+
     def get(self) -> None:
         """Answers ok."""
         self.reply({'status': 'ok'})
@@ -265,6 +267,8 @@
 class ReadyHandler(ApiHandler):
     """Tells whether the balancer may send requests here."""
 
+    is_open = True
+
     def get(self) -> None:
         """Answers ok or why not."""
         fault = self.api.status.find_fault()
--- a/lentilmount/daemon/web.py
+++ b/lentilmount/daemon/web.py
@@ -11,6 +11,7 @@
 
 from lentilmount.access import Gate, Grant
 from lentilmount.codec import encode
+from lentilmount.daemon.bodies import BODY_LIMITS, BodyLimits
 from lentilmount.errors import (
     PROBLEM_TYPE,
     RAN_HEADER,
@@ -26,10 +27,6 @@
 
 REQUEST_ID_HEADER = 'Lentilmount-Request'
 MAX_REQUEST_ID = 100
-DEFAULT_BODY_LIMIT = 4 * 1024 * 1024
-
-BODY_LIMIT = 'body_limit'
-"""The application's setting that holds the largest body, in bytes."""
 
 _KINDS_BY_STATUS = {
     400: ErrorKind.INVALID,
@@ -47,43 +44,54 @@
     answer one that is too large without a problem document.
 
     Attributes:
+      is_open: Whether everybody is served, also without a token.
       request_id: The caller's id of the request, or a new one.
     """
 
+    is_open = False
+
     def initialize(self, gate: Gate) -> None:
         """Keeps the gate."""
         self.gate = gate
+        self._limits: BodyLimits = self.settings.get(BODY_LIMITS, BodyLimits())
+        self._grant: Grant | None = None
         self._pieces: list[bytes] = []
         self._expected = 0
+        self._held = 0
 
     def prepare(self) -> None:
-        """Gives the request its id, and refuses a body that is too large."""
-        given = self.request.headers.get(REQUEST_ID_HEADER, '')
-        self.request_id = given or uuid.uuid4().hex
-        self.set_header(REQUEST_ID_HEADER, self.request_id[:MAX_REQUEST_ID])
-        if len(given) > MAX_REQUEST_ID or not given.isprintable():
-            raise InvalidError(
-                f'{REQUEST_ID_HEADER} must be at most {MAX_REQUEST_ID} '
-                f'printable characters'
-            )
-        bind(request=self.request_id)
-        self._check_length()
+        """Gives the request its id, and admits it before its body comes.
 
-    def _check_length(self) -> None:
-        most = self.settings.get(BODY_LIMIT, DEFAULT_BODY_LIMIT)
-        length = self.request.headers.get('Content-Length', '0')
+        A caller without a token must not make the daemon hold its body.
+        """
+        self.request_id = self._read_request_id()
+        self.set_header(REQUEST_ID_HEADER, self.request_id)
+        bind(request=self.request_id)
+        length = self.request.headers.get('Content-Length', '')
         self._expected = int(length) if length.isdecimal() else 0
         # The rest of a refused body is read and dropped, within the time for
         # slow senders: closing at once would reset the connection and could
         # lose the answer on its way.
         connection: Any = self.request.connection
-        connection.set_max_body_size(max(most, self._expected))
-        if self._expected > most:
-            raise LentilmountError(
-                f'the body has {self._expected} bytes; at most {most} '
-                f'are taken',
-                kind=ErrorKind.TOO_LARGE,
+        connection.set_max_body_size(max(self._limits.largest, self._expected))
+        if not self.is_open:
+            self.admit()
+        # A body of unknown length may become as large as any.
+        is_chunked = 'Transfer-Encoding' in self.request.headers
+        held = self._limits.largest if is_chunked else self._expected
+        self._limits.hold(held)
+        self._held = held
+
+    def _read_request_id(self) -> str:
+        given = self.request.headers.get(REQUEST_ID_HEADER, '')
+        made = uuid.uuid4().hex
+        if len(given) > MAX_REQUEST_ID or not given.isprintable():
+            self.request_id = made
+            raise InvalidError(
+                f'{REQUEST_ID_HEADER} must be at most {MAX_REQUEST_ID} '
+                f'printable characters'
             )
+        return given or made
 
     def data_received(self, chunk: bytes) -> None:
         """Takes a piece of the body; called by tornado."""
@@ -92,9 +100,24 @@
             self.request.body = b''.join(self._pieces)
             self._pieces = [self.request.body]
 
+    def on_finish(self) -> None:
+        """Gives back what the body held; called by tornado."""
+        self._release()
+
+    def on_connection_close(self) -> None:
+        """Gives back what the body held; called by tornado."""
+        self._release()
+
+    def _release(self) -> None:
+        self._limits.release(self._held)
+        self._held = 0
+
     def admit(self) -> Grant:
         """Returns what the request's token allows."""
-        return self.gate.admit(self.request.headers.get('Authorization', ''))
+        if self._grant is None:
+            header = self.request.headers.get('Authorization', '')
+            self._grant = self.gate.admit(header)
+        return self._grant
 
     def reply(self, value: Any, status: int = 200) -> None:
         """Answers with JSON."""
@@ -110,7 +133,7 @@
         self.set_status(error.answer.http)
         self.set_header('Content-Type', PROBLEM_TYPE)
         self.set_header(RAN_HEADER, error.ran.value)
-        self.set_header(REQUEST_ID_HEADER, self.request_id[:MAX_REQUEST_ID])
+        self.set_header(REQUEST_ID_HEADER, self.request_id)
         if error.retry_after is not None:
             self.set_header(
                 'Retry-After', str(max(1, round(error.retry_after)))
@@ -135,6 +158,8 @@
 class NoRouteHandler(Handler):
     """Answers where there is no route."""
 
+    is_open = True
+
     def prepare(self) -> None:
         """Refuses every request."""
         super().prepare()
--- a/lentilmount/queries/watch.py
+++ b/lentilmount/queries/watch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Any
 
@@ -31,6 +32,11 @@
 from lentilmount.rows import REVISION_KEY
 
 LOOK_SECONDS = 0.1
+"""Between two looks at what is known, one for all watchers."""
+
+IDLE_SECONDS = 0.5
+"""How long a watcher rests at most, before it looks whether to go on."""
+
 BOOKMARK_SECONDS = 5.0
 
 
@@ -101,6 +107,9 @@
         self._logs = (CONFIGURATION_LOG, *slices)
         self._get_newest = get_newest
         self._feed = Feed(table)
+        self._news = asyncio.Event()
+        self._looker: asyncio.Task[None] | None = None
+        self._followers = 0
 
     def make_cursor(self) -> str:
         """Returns a cursor that holds all that is known now."""
@@ -162,10 +171,41 @@
         Raises:
           LentilmountError: Of kind GONE; see `Feed.read`.
         """
-        yield Notice(encode_cursor(positions), BOOKMARK)
-        told = asyncio.get_running_loop().time()
+        self._followers += 1
+        if self._looker is None:
+            self._looker = asyncio.create_task(self._look())
+        try:
+            async for notice in self._follow(positions, wanted):
+                yield notice
+        finally:
+            self._followers -= 1
+            if not self._followers and self._looker is not None:
+                self._looker.cancel()
+                self._looker = None
+
+    async def _look(self) -> None:
+        """Wakes all watchers when there is something new.
+
+        If each looked for itself, the daemon's processor time would rise with
+        the number of watchers although nothing happens.
+        """
+        known: dict[str, int] = {}
+        while True:
+            newest = dict(self._get_newest())
+            if newest != known:
+                known = newest
+                self._news.set()
+                self._news = asyncio.Event()
+            await asyncio.sleep(LOOK_SECONDS)
+
+    async def _follow(
+        self, positions: Positions, wanted: WatchFilter
+    ) -> AsyncIterator[Notice | None]:
         loop = asyncio.get_running_loop()
+        told = loop.time()
+        yield Notice(encode_cursor(positions), BOOKMARK)
         while True:
+            news = self._news
             for row in await self._read_more(positions):
                 for notice in _tell_entry(row, positions, wanted):
                     told = loop.time()
@@ -175,7 +215,8 @@
                 yield Notice(encode_cursor(positions), BOOKMARK)
             if self._is_current(positions):
                 yield None
-                await asyncio.sleep(LOOK_SECONDS)
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(news.wait(), IDLE_SECONDS)
 
     def _is_current(self, positions: Positions) -> bool:
         newest = self._get_newest()
--- a/lentilmount/settings.py
+++ b/lentilmount/settings.py
@@ -113,14 +113,19 @@
       header_kb: Largest request header, in KiB.
       body_kb: Largest request body, in KiB.
       connections: Most connections to one listener at once.
-      slow_seconds: Longest time for a header, or for a body, to arrive.
+      buffered_kb: Most that all bodies on one listener hold at once, in KiB.
+      idle_seconds: Longest time from one answer to the next whole header;
+        more than the balancer keeps an idle connection.
+      body_seconds: Longest time for a body to arrive.
       watches: Most watches at once.
     """
 
     header_kb: int = _count(16)
     body_kb: int = _count(4096)
     connections: int = _count(1024)
-    slow_seconds: float = _seconds(20.0)
+    buffered_kb: int = _count(16384)
+    idle_seconds: float = _seconds(75.0)
+    body_seconds: float = _seconds(20.0)
     watches: int = _count(64)
 
 
--- a/lentilmount/settingsfile.py
+++ b/lentilmount/settingsfile.py
@@ -12,7 +12,12 @@
 from lentilmount.codec import structure
 from lentilmount.errors import FieldProblem, InvalidError, SettingsError
 from lentilmount.lines import find_line, find_lines, find_open_comment
-from lentilmount.settings import LISTENERS, Settings, TimeSettings
+from lentilmount.settings import (
+    LISTENERS,
+    LimitSettings,
+    Settings,
+    TimeSettings,
+)
 
 ORDERED_TIMES = (
     ('heartbeat', 'silence'),
@@ -49,6 +54,7 @@
         problems += _check_zone(value)
         problems += _check_listeners(value)
         problems += _check_times(value)
+        problems += _check_bodies(value)
     if problems:
         raise _make_error(text, path, problems)
     return settings
@@ -149,6 +155,21 @@
     return problems
 
 
+def _check_bodies(value: dict[str, Any]) -> list[FieldProblem]:
+    given = {**attrs.asdict(LimitSettings()), **_get_object(value, 'limits')}
+    largest, all_held = given['body_kb'], given['buffered_kb']
+    numbers = isinstance(largest, int) and isinstance(all_held, int)
+    if not numbers or largest <= all_held:
+        return []
+    return [
+        FieldProblem(
+            'limits.body_kb',
+            f'is {largest}, more than limits.buffered_kb, {all_held}',
+            'no body of that size could ever be taken',
+        )
+    ]
+
+
 def _get_object(value: dict[str, Any], name: str) -> dict[str, Any]:
     found = value.get(name)
     return found if isinstance(found, dict) else {}
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -90,7 +90,8 @@
         page = site.call('GET', f'/v1/{kind}', token='rival')
         assert 'desk' not in json.dumps(page['items']), kind
     listed = site.call('GET', '/v1/jobs', token='rival')['items']
-    assert [item['metadata']['name'] for item in listed] == ['mine']
+    assert {item['metadata']['team'] for item in listed} == {'rival'}
+    assert 'mine' in [item['metadata']['name'] for item in listed]
     start = site.call('GET', '/v1/jobs')['cursor']
     site.tool(
         *('apply', '-f', '-', '--wait'),
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -71,6 +71,54 @@
     assert answer[:12] in (b'', b'HTTP/1.1 400')
 
 
+def test_a_body_is_not_taken_without_a_token(site: Site) -> None:
+    host, port = site.daemons[0].addresses['operators'].split(':')
+    head = b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 4000000\r\n'
+    with socket.create_connection((host, int(port)), 5) as link:
+        link.sendall(head + b'\r\nx')
+        assert link.recv(12) == b'HTTP/1.1 401'
+
+
+def test_many_bodies_do_not_fill_the_memory(site: Site) -> None:
+    """Two clients announce a body each, and send it slowly.
+
+    Both are within the limit of one body but not of all. The second is
+    refused at once and may come again, which it can when the first is gone.
+    """
+    from tests.test_listeners import open_listener  # noqa: PLC0415
+
+    head = (
+        b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n'
+        b'Authorization: Bearer admin\r\n\r\n'
+    )
+    with open_listener(site, body_kb=8, buffered_kb=8) as address:
+        with socket.create_connection(address, 5) as slow:
+            slow.sendall(head % 6000 + b'x' * 5999)
+            for _ in range(100):
+                answer = _ask(address, head % 3000 + b'x' * 3000)
+                if b' 503 ' in answer:
+                    break
+            assert b'Retry-After: 1' in answer
+            assert _ask(address, head % 2 + b'[]').startswith(b'HTTP/1.1 400')
+        for _ in range(100):
+            answer = _ask(address, head % 3000 + b'x' * 3000)
+            if b' 400 ' in answer:
+                break
+        assert answer.startswith(b'HTTP/1.1 400')
+
+
+def _ask(address: tuple[str, int], request: bytes) -> bytes:
+    with socket.create_connection(address, 5) as link:
+        link.sendall(request)
+        return link.recv(1000)
+
+
+def test_a_request_id_that_cannot_be_kept(site: Site) -> None:
+    for given in ('x' * 101, 'a\tb'):
+        answer = site.send('GET', '/v1/jobs', Lentilmount_Request=given)
+        assert read_problem(answer)['kind'] == 'invalid'
+
+
 @pytest.mark.parametrize(
     ('spec', 'wrong'),
     [
@@ -247,11 +295,13 @@
     """
     from tests.test_listeners import open_listener  # noqa: PLC0415
 
-    with open_listener(site, slow_seconds=0.2) as (host, port):
-        for sent in (
-            b'GET / HT',
-            b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nx',
-        ):
+    head = (
+        b'POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n'
+        b'Authorization: Bearer admin\r\n\r\n'
+    )
+    limits = {'idle_seconds': 0.2, 'body_seconds': 0.2}
+    with open_listener(site, **limits) as (host, port):
+        for sent in (b'GET / HT', head + b'x'):
             with socket.create_connection((host, port), 5) as link:
                 link.sendall(sent)
                 while link.recv(1000):
