--- a/lentilmount/batch/ledger.py
+++ b/lentilmount/batch/ledger.py
@@ -36,6 +36,7 @@
     make_task_key,
     make_worker_key,
 )
+from lentilmount.batch.waiting import wait_briefly
 from lentilmount.codec import structure, unstructure
 from lentilmount.coordination.leases import CLOCK_DRIFT, Lease, LeaseKeeper
 from lentilmount.coordination.table import (
@@ -290,8 +291,7 @@
     async def _gather(self, group: _Group) -> None:
         pause = self._next_write - self._monotonic()
         if pause > 0:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(group.urgent.wait(), pause)
+            await wait_briefly(group.urgent, pause)
         self._next_write = self._monotonic() + self._options.gather_seconds
 
     async def _commit(self, draft: Draft) -> None:
--- a/lentilmount/batch/links.py
+++ b/lentilmount/batch/links.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -24,6 +23,7 @@
     update_worker,
 )
 from lentilmount.batch.states import HOLDING, STOPPING
+from lentilmount.batch.waiting import wait_briefly
 from lentilmount.coordination.leases import CLOCK_DRIFT
 from lentilmount.resources import Phase
 from lentilmount.upstream.workers import (
@@ -154,8 +154,7 @@
         try:
             while True:
                 await self._synchronize()
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._wake.wait(), self._pause())
+                await wait_briefly(self._wake, self._pause())
                 self._wake.clear()
                 if self._intake is not None and self._intake.done():
                     self._intake.result()
--- a/lentilmount/batch/manager.py
+++ b/lentilmount/batch/manager.py
@@ -12,6 +12,7 @@
 from lentilmount.batch.owner import Owner, OwnerOptions
 from lentilmount.batch.preference import Preference, PreferenceOptions
 from lentilmount.batch.records import make_slice_key
+from lentilmount.batch.waiting import wait_briefly
 from lentilmount.configuration import Configuration
 from lentilmount.coordination.leases import (
     Lease,
@@ -142,10 +143,7 @@
                     )
                     if lease is not None:
                         await self._own(slice_name, lease)
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self._wakes[slice_name].wait(), POLL_SECONDS
-                )
+            await wait_briefly(self._wakes[slice_name], POLL_SECONDS)
             self._wakes[slice_name].clear()
 
     async def _is_mine(self, slice_name: str) -> bool:
--- a/lentilmount/batch/owner.py
+++ b/lentilmount/batch/owner.py
@@ -28,6 +28,7 @@
 )
 from lentilmount.batch.shapes import ShapeBoard, publish_shapes
 from lentilmount.batch.states import HOLDING, STOPPING, Move
+from lentilmount.batch.waiting import wait_briefly
 from lentilmount.configuration import Configuration
 from lentilmount.coordination.table import Row, Table, UnavailableError
 from lentilmount.errors import InvalidError
@@ -142,8 +143,7 @@
             await self._refuse_hopeless()
             await self._enforce()
             await self._place()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), STEP_SECONDS)
+            await wait_briefly(self._wake, STEP_SECONDS)
             self._wake.clear()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
--- a/lentilmount/coordination/leases.py
+++ b/lentilmount/coordination/leases.py
@@ -24,7 +24,7 @@
     Table,
     UnavailableError,
 )
-from lentilmount.coordination.transactions import commit
+from lentilmount.coordination.transactions import commit, make_token
 
 Amend = Callable[[dict[str, Any]], dict[str, Any]]
 """Makes a lease's data at a takeover from the data before."""
@@ -37,6 +37,15 @@
     """The lease is held by another, or may be."""
 
 
+@attrs.frozen
+class Renewal:
+    """A write of a lease's row: its token, when it was first sent, the row."""
+
+    token: str
+    sent_at: float
+    put: Put
+
+
 @attrs.define
 class Lease:
     """A lease that this process holds, as far as it knows.
@@ -49,8 +58,7 @@
       renewed_at: Monotonic time before the last write that renewed it.
       valid_until: Monotonic time up to which nobody else can have taken it.
       data: What else the row carries.
-      unknown: Token of a write whose fate is not known, and when it was
-        first sent.
+      unknown: The last write, as long as its fate is not known.
     """
 
     key: Key
@@ -60,11 +68,12 @@
     renewed_at: float
     valid_until: float
     data: dict[str, Any]
-    unknown: tuple[str, float] = ('', 0.0)
+    unknown: Renewal | None = None
 
     def make_put(self) -> Put:
         """Returns the write that renews the lease; put it in a transaction."""
-        body = {'holder': self.holder, 'epoch': self.epoch, 'data': self.data}
+        data = dict(self.data)
+        body = {'holder': self.holder, 'epoch': self.epoch, 'data': data}
         return Put(self.key, body, self.version)
 
     def make_check(self) -> Check:
@@ -163,15 +172,16 @@
         # A write sent again may have taken effect the first time. Counted
         # from the last time, the holder would believe in its lease for longer
         # than those do who saw the first write.
-        sent_at = self._monotonic()
-        if token and lease.unknown[0] == token:
-            sent_at = lease.unknown[1]
-        lease.unknown = (token, sent_at)
-        put = lease.make_put()
+        # And it has to be the same write, whatever became of the data since.
+        token = token or make_token()
+        renewal = lease.unknown
+        if renewal is None or renewal.token != token:
+            renewal = Renewal(token, self._monotonic(), lease.make_put())
+        lease.unknown = renewal
         try:
             await commit(
                 self._table,
-                [put, *(operations or [])],
+                [renewal.put, *(operations or [])],
                 lease.key,
                 token=token,
             )
@@ -179,9 +189,10 @@
             if lease.key in error.keys:
                 raise LeaseLostError(str(lease.key)) from error
             raise
+        lease.unknown = None
         lease.version += 1
-        lease.renewed_at = sent_at
-        lease.valid_until = sent_at + self._duration
+        lease.renewed_at = renewal.sent_at
+        lease.valid_until = renewal.sent_at + self._duration
 
     async def release(self, lease: Lease) -> None:
         """Gives the lease up, so that another need not wait for its end."""
--- a/stand_ins/checker.py
+++ b/stand_ins/checker.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -16,6 +17,7 @@
 from stand_ins.worker import Run
 
 ONE_PLACE = 'no task runs in two places at once'
+ONE_RUN = 'an attempt runs at most once'
 ONCE = 'every job completes exactly once'
 KEPT = 'no accepted job is lost'
 TRUE = 'what is committed as completed did finish'
@@ -125,6 +127,7 @@
     """Checks all that must hold at any moment, also in the middle."""
     return [
         *find_overlaps(runs, now),
+        *find_repeated_attempts(runs),
         *find_overcommits(history),
         *find_overloads(runs, history, capacities),
         *find_doubled_completions(history),
@@ -134,6 +137,16 @@
     ]
 
 
+def find_repeated_attempts(runs: Iterable[Run]) -> list[Violation]:
+    """Finds attempts that began more than once."""
+    counts = collections.Counter((run.task, run.attempt) for run in runs)
+    return [
+        Violation(ONE_RUN, f'{task} attempt {attempt} ran {count} times')
+        for (task, attempt), count in counts.items()
+        if count > 1
+    ]
+
+
 def find_doubled_completions(
     history: Iterable[dict[str, Any]],
 ) -> list[Violation]:
@@ -148,9 +161,11 @@
 def find_false_completions(
     runs: Iterable[Run], history: Iterable[dict[str, Any]]
 ) -> list[Violation]:
-    """Finds completions of attempts that did not finish."""
+    """Finds completions of attempts that had not finished by then."""
     finished = {
-        (run.task, run.attempt) for run in runs if run.state == 'finished'
+        (run.task, run.attempt): run.ended
+        for run in runs
+        if run.state == 'finished'
     }
     violations = []
     for write in history:
@@ -159,7 +174,8 @@
             continue
         task = body['task']
         attempt = (task['id'], task['attempt'])
-        if task['phase'] == 'completed' and attempt not in finished:
+        ended = finished.get(attempt, math.inf)
+        if task['phase'] == 'completed' and ended > write['at']:
             violations.append(Violation(TRUE, f'{attempt} did not finish'))
     return violations
 
--- a/stand_ins/local.py
+++ b/stand_ins/local.py
@@ -183,16 +183,20 @@
 
     Attributes:
       down: Whether it answers nobody.
+      delay: Seconds that each write takes.
       objects: What it holds, by name.
     """
 
     def __init__(self) -> None:
         self.down = False
+        self.delay = 0.0
         self.objects: dict[str, bytes] = {}
 
     async def put(self, name: str, data: bytes) -> None:
         """See `Objects`."""
         self._check()
+        await asyncio.sleep(self.delay)
+        self._check()
         self.objects[name] = data
 
     async def get(self, name: str) -> bytes | None:
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from lentilmount.batch.links import LinkOptions
 from lentilmount.clock import ManualClock
 from stand_ins.cell import Cell, CellOptions
 from stand_ins.virtual_time import run_virtual
@@ -41,3 +42,297 @@
 def test_jobs_run_once_where_nothing_fails() -> None:
     cell = play(submit_some)
     assert set(count_runs(cell).values()) == {1}
+
+
+def test_a_paused_owner_wakes_after_its_lease() -> None:
+    """The owner of a slice is stopped, and another daemon takes the slice.
+
+    Tasks run on in place under the new owner. The first wakes with calls in
+    hand; workers refuse its epoch, the table its version. Each job runs once.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell)
+        old = await cell.wait_for_owner()
+        old.pause()
+        await cell.wait_for_owner(old.name)
+        await asyncio.sleep(8.0)
+        old.wake()
+
+    assert set(count_runs(play(scene)).values()) == {1}
+
+
+def test_every_daemon_is_replaced_at_once() -> None:
+    """All daemons die and others start, which know nothing but the table.
+
+    The slice's lease lapses, a new daemon takes it and finds the tasks
+    running. Each job runs once.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell)
+        for daemon in list(cell.daemons):
+            await daemon.kill()
+        cell.add_daemon()
+        cell.add_daemon()
+
+    assert set(count_runs(play(scene)).values()) == {1}
+
+
+def test_an_owner_cut_off_from_the_table_is_replaced() -> None:
+    """The owner reaches the workers but not the table; both daemons act.
+
+    The new owner's first call shows the workers its epoch, and from then on
+    they refuse the old one. Each job runs once.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell)
+        old = await cell.wait_for_owner()
+        old.table.faults.down = True
+        old.pause()
+        await cell.wait_for_owner(old.name)
+        old.wake()
+        await asyncio.sleep(10.0)
+        old.table.faults.down = False
+
+    assert set(count_runs(play(scene)).values()) == {1}
+
+
+def test_a_cut_zone_keeps_its_tasks_for_the_promise() -> None:
+    """The old owner reaches only workers, the new one only the table.
+
+    Within the promise (60 s) the old owner renews and nothing restarts. Past
+    it the tasks save a checkpoint and lapse; the new owner has waited for
+    just that, and gives them up. They resume once when the cut heals.
+    """
+
+    def cut(seconds: float) -> Scene:
+        async def scene(cell: Cell) -> None:
+            await submit_some(cell, seconds=200.0)
+            old = await cell.wait_for_owner()
+            (new,) = [d for d in cell.daemons if d is not old]
+            new.workers.set_down(True)
+            old.pause()
+            while not new.owner:
+                await asyncio.sleep(0.1)
+            old.table.faults.down = True
+            old.wake()
+            await asyncio.sleep(seconds)
+            new.workers.set_down(False)
+            old.table.faults.down = False
+
+        return scene
+
+    assert set(count_runs(play(cut(50.0))).values()) == {1}
+    assert set(count_runs(play(cut(100.0))).values()) == {2}
+
+
+def test_a_paused_worker_is_replaced_and_wakes() -> None:
+    """A worker stops for longer than its tasks' leases, with calls buffered.
+
+    The owner cannot reach it, waits until every lease it gave has lapsed,
+    and places the tasks elsewhere. The worker wakes, finds the leases
+    lapsed, and ignores the commands that came too late.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell, seconds=60.0)
+        cell.workers[0].paused = True
+        await asyncio.sleep(40.0)
+        cell.workers[0].paused = False
+
+    counts = count_runs(play(scene))
+    assert sorted(set(counts.values())) == [1, 2]
+
+
+def test_a_lost_rack_moves_to_other_racks() -> None:
+    """Two workers go silent for good and come back as new boots.
+
+    Their tasks lapse and resume on the third from the checkpoints that the
+    workers had reported, so no work is done twice.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell, 4, seconds=60.0)
+        await asyncio.sleep(20.0)
+        for worker in cell.workers[:2]:
+            worker.restart()
+            worker.paused = True
+        await asyncio.sleep(60.0)
+        for worker in cell.workers[:2]:
+            worker.paused = False
+
+    cell = play(scene)
+    for task in cell.accepted:
+        runs = [run for run in cell.list_runs() if run.task == task]
+        assert sum(run.ended - run.began for run in runs) < 65.0
+
+
+def test_starts_and_stops_are_delayed_and_repeated() -> None:
+    """Calls to workers arrive twice, late, or without their answer.
+
+    A start counts as started until the worker says no; a late copy is
+    refused by its deadline, and an attempt is forgotten only after that.
+    """
+
+    async def scene(cell: Cell) -> None:
+        for daemon in cell.daemons:
+            for faults in daemon.workers.faults.values():
+                faults.lose = 0.3
+                faults.repeat = 0.5
+        await submit_some(cell, 12, seconds=3.0)
+        for number in range(0, 12, 2):
+            await cell.cancel(cell.accepted[number])
+        await asyncio.sleep(20.0)
+
+    counts = count_runs(play(scene))
+    assert max(counts.values()) == 1
+
+
+def test_the_table_loses_answers_and_writes_late() -> None:
+    """Writes time out and take effect later, or lose their answer.
+
+    The same transaction is sent again until its fate is known; nothing is
+    started before that, and no job completes twice.
+    """
+
+    async def scene(cell: Cell) -> None:
+        for daemon in cell.daemons:
+            daemon.table.faults.lose = 0.3
+        await submit_some(cell, 8, seconds=5.0)
+        for _ in range(4):
+            for daemon in cell.daemons:
+                daemon.table.faults.late = 1.5
+                daemon.table.faults.down = True
+            await asyncio.sleep(4.0)
+            for daemon in cell.daemons:
+                daemon.table.faults.down = False
+            await asyncio.sleep(4.0)
+
+    play(scene)
+
+
+def test_a_store_outage_of_ten_minutes_disturbs_nothing() -> None:
+    """The table is down for ten minutes; the promise is eleven.
+
+    Running tasks are renewed and end where they were; what was accepted
+    before waits, and starts when the table is back.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell, 4, seconds=300.0)
+        for daemon in cell.daemons:
+            daemon.table.faults.down = True
+        await cell.submit('later', 5.0)
+        await asyncio.sleep(600.0)
+        assert len(cell.list_runs()) == 4
+        for daemon in cell.daemons:
+            daemon.table.faults.down = False
+
+    links = LinkOptions(promise_seconds=660.0)
+    cell = play(scene, CellOptions(links=links, tick_seconds=1.0))
+    assert set(count_runs(cell).values()) == {1}
+
+
+def test_a_store_outage_beyond_the_promise_ends_in_checkpoints() -> None:
+    """The table is down for longer than the promise (60 s).
+
+    Before the promise ends the owner has every task save a checkpoint, then
+    lets it lapse. Each resumes once, from there: nearly no work is lost.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell, 4, seconds=150.0)
+        for daemon in cell.daemons:
+            daemon.table.faults.down = True
+        await asyncio.sleep(120.0)
+        for daemon in cell.daemons:
+            daemon.table.faults.down = False
+
+    cell = play(scene)
+    assert set(count_runs(cell).values()) == {2}
+    spent = sum(run.ended - run.began for run in cell.list_runs())
+    assert spent < 4 * 152.0
+
+
+def test_a_slow_store_slows_only_new_work() -> None:
+    """Each call to the table takes 1.5 s; leases are still renewed in time."""
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell, 3, seconds=40.0)
+        for daemon in cell.daemons:
+            daemon.table.faults.delay = 1.5
+        await submit_some_more(cell)
+        await asyncio.sleep(60.0)
+
+    assert set(count_runs(play(scene)).values()) == {1}
+
+
+async def submit_some_more(cell: Cell) -> None:
+    for number in range(3):
+        await cell.submit(f'more-{number}', 5.0)
+
+
+def test_clocks_run_at_different_rates() -> None:
+    """Workers' clocks are half a percent fast and slow, through a cut.
+
+    Leases are given on the worker's clock and waited out with the drift
+    allowed for, so a task that lapsed here has lapsed there.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell, 9, seconds=90.0)
+        for daemon in cell.daemons:
+            daemon.workers.set_down(True, 'a-000', 'a-001')
+        await asyncio.sleep(40.0)
+        for daemon in cell.daemons:
+            daemon.workers.set_down(False)
+
+    play(scene, CellOptions(clock_rates=(1.005, 0.995, 1.0)))
+
+
+def test_the_object_store_is_down() -> None:
+    """The object store is down while a worker fails and jobs end.
+
+    Tasks run on. What moves resumes from its last whole checkpoint and waits
+    for it to be readable; what is done finishes when its output is whole.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell, 6, seconds=60.0)
+        await asyncio.sleep(20.0)
+        cell.objects.down = True
+        cell.workers[0].restart()
+        await asyncio.sleep(60.0)
+        assert cell.list_done() == []
+        cell.objects.down = False
+
+    cell = play(scene)
+    starts = [a.command for w in cell.workers for a in w.attempts.values()]
+    for command in starts:
+        name = command.resume_from
+        assert not name or name in cell.objects.objects
+
+
+def test_a_missing_checkpoint_fails_the_attempt() -> None:
+    """The named checkpoint is gone: no attempt begins again from nothing.
+
+    Each worker refuses it, and after three workers the job has failed.
+    """
+
+    async def scene(cell: Cell) -> None:
+        await submit_some(cell, 1, seconds=60.0)
+        await asyncio.sleep(10.0)
+        cell.objects.objects.clear()
+        for worker in cell.workers:
+            worker.restart()
+
+    cell = play(scene)
+    (done,) = [
+        write['body']['task']
+        for write in cell.list_history()
+        if write['partition'].startswith('done/')
+    ]
+    assert done['phase'] == 'failed'
+    assert 'is missing' in done['reason']
