--- a/lentilmount/batch/links.py
+++ b/lentilmount/batch/links.py
@@ -156,8 +156,7 @@
                 await self._synchronize()
                 await wait_briefly(self._wake, self._pause())
                 self._wake.clear()
-                if self._intake is not None and self._intake.done():
-                    self._intake.result()
+                self._raise_failure()
         finally:
             if self._intake is not None:
                 self._intake.cancel()
@@ -218,8 +217,16 @@
         if self._intake is not None and not self._intake.done():
             work.close()
             return
+        self._raise_failure()
         self._intake = asyncio.create_task(work)
 
+    def _raise_failure(self) -> None:
+        intake, self._intake = self._intake, None
+        if intake is not None and intake.done():
+            intake.result()
+        else:
+            self._intake = intake
+
     def _get_own_horizon(self, now: float) -> float:
         age = now - self._anchor.local if self._anchor else 0.0
         lease = self._options.lease_seconds + age * CLOCK_DRIFT
--- a/stand_ins/cell.py
+++ b/stand_ins/cell.py
@@ -181,6 +181,9 @@
     async def _beat(self) -> None:
         while True:
             up = [d for d in self.daemons if d.is_up]
+            for daemon in up:
+                reaches = not daemon.table.faults.down
+                daemon.membership.set_eligible(reaches)
             news = [d.membership.beat() for d in up]
             for daemon in up:
                 daemon.membership.observe(news)
@@ -191,6 +194,10 @@
         owners = [d for d in self.daemons if d.is_up and d.owner]
         return owners[-1] if owners else None
 
+    def find_worker(self, name: str) -> Worker:
+        """Returns a worker by its name."""
+        return next(w for w in self.workers if w.options.name == name)
+
     async def wait_for_owner(self, other_than: str = '') -> CellDaemon:
         """Waits until a daemon owns the slice and reaches a worker."""
         while True:
--- a/tests/test_batch_mutations.py
+++ b/tests/test_batch_mutations.py
@@ -12,10 +12,10 @@
 import attrs
 import pytest
 
-from lentilmount.batch import links, owner
+from lentilmount.batch import links, owner, reports
 from lentilmount.batch.drafts import Draft
 from lentilmount.batch.links import Link
-from lentilmount.batch.records import Task
+from lentilmount.batch.records import Task, WorkerRecord
 from lentilmount.batch.states import Move
 from lentilmount.clock import ManualClock
 from lentilmount.coordination.leases import Lease, LeaseKeeper
@@ -25,7 +25,6 @@
     Operation,
     UnavailableError,
 )
-from lentilmount.resources import Demand
 from lentilmount.upstream.workers import AttemptState, Command, SyncRequest
 from stand_ins import checker
 from stand_ins.cell import Cell, CellDaemon
@@ -36,6 +35,16 @@
 Patch = pytest.MonkeyPatch
 
 
+def find_place(cell: Cell) -> str:
+    """Returns the worker that the newest task is committed on."""
+    for daemon in cell.daemons:
+        if daemon.owner:
+            for task in reversed(daemon.owner.ledger.tasks.values()):
+                if task.worker:
+                    return task.worker
+    raise AssertionError('nothing is placed')
+
+
 async def hold_paused_owner(cell: Cell) -> None:
     """The owner is paused while jobs end, and wakes under another's epoch."""
     for number in range(4):
@@ -68,8 +77,9 @@
     for number in range(3):
         await cell.submit(f'job-{number}', 60.0)
     await asyncio.sleep(20.0)
+    place = find_place(cell)
     for daemon in cell.daemons:
-        daemon.workers.set_down(True, 'a-000')
+        daemon.workers.set_down(True, place)
     await asyncio.sleep(30.0)
 
 
@@ -115,7 +125,7 @@
     old.pause()
     new = await cell.wait_for_owner(old.name)
     await asyncio.sleep(2.0)
-    new.workers.set_down(True, 'a-000')
+    new.workers.set_down(True, find_place(cell))
     old.table.faults.down = True
     old.wake()
     await asyncio.sleep(40.0)
@@ -124,12 +134,13 @@
 async def restart_before_start(cell: Cell) -> None:
     """A worker restarts before a start arrives, and the table is slow."""
     old = await strand_start(cell)
-    cell.workers[0].restart()
+    place = find_place(cell)
+    cell.find_worker(place).restart()
     old.table.faults.down = False
     old.table.faults.delay = 1.9
     old.workers.set_down(False)
     await asyncio.sleep(2.4)
-    old.workers.set_down(True, 'a-000')
+    old.workers.set_down(True, place)
     await asyncio.sleep(12.0)
 
 
@@ -139,7 +150,7 @@
     await asyncio.sleep(4.0)
     old = await cell.wait_for_owner()
     for daemon in cell.daemons:
-        daemon.workers.set_down(daemon is not old, 'a-000')
+        daemon.workers.set_down(daemon is not old, find_place(cell))
     old.pause()
     await cell.wait_for_owner(old.name)
     old.table.faults.down = True
@@ -151,8 +162,9 @@
     """A cut-off worker finishes a job that then runs elsewhere."""
     await cell.submit('job', 10.0)
     await asyncio.sleep(4.0)
+    place = find_place(cell)
     for daemon in cell.daemons:
-        daemon.workers.set_down(True, 'a-000')
+        daemon.workers.set_down(True, place)
     await asyncio.sleep(22.0)
     for daemon in cell.daemons:
         daemon.workers.set_down(False)
@@ -162,6 +174,9 @@
 async def lose_the_placing(cell: Cell) -> None:
     """The table goes down while a job is being placed."""
     old = await cell.wait_for_owner()
+    for daemon in cell.daemons:
+        if daemon is not old:
+            await daemon.kill()
     old.table.faults.delay = 0.5
     await cell.submit('job', 30.0)
     await asyncio.sleep(1.7)
@@ -172,7 +187,8 @@
             break
     await asyncio.sleep(0.5)
     old.table.faults.down = False
-    old.workers.set_down(True, 'a-000')
+    for run in cell.list_runs():
+        old.workers.set_down(True, run.worker)
     await asyncio.sleep(12.0)
 
 
@@ -251,21 +267,21 @@
 
 
 def break_attempt(patch: Patch) -> None:
-    find, apply = Link._find_moves, links.apply_report
+    find, apply = Link._find_moves, reports.apply_report
 
-    def find_any(self: Link, answer: Any, reports: Any, at: float) -> Any:
+    def find_any(self: Link, answer: Any, known: Any, at: float) -> Any:
         late = [
             (report.task, report)
             for report in answer.attempts
             if report.state is AttemptState.FINISHED
         ]
-        return find(self, answer, reports, at) + late
+        return find(self, answer, known, at) + late
 
-    def apply_any(draft: Draft, name: str, report: Any, worker: str) -> None:
+    def apply_any(draft: Draft, name: str, report: Any, *more: Any) -> None:
         task = draft.get_task(name)
         if task is not None:
             report = attrs.evolve(report, attempt=task.attempt)
-            apply(draft, name, report, task.worker)
+            apply(draft, name, report, task.worker, *more[1:])
 
     patch.setattr(Link, '_find_moves', find_any)
     patch.setattr(links, 'apply_report', apply_any)
@@ -284,7 +300,7 @@
 
 
 def break_room(patch: Patch) -> None:
-    patch.setattr(Demand, 'fits', lambda *_: True)
+    patch.setattr(WorkerRecord, 'free', property(lambda w: w.capacity))
 
 
 def break_admission(patch: Patch) -> None:
