--- a/stand_ins/checker.py
+++ b/stand_ins/checker.py
@@ -223,7 +223,8 @@
     demands = {
         write['sort']: write['body']['demand']['cores']
         for write in history
-        if write['partition'].startswith('task/') and write['body']
+        if write['partition'].startswith('task/')
+        and 'demand' in (write['body'] or {})
     }
     steps: dict[str, list[tuple[float, float, str]]] = collections.defaultdict(
         list
--- /dev/null
+++ b/tests/test_batch_rows.py
@@ -0,0 +1,113 @@
+"""The rows of a slice: unreadable ones, waves, pruning, and their number."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+from lentilmount.batch.ledger import LedgerOptions
+from lentilmount.batch.pace import Pace
+from lentilmount.batch.records import make_task_key, read_changes
+from lentilmount.clock import ManualClock
+from lentilmount.coordination.table import Key, Put
+from lentilmount.resources import Urgency
+from stand_ins.cell import SLICE, Cell, CellOptions
+from stand_ins.virtual_time import run_virtual
+
+WAVE = 5000
+
+
+def test_rows_that_cannot_be_read_do_not_stop_a_slice() -> None:
+    """A damaged request, one of a newer version, and a damaged task row.
+
+    The damaged request is set aside, the newer one waits for an owner that
+    knows it, the task's row stays as it is; jobs behind them run.
+    """
+    clock = ManualClock()
+
+    async def work() -> None:
+        async with Cell(clock) as cell:
+            bad = Key(f'inbox/{SLICE}', '0-bad')
+            newer = Key(f'inbox/{SLICE}', '0-newer')
+            task = make_task_key(SLICE, 'Job/crew/old/0')
+            await cell.table.transact('bad', [Put(bad, {'request': 7})])
+            await cell.table.transact('newer', [Put(newer, {'format': 99})])
+            await cell.table.transact('task', [Put(task, {'phase': 'odd'})])
+            await cell.submit('job', 2.0)
+            assert await cell.finish(60.0)
+            aside = Key(f'aside/{SLICE}', '0-bad')
+            rows = await cell.table.read([bad, newer, task, aside])
+            assert set(rows) == {newer, task, aside}
+            assert cell.find_violations() == []
+
+    run_virtual(work(), clock)
+
+
+def test_a_wave_of_cancellations_is_no_write_storm() -> None:
+    """5,000 jobs wait and are cancelled at once; urgent ones come meanwhile.
+
+    The owner works the wave off at its limit of rows; urgent jobs go ahead
+    and start within 2.1 s.
+    """
+    clock = ManualClock()
+
+    async def work() -> None:
+        options = CellOptions(workers=4, tick_seconds=1.0)
+        async with Cell(clock, options) as cell:
+            await cell.wait_for_owner()
+            for number in range(WAVE):
+                await cell.submit(f'job-{number}', 60.0, cores=4.0)
+            await asyncio.sleep(60.0)
+            for task in cell.accepted[:WAVE]:
+                await cell.cancel(task)
+            began = clock.now
+            await asyncio.sleep(3.0)
+            urgent = await cell.submit('u', 1.0, 1.0, Urgency.URGENT)
+            asked = clock.now
+            while len(cell.list_done()) < WAVE:
+                await asyncio.sleep(1.0)
+            ran = next(r for r in cell.list_runs() if r.task == urgent)
+            assert ran.began - asked < 2.1
+            assert cell.find_violations() == []
+            rows = collections.Counter(
+                int(write.at - began)
+                for write in cell.table.history
+                if write.at >= began and not write.token.startswith('cancel')
+            )
+            assert sum(rows.values()) > 3 * WAVE
+            assert max(rows.values()) <= 600
+
+    run_virtual(work(), clock)
+
+
+def test_the_limit_is_paid_back_over_time() -> None:
+    clock = ManualClock()
+    pace = Pace(100.0, 200.0, clock.monotonic)
+    pace.spend(300)
+    assert not pace.is_open
+    clock.advance(1.0)
+    assert pace.is_open
+
+
+def test_the_change_log_is_pruned_and_readers_are_told() -> None:
+    """The log keeps its newest entries; `oldest` tells who has missed some."""
+    clock = ManualClock()
+
+    async def work() -> None:
+        async with Cell(clock) as cell:
+            for daemon in cell.daemons:
+                options = LedgerOptions(changes_kept=5)
+                daemon.manager._ledger_options = options
+            for number in range(30):
+                await cell.submit(f'job-{number}', 1.0)
+                await asyncio.sleep(0.5)
+            assert await cell.finish()
+            rows = await cell.table.scan(f'change/{SLICE}')
+            key = Key('slice', SLICE)
+            data = (await cell.table.read([key]))[key].body['data']
+            kept = [int(row.key.sort) for row in rows]
+            assert kept == list(range(data['oldest'], data['sequence'] + 1))
+            assert len(kept) <= 6
+            assert all(read_changes(row) for row in rows)
+
+    run_virtual(work(), clock)
