--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,6 +12,7 @@
     'placement',
     'policy',
     'capacity',
+    'recovery',
     'fullsize',
 )
 """Each is a module here with `measure(quick: bool) -> Report`."""
--- a/tests/test_batch_machine.py
+++ b/tests/test_batch_machine.py
@@ -48,7 +48,7 @@
         async def make() -> Cell:
             return await Cell(self.clock, options).__aenter__()
 
-        self.cell = self.play(make())
+        self.cell: Cell = self.play(make())
 
     def play(self, work: Coroutine[Any, Any, Any]) -> Any:
         """Runs a coroutine on the cell's loop."""
