--- a/lentilmount/queries/watch.py
+++ b/lentilmount/queries/watch.py
@@ -34,10 +34,10 @@
 LOOK_SECONDS = 0.1
 """Between two looks at what is known, one for all watchers."""
 
-IDLE_SECONDS = 0.5
+IDLE_SECONDS = 1.0
 """How long a watcher rests at most, before it looks whether to go on."""
 
-BOOKMARK_SECONDS = 5.0
+BOOKMARK_SECONDS = 15.0
 
 
 @attrs.frozen
