Forget old jobs; take the promise back at a planned stop

Rows of jobs that are over were kept for ever. An owner that gave its slice up left its promise in the row, so that the next one waited for it at each unreachable worker although nobody renewed any more; once waited out, an inherited promise was still handed on.

Releasing a slice writes the promise that others may still keep, which is none in the common case.

--- a/lentilmount/batch/owner.py
+++ b/lentilmount/batch/owner.py
@@ -26,6 +26,7 @@
     WorkerRecord,
     make_inbox_partition,
 )
+from lentilmount.batch.retention import Retention
 from lentilmount.batch.shapes import ShapeBoard, publish_shapes
 from lentilmount.batch.states import HOLDING, STOPPING, Move
 from lentilmount.batch.waiting import wait_briefly
@@ -119,6 +120,8 @@
                     self._add_link(name)
                 self._start(self._keep_lease())
                 self._start(self._work())
+                retention = Retention(self._table, self.ledger.slice_name)
+                self._start(retention.run())
                 await self._stopped.wait()
                 async with self.ledger.change(urgent=True):
                     for task in self._running:
--- a/lentilmount/batch/promise.py
+++ b/lentilmount/batch/promise.py
@@ -36,6 +36,7 @@
     data: dict[str, Any], promise_seconds: float, lease_seconds: float
 ) -> None:
     """Sets the promises to these, once no longer one can be kept."""
+    data[INHERITED] = 0.0
     data[PROMISE] = promise_seconds
     data[TASK_LEASE] = lease_seconds
 
--- a/lentilmount/commands/jobs.py
+++ b/lentilmount/commands/jobs.py
@@ -32,6 +32,7 @@
     encode_resource,
     is_deleted,
     make_job_key,
+    make_stone,
     make_task_id,
 )
 from lentilmount.slices import get_zone, rank_by_hash
@@ -194,7 +195,7 @@
         if done is None:
             raise RaceError(f'the job {team}/{name} is not over; cancel it')
         slice_name = row.body['slice']
-        stone = {'deleted': True, 'slice': slice_name}
+        stone = make_stone(slice_name)
         operations: list[Operation] = [
             Put(row.key, stone, row.version),
             Delete(done.key, done.version),
--- a/lentilmount/rows.py
+++ b/lentilmount/rows.py
@@ -28,6 +28,11 @@
     return f'{make_path(Kind.JOB, team, name)}/0'
 
 
+def make_stone(slice_name: str) -> dict[str, Any]:
+    """Body of the row that keeps the name of a deleted job taken."""
+    return {'deleted': True, 'slice': slice_name}
+
+
 def is_deleted(row: Row) -> bool:
     """Tells whether a job's row only keeps its name from being used again."""
     return bool(row.body.get('deleted'))
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -128,6 +128,29 @@
     assert set(count_runs(play(cut(100.0))).values()) == {2}
 
 
+def test_a_planned_stop_takes_the_promise_back() -> None:
+    """The owner gives the slice up; the next cannot reach a worker.
+
+    The row that was given up says that nobody renews any more, so the next
+    owner waits for the task lease (15 s) and not for the promise (60 s).
+    """
+
+    async def scene(cell: Cell) -> None:
+        task = await cell.submit('job', 200.0)
+        await asyncio.sleep(90.0)
+        old = await cell.wait_for_owner()
+        (new,) = [d for d in cell.daemons if d is not old]
+        new.workers.set_down(True, cell.list_runs()[0].worker)
+        old.membership.stop()
+        old.manager.stop()
+        await asyncio.sleep(30.0)
+        assert new.owner
+        assert new.owner.ledger.tasks[task].attempt == 2
+        new.workers.set_down(False)
+
+    play(scene)
+
+
 def test_a_paused_worker_is_replaced_and_wakes() -> None:
     """A worker stops for longer than its tasks' leases, with calls buffered.
 
--- a/tests/test_batch_rows.py
+++ b/tests/test_batch_rows.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import collections
+import time
 
 from lentilmount.batch.ledger import LedgerOptions
 from lentilmount.batch.pace import Pace
 from lentilmount.batch.records import make_task_key, read_changes
+from lentilmount.batch.retention import Retention, RetentionOptions
 from lentilmount.clock import ManualClock
 from lentilmount.coordination.table import Key, Put
 from lentilmount.resources import Urgency
+from lentilmount.rows import is_deleted
 from stand_ins.cell import SLICE, Cell, CellOptions
 from stand_ins.virtual_time import run_virtual
 
@@ -111,3 +114,26 @@
             assert all(read_changes(row) for row in rows)
 
     run_virtual(work(), clock)
+
+
+def test_old_jobs_are_forgotten_but_not_their_names() -> None:
+    """Jobs that ended before the set time go, a page at a step."""
+    clock = ManualClock()
+
+    async def work() -> None:
+        async with Cell(clock) as cell:
+            for number in range(6):
+                await cell.submit(f'job-{number}', 1.0)
+            assert await cell.finish()
+            options = RetentionOptions(kept_seconds=60.0, page=4)
+            young = Retention(cell.table, SLICE, options)
+            assert await young.step() == 0
+            late = time.time() + 61.0
+            old = Retention(cell.table, SLICE, options, lambda: late)
+            assert [await old.step(), await old.step()] == [4, 2]
+            assert await cell.table.scan(f'done/{SLICE}') == []
+            jobs = await cell.table.scan('job/crew')
+            assert [is_deleted(row) for row in jobs] == [True] * 6
+            assert cell.find_violations() == []
+
+    run_virtual(work(), clock)
