Test recovery after an outage, repeated renewals, lost cancellations

300 jobs and an urgent one are accepted while no daemon has the table: when it is back the urgent one begins first. A renewal that is sent again counts from its first copy and carries the same data. A cancellation in the moment an event is set is not lost.

--- a/tests/test_batch_rows.py
+++ b/tests/test_batch_rows.py
@@ -12,7 +12,7 @@
 from lentilmount.batch.retention import Retention, RetentionOptions
 from lentilmount.clock import ManualClock
 from lentilmount.coordination.table import Key, Put
-from lentilmount.resources import Urgency
+from lentilmount.resources import Room, Urgency
 from lentilmount.rows import is_deleted
 from stand_ins.cell import SLICE, Cell, CellOptions
 from stand_ins.virtual_time import run_virtual
@@ -137,3 +137,39 @@
             assert cell.find_violations() == []
 
     run_virtual(work(), clock)
+
+
+def test_what_waited_for_the_store_is_worked_off_in_order() -> None:
+    """300 jobs and an urgent one are accepted while no daemon has the table.
+
+    When it is back the urgent job begins before the batch that came earlier,
+    and the rest follows within the limit of rows.
+    """
+    clock = ManualClock()
+
+    async def work() -> None:
+        options = CellOptions(workers=40, capacity=Room(8.0, 16_000, 0))
+        async with Cell(clock, options) as cell:
+            await cell.wait_for_owner()
+            for daemon in cell.daemons:
+                daemon.table.faults.down = True
+            for number in range(300):
+                await cell.submit(f'job-{number}', 5.0)
+            await asyncio.sleep(300.0)
+            urgent = await cell.submit('u', 1.0, 1.0, Urgency.URGENT)
+            assert cell.list_runs() == []
+            for daemon in cell.daemons:
+                daemon.table.faults.down = False
+            began = clock.now
+            assert await cell.finish()
+            first = min(cell.list_runs(), key=lambda run: run.began)
+            assert first.task == urgent
+            rows = collections.Counter(
+                int(write.at - began)
+                for write in cell.table.history
+                if write.at >= began
+            )
+            assert max(rows.values()) <= 900
+            assert cell.find_violations() == []
+
+    run_virtual(work(), clock)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,10 +1,14 @@
 """Leases: one holder at a time, and a late one writes nothing."""
 
+import asyncio
+
 import pytest
 
+from lentilmount.batch.waiting import wait_briefly
 from lentilmount.clock import ManualClock
 from lentilmount.coordination.leases import LeaseKeeper, LeaseLostError
 from lentilmount.coordination.table import (
+    ConflictError,
     Key,
     Operation,
     Put,
@@ -21,9 +25,15 @@
     """Loses the answers of the next writes, after they took effect."""
 
     lost = 0
+    conflicts_lost = False
 
     async def transact(self, token: str, operations: list[Operation]) -> None:
-        await super().transact(token, operations)
+        try:
+            await super().transact(token, operations)
+        except ConflictError:
+            if self.conflicts_lost:
+                raise UnavailableError('answer lost') from None
+            raise
         if self.lost:
             self.lost -= 1
             raise UnavailableError('answer lost')
@@ -95,3 +105,44 @@
         assert (await table.read([KEY]))[KEY].version == 3
 
     run(check())
+
+
+def test_a_renewal_sent_again_counts_from_the_first_time() -> None:
+    """Every answer to a renewal is lost, and it is sent again later.
+
+    It took effect the first time, and others count from there; so must the
+    holder, or it would trust its lease after another has taken it.
+    """
+
+    async def check() -> None:
+        table, clock = LossyTable(), ManualClock()
+        keeper = make_keeper(table, 'one', clock)
+        lease = await keeper.try_acquire(KEY)
+        assert lease is not None
+        table.lost, first = 1, clock.now
+        table.conflicts_lost = True
+        with pytest.raises(UnavailableError):
+            await keeper.renew(lease, token='again')
+        table.conflicts_lost = False
+        clock.advance(10.0)
+        lease.data['more'] = 1
+        await keeper.renew(lease, token='again')
+        assert lease.valid_until == first + 3.0
+        assert (await table.read([KEY]))[KEY].body['data'] == {}
+
+    run(check())
+
+
+def test_a_cancellation_is_not_lost_as_an_event_is_set() -> None:
+    """A task that waits is cancelled in the moment its event is set."""
+
+    async def check() -> None:
+        event = asyncio.Event()
+        task = asyncio.create_task(wait_briefly(event, 60.0))
+        await asyncio.sleep(0)
+        event.set()
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    run(check())
