Wait for events by one function that keeps cancellations

The follower, the heartbeats and watches waited by asyncio.wait_for as well; a cancellation lost there lets a stopping daemon wait for a task that goes on.

`wait_briefly` moves to a module of its own and is used by all.

--- a/lentilmount/batch/ledger.py
+++ b/lentilmount/batch/ledger.py
@@ -36,7 +36,6 @@
     make_task_key,
     make_worker_key,
 )
-from lentilmount.batch.waiting import wait_briefly
 from lentilmount.codec import structure, unstructure
 from lentilmount.coordination.leases import CLOCK_DRIFT, Lease, LeaseKeeper
 from lentilmount.coordination.table import (
@@ -53,6 +52,7 @@
 from lentilmount.errors import InvalidError
 from lentilmount.events import EventLog
 from lentilmount.resources import FINAL_PHASES
+from lentilmount.waiting import wait_briefly
 
 __all__ = ['Draft', 'Ledger', 'LedgerOptions', 'OvercommitError']
 
--- a/lentilmount/batch/links.py
+++ b/lentilmount/batch/links.py
@@ -23,7 +23,6 @@
     update_worker,
 )
 from lentilmount.batch.states import HOLDING, STOPPING
-from lentilmount.batch.waiting import wait_briefly
 from lentilmount.coordination.leases import CLOCK_DRIFT
 from lentilmount.resources import Phase
 from lentilmount.upstream.workers import (
@@ -38,6 +37,7 @@
     WorkerError,
     Workers,
 )
+from lentilmount.waiting import wait_briefly
 
 STOPPING_SECONDS = 0.2
 """How often a worker is called while it stops something: urgent work waits
--- a/lentilmount/batch/manager.py
+++ b/lentilmount/batch/manager.py
@@ -12,7 +12,6 @@
 from lentilmount.batch.owner import Owner, OwnerOptions
 from lentilmount.batch.preference import Preference, PreferenceOptions
 from lentilmount.batch.records import make_slice_key
-from lentilmount.batch.waiting import wait_briefly
 from lentilmount.configuration import Configuration
 from lentilmount.coordination.leases import (
     Lease,
@@ -30,6 +29,7 @@
 from lentilmount.slices import find_worker_slice
 from lentilmount.upstream.hosts import Host
 from lentilmount.upstream.workers import Workers
+from lentilmount.waiting import wait_briefly
 
 log = logbook.Logger('slices')
 
--- a/lentilmount/batch/owner.py
+++ b/lentilmount/batch/owner.py
@@ -29,7 +29,6 @@
 from lentilmount.batch.retention import Retention
 from lentilmount.batch.shapes import ShapeBoard, publish_shapes
 from lentilmount.batch.states import HOLDING, STOPPING, Move
-from lentilmount.batch.waiting import wait_briefly
 from lentilmount.configuration import Configuration
 from lentilmount.coordination.table import Row, Table, UnavailableError
 from lentilmount.errors import InvalidError
@@ -37,6 +36,7 @@
 from lentilmount.slices import find_replica_slice, get_zone
 from lentilmount.upstream.hosts import Host
 from lentilmount.upstream.workers import Workers
+from lentilmount.waiting import wait_briefly
 
 log = logbook.Logger('batch')
 
--- a/lentilmount/daemon/follower.py
+++ b/lentilmount/daemon/follower.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import json
 import random
@@ -27,6 +26,7 @@
 from lentilmount.queries.revisions import read_changes, read_snapshot
 from lentilmount.routing.directory import Directory
 from lentilmount.rows import REVISION_KEY
+from lentilmount.waiting import wait_briefly
 from lentilmount.wire import peer_pb2
 
 log = logbook.Logger('follower')
@@ -130,8 +130,7 @@
                 await self._try_look()
             self._announce_news()
             wait = max(0.0, self._due - monotonic())
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), wait)
+            await wait_briefly(self._wake, wait)
             self._wake.clear()
 
     def _announce_news(self) -> None:
--- a/lentilmount/daemon/heartbeats.py
+++ b/lentilmount/daemon/heartbeats.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -13,6 +12,7 @@
 from lentilmount.coordination.membership import Beat, Member, Membership
 from lentilmount.daemon.gossip import Gossip
 from lentilmount.routing.leaving import Mark
+from lentilmount.waiting import wait_briefly
 from lentilmount.wire import peer_pb2
 
 BEATS_BEHIND = 1
@@ -273,8 +273,7 @@
             urgent = pause()
             async with asyncio.timeout(silence):
                 await stream.send_message(courier.write(told))
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(urgent.wait(), interval)
+            await wait_briefly(urgent, interval)
 
     sending = asyncio.create_task(send())
     receiving = asyncio.create_task(
--- a/lentilmount/queries/watch.py
+++ b/lentilmount/queries/watch.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Any
 
@@ -30,6 +29,7 @@
 from lentilmount.queries.statuses import make_status
 from lentilmount.resources import Kind, Metadata, Status
 from lentilmount.rows import REVISION_KEY
+from lentilmount.waiting import wait_briefly
 
 LOOK_SECONDS = 0.1
 """Between two looks at what is known, one for all watchers."""
@@ -215,8 +215,7 @@
                 yield Notice(encode_cursor(positions), BOOKMARK)
             if self._is_current(positions):
                 yield None
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(news.wait(), IDLE_SECONDS)
+                await wait_briefly(news, IDLE_SECONDS)
 
     def _is_current(self, positions: Positions) -> bool:
         newest = self._get_newest()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from lentilmount.batch.waiting import wait_briefly
 from lentilmount.clock import ManualClock
 from lentilmount.coordination.leases import LeaseKeeper, LeaseLostError
 from lentilmount.coordination.table import (
@@ -14,6 +13,7 @@
     Put,
     UnavailableError,
 )
+from lentilmount.waiting import wait_briefly
 from stand_ins.table import MemoryTable
 from tests.helpers import run
 
