--- /dev/null
+++ b/benchmarks/fakes.py
@@ -0,0 +1,152 @@
+"""A fake worker with a table of slowdowns, whose measurements lag."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import attrs
+
+from benchmarks.loads import Deployment, Job, get_load
+from lentilmount.resources import Demand
+from lentilmount.upstream.workers import Usage
+
+REQUESTS_A_SECOND = 4
+"""Requests drawn for each worker and second."""
+
+SPREAD = 0.25
+"""Sigma of the log-normal distribution of a request's time."""
+
+P99_FACTOR = 1.788
+"""99th percentile of that distribution over its median."""
+
+REPORT_NOISE = 0.05
+WINDOW_SECONDS = 5
+START_SECONDS = 5.0
+"""Time that an attempt takes to load before it makes progress."""
+
+
+@attrs.define
+class Running:
+    """A job's attempt on a worker.
+
+    Attributes:
+      job: The job.
+      task: Its task's id.
+      attempt: The attempt's number.
+      limit: What the worker lets it take.
+      share: Share of that which it is allowed.
+      loading: Seconds until it makes progress.
+      stopping: Whether it saves and stops.
+    """
+
+    job: Job
+    task: str
+    attempt: int
+    limit: Demand
+    share: float = 1.0
+    loading: float = START_SECONDS
+    stopping: bool = False
+
+    @property
+    def speed(self) -> float:
+        """Progress a second, as a share of running alone."""
+        cores = min(1.0, self.limit.cores / self.job.kind.true.cores)
+        return cores * self.share
+
+
+class FakeWorker:
+    """One service replica and some jobs.
+
+    Attributes:
+      jobs: The jobs, by task.
+      times: What each request took, in milliseconds.
+    """
+
+    def __init__(
+        self, deployment: Deployment, number: int, lag: float, seed: int
+    ):
+        self.jobs: dict[str, Running] = {}
+        self.times: list[float] = []
+        self._deployment = deployment
+        self._number = number
+        self._lag = lag
+        self._chance = random.Random(f'{seed}/{deployment.name}/{number}')
+        self._noise = random.Random(f'{seed}/{number}/noise')
+        self._recent: collections.deque[float] = collections.deque(
+            maxlen=WINDOW_SECONDS
+        )
+        self._measured: collections.deque[tuple[float, tuple[Usage, ...]]] = (
+            collections.deque()
+        )
+
+    def get_slowdown(self, load: float) -> float:
+        """Returns the factor that the jobs put on the service."""
+        factor = 1.0
+        for running in self.jobs.values():
+            extra = running.job.kind.slowdown - 1
+            factor *= 1 + extra * running.speed * (0.3 + 0.7 * load)
+        return factor
+
+    def step(self, now: float, done: dict[str, float]) -> list[str]:
+        """Lets a second pass; returns the tasks that finished or stopped.
+
+        Args:
+          now: Time at the end of the second.
+          done: Seconds of work done of each job, by task; kept elsewhere, as
+            a checkpoint would be.
+        """
+        load = get_load(self._number, now)
+        factor = self.get_slowdown(load)
+        self._serve(load, factor)
+        over = []
+        for task, running in self.jobs.items():
+            running.loading -= 1
+            if running.loading < 0:
+                done[task] = done.get(task, 0.0) + running.speed
+            if running.stopping or done.get(task, 0) >= running.job.seconds:
+                over.append(task)
+        self._measure(now, load)
+        return over
+
+    def _serve(self, load: float, factor: float) -> None:
+        median = self._deployment.base_ms * (1 + 0.3 * load) / P99_FACTOR
+        self._recent.append(factor)
+        for _ in range(REQUESTS_A_SECOND):
+            spread = self._chance.lognormvariate(0, SPREAD)
+            self.times.append(median * factor * spread)
+
+    def _measure(self, now: float, load: float) -> None:
+        mean = sum(self._recent) / len(self._recent)
+        alone = self._deployment.base_ms * (1 + 0.3 * load)
+        noise = self._noise.lognormvariate(0, REPORT_NOISE)
+        service = Usage(
+            f'{self._deployment.service}/{self._number}',
+            1,
+            0.0,
+            p99_ms=alone * mean * noise,
+            load=load,
+        )
+        jobs = tuple(
+            Usage(
+                running.task,
+                running.attempt,
+                0.0,
+                cores=running.job.kind.true.cores * running.speed,
+                memory_mb=running.job.kind.true.memory_mb,
+                progress=running.speed,
+            )
+            for running in self.jobs.values()
+        )
+        self._measured.append((now, (service, *jobs)))
+
+    def report(self, now: float) -> tuple[Usage, ...]:
+        """Returns the newest measurement that is old enough."""
+        while len(self._measured) > 1:
+            if self._measured[1][0] > now - self._lag:
+                break
+            self._measured.popleft()
+        if not self._measured or self._measured[0][0] > now - self._lag:
+            return ()
+        at, usages = self._measured[0]
+        return tuple(attrs.evolve(u, age=now - at) for u in usages)
--- a/lentilmount/batch/fairness.py
+++ b/lentilmount/batch/fairness.py
@@ -22,17 +22,20 @@
     Args:
       get_team: Looks a team's quota and weight up.
       parts: Slices among which a quota is divided.
-
-    Attributes:
-      capacity: What the slice's workers have in all.
     """
 
     def __init__(self, get_team: Callable[[str], TeamSpec], parts: int):
-        self.capacity = Room()
+        self._capacity = Room()
+        self._shares: dict[str, float] = {}
         self._get_team = get_team
         self._parts = parts
         self._held: dict[str, Room] = {}
 
+    def renew(self, capacity: Room) -> None:
+        """Takes over what the workers have, and any new quota or weight."""
+        self._capacity = capacity
+        self._shares.clear()
+
     def get_held(self, team: str) -> Room:
         """Returns what a team's jobs hold in this slice."""
         return self._held.get(team, Room())
@@ -40,15 +43,23 @@
     def take(self, task: Task) -> None:
         """Counts a job that was committed to a worker."""
         self._held[task.team] = self.get_held(task.team).add(task.demand)
+        self._shares.pop(task.team, None)
 
     def give_back(self, task: Task) -> None:
         """Counts a job whose commitment ended."""
         self._held[task.team] = self.get_held(task.team).subtract(task.demand)
+        self._shares.pop(task.team, None)
 
     def get_share(self, team: str) -> float:
         """Returns a team's dominant share, divided by its weight."""
+        share = self._shares.get(team)
+        if share is None:
+            share = self._shares[team] = self._find_share(team)
+        return share
+
+    def _find_share(self, team: str) -> float:
         held = self.get_held(team)
-        total = self.capacity
+        total = self._capacity
         shares = (
             held.cores / max(total.cores, 1e-9),
             held.memory_mb / max(total.memory_mb, 1),
--- a/lentilmount/batch/interference.py
+++ b/lentilmount/batch/interference.py
@@ -23,10 +23,15 @@
 """After which an estimate that nothing confirms is as unsure as at first."""
 
 BASE_CAUTION = 0.15
-"""Share of a slowdown beside jobs that may raise the service's own time."""
+"""Share of a correction that a service's own time gets beside jobs."""
 
 PAIRS_KEPT = 4096
 
+_NEAREST_BANDS = tuple(
+    tuple(sorted(range(len(BAND_EDGES) + 1), key=lambda b: abs(b - band)))
+    for band in range(len(BAND_EDGES) + 1)
+)
+
 
 def find_band(load: float) -> int:
     """Returns the load band of a service."""
@@ -107,7 +112,8 @@
         measured = math.log(p99_ms)
         base = self._bases.get((service, band))
         if base is None:
-            base = Estimate(measured, BASE_VARIANCE, now, BASE_VARIANCE)
+            mean = measured - self._explain(service, band, neighbours)
+            base = Estimate(mean, BASE_VARIANCE, now, BASE_VARIANCE)
             self._bases[service, band] = base
         terms = [
             (self._get_pair(service, name, band, now), count)
@@ -123,14 +129,22 @@
         for estimate, count in terms:
             variance = estimate.get_variance(now)
             gain = variance * count / uncertain
-            # Time lost beside jobs is theirs rather than the service's own:
-            # taken for its own, it would hide what they do.
-            blamed = estimate is base and error > 0 and len(terms) > 1
-            estimate.mean += gain * error * (BASE_CAUTION if blamed else 1)
+            # Beside jobs the service's own time is hard to tell from theirs,
+            # so it is corrected less, and as much up as down: corrected more
+            # in one direction, noise alone would drive it there.
+            if estimate is base and len(terms) > 1:
+                gain *= BASE_CAUTION
+            estimate.mean += gain * error
             estimate.variance = variance * (1 - gain * count)
             estimate.at = now
-            if estimate is not base:
-                estimate.mean = max(0.0, estimate.mean)
+
+    def _explain(
+        self, service: str, band: int, neighbours: Mapping[str, float]
+    ) -> float:
+        return sum(
+            count * self.get_effect(service, name, band)
+            for name, count in neighbours.items()
+        )
 
     def _get_pair(
         self, service: str, name: str, band: int, now: float
@@ -149,9 +163,7 @@
     def _guess(self, pair: _Pair) -> float:
         """Returns what the nearest other load band suffered."""
         service, name, band = pair
-        for other in sorted(
-            range(len(BAND_EDGES) + 1), key=lambda b: abs(b - band)
-        ):
+        for other in _NEAREST_BANDS[band]:
             known = self._pairs.get((service, name, other))
             if known is not None:
                 return known.mean
--- a/lentilmount/batch/isolation.py
+++ b/lentilmount/batch/isolation.py
@@ -15,16 +15,35 @@
 CONFIRMATIONS = 2
 """Measurements in a row that must be too high; one may be noise."""
 
+SLACK = 0.25
+"""Most that a service may lose where its tail has the weight 1 or less."""
+
+SLACK_POWER = 0.125
+"""Sixteen times the weight leaves seven tenths of the slack."""
+
+LAG_SECONDS = 240.0
+"""A lag that halves the slack."""
+
+LOW_PART = 0.65
+"""Share of the slack below which jobs get processors back."""
+
 CALM_SECONDS = 20.0
 """Time below the lower limit before a job gets processors back."""
 
-LONGEST_CALM_SECONDS = 640.0
-RELAPSE_SECONDS = 300.0
-"""A throttle so soon after a relaxation doubles the next calm time."""
+LONGEST_CALM_SECONDS = 160.0
+RELAPSE_SECONDS = 40.0
+"""A throttle so soon after a relaxation doubles the next calm time; a later
+one, which something else caused, sets it back."""
+
+RELAX_FACTOR = 1.0
+"""Most that a relaxation adds, as a multiple of the share so far."""
+
+LEAST_CHANGE = 0.05
+"""Smaller changes of a share are not made."""
 
-RELAX_FACTOR = 1.6
 PATIENCE_SECONDS = 20.0
 TINY_EFFECT = 0.01
+"""Jobs that cost a service less are not worth throttling."""
 
 
 @attrs.frozen
@@ -51,9 +70,25 @@
     The more a service's tail weighs, the earlier jobs are throttled; the more
     an eviction weighs, the longer a full throttle is tried instead.
     """
-    slack = 0.2 / max(1.0, math.sqrt(weights.tail_weight))
+    slack = SLACK / max(1.0, weights.tail_weight) ** SLACK_POWER
     patience = PATIENCE_SECONDS * max(0.25, weights.eviction_weight)
-    return Limits(high=1 + slack, low=1 + slack / 2, patience_seconds=patience)
+    return Limits(
+        high=1 + slack, low=1 + LOW_PART * slack, patience_seconds=patience
+    )
+
+
+def tighten(limits: Limits, lag: float) -> Limits:
+    """Returns the limits for measurements that lag by some seconds.
+
+    What happens within the lag is not seen in time, so the later the
+    measurements come, the more room is left for it.
+    """
+    part = 1 / (1 + lag / LAG_SECONDS)
+    return attrs.evolve(
+        limits,
+        high=1 + (limits.high - 1) * part,
+        low=1 + (limits.low - 1) * part,
+    )
 
 
 @attrs.frozen
@@ -142,8 +177,9 @@
             return self._restrict(state, ratio, now, neighbours, limits)
         state.high_count = 0
         state.full_since = None
-        if ratio >= limits.low:
+        if math.log(ratio) > _get_aim(limits):
             state.low_since = None
+        if ratio >= limits.low:
             return []
         return self._relax(state, ratio, now, neighbours, limits)
 
@@ -161,15 +197,16 @@
     ) -> list[Throttle | Evict]:
         state.low_since = None
         state.high_count += 1
-        if state.high_count < CONFIRMATIONS or not neighbours:
+        able = [n for n in neighbours if n.effect >= TINY_EFFECT]
+        if state.high_count < CONFIRMATIONS or not able:
             return []
-        wanted = math.log(ratio) - math.log(limits.low)
-        throttles = _share_out(wanted, neighbours)
+        wanted = math.log(ratio) - _get_aim(limits)
+        throttles = _share_out(wanted, able)
         if throttles:
             state.full_since = None
-            if now - state.relaxed_at < RELAPSE_SECONDS:
-                doubled = 2 * state.calm_seconds
-                state.calm_seconds = min(doubled, LONGEST_CALM_SECONDS)
+            relapse = now - state.relaxed_at < RELAPSE_SECONDS
+            doubled = min(2 * state.calm_seconds, LONGEST_CALM_SECONDS)
+            state.calm_seconds = doubled if relapse else CALM_SECONDS
             self._change(state, now)
             return [*throttles]
         if state.full_since is None:
@@ -178,7 +215,7 @@
             return []
         if not self._try_spend():
             return []
-        worst = max(neighbours, key=lambda n: (n.effect * n.share, -n.cost))
+        worst = max(able, key=lambda n: (n.effect * n.share, -n.cost))
         self._change(state, now)
         return [Evict(worst.task, worst.attempt)]
 
@@ -198,21 +235,23 @@
             state.low_since = now
         if now - state.low_since < state.calm_seconds:
             return []
-        room = math.log(limits.high) - math.log(ratio)
-        for neighbour in sorted(throttled, key=lambda n: n.effect):
-            share = min(1.0, neighbour.share * RELAX_FACTOR)
-            if (share - neighbour.share) * neighbour.effect < room:
-                state.low_since = None
-                state.relaxed_at = now
-                self._change(state, now)
-                return [Throttle(neighbour.task, neighbour.attempt, share)]
-        return []
+        throttles = _give_back(_get_aim(limits) - math.log(ratio), throttled)
+        if throttles:
+            state.low_since = None
+            state.relaxed_at = now
+            self._change(state, now)
+        return [*throttles]
 
     def _change(self, state: _State, now: float) -> None:
         state.changed_at = now
         state.high_count = 0
 
 
+def _get_aim(limits: Limits) -> float:
+    """Returns the logarithm of the ratio that a change aims at."""
+    return (math.log(limits.low) + math.log(limits.high)) / 2
+
+
 def _share_out(
     wanted: float, neighbours: Sequence[Neighbour]
 ) -> list[Throttle]:
@@ -224,11 +263,25 @@
         if wanted <= 0:
             break
         spare = neighbour.share - LEAST_SHARE
-        if spare < 0.01:
+        if spare < LEAST_CHANGE:
             continue
-        effect = max(neighbour.effect, TINY_EFFECT)
-        cut = min(spare, max(wanted / effect, 0.1 * neighbour.share))
-        wanted -= cut * effect
+        cut = min(spare, max(wanted / neighbour.effect, LEAST_CHANGE))
+        wanted -= cut * neighbour.effect
         share = round(neighbour.share - cut, 3)
         throttles.append(Throttle(neighbour.task, neighbour.attempt, share))
     return throttles
+
+
+def _give_back(room: float, throttled: Sequence[Neighbour]) -> list[Throttle]:
+    """Gives the quietest jobs processors back while it should do no harm."""
+    throttles = []
+    for neighbour in sorted(throttled, key=lambda n: n.effect):
+        effect = max(neighbour.effect, TINY_EFFECT)
+        most = max(LEAST_CHANGE, RELAX_FACTOR * neighbour.share)
+        more = min(1.0 - neighbour.share, most, room / effect)
+        if more < min(LEAST_CHANGE, 1.0 - neighbour.share):
+            break
+        room -= more * effect
+        share = round(neighbour.share + more, 3)
+        throttles.append(Throttle(neighbour.task, neighbour.attempt, share))
+    return throttles
--- a/lentilmount/batch/learning.py
+++ b/lentilmount/batch/learning.py
@@ -23,6 +23,7 @@
 
 LEAST_CORES = 0.25
 LEAST_MEMORY_MB = 128
+SATURATED = 0.95
 LEAST_REPORTS = 3
 """Measurements of an attempt before its sizes count."""
 
@@ -63,6 +64,7 @@
     cores: float = 0.0
     memory_mb: int = 0
     reports: int = 0
+    saturated: bool = False
 
 
 class SizeLearner:
@@ -78,15 +80,20 @@
         )
         self._peaks: dict[tuple[str, int], _Peak] = {}
 
-    def observe(self, usage: Usage, share: float) -> None:
+    def observe(self, task: Task, usage: Usage, throttle: float) -> None:
         """Takes in a measurement of a job.
 
         Args:
+          task: The job.
           usage: The measurement.
-          share: Share of the processors that it was allowed.
+          throttle: Share of its commitment that it was allowed.
         """
         peak = self._peaks.setdefault((usage.task, usage.attempt), _Peak())
-        peak.cores = max(peak.cores, usage.cores / share)
+        cores = usage.cores / throttle
+        # What uses all of a commitment that was cut might have used more.
+        if task.share < 1 and cores > SATURATED * task.demand.cores:
+            peak.saturated = True
+        peak.cores = max(peak.cores, cores)
         peak.memory_mb = max(peak.memory_mb, usage.memory_mb)
         peak.reports += 1
 
@@ -96,7 +103,8 @@
         model = self._get(name_class(task))
         model.seconds.add(seconds)
         if peak is not None and peak.reports >= LEAST_REPORTS:
-            model.cores.add(peak.cores)
+            if not peak.saturated:
+                model.cores.add(peak.cores)
             model.memory.add(peak.memory_mb)
             model.size = None
 
@@ -104,6 +112,11 @@
         """Drops the measurements of an attempt that did not complete."""
         self._peaks.pop((task.id, task.attempt), None)
 
+    def knows(self, task: Task) -> bool:
+        """Tells whether the sizes of a job's class are known."""
+        model = self._classes.get(name_class(task))
+        return model is not None and len(model.cores.window) >= ENOUGH
+
     def get_demand(self, task: Task, declared: Demand) -> Demand:
         """Returns what to commit for a job: learned, or as declared.
 
@@ -111,7 +124,7 @@
         counts; processors are shared out, so a high quantile does.
         """
         model = self._classes.get(name_class(task))
-        if model is None or len(model.cores.window) < ENOUGH:
+        if model is None or not self.knows(task):
             return declared
         if model.size is None:
             cores = model.cores.get(SIZE_QUANTILE) * MARGIN
--- a/lentilmount/batch/occupancy.py
+++ b/lentilmount/batch/occupancy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Iterator, Mapping
 
 import attrs
@@ -26,10 +27,14 @@
     Attributes:
       task: The task as last seen.
       since: Monotonic time when it was first seen to run, or None.
+      throttle: Share of its commitment that it is allowed.
+      throttled_at: Monotonic time when this last changed.
     """
 
     task: Task
     since: float | None = None
+    throttle: float = 1.0
+    throttled_at: float = -math.inf
 
 
 class Occupancy:
@@ -37,10 +42,10 @@
 
     def __init__(self) -> None:
         self._held: dict[str, _Held] = {}
-        self._by_worker: collections.defaultdict[str, set[str]] = (
-            collections.defaultdict(set)
+        # Dictionaries without values keep the order, and so each run alike.
+        self._by_worker: collections.defaultdict[str, dict[str, None]] = (
+            collections.defaultdict(dict)
         )
-        self._shares: dict[tuple[str, int], float] = {}
         self._history: collections.defaultdict[
             str, collections.deque[tuple[float, _Mix]]
         ] = collections.defaultdict(collections.deque)
@@ -65,15 +70,14 @@
 
     def _drop(self, task: Task) -> None:
         del self._held[task.id]
-        self._shares.pop((task.id, task.attempt), None)
-        self._by_worker[task.worker].discard(task.id)
+        self._by_worker[task.worker].pop(task.id, None)
 
     def _keep(self, task: Task, now: float) -> None:
         held = self._held.setdefault(task.id, _Held(task))
         held.task = task
         if held.since is None and task.phase is Phase.RUNNING:
             held.since = now
-        self._by_worker[task.worker].add(task.id)
+        self._by_worker[task.worker][task.id] = None
 
     def get(self, task: str) -> Task | None:
         """Returns a task that is on a worker, or None."""
@@ -97,21 +101,33 @@
             if is_movable(task):
                 yield task
 
-    def get_share(self, task: str, attempt: int) -> float:
-        """Returns the share of its processors that a job is allowed."""
-        return self._shares.get((task, attempt), 1.0)
+    def get_throttle(self, task: Task) -> float:
+        """Returns the share of its commitment that a job is allowed."""
+        held = self._held.get(task.id)
+        return held.throttle if held else 1.0
 
-    def set_share(self, task: Task, share: float, now: float) -> None:
+    def get_throttled_at(self, task: Task) -> float:
+        """Returns the monotonic time when a job's throttle last changed."""
+        held = self._held.get(task.id)
+        return held.throttled_at if held else -math.inf
+
+    def get_share(self, task: Task) -> float:
+        """Returns the share of its full speed that a job is allowed."""
+        return task.share * self.get_throttle(task)
+
+    def set_throttle(self, task: Task, share: float, now: float) -> None:
         """Takes note of a throttle."""
-        self._shares[task.id, task.attempt] = share
+        held = self._held[task.id]
+        held.throttle = share
+        held.throttled_at = now
         self._record(task.worker, now)
 
     def list_throttled(self) -> list[tuple[Task, float]]:
         """Returns the jobs that do not have all their processors."""
         return [
-            (self._held[task].task, share)
-            for (task, _), share in self._shares.items()
-            if share < 1 and task in self._held
+            (held.task, held.throttle)
+            for held in self._held.values()
+            if held.throttle < 1
         ]
 
     def get_mix(self, worker: str) -> Mapping[str, float]:
@@ -152,8 +168,8 @@
             if task.is_service or task.phase is Phase.STARTING:
                 continue
             job_class = name_class(task)
-            share = self.get_share(task.id, task.attempt)
-            mix[job_class] = mix.get(job_class, 0.0) + share
+            share = mix.get(job_class, 0.0) + self.get_share(task)
+            mix[job_class] = share
         history = self._history[worker]
         if history and history[-1][1] == mix:
             return
--- a/lentilmount/batch/placement.py
+++ b/lentilmount/batch/placement.py
@@ -4,6 +4,7 @@
 
 import bisect
 import collections
+import itertools
 import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
@@ -22,9 +23,15 @@
 at all, and the first that fits has the fewest free processors.
 """
 
-PROBES = 32
+PROBES = 8
 """Fitting workers of one class that are compared where cost matters."""
 
+ENOUGH_WORKERS = 32
+"""Workers that a task may go to, after which no more are looked for."""
+
+MOST_WORKERS = 256
+"""Workers that are asked for their cost for one task; bounds its time."""
+
 MEMORY_A_CORE = 4096
 CORES_AN_ACCELERATOR = 8
 
@@ -60,14 +67,10 @@
     memory, and in each class in the order of free processors. A search looks
     into each class by bisection; the number of classes depends on the shapes
     of the workers and not on how many there are.
-
-    Attributes:
-      growth: Rises whenever a worker opens or has more free than before, so
-        that a demand that fitted nowhere need not be tried until then.
     """
 
     def __init__(self) -> None:
-        self.growth = 0
+        self._grown: dict[str, Room] = {}
         self._seen: dict[str, WorkerRecord] = {}
         self._entries: dict[str, _Entry] = {}
         self._classes: dict[_Class, list[tuple[float, str]]] = {}
@@ -85,7 +88,7 @@
         self, records: Mapping[str, WorkerRecord], reachable: Iterable[str]
     ) -> None:
         """Takes over every record that changed since the last time."""
-        able = set(reachable)
+        able = dict.fromkeys(reachable)
         for name in [n for n in self._seen if n not in able]:
             self.remove(name)
         for name in able:
@@ -116,7 +119,15 @@
             racks = self._racks.setdefault(service, collections.Counter())
             racks[record.rack] += 1
         if old is None or _has_grown(old.free, free):
-            self.growth += 1
+            self._grown[record.name] = free
+
+    def take_grown(self) -> list[Room]:
+        """Returns what is free on workers that got more room, once.
+
+        A demand that fitted nowhere need not be tried until it fits there.
+        """
+        grown, self._grown = self._grown, {}
+        return list(grown.values())
 
     def remove(self, name: str) -> None:
         """Takes a worker out."""
@@ -137,6 +148,11 @@
             if not racks.total():
                 del self._racks[service]
 
+    def get_free(self, name: str) -> Room:
+        """Returns what an open worker has free; nothing for another."""
+        entry = self._entries.get(name)
+        return entry.free if entry else Room()
+
     def rotate(self, demand: Demand) -> Iterator[WorkerRecord]:
         """Yields the open workers that could hold a demand if empty.
 
@@ -167,23 +183,53 @@
         """
         if task.is_service:
             return self._choose_spread(task, cost)
-        probes = PROBES if cost else 1
+        if cost is None:
+            return self._choose_least(task)
+        best: tuple[float, str] | None = None
+        accepted = 0
+        for asked, entry in enumerate(self._probe_all(task)):
+            if asked >= MOST_WORKERS or accepted >= ENOUGH_WORKERS:
+                break
+            extra = cost(entry.record)
+            if math.isinf(extra):
+                continue
+            accepted += 1
+            score = (measure_room(entry.free) + extra, entry.record.name)
+            if best is None or score < best:
+                best = score
+        return self._entries[best[1]].record if best else None
+
+    def _choose_least(self, task: Task) -> WorkerRecord | None:
         best: tuple[float, str] | None = None
         for members in self._list_classes(task.demand):
-            for entry in self._probe(task, members, probes):
-                extra = cost(entry.record) if cost else 0.0
-                score = (measure_room(entry.free) + extra, entry.record.name)
-                if not math.isinf(extra) and (best is None or score < best):
+            for entry in self._probe(task, members, 1):
+                score = (measure_room(entry.free), entry.record.name)
+                if best is None or score < best:
                     best = score
         return self._entries[best[1]].record if best else None
 
+    def _probe_all(self, task: Task, spread: bool = False) -> Iterator[_Entry]:
+        """Yields fitting workers, some of each class, then all the others."""
+        classes = list(self._list_classes(task.demand))
+        if spread:
+            classes.reverse()
+        seen = set()
+        for members in classes:
+            for entry in self._probe(task, members, PROBES, spread):
+                seen.add(entry.record.name)
+                yield entry
+        for members in classes:
+            for entry in self._probe(task, members, len(members), spread):
+                if entry.record.name not in seen:
+                    yield entry
+
     def _list_classes(
         self, demand: Demand
     ) -> Iterator[list[tuple[float, str]]]:
         least = _classify(demand.memory_mb)
-        for (accelerators, memory), members in self._classes.items():
-            if accelerators >= demand.accelerators and memory >= least:
-                yield members
+        for place in sorted(self._classes):
+            if place[0] >= demand.accelerators and place[1] >= least:
+                yield self._classes[place]
 
     def _probe(
         self,
@@ -211,17 +257,17 @@
     ) -> WorkerRecord | None:
         racks = self._racks.get(task.resource, collections.Counter())
         best: tuple[int, int, float, str] | None = None
-        for members in self._list_classes(task.demand):
-            for entry in self._probe(task, members, PROBES, spread=True):
-                extra = cost(entry.record) if cost else 0.0
-                rank = (
-                    entry.services.count(task.resource),
-                    racks[entry.record.rack],
-                    extra - measure_room(entry.free),
-                    entry.record.name,
-                )
-                if best is None or rank < best:
-                    best = rank
+        probed = self._probe_all(task, spread=True)
+        for entry in itertools.islice(probed, ENOUGH_WORKERS):
+            extra = cost(entry.record) if cost else 0.0
+            rank = (
+                entry.services.count(task.resource),
+                racks[entry.record.rack],
+                extra - measure_room(entry.free),
+                entry.record.name,
+            )
+            if best is None or rank < best:
+                best = rank
         return self._entries[best[3]].record if best else None
 
 
--- a/lentilmount/batch/policy.py
+++ b/lentilmount/batch/policy.py
@@ -9,15 +9,15 @@
 
 import time
 from collections.abc import Callable, Mapping
+from typing import Protocol
 
 import attrs
 
 from lentilmount.batch.budget import EvictionBudget
-from lentilmount.batch.drafts import Draft
+from lentilmount.batch.drafts import Draft, Rows
 from lentilmount.batch.fairness import FairShare
 from lentilmount.batch.isolation import Evict
 from lentilmount.batch.learning import SizeLearner
-from lentilmount.batch.ledger import Ledger
 from lentilmount.batch.occupancy import Occupancy
 from lentilmount.batch.overruns import OverrunWatch
 from lentilmount.batch.placement import explain_refusal
@@ -31,6 +31,9 @@
 from lentilmount.resources import FINAL_PHASES, Demand, Phase, Room
 from lentilmount.upstream.workers import Action, Command
 
+JUDGE_SECONDS = 5.0
+"""Between two looks for pending jobs that can never run."""
+
 
 @attrs.define
 class Plan:
@@ -50,6 +53,14 @@
         return bool(self.evictions or self.records)
 
 
+class ObservedRows(Rows, Protocol):
+    """The rows of a slice, whose changes can be followed."""
+
+    @property
+    def observers(self) -> list[Callable[[Task], None]]:
+        """Called with each task as a transaction left it."""
+
+
 class Policy:
     """Decides for one slice; the owner carries out.
 
@@ -64,7 +75,7 @@
 
     def __init__(
         self,
-        ledger: Ledger,
+        ledger: ObservedRows,
         links: Mapping[str, WorkerLink],
         configuration: Configuration,
         slices: int,
@@ -98,7 +109,9 @@
             self.quarantine,
             self.steering.make_cost,
             self.note,
+            lambda task, name: self.steering.limit(task, name, monotonic()),
         )
+        self._judge_at = 0.0
         self._inherited = [
             task
             for task in ledger.tasks.values()
@@ -119,6 +132,7 @@
         if old is None and task.phase in HOLDING:
             if _is_job(task):
                 self.fair.take(task)
+                self.steering.begin(task, now)
             self.steering.note_change(task.worker)
         elif old is not None and task.phase not in HOLDING:
             self._end(old, task, seconds)
@@ -173,7 +187,11 @@
           list_shapes: Returns all shapes of worker in a zone, or nothing
             while some are not known.
         """
-        hopeless = []
+        hopeless: list[tuple[str, str]] = []
+        now = self._monotonic()
+        if now < self._judge_at:
+            return hopeless
+        self._judge_at = now + JUDGE_SECONDS
         for group in self.scheduler.queue.list_groups():
             if group.tier == SERVICES:
                 continue
@@ -243,8 +261,9 @@
         """Places what is pending, as much as fits in one transaction."""
         reachable = [n for n, link in self._links.items() if link.reachable]
         records = {**self._ledger.workers, **draft.workers}
-        self.scheduler.synchronize(records, reachable)
-        return self.scheduler.place(draft, self._monotonic(), self._wall())
+        now = self._monotonic()
+        self.scheduler.synchronize(records, reachable, now)
+        return self.scheduler.place(draft, now, self._wall())
 
     def explain(self, task: Task) -> str:
         """Says why a pending task waits."""
--- a/lentilmount/batch/preemption.py
+++ b/lentilmount/batch/preemption.py
@@ -127,6 +127,8 @@
 ) -> float | None:
     ends = sorted(((get_end(t), t.id, t) for t in tasks), key=lambda e: e[:2])
     for end, _, task in ends:
+        if math.isinf(end):
+            return None
         free = free.add(task.demand)
         if demand.fits(free):
             return end
--- a/lentilmount/batch/quarantine.py
+++ b/lentilmount/batch/quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 
 import attrs
 
@@ -121,7 +122,7 @@
         return self._workers[worker].probation
 
     def review(
-        self, records: dict[str, WorkerRecord], now: float
+        self, records: Mapping[str, WorkerRecord], now: float
     ) -> list[WorkerRecord]:
         """Returns the records whose quarantine begins or ends."""
         changed = []
--- a/lentilmount/batch/records.py
+++ b/lentilmount/batch/records.py
@@ -18,6 +18,8 @@
       demand: What the ledger holds for it on its worker.
       declared: What its owner asked for, where `demand` was learned.
       zone: Availability zone that it has to run in, or ''.
+      share: Share of its processors that the attempt was begun with, so as
+        to spare the services beside it; `demand` is what is left.
       job_class: Tasks that behave alike.
       urgency: Urgent tasks go first.
       payload: Given to the worker as it is.
@@ -56,6 +58,7 @@
     cancel: bool = False
     declared: Demand | None = None
     zone: str = ''
+    share: float = 1.0
 
     @property
     def team(self) -> str:
--- a/lentilmount/batch/scheduler.py
+++ b/lentilmount/batch/scheduler.py
@@ -25,17 +25,25 @@
 from lentilmount.batch.states import Move
 from lentilmount.resources import Demand, Phase, Room
 
-RESERVE_AFTER_SECONDS = 30.0
+RESERVE_AFTER_SECONDS = 120.0
 """How long a batch job waits before a worker is kept free for it."""
 
 RESERVED_SECONDS = 600.0
 PREEMPTED_SECONDS = 20.0
 """How long freed room is kept for the urgent task that it was freed for."""
 
+RENEW_SECONDS = 1.0
+"""How old the capacity and the teams' weights in the fair share may be."""
+
 EXCESS_SECONDS = 600.0
 """A whole weighted share too much counts like so much lost work less."""
 
 
+FAILED_TRIES = 12
+"""Groups that may fail to be placed in one pass. Those not tried come first
+in the next one, as those that failed are blocked; so a pass stays short."""
+
+
 @attrs.define
 class Placed:
     """What one pass did.
@@ -60,12 +68,14 @@
         fair: FairShare,
         budget: EvictionBudget,
         quarantine: Quarantine,
-        make_cost: Callable[[Task, float], Cost],
+        make_cost: Callable[[Task, float, float], Cost],
         note: Callable[[Task], None],
+        limit: Callable[[Task, str], Task],
     ):
         self.queue = PendingQueue()
         self.index = WorkerIndex()
         self.reservations: dict[str, Reservation] = {}
+        self._renew_at = -math.inf
         self._occupancy = occupancy
         self._sizes = sizes
         self._overruns = overruns
@@ -74,42 +84,50 @@
         self._quarantine = quarantine
         self._make_cost = make_cost
         self._note = note
+        self._limit = limit
 
     def synchronize(
-        self, records: Mapping[str, WorkerRecord], reachable: Iterable[str]
+        self,
+        records: Mapping[str, WorkerRecord],
+        reachable: Iterable[str],
+        now: float,
     ) -> None:
         """Takes over what changed of the workers."""
         self.index.synchronize(records, reachable)
-        total = Room()
-        for record in records.values():
-            total = total.add(record.capacity)
-        self._fair.capacity = total
+        for room in self.index.take_grown():
+            self.queue.unblock(room)
+        if now >= self._renew_at:
+            self._renew_at = now + RENEW_SECONDS
+            total = Room()
+            for record in records.values():
+                total = total.add(record.capacity)
+            self._fair.renew(total)
 
     def place(self, draft: Draft, now: float, wall: float) -> Placed:
         """Places as many pending tasks as fit into one transaction."""
         done = Placed()
         self._drop_reservations(now)
-        work = Round(
-            self.queue, self._fair.get_share, now, wall, self.index.growth
-        )
+        failed = 0
+        work = Round(self.queue, self._fair.get_share, now, wall)
         while True:
             if draft.is_full:
                 done.more = True
                 return done
             taken = work.take()
-            if taken is None:
+            if taken is None or failed >= FAILED_TRIES:
                 return done
             group, task_id = taken
             task = draft.get_task(task_id)
             if task is None or task.phase is not Phase.PENDING:
-                if task is not None:
-                    self.queue.update(task, now)
+                self.queue.remove(task_id)
                 work.put_back(group)
                 continue
+            task = self._size(task)
             if self._try_place(draft, work, group, task, now, done):
                 work.put_back(group)
             else:
-                work.block(group)
+                work.block(group, task.demand)
+                failed += 1
 
     def _try_place(
         self,
@@ -120,18 +138,18 @@
         now: float,
         done: Placed,
     ) -> bool:
-        task = self._size(task)
         if not task.is_service and not self._fair.allows(
             task.team, task.demand
         ):
             return False
         worker = None
         if not work.is_too_large(task.demand):
-            cost = self._make_cost(task, now)
+            waited = self.queue.get_wait(task.id, now)
+            cost = self._make_cost(task, waited, now)
             cost = self._keep_off(task, cost, now)
             worker = self.index.choose(self._forgive(task), cost)
         if worker is not None:
-            placed = draft.place(task, worker)
+            placed = draft.place(self._limit(task, worker.name), worker)
             self.index.update(draft.get_worker(worker.name))
             self.reservations.pop(task.id, None)
             self._note(placed)
@@ -147,11 +165,9 @@
         declared = task.declared or task.demand
         need = self._overruns.get_need(task)
         demand = need or self._sizes.get_demand(task, declared)
-        if demand == task.demand:
-            return task
-        if not self._could_hold(demand):
+        if demand != declared and not self._could_hold(demand):
             demand = declared
-        return attrs.evolve(task, demand=demand, declared=declared)
+        return attrs.evolve(task, demand=demand, declared=declared, share=1.0)
 
     def _forgive(self, task: Task) -> Task:
         """Lets a job that failed on every open worker try them again."""
@@ -207,7 +223,11 @@
         now: float,
         done: Placed,
     ) -> None:
-        if task.id in self.reservations:
+        held = self.reservations.get(task.id)
+        if held is not None:
+            if task.demand.fits(self.index.get_free(held.worker)):
+                # There is room, and something else keeps the task off.
+                del self.reservations[task.id]
             return
         if group.tier < BATCH:
             self._preempt(draft, task, now, done)
--- a/lentilmount/batch/steering.py
+++ b/lentilmount/batch/steering.py
@@ -10,39 +10,62 @@
 
 from lentilmount.batch.interference import InterferenceModel, find_band
 from lentilmount.batch.isolation import (
+    LEAST_CHANGE,
+    LEAST_SHARE,
+    TINY_EFFECT,
     Evict,
     Isolator,
     Limits,
     Neighbour,
     Throttle,
     make_limits,
+    tighten,
 )
-from lentilmount.batch.learning import SizeLearner, name_class
+from lentilmount.batch.learning import LEAST_CORES, SizeLearner, name_class
 from lentilmount.batch.occupancy import Occupancy, is_movable
 from lentilmount.batch.overruns import OverrunWatch
 from lentilmount.batch.placement import Cost
 from lentilmount.batch.records import Task, WorkerRecord
-from lentilmount.resources import ConfigurationSpec
+from lentilmount.resources import ConfigurationSpec, Phase
 from lentilmount.upstream.workers import Action, Command, Usage
 
 WINDOW_SECONDS = 5.0
 """Time over which a worker takes the 99th percentile that it reports."""
 
-PEAK_SECONDS = 900.0
+PEAK_SECONDS = 240.0
 """Work is placed for the highest load band of this time, as load returns."""
 
+NOISY_EFFECT = 0.35
+"""A job that alone would take more of what a service may lose is noisy."""
+
+NOISY_PART = 0.2
+"""What all noisy jobs on a worker may take of it, so that they do not use up
+what many quiet ones could share."""
+
+START_SHARE = 0.2
+"""A job is not begun where it may use less than this of its processors: it
+would hold the rest for nothing."""
+
+LONG_WAIT_SECONDS = 600.0
+"""After which a job is begun with `LEAST_SHARE` rather than never."""
+
 CAUTION = 0.5
 """Standard deviations by which a slowdown is taken for worse than known."""
 
 CORES_A_DOUBLING = 12.0
 """What a service that becomes e times slower costs, in cores left free."""
 
+CORES_A_FULL_THROTTLE = 8.0
+"""What it costs to place a job where it may use next to nothing."""
+
 CONFIDENT = 0.5
 OVERRUN = 'uses more than was committed for it'
 RESEND_SECONDS = 10.0
 """A throttle is sent again so often, as an order may be lost."""
 
 SAME_SECONDS = 0.5
+LAG_GAIN = 0.02
+"""Weight of one measurement in the mean lag."""
 
 
 class WorkerLink(Protocol):
@@ -84,14 +107,24 @@
     Attributes:
       service: The service.
       band: The load band that work is placed for.
-      total: Logarithm of the expected slowdown.
-      variance: Of that.
+      quiet: Logarithm of the slowdown expected of quiet jobs.
+      noisy: The same of noisy ones.
+      variance: Of both together.
     """
 
     service: str
     band: int
-    total: float
-    variance: float
+    quiet: float = 0.0
+    noisy: float = 0.0
+    variance: float = 0.0
+
+    def get_total(self, limit: float) -> float:
+        """Returns what counts as taken.
+
+        Noisy jobs that were begun at a lower load are throttled down to
+        their part, and keep no quiet ones away beyond it.
+        """
+        return self.quiet + min(self.noisy, NOISY_PART * limit)
 
 
 class Steering:
@@ -119,12 +152,15 @@
         self._isolator = Isolator(try_spend)
         self._weights = ConfigurationSpec()
         self._limits = Limits()
+        self._lag = 0.0
         self._read: dict[str, tuple[Usage, ...]] = {}
         self._measured: dict[str, float] = {}
+        self._learned: dict[str, float] = {}
         self._bands: dict[str, dict[int, float]] = {}
         self._idle: set[str] = set()
         self._strains: dict[str, list[_Strain]] = {}
         self._sent: dict[tuple[str, int], float] = {}
+        self._begun: dict[str, float] = {}
         self._caps: dict[str, float] = {}
 
     def set_weights(self, weights: ConfigurationSpec) -> None:
@@ -132,6 +168,7 @@
         if weights != self._weights:
             self._weights = weights
             self._limits = make_limits(weights)
+            self._strains.clear()
 
     def note_change(self, worker: str) -> None:
         """Takes note that other tasks are on a worker."""
@@ -141,8 +178,10 @@
         """Drops what is remembered of a task that left its worker."""
         self._measured.pop(task, None)
         self._idle.discard(task)
+        self._learned.pop(task, None)
         self._bands.pop(task, None)
         self._caps.pop(task, None)
+        self._begun.pop(task, None)
 
     def read(self, link: WorkerLink, now: float) -> list[Evict]:
         """Takes in what a worker measured, and acts on it.
@@ -163,6 +202,7 @@
             if reading and (worst is None or reading.ratio > worst.ratio):
                 worst = reading
         if worst is not None:
+            self._lag += LAG_GAIN * (now - worst.at - self._lag)
             evictions += self._protect(link, worst, now)
         return evictions
 
@@ -181,8 +221,13 @@
     def _judge(
         self, link: WorkerLink, job: Task, usage: Usage, now: float
     ) -> list[Evict]:
-        share = self._occupancy.get_share(job.id, job.attempt)
-        self._sizes.observe(usage, share)
+        # Measured before the throttle changed, or while it did, it would
+        # give a wrong size at the share of now.
+        settled = self._occupancy.get_throttled_at(job) + WINDOW_SECONDS
+        if now - usage.age < settled:
+            return []
+        share = self._occupancy.get_throttle(job)
+        self._sizes.observe(job, usage, share)
         verdict = self._overruns.judge(job, usage, share, now)
         if verdict is None:
             return []
@@ -202,7 +247,7 @@
             worst.at,
             now,
             self._list_neighbours(link.name, worst, now),
-            self._limits,
+            tighten(self._limits, self._lag),
         )
         for act in acts:
             if isinstance(act, Throttle):
@@ -225,7 +270,10 @@
         if mix is None:
             return None
         name = task.resource
-        self.model.observe(name, band, mix, usage.p99_ms, at)
+        # Measurements whose windows overlap say the same thing twice.
+        if at >= self._learned.get(task.id, -math.inf) + WINDOW_SECONDS:
+            self._learned[task.id] = at
+            self.model.observe(name, band, mix, usage.p99_ms, at)
         ratio = self.model.get_ratio(name, band, usage.p99_ms)
         expected = self.model.predict(name, band, mix, at)
         # One measured percentile is noisy; what was learned steadies it.
@@ -240,10 +288,11 @@
             Neighbour(
                 task=job.id,
                 attempt=job.attempt,
-                effect=self.model.get_effect(
+                effect=job.share
+                * self.model.get_effect(
                     worst.service, name_class(job), worst.band
                 ),
-                share=self._occupancy.get_share(job.id, job.attempt),
+                share=self._occupancy.get_throttle(job),
                 cost=self._occupancy.get_seconds(job.id, now),
             )
             for job in self._occupancy.list_jobs(worker)
@@ -255,7 +304,7 @@
         if job is None or job.attempt != act.attempt:
             return
         share = min(act.share, self._caps.get(job.id, 1.0))
-        self._occupancy.set_share(job, share, now)
+        self._occupancy.set_throttle(job, share, now)
         self._strains.pop(job.worker, None)
         self._send(link, job, share, now)
 
@@ -264,7 +313,8 @@
         throttled = self._occupancy.list_throttled()
         for job, share in throttled:
             sent = self._sent.get((job.id, job.attempt), -math.inf)
-            if job.worker in links and now - sent >= RESEND_SECONDS:
+            due = now - sent >= RESEND_SECONDS
+            if due and job.worker in links and job.phase is Phase.RUNNING:
                 self._send(links[job.worker], job, share, now)
         kept = {(job.id, job.attempt) for job, _ in throttled}
         for key in [k for k in self._sent if k not in kept]:
@@ -277,30 +327,85 @@
         link.wake()
         self._sent[job.id, job.attempt] = now
 
-    def make_cost(self, task: Task, now: float) -> Cost:
+    def make_cost(self, task: Task, waited: float, now: float) -> Cost:
         """Returns what placing a task on a worker costs its services.
 
         A job is kept off where a service would probably become slower than
         the limit. A service, which has to run, just prefers quiet workers.
+
+        Args:
+          task: What is to be placed.
+          waited: For how many seconds it has been pending.
+          now: Monotonic time.
         """
         if task.is_service:
             return lambda record: self._price_service(task, record, now)
         name = name_class(task)
-        return lambda record: self._price_job(name, record, now)
+        least = START_SHARE if waited < LONG_WAIT_SECONDS else LEAST_SHARE
+        return lambda record: self._price_job(name, least, record, now)
 
-    def _price_job(self, name: str, record: WorkerRecord, now: float) -> float:
+    def _price_job(
+        self, name: str, least: float, record: WorkerRecord, now: float
+    ) -> float:
         price = 0.0
-        limit = math.log(self._limits.high)
+        share = self._find_share(name, record.name, now)
+        if share < least:
+            return math.inf
         for strain in self._get_strains(record.name, now):
+            mean, _ = self.model.get_term(
+                strain.service, name, strain.band, now
+            )
+            total = strain.get_total(
+                math.log(tighten(self._limits, self._lag).high)
+            )
+            price += total + 2 * mean * share
+        price *= CORES_A_DOUBLING * self._weights.tail_weight
+        return price + CORES_A_FULL_THROTTLE * (1 - share)
+
+    def _find_share(self, name: str, worker: str, now: float) -> float:
+        """Returns how much of its processors a class may use on a worker."""
+        share = 1.0
+        limit = math.log(tighten(self._limits, self._lag).high)
+        for strain in self._get_strains(worker, now):
             mean, variance = self.model.get_term(
                 strain.service, name, strain.band, now
             )
-            total = strain.total + mean
-            worst = total + CAUTION * math.sqrt(strain.variance + variance)
-            if worst > limit:
-                return math.inf
-            price += mean + worst
-        return price * CORES_A_DOUBLING * self._weights.tail_weight
+            doubt = CAUTION * math.sqrt(strain.variance + variance)
+            room = limit - strain.get_total(limit) - doubt
+            if mean > NOISY_EFFECT * limit:
+                room = min(room, NOISY_PART * limit - strain.noisy)
+            if mean > room:
+                share = min(share, max(0.0, room / max(mean, TINY_EFFECT)))
+        return share
+
+    def limit(self, job: Task, worker: str, now: float) -> Task:
+        """Gives a job fewer processors where its worker calls for it.
+
+        A class that no service can bear at full speed would else never run,
+        and throttled after the start it would hold what it may not use. Where
+        its size is not known, a part of what was declared may be all that it
+        wants, so it is throttled after all; see `begin`.
+        """
+        self._strains.pop(worker, None)
+        if job.is_service:
+            return job
+        share = self._find_share(name_class(job), worker, now)
+        self._begun.pop(job.id, None)
+        if share > 1 - LEAST_CHANGE:
+            return attrs.evolve(job, share=1.0)
+        share = max(LEAST_SHARE, round(share, 2))
+        self._begun[job.id] = share
+        if not self._sizes.knows(job):
+            return attrs.evolve(job, share=1.0)
+        cores = max(LEAST_CORES, round(job.demand.cores * share, 2))
+        demand = attrs.evolve(job.demand, cores=min(cores, job.demand.cores))
+        return attrs.evolve(job, demand=demand, share=share)
+
+    def begin(self, job: Task, now: float) -> None:
+        """Throttles a job from its start that `limit` did not cut."""
+        share = self._begun.get(job.id, 1.0)
+        if job.share == 1 and share < 1:
+            self._occupancy.set_throttle(job, share, now)
 
     def _price_service(
         self, task: Task, record: WorkerRecord, now: float
@@ -334,14 +439,20 @@
 
     def _strain(self, task: Task, now: float) -> _Strain:
         bands = self._list_bands(task, now)
-        strain = _Strain(task.resource, max(bands, default=0), 0.0, 0.0)
+        strain = _Strain(task.resource, max(bands, default=0))
+        noisy = NOISY_EFFECT * math.log(tighten(self._limits, self._lag).high)
         for job in self._occupancy.list_tasks(task.worker):
             if job.is_service:
                 continue
-            share = self._occupancy.get_share(job.id, job.attempt)
+            # A throttled job counts as it was begun: new jobs in the room that
+            # its throttle made would keep it throttled for ever.
+            share = self._begun.get(job.id, job.share)
             mean, variance = self.model.get_term(
                 strain.service, name_class(job), strain.band, now
             )
-            strain.total += share * mean
             strain.variance += share * share * variance
+            if mean > noisy:
+                strain.noisy += share * mean
+            else:
+                strain.quiet += share * mean
         return strain
