Take the wait of a job last when its cost is made

Cause: the argument came between two that callers pass by place. Change: it is the last one and has a default. Conclusion: no behaviour changes.

--- a/lentilmount/batch/scheduler.py
+++ b/lentilmount/batch/scheduler.py
@@ -145,7 +145,7 @@
         worker = None
         if not work.is_too_large(task.demand):
             waited = self.queue.get_wait(task.id, now)
-            cost = self._make_cost(task, waited, now)
+            cost = self._make_cost(task, now, waited)
             cost = self._keep_off(task, cost, now)
             worker = self.index.choose(self._forgive(task), cost)
         if worker is not None:
--- a/lentilmount/batch/steering.py
+++ b/lentilmount/batch/steering.py
@@ -327,7 +327,7 @@
         link.wake()
         self._sent[job.id, job.attempt] = now
 
-    def make_cost(self, task: Task, waited: float, now: float) -> Cost:
+    def make_cost(self, task: Task, now: float, waited: float = 0.0) -> Cost:
         """Returns what placing a task on a worker costs its services.
 
         A job is kept off where a service would probably become slower than
@@ -335,8 +335,8 @@
 
         Args:
           task: What is to be placed.
-          waited: For how many seconds it has been pending.
           now: Monotonic time.
+          waited: For how many seconds it has been pending.
         """
         if task.is_service:
             return lambda record: self._price_service(task, record, now)
