--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import io
 import json
 import shlex
 
 import pytest
 
 from lentilmount.cli.definition import COMMANDS, make_parser
+from lentilmount.cli.output import write_resources
 from lentilmount.context import Environment
 from lentilmount.status import ExitStatus
 from stand_ins.site import Site, make_job, make_service, run_tool
@@ -118,6 +120,34 @@
     assert site.tool('cordon', 'mistyped').status is ExitStatus.NOT_FOUND
 
 
+class Terminal(io.StringIO):
+    """A stream that a person reads."""
+
+    def isatty(self) -> bool:
+        return True
+
+
+@pytest.mark.parametrize(
+    ('stream', 'variables', 'coloured'),
+    [
+        (Terminal(), {}, True),
+        (Terminal(), {'NO_COLOR': '1'}, False),
+        (io.StringIO(), {}, False),
+    ],
+)
+def test_colours_are_for_terminals(
+    stream: io.StringIO, variables: dict[str, str], coloured: bool
+) -> None:
+    item = {
+        'kind': 'Job',
+        'metadata': {'team': 'desk', 'name': 'x', 'revision': 1},
+        'status': {'phase': 'failed', 'attempt': 1},
+    }
+    env = Environment(stdout=stream, variables=variables)
+    write_resources([item], 'table', env)
+    assert ('\x1b[31mfailed' in stream.getvalue()) is coloured
+
+
 def test_every_example_parses_and_is_in_its_help() -> None:
     for command in COMMANDS:
         args = shlex.split(command.example)[1:]
