--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -276,7 +276,7 @@
 
 async def measure_idle(report: Report, count: int, seconds: float) -> None:
     """Measures what heartbeats add to an idle daemon's processor time."""
-    quiet = attrs.evolve(TIMES, heartbeat=60.0, silence=300.0)
+    quiet = attrs.evolve(TIMES, heartbeat=20.0, silence=50.0)
     cores = {}
     for name, times in (('with', TIMES), ('without', quiet)):
         async with open_bench(count, times) as bench:
