Split the daemon's control out of its life cycle, and mend four faults

Cause and change: - A look at a table that is out takes seconds, and what peers had waited for it: peers and table are now followed apart. - A slice's log that was being read went on over a peer's newer answer. - A daemon whose own row was written late took itself for replaced, for ever. - A balancer that asks for the health kept a stop from ending before its limit: only callers' requests are waited for.

--- a/lentilmount/daemon/draining.py
+++ b/lentilmount/daemon/draining.py
@@ -51,10 +51,14 @@
     """Serves as another application does, and counts its requests."""
 
     def __init__(
-        self, inner: httputil.HTTPServerConnectionDelegate, drain: Drain
+        self,
+        inner: httputil.HTTPServerConnectionDelegate,
+        drain: Drain,
+        is_awaited: bool,
     ):
         self._inner = inner
         self._drain = drain
+        self._is_awaited = is_awaited
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -62,7 +66,11 @@
         """See the base class; called when the one before has ended."""
         self._drain.end(server_conn)
         delegate = self._inner.start_request(server_conn, request_conn)
-        return _Watcher(delegate, lambda: self._drain.begin(server_conn))
+
+        def begin() -> None:
+            self._drain.begin(server_conn, self._is_awaited)
+
+        return _Watcher(delegate, begin)
 
     def on_close(self, server_conn: object) -> None:
         """See the base class."""
@@ -88,20 +96,29 @@
         """How many requests are under way."""
         return len(self._busy)
 
-    def begin(self, connection: object) -> None:
-        """Notes that a request began on a connection."""
+    def begin(self, connection: object, is_awaited: bool) -> None:
+        """Notes that a request began on a connection; see `wrap`."""
         self._busy.add(connection)
-        self._last_began = self._monotonic()
+        if is_awaited:
+            self._last_began = self._monotonic()
 
     def end(self, connection: object) -> None:
         """Notes that a connection has no request under way."""
         self._busy.discard(connection)
 
     def wrap(
-        self, app: httputil.HTTPServerConnectionDelegate
+        self,
+        app: httputil.HTTPServerConnectionDelegate,
+        is_awaited: bool,
     ) -> httputil.HTTPServerConnectionDelegate:
-        """Returns an application whose requests are counted."""
-        return _WatchedApplication(app, self)
+        """Returns an application whose requests are counted.
+
+        Args:
+          app: The application.
+          is_awaited: Whether a stop waits until no more requests come. The
+            balancer asks for the health and the metrics for ever.
+        """
+        return _WatchedApplication(app, self, is_awaited)
 
     def watch(self, server: HTTPServer) -> None:
         """Adds a server whose connections end when a stop begins."""
--- a/lentilmount/daemon/follower.py
+++ b/lentilmount/daemon/follower.py
@@ -88,11 +88,10 @@
         self._origins: dict[str, str] = {}
         self._told_slices: dict[str, tuple[int, str]] = {}
         self._wake = asyncio.Event()
-        self._due = 0.0
+        self._heard = asyncio.Event()
 
     def wake(self) -> None:
         """Makes the follower look at the table now."""
-        self._due = 0.0
         self._wake.set()
 
     def hear(self, news: News) -> None:
@@ -101,7 +100,7 @@
         if news.revision > self._told_revision.revision:
             self._told_revision = news
         if news.revision > self._configuration.revision:
-            self._wake.set()
+            self._heard.set()
         for name, sequence in news.sequences.items():
             if self.logs.note_head(name, sequence):
                 self._origins[name] = news.zone
@@ -109,7 +108,7 @@
             if sequence >= self._told_slices.get(name, (0, ''))[0]:
                 self._told_slices[name] = (sequence, news.sender)
             if sequence > self.logs.get_sequence(name):
-                self._wake.set()
+                self._heard.set()
 
     def get_news(self) -> News:
         """Returns what there is to tell peers."""
@@ -122,16 +121,25 @@
 
     async def run(self) -> None:
         """Follows until cancelled."""
-        monotonic = asyncio.get_running_loop().time
+        # Apart, as a look at a table that is out takes seconds, and what
+        # peers have must not wait for that.
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow_table())
+            group.create_task(self._follow_peers())
+
+    async def _follow_table(self) -> None:
+        while True:
+            self._wake.clear()
+            await self._try_look()
+            self._announce_news()
+            await wait_briefly(self._wake, self._get_pause())
+
+    async def _follow_peers(self) -> None:
         while True:
+            await self._heard.wait()
+            self._heard.clear()
             await self.ask_peers()
-            if monotonic() >= self._due:
-                self._due = monotonic() + self._get_pause()
-                await self._try_look()
             self._announce_news()
-            wait = max(0.0, self._due - monotonic())
-            await wait_briefly(self._wake, wait)
-            self._wake.clear()
 
     def _announce_news(self) -> None:
         news = (self._configuration.revision, self.logs.list_services())
@@ -223,7 +231,7 @@
             self._note_revision(before)
             if self._configuration.is_behind:
                 self._told_revision = News()
-                self._due = 0.0 if self.store_up else self._due
+                self._wake.set()
         for name, (sequence, sender) in list(self._told_slices.items()):
             known = self.logs.get_sequence(name)
             if sequence > known and name in self._slices:
--- a/lentilmount/daemon/lifecycle.py
+++ b/lentilmount/daemon/lifecycle.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import time
 from typing import Any
 
 import attrs
@@ -14,23 +13,14 @@
 from tornado.web import Application
 
 from lentilmount.access import Gate
-from lentilmount.batch.links import LinkOptions
-from lentilmount.batch.manager import SliceManager
-from lentilmount.batch.owner import OwnerOptions
-from lentilmount.batch.preference import Preference, PreferenceOptions
 from lentilmount.clock import SystemClock
 from lentilmount.commands.configure import Configurer
 from lentilmount.commands.jobs import JobDesk, Submitted
-from lentilmount.configuration import CONFIGURATION_LOG, Configuration
-from lentilmount.coordination.membership import Member, Membership
+from lentilmount.configuration import Configuration
 from lentilmount.daemon.api import Api
 from lentilmount.daemon.callers import make_callers_app
+from lentilmount.daemon.control import Base, Control, make_membership
 from lentilmount.daemon.draining import Drain
-from lentilmount.daemon.feed import WorkerFeed
-from lentilmount.daemon.follower import Follower
-from lentilmount.daemon.gossip import Gossip
-from lentilmount.daemon.heartbeats import News
-from lentilmount.daemon.housekeeping import run_housekeeping
 from lentilmount.daemon.listeners import bind, name_address, serve
 from lentilmount.daemon.metrics import (
     AnswerCounter,
@@ -38,11 +28,9 @@
     make_metrics_app,
 )
 from lentilmount.daemon.operators import make_operators_app
-from lentilmount.daemon.peers import PeerOptions, Peers, PeerService
-from lentilmount.daemon.registry import Registry
+from lentilmount.daemon.peers import PeerService
 from lentilmount.daemon.security import Security
 from lentilmount.daemon.survey import Survey
-from lentilmount.errors import LentilmountError
 from lentilmount.events import EventKind, EventLog
 from lentilmount.metrics import Gauged, Metrics
 from lentilmount.queries.resources import Reader
@@ -51,11 +39,9 @@
 from lentilmount.routing.forward import CurlForwarder
 from lentilmount.routing.router import Router, RouterOptions
 from lentilmount.settings import Settings
-from lentilmount.slices import get_zone, list_slices
 from lentilmount.upstream.hosts import HttpHosts
 from lentilmount.upstream.table import HttpTable
 from lentilmount.upstream.workers import HttpWorkers
-from lentilmount.wire import peer_pb2
 
 log = logbook.Logger('daemon')
 
@@ -63,8 +49,6 @@
 QUIET_SECONDS = 0.5
 """A stop ends when no request came for this long after the drain time."""
 
-ELIGIBLE_LOOK_SECONDS = 0.5
-
 
 class Daemon:
     """One `lentilmountd`.
@@ -82,22 +66,18 @@
         self.apps: dict[str, Application] = {}
         self.stopping = False
         self.failed = asyncio.Event()
-        self._calls: set[asyncio.Task[None]] = set()
         self.gate = Gate(settings.access)
         self.security = Security(settings.tls)
-        times = settings.times
         clock = SystemClock()
         self.events = EventLog(settings.name, clock)
         self.configuration = Configuration()
         self.directory = Directory()
         self._stack = contextlib.AsyncExitStack()
-        self._slices = tuple(
-            list_slices(settings.zones, settings.slices_per_zone)
-        )
         self.table = HttpTable(settings.platform.table)
         self._hosts = HttpHosts(settings.platform.hosts)
         self._workers = HttpWorkers()
         self._forwarder = CurlForwarder()
+        self.membership = make_membership(settings, clock)
         self.router = Router(
             self.directory,
             self.configuration,
@@ -107,70 +87,24 @@
             self.events,
             count_daemons=lambda: len(self.membership.list_up()),
         )
-        incarnation = int(time.time() * 1000)
-        self.membership = Membership(
-            Member(settings.name, settings.zone, '', incarnation),
-            times.silence,
-            clock.monotonic,
-            times.forget,
-        )
-        self._preference = Preference(
-            self.membership,
-            PreferenceOptions(self._slices, times.settle, times.slice_lease),
-            clock.monotonic,
-        )
-        self._peers = Peers(
-            self.membership,
-            self.events,
-            PeerOptions(
-                settings.peers,
-                times.heartbeat,
-                times.silence,
-                settings.zone_links,
-            ),
-            self._get_news,
-            self._take_news,
-            clock.monotonic,
-            self.security.peer_client,
-            Gossip(self.router.pools),
-        )
-        self.router.pools.on_mark = self._peers.push
-        self._follower = Follower(
-            self.table,
-            self.configuration,
-            self.directory,
-            self._slices,
-            self.events,
-            times.poll,
-            self._is_reader,
-            self._peers.fetch_changes,
-            self._peers.push,
-        )
-        self._registry = Registry(
-            self.table, self.membership, times.members, clock.monotonic
-        )
         self._drain = Drain(clock.monotonic)
         self.metrics = Metrics(self._read_gauges)
-        self.manager = SliceManager(
-            self.table,
-            self._workers,
-            self.configuration,
-            self.membership,
-            self.events,
-            OwnerOptions(
-                LinkOptions(
-                    sync_seconds=times.sync,
-                    lease_seconds=times.task_lease,
-                    promise_seconds=times.task_promise,
-                ),
-                self._slices,
-                times.slice_lease,
+        self._control = Control(
+            Base(
+                settings,
+                clock,
+                self.table,
+                self._hosts,
+                self._workers,
+                self.events,
+                self.configuration,
+                self.directory,
+                self.security,
             ),
-            settings.slices_per_zone,
-            clock.monotonic,
-            self._announce_release,
-            self._preference,
+            self.router,
+            self.membership,
         )
+        self.manager = self._control.manager
 
     async def __aenter__(self) -> Daemon:
         """Starts every listener and every task."""
@@ -180,20 +114,11 @@
                 self._hosts,
                 self._workers,
                 self._forwarder,
-                self._peers,
+                self._control.peers,
             ):
                 stack.callback(part.close)
             await self._listen(stack)
-            for work in (
-                self._follower.run(),
-                self._peers.run(),
-                self.manager.run(),
-                self._watch_hosts(),
-                WorkerFeed(self.manager, self.router.pools).run(),
-                self._registry.run(),
-                self._watch_eligibility(),
-                run_housekeeping(self.table, self._is_housekeeper),
-            ):
+            for work in self._control.list_work():
                 task = asyncio.create_task(work)
                 task.add_done_callback(self._note_end)
                 stack.push_async_callback(_cancel, task)
@@ -221,10 +146,10 @@
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         listen = self.settings.listen
         service = PeerService(
-            self._peers,
+            self._control.peers,
             self.events,
             self.manager.wake,
-            self._answer_peer,
+            self._control.answer_peer,
             self.describe,
         )
         server = Server([service])
@@ -260,35 +185,40 @@
             self.apps[name] = app
             tls = self.security.servers[name]
             limits = self.settings.limits
-            serve(stack, app, bound, limits, tls, on_answer, self._drain)
+            is_awaited = name == 'callers'
+            serve(
+                stack,
+                app,
+                bound,
+                limits,
+                tls,
+                on_answer,
+                self._drain,
+                is_awaited=is_awaited,
+            )
 
     def _make_api(self) -> Api:
-        reader = Reader(
-            self.table, self.configuration, self.directory, self._slices
-        )
+        slices = self._control.slices
+        reader = Reader(self.table, self.configuration, self.directory, slices)
         return Api(
             gate=self.gate,
             configuration=self.configuration,
             configurer=Configurer(self.table),
-            jobs=JobDesk(self.table, self._slices),
+            jobs=JobDesk(self.table, slices),
             reader=reader,
-            watcher=Watcher(self.table, self._slices, self._get_positions),
-            survey=Survey(self._peers),
+            watcher=Watcher(self.table, slices, self._control.get_positions),
+            survey=Survey(self._control.peers),
             events=self.events,
             status=self,
             zones=self.settings.zones,
             most_watches=self.settings.limits.watches,
         )
 
-    def _get_positions(self) -> dict[str, int]:
-        revision = self.configuration.revision
-        return {CONFIGURATION_LOG: revision, **self._follower.logs.heads}
-
     def _read_gauges(self) -> list[Gauged]:
         owners = list(self.manager.owners.values())
         values = {
             'ready': not self.find_fault(),
-            'store_up': self._follower.store_up,
+            'store_up': self._control.follower.store_up,
             'revision': self.configuration.revision,
             'known_revision': self.configuration.known,
             'slices': len(owners),
@@ -300,61 +230,14 @@
             *gauge_tasks(t for o in owners for t in o.ledger.tasks.values()),
         ]
 
-    async def _watch_hosts(self) -> None:
-        while True:
-            with contextlib.suppress(LentilmountError):
-                self.manager.hosts = await self._hosts.list_hosts()
-                self.router.pools.take_hosts(self.manager.hosts)
-            await asyncio.sleep(self.settings.times.host_list)
-
-    async def _watch_eligibility(self) -> None:
-        """Keeps this daemon from owning slices where it could not serve them.
-
-        One that cannot reach the table loses its leases anyway; as long as
-        the others know, they do not hand it new ones.
-        """
-        while True:
-            able = self._follower.store_up and not self._registry.replaced
-            self.membership.set_eligible(able)
-            await asyncio.sleep(ELIGIBLE_LOOK_SECONDS)
-
-    def _is_housekeeper(self) -> bool:
-        names = [m.name for m in self.membership.list_eligible()]
-        return bool(names) and min(names) == self.membership.me.name
-
-    def _is_reader(self, slice_name: str) -> bool:
-        owned = slice_name in self.manager.owners
-        return owned or self._preference.is_first(slice_name)
-
-    def _get_news(self) -> News:
-        return self._follower.get_news()
-
-    def _take_news(self, news: News) -> None:
-        self._follower.hear(news)
-
-    def _answer_peer(
-        self, request: peer_pb2.ChangesRequest
-    ) -> peer_pb2.ChangesReply:
-        return self._follower.answer(request)
-
-    def _announce_release(self, slice_name: str) -> None:
-        work = self._peers.wake_owner(slice_name, get_zone(slice_name))
-        self._calls.add(task := asyncio.create_task(work))
-        task.add_done_callback(self._calls.discard)
-
     async def announce(self, submitted: Submitted) -> None:
         """See `StatusSource`."""
-        if submitted.slice_name in self.manager.owners:
-            self.manager.wake(submitted.slice_name)
-            return
-        await self._peers.wake_owner(
-            submitted.slice_name, get_zone(submitted.slice_name)
-        )
+        await self._control.wake_owner(submitted.slice_name)
 
     async def reach(self, revision: int) -> None:
         """See `StatusSource`."""
         self.configuration.note(revision)
-        self._follower.wake()
+        self._control.follower.wake()
         await self.configuration.reach(revision, REACH_SECONDS)
 
     def describe(self) -> dict[str, Any]:
@@ -376,7 +259,7 @@
         """See `StatusSource`."""
         if self.stopping:
             return 'the daemon is stopping'
-        if self._registry.replaced:
+        if self._control.registry.replaced:
             return 'another daemon was started under the same name'
         if not self.configuration.is_ready:
             return (
@@ -389,6 +272,7 @@
         """Changes one of the times that are read whenever they are needed."""
         times = attrs.evolve(self.settings.times, **{name: seconds})
         self.settings = attrs.evolve(self.settings, times=times)
+        self._control.host_list_seconds = times.host_list
 
     async def stop(self) -> None:
         """Shuts down so that no request in flight is cut off.
@@ -398,17 +282,14 @@
         until no more requests come. Slices go to others meanwhile.
         """
         self.stopping = True
-        self.membership.stop()
-        self._peers.push()
         self._drain.refuse_keep_alive()
-        self.manager.stop()
+        self._control.stop()
         self.events.record('daemon', EventKind.STOPPING)
         log.info('Daemon {} is stopping.', self.settings.name)
         try:
             async with asyncio.timeout(self.settings.times.stop_limit):
                 await asyncio.sleep(self.settings.times.drain)
-                await self.manager.wait_released()
-                await asyncio.gather(*self._calls)
+                await self._control.wait_released()
                 await self._drain.wait_quiet(QUIET_SECONDS)
         except TimeoutError:
             log.warning(
--- a/lentilmount/daemon/listeners.py
+++ b/lentilmount/daemon/listeners.py
@@ -80,6 +80,8 @@
     tls: ssl.SSLContext | None,
     on_answer: OnAnswer,
     drain: Drain,
+    *,
+    is_awaited: bool = True,
 ) -> None:
     """Serves an application until the stack closes.
 
@@ -91,13 +93,14 @@
       tls: How connections are secured, or None.
       on_answer: Called after each answer.
       drain: Counts the requests under way.
+      is_awaited: Whether a stop waits until no more requests come.
     """
     app.settings[BODY_LIMITS] = BodyLimits(
         limits.body_kb * KIB, limits.buffered_kb * KIB
     )
     app.settings['log_function'] = on_answer
     server = LimitedServer(
-        drain.wrap(app),
+        drain.wrap(app, is_awaited),
         ssl_options=tls,
         max_header_size=limits.header_kb * KIB,
         max_body_size=LIBRARY_BODY_LIMIT,
--- a/lentilmount/daemon/registry.py
+++ b/lentilmount/daemon/registry.py
@@ -113,7 +113,10 @@
             await self._write(row.version if row else ABSENT)
             self._announced = True
             return
-        if row is not None and row.version != self._version:
+        if row is not None and row.body['address'] == me.address:
+            # Also a write of ours whose answer was lost, or that came late.
+            self._version = row.version
+        elif row is not None:
             if not self.replaced:
                 log.error('Another daemon has the name {}.', me.name)
             self.replaced = True
--- a/lentilmount/daemon/slicelog.py
+++ b/lentilmount/daemon/slicelog.py
@@ -114,6 +114,10 @@
         sequence = int(data.get('sequence', 0))
         found = await scan_all(self._table, f'task/{name}')
         tasks = [structure(row.body, Task) for row in found]
+        known = self._views.get(name)
+        if known is not None and known.sequence >= sequence:
+            # A peer's answer came meanwhile, and it is newer.
+            return known
         return self._replace(name, sequence, tasks)
 
     def _replace(
@@ -129,10 +133,13 @@
         while view.sequence < newest:
             after = make_change_key(name, view.sequence)
             rows = await self._table.scan(after.partition, after.sort, PAGE)
-            if not rows:
+            if not rows or self._views.get(name) is not view:
                 return
             for row in rows:
-                self._set(name, view, int(row.key.sort), _read_tasks(row))
+                # A peer's answer that came meanwhile may have gone further;
+                # older changes on top of it would bring back what is gone.
+                if int(row.key.sort) > view.sequence:
+                    self._set(name, view, int(row.key.sort), _read_tasks(row))
 
     def _set(
         self, name: str, view: SliceView, sequence: int, tasks: Iterable[Task]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Membership: old news never wins, and what is dead goes down."""
 
+import contextlib
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -11,7 +13,9 @@
 from lentilmount.clock import ManualClock
 from lentilmount.coordination.membership import Member, Membership
 from lentilmount.coordination.mesh import choose_partners
+from lentilmount.coordination.table import UnavailableError
 from lentilmount.daemon.registry import Registry
+from stand_ins.faulty import FaultyTable
 from stand_ins.table import MemoryTable
 from tests.helpers import run
 
@@ -221,6 +225,24 @@
     run(check())
 
 
+def test_a_late_write_of_its_own_row_is_not_another_daemons() -> None:
+    async def check() -> None:
+        table, clock = FaultyTable(), ManualClock()
+        node = Membership(make_member('a', 1), SILENCE, clock.monotonic)
+        registry = Registry(table, node, 1.0, clock.monotonic)
+        await registry.look()
+        table.hold_writes = 4
+        for _ in range(4):
+            with contextlib.suppress(UnavailableError):
+                await registry.look()
+        await table.release()
+        await registry.look()
+        await registry.look()
+        assert not registry.replaced
+
+    run(check())
+
+
 def test_rows_of_dead_daemons_are_deleted() -> None:
     async def check() -> None:
         table, clock = MemoryTable(), ManualClock()
