Keep one connection of each share free, and our headers single

And since header lines go to libcurl as they are, a caller's own Lentilmount-Request stood beside ours, so that upstreams read two ids joined by a comma; the test of a killed daemon found it.

Change: a daemon uses 7 of its 8 connections. Headers that the daemon sets are left out of the caller's.

--- a/lentilmount/routing/forward.py
+++ b/lentilmount/routing/forward.py
@@ -47,6 +47,11 @@
     }
 )
 
+_OWN_HEADERS = frozenset(
+    name.lower() for name in (REQUEST_HEADER, SERVICE_HEADER, TIMEOUT_HEADER)
+)
+"""Set anew; a second one beside the caller's would garble both."""
+
 _BODILESS = frozenset({204, 304})
 
 
@@ -305,7 +310,7 @@
     them again, and they come from a server that already did.
     """
     pairs = [
-        *call.headers,
+        *((n, v) for n, v in call.headers if n.lower() not in _OWN_HEADERS),
         (REQUEST_HEADER, call.id),
         (SERVICE_HEADER, call.service),
         (TIMEOUT_HEADER, str(max(1, int(timeout * 1000)))),
--- a/lentilmount/routing/pool.py
+++ b/lentilmount/routing/pool.py
@@ -123,8 +123,12 @@
         Daemons see each other late, so a share that follows who is up would
         pass the upstream's limit whenever one comes or returns. A fixed share
         for each seat holds without any of them knowing of the others.
+
+        One of them is kept free: an upstream may see a new connection before
+        it has seen the end of the one that it takes the place of.
         """
-        return self.spec.connections // self._options.seats
+        share = self.spec.connections // self._options.seats
+        return share - 1 if share > 1 else share
 
     @property
     def is_empty(self) -> bool:
