--- a/lentilmount/batch/placement.py
+++ b/lentilmount/batch/placement.py
@@ -29,11 +29,12 @@
 ENOUGH_WORKERS = 32
 """Workers that a task may go to, after which no more are looked for."""
 
-MOST_WORKERS = 256
+MOST_WORKERS = 96
 """Workers that are asked for their cost for one task; bounds its time."""
 
 MEMORY_A_CORE = 4096
-CORES_AN_ACCELERATOR = 8
+CORES_AN_ACCELERATOR = 64
+"""High, so that jobs without need of them go elsewhere while they can."""
 
 Cost = Callable[[WorkerRecord], float]
 """What a worker costs beside its free room, in cores; infinite to refuse."""
--- a/lentilmount/batch/scheduler.py
+++ b/lentilmount/batch/scheduler.py
@@ -35,13 +35,12 @@
 RENEW_SECONDS = 1.0
 """How old the capacity and the teams' weights in the fair share may be."""
 
-EXCESS_SECONDS = 600.0
-"""A whole weighted share too much counts like so much lost work less."""
+EXCESS_WEIGHT = 10.0
+"""Lost work of a team with a whole weighted share counts so much less."""
 
-
-FAILED_TRIES = 12
-"""Groups that may fail to be placed in one pass. Those not tried come first
-in the next one, as those that failed are blocked; so a pass stays short."""
+FAILED_TRIES = 8
+"""Batch groups that may fail to be placed in one pass. The others are tried
+in the next one, and what came meanwhile and is urgent goes first there."""
 
 
 @attrs.define
@@ -127,7 +126,7 @@
                 work.put_back(group)
             else:
                 work.block(group, task.demand)
-                failed += 1
+                failed += group.tier == BATCH
 
     def _try_place(
         self,
@@ -284,9 +283,9 @@
         Its run time stands for its progress since the last checkpoint, whose
         time is not reported. A team over its fair share loses work first.
         """
-        excess = self._fair.get_share(victim.team) * EXCESS_SECONDS
-        lost = self._occupancy.get_seconds(victim.id, now)
-        return max(0.0, lost - excess) + 1.0 + 10.0 * victim.evictions
+        excess = 1 + EXCESS_WEIGHT * self._fair.get_share(victim.team)
+        lost = 1 + self._occupancy.get_seconds(victim.id, now)
+        return lost * (1 + victim.evictions) / excess
 
     def _reserve(self, task: Task, now: float) -> None:
         able = (
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,415 @@
+"""The policy of a slice: order, quotas, preemption, quarantine, throttling."""
+
+from __future__ import annotations
+
+import functools
+import math
+import random
+from typing import Any
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lentilmount.batch.budget import EvictionBudget
+from lentilmount.batch.interference import InterferenceModel
+from lentilmount.batch.isolation import Evict, Isolator, Limits, Neighbour
+from lentilmount.batch.learning import SizeLearner
+from lentilmount.batch.overruns import OverrunWatch
+from lentilmount.batch.policy import Policy
+from lentilmount.batch.quarantine import Quarantine
+from lentilmount.batch.records import Task, WorkerRecord
+from lentilmount.batch.states import Move
+from lentilmount.clock import ManualClock
+from lentilmount.configuration import Configuration
+from lentilmount.resources import (
+    Demand,
+    Kind,
+    Metadata,
+    Phase,
+    Resource,
+    Room,
+    TeamSpec,
+    Urgency,
+)
+from lentilmount.upstream.workers import Usage
+from stand_ins.slices import MemoryLink, MemorySlice
+
+LIMITS = Limits(settle_seconds=0.0)
+
+
+class Bench:
+    """A policy on a slice in memory."""
+
+    def __init__(self, workers: int, teams: dict[str, TeamSpec] | None = None):
+        self.clock = ManualClock()
+        self.rows = MemorySlice()
+        self.rows.add_workers([Room(8.0, 32_000, 0)] * workers)
+        self.links = {name: MemoryLink(name) for name in self.rows.workers}
+        configuration = Configuration()
+        configuration.load(
+            1,
+            [
+                Resource(Kind.TEAM, Metadata(name), spec)
+                for name, spec in (teams or {}).items()
+            ],
+        )
+        self.policy = Policy(
+            self.rows,
+            self.links,
+            configuration,
+            1,
+            self.clock.monotonic,
+            self.clock.wall,
+        )
+
+    def submit(
+        self,
+        name: str,
+        team: str = 't',
+        cores: float = 1.0,
+        urgency: Urgency = Urgency.BATCH,
+    ) -> str:
+        task = Task(
+            f'Job/{team}/{name}/0',
+            Demand(cores, 1000),
+            urgency=urgency,
+            accepted=self.clock.now,
+        )
+        self.rows.admit(task)
+        return task.id
+
+    def place(self) -> None:
+        draft = self.rows.begin()
+        while self.policy.place(draft).more:
+            self.rows.apply(draft)
+            draft = self.rows.begin()
+        self.rows.apply(draft)
+
+    def move(self, task: str, move: Move) -> None:
+        draft = self.rows.begin()
+        draft.move(self.rows.tasks[task], move)
+        self.rows.apply(draft)
+
+    def list_phase(self, phase: Phase) -> list[str]:
+        return [t.id for t in self.rows.tasks.values() if t.phase is phase]
+
+
+@settings(max_examples=40, derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['a', 'b']),
+            st.sampled_from([0.5, 1.0, 3.0]),
+            st.booleans(),
+        ),
+        max_size=40,
+    )
+)
+def test_a_team_never_holds_more_than_its_quota(
+    jobs: list[tuple[str, float, bool]],
+) -> None:
+    quota = Room(6.0, 5000, 0)
+    bench = Bench(4, {'a': TeamSpec(quota=quota), 'b': TeamSpec(quota=quota)})
+    for number, (team, cores, ends) in enumerate(jobs):
+        bench.submit(f'job-{number}', team, cores)
+        bench.clock.advance(6.0)
+        bench.place()
+        for name in 'ab':
+            held = [
+                t
+                for t in bench.rows.tasks.values()
+                if t.team == name and t.phase is Phase.STARTING
+            ]
+            assert sum(t.demand.cores for t in held) <= quota.cores
+            assert sum(t.demand.memory_mb for t in held) <= quota.memory_mb
+        starting = bench.list_phase(Phase.STARTING)
+        if ends and starting:
+            bench.move(starting[0], Move.FINISH)
+
+
+def test_weights_divide_a_full_cluster() -> None:
+    bench = Bench(4, {'a': TeamSpec(weight=3.0), 'b': TeamSpec()})
+    for number in range(40):
+        bench.submit(f'a-{number}', 'a')
+        bench.submit(f'b-{number}', 'b')
+    bench.place()
+    started = bench.list_phase(Phase.STARTING)
+    assert len(started) == 32
+    assert sum('/a/' in task for task in started) == 24
+
+
+def test_equal_tasks_that_fit_nowhere_cost_one_try(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    bench = Bench(2)
+    for number in range(3000):
+        bench.submit(f'large-{number}', cores=8.5)
+    tries = []
+    index = bench.policy.scheduler.index
+    choose = index.choose
+
+    def count(*args: Any) -> WorkerRecord | None:
+        tries.append(1)
+        return choose(*args)
+
+    monkeypatch.setattr(index, 'choose', count)
+    for _ in range(10):
+        bench.place()
+        bench.clock.advance(0.1)
+    assert len(tries) <= 2
+
+
+def test_urgent_work_evicts_the_cheapest_batch() -> None:
+    """A cluster is full of batch, and an urgent job comes.
+
+    The youngest job is evicted, as it loses least; the room is kept for the
+    urgent job, although batch waits, and it starts as soon as it is free.
+    """
+    bench = Bench(1)
+    for number in range(8):
+        bench.submit(f'old-{number}')
+        bench.place()
+        bench.move(f'Job/t/old-{number}/0', Move.STARTED)
+        bench.clock.advance(100.0)
+    bench.submit('waiting')
+    urgent = bench.submit('now', urgency=Urgency.URGENT)
+    bench.place()
+    assert bench.list_phase(Phase.EVICTING) == ['Job/t/old-7/0']
+    assert bench.policy.budget.exceeded == 1
+    bench.move('Job/t/old-7/0', Move.STOPPED)
+    bench.place()
+    assert bench.list_phase(Phase.STARTING) == [urgent]
+
+
+def test_backfill_does_not_starve_a_large_job() -> None:
+    """Small jobs come all the time, and a job needs a whole worker.
+
+    Without a reservation each gap is filled by a small job, and the large
+    one never sees eight free cores.
+    """
+    bench = Bench(2)
+    large = ''
+    for number in range(40):
+        bench.submit(f'first-{number}')
+    for step in range(400):
+        bench.submit(f'small-{step}')
+        bench.submit(f'more-{step}')
+        if step == 20:
+            large = bench.submit('large', 'other', cores=8.0)
+        bench.place()
+        for task in bench.list_phase(Phase.STARTING):
+            if task == large:
+                return
+            bench.move(task, Move.STARTED)
+        running = bench.list_phase(Phase.RUNNING)
+        for task in running[:2]:
+            bench.move(task, Move.FINISH)
+        bench.clock.advance(2.0)
+    pytest.fail('the large job never started')
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(
+    st.floats(1, 60),
+    st.lists(
+        st.tuples(st.floats(0, 20), st.sampled_from([False] * 4 + [True])),
+        min_size=20,
+        max_size=60,
+    ),
+)
+def test_the_budget_is_never_exceeded(
+    per_hour: float, steps: list[tuple[float, bool]]
+) -> None:
+    budget = EvictionBudget(per_hour, 0.0)
+    now = 0.0
+    spent: list[float] = []
+    for pause, urgent in steps:
+        now += pause
+        if urgent:
+            budget.force_spend(now)
+        elif budget.try_spend(now):
+            spent.append(now)
+        for first in spent:
+            window = [at for at in spent if at >= first]
+            earned = (now - first) * per_hour / 3600
+            assert len(window) <= budget.burst + earned + 1e-6
+
+
+def test_throttling_does_not_flap() -> None:
+    """A service's ratio wavers around the limits after one real excess.
+
+    One throttle follows; while the ratio stays between the limits nothing
+    happens, and each relapse makes the next calm time longer.
+    """
+    isolator = Isolator(lambda: False)
+    share = 1.0
+    changes = []
+    for step in range(1200):
+        now = float(step)
+        neighbour = Neighbour('Job/t/a/0', 1, 0.4, share, 0.0)
+        noise = 0.03 if step % 2 else -0.03
+        ratio = math.exp(0.4 * share) * (1 + noise)
+        for act in isolator.decide('w', ratio, now, now, [neighbour], LIMITS):
+            assert not isinstance(act, Evict)
+            share = act.share
+            changes.append(now)
+    assert changes and share < 0.7
+    assert len(changes) <= 1200 / 40
+
+
+def test_nothing_happens_between_the_limits() -> None:
+    isolator = Isolator(lambda: True)
+    neighbour = Neighbour('Job/t/a/0', 1, 0.05, 0.2, 0.0)
+    for now in range(300):
+        ratio = (LIMITS.low + LIMITS.high) / 2 - 0.01
+        at = float(now)
+        assert not isolator.decide('w', ratio, at, at, [neighbour], LIMITS)
+
+
+def test_noise_does_not_move_a_service_own_time() -> None:
+    """A service always runs beside jobs, and its measurements are noisy.
+
+    Corrected more in one direction, its own time would drift there, and its
+    neighbours would look harmful, or harmless, whatever they do.
+    """
+    chance = random.Random(1)
+    model = InterferenceModel()
+    model.observe('s', 2, {}, 20.0, 0.0)
+    for step in range(2000):
+        noisy = 20.0 * chance.lognormvariate(0, 0.1)
+        model.observe('s', 2, {'quiet': 2.0}, noisy, step * 5.0)
+    assert model.get_ratio('s', 2, 20.0) == pytest.approx(1.0, abs=0.03)
+
+
+def test_a_full_throttle_that_does_not_help_ends_in_eviction() -> None:
+    for allowed in (True, False):
+        isolator = Isolator(functools.partial(bool, allowed))
+        neighbour = Neighbour('Job/t/a/0', 1, 0.4, 0.1, 0.0)
+        acts = []
+        for step in range(60):
+            now = float(step)
+            acts += isolator.decide('w', 1.5, now, now, [neighbour], LIMITS)
+        assert any(isinstance(act, Evict) for act in acts) is allowed
+
+
+def test_an_act_is_judged_by_measurements_after_it() -> None:
+    isolator = Isolator(lambda: True)
+    neighbour = Neighbour('Job/t/a/0', 1, 0.4, 1.0, 0.0)
+    limits = Limits(settle_seconds=5.0)
+    acts = []
+    for now in range(60, 120):
+        acts += isolator.decide(
+            'w', 1.5, now - 60.0, float(now), [neighbour], limits
+        )
+    assert len(acts) == 1
+
+
+def test_interference_is_told_apart_and_forgotten() -> None:
+    """Two classes run beside a service in changing numbers.
+
+    The model learns which one slows it, trusts it, and after a long time
+    without measurements does not.
+    """
+    model = InterferenceModel()
+    for step in range(400):
+        mix = {'loud': float(step % 3 == 0), 'soft': float(step % 2)}
+        p99 = 20.0 * math.exp(0.3 * mix['loud'] + 0.01 * mix['soft'])
+        p99 *= 1.05 if step % 5 < 2 else 0.966
+        model.observe('s', 2, mix, p99, step * 10.0)
+    assert model.get_effect('s', 'loud', 2) == pytest.approx(0.3, abs=0.05)
+    assert abs(model.get_effect('s', 'soft', 2)) < 0.05
+    assert model.get_ratio('s', 2, 20.0) == pytest.approx(1.0, abs=0.05)
+    soon = model.predict('s', 2, {'loud': 1.0}, 4000.0).confidence
+    late = model.predict('s', 2, {'loud': 1.0}, 4000.0 + 86_400).confidence
+    assert soon > 0.8
+    assert late == 0.0
+
+
+def make_job(name: str, job_class: str = 'c') -> Task:
+    return Task(f'Job/t/{name}/0', Demand(4, 4000), job_class=job_class)
+
+
+def test_a_worker_that_fails_everything_is_told_from_a_bad_class() -> None:
+    """Two workers fail each job they get; one class fails on each worker.
+
+    The workers are quarantined after three different jobs, and their failures
+    count against no job. The class's failures count against no worker.
+    """
+    rows = MemorySlice()
+    rows.add_workers([Room(8.0, 32_000, 0)] * 10)
+    names = list(rows.workers)
+    watch = Quarantine()
+    broken = (names[0], names[4])
+    for name in broken:
+        for number in range(3):
+            watch.note_failure(make_job(f'j{number}', f'c{number}'), name)
+    for number in range(9):
+        watch.note_failure(make_job(f'bad-{number}', 'bad'), names[1])
+        watch.note_failure(make_job(f'bad-{number}', 'bad'), names[2])
+        watch.note_failure(make_job(f'bad-{number}', 'bad'), names[3])
+    found = watch.review(rows.workers, 0.0)
+    assert [record.name for record in found] == [*broken]
+    assert 'failed 3 different jobs' in found[0].quarantined
+    failed_on = (*broken, names[5])
+    assert not watch.is_hopeless(make_job('j0', 'c0'), failed_on, 10)
+    sound = tuple(names[1:4])
+    assert watch.is_hopeless(make_job('bad-0', 'bad'), sound, 10)
+
+
+def test_a_quarantine_ends_in_probation() -> None:
+    rows = MemorySlice()
+    rows.add_workers([Room(8.0, 32_000, 0)] * 10)
+    watch = Quarantine()
+    name = next(iter(rows.workers))
+    for number in range(3):
+        watch.note_failure(make_job(f'j{number}', f'c{number}'), name)
+    (rows.workers[name],) = watch.review(rows.workers, 0.0)
+    assert watch.review(rows.workers, 59.0) == []
+    (rows.workers[name],) = watch.review(rows.workers, 61.0)
+    assert rows.workers[name].quarantined == ''
+    assert watch.is_on_probation(name)
+    watch.note_failure(make_job('again', 'new'), name)
+    (rows.workers[name],) = watch.review(rows.workers, 62.0)
+    assert watch.review(rows.workers, 62.0 + 119.0) == []
+    (rows.workers[name],) = watch.review(rows.workers, 62.0 + 121.0)
+    watch.note_success(make_job('good', 'new'), name)
+    assert not watch.is_on_probation(name)
+
+
+def test_at_most_a_fifth_of_the_workers_is_quarantined() -> None:
+    rows = MemorySlice()
+    rows.add_workers([Room(8.0, 32_000, 0)] * 10)
+    watch = Quarantine()
+    for name in rows.workers:
+        for number in range(3):
+            job = make_job(f'{name}-{number}', f'{name}-{number}')
+            watch.note_failure(job, name)
+    assert len(watch.review(rows.workers, 0.0)) == 2
+
+
+def test_sizes_are_learned_from_enough_attempts() -> None:
+    learner = SizeLearner()
+    job = attrs.evolve(make_job('x'), attempt=1)
+    for number in range(8):
+        one = attrs.evolve(job, id=f'Job/t/x{number}/0')
+        assert learner.get_demand(one, one.demand) == one.demand
+        for _ in range(3):
+            usage = Usage(one.id, 1, 0.0, cores=0.5, memory_mb=1000)
+            learner.observe(one, usage, 0.5)
+        learner.finish(one, 30.0)
+    learned = learner.get_demand(job, job.demand)
+    assert learned == Demand(1.15, 1150)
+    assert learner.get_seconds(job) == 30.0
+
+
+def test_overruns_are_throttled_then_moved() -> None:
+    watch = OverrunWatch()
+    job = attrs.evolve(make_job('x'), attempt=1)
+    usage = Usage(job.id, 1, 0.0, cores=8.0, memory_mb=1000)
+    verdicts = [watch.judge(job, usage, 1.0, now) for now in (0, 1, 2, 70)]
+    assert verdicts[:2] == [None, None]
+    assert verdicts[2] and verdicts[2].share == 0.5 and not verdicts[2].move
+    assert verdicts[3] and verdicts[3].move
+    assert watch.get_need(job) == Demand(9.2, 4000)
