Hold the demo against every check

The demo now also looks for overloads, repeated attempts, false completions, lost jobs and writes of former holders.

--- a/stand_ins/demo.py
+++ b/stand_ins/demo.py
@@ -25,10 +25,9 @@
 from lentilmount.upstream.http import HttpCaller
 from stand_ins.checker import (
     Violation,
+    check_history,
     count_completions,
     find_double_requests,
-    find_overcommits,
-    find_overlaps,
     find_wrong_completions,
 )
 from stand_ins.platform import PlatformOptions, make_zones
@@ -295,11 +294,11 @@
         stats = await _fetch(addresses['table'], '/_stats?history=1')
         runs = [Run(**run) for record in records for run in record['runs']]
         served = [record['served'] for record in records]
+        capacities = {r['name']: self.scene.capacity for r in records}
         ids = [f'Job/{self.scene.job_team}/{name}/0' for name in self.jobs]
         history = stats['history']
         violations = [
-            *find_overlaps(runs, time.monotonic()),
-            *find_overcommits(history),
+            *check_history(runs, history, capacities, time.monotonic()),
             *find_wrong_completions(history, ids),
             *find_double_requests(served, self.tally.non_idempotent),
             *self._find_false_refusals(served),
