Split what a worker is told from the link to it

The commands, the worker's clock and what was sent of them are now in orders.py; the link keeps the calls, the horizons and the reports. No change of behaviour.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -15,7 +15,7 @@
 import attrs
 
 from benchmarks.report import Report
-from lentilmount.batch.links import LinkOptions
+from lentilmount.batch.orders import LinkOptions
 from lentilmount.clock import ManualClock
 from lentilmount.resources import Room
 from lentilmount.settings import TimeSettings
--- a/lentilmount/batch/owner.py
+++ b/lentilmount/batch/owner.py
@@ -19,7 +19,8 @@
     read_request,
 )
 from lentilmount.batch.ledger import Ledger
-from lentilmount.batch.links import Link, LinkOptions
+from lentilmount.batch.links import Link
+from lentilmount.batch.orders import LinkOptions
 from lentilmount.batch.policy import Policy
 from lentilmount.batch.records import (
     Task,
--- a/lentilmount/daemon/control.py
+++ b/lentilmount/daemon/control.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-from lentilmount.batch.links import LinkOptions
 from lentilmount.batch.manager import SliceManager
+from lentilmount.batch.orders import LinkOptions
 from lentilmount.batch.owner import OwnerOptions
 from lentilmount.batch.preference import Preference, PreferenceOptions
 from lentilmount.clock import Clock
--- a/stand_ins/cell.py
+++ b/stand_ins/cell.py
@@ -10,8 +10,8 @@
 import attrs
 
 from lentilmount.batch.inbox import Request, Wish, make_request_put
-from lentilmount.batch.links import LinkOptions
 from lentilmount.batch.manager import SliceManager
+from lentilmount.batch.orders import LinkOptions
 from lentilmount.batch.owner import Owner, OwnerOptions
 from lentilmount.batch.records import Task
 from lentilmount.clock import ManualClock
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from lentilmount.batch.links import LinkOptions
+from lentilmount.batch.orders import LinkOptions
 from lentilmount.clock import ManualClock
 from stand_ins.cell import Cell, CellOptions
 from stand_ins.virtual_time import run_virtual
--- a/tests/test_batch_machine.py
+++ b/tests/test_batch_machine.py
@@ -19,7 +19,7 @@
     rule,
 )
 
-from lentilmount.batch.links import LinkOptions
+from lentilmount.batch.orders import LinkOptions
 from lentilmount.clock import ManualClock
 from stand_ins.cell import Cell, CellDaemon, CellOptions
 from stand_ins.virtual_time import VirtualLoop
--- a/tests/test_batch_mutations.py
+++ b/tests/test_batch_mutations.py
@@ -15,6 +15,7 @@
 from lentilmount.batch import links, owner, reports
 from lentilmount.batch.drafts import Draft
 from lentilmount.batch.links import Link
+from lentilmount.batch.orders import Orders
 from lentilmount.batch.records import Task, WorkerRecord
 from lentilmount.batch.states import Move
 from lentilmount.clock import ManualClock
@@ -224,11 +225,11 @@
 
 
 def break_horizon(patch: Patch) -> None:
-    patch.setattr(Link, '_get_own_horizon', lambda self, now: now)
+    patch.setattr(Orders, 'get_horizon', lambda self, now: now)
 
 
 def break_forget(patch: Patch) -> None:
-    patch.setattr(Link, '_may_still_start', lambda *_: False)
+    patch.setattr(Orders, 'may_still_start', lambda *_: False)
 
 
 def break_commitment(patch: Patch) -> None:
@@ -252,18 +253,18 @@
 
 
 def break_boot(patch: Patch) -> None:
-    make = Link._make_commands
+    make = Orders._make_commands
 
-    def ignore(self: Link, task: Task, now: float) -> list[Command]:
-        assert self._anchor is not None
-        known = attrs.evolve(task, boot=self._anchor.boot)
+    def ignore(self: Orders, task: Task, now: float) -> list[Command]:
+        assert self.anchor is not None
+        known = attrs.evolve(task, boot=self.anchor.boot)
         return make(self, known, now)
 
-    patch.setattr(Link, '_make_commands', ignore)
+    patch.setattr(Orders, '_make_commands', ignore)
 
 
 def break_promise(patch: Patch) -> None:
-    patch.setattr(Link, '_may_renew', lambda *_: True)
+    patch.setattr(Orders, '_may_renew', lambda *_: True)
 
 
 def break_attempt(patch: Patch) -> None:
