Commit ends of evictions ahead of the limit on writes

A wave of cancellations paces every report; an eviction that makes room for urgent work waited among them. While the table is out, a worker with a task to stop was called five times a second for nothing.

Reports of urgent or evicted tasks go ahead of the limit. A link whose report waits for the table keeps to its usual interval.

--- a/lentilmount/batch/links.py
+++ b/lentilmount/batch/links.py
@@ -25,7 +25,7 @@
 )
 from lentilmount.batch.states import HOLDING, STOPPING
 from lentilmount.coordination.leases import CLOCK_DRIFT
-from lentilmount.resources import Phase
+from lentilmount.resources import Phase, Urgency
 from lentilmount.upstream.workers import (
     Action,
     AttemptReport,
@@ -123,9 +123,11 @@
                 self._intake.cancel()
 
     def _pause(self) -> float:
+        # While the table does not answer, nothing is gained by asking often.
+        waits = self._intake is not None and not self._intake.done()
         stopping = any(task.phase in STOPPING for task in self.list_held())
         pause = self._options.sync_seconds
-        return min(pause, STOPPING_SECONDS) if stopping else pause
+        return min(pause, STOPPING_SECONDS) if stopping and not waits else pause
 
     async def _synchronize(self) -> None:
         sent_at = self._monotonic()
@@ -165,7 +167,11 @@
         if self._intake is not None and not self._intake.done():
             work.close()
             return
-        self._raise_failure()
+        try:
+            self._raise_failure()
+        except BaseException:
+            work.close()
+            raise
         self._intake = asyncio.create_task(work)
 
     def _raise_failure(self) -> None:
@@ -205,7 +211,8 @@
         moves = self._find_moves(answer, reports, sent_at)
         due = self._list_due_checkpoints(sent_at)
         if moves or due or self._has_changed(answer):
-            async with self._ledger.change() as draft:
+            urgent = any(self._is_urgent(task) for task, _ in moves)
+            async with self._ledger.change(urgent=urgent) as draft:
                 update_worker(draft, self.name, answer)
                 self._apply(draft, moves)
                 self._note_checkpoints(draft, due, sent_at)
@@ -214,6 +221,11 @@
         self._forget_finished(reports, sent_at)
         self._clean_up(reports)
 
+    def _is_urgent(self, task_id: str) -> bool:
+        # What is evicted makes room for something that cannot wait.
+        task = self._ledger.tasks[task_id]
+        return task.urgency is Urgency.URGENT or task.phase is Phase.EVICTING
+
     def _apply(
         self, draft: Draft, moves: list[tuple[str, AttemptReport]]
     ) -> None:
