--- a/lentilmount/batch/placement.py
+++ b/lentilmount/batch/placement.py
@@ -29,7 +29,7 @@
 ENOUGH_WORKERS = 32
 """Workers that a task may go to, after which no more are looked for."""
 
-MOST_WORKERS = 96
+MOST_WORKERS = 48
 """Workers that are asked for their cost for one task; bounds its time."""
 
 MEMORY_A_CORE = 4096
