Run the stand-in workers in processes of their own

Cause: at full size one process for the table and 690 workers answered the table's calls after their 2 s timeout, so the run measured the stand-in.

Change: workers of a zone run in a process of their own, with the object store of the first and added to its host list.

--- a/benchmarks/fullsize.py
+++ b/benchmarks/fullsize.py
@@ -11,6 +11,8 @@
 import time
 from collections.abc import Callable
 
+import attrs
+
 from benchmarks.capacity import (
     CAPACITY,
     TIMES,
@@ -40,7 +42,7 @@
 
 
 def make_options(scale: float) -> PlatformOptions:
-    """Builds a platform of a share of the full size."""
+    """Builds the workers of a share of the full size."""
     names = [f'zone-{number}' for number in range(ZONES)]
     workers = round(WORKERS * scale)
     return PlatformOptions(
@@ -49,6 +51,19 @@
     )
 
 
+def start(deployment: Deployment, scale: float) -> None:
+    """Starts the workers, a process for each zone, and the daemons."""
+    for zone in make_options(scale).zones:
+        options = attrs.evolve(make_options(scale), zones=(zone,))
+        deployment.add_workers(zone.name, options)
+    for number in range(ZONES * DAEMONS_PER_ZONE):
+        deployment.start_daemon(
+            f'entry-{number}',
+            f'zone-{number % ZONES}',
+            slices_per_zone=DAEMONS_PER_ZONE,
+        )
+
+
 async def fill(bench: Bench, scale: float) -> None:
     """Starts the services and the long jobs."""
     await bench.apply_service(round(REPLICAS * scale))
@@ -123,13 +138,8 @@
     on_start: Callable[[Deployment], None] | None = None,
 ) -> None:
     """Adds the figures of a deployment of a share of the full size."""
-    with Deployment(make_options(scale), times) as deployment:
-        for number in range(ZONES * DAEMONS_PER_ZONE):
-            deployment.start_daemon(
-                f'entry-{number}',
-                f'zone-{number % ZONES}',
-                slices_per_zone=DAEMONS_PER_ZONE,
-            )
+    with Deployment(make_options(0.0), times) as deployment:
+        start(deployment, scale)
         if on_start is not None:
             on_start(deployment)
 
--- a/lentilmount/upstream/hosts.py
+++ b/lentilmount/upstream/hosts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 
@@ -37,6 +37,21 @@
         """Reads the whole list."""
 
 
+def read_hosts(groups: list[Any]) -> list[Host]:
+    """Reads target groups of the protocol."""
+    return [
+        Host(
+            name=group['labels']['name'],
+            address=target,
+            zone=group['labels']['zone'],
+            rack=group['labels']['rack'],
+            leaving=group['labels'].get('state') == 'leaving',
+        )
+        for group in groups
+        for target in group['targets']
+    ]
+
+
 class HttpHosts:
     """The `Hosts` protocol over HTTP."""
 
@@ -48,17 +63,7 @@
         answer = await self._caller.call('GET', '/v1/hosts')
         if answer.status != 200:
             raise StoreError(f'host list: HTTP status {answer.status}')
-        return [
-            Host(
-                name=group['labels']['name'],
-                address=target,
-                zone=group['labels']['zone'],
-                rack=group['labels']['rack'],
-                leaving=group['labels'].get('state') == 'leaving',
-            )
-            for group in json.loads(answer.body)
-            for target in group['targets']
-        ]
+        return read_hosts(json.loads(answer.body))
 
     def close(self) -> None:
         """Closes the connections."""
--- a/stand_ins/hosts.py
+++ b/stand_ins/hosts.py
@@ -9,7 +9,7 @@
 
 from tornado.web import Application
 
-from lentilmount.upstream.hosts import Host
+from lentilmount.upstream.hosts import Host, read_hosts
 from stand_ins.faults import FAULTS_PATH, Faults, FaultsHandler, FaultyHandler
 
 
@@ -48,7 +48,7 @@
 
 
 class HostChangeHandler(FaultyHandler):
-    """Changes the list: lag, a host that is leaving, one that is gone."""
+    """Changes the list: lag, a host that is leaving, gone, or new."""
 
     def post(self) -> None:
         """Applies the changes named in the body."""
@@ -56,13 +56,14 @@
         change = json.loads(self.request.body)
         hosts.lag = change.get('lag', hosts.lag)
         leaving, gone = change.get('leaving'), change.get('gone')
-        hosts.change(
+        kept = [
             Host(h.name, h.address, h.zone, h.rack, True)
             if h.name == leaving
             else h
             for h in hosts.get_newest()
             if h.name != gone
-        )
+        ]
+        hosts.change(kept + read_hosts(change.get('add', [])))
         self.reply({'hosts': len(hosts.get_newest())})
 
 
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -59,6 +59,7 @@
       seed: Seed of every random number.
       tick_seconds: How often a worker looks at its tasks.
       endpoints: Where services are served by something else, by worker.
+      objects: Object store of another platform, which its workers then use.
     """
 
     zones: tuple[ZoneOptions, ...]
@@ -68,6 +69,7 @@
     seed: int = 1
     tick_seconds: float = TICK_SECONDS
     endpoints: dict[str, str] = attrs.Factory(dict)
+    objects: str = ''
 
 
 class Platform:
@@ -101,7 +103,9 @@
         self.objects_address = self._listen(
             make_objects_app(self.objects, self.objects_faults)
         )
-        client = HttpObjects(f'http://{self.objects_address}')
+        client = HttpObjects(
+            self.options.objects or f'http://{self.objects_address}'
+        )
         self._stack.callback(client.close)
         hosts = [
             self._start_worker(zone, number, client)
--- a/stand_ins/processes.py
+++ b/stand_ins/processes.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import tempfile
+import urllib.request
 from typing import Any
 
 import attrs
@@ -166,6 +167,18 @@
         process.read_addresses()
         return process
 
+    def add_workers(self, name: str, options: PlatformOptions) -> None:
+        """Runs more workers, in a process of their own."""
+        core = self.platform.addresses
+        shared = attrs.evolve(options, objects=core['objects'])
+        process = self.start(name, 'stand_ins', unstructure(shared))
+        with urllib.request.urlopen(
+            process.addresses['hosts'] + '/v1/hosts'
+        ) as answer:
+            groups = json.load(answer)
+        change = json.dumps({'add': groups}).encode()
+        urllib.request.urlopen(core['hosts'] + '/_change', change).close()
+
     def start_daemon(
         self,
         name: str,
