Leave out of a worker's call what has not changed

Cause: after the owner's rounds, the call to each worker was the largest cost of a daemon at rest: each named every attempt three times (renewal, report, measurement), and at 12.6 tasks a worker that is some 5 KB each way.

Change: a worker counts a version of its attempts and of their checkpoints. A call that has seen both gets no reports back, and one word renews every attempt, obeyed only while the version is the one that was seen, so it cannot reach an attempt that a delayed start added. Measurements are read when attempts changed, and else every 'times.usage' seconds. A trial that counted checkpoints in the one version let every lease lapse, as jobs save all the time; the tests of faults caught it, and the two counts are apart since.

Tests: the mutation of the epoch check now breaks it for the whole call, as the renewal of everything is checked there too; it is caught as before. A test of watches and one of TLS depended on how fast the machine was: jobs are held while a worker is drained, and the daemons are waited for.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -23,7 +23,12 @@
 from stand_ins.processes import ADMIN_TOKEN, Deployment
 
 TIMES = TimeSettings(
-    heartbeat=1.0, silence=4.0, poll=1.0, sync=10.0, task_lease=60.0
+    heartbeat=1.0,
+    silence=4.0,
+    poll=1.0,
+    sync=10.0,
+    usage=30.0,
+    task_lease=60.0,
 )
 """Times that a deployment of full size would set."""
 
--- a/benchmarks/fullsize.py
+++ b/benchmarks/fullsize.py
@@ -33,6 +33,7 @@
 REPLICAS = 2900
 JOBS = 5800
 JOB_SECONDS = 1e6
+CHECKPOINT_SECONDS = 300.0
 STARTS_PER_SECOND = 37
 URGENT_JOBS = 40
 CORES_BOUND = 0.013
@@ -48,6 +49,7 @@
     return PlatformOptions(
         make_zones(names, workers, WORKERS_PER_RACK, CAPACITY),
         tick_seconds=1.0,
+        checkpoint_seconds=CHECKPOINT_SECONDS,
     )
 
 
--- a/lentilmount/batch/links.py
+++ b/lentilmount/batch/links.py
@@ -24,6 +24,7 @@
     update_worker,
 )
 from lentilmount.batch.states import HOLDING, STOPPING
+from lentilmount.batch.view import WorkerView
 from lentilmount.coordination.leases import CLOCK_DRIFT
 from lentilmount.resources import Phase, Urgency
 from lentilmount.upstream.workers import (
@@ -76,6 +77,9 @@
         self._on_change = on_change
         self._judge_failure = judge_failure
         self._orders = Orders(ledger.lease, options)
+        self._view = WorkerView(options.usage_seconds)
+        self._held: list[Task] = []
+        self._held_at = -1
         self._wake = asyncio.Event()
         self._intake: asyncio.Task[None] | None = None
         self._checkpoints: dict[AttemptKey, str] = {}
@@ -124,7 +128,7 @@
 
     def _pause(self) -> float:
         # While the table does not answer, nothing is gained by asking often.
-        waits = self._intake is not None and not self._intake.done()
+        waits = self._is_taking_in()
         stopping = any(task.phase in STOPPING for task in self.list_held())
         pause = self._options.sync_seconds
         return min(pause, STOPPING_SECONDS) if stopping and not waits else pause
@@ -132,7 +136,7 @@
     async def _synchronize(self) -> None:
         sent_at = self._monotonic()
         request = self._make_request(sent_at)
-        if request.commands:
+        if request.gives_leases:
             own = self._orders.get_horizon(sent_at)
             self._own_horizon = max(self._own_horizon, own)
         try:
@@ -143,9 +147,26 @@
             if self._monotonic() > horizon:
                 self._spawn(self._give_up())
             return
+        answer = self._view.complete(answer)
         self._take_answer(request, answer)
+        if request.renew_until and request.seen != answer.version:
+            # The worker renewed nothing, as its attempts had changed.
+            self.wake()
+        elif request.renew_until and not self._has_news(answer, sent_at):
+            return
         self._spawn(self._take_in(answer, sent_at))
 
+    def _has_news(self, answer: SyncAnswer, now: float) -> bool:
+        self._learn_checkpoints(answer)
+        due = self._list_due_checkpoints(now)
+        return bool(due) or self._has_changed(answer)
+
+    def _learn_checkpoints(self, answer: SyncAnswer) -> None:
+        for report in answer.attempts:
+            if report.checkpoint:
+                key = (report.task, report.attempt)
+                self._checkpoints[key] = report.checkpoint
+
     def _take_answer(self, request: SyncRequest, answer: SyncAnswer) -> None:
         now = self._monotonic()
         if not self._is_fenced:
@@ -155,7 +176,9 @@
             lease = self._ledger.task_lease_seconds
             self._others_horizon = now + lease * (1 + 2 * CLOCK_DRIFT)
         self._orders.take_answer(request, answer, now)
-        self.usage = answer.usage
+        if request.with_usage:
+            self.usage = answer.usage
+            self._view.note_usage(now)
         if not self.reachable:
             self.reachable = True
             self.wake()
@@ -164,7 +187,7 @@
         # Taking a report in waits for the table. Leases must be renewed
         # meanwhile, or an outage of the table would end running tasks; the
         # worker repeats its report, so one that comes too early is dropped.
-        if self._intake is not None and not self._intake.done():
+        if self._is_taking_in():
             work.close()
             return
         try:
@@ -174,6 +197,9 @@
             raise
         self._intake = asyncio.create_task(work)
 
+    def _is_taking_in(self) -> bool:
+        return self._intake is not None and not self._intake.done()
+
     def _raise_failure(self) -> None:
         intake, self._intake = self._intake, None
         if intake is not None and intake.done():
@@ -189,12 +215,32 @@
         # it may or may not receive would put off for ever the time when its
         # tasks have surely lapsed and can be placed elsewhere.
         if anchor is None or not self.reachable:
-            return SyncRequest(scope, epoch)
-        commands = self._orders.make_commands(self.list_held(), now)
-        return SyncRequest(scope, epoch, anchor.boot, commands)
+            return SyncRequest(scope, epoch, with_usage=False)
+        commands: tuple[Command, ...] = ()
+        renew_until = 0.0
+        if self._is_steady(now):
+            renew_until = self._orders.get_lease_end(now)
+        else:
+            commands = self._orders.make_commands(self.list_held(), now)
+        return self._view.make_request(scope, epoch, commands, renew_until, now)
+
+    def _is_steady(self, now: float) -> bool:
+        orders = self._orders
+        if not orders.is_empty or not orders.is_early(now):
+            return False
+        if self._is_taking_in():
+            return False
+        generation = self._ledger.generation
+        return self._view.is_steady(self.list_held(), generation)
 
     def list_held(self) -> list[Task]:
         """Returns the tasks that are committed on the worker."""
+        if self._held_at != self._ledger.generation:
+            self._held_at = self._ledger.generation
+            self._held = self._find_held()
+        return self._held
+
+    def _find_held(self) -> list[Task]:
         return [
             task
             for commitment in self.record.commitments
@@ -205,9 +251,7 @@
 
     async def _take_in(self, answer: SyncAnswer, sent_at: float) -> None:
         reports = {(r.task, r.attempt): r for r in answer.attempts}
-        for key, report in reports.items():
-            if report.checkpoint:
-                self._checkpoints[key] = report.checkpoint
+        self._learn_checkpoints(answer)
         moves = self._find_moves(answer, reports, sent_at)
         due = self._list_due_checkpoints(sent_at)
         if moves or due or self._has_changed(answer):
--- a/lentilmount/batch/orders.py
+++ b/lentilmount/batch/orders.py
@@ -32,12 +32,14 @@
       lease_seconds: How long a task runs on without renewal.
       start_seconds: How late a start may take effect.
       promise_seconds: How long leases are renewed without the table.
+      usage_seconds: Between two readings of a worker's measurements.
     """
 
     sync_seconds: float = 2.0
     lease_seconds: float = 15.0
     start_seconds: float = 5.0
     promise_seconds: float = 600.0
+    usage_seconds: float = 0.0
 
 
 @attrs.define
@@ -99,6 +101,15 @@
         if sent is not None and sent.share == command.share:
             del self._orders[order]
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing but renewals is to be told."""
+        return not (self._orders or self.ending)
+
+    def get_lease_end(self, now: float) -> float:
+        """Returns when a renewed lease ends, on the worker's clock."""
+        return self._read_clock(now) + self._options.lease_seconds
+
     def get_horizon(self, now: float) -> float:
         """Returns when the leases given now will surely have ended."""
         age = now - self.anchor.local if self.anchor else 0.0
@@ -140,7 +151,7 @@
             return []
         if task.phase is Phase.STARTING:
             return self._make_start(task, now)
-        lease_until = self._read_clock(now) + self._options.lease_seconds
+        lease_until = self.get_lease_end(now)
         return [
             Command(
                 self._choose_renewal(task, now),
@@ -162,7 +173,7 @@
                 action=Action.START,
                 task=task.id,
                 attempt=task.attempt,
-                lease_until=clock + self._options.lease_seconds,
+                lease_until=self.get_lease_end(now),
                 not_after=clock + self._options.start_seconds,
                 demand=task.demand,
                 job_class=task.job_class,
@@ -184,14 +195,21 @@
         # Before the promise ends each task saves what it has, once, so that
         # it resumes from there when the table is back.
         renewed_at = self._lease.renewed_at
-        promise = self._options.promise_seconds
         key = (task.id, task.attempt)
-        early = now < renewed_at + promise * (1 - LAST_CHECKPOINT_SHARE)
-        if early or task.is_service or self._saved.get(key) == renewed_at:
+        if (
+            self.is_early(now)
+            or task.is_service
+            or self._saved.get(key) == renewed_at
+        ):
             return Action.RENEW
         self._saved[key] = renewed_at
         return Action.CHECKPOINT
 
+    def is_early(self, now: float) -> bool:
+        """Tells whether the promise's end is too far off to save for it."""
+        promise = self._options.promise_seconds * (1 - LAST_CHECKPOINT_SHARE)
+        return now < self._lease.renewed_at + promise
+
     def may_still_start(self, key: AttemptKey, sent_at: float) -> bool:
         """Tells whether a copy of an attempt's start could take effect."""
         if key not in self._starts:
--- a/lentilmount/daemon/control.py
+++ b/lentilmount/daemon/control.py
@@ -134,6 +134,7 @@
                     sync_seconds=times.sync,
                     lease_seconds=times.task_lease,
                     promise_seconds=times.task_promise,
+                    usage_seconds=times.usage,
                 ),
                 self.slices,
                 times.slice_lease,
--- a/lentilmount/settings.py
+++ b/lentilmount/settings.py
@@ -180,6 +180,7 @@
       task_lease: How long a task runs on without renewal.
       task_promise: How long tasks are renewed while the table is out.
       sync: Between two calls to a worker.
+      usage: Between two readings of a worker's measurements.
       drain: Before a planned stop closes the listeners: the balancer's lag.
       stop_limit: Most time that a planned stop takes in all.
       settle: For how long another daemon has to be the better owner of a
@@ -196,6 +197,7 @@
     task_lease: float = _seconds(15.0)
     task_promise: float = _seconds(600.0)
     sync: float = _seconds(2.0)
+    usage: float = _seconds(2.0)
     drain: float = _seconds(2.0)
     stop_limit: float = _seconds(40.0)
     settle: float = _seconds(4.0)
--- a/lentilmount/upstream/workers.py
+++ b/lentilmount/upstream/workers.py
@@ -93,12 +93,27 @@
       epoch: The owner's epoch.
       boot: The boot of the worker that the operations are meant for, or ''.
       commands: What to do, in order.
+      seen: Version of the attempts that the owner has; 0 for none.
+      seen_saves: Number of checkpoints that the owner has heard of.
+      renew_until: Worker's monotonic time up to which every running attempt
+        is renewed, if `seen` is still its version; 0 for none. It has no
+        effect once that time is past.
+      with_usage: Whether measurements are wanted.
     """
 
     scope: str
     epoch: int
     boot: str = ''
     commands: tuple[Command, ...] = ()
+    seen: int = 0
+    seen_saves: int = 0
+    renew_until: float = 0.0
+    with_usage: bool = True
+
+    @property
+    def gives_leases(self) -> bool:
+        """Whether the worker may hold a lease longer for this."""
+        return bool(self.commands or self.renew_until)
 
 
 @attrs.frozen
@@ -158,9 +173,13 @@
       clock: The worker's monotonic time.
       capacity: What it has in all.
       outcomes: One for each command, in order.
-      attempts: Every attempt it holds.
+      attempts: Every attempt it holds; none if `version` and `saves` were
+        both seen.
       usage: Lagging measurements.
       leaving: Whether it is going away.
+      version: Raised with each change of the attempts but for their
+        checkpoints; above 0.
+      saves: Raised with each checkpoint.
     """
 
     boot: str
@@ -170,6 +189,8 @@
     attempts: tuple[AttemptReport, ...] = ()
     usage: tuple[Usage, ...] = ()
     leaving: bool = False
+    version: int = 0
+    saves: int = 0
 
 
 class WorkerError(LentilmountError):
--- a/stand_ins/faults.py
+++ b/stand_ins/faults.py
@@ -24,6 +24,7 @@
       late_writes: Seconds after which a write that was cut off takes effect.
       fail_starts: A worker fails everything it starts.
       slowdown: Factor on the time that a worker takes for a request.
+      hold: Jobs on a worker make no progress.
     """
 
     down: bool = False
@@ -33,6 +34,7 @@
     late_writes: float = 0.0
     fail_starts: bool = False
     slowdown: float = 1.0
+    hold: bool = False
 
     def update(self, values: dict[str, Any]) -> None:
         """Sets the switches that are named."""
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -21,6 +21,7 @@
 from stand_ins.objects import make_objects_app
 from stand_ins.table import MemoryTable, make_table_app
 from stand_ins.worker import (
+    CHECKPOINT_SECONDS,
     TICK_SECONDS,
     Worker,
     WorkerOptions,
@@ -60,6 +61,7 @@
       tick_seconds: How often a worker looks at its tasks.
       endpoints: Where services are served by something else, by worker.
       objects: Object store of another platform, which its workers then use.
+      checkpoint_seconds: Work done between two checkpoints of a job.
     """
 
     zones: tuple[ZoneOptions, ...]
@@ -70,6 +72,7 @@
     tick_seconds: float = TICK_SECONDS
     endpoints: dict[str, str] = attrs.Factory(dict)
     objects: str = ''
+    checkpoint_seconds: float = CHECKPOINT_SECONDS
 
 
 class Platform:
@@ -140,6 +143,7 @@
             usage_lag=self.options.usage_lag,
             interference=self.options.interference,
             tick_seconds=self.options.tick_seconds,
+            checkpoint_seconds=self.options.checkpoint_seconds,
         )
         seed = self.options.seed * 1000 + len(self.workers)
         worker = Worker(options, objects, seed)
--- a/stand_ins/site.py
+++ b/stand_ins/site.py
@@ -166,6 +166,11 @@
         answer = self.send(method, path, body, **kw)
         return json.loads(answer.body)
 
+    def hold_jobs(self, hold: bool) -> None:
+        """Lets the workers' jobs make no progress, or go on."""
+        for worker in self.platform.workers:
+            worker.faults.hold = hold
+
     def tool(
         self, *args: str, token: str = 'admin', stdin: str = ''
     ) -> Outcome:
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -115,6 +115,7 @@
       interference: Factor on (service or job) class by the class beside it.
       clock_rate: Rate of its clock, as a share of true time.
       tick_seconds: How often its tasks make progress.
+      checkpoint_seconds: Work done between two checkpoints of a job.
     """
 
     name: str
@@ -125,6 +126,7 @@
     interference: dict[str, dict[str, float]] = attrs.Factory(dict)
     clock_rate: float = 1.0
     tick_seconds: float = TICK_SECONDS
+    checkpoint_seconds: float = CHECKPOINT_SECONDS
 
 
 class Worker:
@@ -161,6 +163,9 @@
         self.boot = uuid.uuid4().hex[:12]
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self._epochs: dict[str, int] = {}
+        self._reports: tuple[AttemptReport, ...] = ()
+        self._version = 1
+        self._saves = 0
         self._born = self._monotonic()
 
     def read_clock(self) -> float:
@@ -175,16 +180,42 @@
         outcomes = tuple(
             self._obey(request, command) for command in request.commands
         )
+        reports = tuple(self._report(a) for a in self.attempts.values())
+        self._count_changes(reports)
+        seen = request.boot == self.boot and request.seen == self._version
+        if seen:
+            self._renew_all(request)
+        seen = seen and request.seen_saves == self._saves
         return SyncAnswer(
             boot=self.boot,
             clock=self.read_clock(),
             capacity=self.options.capacity,
             outcomes=outcomes,
-            attempts=tuple(self._report(a) for a in self.attempts.values()),
-            usage=self._get_usage(),
+            attempts=() if seen else reports,
+            usage=self._get_usage() if request.with_usage else (),
             leaving=self.leaving,
+            version=self._version,
+            saves=self._saves,
         )
 
+    def _count_changes(self, reports: tuple[AttemptReport, ...]) -> None:
+        if reports == self._reports:
+            return
+        before = [attrs.evolve(r, checkpoint='') for r in self._reports]
+        now = [attrs.evolve(r, checkpoint='') for r in reports]
+        self._version += before != now
+        self._saves += 1
+        self._reports = reports
+
+    def _renew_all(self, request: SyncRequest) -> None:
+        fenced = request.epoch < self._epochs[request.scope]
+        if fenced or self.read_clock() > request.renew_until:
+            return
+        for attempt in self.attempts.values():
+            if attempt.state is AttemptState.RUNNING:
+                until = max(attempt.lease_until, request.renew_until)
+                attempt.lease_until = until
+
     def _obey(self, request: SyncRequest, command: Command) -> Outcome:
         if request.epoch < self._epochs[request.scope]:
             return Outcome.FENCED
@@ -350,20 +381,19 @@
     def _progress(self, seconds: float) -> None:
         for attempt in list(self.attempts.values()):
             held_up = attempt.stopping or attempt.loading or attempt.saving
-            if attempt.is_service or held_up:
+            if attempt.is_service or held_up or self.faults.hold:
                 continue
             if attempt.state is not AttemptState.RUNNING:
                 continue
             speed = attempt.share / self.get_slowdown(attempt)
             before = attempt.done
+            saving = self.options.checkpoint_seconds
             attempt.done += seconds * speed
             if attempt.work.get('fail'):
                 self._end(attempt, AttemptState.FAILED, 'told to fail')
             elif attempt.done >= attempt.work.get('seconds', 1.0):
                 self._finish(attempt)
-            elif int(before / CHECKPOINT_SECONDS) != int(
-                attempt.done / CHECKPOINT_SECONDS
-            ):
+            elif int(before / saving) != int(attempt.done / saving):
                 asyncio.ensure_future(self._save(attempt))
 
     def _finish(self, attempt: Attempt) -> None:
--- a/tests/test_batch_mutations.py
+++ b/tests/test_batch_mutations.py
@@ -244,12 +244,12 @@
 
 
 def break_epoch(patch: Patch) -> None:
-    obey = Worker._obey
+    sync = Worker.sync
 
-    def trust(self: Worker, request: SyncRequest, command: Command) -> Any:
-        return obey(self, attrs.evolve(request, epoch=10**9), command)
+    def trust(self: Worker, request: SyncRequest) -> Any:
+        return sync(self, attrs.evolve(request, epoch=10**9))
 
-    patch.setattr(Worker, '_obey', trust)
+    patch.setattr(Worker, 'sync', trust)
 
 
 def break_boot(patch: Patch) -> None:
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -160,12 +160,20 @@
             while not daemon.membership.is_up(name):
                 await asyncio.sleep(0.02)
 
+    async def know(daemon: Daemon, *names: str) -> None:
+        async with asyncio.timeout(10):
+            while not set(names) <= {
+                member.name for member in daemon.membership.list_known()
+            }:
+                await asyncio.sleep(0.02)
+
     stack = contextlib.AsyncExitStack()
     first = own_site.run(start('tls-0', ()))
     second = own_site.run(start('tls-1', (first.addresses['peers'],)))
     try:
         own_site.run(see(first, 'tls-1'))
         own_site.run(see(second, 'tls-0'))
+        own_site.run(know(first, 'entry-0', 'entry-1'))
         server = f'https://{first.addresses["operators"]}'
         args = ('--server', server, '--token', 'admin', 'status')
         # The plain daemons are known from the table, and cannot be asked.
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -274,7 +274,8 @@
     told = site.tool('apply', '-f', '-', '--wait', stdin=json.dumps(large))
     assert told.status == 1
     assert 'Job desk/large: refused' in told.out
-    moved = make_job('moved', payload='{"seconds": 4}')
+    site.hold_jobs(True)
+    moved = make_job('moved', payload='{"seconds": 0.5}')
     site.tool('apply', '-f', '-', stdin=json.dumps(moved))
     seen = site.tool(
         *('watch', 'job', '--name', 'moved', '--cursor', start),
@@ -284,6 +285,7 @@
         'worker'
     ]
     assert site.tool('drain', worker, '--wait').status == 0
+    site.hold_jobs(False)
     site.tool('apply', '-f', '-', '--wait', stdin=json.dumps(moved))
     site.tool('uncordon', worker)
     expected = {
