Split the stand-in worker

Change: attempts and options, the worker, and what it serves, each a module; nothing else differs.

Conclusion: the tests that use it are unchanged.

--- a/stand_ins/cell.py
+++ b/stand_ins/cell.py
@@ -22,6 +22,7 @@
 from lentilmount.resources import Demand, Room, Urgency
 from lentilmount.rows import make_job_key
 from lentilmount.upstream.hosts import Host
+from stand_ins.attempts import Run, WorkerOptions
 from stand_ins.checker import Violation, check_history
 from stand_ins.local import (
     MemoryObjects,
@@ -30,7 +31,7 @@
     WorkersView,
 )
 from stand_ins.table import MemoryTable
-from stand_ins.worker import Run, Worker, WorkerOptions
+from stand_ins.worker import Worker
 
 ZONE = 'a'
 SLICE = f'{ZONE}/0'
--- a/stand_ins/checker.py
+++ b/stand_ins/checker.py
@@ -14,7 +14,7 @@
 import attrs
 
 from lentilmount.resources import Room
-from stand_ins.worker import Run
+from stand_ins.attempts import Run
 
 ONE_PLACE = 'no task runs in two places at once'
 ONE_RUN = 'an attempt runs at most once'
--- a/stand_ins/demo.py
+++ b/stand_ins/demo.py
@@ -23,6 +23,7 @@
 from lentilmount.core import main as run_tool
 from lentilmount.resources import Room
 from lentilmount.upstream.http import HttpCaller
+from stand_ins.attempts import Run
 from stand_ins.checker import (
     Violation,
     check_history,
@@ -32,7 +33,6 @@
 )
 from stand_ins.platform import PlatformOptions, make_zones
 from stand_ins.processes import ADMIN_TOKEN, Deployment, Process
-from stand_ins.worker import Run
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 REQUESTS_PER_SECOND = 60.0
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -16,17 +16,17 @@
 from lentilmount.resources import Room
 from lentilmount.upstream.hosts import Host
 from lentilmount.upstream.objects import HttpObjects
-from stand_ins.faults import Faults
-from stand_ins.hosts import HostList, make_hosts_app
-from stand_ins.objects import make_objects_app
-from stand_ins.table import MemoryTable, make_table_app
-from stand_ins.worker import (
+from stand_ins.attempts import (
     CHECKPOINT_SECONDS,
     TICK_SECONDS,
-    Worker,
     WorkerOptions,
-    make_worker_app,
 )
+from stand_ins.faults import Faults
+from stand_ins.hosts import HostList, make_hosts_app
+from stand_ins.objects import make_objects_app
+from stand_ins.serving import make_worker_app
+from stand_ins.table import MemoryTable, make_table_app
+from stand_ins.worker import Worker
 
 LOOPBACK = '127.0.0.1'
 
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -15,16 +15,13 @@
 import time
 import uuid
 from collections.abc import Callable
-from typing import Any
 
 import attrs
-from tornado.web import Application
 
-from lentilmount.codec import decode, encode
-from lentilmount.resources import Demand, Room
+from lentilmount.codec import encode
+from lentilmount.resources import Demand
 from lentilmount.upstream.objects import Objects
 from lentilmount.upstream.workers import (
-    SYNC_PATH,
     Action,
     AttemptReport,
     AttemptState,
@@ -34,101 +31,14 @@
     SyncRequest,
     Usage,
 )
-from stand_ins.faults import FAULTS_PATH, Faults, FaultsHandler, FaultyHandler
+from stand_ins.attempts import Attempt, Run, WorkerOptions
+from stand_ins.faults import Faults
 
-TICK_SECONDS = 0.05
-CHECKPOINT_SECONDS = 0.5
 OBJECT_RETRY_SECONDS = 1.0
-LATENCIES_KEPT = 200
 SERVICE_SPREAD = 0.25
 """Sigma of the log-normal distribution of a service's times."""
 
 
-@attrs.frozen
-class Run:
-    """When an attempt truly ran, on one clock outside the system."""
-
-    worker: str
-    task: str
-    attempt: int
-    began: float
-    ended: float
-    state: str
-
-
-@attrs.define
-class Attempt:
-    """An attempt on a worker.
-
-    Attributes:
-      command: The start that made it.
-      lease_until: When it ends unless renewed, on the worker's clock.
-      began: When it started.
-      state: How it stands.
-      share: Share of the processors that it may use.
-      done: Seconds of work done, as if running alone.
-      checkpoint: Name of the last whole checkpoint.
-      output: Name of its output.
-      ended: When it ended, or 0.
-      stopping: Whether it was told to stop.
-      loading: Whether it waits for the checkpoint that it resumes from.
-      saving: Whether it is done and writes its output.
-      in_use: Slots in use.
-      latencies: Recent times of answers, in milliseconds.
-    """
-
-    command: Command
-    lease_until: float
-    began: float
-    state: AttemptState = AttemptState.RUNNING
-    share: float = 1.0
-    done: float = 0.0
-    checkpoint: str = ''
-    output: str = ''
-    message: str = ''
-    ended: float = 0.0
-    stopping: bool = False
-    loading: bool = False
-    saving: bool = False
-    in_use: int = 0
-    latencies: collections.deque[float] = attrs.Factory(
-        lambda: collections.deque(maxlen=LATENCIES_KEPT)
-    )
-    work: dict[str, Any] = attrs.Factory(dict)
-
-    @property
-    def is_service(self) -> bool:
-        """Whether it serves requests."""
-        return self.command.task.startswith('Service/')
-
-
-@attrs.define
-class WorkerOptions:
-    """What a stand-in worker is like.
-
-    Attributes:
-      name: Its name.
-      zone: Its availability zone.
-      rack: Its rack.
-      capacity: What it has.
-      usage_lag: Seconds by which measurements are late.
-      interference: Factor on (service or job) class by the class beside it.
-      clock_rate: Rate of its clock, as a share of true time.
-      tick_seconds: How often its tasks make progress.
-      checkpoint_seconds: Work done between two checkpoints of a job.
-    """
-
-    name: str
-    zone: str
-    rack: str
-    capacity: Room
-    usage_lag: float = 2.0
-    interference: dict[str, dict[str, float]] = attrs.Factory(dict)
-    clock_rate: float = 1.0
-    tick_seconds: float = TICK_SECONDS
-    checkpoint_seconds: float = CHECKPOINT_SECONDS
-
-
 class Worker:
     """One worker: attempts, leases, measurements, and a record of runs."""
 
@@ -503,82 +413,3 @@
         took = (self._monotonic() - began) * 1000
         attempt.latencies.append(took)
         return took
-
-
-class SyncHandler(FaultyHandler):
-    """Serves the worker's own API."""
-
-    def post(self) -> None:
-        """Carries out the commands."""
-        worker: Worker = self.parts['worker']
-        answer = worker.sync(decode(self.request.body, SyncRequest))
-        if self.lose_answer():
-            return
-        self.finish(encode(answer))
-
-
-class ServeHandler(FaultyHandler):
-    """Serves the requests of callers, as an upstream."""
-
-    async def respond(self, *_: str) -> None:
-        """Answers with the request's own body and id."""
-        worker: Worker = self.parts['worker']
-        name = self.request.headers.get('Lentilmount-Service', '')
-        request = self.request.headers.get('Lentilmount-Request', '')
-        attempt = worker.find_service(name)
-        if worker.leaving:
-            self.set_header('Lentilmount-Leaving', 'true')
-        if attempt is None:
-            self.set_header('Lentilmount-Request', request)
-            self.set_header('Lentilmount-Ran', 'no')
-            self.reply({'error': f'{name} does not run here'}, 503)
-            return
-        await worker.serve(attempt, request)
-        self.set_header('Lentilmount-Request', request)
-        self.reply(
-            {
-                'request': request,
-                'worker': worker.options.name,
-                'echo': self.request.body.decode('latin-1'),
-            }
-        )
-
-    get = post = put = delete = respond
-
-
-class WorkerRecordHandler(FaultyHandler):
-    """Tells what truly ran, for checkers."""
-
-    def get(self) -> None:
-        """Answers with the runs and the count of each request."""
-        worker: Worker = self.parts['worker']
-        self.finish(
-            {
-                'name': worker.options.name,
-                'boot': worker.boot,
-                'runs': [attrs.asdict(run) for run in worker.list_runs()],
-                'served': dict(worker.served),
-            }
-        )
-
-    def post(self) -> None:
-        """Restarts the worker, or marks it as leaving."""
-        worker: Worker = self.parts['worker']
-        change = json.loads(self.request.body)
-        worker.leaving = change.get('leaving', worker.leaving)
-        if change.get('restart'):
-            worker.restart()
-        self.finish({'boot': worker.boot})
-
-
-def make_worker_app(worker: Worker) -> Application:
-    """Builds the HTTP application of a worker."""
-    parts: dict[str, Any] = {'worker': worker, 'faults': worker.faults}
-    return Application(
-        [
-            (FAULTS_PATH, FaultsHandler, {'faults': worker.faults}),
-            ('/_record', WorkerRecordHandler, parts),
-            (SYNC_PATH, SyncHandler, parts),
-            ('/(.*)', ServeHandler, parts),
-        ]
-    )
