Split the strain on services from steering

Change: what each service has left, by worker, is a module of its own, and the limit is worked out when it changes instead of at each use.

--- a/lentilmount/batch/steering.py
+++ b/lentilmount/batch/steering.py
@@ -12,7 +12,6 @@
 from lentilmount.batch.isolation import (
     LEAST_CHANGE,
     LEAST_SHARE,
-    TINY_EFFECT,
     Evict,
     Isolator,
     Limits,
@@ -26,22 +25,13 @@
 from lentilmount.batch.overruns import OverrunWatch
 from lentilmount.batch.placement import Cost
 from lentilmount.batch.records import Task, WorkerRecord
+from lentilmount.batch.strain import Strains
 from lentilmount.resources import ConfigurationSpec, Phase
 from lentilmount.upstream.workers import Action, Command, Usage
 
 WINDOW_SECONDS = 5.0
 """Time over which a worker takes the 99th percentile that it reports."""
 
-PEAK_SECONDS = 240.0
-"""Work is placed for the highest load band of this time, as load returns."""
-
-NOISY_EFFECT = 0.35
-"""A job that alone would take more of what a service may lose is noisy."""
-
-NOISY_PART = 0.2
-"""What all noisy jobs on a worker may take of it, so that they do not use up
-what many quiet ones could share."""
-
 START_SHARE = 0.2
 """A job is not begun where it may use less than this of its processors: it
 would hold the rest for nothing."""
@@ -49,9 +39,6 @@
 LONG_WAIT_SECONDS = 600.0
 """After which a job is begun with `LEAST_SHARE` rather than never."""
 
-CAUTION = 0.5
-"""Standard deviations by which a slowdown is taken for worse than known."""
-
 CORES_A_DOUBLING = 12.0
 """What a service that becomes e times slower costs, in cores left free."""
 
@@ -100,33 +87,6 @@
     at: float
 
 
-@attrs.define
-class _Strain:
-    """How one service on one worker stands, kept until something changes.
-
-    Attributes:
-      service: The service.
-      band: The load band that work is placed for.
-      quiet: Logarithm of the slowdown expected of quiet jobs.
-      noisy: The same of noisy ones.
-      variance: Of both together.
-    """
-
-    service: str
-    band: int
-    quiet: float = 0.0
-    noisy: float = 0.0
-    variance: float = 0.0
-
-    def get_total(self, limit: float) -> float:
-        """Returns what counts as taken.
-
-        Noisy jobs that were begun at a lower load are throttled down to
-        their part, and keep no quiet ones away beyond it.
-        """
-        return self.quiet + min(self.noisy, NOISY_PART * limit)
-
-
 class Steering:
     """Keeps services near their speed alone.
 
@@ -156,12 +116,10 @@
         self._read: dict[str, tuple[Usage, ...]] = {}
         self._measured: dict[str, float] = {}
         self._learned: dict[str, float] = {}
-        self._bands: dict[str, dict[int, float]] = {}
-        self._idle: set[str] = set()
-        self._strains: dict[str, list[_Strain]] = {}
+        self._strains = Strains(occupancy, self.model)
         self._sent: dict[tuple[str, int], float] = {}
-        self._begun: dict[str, float] = {}
         self._caps: dict[str, float] = {}
+        self._set_limit()
 
     def set_weights(self, weights: ConfigurationSpec) -> None:
         """Takes over how the deployment weighs things."""
@@ -169,19 +127,22 @@
             self._weights = weights
             self._limits = make_limits(weights)
             self._strains.clear()
+            self._set_limit()
+
+    def _set_limit(self) -> None:
+        high = tighten(self._limits, self._lag).high
+        self._strains.limit = math.log(high)
 
     def note_change(self, worker: str) -> None:
         """Takes note that other tasks are on a worker."""
-        self._strains.pop(worker, None)
+        self._strains.drop(worker)
 
     def forget(self, task: str) -> None:
         """Drops what is remembered of a task that left its worker."""
         self._measured.pop(task, None)
-        self._idle.discard(task)
         self._learned.pop(task, None)
-        self._bands.pop(task, None)
         self._caps.pop(task, None)
-        self._begun.pop(task, None)
+        self._strains.forget(task)
 
     def read(self, link: WorkerLink, now: float) -> list[Evict]:
         """Takes in what a worker measured, and acts on it.
@@ -203,6 +164,7 @@
                 worst = reading
         if worst is not None:
             self._lag += LAG_GAIN * (now - worst.at - self._lag)
+            self._set_limit()
             evictions += self._protect(link, worst, now)
         return evictions
 
@@ -258,14 +220,10 @@
         self, worker: str, task: Task, usage: Usage, at: float
     ) -> _Reading | None:
         if usage.p99_ms <= 0:
-            if task.id not in self._idle:
-                self._idle.add(task.id)
-                self._strains.pop(worker, None)
+            self._strains.note_idle(worker, task.id)
             return None
-        self._idle.discard(task.id)
         band = find_band(usage.load)
-        self._bands.setdefault(task.id, {})[band] = at
-        self._strains.pop(worker, None)
+        self._strains.note_load(worker, task.id, band, at)
         mix = self._occupancy.get_mean_mix(worker, at - WINDOW_SECONDS, at)
         if mix is None:
             return None
@@ -305,7 +263,7 @@
             return
         share = min(act.share, self._caps.get(job.id, 1.0))
         self._occupancy.set_throttle(job, share, now)
-        self._strains.pop(job.worker, None)
+        self._strains.drop(job.worker)
         self._send(link, job, share, now)
 
     def resend(self, links: Mapping[str, WorkerLink], now: float) -> None:
@@ -348,36 +306,18 @@
         self, name: str, least: float, record: WorkerRecord, now: float
     ) -> float:
         price = 0.0
-        share = self._find_share(name, record.name, now)
+        share = self._strains.find_share(name, record.name, now)
         if share < least:
             return math.inf
-        for strain in self._get_strains(record.name, now):
+        for strain in self._strains.list_strains(record.name, now):
             mean, _ = self.model.get_term(
                 strain.service, name, strain.band, now
             )
-            total = strain.get_total(
-                math.log(tighten(self._limits, self._lag).high)
-            )
+            total = strain.get_total(self._strains.limit)
             price += total + 2 * mean * share
         price *= CORES_A_DOUBLING * self._weights.tail_weight
         return price + CORES_A_FULL_THROTTLE * (1 - share)
 
-    def _find_share(self, name: str, worker: str, now: float) -> float:
-        """Returns how much of its processors a class may use on a worker."""
-        share = 1.0
-        limit = math.log(tighten(self._limits, self._lag).high)
-        for strain in self._get_strains(worker, now):
-            mean, variance = self.model.get_term(
-                strain.service, name, strain.band, now
-            )
-            doubt = CAUTION * math.sqrt(strain.variance + variance)
-            room = limit - strain.get_total(limit) - doubt
-            if mean > NOISY_EFFECT * limit:
-                room = min(room, NOISY_PART * limit - strain.noisy)
-            if mean > room:
-                share = min(share, max(0.0, room / max(mean, TINY_EFFECT)))
-        return share
-
     def limit(self, job: Task, worker: str, now: float) -> Task:
         """Gives a job fewer processors where its worker calls for it.
 
@@ -386,15 +326,15 @@
         its size is not known, a part of what was declared may be all that it
         wants, so it is throttled after all; see `begin`.
         """
-        self._strains.pop(worker, None)
+        self._strains.drop(worker)
         if job.is_service:
             return job
-        share = self._find_share(name_class(job), worker, now)
-        self._begun.pop(job.id, None)
+        share = self._strains.find_share(name_class(job), worker, now)
+        self._strains.begun.pop(job.id, None)
         if share > 1 - LEAST_CHANGE:
             return attrs.evolve(job, share=1.0)
         share = max(LEAST_SHARE, round(share, 2))
-        self._begun[job.id] = share
+        self._strains.begun[job.id] = share
         if not self._sizes.knows(job):
             return attrs.evolve(job, share=1.0)
         cores = max(LEAST_CORES, round(job.demand.cores * share, 2))
@@ -403,7 +343,7 @@
 
     def begin(self, job: Task, now: float) -> None:
         """Throttles a job from its start that `limit` did not cut."""
-        share = self._begun.get(job.id, 1.0)
+        share = self._strains.begun.get(job.id, 1.0)
         if job.share == 1 and share < 1:
             self._occupancy.set_throttle(job, share, now)
 
@@ -415,44 +355,3 @@
         expected = self.model.predict(task.resource, band, mix, now)
         weight = CORES_A_DOUBLING * self._weights.tail_weight
         return weight * math.log(expected.ratio)
-
-    def _get_strains(self, worker: str, now: float) -> list[_Strain]:
-        strains = self._strains.get(worker)
-        if strains is None:
-            strains = [
-                self._strain(task, now)
-                for task in self._occupancy.list_tasks(worker)
-                if task.is_service and not self._is_idle(task, now)
-            ]
-            self._strains[worker] = strains
-        return strains
-
-    def _list_bands(self, task: Task, now: float) -> list[int]:
-        seen = self._bands.get(task.id, {})
-        return [b for b, at in seen.items() if now - at < PEAK_SECONDS]
-
-    def _is_idle(self, task: Task, now: float) -> bool:
-        # A service without requests gives no percentile to learn from. Kept
-        # cautious for it, its worker would take a handful of jobs and then
-        # none for ever, however much of it is free.
-        return task.id in self._idle and not self._list_bands(task, now)
-
-    def _strain(self, task: Task, now: float) -> _Strain:
-        bands = self._list_bands(task, now)
-        strain = _Strain(task.resource, max(bands, default=0))
-        noisy = NOISY_EFFECT * math.log(tighten(self._limits, self._lag).high)
-        for job in self._occupancy.list_tasks(task.worker):
-            if job.is_service:
-                continue
-            # A throttled job counts as it was begun: new jobs in the room that
-            # its throttle made would keep it throttled for ever.
-            share = self._begun.get(job.id, job.share)
-            mean, variance = self.model.get_term(
-                strain.service, name_class(job), strain.band, now
-            )
-            strain.variance += share * share * variance
-            if mean > noisy:
-                strain.noisy += share * mean
-            else:
-                strain.quiet += share * mean
-        return strain
