--- a/lentilmount/routing/forward.py
+++ b/lentilmount/routing/forward.py
@@ -17,6 +17,9 @@
 SERVICE_HEADER = 'Lentilmount-Service'
 TIMEOUT_HEADER = 'Lentilmount-Timeout-Ms'
 LEAVING_HEADER = 'Lentilmount-Leaving'
+MISDIRECTED = 421
+"""Status of a server that does not serve what was asked (RFC 9110, 15.5.20)."""
+
 
 MAX_CLIENTS = 512
 """Most requests in flight for each connection share; libcurl's handles are
@@ -102,7 +105,8 @@
       headers: Headers that go to the caller.
       body: The whole body.
       error: Why there is no answer.
-      is_busy: Whether the upstream refused it.
+      is_busy: Whether the upstream refused it for now.
+      is_gone: Whether the upstream says that the service is not there.
       is_late: Whether the time ran out.
       is_leaving: Whether the upstream says that it is going away.
     """
@@ -113,6 +117,7 @@
     body: bytes = b''
     error: str = ''
     is_busy: bool = False
+    is_gone: bool = False
     is_late: bool = False
     is_leaving: bool = False
 
@@ -280,7 +285,8 @@
             return Reply(
                 Result.NOT_RUN,
                 error='the upstream refused it',
-                is_busy=True,
+                is_busy=response.code != MISDIRECTED,
+                is_gone=response.code == MISDIRECTED,
                 is_leaving=leaving,
             )
         if not _is_whole(call.method, response):
--- a/lentilmount/routing/pool.py
+++ b/lentilmount/routing/pool.py
@@ -189,6 +189,12 @@
         target.health.failures = target.health.failures + 1 if failed else 0
         if reply.is_busy:
             target.limit.note_busy()
+        if reply.is_gone:
+            # Its task ended, and nobody is there to tell: the owner of its
+            # slice died while the table was out. Idle as it looks, it would
+            # draw requests, so it is out at once, whatever share is out.
+            target.health.eject(now, self._chance)
+            self._record(EventKind.EJECTED, target, reply.error)
         target.end(now)
         self.in_flight -= 1
         if target.health.is_failing:
--- a/lentilmount/routing/router.py
+++ b/lentilmount/routing/router.py
@@ -69,12 +69,14 @@
       deadline: Monotonic time when the caller stops waiting.
       tried: Tasks that got a copy.
       may_have_run: Whether any copy may have run.
+      misdirected: Copies that met an upstream without the service.
     """
 
     call: Call
     deadline: float
     tried: set[str] = attrs.Factory(set)
     may_have_run: bool = False
+    misdirected: int = 0
 
 
 class Router:
@@ -192,10 +194,15 @@
         call = progress.call
         if progress.may_have_run and not call.idempotent:
             return None
-        if len(progress.tried) >= MAX_TRIES or call.is_gone():
+        progress.misdirected += reply.is_gone
+        tries = len(progress.tried) - progress.misdirected
+        if tries >= MAX_TRIES or call.is_gone():
             return None
         left = progress.deadline - self._monotonic()
-        if left <= pool.times.typical or not pool.retries.spend():
+        if left <= pool.times.typical:
+            return None
+        # What an upstream without the service refuses costs it nothing.
+        if not reply.is_gone and not pool.retries.spend():
             return None
         pause = choose_pause(len(progress.tried), left, self._chance)
         await asyncio.sleep(pause)
--- a/stand_ins/demo.py
+++ b/stand_ins/demo.py
@@ -7,300 +7,18 @@
 
 import argparse
 import asyncio
-import json
-import pathlib
-import random
-import signal
 import sys
 import time
-import uuid
-from typing import Any
-
-import attrs
-from hdrh.histogram import HdrHistogram
 
 from lentilmount.cli.output import write_table
-from lentilmount.core import main as run_tool
-from lentilmount.upstream.http import HttpCaller
-from stand_ins.attempts import Run
-from stand_ins.checker import (
-    Violation,
-    check_history,
-    count_completions,
-    find_double_requests,
-    find_wrong_completions,
-)
+from stand_ins.checker import Violation, count_completions
 from stand_ins.platform import PlatformOptions, make_zones
-from stand_ins.processes import ADMIN_TOKEN, Deployment, Process
-from stand_ins.scenes import NILEWAVE, WSPOLNOTA, Scene
+from stand_ins.play import Evidence, Play
+from stand_ins.processes import ADMIN_TOKEN, Deployment
+from stand_ins.scenes import NILEWAVE, WSPOLNOTA
 
-EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
-REQUESTS_PER_SECOND = 60.0
 LOAD_SECONDS = 15.0
-READY_SECONDS = 30.0
-BALANCER_LAG_SECONDS = 1.0
-JOBS_SECONDS = 60.0
-HISTOGRAM_RANGE = (1, 60_000_000, 3)
-AUTHORIZATION = {'Authorization': f'Bearer {ADMIN_TOKEN}'}
-
-
-@attrs.define
-class Tally:
-    """What the callers of one deployment saw."""
-
-    histogram: HdrHistogram = attrs.Factory(
-        lambda: HdrHistogram(*HISTOGRAM_RANGE)
-    )
-    answered: int = 0
-    refused: int = 0
-    wrong: int = 0
-    non_idempotent: list[str] = attrs.Factory(list)
-    refused_not_run: list[str] = attrs.Factory(list)
-
-
-class Play:
-    """Plays one scene."""
-
-    def __init__(self, scene: Scene, deployment: Deployment):
-        self.scene = scene
-        self.deployment = deployment
-        self.tally = Tally()
-        self.drained = ''
-        self._random = random.Random(scene.name)
-        self._entries: list[tuple[Process, HttpCaller, HttpCaller]] = []
-
-    def start(self) -> None:
-        """Starts the daemons."""
-        first, second = self.scene.zones[:2]
-        for number, zone in enumerate((first, second, first)):
-            self.deployment.start_daemon(f'entry-{number}', zone)
-
-    def _connect(self) -> None:
-        for process in self.deployment.daemons.values():
-            callers = f'http://{process.addresses["callers"]}'
-            operators = f'http://{process.addresses["operators"]}'
-            self._entries.append(
-                (
-                    process,
-                    HttpCaller(callers, 10.0, 256),
-                    HttpCaller(operators, 10.0),
-                )
-            )
-
-    def list_addresses(self) -> list[str]:
-        """Returns a line for each daemon, to try by hand."""
-        return [
-            f'{self.scene.name} {process.name}: {process.addresses}'
-            for process in self.deployment.daemons.values()
-        ]
-
-    async def run(self) -> None:
-        """Plays the scene to its end."""
-        self._connect()
-        await asyncio.to_thread(self._apply_example)
-        await self._wait_for_replicas()
-        load = asyncio.create_task(self._send_load())
-        jobs = [await self._submit(number) for number in range(12)]
-        await asyncio.sleep(3.0)
-        await self._drain_one(jobs)
-        await asyncio.sleep(3.0)
-        stopping, _, _ = self._entries[-1]
-        stopping.send(signal.SIGTERM)
-        await asyncio.sleep(BALANCER_LAG_SECONDS)
-        del self._entries[-1]
-        await load
-        await self._wait_for_jobs(jobs)
-        self.jobs = jobs
-
-    def _apply_example(self) -> None:
-        address = self._entries[0][0].addresses['operators']
-        status = run_tool(
-            [
-                *('--server', f'http://{address}', '--token', ADMIN_TOKEN),
-                *('apply', '-f', str(EXAMPLES / f'{self.scene.name}.json')),
-            ]
-        )
-        if status:
-            raise RuntimeError(f'apply ended with {status!r}')
-
-    async def call(self, method: str, path: str, value: Any = None) -> Any:
-        """Calls the resource API of the first daemon."""
-        body = None if value is None else json.dumps(value).encode()
-        answer = await self._entries[0][2].call(
-            method, path, body, AUTHORIZATION
-        )
-        if answer.status >= 400:
-            raise RuntimeError(f'{method} {path}: {answer.body.decode()}')
-        return json.loads(answer.body)
-
-    async def _wait_for_replicas(self) -> None:
-        until = time.monotonic() + READY_SECONDS
-        path = f'/v1/services/{self.scene.service}'
-        while time.monotonic() < until:
-            status = (await self.call('GET', path))['status']
-            if status['reason'].startswith(f'{self.scene.workers} of'):
-                return
-            await asyncio.sleep(0.2)
-        raise RuntimeError(f'{path}: {status["reason"]}')
-
-    async def _submit(self, number: int) -> str:
-        name = f'run-{number}'
-        await self.call(
-            'POST',
-            '/v1/jobs',
-            {
-                'kind': 'Job',
-                'metadata': {'team': self.scene.job_team, 'name': name},
-                'spec': {
-                    'demand': {'cores': 4, 'memory_mb': 8192},
-                    'job_class': self.scene.job_class,
-                    'expected_seconds': 10,
-                    'urgency': 'urgent' if number == 0 else 'batch',
-                    'payload': json.dumps({'seconds': 8 + number / 4}),
-                },
-            },
-        )
-        return name
-
-    async def _drain_one(self, jobs: list[str]) -> None:
-        for name in jobs:
-            job = await self.call(
-                'GET', f'/v1/jobs/{self.scene.job_team}/{name}'
-            )
-            if job['status']['phase'] == 'running':
-                self.drained = job['status']['worker']
-                break
-        await self.call(
-            'POST',
-            '/v1/workers',
-            {
-                'kind': 'Worker',
-                'metadata': {'name': self.drained},
-                'spec': {'cordoned': True, 'drain': True},
-            },
-        )
-
-    async def _wait_for_jobs(self, jobs: list[str]) -> None:
-        until = time.monotonic() + JOBS_SECONDS
-        while time.monotonic() < until:
-            page = await self.call(
-                'GET', f'/v1/jobs?team={self.scene.job_team}'
-            )
-            phases = [item['status']['phase'] for item in page['items']]
-            if all(phase == 'completed' for phase in phases):
-                return
-            await asyncio.sleep(0.2)
-        raise RuntimeError(f'jobs did not complete: {phases}')
-
-    async def _send_load(self) -> None:
-        began = time.monotonic()
-        calls = []
-        due = began
-        while due < began + LOAD_SECONDS:
-            due += self._random.expovariate(REQUESTS_PER_SECOND)
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            calls.append(asyncio.create_task(self._call_service(due)))
-        await asyncio.gather(*calls)
-
-    def _choose_entry(self) -> HttpCaller:
-        return self._random.choice(self._entries)[1]
-
-    async def _call_service(self, due: float) -> None:
-        request = uuid.uuid4().hex
-        idempotent = self._random.random() < 0.8
-        if not idempotent:
-            self.tally.non_idempotent.append(request)
-        body = self._random.randbytes(20).hex().encode()
-        answer = await self._choose_entry().call(
-            'POST',
-            f'/call/{self.scene.service}/check',
-            body,
-            {
-                **AUTHORIZATION,
-                'Lentilmount-Request': request,
-                'Lentilmount-Idempotent': str(idempotent).lower(),
-            },
-        )
-        millis = (time.monotonic() - due) * 1000
-        self.tally.histogram.record_value(max(1, int(millis * 1000)))
-        if answer.status == 200:
-            self.tally.answered += 1
-            reply = json.loads(answer.body)
-            whole = reply['echo'].encode() == body
-            self.tally.wrong += not whole or reply['request'] != request
-            return
-        self.tally.refused += 1
-        if answer.headers.get('Lentilmount-Ran') == 'no':
-            self.tally.refused_not_run.append(request)
-
-    async def check(self) -> tuple[list[list[str]], list[Violation]]:
-        """Holds the records against the promises."""
-        addresses = self.deployment.platform.addresses
-        records = [
-            await _fetch(f'http://{address}', '/_record')
-            for address in addresses['workers'].values()
-        ]
-        stats = await _fetch(addresses['table'], '/_stats?history=1')
-        runs = [Run(**run) for record in records for run in record['runs']]
-        served = [record['served'] for record in records]
-        capacities = {r['name']: self.scene.capacity for r in records}
-        ids = [f'Job/{self.scene.job_team}/{name}/0' for name in self.jobs]
-        history = stats['history']
-        violations = [
-            *check_history(runs, history, capacities, time.monotonic()),
-            *find_wrong_completions(history, ids),
-            *find_double_requests(served, self.tally.non_idempotent),
-            *self._find_false_refusals(served),
-        ]
-        if self.tally.wrong:
-            violations.append(
-                Violation(
-                    'every caller gets its own whole answer',
-                    f'{self.tally.wrong} wrong answers',
-                )
-            )
-        return self._make_rows(history, ids, violations), violations
-
-    def _find_false_refusals(
-        self, served: list[dict[str, int]]
-    ) -> list[Violation]:
-        ran = {request for counts in served for request in counts}
-        return [
-            Violation('"not run" is true', f'{request} ran')
-            for request in self.tally.refused_not_run
-            if request in ran
-        ]
-
-    def _make_rows(
-        self,
-        history: list[dict[str, Any]],
-        ids: list[str],
-        violations: list[Violation],
-    ) -> list[list[str]]:
-        percentile = self.tally.histogram.get_value_at_percentile
-        done = count_completions(history)
-        events = [
-            change['event']
-            for write in history
-            if write['partition'].startswith('change/') and write['body']
-            for change in write['body'].get('changes', ())
-            if change['task']['id'] in ids
-        ]
-        return [
-            [
-                self.scene.name,
-                self.scene.service,
-                f'{percentile(50) / 1000:.1f}',
-                f'{percentile(99) / 1000:.1f}',
-                f'{self.scene.target_ms:g}',
-                f'{self.tally.answered}/{self.tally.refused}',
-                f'{sum(done[i] for i in ids)}/{len(ids)}',
-                str(events.count('evicted')),
-                str(events.count('resumed')),
-                str(len(violations)),
-            ]
-        ]
-
+JOBS = 12
 
 HEADER = (
     'DEPLOYMENT',
@@ -316,23 +34,69 @@
 )
 
 
-async def _fetch(base: str, path: str) -> Any:
-    caller = HttpCaller(base)
-    try:
-        return json.loads((await caller.call('GET', path)).body)
-    finally:
-        caller.close()
+async def perform(play: Play) -> None:
+    """Plays a scene: load, jobs, a drained worker, a stopped daemon."""
+    await play.begin()
+    load = asyncio.create_task(play.send_load(LOAD_SECONDS))
+    for number in range(JOBS):
+        await play.submit(number, 8 + number / 4)
+    await asyncio.sleep(3.0)
+    await drain_one(play)
+    await asyncio.sleep(3.0)
+    await play.stop_entry(play.entries[-1])
+    await load
+    await play.wait_for_jobs()
+
+
+async def drain_one(play: Play) -> None:
+    """Drains a worker that runs a job."""
+    team = play.scene.job_team
+    for name in play.jobs:
+        job = await play.call('GET', f'/v1/jobs/{team}/{name}')
+        if job['status']['phase'] == 'running':
+            break
+    worker = {
+        'kind': 'Worker',
+        'metadata': {'name': job['status']['worker']},
+        'spec': {'cordoned': True, 'drain': True},
+    }
+    await play.call('POST', '/v1/workers', worker)
+
+
+def make_row(play: Play, evidence: Evidence) -> list[str]:
+    """Builds a deployment's line of the table."""
+    percentile = play.tally.histogram.get_value_at_percentile
+    done = count_completions(evidence.history)
+    events = [
+        change['event']
+        for write in evidence.history
+        if write['partition'].startswith('change/') and write['body']
+        for change in write['body'].get('changes', ())
+        if change['task']['id'] in evidence.ids
+    ]
+    return [
+        play.scene.name,
+        play.scene.service,
+        f'{percentile(50) / 1000:.1f}',
+        f'{percentile(99) / 1000:.1f}',
+        f'{play.scene.target_ms:g}',
+        f'{play.tally.answered}/{len(play.tally.refusals)}',
+        f'{sum(done[i] for i in evidence.ids)}/{len(evidence.ids)}',
+        str(events.count('evicted')),
+        str(events.count('resumed')),
+        str(len(evidence.violations)),
+    ]
 
 
 async def play_all(plays: list[Play]) -> int:
     """Plays every scene at once, prints the table, returns the status."""
-    await asyncio.gather(*(play.run() for play in plays))
+    await asyncio.gather(*(perform(play) for play in plays))
     rows: list[list[str]] = []
     broken: list[Violation] = []
     for play in plays:
-        some, violations = await play.check()
-        rows += some
-        broken += violations
+        evidence = await play.check()
+        rows.append(make_row(play, evidence))
+        broken += evidence.violations
     write_table(HEADER, rows, sys.stdout)
     for violation in broken:
         print(f'BROKEN: {violation.promise}: {violation.detail}')
--- a/stand_ins/serving.py
+++ b/stand_ins/serving.py
@@ -9,6 +9,7 @@
 from tornado.web import Application
 
 from lentilmount.codec import decode, encode
+from lentilmount.routing.forward import MISDIRECTED
 from lentilmount.upstream.workers import SYNC_PATH, SyncRequest
 from stand_ins.faults import FAULTS_PATH, FaultsHandler, FaultyHandler
 from stand_ins.worker import Worker
@@ -40,7 +41,7 @@
         if attempt is None:
             self.set_header('Lentilmount-Request', request)
             self.set_header('Lentilmount-Ran', 'no')
-            self.reply({'error': f'{name} does not run here'}, 503)
+            self.reply({'error': f'{name} does not run here'}, MISDIRECTED)
             return
         await worker.serve(attempt, request)
         self.set_header('Lentilmount-Request', request)
--- /dev/null
+++ b/tests/test_routing_gone.py
@@ -0,0 +1,47 @@
+"""Upstreams whose task ended while nobody could tell."""
+
+from lentilmount.clock import ManualClock
+from lentilmount.resources import ConfigurationSpec
+from lentilmount.routing.forward import Call, Reply, Result
+from tests.helpers import run
+from tests.routing_scene import (
+    ScriptedForwarder,
+    make_call,
+    make_configuration,
+    make_router,
+)
+
+DONE = Reply(Result.ANSWERED, 200)
+GONE = Reply(Result.NOT_RUN, error='not here', is_gone=True)
+ADDRESSES = [f'a{number}' for number in range(8)]
+ENDED = frozenset(ADDRESSES[:5])
+
+
+def test_callers_do_not_meet_upstreams_that_are_gone() -> None:
+    """The owner of a slice dies while the table is out, and its tasks lapse.
+
+    The directory goes on listing them. They refuse at once and look idle, so
+    they drew a third of all requests, and callers were refused: 196 of 601.
+    Each is out after its first refusal, also beyond the share that ejection
+    may take, and the requests it refused go elsewhere without the budget.
+    """
+
+    async def play() -> None:
+        def answer(address: str, _: Call) -> Reply:
+            return GONE if address in ENDED else DONE
+
+        forwarder = ScriptedForwarder(answer)
+        clock = ManualClock()
+        router, _ = make_router(
+            ADDRESSES,
+            forwarder,
+            make_configuration(weights=ConfigurationSpec(retry_share=0.0)),
+            monotonic=clock.monotonic,
+        )
+        for number in range(100):
+            reply = await router.route(make_call(number, False), None)
+            assert reply is DONE
+        met = [a for a, _ in forwarder.sent if a in ENDED]
+        assert sorted(met) == sorted(ENDED)
+
+    run(play())
