--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from benchmarks.probes import Cost, Probe, fit_slope
+from benchmarks.probes import Cost, Probe, fit_slope, read_loopback
 from benchmarks.report import Report
 from lentilmount.resources import Room
 from lentilmount.settings import TimeSettings
@@ -51,12 +51,14 @@
       reads: Rows that the table read a second.
       writes: Rows that the table wrote a second.
       calls: Calls that the table answered a second.
+      sent: Bytes a second over loopback, of all processes, with headers.
     """
 
     cost: Cost
     reads: float
     writes: float
     calls: float
+    sent: float
 
 
 class Bench:
@@ -108,6 +110,7 @@
         await asyncio.sleep(SETTLE_SECONDS)
         pids = [d.popen.pid for d in self._deployment.daemons.values()]
         before = await self.read_stats()
+        sent = read_loopback()
         probe = Probe(pids)
         began = time.monotonic()
         if load is not None:
@@ -115,6 +118,7 @@
         left = self.seconds - (time.monotonic() - began)
         await asyncio.sleep(max(0.0, left))
         cost = probe.read()
+        sent = read_loopback() - sent
         after = await self.read_stats()
         calls = sum(after['calls'].values()) - sum(before['calls'].values())
         return Sample(
@@ -122,6 +126,7 @@
             (after['reads'] - before['reads']) / cost.seconds,
             (after['writes'] - before['writes']) / cost.seconds,
             calls / cost.seconds,
+            sent / cost.seconds,
         )
 
     async def apply_service(self, replicas: int) -> None:
--- a/benchmarks/fullsize.py
+++ b/benchmarks/fullsize.py
@@ -110,6 +110,8 @@
     report.add(f'{name}/table-reads', sample.reads, 'rows/s')
     report.add(f'{name}/table-writes', sample.writes, 'rows/s')
     report.add(f'{name}/table-calls', sample.calls, 'calls/s')
+    each = sample.sent / len(cores) / 1000
+    report.add(f'{name}/bytes-mean', each, 'KB/s a daemon')
 
 
 async def run_whole(bench: Bench, report: Report, scale: float) -> None:
--- a/benchmarks/probes.py
+++ b/benchmarks/probes.py
@@ -30,6 +30,15 @@
     return 0.0
 
 
+def read_loopback() -> int:
+    """Returns the bytes that every process here sent over loopback."""
+    for line in pathlib.Path('/proc/net/dev').read_text().splitlines():
+        name, _, counts = line.partition(':')
+        if name.strip() == 'lo':
+            return int(counts.split()[0])
+    return 0
+
+
 @attrs.frozen
 class Cost:
     """What processes cost over a while.
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -25,6 +25,7 @@
 from stand_ins.site import Site, run_tool
 
 ROOT = pathlib.Path(__file__).parent.parent
+EXAMPLES = ('nilewave', 'nilewave-jobs', 'wspolnota', 'wspolnota-jobs')
 DOCS = ROOT / 'docs'
 API = DOCS / 'api'
 
@@ -204,6 +205,6 @@
 
 
 def test_the_example_resources_are_valid() -> None:
-    for name in ('nilewave', 'wspolnota'):
+    for name in EXAMPLES:
         path = str(ROOT / 'examples' / f'{name}.json')
         assert run_tool('validate', '-f', path).status is ExitStatus.OK
