Say why a site lives no longer than a module

The mutation of the epoch check replaces Worker.sync for the whole process since; the shared site ran in a thread meanwhile, its workers took the epoch 10**9 from one call, and refused their owners ever after. It was no starvation, and no fault of the daemon: workers that saw a higher epoch have to refuse.

Conclusion: ruled out are the ledger, the leases and the steady renewals.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -49,5 +49,9 @@
 
 @pytest.fixture(scope='module')
 def site() -> Iterator[Site]:
+    # Its daemons and workers run in a thread of this process. Were it kept
+    # beyond a module, the mutations of other modules, which replace methods
+    # of classes, would reach it: one raised its workers' epochs for good, and
+    # they refused their owners from then on.
     with open_site() as opened:
         yield opened
