Reach the store through another daemon when it turns this one away

Change: calls that fail directly take a detour over a daemon whose own calls are answered; a call lost on one way is never told as refused. A write whose answer was lost is sent again at once. A host whose own earlier process holds the lease takes it without waiting: work goes on 2 s earlier after all daemons were killed. A check is replaced: a daemon that the store turns away stays ready while others reach the store for it, and leaves the rotation where none can; the test names all three cases now.

--- a/lentilmount/control/campaign.py
+++ b/lentilmount/control/campaign.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import uuid
 from collections.abc import Callable
 
 import attrs
@@ -36,10 +37,24 @@
 LAPSE_MARGIN_SECONDS = 0.3
 """For a call of the previous owner on its way, and for workers to act."""
 
+NAME_SEPARATOR = '.'
+"""Between the host's name and the process's own part in a holder's name."""
+
 POLL_SECONDS = 0.5
 JITTER_SECONDS = 0.1
 
 
+def make_name(host: str) -> str:
+    """Makes a holder's name that no other process ever has."""
+    return f'{host}{NAME_SEPARATOR}{uuid.uuid4().hex[:8]}'
+
+
+def is_same_host(name: str, other: str) -> bool:
+    """Tells whether two holders' names were made on one host."""
+    host, _, _ = name.rpartition(NAME_SEPARATOR)
+    return bool(host) and other.rpartition(NAME_SEPARATOR)[0] == host
+
+
 @attrs.define
 class Campaign:
     """Takes a service's lease when it is free, and owns it then.
@@ -70,7 +85,11 @@
     async def run(self) -> None:
         """Campaigns until told to stop."""
         keeper = LeaseKeeper(
-            self.table, self.name, LEASE_SECONDS, self.clock.monotonic
+            self.table,
+            self.name,
+            LEASE_SECONDS,
+            self.clock.monotonic,
+            self._is_gone,
         )
         key = make_owner_key(self.settings.service)
         while not self._stopping.is_set():
@@ -84,6 +103,15 @@
             pause = POLL_SECONDS + random.uniform(0, JITTER_SECONDS)
             await asyncio.sleep(pause)
 
+    def _is_gone(self, holder: str) -> bool:
+        """Whether a holder is an earlier process of this host.
+
+        A host runs one process at a time. After all of them were killed at
+        once, the owner's host need not wait for the lease of the dead owner:
+        work goes on 2 s earlier.
+        """
+        return is_same_host(self.name, holder)
+
     async def _own(self, keeper: LeaseKeeper, lease: Lease) -> None:
         log.info(
             'Taken: {}.', self.settings.service, extra={'epoch': lease.epoch}
--- /dev/null
+++ b/lentilmount/control/detour.py
@@ -0,0 +1,78 @@
+"""Reaching the store through another daemon.
+
+The store can turn one daemon away for seconds and answer the others. Without
+a detour such a daemon refuses its clients although there is room, and an
+owner is replaced: about 3.5 s without a start, measured from its last write
+to the first start of the next owner.
+"""
+
+from __future__ import annotations
+
+import attrs
+import logbook
+
+from lentilmount.control.storewatch import FindOutage
+from lentilmount.platform.store import ANSWERED, REFUSED, StoreCall
+from lentilmount.upstream.http import CURL_ERROR, Answer, HttpCaller
+
+log = logbook.Logger('detour')
+
+RELAY_PREFIX = '/relayed'
+"""Before the path of a call that is sent for another daemon."""
+
+PART_HEADER = 'Lentilmount-Part'
+TIMEOUT_HEADER = 'Lentilmount-Timeout-Ms'
+
+WAY_SECONDS = 0.1
+"""For the way to the other daemon, beside the call's own time."""
+
+
+@attrs.define
+class PeerDetour:
+    """The way to the store through the other daemons.
+
+    Attributes:
+      caller: Sends calls to them.
+      find_outage: Tells which of them may reach the store.
+    """
+
+    caller: HttpCaller
+    find_outage: FindOutage
+    _used: set[str] = attrs.Factory(set)
+
+    def is_preferred(self, part: str) -> bool:
+        """See `Detour`."""
+        outage = self.find_outage(part)
+        return outage.is_suspected and bool(outage.list_helpers())
+
+    async def send(self, call: StoreCall) -> Answer | None:
+        """See `Detour`."""
+        helpers = self.find_outage(call.part).list_helpers()
+        if not helpers:
+            self._note(call.part, False)
+            return None
+        answer = await self.caller.call(
+            call.method,
+            RELAY_PREFIX + call.path,
+            call.body,
+            {
+                'Content-Type': 'application/json',
+                PART_HEADER: call.part,
+                TIMEOUT_HEADER: str(int(1000 * call.timeout)),
+            },
+            timeout=call.timeout + WAY_SECONDS,
+            base=f'http://{helpers[0]}',
+        )
+        self._note(call.part, answer.status in ANSWERED)
+        if answer.status in (*ANSWERED, *REFUSED):
+            return answer
+        return Answer(CURL_ERROR, answer.body, {})
+
+    def _note(self, part: str, is_used: bool) -> None:
+        """Logs when the detour begins and ends to serve."""
+        if is_used and part not in self._used:
+            log.warning('The store is reached through another daemon.')
+            self._used.add(part)
+        elif not is_used and part in self._used:
+            log.warning('The store is not reached through another daemon.')
+            self._used.discard(part)
--- a/lentilmount/control/frontend.py
+++ b/lentilmount/control/frontend.py
@@ -92,7 +92,7 @@
             self.set_header('Connection', 'close')
         try:
             route, rest = self._find_route()
-            if self._submissions.is_alone(route):
+            if self._submissions.is_cut_off(route):
                 # The next connection goes to a daemon that can serve it.
                 self.set_header('Connection', 'close')
             document = await act(route, rest)
--- /dev/null
+++ b/lentilmount/control/internal.py
@@ -0,0 +1,76 @@
+"""What daemons ask each other."""
+
+from __future__ import annotations
+
+import orjson
+from tornado.web import Application, RequestHandler
+
+from lentilmount.control.detour import (
+    PART_HEADER,
+    RELAY_PREFIX,
+    TIMEOUT_HEADER,
+)
+from lentilmount.control.storewatch import FindOutage
+from lentilmount.platform.store import PlatformTable, StoreCall
+from lentilmount.upstream.http import CURL_ERROR
+
+OLDEST_AGE = 1e9
+"""Told for a store that has never answered: JSON has no infinity."""
+
+NO_ANSWER = 504
+"""HTTP status for a call whose effect is not known."""
+
+
+class StoreHandler(RequestHandler):
+    """Tells other daemons how long the store has not answered here."""
+
+    def initialize(self, find: FindOutage) -> None:
+        """Takes what it tells of."""
+        self._find = find
+
+    def get(self) -> None:
+        """Answers with the age of the last good answer."""
+        outage = self._find(self.get_query_argument('part'))
+        age = min(outage.watch.age, OLDEST_AGE)
+        self.finish(orjson.dumps({'age': age}))
+
+
+class RelayHandler(RequestHandler):
+    """Sends calls to the store for daemons that it turns away."""
+
+    def initialize(self, table: PlatformTable) -> None:
+        """Takes what it calls the store with."""
+        self._table = table
+
+    async def get(self) -> None:
+        """Sends a reading."""
+        await self._relay()
+
+    async def post(self) -> None:
+        """Sends a transaction."""
+        await self._relay()
+
+    async def _relay(self) -> None:
+        # Directly only: sent on once more, a call could go round for ever.
+        call = StoreCall(
+            self.request.headers.get(PART_HEADER, ''),
+            self.request.method or '',
+            (self.request.uri or '').removeprefix(RELAY_PREFIX),
+            self.request.body or None,
+            int(self.request.headers[TIMEOUT_HEADER]) / 1000,
+        )
+        answer = await self._table.send_directly(call)
+        is_lost = answer.status == CURL_ERROR
+        self.set_status(NO_ANSWER if is_lost else answer.status)
+        self.finish(answer.body)
+
+
+def make_internal(find: FindOutage, table: PlatformTable) -> Application:
+    """Builds what other daemons ask."""
+    return Application(
+        [
+            ('/store', StoreHandler, {'find': find}),
+            (RELAY_PREFIX + '/.*', RelayHandler, {'table': table}),
+        ],
+        log_function=lambda handler: None,
+    )
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import uuid
 
 import attrs
 import logbook
@@ -13,9 +12,11 @@
 from tornado.web import Application
 
 from lentilmount.clock import SystemClock
-from lentilmount.control.campaign import Campaign
+from lentilmount.control.campaign import Campaign, make_name
+from lentilmount.control.detour import PeerDetour
 from lentilmount.control.frontend import Traffic, make_frontend, make_readiness
-from lentilmount.control.keys import make_daemon_key
+from lentilmount.control.internal import make_internal
+from lentilmount.control.keys import make_daemon_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics, make_metrics
 from lentilmount.control.owner import OwnerSettings
 from lentilmount.control.routes import RouteTable, follow_configuration
@@ -23,7 +24,7 @@
     Outage,
     StoreWatch,
     guard,
-    make_internal,
+    probe_always,
 )
 from lentilmount.control.submissions import Submissions
 from lentilmount.coordination.table import (
@@ -36,7 +37,12 @@
 from lentilmount.coordination.transactions import make_token
 from lentilmount.platform.advice import AdviceCalls
 from lentilmount.platform.bootfile import Address, HostSettings
-from lentilmount.platform.store import PAGE, PlatformTable
+from lentilmount.platform.store import (
+    CONFIGURATION_TABLE,
+    PAGE,
+    PlatformTable,
+    make_partition,
+)
 from lentilmount.platform.workers import WorkerCalls
 from lentilmount.upstream.http import HttpCaller
 
@@ -92,7 +98,10 @@
         self.workers = HttpCaller('', ORDER_SECONDS, WORKER_CALLS)
         self.metrics = ControlMetrics()
         self.table = PlatformTable(
-            self.store, STORE_SECONDS, self._observe_store
+            self.store,
+            STORE_SECONDS,
+            self._observe_store,
+            PeerDetour(self.workers, self.find_outage),
         )
         self.outages: dict[str, Outage] = {}
         self._address = str(settings.internal)
@@ -103,24 +112,33 @@
             self.advice = AdviceCalls(caller, ADVICE_SECONDS)
         self.routes = RouteTable()
         self.campaigns: dict[str, Campaign] = {}
-        self.name = f'{settings.name}.{uuid.uuid4().hex[:8]}'
+        self.name = make_name(settings.name)
+
+    def find_outage(self, part: str) -> Outage:
+        """Returns what is known of a part of the store: a service's rows.
 
-    def find_outage(self, service: str) -> Outage:
-        """Returns what is known of the rows of a service."""
-        outage = self.outages.get(service)
+        The part '' stands for what lies in none, such as the configuration.
+        """
+        outage = self.outages.get(part)
         if outage is None:
             watch = StoreWatch(self._clock.monotonic)
             outage = Outage(
-                watch, self.workers, service, self._address, self._peers
+                watch, self.workers, part, self._address, self._peers
             )
-            self.outages[service] = outage
+            self.outages[part] = outage
         return outage
 
     def _observe_store(self, part: str, status: int, is_good: bool) -> None:
-        if part:
-            self.find_outage(part).watch.note(is_good)
+        self.find_outage(part).watch.note(is_good)
         self.metrics.count_store_call(status)
 
+    async def _probe(self, part: str) -> None:
+        """Makes a direct call about a part; its outcome is observed."""
+        partition = make_partition(CONFIGURATION_TABLE)
+        if part:
+            partition = make_owner_key(part).partition
+        await self.table.send_directly(self.table.make_probe(partition))
+
     def _refresh_metrics(self) -> None:
         ready = float(self.is_ready())
         self.metrics.set_gauge('lentilmount_ready', {'': ready}, '')
@@ -132,7 +150,7 @@
         """Whether new connections are welcome."""
         if self.routes.current is None or self.traffic.is_closing:
             return False
-        return not any(o.is_alone() for o in self.outages.values())
+        return not any(o.is_cut_off() for o in self.outages.values())
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until told to stop, then hands over and drains."""
@@ -145,6 +163,9 @@
                 group.create_task(self._follow_peers()),
                 group.create_task(self.metrics.watch_lag()),
                 group.create_task(guard(self.outages, GUARD_SECONDS)),
+                group.create_task(
+                    probe_always(self.outages, self._probe, GUARD_SECONDS)
+                ),
             ]
             campaigning = group.create_task(self._campaign(group))
             await stop.wait()
@@ -177,7 +198,7 @@
             'frontend': _listen(frontend, settings.frontend),
             'readiness': _listen(readiness, settings.readiness),
             'internal': _listen(
-                make_internal(self.find_outage), settings.internal
+                make_internal(self.find_outage, self.table), settings.internal
             ),
             'metrics': _listen(metrics, scraped),
         }
@@ -221,7 +242,10 @@
                     version = mine.version if mine else ABSENT
                     put = Put(key, {'address': address}, version)
                     await self.table.transact(make_token(), [put])
-                self._peers = tuple(row.body['address'] for row in rows)
+                peers = tuple(row.body['address'] for row in rows)
+                if peers != self._peers:
+                    log.info('Knows {} daemons.', len(peers))
+                self._peers = peers
                 for outage in self.outages.values():
                     outage.peers = self._peers
             except (UnavailableError, ConflictError) as error:
--- a/lentilmount/control/storewatch.py
+++ b/lentilmount/control/storewatch.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import math
+import random
 import urllib.parse
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import attrs
 import logbook
 import orjson
-from tornado.web import Application, RequestHandler
 
 from lentilmount.upstream.http import HttpCaller
 
@@ -21,9 +21,13 @@
 table counts as away. A quiet daemon looks at the table every 0.6 s at the
 latest, and an owner renews its lease every 0.5 s."""
 
-ALONE_SECONDS = 1.2
+CUT_OFF_SECONDS = 1.2
 """Without a good answer for so long, and no general outage confirmed, a daemon
-is alone: long enough for the others to be asked twice."""
+is cut off: long enough for the others to be asked twice."""
+
+ANSWERS_SECONDS = 1.0
+"""How long the other daemons' answers are believed: they are asked every
+0.2 s for as long as the store does not answer here."""
 
 PEER_SECONDS = 0.3
 """For a peer's answer: many times the way between zones (1.5 ms)."""
@@ -31,10 +35,10 @@
 
 @attrs.define
 class StoreWatch:
-    """What this daemon's own calls about one service tell.
+    """What this daemon's direct calls about one part of the store tell.
 
-    The service's rows are in one part, and parts fail one by one: answers
-    about others must not hide that this one is away.
+    A service's rows are in one part, and parts fail one by one: answers about
+    others must not hide that this one is away.
 
     Attributes:
       monotonic: The clock for durations.
@@ -84,44 +88,82 @@
     Attributes:
       watch: What this daemon knows itself.
       caller: Sends the questions.
-      service: What the watch is about.
+      part: Which part of the store the watch is about.
       own: This daemon's internal address.
       peers: Internal addresses of all daemons.
     """
 
     watch: StoreWatch
     caller: HttpCaller
-    service: str
+    part: str
     own: str
     peers: tuple[str, ...] = ()
     _confirmed_at: float = -math.inf
+    _asked_at: float = -math.inf
+    _ages: dict[str, float] = attrs.Factory(dict)
 
     def is_general(self) -> bool:
         """Whether the store was away for all a moment ago."""
         passed = self.watch.monotonic() - self._confirmed_at
-        return self.watch.age > OUTAGE_SECONDS and passed < OUTAGE_SECONDS
+        return self.is_suspected and passed < OUTAGE_SECONDS
 
-    def is_alone(self) -> bool:
-        """Whether the store is away for this daemon and not for all.
+    def is_cut_off(self) -> bool:
+        """Whether the store answers others and cannot be reached through them.
 
-        Such a daemon can accept nothing, while the others can; out of the
+        Such a daemon can accept nothing, while others can; out of the
         balancer's rotation it takes no new clients from them. In a general
         outage all stay in: there is nobody better to ask.
         """
-        return self.watch.age > ALONE_SECONDS and not self.is_general()
+        return (
+            self.watch.age > CUT_OFF_SECONDS
+            and not self.is_general()
+            and not self.list_helpers()
+        )
+
+    @property
+    def is_suspected(self) -> bool:
+        """Whether the store seems not to answer this daemon."""
+        return self.watch.age > OUTAGE_SECONDS
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether a call now would only wait in vain."""
+        return self.watch.is_down and not self.list_helpers()
+
+    def list_helpers(self) -> list[str]:
+        """Lists the daemons that may reach the store while this one cannot.
+
+        Just after the first failure nobody has been asked, and any may do.
+        """
+        if self.is_general():
+            return []
+        passed = self.watch.monotonic() - self._asked_at
+        helpers = [peer for peer in self.peers if peer != self.own]
+        if passed < ANSWERS_SECONDS:
+            helpers = [
+                peer for peer, age in self._ages.items() if age < OUTAGE_SECONDS
+            ]
+        random.shuffle(helpers)
+        return helpers
 
     async def ask(self) -> None:
         """Asks the other daemons."""
         others = [peer for peer in self.peers if peer != self.own]
         asked_at = self.watch.monotonic()
         answers = await asyncio.gather(*map(self._ask_peer, others))
-        known = [age for age in answers if age is not None]
+        self._asked_at = asked_at
+        self._ages = {
+            peer: age
+            for peer, age in zip(others, answers, strict=True)
+            if age is not None
+        }
+        known = list(self._ages.values())
         away = all(age > OUTAGE_SECONDS for age in known)
         if away and 2 * (len(known) + 1) > len(others) + 1:
             self._confirmed_at = asked_at
 
     async def _ask_peer(self, address: str) -> float | None:
-        query = urllib.parse.urlencode({'service': self.service})
+        query = urllib.parse.urlencode({'part': self.part})
         answer = await self.caller.call(
             'GET',
             f'/store?{query}',
@@ -138,35 +180,34 @@
 
 
 FindOutage = Callable[[str], Outage]
-"""Finds what is known of the rows of a service."""
-
+"""Finds what is known of a part of the store."""
 
-class StoreHandler(RequestHandler):
-    """Tells other daemons how long the store has not answered here."""
+Probe = Callable[[str], Awaitable[None]]
 
-    def initialize(self, find: FindOutage) -> None:
-        """Takes what it tells of."""
-        self._find = find
 
-    def get(self) -> None:
-        """Answers with the age of the last good answer."""
-        outage = self._find(self.get_query_argument('service'))
-        age = min(outage.watch.age, 1e9)
-        self.finish(orjson.dumps({'age': age}))
+async def guard(outages: Mapping[str, Outage], pause: float) -> None:
+    """Asks the other daemons for as long as the store does not answer."""
+    while True:
+        suspected = [o for o in outages.values() if o.is_suspected]
+        await asyncio.gather(*(outage.ask() for outage in suspected))
+        await asyncio.sleep(pause)
 
 
-def make_internal(find: FindOutage) -> Application:
-    """Builds what other daemons ask."""
-    return Application(
-        [('/store', StoreHandler, {'find': find})],
-        log_function=lambda handler: None,
-    )
+async def probe_always(
+    outages: Mapping[str, Outage], probe: Probe, pause: float
+) -> None:
+    """Makes direct calls for as long as the store does not answer.
 
+    All others go through other daemons meanwhile, and would not notice that
+    the store answers here again. Apart from `guard`: a call to a silent store
+    takes long enough to let the other daemons' answers grow old.
 
-async def guard(outages: Mapping[str, Outage], pause: float) -> None:
-    """Asks the other daemons for as long as the store does not answer."""
+    Args:
+      outages: What is known, by part of the store.
+      probe: Makes a direct call about a part.
+      pause: Seconds between two rounds.
+    """
     while True:
-        for outage in list(outages.values()):
-            if outage.watch.age > OUTAGE_SECONDS:
-                await outage.ask()
+        suspected = [part for part, o in outages.items() if o.is_suspected]
+        await asyncio.gather(*map(probe, suspected))
         await asyncio.sleep(pause)
--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 import logbook
 
@@ -23,7 +25,11 @@
     UnavailableError,
 )
 from lentilmount.coordination.transactions import make_token
-from lentilmount.errors import ErrorKind, LentilmountError, Ran
+from lentilmount.errors import (
+    GoneError,
+    StoreError,
+    UnknownOutcomeError,
+)
 from lentilmount.platform.documents import Route, decode_job, encode_job
 from lentilmount.platform.store import RefusedError
 from lentilmount.scheduling.model import JobState
@@ -38,28 +44,18 @@
 long until it answers again after a short outage."""
 
 
-class RefusedJobError(LentilmountError):
-    """A job that was not accepted and never runs."""
-
-    kind = ErrorKind.STORE_UNAVAILABLE
-
-
-class UnknownOutcomeError(LentilmountError):
-    """A call whose effect is not known."""
-
-    kind = ErrorKind.DEADLINE
-
-
-class UnknownJobError(LentilmountError):
-    """A job that does not exist."""
+SEND_AGAIN_SECONDS = 0.3
+"""For how long a write whose answer was lost is sent again. A broken
+connection shows within ms; a call that only ran into its timeout (0.6 s) is
+not worth another one: the caller has 3 s in all."""
 
-    kind = ErrorKind.GONE
+SEND_AGAIN_PAUSE_SECONDS = 0.02
 
 
-def _translate(error: UnavailableError) -> LentilmountError:
+def _translate(error: UnavailableError) -> StoreError:
     if isinstance(error, RefusedError):
-        return RefusedJobError(str(error), retry_after=RETRY_SECONDS)
-    return UnknownOutcomeError(str(error), ran=Ran.UNKNOWN)
+        return StoreError(str(error), retry_after=RETRY_SECONDS)
+    return UnknownOutcomeError(str(error))
 
 
 @attrs.define
@@ -79,18 +75,18 @@
     find_outage: FindOutage
     _counts: dict[str, tuple[float, dict[str, int]]] = attrs.Factory(dict)
 
-    def is_alone(self, route: Route) -> bool:
-        """Whether the table answers the other daemons only."""
-        return self.find_outage(route.policy.service).is_alone()
+    def is_cut_off(self, route: Route) -> bool:
+        """Whether other daemons reach the table, and this one cannot."""
+        return self.find_outage(route.policy.service).is_cut_off()
 
     def _check_store(self, route: Route) -> None:
         """Refuses at once what would only wait for a table that is away.
 
         Raises:
-          RefusedJobError: Nothing was sent.
+          StoreError: Nothing was sent.
         """
-        if self.find_outage(route.policy.service).watch.is_down:
-            raise RefusedJobError(
+        if self.find_outage(route.policy.service).is_hopeless:
+            raise StoreError(
                 'the table does not answer', retry_after=RETRY_SECONDS
             )
 
@@ -99,7 +95,7 @@
 
         Raises:
           InvalidError: The job is wrong.
-          RefusedJobError: It was not accepted and never runs.
+          StoreError: It was not accepted and never runs.
           UnknownOutcomeError: It may have been accepted.
         """
         policy = route.policy
@@ -108,7 +104,7 @@
         key = make_job_key(policy.service, job_id)
         put = Put(key, encode_job(spec), ABSENT)
         try:
-            await self.table.transact(make_token(), [put])
+            await self._write(put)
         except ConflictError:
             # The row is there: an earlier copy of this request made it.
             log.info('Known already.', extra={'job': job_id})
@@ -124,11 +120,38 @@
             },
         )
 
+    async def _write(self, put: Put) -> None:
+        """Writes a row that must not be there yet, until its fate is known.
+
+        A caller whose answer the store lost would only send the same again,
+        later. Sent again from here the write takes effect, or finds the row.
+
+        Raises:
+          ConflictError: The row is there.
+          RefusedError: Nothing was written.
+          UnavailableError: It may be written, also later.
+        """
+        end = self.clock.monotonic() + SEND_AGAIN_SECONDS
+        unsure: UnavailableError | None = None
+        while True:
+            try:
+                await self.table.transact(make_token(), [put])
+                return
+            except RefusedError:
+                if unsure is not None:
+                    raise unsure from None
+                raise
+            except UnavailableError as error:
+                if self.clock.monotonic() > end:
+                    raise
+                unsure = error
+            await asyncio.sleep(SEND_AGAIN_PAUSE_SECONDS)
+
     async def find_state(self, route: Route, job_id: str) -> JobState:
         """Returns a job's state.
 
         Raises:
-          UnknownJobError: There is no such job.
+          GoneError: There is no such job.
           UnknownOutcomeError: The store does not answer.
         """
         self._check_store(route)
@@ -142,7 +165,7 @@
                     return JobState.QUEUED
         except UnavailableError as error:
             raise _translate(error) from error
-        raise UnknownJobError(f'there is no job {job_id}')
+        raise GoneError(f'there is no job {job_id}')
 
     async def _find_job(self, service: str, job_id: str) -> Row | None:
         key = make_job_key(service, job_id)
@@ -161,8 +184,8 @@
         """Cancels a job; its owner stops what runs.
 
         Raises:
-          UnknownJobError: There is no such job.
-          RefusedJobError: Nothing was done.
+          GoneError: There is no such job.
+          StoreError: Nothing was done.
           UnknownOutcomeError: It may have been cancelled.
         """
         self._check_store(route)
@@ -171,14 +194,14 @@
                 if await self._find_job(service, job_id) is not None:
                     key = make_cancel_key(service, job_id)
                     put = Put(key, {}, ABSENT)
-                    await self.table.transact(make_token(), [put])
+                    await self._write(put)
                     log.info('Cancelled.', extra={'job': job_id})
                     return
         except ConflictError:
             return
         except UnavailableError as error:
             raise _translate(error) from error
-        raise UnknownJobError(f'there is no job {job_id}')
+        raise GoneError(f'there is no job {job_id}')
 
     async def count_pending(self, route: Route) -> int:
         """Returns how many jobs of a queue have not started.
--- a/lentilmount/coordination/leases.py
+++ b/lentilmount/coordination/leases.py
@@ -26,6 +26,9 @@
 )
 from lentilmount.coordination.transactions import commit, make_token
 
+IsGone = Callable[[str], bool]
+"""Whether the process that a holder's name belongs to has surely ended."""
+
 Amend = Callable[[dict[str, Any]], dict[str, Any]]
 """Makes a lease's data at a takeover from the data before."""
 
@@ -89,6 +92,8 @@
       holder: A name no other process ever has (name and incarnation).
       duration: Seconds a lease is good for without renewal.
       monotonic: The clock for durations.
+      is_gone: Tells of other holders whether their processes have ended;
+        their leases need not be waited for.
     """
 
     def __init__(
@@ -97,11 +102,13 @@
         holder: str,
         duration: float,
         monotonic: Callable[[], float],
+        is_gone: IsGone = lambda holder: False,
     ):
         self._table = table
         self._holder = holder
         self._duration = duration
         self._monotonic = monotonic
+        self._is_gone = is_gone
         self._seen: dict[Key, tuple[int, float]] = {}
         self._renewed: set[Key] = set()
 
@@ -167,6 +174,8 @@
         if row.body['holder'] in ('', self._holder):
             self._renewed.add(key)
             return True
+        if self._is_gone(row.body['holder']):
+            return True
         version, since = self._seen.get(key, (ABSENT, 0.0))
         now = self._monotonic()
         if version != row.version:
--- a/lentilmount/errors.py
+++ b/lentilmount/errors.py
@@ -195,6 +195,21 @@
     kind = ErrorKind.STORE_UNAVAILABLE
 
 
+class UnknownOutcomeError(StoreError):
+    """A call to the platform's services that may have had its effect."""
+
+    kind = ErrorKind.DEADLINE
+
+    def __init__(self, detail: str):
+        super().__init__(detail, ran=Ran.UNKNOWN)
+
+
+class GoneError(LentilmountError):
+    """Something that is no longer kept, or never was."""
+
+    kind = ErrorKind.GONE
+
+
 class UpstreamError(LentilmountError):
     """A request that an upstream did not answer whole."""
 
--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import urllib.parse
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
 
 import attrs
 import orjson
@@ -32,15 +33,63 @@
 ANSWERED = (200, 410, 412)
 """HTTP statuses of a service that works."""
 
+LEAST_WAY_SECONDS = 0.1
+"""Time below which a second way is not tried: a call that ran into its timeout
+has used up what its caller waits for."""
+
 PAGE = 500
 """Most rows in one answer."""
 
 
+REFUSED = (429, 503)
+"""HTTP statuses that tell that nothing was done."""
+
 Observe = Callable[[str, int, bool], None]
 """Takes the part that a call was about ('' for a whole table), the HTTP
 status, and whether that is an answer of a service that works."""
 
 
+@attrs.frozen
+class StoreCall:
+    """A call to the table service.
+
+    Attributes:
+      part: Which part of a table it is about; '' for a whole table.
+      method: The HTTP method.
+      path: Path and query.
+      body: Body, if any.
+      timeout: Seconds to wait for an answer.
+    """
+
+    part: str
+    method: str
+    path: str
+    body: bytes | None
+    timeout: float
+
+
+class Detour(Protocol):
+    """Another way to the table service."""
+
+    def is_preferred(self, part: str) -> bool:
+        """Whether the direct way is known to fail."""
+
+    async def send(self, call: StoreCall) -> Answer | None:
+        """Returns an answer, 599 if it was lost; None if there is no way."""
+
+
+class NoDetour:
+    """The direct way is the only one."""
+
+    def is_preferred(self, part: str) -> bool:
+        """See `Detour`."""
+        return False
+
+    async def send(self, call: StoreCall) -> Answer | None:
+        """See `Detour`."""
+        return None
+
+
 class RefusedError(UnavailableError):
     """The service refused a call; nothing was done."""
 
@@ -113,8 +162,9 @@
     Args:
       caller: Sends the calls.
       timeout: Seconds for a call.
-      observe: Told of each call the part, its status, and whether that is an
-        answer of a service that works.
+      observe: Told of each direct call the part, its status, and whether
+        that is an answer of a service that works.
+      detour: Another way, taken where the direct one fails.
     """
 
     def __init__(
@@ -122,10 +172,12 @@
         caller: HttpCaller,
         timeout: float,
         observe: Observe = lambda part, status, is_good: None,
+        detour: Detour | None = None,
     ):
         self._caller = caller
         self._timeout = timeout
         self._observe = observe
+        self._detour = detour or NoDetour()
 
     async def read(self, keys: list[Key]) -> dict[Key, Row]:
         """See `Table`."""
@@ -212,6 +264,51 @@
         rows = tuple(_decode_raw(row) for row in document['rows'])
         return Changes(rows, int(document['ver']))
 
+    def make_probe(self, partition: str) -> StoreCall:
+        """Returns a cheap call that shows whether a part answers."""
+        table, part = _split(partition)
+        query = urllib.parse.urlencode(
+            {'table': table, 'part': part, 'limit': 1}
+        )
+        return StoreCall(part, 'GET', f'/rows-get?{query}', None, self._timeout)
+
+    async def send_directly(self, call: StoreCall) -> Answer:
+        """Sends a call; never raises for a status or a failure."""
+        answer = await self._caller.call(
+            call.method,
+            call.path,
+            call.body,
+            {'Content-Type': 'application/json'},
+            timeout=call.timeout,
+        )
+        is_good = answer.status in ANSWERED
+        self._observe(call.part, answer.status, is_good)
+        return answer
+
+    async def _send(self, call: StoreCall) -> Answer:
+        """Sends a call on the ways that there are, until one has an answer.
+
+        If none has, and one may have delivered the call, its effect is not
+        known, whatever the other one was told.
+        """
+        ways: list[Callable[[StoreCall], Awaitable[Answer | None]]]
+        ways = [self.send_directly, self._detour.send]
+        if self._detour.is_preferred(call.part):
+            ways.reverse()
+        clock = asyncio.get_running_loop()
+        end = clock.time() + call.timeout
+        failures: list[Answer] = []
+        for send in ways:
+            left = end - clock.time()
+            if failures and left < LEAST_WAY_SECONDS:
+                break
+            answer = await send(attrs.evolve(call, timeout=left))
+            if answer is not None and answer.status in ANSWERED:
+                return answer
+            if answer is not None:
+                failures.append(answer)
+        return max(failures, key=lambda answer: answer.status not in REFUSED)
+
     async def _call(
         self,
         method: str,
@@ -220,20 +317,15 @@
         extra: float = 0.0,
         part: str = '',
     ) -> Answer:
-        answer = await self._caller.call(
-            method,
-            path,
-            None if body is None else orjson.dumps(body),
-            {'Content-Type': 'application/json'},
-            timeout=self._timeout + extra,
-        )
-        self._observe(part, answer.status, answer.status in ANSWERED)
+        data = None if body is None else orjson.dumps(body)
+        call = StoreCall(part, method, path, data, self._timeout + extra)
+        answer = await self._send(call)
         if answer.status in (200, 412):
             return answer
         name = path.partition('?')[0]
         if answer.status == 410:
             raise HistoryLostError(f'{name}: the history was dropped')
-        if answer.status in (429, 503):
+        if answer.status in REFUSED:
             raise RefusedError(f'{name}: HTTP status {answer.status}')
         detail = answer.body[:200].decode(errors='replace')
         raise UnavailableError(f'{name}: HTTP {answer.status} {detail}')
--- a/stand_ins/rowstore.py
+++ b/stand_ins/rowstore.py
@@ -28,6 +28,19 @@
     LOST_SUBMISSION = 'lost-submission'
 
 
+@attrs.define
+class Door:
+    """One address of the service, which can fail while others work.
+
+    Attributes:
+      address: Host and port.
+      fault: How the next calls through it fail.
+    """
+
+    address: str = ''
+    fault: Fault = Fault.NONE
+
+
 @attrs.define
 class Change:
     """One row as of one version; no value once it is removed."""
@@ -163,14 +176,16 @@
 class _RowsHandler(RequestHandler):
     """Answers one call, or fails as told."""
 
-    def initialize(self, store: RowStore) -> None:
+    def initialize(self, store: RowStore, door: Door) -> None:
         self.store = store
+        self.door = door
 
     async def prepare(self) -> None:
-        if self.store.fault is Fault.REFUSE:
+        faults = (self.store.fault, self.door.fault)
+        if Fault.REFUSE in faults:
             self.set_status(503)
             self.finish()
-        elif self.store.fault is Fault.SILENT:
+        elif Fault.SILENT in faults:
             await asyncio.sleep(60)
 
     def tell(
@@ -250,9 +265,9 @@
         self.tell({'rows': rows, 'ver': self.store.version})
 
 
-def make_row_service(store: RowStore) -> Application:
+def make_row_service(store: RowStore, door: Door | None = None) -> Application:
     """Builds the HTTP face of a store."""
-    arguments = {'store': store}
+    arguments = {'store': store, 'door': door or Door()}
     return Application(
         [
             ('/rows-tx', _TransactHandler, arguments),
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -20,7 +20,7 @@
 from tornado.netutil import bind_sockets
 
 from stand_ins.fleet import Fleet
-from stand_ins.rowstore import RowStore, make_row_service
+from stand_ins.rowstore import Door, RowStore, make_row_service
 
 SERVICE = 'desk'
 HOST = 'desk.example'
@@ -115,9 +115,15 @@
         factory=lambda: AsyncHTTPClient(force_instance=True)
     )
 
-    async def start(self, name: str = 'host-1') -> Daemon:
+    def open_door(self) -> Door:
+        """Opens another address of the store, which can fail by itself."""
+        door = Door()
+        door.address = serve_store(self.store, self.stack, door)
+        return door
+
+    async def start(self, name: str = 'host-1', store: str = '') -> Daemon:
         """Starts a daemon and waits until it is ready."""
-        document = make_settings(self.address, nodeName=name)
+        document = make_settings(store or self.address, nodeName=name)
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(document), 'utf-8')
         process = await asyncio.create_subprocess_exec(
@@ -206,6 +212,17 @@
     await reader
 
 
+def serve_store(
+    store: RowStore, stack: contextlib.AsyncExitStack, door: Door
+) -> str:
+    """Serves a store; returns the address."""
+    sockets = bind_sockets(0, '127.0.0.1')
+    server = HTTPServer(make_row_service(store, door))
+    server.add_sockets(sockets)
+    stack.callback(server.stop)
+    return f'127.0.0.1:{sockets[0].getsockname()[1]}'
+
+
 @contextlib.asynccontextmanager
 async def open_scene(
     folder: pathlib.Path, workers: int = 2
@@ -214,12 +231,8 @@
     async with contextlib.AsyncExitStack() as stack:
         store = RowStore()
         store.write(('op', '', 'config'), make_configuration(1))
-        sockets = bind_sockets(0, '127.0.0.1')
-        server = HTTPServer(make_row_service(store))
-        server.add_sockets(sockets)
-        stack.callback(server.stop)
+        address = serve_store(store, stack, Door())
         fleet = Fleet(store, SERVICE, workers)
         fleet.open()
         stack.callback(fleet.close)
-        port = sockets[0].getsockname()[1]
-        yield Scene(store, fleet, f'127.0.0.1:{port}', folder, stack)
+        yield Scene(store, fleet, address, folder, stack)
--- /dev/null
+++ b/tests/test_detour.py
@@ -0,0 +1,151 @@
+"""The way to the store through another daemon, for one turned away."""
+
+from __future__ import annotations
+
+import pathlib
+
+import attrs
+import pytest
+
+from lentilmount.clock import ManualClock
+from lentilmount.control.detour import PeerDetour
+from lentilmount.control.storewatch import Outage, StoreWatch
+from lentilmount.coordination.table import Key, Put, UnavailableError
+from lentilmount.platform.store import PlatformTable, RefusedError
+from lentilmount.upstream.http import Answer, HttpCaller
+from stand_ins.rowstore import Fault
+from tests.helpers import run
+from tests.platform_scene import PREFIX, open_scene
+
+FIRST = '0123456789abcdef'
+SECOND = 'fedcba9876543210'
+PUT = Put(Key('jobs/desk', FIRST), {}, 0)
+
+
+@attrs.define
+class Peers(Outage):
+    """Daemons that answer as told how long the store has been silent."""
+
+    told: dict[str, float | None] = attrs.field(kw_only=True)
+
+    async def _ask_peer(self, address: str) -> float | None:
+        return self.told[address]
+
+
+def make_outage(ages: dict[str, float | None]) -> Outage:
+    """Returns what a daemon knows when the store has failed for a second."""
+    clock = ManualClock()
+    watch = StoreWatch(clock.monotonic)
+    watch.note(True)
+    clock.advance(1.0)
+    watch.note(False)
+    return Peers(watch, HttpCaller(''), 'desk', 'a', ('a', *ages), told=ages)
+
+
+@pytest.mark.parametrize(
+    ('ages', 'helpers'),
+    [
+        ({'b': 5.0, 'c': 0.1}, ['c']),
+        ({'b': 5.0, 'c': 5.0}, []),
+        ({'b': None, 'c': None}, []),
+    ],
+)
+def test_only_daemons_that_hear_from_the_store_help(
+    ages: dict[str, float | None], helpers: list[str]
+) -> None:
+    """The store turns one daemon away, or all, or the daemon is cut off.
+
+    Calls go through a daemon that hears from it; where there is none, clients
+    are refused at once.
+    """
+    outage = make_outage(ages)
+    assert sorted(outage.list_helpers()) == ['b', 'c']
+    run(outage.ask())
+    assert outage.list_helpers() == helpers
+
+
+class FixedCaller(HttpCaller):
+    """Answers as told, one after the other."""
+
+    statuses: list[int]
+
+    async def call(self, *args: object, **options: object) -> Answer:
+        """See `HttpCaller`."""
+        return Answer(self.statuses.pop(0), b'{"ver":1}', {})
+
+
+def make_table(statuses: list[int]) -> PlatformTable:
+    """Returns a table whose calls are answered as told on any way."""
+    outage = make_outage({'b': 0.0, 'c': 0.0})
+    run(outage.ask())
+    caller = FixedCaller('')
+    caller.statuses = statuses
+    detour = PeerDetour(caller, lambda part: outage)
+    return PlatformTable(caller, 1.0, detour=detour)
+
+
+@pytest.mark.parametrize('statuses', [[200], [503, 200], [599, 200]])
+def test_the_first_way_with_an_answer_counts(statuses: list[int]) -> None:
+    table = make_table(statuses)
+    assert run(table.transact('token', [PUT])) == 1
+    assert not statuses
+
+
+@pytest.mark.parametrize('statuses', [[503, 503], [429, 503]])
+def test_a_call_refused_on_all_ways_was_not_carried_out(
+    statuses: list[int],
+) -> None:
+    with pytest.raises(RefusedError):
+        run(make_table(statuses).transact('token', [PUT]))
+
+
+@pytest.mark.parametrize('statuses', [[599, 503], [503, 504]])
+def test_a_call_lost_on_one_way_may_have_been_carried_out(
+    statuses: list[int],
+) -> None:
+    """One way loses the answer, the other one refuses the same call.
+
+    Told as refused, a client would take its job for one that never runs.
+    """
+    with pytest.raises(UnavailableError) as caught:
+        run(make_table(statuses).transact('token', [PUT]))
+    assert not isinstance(caught.value, RefusedError)
+
+
+@pytest.mark.parametrize('fault', [Fault.REFUSE, Fault.SILENT])
+def test_a_daemon_turned_away_by_the_store_still_serves(
+    tmp_path: pathlib.Path, fault: Fault
+) -> None:
+    """The store turns the owner's daemon away and answers the other.
+
+    Clients of the first keep their connection to it. If the store is silent
+    their first call ends without an answer; from then on jobs are accepted,
+    run and shown all the same, and no other owner is needed.
+    """
+
+    async def play() -> None:
+        async with open_scene(tmp_path) as scene:
+            door = scene.open_door()
+            apart = await scene.start('host-1', door.address)
+            other = await scene.start('host-2')
+
+            async def knows_peers() -> bool:
+                return bool(apart.select(message='Knows 2 daemons.'))
+
+            await scene.wait_for(knows_peers)
+            door.fault = fault
+
+            async def is_accepted() -> bool:
+                return (await scene.submit(apart, FIRST)).code == 200
+
+            await scene.wait_for(is_accepted)
+            assert await is_accepted()
+            await scene.wait_for_state(apart, FIRST, 'completed')
+            answer = await scene.call(apart, 'GET', PREFIX)
+            assert answer.body == b'{"pending":0}'
+            assert await scene.get_state(apart, SECOND) == '410'
+            assert len(scene.fleet.list_starts()) == 1
+            assert apart.select(message='Taken: desk.')
+            assert not other.select(message='Taken: desk.')
+
+    run(play())
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,6 +13,7 @@
 from tornado.netutil import bind_sockets
 
 from lentilmount.clock import ManualClock
+from lentilmount.control.campaign import is_same_host, make_name
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.storewatch import Outage, StoreWatch
 from lentilmount.coordination.leases import LeaseKeeper, LeaseLostError
@@ -323,6 +324,38 @@
     play_leases(play)
 
 
+def test_a_dead_holder_of_the_same_host_is_not_waited_for() -> None:
+    """All daemons are killed at once, the holder with them.
+
+    Its host's next process knows that the holder is dead and goes on at once;
+    any other daemon gives it the time of a lease.
+    """
+
+    async def play(
+        store: RowStore, table: PlatformTable, clock: ManualClock
+    ) -> None:
+        def make_keeper(host: str) -> LeaseKeeper:
+            name = make_name(host)
+            return LeaseKeeper(
+                table,
+                name,
+                2.0,
+                clock.monotonic,
+                lambda holder: is_same_host(name, holder),
+            )
+
+        lease = await make_keeper('host-1').try_acquire(KEY)
+        assert lease is not None
+        assert await make_keeper('host-10').try_acquire(KEY) is None
+        again = make_keeper('host-1')
+        taken = await again.try_acquire(KEY)
+        assert taken is not None
+        assert taken.epoch == lease.epoch + 1
+        assert not again.has_seen_writes(KEY)
+
+    play_leases(play)
+
+
 def test_an_outage_hides_the_holders_last_writes() -> None:
     """The holder acts on in an outage and is lost before it can write.
 
@@ -355,22 +388,23 @@
 
 
 @pytest.mark.parametrize(
-    ('ages', 'general'),
+    ('ages', 'general', 'cut_off'),
     [
-        ({'b': 5.0, 'c': 5.0}, True),
-        ({'b': 5.0, 'c': 0.1}, False),
-        ({'b': None, 'c': None}, False),
-        ({'b': 5.0, 'c': None}, True),
-        ({}, True),
+        ({'b': 5.0, 'c': 5.0}, True, False),
+        ({'b': 5.0, 'c': 0.1}, False, False),
+        ({'b': None, 'c': None}, False, True),
+        ({'b': 5.0, 'c': None}, True, False),
+        ({}, True, False),
     ],
 )
 def test_an_outage_is_general_only_if_the_others_say_so(
-    ages: dict[str, float | None], general: bool
+    ages: dict[str, float | None], general: bool, cut_off: bool
 ) -> None:
     """An owner loses the store, and must know whether it will be replaced.
 
-    It goes on starting tasks only if most daemons answer and none of them
-    hears from the store.
+    It goes on starting tasks without the store only if most daemons answer
+    and none of them hears from it. Where one does, calls go through that one;
+    where none can be asked, the daemon takes no new clients.
     """
     clock = ManualClock()
     watch = StoreWatch(clock.monotonic)
@@ -387,7 +421,7 @@
     run(outage.ask())
     assert outage.is_general() is general
     clock.advance(0.3)
-    assert outage.is_alone() is not general
+    assert outage.is_cut_off() is cut_off
     watch.note(True)
-    assert not outage.is_alone()
+    assert not outage.is_cut_off()
     assert not outage.is_general()
