Let the test of second copies not depend on measured times

Its eight requests fill all eight slots, so a copy finds one only if the router happens to have sent less than half of them to the slow upstream, which depends on times measured before; beside 24 busy processes three of six runs sent one copy only, with the hedge's delay at 5 to 28 ms. Ruled out: the hedge's delay above the slow answer's 100 ms. Change: each request's first copy is slow wherever it goes, and slots are left; now every idempotent request must run exactly twice, where one of four was enough before.

--- a/tests/test_routing_ran.py
+++ b/tests/test_routing_ran.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 import pytest
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
@@ -168,12 +169,30 @@
     run(play())
 
 
+def make_first_copies_slow(upstreams: list[RawUpstream]) -> None:
+    """Makes upstreams slow for the first copy of each request only."""
+    seen: set[str] = set()
+
+    def choose_for(upstream: RawUpstream) -> Callable[[RawRequest], Act]:
+        def choose(request: RawRequest) -> Act:
+            upstream.factor = 1.0 if request.id in seen else 300.0
+            seen.add(request.id)
+            return Act.ANSWER
+
+        return choose
+
+    for upstream in upstreams:
+        upstream.choose_act = choose_for(upstream)
+
+
 def test_hedge_is_only_for_idempotent_requests() -> None:
     """A slow non-idempotent request runs once; an idempotent one twice.
 
-    Both upstreams have answered quickly, then one gets fifty times slower.
-    Idempotent requests that hang there get a second copy at the other, which
-    answers first; the rest wait for the slow answer.
+    Both upstreams have answered quickly; then each takes three hundred times
+    as long for what it gets first. Idempotent requests that hang there get a
+    second copy at the other, which answers first; the rest wait for the slow
+    answer. No more requests at a time than leave the copies a free slot: how
+    the router spreads them depends on times that it has measured.
     """
 
     async def play() -> None:
@@ -185,15 +204,18 @@
         ) as scene:
             for number in range(100):
                 await scene.router.route(make_call(number), None)
-            scene.upstreams[0].factor = 50.0
-            calls = [make_call(n, n < 204) for n in range(200, 208)]
-            said = await asyncio.gather(
-                *(try_route(scene, call, 1.0) for call in calls)
-            )
-            assert said == [None] * len(calls)
-            runs = [scene.count_runs(call) for call in calls]
-            assert max(runs[:4]) == 2
-            assert set(runs[4:]) == {1}
+            make_first_copies_slow(scene.upstreams)
+            for first in (200, 202):
+                calls = [
+                    make_call(number, number < 204)
+                    for number in (first, first + 1, first + 4, first + 5)
+                ]
+                said = await asyncio.gather(
+                    *(try_route(scene, call, 5.0) for call in calls)
+                )
+                assert said == [None] * len(calls)
+                runs = [scene.count_runs(call) for call in calls]
+                assert runs == [2, 2, 1, 1]
 
     run(play())
 
