Count failed runs by their numbers, in whichever order they are heard

Change: the row keeps the numbers of the failed runs instead of a count. For the same reason an end that tells of a task done counts also where its leases were taken for lapsed, as long as the task was not started again. Two tests, both failed before.

--- a/lentilmount/scheduling/book.py
+++ b/lentilmount/scheduling/book.py
@@ -234,12 +234,28 @@
         if kind is EndKind.DONE and not task.spec.lasting:
             return self.complete(task, now)
         if kind is EndKind.FAILED:
-            task.failures += 1
             task.failed_on.add(worker)
-            if not task.spec.lasting and self.is_given_up(task):
-                return self.finish(task.job, JobState.FAILED, now)
+            return self.note_failure(task, task.run, now)
         return []
 
+    def note_failure(self, task: Task, run: int, now: float) -> list[Task]:
+        """Counts a run that failed, once, however often it is listed.
+
+        Runs are told apart by their numbers: workers list an end until it is
+        acknowledged, and a new owner may hear of them in any order. Lasting
+        tasks may fail for ever.
+
+        Returns:
+          Tasks that must be stopped because the job has failed.
+        """
+        if task.spec.lasting:
+            return []
+        task.failed_runs.add(run)
+        self.dirty[task.job.spec.id] = None
+        if not self.is_given_up(task):
+            return []
+        return self.finish(task.job, JobState.FAILED, now)
+
     def is_given_up(self, task: Task) -> bool:
         """Tells whether a task has failed as often as it may."""
         failures = task.failures
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -59,7 +59,7 @@
       skipped: Run numbers after it that a previous owner may have used.
       worker: Where it is placed, or ''.
       checkpoint: Newest checkpoint, or ''.
-      failures: Ends that count against its job.
+      failed_runs: Runs whose ends count against its job.
       failed_on: Workers on which it failed.
       placed_at: Monotonic time of its newest start.
       confirmed_at: Monotonic time at which its worker had surely started it.
@@ -84,7 +84,7 @@
     skipped: int = 0
     worker: str = ''
     checkpoint: str = ''
-    failures: int = 0
+    failed_runs: set[int] = attrs.Factory(set)
     failed_on: set[str] = attrs.Factory(set)
     placed_at: float = 0.0
     confirmed_at: float = 0.0
@@ -102,6 +102,11 @@
         """Whether it has a tail target of its own."""
         return self.spec.target_ms > 0
 
+    @property
+    def failures(self) -> int:
+        """How many ends count against its job."""
+        return len(self.failed_runs)
+
 
 BUSY_USAGE = 1.0
 QUIET_USAGE = 0.67
--- a/lentilmount/scheduling/reconciling.py
+++ b/lentilmount/scheduling/reconciling.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lentilmount.scheduling.book import Book
-from lentilmount.scheduling.model import JobState, Task, TaskPhase, Worker
+from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import EndKind, EndRow, Look, RunningRow
 from lentilmount.scheduling.specs import TaskId
 
@@ -113,35 +113,39 @@
             return
         if end.checkpoint:
             task.checkpoint = end.checkpoint
-        for other in self._book.end(task, end.kind, now):
-            news.strays.append(Stray(other.worker, str(other.id), other.run))
+        self._stop(self._book.end(task, end.kind, now), news)
         news.ended.append((task, end.kind))
 
+    def _stop(self, tasks: list[Task], news: News) -> None:
+        for task in tasks:
+            news.strays.append(Stray(task.worker, str(task.id), task.run))
+
     def _take_late_end(
         self, task: Task, end: EndRow, news: News, now: float
     ) -> None:
-        """Takes in an end that the book had not placed at that worker."""
+        """Takes in an end that the book had not placed at that worker.
+
+        It may be older than what the book knows: a worker lists it until it
+        is acknowledged, and is perhaps heard after the others.
+        """
         self._supersede(task, end.run)
-        # An end of the run that is known was written already: a worker lists
-        # it until the write is acknowledged, and counted again a single
-        # failure would use up two attempts.
-        if task.phase is not TaskPhase.WAITING or end.run <= task.run:
-            return
-        task.run = end.run
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
+        if task.phase is TaskPhase.WAITING and end.run > task.run:
+            task.run = end.run
+            if end.checkpoint:
+                task.checkpoint = end.checkpoint
+            self._book.dirty[task.job.spec.id] = None
         if task.job.state.is_final:
             return
         task.job.has_started = True
-        if end.kind is EndKind.DONE and not task.spec.lasting:
-            self._book.complete(task, now)
+        if task.spec.lasting:
+            return
+        is_new = end.run not in task.failed_runs
+        if end.kind is EndKind.FAILED and is_new:
+            self._stop(self._book.note_failure(task, end.run, now), news)
             news.ended.append((task, end.kind))
-        elif end.kind is EndKind.FAILED:
-            task.failures += 1
+        elif end.kind is EndKind.DONE and task.phase is TaskPhase.WAITING:
+            self._stop(self._book.complete(task, now), news)
             news.ended.append((task, end.kind))
-            if not task.spec.lasting and self._book.is_given_up(task):
-                self._book.finish(task.job, JobState.FAILED, now)
-        self._book.dirty[task.job.spec.id] = None
 
     def _take_running(
         self, worker: Worker, row: RunningRow, news: News, now: float
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -30,7 +30,7 @@
             tasks[_name(task)] = [
                 task.run,
                 task.worker,
-                task.failures,
+                sorted(task.failed_runs),
                 task.checkpoint,
             ]
     body['tasks'] = tasks
@@ -82,8 +82,8 @@
     if entry == DONE:
         book.restore_done(task, now)
         return
-    run, worker, failures, checkpoint = entry
-    task.failures = failures
+    run, worker, failed_runs, checkpoint = entry
+    task.failed_runs = set(failed_runs)
     task.checkpoint = checkpoint
     task.run = run
     task.skipped = RUN_MARGIN
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -178,6 +178,48 @@
     assert new.jobs['a'].state is JobState.RUNNING
 
 
+def test_failures_of_an_outage_count_in_whichever_order_they_are_heard() -> (
+    None
+):
+    """A task fails on two workers in an outage, and its owner is killed.
+
+    Its row tells of neither end. The next owner hears of the second failure
+    before the first. Both must count: the client sees its job failed, and the
+    task is not started a third time.
+    """
+    book = Book()
+    admit(book, make_job('a'))
+    task = find_task(book, 'a')
+    run_task(book, task, add_worker(book, 'first'))
+    new = hand_over(book)
+    first, second = add_worker(new, 'first'), add_worker(new, 'second')
+    for worker, run in ((second, 2), (first, 1)):
+        ended = make_end(1, task, run, EndKind.FAILED)
+        Reconciler(new).take_look(worker, make_look(ended=(ended,)), 5.0, 5.0)
+    assert find_task(new, 'a').failures == 2
+    assert new.jobs['a'].state is JobState.FAILED
+    assert not new.ready
+
+
+def test_a_task_done_before_its_leases_ran_out_stays_done() -> None:
+    """A worker is cut off until its leases have surely run out, then heard.
+
+    It lists a task as done that waits to be started again: the end counts,
+    and the client does not pay for the work twice.
+    """
+    book = Book()
+    admit(book, make_job('a'))
+    task = find_task(book, 'a')
+    worker = add_worker(book, 'w')
+    run_task(book, task, worker)
+    book.lapse(worker, 9.0)
+    assert task.id in book.ready
+    ended = make_end(1, task, 1, EndKind.DONE)
+    Reconciler(book).take_look(worker, make_look(ended=(ended,)), 9.5, 9.5)
+    assert book.jobs['a'].state is JobState.COMPLETED
+    assert not book.ready
+
+
 def test_the_next_run_number_is_higher_than_any_unwritten_one() -> None:
     book = Book()
     admit(book, make_job('a'))
