Take in the jobs of an owner's own service only

Cause: found by reading. The feed of a table brings the rows of all its parts, and an owner admitted every job in it; where a deployment has two services, the second one's jobs handed in since the owner began would run on the first one's workers too, and twice. Change: rows tell their part, and the owner leaves the others out. The test fails without that line.

--- a/lentilmount/control/intake.py
+++ b/lentilmount/control/intake.py
@@ -84,7 +84,9 @@
         """Admits jobs; returns the ids of those that were cancelled."""
         cancelled = []
         for raw in rows:
-            if raw.removed:
+            # The feed brings the jobs of all services. Admitted here, another
+            # service's job would run on workers of this one, and twice.
+            if raw.removed or raw.part != self.service:
                 continue
             if raw.key.endswith(CANCEL_SUFFIX):
                 job_id = raw.key.removesuffix(CANCEL_SUFFIX)
--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -107,12 +107,14 @@
       value: Its bytes; empty if it was removed.
       version: Version of the store at its last write.
       removed: Whether it is gone.
+      part: Its part of the table; a feed tells of all parts.
     """
 
     key: str
     value: bytes
     version: int
     removed: bool = False
+    part: str = ''
 
 
 @attrs.frozen
@@ -143,7 +145,13 @@
         value = base64.b64decode(row.get('value') or '')
     except ValueError:
         value = b''
-    return RawRow(row['key'], value, int(row['ver']), bool(row.get('deleted')))
+    return RawRow(
+        key=row['key'],
+        value=value,
+        version=int(row['ver']),
+        removed=bool(row.get('deleted')),
+        part=row.get('part') or '',
+    )
 
 
 def decode_row(key: Key, raw: RawRow) -> Row:
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,75 @@
+"""What an owner reads of its jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from lentilmount.clock import SystemClock
+from lentilmount.control.intake import Intake
+from lentilmount.control.keys import make_cancel_key, make_job_key
+from lentilmount.coordination.table import ABSENT, Put
+from lentilmount.coordination.transactions import make_token
+from lentilmount.platform.documents import encode_job
+from lentilmount.platform.store import PlatformTable
+from lentilmount.scheduling.book import Book
+from tests.fleet_scene import make_job
+from tests.helpers import run
+from tests.test_platform_adapter import open_table
+
+WAIT_SECONDS = 5.0
+
+
+async def submit(table: PlatformTable, service: str, job_id: str) -> None:
+    """Writes a job as a daemon does that accepts it."""
+    put = Put(
+        make_job_key(service, job_id), encode_job(make_job(job_id)), ABSENT
+    )
+    await table.transact(make_token(), [put])
+
+
+async def cancel(table: PlatformTable, service: str, job_id: str) -> None:
+    """Writes a cancellation."""
+    put = Put(make_cancel_key(service, job_id), {}, ABSENT)
+    await table.transact(make_token(), [put])
+
+
+def test_an_owner_takes_in_the_jobs_of_its_own_service_only() -> None:
+    """Two services get jobs while their owners follow the same feed.
+
+    Each job is admitted by the owner of its service, whether it was handed in
+    before the owner began or since. Admitted by both, it would run twice.
+    """
+
+    async def play() -> None:
+        async with open_table() as (_, table):
+            await submit(table, 'desk', 'first')
+            await submit(table, 'other', 'second')
+            book = Book()
+            arrived = asyncio.Event()
+            cancelled: list[str] = []
+            intake = Intake(
+                'desk',
+                table,
+                book,
+                SystemClock(),
+                cancelled.append,
+                arrived.set,
+            )
+            await intake.load(1.0)
+            assert list(book.jobs) == ['first']
+            following = asyncio.create_task(intake.follow())
+            await submit(table, 'other', 'third')
+            await cancel(table, 'other', 'second')
+            await submit(table, 'desk', 'fourth')
+            async with asyncio.timeout(WAIT_SECONDS):
+                while 'fourth' not in book.jobs:
+                    await arrived.wait()
+                    arrived.clear()
+            assert list(book.jobs) == ['first', 'fourth']
+            assert cancelled == []
+            following.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await following
+
+    run(play())
