Drop settings and a field that nothing reads

Four settings of the platform were required and checked, and never used: a deployment without one of them could not have started a daemon for nothing.

--- a/benchmarks/emulation.py
+++ b/benchmarks/emulation.py
@@ -340,7 +340,7 @@
             del self._halted[task]
             running = self.running.get(task.worker, {}).get(task)
             if running is not None and task.phase is TaskPhase.RUNNING:
-                self.book.begin_stop(task, 'moved')
+                self.book.begin_stop(task)
                 running.stop_at = self.now + STOP_SECONDS
                 self.outcome.moves += 1
 
--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -308,7 +308,7 @@
         if uncertain:
             # An earlier copy of the start may still be carried out there;
             # a stop of the same run prevents that.
-            self.book.begin_stop(task, 'start refused')
+            self.book.begin_stop(task)
             self.stop(task)
             return
         worker = self.book.workers.get(task.worker)
--- a/lentilmount/control/steering.py
+++ b/lentilmount/control/steering.py
@@ -129,7 +129,7 @@
                 'usage': task.usage,
             },
         )
-        self.book.begin_stop(task, reason)
+        self.book.begin_stop(task)
         self.orders.stop(task)
 
     def drain(self, worker: Worker) -> None:
--- a/lentilmount/platform/bootfile.py
+++ b/lentilmount/platform/bootfile.py
@@ -34,19 +34,13 @@
 
     Attributes:
       grace: From the signal to stop to the kill.
-      drain: A leaving worker serves so long after it is known to leave.
       lease: Longest lease that a worker grants.
-      stop: Longest time that a worker takes to stop a task.
       status: How long a finished job's state is kept.
-      notice: How long a task counts as away after it was started.
     """
 
     grace: float
-    drain: float
     lease: float
-    stop: float
     status: float
-    notice: float
 
 
 @attrs.frozen
@@ -61,7 +55,6 @@
       internal: Address for other daemons.
       store: The table service.
       advice: The service that knows which workers may run a step, or None.
-      partition_writes: Transactions a second that one partition takes.
       times: Bounds.
     """
 
@@ -72,7 +65,6 @@
     internal: Address
     store: Address
     advice: Address | None
-    partition_writes: float
     times: Times
 
 
@@ -120,14 +112,10 @@
         internal=Address(ip, int(fields.get_number('internalPorts.0'))),
         store=fields.get_address('platform.address'),
         advice=fields.find_address('recommendation'),
-        partition_writes=fields.get_number('platform.partitionWritesS'),
         times=Times(
             grace=fields.get_number('bounds.graceS'),
-            drain=fields.get_number('bounds.drainMs') / 1000,
             lease=fields.get_number('bounds.maxHoldMs') / 1000,
-            stop=fields.get_number('bounds.stopTimeoutMs') / 1000,
             status=fields.get_number('bounds.status_s'),
-            notice=fields.get_number('bounds.noticeMs') / 1000,
         ),
     )
     if fields.problems:
--- a/lentilmount/scheduling/book.py
+++ b/lentilmount/scheduling/book.py
@@ -129,7 +129,7 @@
                 task.phase = TaskPhase.GIVEN_UP
                 self.ready.pop(task.id, None)
             elif task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
-                self.begin_stop(task, state.value)
+                self.begin_stop(task)
                 stopped.append(task)
         return stopped
 
@@ -195,11 +195,10 @@
         ):
             self.put_back(task)
 
-    def begin_stop(self, task: Task, reason: str) -> None:
+    def begin_stop(self, task: Task) -> None:
         """Marks a placed task as being stopped."""
         if task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
             task.phase = TaskPhase.STOPPING
-            task.stop_reason = reason
 
     def put_back(self, task: Task) -> None:
         """Frees what a task took; it waits again if its job goes on."""
@@ -207,7 +206,6 @@
         if worker is not None:
             worker.remove(task)
         task.worker = ''
-        task.stop_reason = ''
         self.dirty[task.job.spec.id] = None
         if task.job.state.is_final:
             task.phase = TaskPhase.GIVEN_UP
@@ -280,7 +278,7 @@
         stopped = []
         for member in done:
             if member.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
-                self.begin_stop(member, 'done')
+                self.begin_stop(member)
                 stopped.append(member)
             if member.phase is TaskPhase.WAITING:
                 self._mark_done(member, now)
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -73,7 +73,6 @@
       idle_since: Monotonic time since which it has used no processor.
       lost_at: Monotonic time of its last end; lasting tasks must be back
         soon after.
-      stop_reason: Why it is being stopped.
     """
 
     id: TaskId
@@ -95,7 +94,6 @@
     usage: float | None = None
     idle_since: float = math.inf
     lost_at: float = 0.0
-    stop_reason: str = ''
 
     @property
     def serves(self) -> bool:
--- a/lentilmount/scheduling/reconciling.py
+++ b/lentilmount/scheduling/reconciling.py
@@ -192,7 +192,7 @@
         self._book.ready.pop(task.id, None)
         self._book.note_started(task.job)
         if task.job.state.is_final:
-            self._book.begin_stop(task, task.job.state.value)
+            self._book.begin_stop(task)
 
     def _update(self, task: Task, row: RunningRow, now: float) -> None:
         self._book.confirm(task, row.run, now)
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -60,14 +60,11 @@
             'readiness': '127.0.0.1:0',
         },
         'internalPorts': [0, 0],
-        'platform': {'address': store, 'partitionWritesS': 200},
+        'platform': {'address': store},
         'bounds': {
             'graceS': 4,
-            'drainMs': 2000,
             'maxHoldMs': 6000,
-            'stopTimeoutMs': 900,
             'status_s': 120,
-            'noticeMs': 4500,
         },
         'somethingNew': True,
     }
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -262,7 +262,7 @@
     worker = add_worker(book, 'w')
     task = find_task(book, 'a')
     book.place([task], worker, 1.0)
-    book.begin_stop(task, 'start refused')
+    book.begin_stop(task)
     Reconciler(book).take_look(worker, make_look(), 2.0, 2.0)
     assert task.id not in book.ready
     task.stopped_at = 2.5
