Try no more steps of a kind for which no worker was found

Change: a step that finds no worker speaks for all that ask for the same; the test fails without it.

--- a/lentilmount/scheduling/placing.py
+++ b/lentilmount/scheduling/placing.py
@@ -8,16 +8,18 @@
 
 import attrs
 
+from lentilmount.resources import Room
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.ranking import is_gathering, is_new, sort_steps
 from lentilmount.scheduling.reports import WorkerState
 from lentilmount.scheduling.sharing import Sharing, count_fills
+from lentilmount.scheduling.specs import StepSpec
 from lentilmount.scheduling.views import WorkerView
 
 FAILED_TRIES = 40
-"""Steps for which no worker is found in one pass before it ends: at 0.1 ms a
-step over 34 workers, one pass stays below 5 ms."""
+"""Kinds of steps for which no worker is found in one pass before it ends: at
+0.1 ms each over 34 workers, one pass stays below 5 ms."""
 
 SAME_JOB_COST = 0.05
 SAME_RACK_COST = 0.02
@@ -60,6 +62,9 @@
 for the images that disturb what serves elsewhere."""
 
 Chosen = tuple[Task, Worker]
+Shape = tuple[Room, Room, str, str, bool]
+"""What tasks have in common that fit on the same workers."""
+
 Allows = Callable[[Task, Worker], bool]
 """Whether a task may go to a worker for reasons that lie outside the book."""
 
@@ -89,6 +94,7 @@
         self._sharing = sharing
         self._now = now
         self._allows = allows
+        self._hopeless: set[Shape] = set()
         self._views = [
             WorkerView(worker)
             for worker in book.workers.values()
@@ -109,6 +115,8 @@
         for step in steps:
             if is_gathering(step, newest, self._now):
                 continue
+            if make_shape(step[0].spec) in self._hopeless:
+                continue
             for task in step:
                 if task.phase is not TaskPhase.WAITING:
                     continue
@@ -169,13 +177,16 @@
         self, task: Task, views: Iterable[WorkerView]
     ) -> WorkerView | None:
         """Returns the cheapest worker that may take a task, or None."""
-        able = [
-            view
-            for view in views
-            if view.allows(task) and self._allows(task, view.worker)
-        ]
-        if not able:
-            return None
+        fitting = [view for view in views if view.allows(task)]
+        able = [v for v in fitting if self._allows(task, v.worker)]
+        best = self._find_cheapest(task, able)
+        if best is None and len(able) == len(fitting):
+            self._note_hopeless(task)
+        return best
+
+    def _find_cheapest(
+        self, task: Task, able: list[WorkerView]
+    ) -> WorkerView | None:
         untried = able
         if task.failed_on:
             untried = [v for v in able if v.worker.id not in task.failed_on]
@@ -187,6 +198,18 @@
                 best, least = view, price
         return best
 
+    def _note_hopeless(self, task: Task) -> None:
+        """Notes that no more steps like a task's need be tried.
+
+        Rooms only shrink during a pass. Members of gangs, steps that are
+        bounded per worker, and tasks that have failed somewhere find none for
+        reasons of their own.
+        """
+        spec = task.spec
+        own = spec.gang or spec.most_per_worker or task.failed_on
+        if not own:
+            self._hopeless.add(make_shape(spec))
+
     def _get_cost(self, task: Task) -> Callable[[WorkerView], float]:
         if task.spec.lasting:
             return self._make_lasting_cost(task)
@@ -263,6 +286,11 @@
     return FAR_COST
 
 
+def make_shape(spec: StepSpec) -> Shape:
+    """Returns what decides whether a worker can take a task of a step."""
+    return (spec.reserved, spec.demand, spec.label, spec.image, spec.fills)
+
+
 def is_open(worker: Worker, now: float) -> bool:
     """Tells whether a worker takes new work at all."""
     return (
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -16,7 +16,7 @@
     list_hanging,
 )
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
-from lentilmount.scheduling.placing import Placer
+from lentilmount.scheduling.placing import FAILED_TRIES, Placer
 from lentilmount.scheduling.ranking import sort_steps
 from lentilmount.scheduling.reports import EndKind, WorkerState
 from lentilmount.scheduling.sharing import Sharing
@@ -84,6 +84,23 @@
     assert [w for _, w in place(book)] == [second]
 
 
+def test_what_fits_is_not_held_up_by_much_that_does_not() -> None:
+    """A burst of urgent jobs waits for room; filling work needs none.
+
+    The filling job comes after hundreds of urgent ones in the order. It is
+    placed in the same pass: one urgent step that finds no worker speaks for
+    all that are like it.
+    """
+    book = Book()
+    add_worker(book, 'w')
+    for number in range(3 * FAILED_TRIES):
+        step = make_step(demand=Room(9.0, 1000))
+        admit(book, make_job(f'urgent-{number}', step))
+    low = make_policy(priority=2)
+    admit(book, make_job('low', make_step(fills=True), policy=low))
+    assert [task.id.job for task, _ in place(book)] == ['low']
+
+
 def test_a_gang_is_placed_whole_or_not_at_all() -> None:
     book = Book()
     add_worker(book, 'w')
