Tell which part of the store is away, and when the detour begins

The line for the detour was written once a process, not once an outage, as its end was never noted; lines on the store did not say which part of it. The table for tests stands with the other scenes.

--- a/lentilmount/control/detour.py
+++ b/lentilmount/control/detour.py
@@ -8,6 +8,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Callable
+
 import attrs
 import logbook
 
@@ -26,6 +29,10 @@
 WAY_SECONDS = 0.1
 """For the way to the other daemon, beside the call's own time."""
 
+QUIET_SECONDS = 2.0
+"""Without a use for so long the next one is told as a new beginning; a daemon
+has a call to the store every half second."""
+
 
 @attrs.define
 class PeerDetour:
@@ -34,11 +41,13 @@
     Attributes:
       caller: Sends calls to them.
       find_outage: Tells which of them may reach the store.
+      monotonic: The clock for durations.
     """
 
     caller: HttpCaller
     find_outage: FindOutage
-    _used: set[str] = attrs.Factory(set)
+    monotonic: Callable[[], float]
+    _used_at: dict[str, float] = attrs.Factory(dict)
 
     def is_preferred(self, part: str) -> bool:
         """See `Detour`."""
@@ -49,8 +58,8 @@
         """See `Detour`."""
         helpers = self.find_outage(call.part).list_helpers()
         if not helpers:
-            self._note(call.part, False)
             return None
+        helper = helpers[0]
         answer = await self.caller.call(
             call.method,
             RELAY_PREFIX + call.path,
@@ -61,18 +70,19 @@
                 TIMEOUT_HEADER: str(int(1000 * call.timeout)),
             },
             timeout=call.timeout + WAY_SECONDS,
-            base=f'http://{helpers[0]}',
+            base=f'http://{helper}',
         )
-        self._note(call.part, answer.status in ANSWERED)
+        self._note(call.part, helper, answer.status)
         if answer.status in (*ANSWERED, *REFUSED):
             return answer
         return Answer(CURL_ERROR, answer.body, {})
 
-    def _note(self, part: str, is_used: bool) -> None:
-        """Logs when the detour begins and ends to serve."""
-        if is_used and part not in self._used:
-            log.warning('The store is reached through another daemon.')
-            self._used.add(part)
-        elif not is_used and part in self._used:
-            log.warning('The store is not reached through another daemon.')
-            self._used.discard(part)
+    def _note(self, part: str, helper: str, status: int) -> None:
+        """Logs when the detour begins; `StoreWatch` tells when it ends."""
+        now = self.monotonic()
+        if now - self._used_at.get(part, -math.inf) > QUIET_SECONDS:
+            log.warning(
+                'The store is reached through another daemon.',
+                extra={'store_part': part, 'daemon': helper, 'status': status},
+            )
+        self._used_at[part] = now
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -101,7 +101,7 @@
             self.store,
             STORE_SECONDS,
             self._observe_store,
-            PeerDetour(self.workers, self.find_outage),
+            PeerDetour(self.workers, self.find_outage, self._clock.monotonic),
         )
         self.outages: dict[str, Outage] = {}
         self._address = str(settings.internal)
@@ -121,7 +121,7 @@
         """
         outage = self.outages.get(part)
         if outage is None:
-            watch = StoreWatch(self._clock.monotonic)
+            watch = StoreWatch(self._clock.monotonic, part)
             outage = Outage(
                 watch, self.workers, part, self._address, self._peers
             )
--- a/lentilmount/control/storewatch.py
+++ b/lentilmount/control/storewatch.py
@@ -42,9 +42,11 @@
 
     Attributes:
       monotonic: The clock for durations.
+      part: Which part.
     """
 
     monotonic: Callable[[], float]
+    part: str = ''
     _good_at: float = -math.inf
     _has_failed: bool = False
     _is_down: bool = False
@@ -56,12 +58,15 @@
             self._good_at = now
             self._has_failed = False
             if self._is_down:
-                log.info('Answers again.')
+                log.info('Answers again.', extra={'store_part': self.part})
             self._is_down = False
             return
         self._has_failed = True
         if not self._is_down and self.age > OUTAGE_SECONDS:
-            log.warning('Does not answer.', extra={'age': round(self.age, 3)})
+            log.warning(
+                'Does not answer.',
+                extra={'store_part': self.part, 'age': round(self.age, 3)},
+            )
             self._is_down = True
 
     @property
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -19,6 +19,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from lentilmount.platform.store import PlatformTable
+from lentilmount.upstream.http import HttpCaller
 from stand_ins.fleet import Fleet
 from stand_ins.rowstore import Door, RowStore, make_row_service
 
@@ -233,3 +235,13 @@
         fleet.open()
         stack.callback(fleet.close)
         yield Scene(store, fleet, address, folder, stack)
+
+
+@contextlib.asynccontextmanager
+async def open_table() -> AsyncIterator[tuple[RowStore, PlatformTable]]:
+    """Opens a stand-in of the table service and the client on it."""
+    async with contextlib.AsyncExitStack() as stack:
+        store = RowStore()
+        caller = HttpCaller(f'http://{serve_store(store, stack, Door())}')
+        stack.callback(caller.close)
+        yield store, PlatformTable(caller, 0.5)
--- a/tests/test_detour.py
+++ b/tests/test_detour.py
@@ -80,7 +80,7 @@
     run(outage.ask())
     caller = FixedCaller('')
     caller.statuses = statuses
-    detour = PeerDetour(caller, lambda part: outage)
+    detour = PeerDetour(caller, lambda part: outage, outage.watch.monotonic)
     return PlatformTable(caller, 1.0, detour=detour)
 
 
@@ -146,6 +146,9 @@
             assert await scene.get_state(apart, SECOND) == '410'
             assert len(scene.fleet.list_starts()) == 1
             assert apart.select(message='Taken: desk.')
+            assert apart.select(
+                message='The store is reached through another daemon.'
+            )
             assert not other.select(message='Taken: desk.')
 
     run(play())
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -15,7 +15,7 @@
 from lentilmount.scheduling.book import Book
 from tests.fleet_scene import make_job
 from tests.helpers import run
-from tests.test_platform_adapter import open_table
+from tests.platform_scene import open_table
 
 WAIT_SECONDS = 5.0
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import orjson
 import pytest
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.campaign import is_same_host, make_name
@@ -45,30 +42,18 @@
 from lentilmount.resources import Room
 from lentilmount.scheduling.reports import EndKind, WorkerState
 from lentilmount.upstream.http import HttpCaller
-from stand_ins.rowstore import Fault, RowStore, make_row_service
+from stand_ins.rowstore import Fault, RowStore
 from tests.fleet_scene import make_policy
 from tests.helpers import run
-from tests.platform_scene import make_configuration, make_settings
+from tests.platform_scene import (
+    make_configuration,
+    make_settings,
+    open_table,
+)
 
 KEY = Key(make_partition('mine', 'desk'), 'row')
 
 
-@contextlib.asynccontextmanager
-async def open_table() -> AsyncIterator[tuple[RowStore, PlatformTable]]:
-    """Opens a stand-in of the table service and the client on it."""
-    store = RowStore()
-    server = HTTPServer(make_row_service(store))
-    sockets = bind_sockets(0, '127.0.0.1')
-    server.add_sockets(sockets)
-    port = sockets[0].getsockname()[1]
-    caller = HttpCaller(f'http://127.0.0.1:{port}')
-    try:
-        yield store, PlatformTable(caller, 0.5)
-    finally:
-        caller.close()
-        server.stop()
-
-
 def test_every_wrong_setting_is_named_at_once() -> None:
     document = make_settings('nowhere', zone='', internalPorts=[])
     with pytest.raises(SettingsError) as caught:
