--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -4,7 +4,7 @@
 
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.inheritance import Inheritance
-from lentilmount.scheduling.model import JobState, TaskPhase
+from lentilmount.scheduling.model import JobState, Task, TaskPhase
 from lentilmount.scheduling.reconciling import Reconciler, Stray
 from lentilmount.scheduling.reports import EndKind
 from lentilmount.scheduling.rows import encode_state, restore_state
@@ -31,6 +31,15 @@
     return new
 
 
+def take_over(worker: str) -> tuple[Book, Task]:
+    """Returns the book of a new owner, and a task running on a worker."""
+    book = Book()
+    admit(book, make_job('a'))
+    run_task(book, find_task(book, 'a'), add_worker(book, worker))
+    new = hand_over(book)
+    return new, find_task(new, 'a')
+
+
 def test_a_step_waits_for_all_tasks_before_it() -> None:
     book = Book()
     admit(book, make_job('a', make_step(count=2), make_step(after=(0,))))
@@ -94,11 +103,7 @@
     Its row still tells of the start on the worker; the worker lists the end
     until it is acknowledged. The task must not be started a second time.
     """
-    book = Book()
-    admit(book, make_job('a'))
-    task = find_task(book, 'a')
-    run_task(book, task, add_worker(book, 'w'))
-    new = hand_over(book)
+    new, task = take_over('w')
     worker = add_worker(new, 'w')
     ended = make_end(1, task, 1, EndKind.DONE)
     Reconciler(new).take_look(worker, make_look(ended=(ended,)), 5.0, 5.0)
@@ -114,11 +119,7 @@
     hears of the second one first: the end must count, and the first worker's
     older end must not bring the task back.
     """
-    book = Book()
-    admit(book, make_job('a'))
-    task = find_task(book, 'a')
-    run_task(book, task, add_worker(book, 'first'))
-    new = hand_over(book)
+    new, task = take_over('first')
     second = add_worker(new, 'second')
     first = add_worker(new, 'first')
     done = make_end(1, task, 2, EndKind.DONE)
@@ -130,31 +131,21 @@
 
 
 def test_a_newer_run_is_adopted_not_stopped() -> None:
-    book = Book()
-    admit(book, make_job('a'))
-    task = find_task(book, 'a')
-    run_task(book, task, add_worker(book, 'first'))
-    new = hand_over(book)
+    new, task = take_over('first')
     second = add_worker(new, 'second')
     running = make_running(task, 2)
     news = Reconciler(new).take_look(
         second, make_look(running=(running,)), 5.0, 5.0
     )
     assert news.strays == []
-    assert find_task(new, 'a').worker == 'second'
+    assert task.worker == 'second'
 
 
 def test_what_was_taken_over_is_told_once() -> None:
-    book = Book()
-    admit(book, make_job('a'))
-    task = find_task(book, 'a')
-    run_task(book, task, add_worker(book, 'w'))
-    new = hand_over(book)
+    new, task = take_over('w')
     worker = add_worker(new, 'w')
     look = make_look(running=(make_running(task, 1),))
-    assert Reconciler(new).take_look(worker, look, 5.0, 5.0).adopted == [
-        find_task(new, 'a')
-    ]
+    assert Reconciler(new).take_look(worker, look, 5.0, 5.0).adopted == [task]
     assert Reconciler(new).take_look(worker, look, 6.0, 6.0).adopted == []
 
 
@@ -174,7 +165,7 @@
     worker = add_worker(new, 'w')
     ended = make_end(1, task, 1, EndKind.FAILED)
     Reconciler(new).take_look(worker, make_look(ended=(ended,)), 5.0, 5.0)
-    assert find_task(new, 'a').failures == 1
+    assert task.failures == 1
     assert new.jobs['a'].state is JobState.RUNNING
 
 
@@ -187,16 +178,12 @@
     before the first. Both must count: the client sees its job failed, and the
     task is not started a third time.
     """
-    book = Book()
-    admit(book, make_job('a'))
-    task = find_task(book, 'a')
-    run_task(book, task, add_worker(book, 'first'))
-    new = hand_over(book)
+    new, task = take_over('first')
     first, second = add_worker(new, 'first'), add_worker(new, 'second')
     for worker, run in ((second, 2), (first, 1)):
         ended = make_end(1, task, run, EndKind.FAILED)
         Reconciler(new).take_look(worker, make_look(ended=(ended,)), 5.0, 5.0)
-    assert find_task(new, 'a').failures == 2
+    assert task.failures == 2
     assert new.jobs['a'].state is JobState.FAILED
     assert not new.ready
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -13,7 +13,11 @@
 from lentilmount.control.campaign import is_same_host, make_name
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.storewatch import Outage, StoreWatch
-from lentilmount.coordination.leases import LeaseKeeper, LeaseLostError
+from lentilmount.coordination.leases import (
+    Lease,
+    LeaseKeeper,
+    LeaseLostError,
+)
 from lentilmount.coordination.table import (
     ABSENT,
     Check,
@@ -262,13 +266,21 @@
     run(begin())
 
 
+async def take_lease(
+    table: PlatformTable, clock: ManualClock
+) -> tuple[LeaseKeeper, Lease]:
+    """Takes the lease of the tests for the holder a."""
+    keeper = LeaseKeeper(table, 'a', 2.0, clock.monotonic)
+    lease = await keeper.try_acquire(KEY)
+    assert lease is not None
+    return keeper, lease
+
+
 def test_a_lease_follows_the_tables_versions() -> None:
     async def play(
         store: RowStore, table: PlatformTable, clock: ManualClock
     ) -> None:
-        keeper = LeaseKeeper(table, 'a', 2.0, clock.monotonic)
-        lease = await keeper.try_acquire(KEY)
-        assert lease is not None
+        keeper, lease = await take_lease(table, clock)
         store.write(('other', '', 'x'), b'1')
         await keeper.renew(lease)
         other = LeaseKeeper(table, 'b', 2.0, clock.monotonic)
@@ -293,9 +305,7 @@
     async def play(
         store: RowStore, table: PlatformTable, clock: ManualClock
     ) -> None:
-        keeper = LeaseKeeper(table, 'a', 2.0, clock.monotonic)
-        lease = await keeper.try_acquire(KEY)
-        assert lease is not None
+        keeper, lease = await take_lease(table, clock)
         other = LeaseKeeper(table, 'b', 2.0, clock.monotonic)
         assert await other.try_acquire(KEY) is None
         store.fault = Fault.REFUSE
@@ -351,9 +361,7 @@
     async def play(
         store: RowStore, table: PlatformTable, clock: ManualClock
     ) -> None:
-        keeper = LeaseKeeper(table, 'a', 2.0, clock.monotonic)
-        lease = await keeper.try_acquire(KEY)
-        assert lease is not None
+        keeper, lease = await take_lease(table, clock)
         other = LeaseKeeper(table, 'b', 2.0, clock.monotonic)
         await other.try_acquire(KEY)
         assert not other.has_seen_writes(KEY)
