--- /dev/null
+++ b/tests/test_submissions.py
@@ -0,0 +1,104 @@
+"""What a client is told when the store's answers are lost."""
+
+from __future__ import annotations
+
+import attrs
+import orjson
+import pytest
+
+from lentilmount.clock import SystemClock
+from lentilmount.control.routes import RouteTable
+from lentilmount.control.storewatch import Outage, StoreWatch
+from lentilmount.control.submissions import Submissions
+from lentilmount.coordination.table import (
+    ConflictError,
+    Key,
+    Operation,
+    Row,
+    UnavailableError,
+)
+from lentilmount.errors import Ran, StoreError, UnknownOutcomeError
+from lentilmount.platform.documents import Route
+from lentilmount.platform.store import RefusedError
+from lentilmount.upstream.http import HttpCaller
+from tests.fleet_scene import make_policy
+from tests.helpers import run
+
+JOB = '0123456789abcdef'
+BODY = orjson.dumps(
+    {
+        'spec': 'payload',
+        'steps': [{'count': 1, 'cpu': 1000, 'memMb': 500, 'estimatedMs': 100}],
+    }
+)
+LOST = UnavailableError('connection reset')
+REFUSED = RefusedError('HTTP status 503')
+THERE = ConflictError(())
+
+
+@attrs.define
+class ToldTable:
+    """Fails writes as told, one after the other, then carries them out."""
+
+    failures: list[Exception]
+    written: int = 0
+
+    async def transact(self, token: str, operations: list[Operation]) -> int:
+        """See `Table`."""
+        if self.failures:
+            raise self.failures.pop(0)
+        self.written += 1
+        return 1
+
+    async def read(self, keys: list[Key]) -> dict[Key, Row]:
+        """See `Table`."""
+        return {}
+
+    async def scan(
+        self, partition: str, after: str = '', limit: int = 1
+    ) -> list[Row]:
+        """See `Table`."""
+        return []
+
+
+def submit(failures: list[Exception]) -> ToldTable:
+    """Hands in a job."""
+    clock = SystemClock()
+    watch = StoreWatch(clock.monotonic)
+    outage = Outage(watch, HttpCaller(''), 'desk', 'a')
+    table = ToldTable(list(failures))
+    submissions = Submissions(table, RouteTable(), clock, lambda part: outage)
+    route = Route('desk.example', '/checks/', make_policy())
+    run(submissions.submit(route, JOB, BODY))
+    return table
+
+
+@pytest.mark.parametrize('failures', [[LOST], [LOST, LOST], [LOST, THERE]])
+def test_a_lost_answer_is_cleared_up_without_the_caller(
+    failures: list[Exception],
+) -> None:
+    """The connection breaks after the store may have written the job.
+
+    The write is sent again: it takes effect, or finds the row. The caller is
+    told that the job is accepted, at once.
+    """
+    table = submit(failures)
+    assert table.written == (THERE not in failures)
+
+
+def test_a_refusal_is_told_as_one() -> None:
+    with pytest.raises(StoreError) as caught:
+        submit([REFUSED])
+    assert caught.value.ran is Ran.NO
+    assert caught.value.retry_after is not None
+
+
+def test_a_refusal_after_a_lost_answer_is_no_refusal() -> None:
+    """The first write is lost, and the store refuses the second one.
+
+    The first may still be carried out, so the caller must not be told that
+    the job never runs.
+    """
+    with pytest.raises(UnknownOutcomeError) as caught:
+        submit([LOST, REFUSED])
+    assert caught.value.ran is Ran.UNKNOWN
