Let the leases of a worker that is gone run out although a start is pending

Its worker was gone for good with a start on its way; the start was sent again and again, and each copy renewed the leases that the owner believed in, so they never ran out and nothing that was placed there was started elsewhere. The log has no line that the worker's tasks ended, while those of four other workers came 5.8 to 8.3 s after their loss. Ruled out: looks, of which only the first without an answer renews. Change: a start to a worker that cannot be reached carries the last lease. The test fails without it (the method did not exist; before, each copy moved the end).

--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -158,6 +158,17 @@
         self._note_lease()
         return until
 
+    def choose_start_lease_end(self) -> int:
+        """Returns the end of the lease that a start carries.
+
+        A start is sent until it is answered. If each copy to a worker that is
+        gone for good renewed its leases, they would never run out, and nothing
+        placed there would ever be started elsewhere.
+        """
+        if not self.worker.reachable:
+            return self._last_until_ms
+        return self.choose_lease_end()
+
     def _note_lease(self) -> None:
         if self._clock_ms is None:
             return
@@ -289,7 +300,7 @@
             task=str(task.id),
             run=run,
             payload=task.job.spec.payload,
-            lease_until_ms=link.choose_lease_end(),
+            lease_until_ms=link.choose_start_lease_end(),
             checkpoint=task.checkpoint,
             ticket=self.get_ticket(task, worker),
         )
