Take the cursor of a watch only when the job before is done

It counts three events after a cursor, and on a slow machine the job submitted before the cursor still sends its own: the output shows events of that job only. Change: the test waits until that job is done; what it asserts is the same.

--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -86,6 +86,12 @@
 
 def test_a_rival_lists_and_watches_only_its_own(site: Site) -> None:
     site.call('POST', '/v1/jobs', make_job('mine', 'rival'), token='rival')
+    # Done before the cursor is taken: on a slow machine the events counted
+    # below would else all be of this job.
+    site.tool(
+        *('apply', '-f', '-', '--wait'),
+        stdin=json.dumps([make_job('mine', 'rival')]),
+    )
     for kind in ('jobs', 'services', 'upstreams', 'teams'):
         page = site.call('GET', f'/v1/{kind}', token='rival')
         assert 'desk' not in json.dumps(page['items']), kind
