Choose the end of a lease in one place

Change: the rule is part of choose_lease_end, which starts and looks share; the private method of looks has a name of its own.

--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -124,7 +124,7 @@
         answer = await self.calls.look(
             self.worker.entry,
             self.written,
-            self._choose_lease_end(),
+            self._choose_renewal(),
             self._choose_wait() if waits else 0.0,
         )
         if isinstance(answer, Look):
@@ -137,7 +137,7 @@
         fills = any(t.spec.fills for t in self.worker.tasks.values())
         return LOOK_SECONDS if serves and fills else QUIET_LOOK_SECONDS
 
-    def _choose_lease_end(self) -> int | None:
+    def _choose_renewal(self) -> int | None:
         """Returns the end of new leases on the worker's clock, or None.
 
         A worker whose answers do not arrive may still hear every call. If
@@ -149,8 +149,14 @@
         return self.choose_lease_end()
 
     def choose_lease_end(self) -> int:
-        """Returns the end of a lease that begins now, on the worker's clock."""
-        if self._clock_ms is None:
+        """Returns the end of a lease that begins now, on the worker's clock.
+
+        It is the last one for a worker that does not answer. A start is sent
+        until it is answered: if each copy to a worker that is gone for good
+        renewed its leases, they would never run out, and nothing placed there
+        would ever be started elsewhere.
+        """
+        if self._clock_ms is None or not self.worker.reachable:
             return self._last_until_ms
         passed = self.monotonic() - self._clock_at
         until = self._clock_ms + int(1000 * (passed + self.lease_seconds))
@@ -158,17 +164,6 @@
         self._note_lease()
         return until
 
-    def choose_start_lease_end(self) -> int:
-        """Returns the end of the lease that a start carries.
-
-        A start is sent until it is answered. If each copy to a worker that is
-        gone for good renewed its leases, they would never run out, and nothing
-        placed there would ever be started elsewhere.
-        """
-        if not self.worker.reachable:
-            return self._last_until_ms
-        return self.choose_lease_end()
-
     def _note_lease(self) -> None:
         if self._clock_ms is None:
             return
@@ -300,7 +295,7 @@
             task=str(task.id),
             run=run,
             payload=task.job.spec.payload,
-            lease_until_ms=link.choose_start_lease_end(),
+            lease_until_ms=link.choose_lease_end(),
             checkpoint=task.checkpoint,
             ticket=self.get_ticket(task, worker),
         )
--- a/tests/test_control_links.py
+++ b/tests/test_control_links.py
@@ -44,13 +44,13 @@
     calls = WorkerCalls(HttpCaller(''), 1, 1.0)
     link = Link(worker, book, calls, NoEvents(), LEASE_SECONDS, clock.monotonic)
     link.note_clock(1000)
-    end = link.choose_start_lease_end()
+    end = link.choose_lease_end()
     lapses_at = worker.lapses_at
     clock.advance(1.0)
-    assert link.choose_start_lease_end() > end
+    assert link.choose_lease_end() > end
     assert worker.lapses_at > lapses_at
-    end, lapses_at = link.choose_start_lease_end(), worker.lapses_at
+    end, lapses_at = link.choose_lease_end(), worker.lapses_at
     worker.reachable = False
     clock.advance(5.0)
-    assert link.choose_start_lease_end() == end
+    assert link.choose_lease_end() == end
     assert worker.lapses_at == lapses_at
