Follow jobs and configuration by one piece of code

Cause: two loops listed a table, followed its feed and began anew after a failure, each with its own position, pause and handling of the same errors. Change: Feed in control/feeds.py does it for both. When and how often the store is called stays; the log line on a failure comes from part feeds and names the table.

--- a/lentilmount/control/intake.py
+++ b/lentilmount/control/intake.py
@@ -2,23 +2,22 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 import attrs
 import logbook
 
 from lentilmount.clock import Clock
+from lentilmount.control.feeds import Feed
 from lentilmount.control.keys import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
     STATES_TABLE,
 )
-from lentilmount.coordination.table import Key, UnavailableError, scan_all
+from lentilmount.coordination.table import Key, scan_all
 from lentilmount.platform.documents import restore_job
 from lentilmount.platform.store import (
     PAGE,
-    HistoryLostError,
     PlatformTable,
     RawRow,
     decode_row,
@@ -30,8 +29,6 @@
 log = logbook.Logger('intake')
 
 FEED_SECONDS = 1.0
-RETRY_SECONDS = 0.2
-"""Before the feed is asked again after a failure."""
 
 
 @attrs.define(eq=False)
@@ -53,7 +50,11 @@
     clock: Clock
     cancel: Callable[[str], None]
     wake: Callable[[], None]
-    _position: int | None = None
+    _feed: Feed = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Follows the jobs' table."""
+        self._feed = Feed(self.table, JOBS_TABLE, FEED_SECONDS, self.service)
 
     async def load(self, lapse_seconds: float) -> None:
         """Reads everything the previous owner left.
@@ -78,7 +79,7 @@
                 restore_state(self.book, job, row.body, lapses_at, now)
         for job_id in cancelled:
             self.book.cancel(job_id, now)
-        self._position = jobs.version
+        self._feed.position = jobs.version
 
     def _take_rows(self, rows: tuple[RawRow, ...]) -> list[str]:
         """Admits jobs; returns the ids of those that were cancelled."""
@@ -110,27 +111,8 @@
     async def follow(self) -> None:
         """Takes in what is handed in, for as long as it runs."""
         while True:
-            try:
-                found = await self._read_news()
-            except HistoryLostError:
-                self._position = None
-                continue
-            except UnavailableError as error:
-                log.warning('Cannot follow submissions: {}', error)
-                self._position = None
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
+            found = await self._feed.read()
             for job_id in self._take_rows(found):
                 self.cancel(job_id)
             if found:
                 self.wake()
-
-    async def _read_news(self) -> tuple[RawRow, ...]:
-        if self._position is None:
-            found = await self.table.read_all(JOBS_TABLE, self.service)
-        else:
-            found = await self.table.follow(
-                JOBS_TABLE, self._position, FEED_SECONDS
-            )
-        self._position = found.version
-        return found.rows
--- a/lentilmount/control/routes.py
+++ b/lentilmount/control/routes.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from lentilmount.coordination.table import UnavailableError
+from lentilmount.control.feeds import RETRY_SECONDS, Feed
 from lentilmount.errors import InvalidError
 from lentilmount.platform.documents import (
     Route,
@@ -16,7 +16,6 @@
 from lentilmount.platform.store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
-    HistoryLostError,
     PlatformTable,
     RawRow,
 )
@@ -27,8 +26,6 @@
 """How long the feed is asked to wait. A feed that has fallen silent costs this
 and the call's timeout, together below the 2 s in which a change is due."""
 
-RETRY_SECONDS = 0.2
-
 
 class RouteTable:
     """The newest configuration that is known."""
@@ -76,27 +73,12 @@
     table: PlatformTable, routes: RouteTable
 ) -> None:
     """Keeps a route table up to date for as long as it runs."""
-    position: int | None = None
+    feed = Feed(table, CONFIGURATION_TABLE, FEED_SECONDS)
     while True:
-        try:
-            if position is None:
-                found = await table.read_all(CONFIGURATION_TABLE)
-            else:
-                found = await table.follow(
-                    CONFIGURATION_TABLE, position, FEED_SECONDS
-                )
-            position = found.version
-        except HistoryLostError:
-            position = None
-            continue
-        except UnavailableError as error:
-            log.warning('Cannot follow the configuration: {}', error)
-            position = None
-            await asyncio.sleep(RETRY_SECONDS)
-            continue
-        for row in found.rows:
+        for row in await feed.read():
             if row.key == CONFIGURATION_KEY:
                 routes.offer(row)
-        if routes.current is None:
-            position = None
+        if routes.current is None and feed.position is not None:
+            # The operators have not written it yet.
+            feed.position = None
             await asyncio.sleep(RETRY_SECONDS)
