--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import Iterator
 
 import attrs
 import logbook
@@ -52,12 +54,6 @@
 SEND_AGAIN_PAUSE_SECONDS = 0.02
 
 
-def _translate(error: UnavailableError) -> StoreError:
-    if isinstance(error, RefusedError):
-        return StoreError(str(error), retry_after=RETRY_SECONDS)
-    return UnknownOutcomeError(str(error))
-
-
 @attrs.define
 class Submissions:
     """Acts on the rows of jobs for clients.
@@ -79,16 +75,26 @@
         """Whether other daemons reach the table, and this one cannot."""
         return self.find_outage(route.policy.service).is_cut_off()
 
-    def _check_store(self, route: Route) -> None:
-        """Refuses at once what would only wait for a table that is away.
+    @contextlib.contextmanager
+    def _reach_store(self, route: Route) -> Iterator[None]:
+        """Guards calls about a queue's rows, and tells why they failed.
+
+        Refuses at once what would only wait for a table that is away.
 
         Raises:
-          StoreError: Nothing was sent.
+          StoreError: Nothing was done.
+          UnknownOutcomeError: It may have been done.
         """
         if self.find_outage(route.policy.service).is_hopeless:
             raise StoreError(
                 'the table does not answer', retry_after=RETRY_SECONDS
             )
+        try:
+            yield
+        except RefusedError as error:
+            raise StoreError(str(error), retry_after=RETRY_SECONDS) from error
+        except UnavailableError as error:
+            raise UnknownOutcomeError(str(error)) from error
 
     async def submit(self, route: Route, job_id: str, body: bytes) -> None:
         """Accepts a job, once, however often it is sent.
@@ -100,17 +106,15 @@
         """
         policy = route.policy
         spec = decode_job(job_id, body, policy, self.clock.wall())
-        self._check_store(route)
         key = make_job_key(policy.service, job_id)
         put = Put(key, encode_job(spec), ABSENT)
         try:
-            await self._write(put)
+            with self._reach_store(route):
+                await self._write(put)
         except ConflictError:
             # The row is there: an earlier copy of this request made it.
             log.info('Known already.', extra={'job': job_id})
             return
-        except UnavailableError as error:
-            raise _translate(error) from error
         log.info(
             'Accepted.',
             extra={
@@ -154,8 +158,7 @@
           GoneError: There is no such job.
           UnknownOutcomeError: The store does not answer.
         """
-        self._check_store(route)
-        try:
+        with self._reach_store(route):
             for service in self._list_services(route):
                 state_key = make_state_key(service, job_id)
                 row = (await self.table.read([state_key])).get(state_key)
@@ -163,8 +166,6 @@
                     return JobState(row.body['state'])
                 if await self._find_job(service, job_id) is not None:
                     return JobState.QUEUED
-        except UnavailableError as error:
-            raise _translate(error) from error
         raise GoneError(f'there is no job {job_id}')
 
     async def _find_job(self, service: str, job_id: str) -> Row | None:
@@ -188,19 +189,14 @@
           StoreError: Nothing was done.
           UnknownOutcomeError: It may have been cancelled.
         """
-        self._check_store(route)
-        try:
+        with self._reach_store(route):
             for service in self._list_services(route):
                 if await self._find_job(service, job_id) is not None:
-                    key = make_cancel_key(service, job_id)
-                    put = Put(key, {}, ABSENT)
-                    await self._write(put)
-                    log.info('Cancelled.', extra={'job': job_id})
+                    put = Put(make_cancel_key(service, job_id), {}, ABSENT)
+                    with contextlib.suppress(ConflictError):
+                        await self._write(put)
+                        log.info('Cancelled.', extra={'job': job_id})
                     return
-        except ConflictError:
-            return
-        except UnavailableError as error:
-            raise _translate(error) from error
         raise GoneError(f'there is no job {job_id}')
 
     async def count_pending(self, route: Route) -> int:
@@ -209,16 +205,13 @@
         Raises:
           UnknownOutcomeError: The store does not answer.
         """
-        self._check_store(route)
         service = route.policy.service
         read_at, counts = self._counts.get(service, (-COUNTS_SECONDS, {}))
         now = self.clock.monotonic()
-        if now - read_at >= COUNTS_SECONDS:
-            key = make_counts_key(service)
-            try:
+        with self._reach_store(route):
+            if now - read_at >= COUNTS_SECONDS:
+                key = make_counts_key(service)
                 row = (await self.table.read([key])).get(key)
-            except UnavailableError as error:
-                raise _translate(error) from error
-            counts = row.body if row is not None else {}
-            self._counts[service] = (now, counts)
+                counts = row.body if row is not None else {}
+                self._counts[service] = (now, counts)
         return counts.get(route.policy.name, 0)
