Share what is known of the other daemons, and name a part once

Cause: each part's outage held its own copy of this daemon's address and of the others', kept in step by a loop, left out its own address in two places, and held the part's name beside its watch, which has it too. Change: one Peers object for all.

--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -22,6 +22,7 @@
 from lentilmount.control.routes import RouteTable, follow_configuration
 from lentilmount.control.storewatch import (
     Outage,
+    Peers,
     StoreWatch,
     guard,
     probe_always,
@@ -104,8 +105,7 @@
             PeerDetour(self.workers, self.find_outage, self._clock.monotonic),
         )
         self.outages: dict[str, Outage] = {}
-        self._address = str(settings.internal)
-        self._peers: tuple[str, ...] = ()
+        self._peers = Peers(str(settings.internal))
         self.advice: AdviceCalls | None = None
         if settings.advice is not None:
             caller = HttpCaller(f'http://{settings.advice}', ADVICE_SECONDS)
@@ -122,9 +122,7 @@
         outage = self.outages.get(part)
         if outage is None:
             watch = StoreWatch(self._clock.monotonic, part)
-            outage = Outage(
-                watch, self.workers, part, self._address, self._peers
-            )
+            outage = Outage(watch, self.workers, self._peers)
             self.outages[part] = outage
         return outage
 
@@ -202,7 +200,7 @@
             ),
             'metrics': _listen(metrics, scraped),
         }
-        self._address = str(listeners['internal'].address)
+        self._peers.own = str(listeners['internal'].address)
         log.info(
             'Started.',
             extra={
@@ -232,7 +230,7 @@
     async def _follow_peers(self) -> None:
         """Announces this daemon and reads of the others, for outages."""
         key = make_daemon_key(self._settings.name)
-        address = self._address
+        address = self._peers.own
         while True:
             try:
                 rows = await scan_all(self.table, key.partition, PAGE)
@@ -243,11 +241,9 @@
                     put = Put(key, {'address': address}, version)
                     await self.table.transact(make_token(), [put])
                 peers = tuple(row.body['address'] for row in rows)
-                if peers != self._peers:
+                if peers != self._peers.known:
                     log.info('Knows {} daemons.', len(peers))
-                self._peers = peers
-                for outage in self.outages.values():
-                    outage.peers = self._peers
+                self._peers.known = peers
             except (UnavailableError, ConflictError) as error:
                 log.info('Cannot follow the other daemons: {}', error)
             await asyncio.sleep(PEERS_SECONDS)
--- a/lentilmount/control/storewatch.py
+++ b/lentilmount/control/storewatch.py
@@ -46,7 +46,7 @@
     """
 
     monotonic: Callable[[], float]
-    part: str = ''
+    part: str
     _good_at: float = -math.inf
     _has_failed: bool = False
     _is_down: bool = False
@@ -82,6 +82,23 @@
         return self._is_down
 
 
+@attrs.define
+class Peers:
+    """The daemons, as far as they are known here.
+
+    Attributes:
+      own: This daemon's internal address.
+      known: Internal addresses of all daemons.
+    """
+
+    own: str
+    known: tuple[str, ...] = ()
+
+    def list_others(self) -> list[str]:
+        """Lists the addresses of the other daemons."""
+        return [address for address in self.known if address != self.own]
+
+
 @attrs.define
 class Outage:
     """Tells an outage for all daemons from one of this daemon alone.
@@ -93,16 +110,12 @@
     Attributes:
       watch: What this daemon knows itself.
       caller: Sends the questions.
-      part: Which part of the store the watch is about.
-      own: This daemon's internal address.
-      peers: Internal addresses of all daemons.
+      peers: The daemons.
     """
 
     watch: StoreWatch
     caller: HttpCaller
-    part: str
-    own: str
-    peers: tuple[str, ...] = ()
+    peers: Peers
     _confirmed_at: float = -math.inf
     _asked_at: float = -math.inf
     _ages: dict[str, float] = attrs.Factory(dict)
@@ -143,7 +156,7 @@
         if self.is_general():
             return []
         passed = self.watch.monotonic() - self._asked_at
-        helpers = [peer for peer in self.peers if peer != self.own]
+        helpers = self.peers.list_others()
         if passed < ANSWERS_SECONDS:
             helpers = [
                 peer for peer, age in self._ages.items() if age < OUTAGE_SECONDS
@@ -153,7 +166,7 @@
 
     async def ask(self) -> None:
         """Asks the other daemons."""
-        others = [peer for peer in self.peers if peer != self.own]
+        others = self.peers.list_others()
         asked_at = self.watch.monotonic()
         answers = await asyncio.gather(*map(self._ask_peer, others))
         self._asked_at = asked_at
@@ -168,7 +181,7 @@
             self._confirmed_at = asked_at
 
     async def _ask_peer(self, address: str) -> float | None:
-        query = urllib.parse.urlencode({'part': self.part})
+        query = urllib.parse.urlencode({'part': self.watch.part})
         answer = await self.caller.call(
             'GET',
             f'/store?{query}',
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -19,6 +19,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from lentilmount.clock import ManualClock
+from lentilmount.control.storewatch import Outage, Peers, StoreWatch
 from lentilmount.platform.store import PlatformTable
 from lentilmount.upstream.http import HttpCaller
 from stand_ins.fleet import Fleet
@@ -245,3 +247,27 @@
         caller = HttpCaller(f'http://{serve_store(store, stack, Door())}')
         stack.callback(caller.close)
         yield store, PlatformTable(caller, 0.5)
+
+
+@attrs.define
+class ToldOutage(Outage):
+    """Asks daemons that answer as told.
+
+    Attributes:
+      told: For how long the store has been silent at each; None for no answer.
+    """
+
+    told: dict[str, float | None] = attrs.field(kw_only=True)
+
+    async def _ask_peer(self, address: str) -> float | None:
+        return self.told[address]
+
+
+def make_outage(ages: dict[str, float | None], clock: ManualClock) -> Outage:
+    """Returns what a daemon knows when the store has failed for a second."""
+    watch = StoreWatch(clock.monotonic, SERVICE)
+    watch.note(True)
+    clock.advance(1.0)
+    watch.note(False)
+    peers = Peers('a', ('a', *ages))
+    return ToldOutage(watch, HttpCaller(''), peers, told=ages)
--- a/tests/test_detour.py
+++ b/tests/test_detour.py
@@ -4,66 +4,22 @@
 
 import pathlib
 
-import attrs
 import pytest
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.detour import PeerDetour
-from lentilmount.control.storewatch import Outage, StoreWatch
 from lentilmount.coordination.table import Key, Put, UnavailableError
 from lentilmount.platform.store import PlatformTable, RefusedError
 from lentilmount.upstream.http import Answer, HttpCaller
 from stand_ins.rowstore import Fault
 from tests.helpers import run
-from tests.platform_scene import PREFIX, open_scene
+from tests.platform_scene import PREFIX, make_outage, open_scene
 
 FIRST = '0123456789abcdef'
 SECOND = 'fedcba9876543210'
 PUT = Put(Key('jobs/desk', FIRST), {}, 0)
 
 
-@attrs.define
-class Peers(Outage):
-    """Daemons that answer as told how long the store has been silent."""
-
-    told: dict[str, float | None] = attrs.field(kw_only=True)
-
-    async def _ask_peer(self, address: str) -> float | None:
-        return self.told[address]
-
-
-def make_outage(ages: dict[str, float | None]) -> Outage:
-    """Returns what a daemon knows when the store has failed for a second."""
-    clock = ManualClock()
-    watch = StoreWatch(clock.monotonic)
-    watch.note(True)
-    clock.advance(1.0)
-    watch.note(False)
-    return Peers(watch, HttpCaller(''), 'desk', 'a', ('a', *ages), told=ages)
-
-
-@pytest.mark.parametrize(
-    ('ages', 'helpers'),
-    [
-        ({'b': 5.0, 'c': 0.1}, ['c']),
-        ({'b': 5.0, 'c': 5.0}, []),
-        ({'b': None, 'c': None}, []),
-    ],
-)
-def test_only_daemons_that_hear_from_the_store_help(
-    ages: dict[str, float | None], helpers: list[str]
-) -> None:
-    """The store turns one daemon away, or all, or the daemon is cut off.
-
-    Calls go through a daemon that hears from it; where there is none, clients
-    are refused at once.
-    """
-    outage = make_outage(ages)
-    assert sorted(outage.list_helpers()) == ['b', 'c']
-    run(outage.ask())
-    assert outage.list_helpers() == helpers
-
-
 class FixedCaller(HttpCaller):
     """Answers as told, one after the other."""
 
@@ -76,7 +32,7 @@
 
 def make_table(statuses: list[int]) -> PlatformTable:
     """Returns a table whose calls are answered as told on any way."""
-    outage = make_outage({'b': 0.0, 'c': 0.0})
+    outage = make_outage({'b': 0.0, 'c': 0.0}, ManualClock())
     run(outage.ask())
     caller = FixedCaller('')
     caller.statuses = statuses
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,7 +12,6 @@
 from lentilmount.clock import ManualClock
 from lentilmount.control.campaign import is_same_host, make_name
 from lentilmount.control.routes import RouteTable
-from lentilmount.control.storewatch import Outage, StoreWatch
 from lentilmount.coordination.leases import (
     Lease,
     LeaseKeeper,
@@ -45,7 +44,6 @@
 )
 from lentilmount.resources import Room
 from lentilmount.scheduling.reports import EndKind, WorkerState
-from lentilmount.upstream.http import HttpCaller
 from stand_ins.rowstore import Fault, RowStore
 from tests.fleet_scene import make_policy
 from tests.helpers import run
@@ -378,43 +376,3 @@
         assert not other.has_seen_writes(KEY)
 
     play_leases(play)
-
-
-@pytest.mark.parametrize(
-    ('ages', 'general', 'cut_off'),
-    [
-        ({'b': 5.0, 'c': 5.0}, True, False),
-        ({'b': 5.0, 'c': 0.1}, False, False),
-        ({'b': None, 'c': None}, False, True),
-        ({'b': 5.0, 'c': None}, True, False),
-        ({}, True, False),
-    ],
-)
-def test_an_outage_is_general_only_if_the_others_say_so(
-    ages: dict[str, float | None], general: bool, cut_off: bool
-) -> None:
-    """An owner loses the store, and must know whether it will be replaced.
-
-    It goes on starting tasks without the store only if most daemons answer
-    and none of them hears from it. Where one does, calls go through that one;
-    where none can be asked, the daemon takes no new clients.
-    """
-    clock = ManualClock()
-    watch = StoreWatch(clock.monotonic)
-    watch.note(True)
-    clock.advance(1.0)
-    watch.note(False)
-    assert watch.is_down
-
-    class Peers(Outage):
-        async def _ask_peer(self, address: str) -> float | None:
-            return ages[address]
-
-    outage = Peers(watch, HttpCaller(''), 'desk', 'a', ('a', *ages))
-    run(outage.ask())
-    assert outage.is_general() is general
-    clock.advance(0.3)
-    assert outage.is_cut_off() is cut_off
-    watch.note(True)
-    assert not outage.is_cut_off()
-    assert not outage.is_general()
--- /dev/null
+++ b/tests/test_storewatch.py
@@ -0,0 +1,62 @@
+"""Whether the store is away for one daemon, for some, or for all."""
+
+from __future__ import annotations
+
+import pytest
+
+from lentilmount.clock import ManualClock
+from tests.helpers import run
+from tests.platform_scene import make_outage
+
+
+@pytest.mark.parametrize(
+    ('ages', 'helpers'),
+    [
+        ({'b': 5.0, 'c': 0.1}, ['c']),
+        ({'b': 5.0, 'c': 5.0}, []),
+        ({'b': None, 'c': None}, []),
+    ],
+)
+def test_only_daemons_that_hear_from_the_store_help(
+    ages: dict[str, float | None], helpers: list[str]
+) -> None:
+    """The store turns one daemon away, or all, or the daemon is cut off.
+
+    Calls go through a daemon that hears from it; where there is none, clients
+    are refused at once.
+    """
+    outage = make_outage(ages, ManualClock())
+    assert sorted(outage.list_helpers()) == ['b', 'c']
+    run(outage.ask())
+    assert outage.list_helpers() == helpers
+
+
+@pytest.mark.parametrize(
+    ('ages', 'general', 'cut_off'),
+    [
+        ({'b': 5.0, 'c': 5.0}, True, False),
+        ({'b': 5.0, 'c': 0.1}, False, False),
+        ({'b': None, 'c': None}, False, True),
+        ({'b': 5.0, 'c': None}, True, False),
+        ({}, True, False),
+    ],
+)
+def test_an_outage_is_general_only_if_the_others_say_so(
+    ages: dict[str, float | None], general: bool, cut_off: bool
+) -> None:
+    """An owner loses the store, and must know whether it will be replaced.
+
+    It goes on starting tasks without the store only if most daemons answer
+    and none of them hears from it. Where one does, calls go through that one;
+    where none can be asked, the daemon takes no new clients.
+    """
+    clock = ManualClock()
+    outage = make_outage(ages, clock)
+    assert outage.watch.is_down
+    run(outage.ask())
+    assert outage.is_general() is general
+    clock.advance(0.3)
+    assert outage.is_cut_off() is cut_off
+    outage.watch.note(True)
+    assert not outage.is_cut_off()
+    assert not outage.is_general()
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -8,7 +8,7 @@
 
 from lentilmount.clock import SystemClock
 from lentilmount.control.routes import RouteTable
-from lentilmount.control.storewatch import Outage, StoreWatch
+from lentilmount.control.storewatch import Outage, Peers, StoreWatch
 from lentilmount.control.submissions import Submissions
 from lentilmount.coordination.table import (
     ConflictError,
@@ -64,8 +64,8 @@
 def submit(failures: list[Exception]) -> ToldTable:
     """Hands in a job."""
     clock = SystemClock()
-    watch = StoreWatch(clock.monotonic)
-    outage = Outage(watch, HttpCaller(''), 'desk', 'a')
+    watch = StoreWatch(clock.monotonic, 'desk')
+    outage = Outage(watch, HttpCaller(''), Peers('a'))
     table = ToldTable(list(failures))
     submissions = Submissions(table, RouteTable(), clock, lambda part: outage)
     route = Route('desk.example', '/checks/', make_policy())
