Keep ejection out of the test of second copies

Ruled out: budget, limits and slots; both upstreams had room then. Change: the router's clock stands still, so nothing seems silent, and what the upstreams took before is set. The assertions are the same.

--- a/tests/routing_scene.py
+++ b/tests/routing_scene.py
@@ -166,6 +166,7 @@
         options: RawOptions | None = None,
         configuration: Configuration | None = None,
         entry_hosts: int = 8,
+        monotonic: Callable[[], float] | None = None,
     ) -> Scene:
         """Starts everything."""
         upstreams = await start_raw(count, options)
@@ -175,6 +176,7 @@
             forwarder,
             configuration,
             entry_hosts,
+            monotonic,
         )
         return cls(upstreams, router, directory, forwarder)
 
--- a/tests/test_routing_ran.py
+++ b/tests/test_routing_ran.py
@@ -9,12 +9,20 @@
 import pytest
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 
+from lentilmount.clock import ManualClock
 from lentilmount.errors import ErrorKind, Ran, UpstreamError
 from lentilmount.resources import ConfigurationSpec
 from lentilmount.routing.forward import Call, CurlForwarder, Result
+from lentilmount.routing.hedges import LEAST_SAMPLES, SORT_EVERY
 from stand_ins.raw import LOOPBACK, Act, RawOptions, RawRequest, RawUpstream
 from tests.helpers import run
-from tests.routing_scene import Scene, make_call, make_configuration
+from tests.routing_scene import (
+    SERVICE,
+    SPEC,
+    Scene,
+    make_call,
+    make_configuration,
+)
 
 FAILURES = (
     Act.RESET_BEFORE,
@@ -188,11 +196,11 @@
 def test_hedge_is_only_for_idempotent_requests() -> None:
     """A slow non-idempotent request runs once; an idempotent one twice.
 
-    Both upstreams have answered quickly; then each takes three hundred times
-    as long for what it gets first. Idempotent requests that hang there get a
-    second copy at the other, which answers first; the rest wait for the slow
-    answer. No more requests at a time than leave the copies a free slot: how
-    the router spreads them depends on times that it has measured.
+    Both upstreams have answered within 5 ms; then each takes 600 ms for what
+    it gets first. Idempotent requests that hang there get a second copy at
+    the other, which answers first; the rest wait for the slow answer. The
+    router's clock stands still: an upstream that is silent for 100 ms would
+    be ejected, and then there is no other one for a copy.
     """
 
     async def play() -> None:
@@ -200,10 +208,16 @@
         configuration = make_configuration(weights=weights)
         options = RawOptions(mean_ms=2)
         async with await Scene.start(
-            2, options, configuration, entry_hosts=1
+            2,
+            options,
+            configuration,
+            entry_hosts=1,
+            monotonic=ManualClock().monotonic,
         ) as scene:
-            for number in range(100):
-                await scene.router.route(make_call(number), None)
+            times = scene.router.pools.get(SERVICE, SPEC).times
+            for _ in range(LEAST_SAMPLES + SORT_EVERY):
+                times.add(0.005)
+            assert times.high == 0.005
             make_first_copies_slow(scene.upstreams)
             for first in (200, 202):
                 calls = [
