--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -65,6 +65,7 @@
         },
         'internalPorts': [0, 0],
         'platform': {'address': store},
+        'limits': {'cpuShare': 0.5, 'cores': 2, 'linkMbps': 1000},
         'bounds': {
             'graceS': 4,
             'maxHoldMs': 6000,
@@ -122,9 +123,17 @@
         door.address = serve_store(self.store, self.stack, door)
         return door
 
-    async def start(self, name: str = 'host-1', store: str = '') -> Daemon:
-        """Starts a daemon and waits until it is ready."""
-        document = make_settings(store or self.address, nodeName=name)
+    async def start(
+        self, name: str = 'host-1', store: str = '', **fields: Any
+    ) -> Daemon:
+        """Starts a daemon and waits until it is ready.
+
+        Args:
+          name: Its host's name.
+          store: Address of the store, if not the scene's.
+          **fields: Settings that differ from the scene's.
+        """
+        document = make_settings(store or self.address, nodeName=name, **fields)
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(document), 'utf-8')
         process = await asyncio.create_subprocess_exec(
