Leave out headers of calls that no service reads

Cause: a look at a worker is 66 bytes of body in 289 bytes of request; curl adds User-Agent, Accept and Accept-Encoding to each call.

Change: these three are not sent. No service here compresses (none of their pages speaks of it), and none looks at the others.

--- a/lentilmount/upstream/http.py
+++ b/lentilmount/upstream/http.py
@@ -11,6 +11,11 @@
 CONNECT_SECONDS = 1.0
 CURL_ERROR = 599
 
+LEFT_OUT = {'User-Agent': '', 'Accept': ''}
+"""Headers that curl adds unless they are given empty. With Accept-Encoding
+they were 91 of the 289 bytes of a look at a worker. An owner of 245 workers
+makes up to 2,200 calls a second: 1.6 Mbit/s that no service here reads."""
+
 
 @attrs.frozen
 class Answer:
@@ -69,10 +74,11 @@
             (self.base if base is None else base) + path,
             method=method,
             body=body,
-            headers=headers,
+            headers={**LEFT_OUT, **(headers or {})},
             connect_timeout=CONNECT_SECONDS,
             request_timeout=timeout or self.timeout,
             follow_redirects=False,
+            decompress_response=False,
             ca_certs=self._authority,
             allow_nonstandard_methods=True,
         )
