Write shorter state rows

Cause: the row of a job is written again with each change of any of its tasks.

Ruled out: fewer writes. Starts wait for them (10 ms), and workers keep listing their ends until they are written.

Change: tasks that are done stand in ranges, by step, and an entry of a task ends where only what is usual follows (no failed run, no checkpoint). Rows as they were are still read. An owner of an earlier version cannot read the new ones.

--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 from lentilmount.resources import Room
@@ -11,32 +12,52 @@
 from lentilmount.scheduling.specs import TaskId
 
 DONE = 'done'
+"""Entry of a task that is done, in rows of earlier versions."""
 
 
 def encode_state(job: Job) -> dict[str, Any]:
     """Builds the body of a job's state row.
 
     Tasks that were never started are left out, and those of a finished job
-    too: nobody asks for them any more.
+    too: nobody asks for them any more. Those that are done stand in ranges,
+    by step, and entries end where only what is usual follows: a row is written
+    again with each change of any task, and such rows were over a third of all
+    that an owner sends.
     """
     body: dict[str, Any] = {'state': job.state.value}
     if job.state.is_final and not _is_stopping(job):
         return body
     tasks: dict[str, Any] = {}
+    done: dict[str, list[int]] = {}
     for task in job.tasks.values():
         if task.phase is TaskPhase.DONE:
-            tasks[_name(task)] = DONE
+            step = f'{task.id.occurrence}.{task.id.step}'
+            _extend(done.setdefault(step, []), task.id.index)
         elif task.run:
-            tasks[_name(task)] = [
-                task.run,
-                task.worker,
-                sorted(task.failed_runs),
-                task.checkpoint,
-            ]
+            tasks[_name(task)] = _encode_task(task)
     body['tasks'] = tasks
+    if done:
+        body['done'] = done
     return body
 
 
+def _extend(ranges: list[int], index: int) -> None:
+    """Adds a number to ranges: the first and the last of each, in a row."""
+    if ranges and ranges[-1] == index - 1:
+        ranges[-1] = index
+    else:
+        ranges += [index, index]
+
+
+def _encode_task(task: Task) -> list[Any]:
+    entry: list[Any] = [task.run, task.worker]
+    if task.failed_runs or task.checkpoint:
+        entry.append(sorted(task.failed_runs))
+    if task.checkpoint:
+        entry.append(task.checkpoint)
+    return entry
+
+
 def _is_stopping(job: Job) -> bool:
     return any(task.phase.is_placed for task in job.tasks.values())
 
@@ -59,6 +80,10 @@
       now: Monotonic time.
     """
     state = JobState(body['state'])
+    for name in _list_done(body.get('done', {})):
+        task = job.tasks.get(_parse(job, name))
+        if task is not None:
+            book.restore_done(task, now)
     for name, entry in body.get('tasks', {}).items():
         task = job.tasks.get(_parse(job, name))
         if task is not None:
@@ -71,6 +96,13 @@
     book.dirty.pop(job.spec.id, None)
 
 
+def _list_done(done: dict[str, list[int]]) -> Iterator[str]:
+    for step, ranges in done.items():
+        for first, last in zip(ranges[::2], ranges[1::2], strict=True):
+            for index in range(first, last + 1):
+                yield f'{step}.{index}'
+
+
 def _parse(job: Job, name: str) -> TaskId:
     occurrence, step, index = map(int, name.split('.'))
     return TaskId(job.spec.id, occurrence, step, index)
@@ -82,7 +114,9 @@
     if entry == DONE:
         book.restore_done(task, now)
         return
-    run, worker, failed_runs, checkpoint = entry
+    run, worker, *rest = entry
+    failed_runs = rest[0] if rest else ()
+    checkpoint = rest[1] if len(rest) > 1 else ''
     task.failed_runs = set(failed_runs)
     task.checkpoint = checkpoint
     task.run = run
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import orjson
+
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.inheritance import Inheritance
 from lentilmount.scheduling.model import JobState, Task, TaskPhase
@@ -355,3 +357,49 @@
             kind = EndKind.FAILED if member is failing else EndKind.BROKEN
             book.end(member, kind, 2.0)
     assert job.state is JobState.FAILED
+
+
+def test_a_row_of_many_tasks_is_short_and_tells_the_same() -> None:
+    """A job of 80 tasks is written again with each change of any of them.
+
+    Such rows were over a third of what an owner sends. A new owner reads from
+    the shorter one what it read before: what is done, what runs where, what
+    failed, where it goes on.
+    """
+    book = Book()
+    admit(book, make_job('a', make_step(count=80), make_step(after=(0,))))
+    worker = add_worker(book, 'i-40bb3c7090')
+    tasks = [find_task(book, 'a', 0, index) for index in range(80)]
+    for task in tasks[:60]:
+        run_task(book, task, worker)
+    for task in tasks[:30] + tasks[35:45]:
+        book.end(task, EndKind.DONE, 2.0)
+    book.end(tasks[50], EndKind.FAILED, 2.0)
+    tasks[51].checkpoint = '00000bb87a21d94b'
+    new = hand_over(book)
+    found = [find_task(new, 'a', 0, index) for index in range(80)]
+    for known, task in zip(tasks, found, strict=True):
+        assert (task.run, task.failed_runs, task.checkpoint) == (
+            (0, set(), '')
+            if known.phase is TaskPhase.DONE
+            else (known.run, known.failed_runs, known.checkpoint)
+        )
+        assert (task.phase, task.worker) == (known.phase, known.worker)
+    # 13 bytes went to each task that is done, and 6 to usual values of each
+    # that runs: 1,245 in all.
+    assert len(orjson.dumps(encode_state(book.jobs['a']))) < 650
+
+
+def test_a_row_of_an_earlier_version_is_read() -> None:
+    """Hosts get a new version one by one; its owner reads the old rows."""
+    book = Book()
+    job = admit(book, make_job('a', make_step(count=2)))
+    body = {
+        'state': 'running',
+        'tasks': {'0.0.0': 'done', '0.0.1': [3, 'w', [2], 'saved']},
+    }
+    restore_state(book, job, body, lapses_at=20.0, now=4.0)
+    first, second = (find_task(book, 'a', 0, index) for index in range(2))
+    assert first.phase is TaskPhase.DONE
+    assert (second.run, second.worker, second.failed_runs) == (3, 'w', {2})
+    assert second.checkpoint == 'saved'
