Renew a new owner's lease while it reads what was left to it

Cause: between taking a service's lease and its first write an owner reads and restores all jobs. Nobody owned the service, what ran lapsed, and jobs with capacity for them did not run.

Ruled out: lost writes.

Change: reading and renewing go on side by side until all is read; the first write of the owner proper comes after the last renewal is settled. A host that loses the lease while it reads gives up at once.

--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -144,6 +144,10 @@
             pause = START_COMMIT_SECONDS if self._unsent else COMMIT_SECONDS
             await asyncio.sleep(pause)
 
+    async def renew(self) -> bool:
+        """Renews the lease alone; returns whether it is still held."""
+        return await self._write([], [])
+
     def _get_pause(self) -> float:
         age = self.clock.monotonic() - self.lease.renewed_at
         return max(0.01, RENEW_SECONDS - age)
--- a/lentilmount/control/intake.py
+++ b/lentilmount/control/intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -71,7 +72,11 @@
         jobs = await self.table.read_all(JOBS_TABLE, self.service)
         partition = make_partition(STATES_TABLE, self.service)
         states = await scan_all(self.table, partition, PAGE)
-        cancelled = self._take_rows(jobs.rows)
+        cancelled = []
+        for start in range(0, len(jobs.rows), PAGE):
+            cancelled += self._take_rows(jobs.rows[start : start + PAGE])
+            # Lets the lease be renewed.
+            await asyncio.sleep(0)
         now = self.clock.monotonic()
         lapses_at = now + lapse_seconds
         for row in states:
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -19,6 +19,7 @@
 from lentilmount.control.registry import follow_workers
 from lentilmount.control.retention import Retention
 from lentilmount.control.steering import Steering
+from lentilmount.control.takeover import take_over
 from lentilmount.coordination.leases import Lease, LeaseKeeper
 from lentilmount.platform.advice import AdviceCalls
 from lentilmount.platform.store import PlatformTable
@@ -172,12 +173,13 @@
         Raises:
           UnavailableError: The rows could not be read at the start.
         """
-        await self._intake.load(self._lapse_seconds)
-        await self._commits.restore()
+        lapse_seconds = self._lapse_seconds
+        if not await take_over(self._intake, self._commits, lapse_seconds):
+            return
         self._inheritance = Inheritance(
             self.book,
             self._is_written,
-            self._clock.monotonic() + self._lapse_seconds,
+            self._clock.monotonic() + lapse_seconds,
             frozenset(self.book.jobs),
         )
         log.info(
@@ -393,8 +395,7 @@
     async def _tick_always(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            wall = self._clock.wall()
             for job in self.book.jobs.values():
                 if job.spec.occurrences > job.occurrences:
-                    self.book.open_occurrences(job, wall)
+                    self.book.open_occurrences(job, self._clock.wall())
             self._steering.tick(self._clock.monotonic())
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,119 @@
+"""A new owner reads what the one before left to it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from lentilmount.clock import SystemClock
+from lentilmount.control import takeover
+from lentilmount.control.keys import make_owner_key
+from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.owner import Owner, OwnerSettings
+from lentilmount.coordination.leases import Lease, LeaseKeeper
+from lentilmount.platform.store import Changes, PlatformTable
+from lentilmount.platform.workers import WorkerCalls
+from lentilmount.upstream.http import HttpCaller
+from stand_ins.rowstore import Door, RowStore
+from tests.helpers import run
+from tests.platform_scene import SERVICE, serve_store
+
+WAIT_SECONDS = 10.0
+
+
+class _LongTable(PlatformTable):
+    """A store of which reading the jobs takes until it is let through."""
+
+    gate: asyncio.Event
+
+    async def read_all(self, table: str, part: str = '') -> Changes:
+        if table == 'jobs':
+            await self.gate.wait()
+        return await super().read_all(table, part)
+
+
+def _open(
+    stack: contextlib.AsyncExitStack,
+) -> tuple[RowStore, _LongTable, LeaseKeeper]:
+    store = RowStore()
+    caller = HttpCaller(f'http://{serve_store(store, stack, Door())}')
+    stack.callback(caller.close)
+    table = _LongTable(caller, 1.0)
+    table.gate = asyncio.Event()
+    keeper = LeaseKeeper(table, 'host-1.a', 2.0, SystemClock().monotonic)
+    return store, table, keeper
+
+
+def _make_owner(
+    table: PlatformTable, keeper: LeaseKeeper, lease: Lease
+) -> Owner:
+    return Owner(
+        OwnerSettings(SERVICE, 6.0, 120.0),
+        table,
+        keeper,
+        lease,
+        WorkerCalls(HttpCaller(''), lease.epoch, 1.0),
+        SystemClock(),
+        1.0,
+        True,
+        lambda: False,
+        None,
+        ControlMetrics(),
+    )
+
+
+def test_a_new_owner_renews_its_lease_while_it_reads(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A small host takes over 1,000 jobs, which takes it over 3 s to read.
+
+    Its lease of 2 s lapsed before it was at work. The next host took the
+    lease and began to read, and lost it in the same way, and so on: no job
+    was started, and none was shown as it was, for the rest of the day.
+    """
+    monkeypatch.setattr(takeover, 'RENEW_SECONDS', 0.01)
+
+    async def play() -> int:
+        async with contextlib.AsyncExitStack() as stack:
+            store, table, keeper = _open(stack)
+            lease = await keeper.try_acquire(make_owner_key(SERVICE))
+            assert lease is not None
+            before = lease.version
+            owner = _make_owner(table, keeper, lease)
+            running = asyncio.create_task(owner.run())
+            async with asyncio.timeout(WAIT_SECONDS):
+                while lease.version < before + 3:
+                    await asyncio.sleep(0.01)
+                table.gate.set()
+                while len(store.rows) < 2:
+                    await asyncio.sleep(0.01)
+            owner.stop()
+            await running
+            return lease.epoch
+
+    assert run(play()) == 1
+
+
+def test_a_host_that_loses_the_lease_while_it_reads_gives_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Another host takes the lease while this one still reads."""
+    monkeypatch.setattr(takeover, 'RENEW_SECONDS', 0.01)
+
+    async def play() -> str:
+        async with contextlib.AsyncExitStack() as stack:
+            store, table, keeper = _open(stack)
+            key = make_owner_key(SERVICE)
+            lease = await keeper.try_acquire(key)
+            assert lease is not None
+            owner = _make_owner(table, keeper, lease)
+            address = ('owners', SERVICE, 'owner')
+            taken = b'["other",{"holder":"host-2.b","epoch":2,"data":{}}]'
+            store.write(address, taken)
+            async with asyncio.timeout(WAIT_SECONDS):
+                await owner.run()
+            return owner.lost
+
+    assert 'took the lease' in run(play())
