--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 
 import pytest
 
@@ -27,10 +28,12 @@
     """A store of which reading the jobs takes until it is let through."""
 
     gate: asyncio.Event
+    collects: bool | None = None
 
     async def read_all(self, table: str, part: str = '') -> Changes:
         if table == 'jobs':
             await self.gate.wait()
+            self.collects = gc.isenabled()
         return await super().read_all(table, part)
 
 
@@ -96,6 +99,28 @@
     assert run(play()) == 1
 
 
+def test_what_is_read_is_not_searched_for_garbage() -> None:
+    """A takeover of thousands of tasks spends its time in the collector."""
+
+    async def play() -> bool | None:
+        async with contextlib.AsyncExitStack() as stack:
+            store, table, keeper = _open(stack)
+            lease = await keeper.try_acquire(make_owner_key(SERVICE))
+            assert lease is not None
+            owner = _make_owner(table, keeper, lease)
+            table.gate.set()
+            running = asyncio.create_task(owner.run())
+            async with asyncio.timeout(WAIT_SECONDS):
+                while len(store.rows) < 2:
+                    await asyncio.sleep(0.01)
+            owner.stop()
+            await running
+            return table.collects
+
+    assert run(play()) is False
+    assert gc.isenabled()
+
+
 def test_a_host_that_loses_the_lease_while_it_reads_gives_up(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
