--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -28,7 +28,6 @@
 from lentilmount.scheduling.health import Health
 from lentilmount.scheduling.inheritance import Inheritance
 from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
-from lentilmount.scheduling.offers import Allows
 from lentilmount.scheduling.placing import Placer
 from lentilmount.scheduling.reconciling import News
 from lentilmount.scheduling.reports import WorkerEntry, WorkerState
@@ -362,7 +361,7 @@
     def _place(self) -> None:
         now = self._clock.monotonic()
         started: set[Job] = set()
-        allows: Allows = self._advice.allows
+        allows = self._advice.allows
         if self._inheritance.is_in_doubt(now):
             allows = self._allow_new
         for task, worker in self._placer.place(now, allows):
