Let the last write of an owner end before its lease is released

Cause: the write on its way was cancelled, took effect later and made the release fail without a word; the daemon then found the lease its own and took it at once. And a handover waited for a moment without a write, of which a full link has few. Ruled out: larger hosts that do not answer; eight did, and the question to them now waits 1 s instead of 0.3 s, as calls took up to 0.4 s on that link. Change: a stop lets the write on its way end, for 1 s at most, and begins none after it; a release says whether it was written; a host that leaves the lease to others leaves it also where it is still its own. Why it holds: between the last write and the release nothing else is written.

--- a/lentilmount/control/campaign.py
+++ b/lentilmount/control/campaign.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import uuid
 from collections.abc import Awaitable, Callable
@@ -159,9 +160,15 @@
         finally:
             handover.cancel()
             self.owner = None
-        if not owner.lost:
-            await keeper.release(lease)
+        if owner.lost:
+            return
+        if await keeper.release(lease):
             log.info('Released: {}.', self.settings.service)
+        else:
+            log.warning(
+                'Could not release {}: its lease has to run out.',
+                self.settings.service,
+            )
 
     async def _hand_over(self, owner: Owner, lease: Lease) -> None:
         """Gives the service up once a much larger host can own it.
@@ -174,7 +181,7 @@
         await asyncio.sleep(LEAST_TENURE_SECONDS)
         while True:
             heir = await self._find_heir()
-            if heir and self._is_held(lease):
+            if heir and self.clock.monotonic() < lease.valid_until:
                 break
             await asyncio.sleep(LARGER_POLL_SECONDS)
         log.info(
@@ -186,19 +193,10 @@
 
     async def _find_heir(self) -> str:
         """Returns the address of a larger host that hears the store, or ''."""
-        for address in self.candidates.list_larger():
-            if await self.hears(address):
-                return address
-        return ''
-
-    def _is_held(self, lease: Lease) -> bool:
-        """Whether the lease is surely held and no write is on its way.
-
-        A write that takes effect after the release would make it fail, and
-        the service would have no owner until the lease has run out.
-        """
-        is_valid = self.clock.monotonic() < lease.valid_until
-        return is_valid and lease.unknown is None
+        larger = self.candidates.list_larger()
+        answers = await asyncio.gather(*map(self.hears, larger))
+        heard = itertools.compress(larger, answers)
+        return next(heard, '')
 
     def _get_lapse_seconds(self) -> float:
         """Returns when leases of the previous owner have surely run out.
--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -59,6 +59,10 @@
 RETRY_SECONDS = 0.2
 """Before a write without an answer is sent again."""
 
+SETTLE_SECONDS = 1.0
+"""Longest wait for the last write: a call to the store and its repetition. A
+planned stop has 6 s for all that it does."""
+
 
 @attrs.define(eq=False)
 class Commits:
@@ -92,6 +96,8 @@
     retention: Retention
     forget: Callable[[list[Job]], None]
     _dirty: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _is_closing: bool = False
+    _settled: asyncio.Event = attrs.field(factory=asyncio.Event)
     _unsent: list[Task] = attrs.Factory(list)
     _counts: dict[str, int] = attrs.Factory(dict)
     _counts_version: int = 0
@@ -136,13 +142,26 @@
                 self._unsent.append(task)
 
     async def run(self) -> None:
-        """Writes for as long as the lease is held."""
-        while True:
+        """Writes for as long as the lease is held, or until `settle`."""
+        while not self._is_closing:
             await wait_briefly(self._dirty, self._get_pause())
             self._dirty.clear()
+            if self._is_closing:
+                break
             await self._commit()
             pause = START_COMMIT_SECONDS if self._unsent else COMMIT_SECONDS
             await asyncio.sleep(pause)
+        self._settled.set()
+
+    async def settle(self) -> None:
+        """Waits for the write that is on its way; none is begun after it.
+
+        Given up instead, it would take effect after the lease's release and
+        make that fail: nobody would own the service for as long as a lease.
+        """
+        self._is_closing = True
+        self._dirty.set()
+        await wait_briefly(self._settled, SETTLE_SECONDS)
 
     async def renew(self) -> bool:
         """Renews the lease alone; returns whether it is still held."""
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -201,6 +201,8 @@
             self._spawn(self._advice.run())
             self._spawn(self._tick_always())
             await self._ended.wait()
+            if not self._lost:
+                await self._commits.settle()
             for task in list(self._background):
                 task.cancel()
 
@@ -394,7 +396,5 @@
     async def _tick_always(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            for job in self.book.jobs.values():
-                if job.spec.occurrences > job.occurrences:
-                    self.book.open_occurrences(job, self._clock.wall())
+            self.book.open_due(self._clock.wall())
             self._steering.tick(self._clock.monotonic())
--- a/lentilmount/control/storewatch.py
+++ b/lentilmount/control/storewatch.py
@@ -29,6 +29,10 @@
 """How long the other daemons' answers are believed: they are asked every
 0.2 s for as long as the store does not answer here."""
 
+HEAR_SECONDS = 1.0
+"""For the answer of a larger host to an owner whose link may be full: calls
+took up to 0.4 s there."""
+
 PEER_SECONDS = 0.3
 """For a peer's answer: many times the way between zones (1.5 ms)."""
 
@@ -182,15 +186,17 @@
 
     async def hears(self, address: str) -> bool:
         """Asks another daemon whether the store answers it."""
-        age = await self._ask_peer(address)
+        age = await self._ask_peer(address, HEAR_SECONDS)
         return age is not None and age < OUTAGE_SECONDS
 
-    async def _ask_peer(self, address: str) -> float | None:
+    async def _ask_peer(
+        self, address: str, timeout: float = PEER_SECONDS
+    ) -> float | None:
         query = urllib.parse.urlencode({'part': self.watch.part})
         answer = await self.caller.call(
             'GET',
             f'/store?{query}',
-            timeout=PEER_SECONDS,
+            timeout=timeout,
             base=f'http://{address}',
         )
         if answer.status != 200:
--- a/lentilmount/coordination/leases.py
+++ b/lentilmount/coordination/leases.py
@@ -181,9 +181,8 @@
         holder = row.body['holder'] if row is not None else ''
         if row is not None and holder in ('', self._holder):
             self._renewed.add(key)
-        if holder == self._holder or (not defer and not holder):
-            return True
-        if not defer and self._is_gone(holder):
+        is_ours = holder in ('', self._holder) or self._is_gone(holder)
+        if is_ours and not defer:
             return True
         wait = defer
         if holder:
@@ -241,8 +240,12 @@
         lease.renewed_at = renewal.sent_at
         lease.valid_until = renewal.sent_at + self._duration
 
-    async def release(self, lease: Lease) -> None:
-        """Gives the lease up, so that another need not wait for its end."""
+    async def release(self, lease: Lease) -> bool:
+        """Gives the lease up, so that another need not wait for its end.
+
+        Returns:
+          Whether that is known to have been written.
+        """
         body = {'holder': '', 'epoch': lease.epoch, 'data': lease.data}
         try:
             await commit(
@@ -251,5 +254,6 @@
                 lease.key,
             )
         except (ConflictError, UnavailableError):
-            return
+            return False
         lease.valid_until = 0.0
+        return True
--- a/lentilmount/scheduling/book.py
+++ b/lentilmount/scheduling/book.py
@@ -77,6 +77,12 @@
         self.open_occurrences(job, wall)
         return job
 
+    def open_due(self, wall: float) -> None:
+        """Creates the tasks of all jobs' occurrences that are due."""
+        for job in self.jobs.values():
+            if job.spec.occurrences > job.occurrences:
+                self.open_occurrences(job, wall)
+
     def open_occurrences(self, job: Job, wall: float) -> None:
         """Creates the tasks of the occurrences that are due."""
         spec = job.spec
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -268,7 +268,9 @@
 
     told: dict[str, float | None] = attrs.field(kw_only=True)
 
-    async def _ask_peer(self, address: str) -> float | None:
+    async def _ask_peer(
+        self, address: str, timeout: float = 0.0
+    ) -> float | None:
         return self.told[address]
 
 
