Test that a gone worker's tasks are freed with a start to it pending

What callers saw: tasks that last stayed away for 28 s and more with room for them, until all daemons were killed; 7.4 s after the restart they ran again.

--- a/tests/test_control_links.py
+++ b/tests/test_control_links.py
@@ -2,16 +2,39 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
 from lentilmount.clock import ManualClock
-from lentilmount.control.links import Link
-from lentilmount.platform.workers import WorkerCalls
+from lentilmount.control.links import Link, Orders
+from lentilmount.platform.workers import (
+    OrderAnswer,
+    StartOrder,
+    Verdict,
+    WorkerCalls,
+)
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.scheduling.reconciling import News
+from lentilmount.scheduling.reports import Look, WorkerEntry
 from lentilmount.upstream.http import HttpCaller
-from tests.fleet_scene import add_worker
+from tests.fleet_scene import (
+    add_worker,
+    admit,
+    find_task,
+    make_job,
+    make_step,
+    run_task,
+)
+from tests.helpers import run
 
 LEASE_SECONDS = 6.0
+CALL_SECONDS = 1.0
+CLOCK_MS = 1000
 
 
 class NoEvents:
@@ -54,3 +77,113 @@
     clock.advance(5.0)
     assert link.choose_lease_end() == end
     assert worker.lapses_at == lapses_at
+
+
+@attrs.define(eq=False)
+class Promise(NoEvents):
+    """Lets leases be renewed for the promised time; keeps what lapsed."""
+
+    clock: ManualClock
+    until: float
+    lapsed: list[Task] = attrs.Factory(list)
+
+    def take_lapse(self, worker: Worker, tasks: list[Task], why: str) -> None:
+        """See `Events`."""
+        self.lapsed += tasks
+
+    def may_renew(self) -> bool:
+        """See `Events`."""
+        return self.clock.monotonic() < self.until
+
+
+class SilentCalls(WorkerCalls):
+    """Calls without an answer, each of which takes a while.
+
+    Attributes:
+      ends: Ends of the leases that the starts carried.
+    """
+
+    def __init__(self, clock: ManualClock):
+        super().__init__(HttpCaller(''), 1, CALL_SECONDS)
+        self.ends: list[int] = []
+        self._clock = clock
+
+    async def start(
+        self, worker: WorkerEntry, order: StartOrder
+    ) -> OrderAnswer:
+        """See `WorkerCalls`."""
+        self.ends.append(order.lease_until_ms)
+        self._clock.advance(CALL_SECONDS)
+        return OrderAnswer(Verdict.UNKNOWN)
+
+    async def look(self, *args: object, **options: object) -> Look | Verdict:
+        """See `WorkerCalls`."""
+        self._clock.advance(CALL_SECONDS)
+        return Verdict.UNKNOWN
+
+
+@attrs.define(eq=False)
+class Pending:
+    """A worker with a task that lasts, and a start that gets no answer."""
+
+    clock: ManualClock
+    lasting: Task
+    starting: Task
+    link: Link
+    calls: SilentCalls
+    events: Promise
+
+
+def open_pending(group: asyncio.TaskGroup, promise_seconds: float) -> Pending:
+    """Gives a worker's first leases, and sends the start for ever."""
+    clock = ManualClock()
+    book = Book()
+    worker = add_worker(book, 'w')
+    admit(book, make_job('lasts', make_step(lasting=True)))
+    admit(book, make_job('starts'))
+    lasting, starting = find_task(book, 'lasts'), find_task(book, 'starts')
+    run_task(book, lasting, worker, clock.monotonic())
+    book.place([starting], worker, clock.monotonic())
+    events = Promise(clock, clock.monotonic() + promise_seconds)
+    calls = SilentCalls(clock)
+    link = Link(worker, book, calls, events, LEASE_SECONDS, clock.monotonic)
+    link.note_clock(CLOCK_MS)
+
+    def start_task(work: Coroutine[Any, Any, None]) -> None:
+        group.create_task(work)
+
+    orders = Orders(
+        book,
+        calls,
+        {worker.id: link},
+        events,
+        clock.monotonic,
+        start_task,
+        lambda task, worker: '',
+        lambda: None,
+    )
+    orders.start(starting)
+    return Pending(clock, lasting, starting, link, calls, events)
+
+
+def test_what_a_worker_that_is_gone_ran_is_freed_with_a_start_pending() -> None:
+    """A client's lasting task stays away for ever though there is room.
+
+    Its worker is gone for good while a start to it has no answer; the start
+    is sent again until the worker's leases have run out. The owner frees what
+    was there after one lease, as on a worker without such a start.
+    """
+
+    async def play() -> None:
+        async with asyncio.TaskGroup() as group:
+            pending = open_pending(group, math.inf)
+            begun_at = pending.clock.monotonic()
+            keeping = group.create_task(pending.link.run())
+            while not pending.events.lapsed:
+                await asyncio.sleep(0.01)
+                passed = pending.clock.monotonic() - begun_at
+                assert passed < 3 * LEASE_SECONDS
+            assert pending.lasting in pending.events.lapsed
+            keeping.cancel()
+
+    run(play())
