Give no lease with a start where looks give none any more

Cause: the end of a lease that a start carries did not ask whether leases may still be renewed, as looks do. An owner that alone lost the store sent a start without an answer again and again, and moved the end of all leases of that worker each time, past the time for which the next owner waits. Ruled out: first copies of starts; they are sent after a write that renewed the lease, or in an outage for all daemons, in which renewal goes on. Change: one question for both, whether the worker answers and leases may be renewed; else a start carries the last lease, and a worker rejects it as late once that has run out.

--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -144,9 +144,10 @@
         each of them renewed its leases, nobody could ever know that they have
         run out; so only the first one without an answer does.
         """
-        if not self.worker.reachable or not self.events.may_renew():
-            return None
-        return self.choose_lease_end()
+        return self.choose_lease_end() if self._may_renew() else None
+
+    def _may_renew(self) -> bool:
+        return self.worker.reachable and self.events.may_renew()
 
     def choose_lease_end(self) -> int:
         """Returns the end of a lease that begins now, on the worker's clock.
@@ -154,9 +155,11 @@
         It is the last one for a worker that does not answer. A start is sent
         until it is answered: if each copy to a worker that is gone for good
         renewed its leases, they would never run out, and nothing placed there
-        would ever be started elsewhere.
+        would ever be started elsewhere. It is so too for an owner that may
+        not renew any more: the next one counts on the end of its leases, and
+        starts the same tasks elsewhere then.
         """
-        if self._clock_ms is None or not self.worker.reachable:
+        if self._clock_ms is None or not self._may_renew():
             return self._last_until_ms
         passed = self.monotonic() - self._clock_at
         until = self._clock_ms + int(1000 * (passed + self.lease_seconds))
