--- a/tests/test_control_links.py
+++ b/tests/test_control_links.py
@@ -28,6 +28,8 @@
     admit,
     find_task,
     make_job,
+    make_look,
+    make_running,
     make_step,
     run_task,
 )
@@ -102,11 +104,13 @@
 
     Attributes:
       ends: Ends of the leases that the starts carried.
+      looks: Answers to the first looks.
     """
 
     def __init__(self, clock: ManualClock):
         super().__init__(HttpCaller(''), 1, CALL_SECONDS)
         self.ends: list[int] = []
+        self.looks: list[Look] = []
         self._clock = clock
 
     async def start(
@@ -120,7 +124,7 @@
     async def look(self, *args: object, **options: object) -> Look | Verdict:
         """See `WorkerCalls`."""
         self._clock.advance(CALL_SECONDS)
-        return Verdict.UNKNOWN
+        return self.looks.pop(0) if self.looks else Verdict.UNKNOWN
 
 
 @attrs.define(eq=False)
@@ -209,3 +213,35 @@
         assert max(pending.calls.ends) <= last
 
     run(play())
+
+
+def test_inherited_leases_are_waited_for_after_a_single_answer() -> None:
+    """A client's task runs twice after a change of owners.
+
+    The new owner is without the store and may renew nothing when a worker
+    answers its first look; then the worker is out of reach. It may run what
+    it told of until the previous owner's leases have run out, and is left
+    alone so long.
+    """
+
+    async def play() -> None:
+        clock = ManualClock()
+        book = Book()
+        worker = add_worker(book, 'w')
+        admit(book, make_job('lasts', make_step(lasting=True)))
+        lasting = find_task(book, 'lasts')
+        lasting.run = 1
+        book.restore_placed(lasting, worker)
+        worker.lapses_at = clock.monotonic() + LEASE_SECONDS
+        inherited = worker.lapses_at
+        calls = SilentCalls(clock)
+        calls.looks.append(make_look((make_running(lasting, 1),)))
+        events = Promise(clock, clock.monotonic())
+        link = Link(worker, book, calls, events, LEASE_SECONDS, clock.monotonic)
+        keeping = asyncio.create_task(link.run())
+        while not events.lapsed:
+            await asyncio.sleep(0.01)
+        keeping.cancel()
+        assert clock.monotonic() > inherited
+
+    run(play())
