Keep the end of inherited leases until a lease of our own is given

Cause: the first answer of a worker tells its clock, and the end of its leases was worked out anew from it and the last lease given here. Where none was given yet that is a time long past, so the next look that failed freed everything on the worker, though the previous owner's leases still ran there. Ruled out: owners that may renew; they give a lease with the next look, before it can fail. Change: without a lease of our own the inherited end stays.

--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -168,7 +168,9 @@
         return until
 
     def _note_lease(self) -> None:
-        if self._clock_ms is None:
+        if self._clock_ms is None or not self._last_until_ms:
+            # No lease of ours: what the previous owner gave may still run, and
+            # freed early its tasks would run twice.
             return
         left = (self._last_until_ms - self._clock_ms) / 1000
         self.worker.lapses_at = (
