--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, cast
 
+import pytest
+
 from lentilmount.clock import ManualClock
-from lentilmount.control.commits import Commits
+from lentilmount.control import commits as commits_module
+from lentilmount.control.commits import COMMIT_ROWS, Commits
+from lentilmount.control.links import Link
 from lentilmount.control.retention import Retention
-from lentilmount.coordination.leases import LeaseKeeper
+from lentilmount.coordination.leases import Lease, LeaseKeeper
 from lentilmount.coordination.table import Key, Operation, Put
 from lentilmount.platform.store import PlatformTable
+from lentilmount.platform.workers import WorkerCalls
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.model import Task
 from lentilmount.scheduling.sharing import Sharing
+from lentilmount.upstream.http import HttpCaller
 from tests.fleet_scene import (
     add_worker,
     admit,
@@ -22,6 +29,10 @@
     make_step,
 )
 from tests.helpers import run
+from tests.test_control_links import NoEvents
+
+WRITES = 6
+"""Three hold every job once; as many again for those that changed meanwhile."""
 
 
 class _SlowTable:
@@ -47,6 +58,30 @@
         return self.version
 
 
+def _make_commits(
+    table: PlatformTable,
+    keeper: LeaseKeeper,
+    lease: Lease,
+    book: Book,
+    links: dict[str, Link],
+    send: Callable[[Task], None],
+) -> Commits:
+    return Commits(
+        'desk',
+        table,
+        keeper,
+        lease,
+        book,
+        Sharing(),
+        links,
+        ManualClock(),
+        send,
+        print,
+        Retention('desk', book, 120.0),
+        lambda jobs: None,
+    )
+
+
 def test_a_start_placed_during_a_write_waits_for_the_next() -> None:
     """A row is on its way when another task of its job is placed.
 
@@ -67,20 +102,7 @@
         admit(book, make_job('a', make_step(count=2)))
         first, second = (find_task(book, 'a', 0, n) for n in range(2))
         sent: list[Task] = []
-        commits = Commits(
-            'desk',
-            table,
-            keeper,
-            lease,
-            book,
-            Sharing(),
-            {},
-            clock,
-            sent.append,
-            print,
-            Retention('desk', book, 120.0),
-            lambda jobs: None,
-        )
+        commits = _make_commits(table, keeper, lease, book, {}, sent.append)
         slow.gate.clear()
         slow.begun.clear()
         book.place([first], worker, 1.0)
@@ -101,3 +123,59 @@
         running.cancel()
 
     run(play())
+
+
+class _BusyTable(_SlowTable):
+    """Has all jobs of a book change again with each write."""
+
+    book: Book
+
+    async def transact(self, token: str, operations: list[Operation]) -> int:
+        version = await super().transact(token, operations)
+        for job_id in self.book.jobs:
+            self.book.dirty[job_id] = None
+        # Others run meanwhile, as they do beside a real call.
+        await asyncio.sleep(0)
+        return version
+
+
+def test_ends_are_acknowledged_while_more_jobs_change_than_a_write_holds(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each step of a quick job starts a quarter of a second late.
+
+    On a busy deployment more jobs change between two writes than a write
+    holds, so there was never a moment at which all was written. No end was
+    acknowledged any more, and each worker that had told of one was left alone
+    for a quarter of a second, while the next steps waited for its other ends.
+    An end is written as soon as the jobs are that had changed until then.
+    """
+    monkeypatch.setattr(commits_module, 'COMMIT_SECONDS', 0.0)
+
+    async def play() -> None:
+        table = cast(PlatformTable, _BusyTable())
+        busy = cast(_BusyTable, table)
+        busy.book = book = Book()
+        clock = ManualClock()
+        keeper = LeaseKeeper(table, 'a', 2.0, clock.monotonic)
+        lease = await keeper.try_acquire(Key('owners/desk', 'owner'))
+        assert lease is not None
+        worker = add_worker(book, 'w')
+        for number in range(3 * COMMIT_ROWS):
+            admit(book, make_job(f'job-{number}'))
+            book.dirty[f'job-{number}'] = None
+        calls = WorkerCalls(HttpCaller(''), 1, 1.0)
+        link = Link(worker, book, calls, NoEvents(), 6.0, clock.monotonic)
+        link.received = 7
+        links = {'w': link}
+        commits = _make_commits(table, keeper, lease, book, links, print)
+        commits.note_change()
+        running = asyncio.create_task(commits.run())
+        while busy.version < WRITES and not link.written:
+            commits.note_change()
+            await asyncio.sleep(0)
+        running.cancel()
+        assert link.written == 7
+        assert busy.version >= 3
+
+    run(play())
