Tell the next owner for how long leases on workers out of reach may run

Cause: a new owner knew only the longest time that leases of the one before may run, and counted it from its own start. Owners stopped in turn, as at a restart of all daemons, each began to wait anew; nothing that a gone worker ran was started elsewhere meanwhile. Ruled out: pending starts, which renew nothing any more (no tasks were freed on either gone worker, and were on both 7.4 s after the last change of owners); a shorter longest time, which is what the leases need. Change: an owner that gives the service up writes into the lease's row for how long its leases may still run on workers that do not answer it. The next one waits so long for them at most, from later on, and writes the rest when it gives the service up in turn. Why it holds: the release is written only if the lease was held to the end, and nothing is sent after the time is taken. It counts for the very next epoch only, so what is told before a kill, or kept by an earlier version, is not gone by; then the longest time counts as before. Open: after kills each new owner still waits 7.4 s from its start.

--- a/lentilmount/control/campaign.py
+++ b/lentilmount/control/campaign.py
@@ -6,7 +6,8 @@
 import itertools
 import random
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
 
 import attrs
 import logbook
@@ -25,6 +26,7 @@
 from lentilmount.platform.advice import AdviceCalls
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerCalls
+from lentilmount.scheduling.inheritance import list_remaining
 
 log = logbook.Logger('campaign')
 
@@ -42,6 +44,12 @@
 NAME_SEPARATOR = '.'
 """Between the host's name and the process's own part in a holder's name."""
 
+REMAINING = 'remaining'
+"""Where a released lease tells of workers' leases that may still run."""
+
+TOLD_BY = 'told_by'
+"""The epoch of the owner that told it."""
+
 POLL_SECONDS = 0.5
 JITTER_SECONDS = 0.1
 
@@ -99,6 +107,7 @@
     hears: Callable[[str], Awaitable[bool]]
     owner: Owner | None = None
     _stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _told: dict[str, Any] = attrs.Factory(dict)
 
     async def run(self) -> None:
         """Campaigns until told to stop."""
@@ -112,7 +121,9 @@
         key = make_owner_key(self.settings.service)
         while not self._stopping.is_set():
             try:
-                lease = await keeper.try_acquire(key, defer=self._defer())
+                lease = await keeper.try_acquire(
+                    key, self._take_data, self._defer()
+                )
             except UnavailableError as error:
                 log.warning('Cannot look at the lease: {}', error)
                 lease = None
@@ -130,6 +141,23 @@
         """
         return is_same_host(self.name, holder)
 
+    def _take_data(self, data: dict[str, Any]) -> dict[str, Any]:
+        """Takes in what the row told, which ends with our first write."""
+        self._told = data
+        return {}
+
+    def _get_remaining(self, lease: Lease) -> Mapping[str, float]:
+        """Returns what the previous owner told of leases at its release.
+
+        An owner since then, killed or of an earlier version, has renewed
+        leases and told nothing; what stands there is no longer true, and gone
+        by, tasks would run twice.
+        """
+        if self._told.get(TOLD_BY) != lease.epoch - 1:
+            return {}
+        remaining: dict[str, float] = self._told[REMAINING]
+        return remaining
+
     def _defer(self) -> float:
         return HEAD_START_SECONDS if self.candidates.may_be_outranked else 0.0
 
@@ -150,6 +178,7 @@
             self.is_outage,
             self.advice,
             self.metrics,
+            self._get_remaining(lease),
         )
         self.owner = owner
         handover = asyncio.create_task(self._hand_over(owner, lease))
@@ -162,6 +191,11 @@
             self.owner = None
         if owner.lost:
             return
+        now = self.clock.monotonic()
+        lease.data = {
+            TOLD_BY: lease.epoch,
+            REMAINING: list_remaining(owner.book, now),
+        }
         if await keeper.release(lease):
             log.info('Released: {}.', self.settings.service)
         else:
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import attrs
@@ -20,13 +20,13 @@
 from lentilmount.control.retention import Retention
 from lentilmount.control.steering import Steering
 from lentilmount.control.takeover import take_over
-from lentilmount.coordination.leases import Lease, LeaseKeeper
+from lentilmount.coordination.leases import CLOCK_DRIFT, Lease, LeaseKeeper
 from lentilmount.platform.advice import AdviceCalls
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerCalls
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.health import Health
-from lentilmount.scheduling.inheritance import Inheritance
+from lentilmount.scheduling.inheritance import Inheritance, shorten_leases
 from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
 from lentilmount.scheduling.placing import Placer
 from lentilmount.scheduling.reconciling import News
@@ -88,6 +88,8 @@
       is_outage: Tells whether no daemon at all reaches the store.
       advice: How the advice service is called, if there is one.
       metrics: What the daemon counts.
+      remaining: What the previous owner told of workers' leases at its
+        release; see `list_remaining`.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         is_outage: Callable[[], bool],
         advice: AdviceCalls | None,
         metrics: ControlMetrics,
+        remaining: Mapping[str, float],
     ):
         self.book = Book()
         self.links: dict[str, Link] = {}
@@ -112,6 +115,7 @@
         self._calls = calls
         self._clock = clock
         self._lapse_seconds = lapse_seconds
+        self._remaining = remaining
         self._is_written = is_written
         self._is_outage = is_outage
         self._metrics = metrics
@@ -175,10 +179,12 @@
         lapse_seconds = self._lapse_seconds
         if not await take_over(self._intake, self._commits, lapse_seconds):
             return
+        now = self._clock.monotonic()
+        shorten_leases(self.book, self._remaining, CLOCK_DRIFT, now)
         self._inheritance = Inheritance(
             self.book,
             self._is_written,
-            self._clock.monotonic() + lapse_seconds,
+            now + lapse_seconds,
             frozenset(self.book.jobs),
         )
         log.info(
--- a/lentilmount/scheduling/inheritance.py
+++ b/lentilmount/scheduling/inheritance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 
 from lentilmount.scheduling.book import Book
@@ -42,3 +44,38 @@
     def holds(self, task: Task) -> bool:
         """Tells whether a task is one that a doubt is about."""
         return task.id.job in self.jobs
+
+
+def list_remaining(book: Book, now: float) -> dict[str, float]:
+    """Lists for how long leases may still run where no look was answered.
+
+    Told to the next owner with the release of the service. Without it each
+    new owner would wait for the longest lease anew, and where owners change
+    faster than that, what a gone worker ran would never be started again.
+
+    Returns:
+      Seconds by the worker's id.
+    """
+    return {
+        worker.id: max(0.0, worker.lapses_at - now)
+        for worker in book.workers.values()
+        if worker.tasks and not worker.reachable
+    }
+
+
+def shorten_leases(
+    book: Book, remaining: Mapping[str, float], drift: float, now: float
+) -> None:
+    """Takes over what `list_remaining` told at the release.
+
+    Args:
+      book: The book as restored, before any worker was asked.
+      remaining: What the previous owner has told.
+      drift: Share by which two clocks differ in rate at most.
+      now: Monotonic time.
+    """
+    for worker_id, seconds in remaining.items():
+        worker = book.workers.get(worker_id)
+        if worker is not None and not worker.reached:
+            until = now + seconds * (1 + drift)
+            worker.lapses_at = min(worker.lapses_at, until)
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -6,6 +6,16 @@
 import pathlib
 import signal
 
+from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.inheritance import list_remaining, shorten_leases
+from lentilmount.scheduling.model import Worker
+from tests.fleet_scene import (
+    add_worker,
+    admit,
+    find_task,
+    make_job,
+    run_task,
+)
 from tests.helpers import run
 from tests.platform_scene import Daemon, Scene, open_scene
 
@@ -69,3 +79,32 @@
             assert len(starts) == 2
 
     run(play())
+
+
+def make_placed(reachable: bool, lapses_at: float) -> tuple[Book, Worker]:
+    """Returns a book with a task on a worker."""
+    book = Book()
+    worker = add_worker(book, 'w')
+    admit(book, make_job('job'))
+    run_task(book, find_task(book, 'job'), worker)
+    worker.reachable = reachable
+    worker.lapses_at = lapses_at
+    return book, worker
+
+
+def test_leases_that_may_be_renewed_are_not_told() -> None:
+    assert list_remaining(make_placed(False, 15.0)[0], 12.0) == {'w': 3.0}
+    assert list_remaining(make_placed(False, 15.0)[0], 16.0) == {'w': 0.0}
+    assert list_remaining(make_placed(True, 15.0)[0], 12.0) == {}
+
+
+def test_what_was_told_only_shortens_the_wait_for_a_worker_not_heard() -> None:
+    book, worker = make_placed(False, 15.0)
+    worker.reached = False
+    shorten_leases(book, {'w': 3.0, 'other': 1.0}, 0.1, 10.0)
+    assert worker.lapses_at == 10.0 + 3.0 * 1.1
+    shorten_leases(book, {'w': 30.0}, 0.1, 10.0)
+    assert worker.lapses_at == 10.0 + 3.0 * 1.1
+    worker.reached = True
+    shorten_leases(book, {'w': 0.0}, 0.1, 10.0)
+    assert worker.lapses_at == 10.0 + 3.0 * 1.1
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -64,6 +64,7 @@
         lambda: False,
         None,
         ControlMetrics(),
+        {},
     )
 
 
