Look seldom at workers while alone without the store

Cause: while ends cannot be written, an owner asks each worker four times a second, and each lists all of them again. An owner on a small link that could not reach the store took 2.1 to 3.1 Mbit/s of such lists (294 workers, 300 to 360 looks a second), and its own calls to the store, 1 to 2 writes a second of 33 kB and all others, ran into their timeout of 0.6 s.

Ruled out: that it started or renewed anything. Its leases and its right to start end without the store, and did.

Change: an owner that may renew no lease waits 1.5 s instead of 0.25 s for ends to be written before it looks again; a write that is answered ends the wait. In an outage for all daemons, in which work goes on, nothing changes.

--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -118,7 +118,7 @@
         if self.received > self.written:
             # The worker would answer at once with the same ends.
             self.wrote.clear()
-            await wait_briefly(self.wrote, UNCOMMITTED_LOOK_SECONDS)
+            await wait_briefly(self.wrote, self._choose_pause())
         waits = self.received <= self.written and self.worker.reachable
         asked_at = self.monotonic()
         answer = await self.calls.look(
@@ -132,6 +132,19 @@
             return
         await self._take_failure(answer)
 
+    def _choose_pause(self) -> float:
+        """Returns how long a look waits for ends to be written.
+
+        An owner that may renew no lease is alone without the store: it can act
+        on nothing that it hears. On a small link the same ends, listed again
+        by hundreds of workers four times a second, kept its own calls to the
+        store from getting through, so that it never heard that it had been
+        replaced, even after the store answered again.
+        """
+        if self.events.may_renew():
+            return UNCOMMITTED_LOOK_SECONDS
+        return QUIET_LOOK_SECONDS
+
     def _choose_wait(self) -> float:
         serves = any(t.serves for t in self.worker.tasks.values())
         fills = any(t.spec.fills for t in self.worker.tasks.values())
--- /dev/null
+++ b/tests/test_link_pauses.py
@@ -0,0 +1,107 @@
+"""How often a link looks at its worker."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from lentilmount.clock import ManualClock
+from lentilmount.control import links
+from lentilmount.control.links import Link
+from lentilmount.platform.workers import WorkerCalls
+from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.model import Task, Worker
+from lentilmount.scheduling.reconciling import News
+from lentilmount.scheduling.reports import Look, WorkerEntry
+from lentilmount.upstream.http import HttpCaller
+from tests.fleet_scene import add_worker, make_look
+from tests.helpers import run
+
+LOOKS = 3
+
+
+@attrs.define
+class _Events:
+    """Tells whether leases may be renewed; forgets the rest."""
+
+    renews: bool
+
+    def lose(self, reason: str) -> None:
+        """See `Events`."""
+
+    def take_news(self, worker: Worker, news: News) -> None:
+        """See `Events`."""
+
+    def take_lapse(self, worker: Worker, tasks: list[Task], why: str) -> None:
+        """See `Events`."""
+
+    def may_renew(self) -> bool:
+        """See `Events`."""
+        return self.renews
+
+
+class _Calls(WorkerCalls):
+    """Answers every look at once, and ends the link after a few."""
+
+    def __init__(self) -> None:
+        super().__init__(HttpCaller(''), 1, 1.0)
+        self.looks = 0
+        self.enough = asyncio.Event()
+
+    async def look(
+        self,
+        worker: WorkerEntry,
+        seen: int,
+        lease_until_ms: int | None,
+        wait: float,
+    ) -> Look:
+        self.looks += 1
+        if self.looks == LOOKS:
+            self.enough.set()
+            await asyncio.Event().wait()
+        return make_look()
+
+
+async def _list_pauses(
+    renews: bool, monkeypatch: pytest.MonkeyPatch
+) -> list[float]:
+    """Lets a link look while an end cannot be written; returns its pauses."""
+    pauses: list[float] = []
+
+    async def note(event: asyncio.Event, seconds: float) -> None:
+        pauses.append(seconds)
+        await asyncio.sleep(0)
+
+    monkeypatch.setattr(links, 'wait_briefly', note)
+    book = Book()
+    worker = add_worker(book, 'w')
+    calls = _Calls()
+    clock = ManualClock().monotonic
+    link = Link(worker, book, calls, _Events(renews), 6.0, clock)
+    link.received = 1
+    running = asyncio.create_task(link.run())
+    await calls.enough.wait()
+    running.cancel()
+    return pauses
+
+
+def test_an_owner_alone_without_the_store_looks_seldom(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An owner on a small link is cut off, and replaced.
+
+    Its workers listed the ends that it could not write four times a second
+    each. After the cut these lists filled its link, its calls to the store ran
+    into their timeouts, and it went on so for the rest of the day without
+    hearing of the new owner.
+    """
+    assert run(_list_pauses(False, monkeypatch)) == [1.5] * LOOKS
+
+
+def test_an_owner_that_acts_hears_of_ends_soon(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """In an outage for all, work goes on: the next step waits for the ends."""
+    assert run(_list_pauses(True, monkeypatch)) == [0.25] * LOOKS
