Acknowledge ends as soon as their jobs are written

With more changed jobs than a write holds, no end was ever acknowledged, and each worker that had told of one was not asked for 0.25 s. Change: each write leaves a mark, the ends received by then and the changed jobs that it does not hold; the ends go when those are written. Ten rows of each write are for the jobs that wait longest, as starts could take them all. Figures: the test, never before, after three writes now.

--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -64,6 +65,25 @@
 planned stop has 6 s for all that it does."""
 
 
+OLDEST_ROWS = 10
+"""Rows of a write kept for the jobs that have waited longest. Jobs with
+waiting starts take the others first; with all of them, ends of other jobs would
+never be acknowledged while starts keep coming."""
+
+
+@attrs.define
+class _Mark:
+    """Ends that may be forgotten once some jobs are written.
+
+    Attributes:
+      received: For each link, the number of the last end in the book.
+      waiting: Ids of the jobs that had changed by then and are not written.
+    """
+
+    received: list[tuple[Link, int]]
+    waiting: set[str]
+
+
 @attrs.define(eq=False)
 class Commits:
     """Writes what changed in the book.
@@ -98,6 +118,7 @@
     _dirty: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_closing: bool = False
     _settled: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _marks: collections.deque[_Mark] = attrs.Factory(collections.deque)
     _unsent: list[Task] = attrs.Factory(list)
     _counts: dict[str, int] = attrs.Factory(dict)
     _counts_version: int = 0
@@ -176,7 +197,7 @@
         received = [(link, link.received) for link in self.links.values()]
         jobs = self._take_dirty()
         placed, self._unsent = self._unsent, []
-        complete = not self.book.dirty
+        mark = _Mark(received, set(self.book.dirty))
         counts = self._make_counts()
         model = self._make_model()
         states = [self._make_state(job) for job in jobs]
@@ -195,12 +216,24 @@
         if model:
             self._model_version = self.lease.version
         self._send_starts(placed, set(jobs))
-        if not complete:
+        if self.book.dirty:
             self._dirty.set()
-            return
-        for link, number in received:
-            link.written = max(link.written, number)
-            link.wrote.set()
+        self._acknowledge(mark, {job.spec.id for job in jobs})
+
+    def _acknowledge(self, mark: _Mark, written: set[str]) -> None:
+        """Lets workers forget the ends whose jobs are all written.
+
+        With more changed jobs than a write holds there is never a moment at
+        which all is written. Waiting for one, each worker that told of an end
+        was left alone for 0.25 s, and the steps after it started so much later.
+        """
+        for older in self._marks:
+            older.waiting -= written
+        self._marks.append(mark)
+        while self._marks and not self._marks[0].waiting:
+            for link, number in self._marks.popleft().received:
+                link.written = max(link.written, number)
+                link.wrote.set()
 
     async def _write(
         self, operations: list[Operation], jobs: list[Job]
@@ -231,12 +264,13 @@
 
     def _take_dirty(self) -> list[Job]:
         """Takes the jobs to be written, those with waiting starts first."""
-        first = {task.id.job: None for task in self._unsent}
-        taken = []
-        for job_id in list({**first, **self.book.dirty})[:COMMIT_ROWS]:
+        starts = dict.fromkeys(task.id.job for task in self._unsent)
+        first = list(starts)[: COMMIT_ROWS - OLDEST_ROWS]
+        oldest = [job_id for job_id in self.book.dirty if job_id not in starts]
+        chosen = [*first, *oldest, *list(starts)[len(first) :]][:COMMIT_ROWS]
+        for job_id in chosen:
             self.book.dirty.pop(job_id, None)
-            taken.append(self.book.jobs[job_id])
-        return taken
+        return [self.book.jobs[job_id] for job_id in chosen]
 
     def _make_counts(self) -> list[Operation]:
         now = self.clock.monotonic()
