--- a/lentilmount/control/intake.py
+++ b/lentilmount/control/intake.py
@@ -79,7 +79,9 @@
             await asyncio.sleep(0)
         now = self.clock.monotonic()
         lapses_at = now + lapse_seconds
-        for row in states:
+        for number, row in enumerate(states):
+            if number % PAGE == 0:
+                await asyncio.sleep(0)
             job = self.book.jobs.get(row.key.sort)
             if job is not None:
                 job.version = row.version
