--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -263,7 +263,8 @@
                 link.restart('it registered anew')
         if entry.id not in self.links:
             self._add_link(worker)
-        if before is None or before.state != entry.state:
+        # What only rows spoke of has no time of birth yet, nor a true state.
+        if not before or not before.born or before.state != entry.state:
             log.info(
                 'Worker is {}.',
                 entry.state.value,
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -18,8 +18,18 @@
 from lentilmount.coordination.table import UnavailableError
 from lentilmount.platform.store import Changes, PlatformTable
 from lentilmount.platform.workers import WorkerCalls
+from lentilmount.scheduling.model import TaskPhase
+from lentilmount.scheduling.reports import WorkerState
+from lentilmount.scheduling.rows import make_unregistered
 from lentilmount.upstream.http import HttpCaller
 from stand_ins.rowstore import Door, RowStore
+from tests.fleet_scene import (
+    admit,
+    find_task,
+    make_entry,
+    make_job,
+    make_step,
+)
 from tests.helpers import run
 from tests.platform_scene import SERVICE, serve_store
 
@@ -200,3 +210,31 @@
                 await asyncio.wait_for(running, 4.5)
 
     run(play())
+
+
+def test_a_new_owner_moves_tasks_off_a_worker_that_is_leaving() -> None:
+    """A worker drains while its service changes hands.
+
+    The rows tell only its id, so the new owner makes it up as draining. When
+    its registration says so too nothing seems to have changed, and what lasts
+    there is not moved: it is away from the worker's exit until its leases
+    have run out.
+    """
+
+    async def play() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            _, table, keeper = _open(stack)
+            lease = await keeper.try_acquire(make_owner_key(SERVICE))
+            assert lease is not None
+            owner = _make_owner(table, keeper, lease)
+            book = owner.book
+            admit(book, make_job('a', make_step(lasting=True)))
+            task = find_task(book, 'a')
+            task.run = 1
+            worker = book.workers['w'] = make_unregistered('w')
+            book.restore_placed(task, worker)
+            owner._add_link(worker)
+            owner._meet(make_entry('w', state=WorkerState.DRAINING))
+            assert task.phase is TaskPhase.STOPPING
+
+    run(play())
