--- a/tests/fleet_scene.py
+++ b/tests/fleet_scene.py
@@ -15,6 +15,7 @@
     WorkerEntry,
     WorkerState,
 )
+from lentilmount.scheduling.rows import encode_state, restore_state
 from lentilmount.scheduling.specs import JobSpec, QueuePolicy, StepSpec, TaskId
 
 SERVICE = 'desk'
@@ -102,3 +103,12 @@
 def admit(book: Book, spec: JobSpec) -> Job:
     """Admits a job at time 0."""
     return book.admit(spec, 0.0, 0.0)
+
+
+def hand_over(book: Book) -> Book:
+    """Returns the book of a new owner that has read all rows."""
+    new = Book()
+    for job in book.jobs.values():
+        restored = admit(new, job.spec)
+        restore_state(new, restored, encode_state(job), lapses_at=20.0, now=4.0)
+    return new
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -14,6 +14,7 @@
     add_worker,
     admit,
     find_task,
+    hand_over,
     make_end,
     make_job,
     make_look,
@@ -24,15 +25,6 @@
 )
 
 
-def hand_over(book: Book) -> Book:
-    """Returns the book of a new owner that has read all rows."""
-    new = Book()
-    for job in book.jobs.values():
-        restored = admit(new, job.spec)
-        restore_state(new, restored, encode_state(job), lapses_at=20.0, now=4.0)
-    return new
-
-
 def take_over(worker: str) -> tuple[Book, Task]:
     """Returns the book of a new owner, and a task running on a worker."""
     book = Book()
