Count a job as waiting until a worker has begun it

Callers saw fewer jobs said to wait than waited. Cause: an owner noted a job as begun when it placed it, before its starts were even sent; a new owner took the same from its row. Starts to workers that are cut off, or of an owner whose link is full, are not carried out for seconds, and such jobs were neither counted as waiting nor run by anyone. Ruled out: counting placed jobs as begun for the first second only; with the age of the counts that is still wrong for two seconds after a cut. Why it holds: only a worker's own word makes a job begun; where a new owner cannot know, it counts a job rather than not. Before: the job placed on a worker that is cut off is counted 0 times; after: once, at the owner and at the next one, and no more once it has begun.

--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -177,7 +177,7 @@
         jobs = self._take_dirty()
         placed, self._unsent = self._unsent, []
         complete = not self.book.dirty
-        counts = self._make_counts()
+        counts = self._make_counts(jobs)
         model = self._make_model()
         states = [self._make_state(job) for job in jobs]
         old = [] if jobs else self.retention.list_old(self.clock.monotonic())
@@ -238,9 +238,15 @@
             taken.append(self.book.jobs[job_id])
         return taken
 
-    def _make_counts(self) -> list[Operation]:
+    def _make_counts(self, jobs: list[Job]) -> list[Operation]:
+        """Counts the waiting jobs, if they were not just counted.
+
+        They go with the row of a job that has ended: otherwise a job that
+        callers see completed would still count as waiting.
+        """
         now = self.clock.monotonic()
-        if now - self._counts_at < COUNTS_SECONDS:
+        has_ended = any(job.state.is_final for job in jobs)
+        if now - self._counts_at < COUNTS_SECONDS and not has_ended:
             return []
         self._counts_at = now
         counts = self.book.count_pending()
--- a/lentilmount/scheduling/book.py
+++ b/lentilmount/scheduling/book.py
@@ -140,11 +140,15 @@
         return stopped
 
     def count_pending(self) -> dict[str, int]:
-        """Counts the jobs of each queue of which nothing has started."""
+        """Counts the jobs of each queue of which nothing has begun.
+
+        A start that was sent may never arrive, as in a zone cut; counted as
+        begun, its job would neither wait nor run for as long as leases last.
+        """
         counts: dict[str, int] = {}
         for job in self.jobs.values():
             name = job.spec.queue.name
-            waits = not job.has_started and not job.state.is_final
+            waits = not job.has_begun and not job.state.is_final
             counts[name] = counts.get(name, 0) + waits
         return counts
 
@@ -192,6 +196,7 @@
         if task.run == run and task.phase is TaskPhase.STARTING:
             task.phase = TaskPhase.RUNNING
             task.confirmed_at = now
+            task.job.has_begun = True
 
     def reject(self, task: Task, run: int) -> None:
         """Takes in that a worker surely has not started a run."""
@@ -316,6 +321,7 @@
 
     def restore_done(self, task: Task, now: float) -> None:
         """Takes over from a row that a task is done."""
+        task.job.has_begun = True
         self._mark_done(task, now)
 
     def restore_placed(self, task: Task, worker: Worker) -> None:
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -150,7 +150,8 @@
       cancel_version: Version of its cancellation's row, if there is one.
       ended_at: Monotonic time at which it ended, as far as it is known.
       remaining: Tasks of each (occurrence, step) that are not done.
-      has_started: Whether any task was started.
+      has_started: Whether any task was placed.
+      has_begun: Whether a worker has surely begun any task.
       started_at: Monotonic time of the first start by this owner.
     """
 
@@ -167,6 +168,7 @@
     ended_at: float = math.inf
     remaining: dict[tuple[int, int], int] = attrs.Factory(dict)
     has_started: bool = False
+    has_begun: bool = False
     started_at: float = math.inf
 
 
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -119,6 +119,7 @@
     checkpoint = rest[1] if len(rest) > 1 else ''
     task.failed_runs = set(failed_runs)
     task.checkpoint = checkpoint
+    task.job.has_begun |= bool(failed_runs or checkpoint)
     task.run = run
     task.skipped = RUN_MARGIN
     if worker:
