Show that a restarted worker's tasks are given up twice

Seen in the test: a lasting task is started three times where two do, and the second run is stopped or runs beside the third. The test fails: 3 starts on the worker, not 2.

--- a/stand_ins/fleet.py
+++ b/stand_ins/fleet.py
@@ -126,6 +126,14 @@
         running = [[r.task, r.run, '', 100, 100] for r in self.running.values()]
         return {'running': running, 'ended': self.ended, 'born': self.born}
 
+    def restart(self) -> None:
+        """Begins a new life under the same id; nothing is left of before."""
+        self.born += 1
+        self.running.clear()
+        self.ended.clear()
+        self.highest.clear()
+        self.lease_until_ms = self.sequence = self.token = 0
+
     def describe(self, address: str) -> bytes:
         """Returns its registration."""
         return orjson.dumps(
@@ -195,6 +203,7 @@
         ]
         self._store = store
         self._servers: list[HTTPServer] = []
+        self._addresses: dict[str, str] = {}
 
     def open(self) -> None:
         """Listens and registers."""
@@ -208,8 +217,13 @@
             server.add_sockets(sockets)
             self._servers.append(server)
             port = sockets[0].getsockname()[1]
-            entry = worker.describe(f'127.0.0.1:{port}')
-            self._store.write(('servers', '', worker.id), entry)
+            self._addresses[worker.id] = f'127.0.0.1:{port}'
+            self.register(worker)
+
+    def register(self, worker: FleetWorker) -> None:
+        """Writes a worker's registration."""
+        entry = worker.describe(self._addresses[worker.id])
+        self._store.write(('servers', '', worker.id), entry)
 
     def close(self) -> None:
         """Stops listening."""
--- /dev/null
+++ b/tests/test_worker_restarts.py
@@ -0,0 +1,57 @@
+"""Workers that begin a new life under the id that they had."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+from stand_ins.fleet import FleetWorker
+from tests.helpers import run
+from tests.platform_scene import open_scene
+
+JOB = '0123456789abcdef'
+
+SETTLED_SECONDS = 2.5
+"""More than a reading of the registrations and a look at a worker."""
+
+
+def count_starts(worker: FleetWorker) -> int:
+    """Counts the starts that a worker has carried out."""
+    return len(worker.started)
+
+
+def test_what_a_new_life_was_given_is_not_started_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A lasting task runs twice at once, or is stopped and started again.
+
+    A worker restarts. Its owner hears so from its lists, which are of a new
+    life, and starts the lost task anew there. Then the new registration comes,
+    and the owner takes it for one more restart: it gives up what it has just
+    started, and starts it a third time.
+    """
+
+    async def play() -> None:
+        async with open_scene(tmp_path) as scene:
+            for worker in scene.fleet.workers:
+                worker.lasts.add('long')
+            daemon = await scene.start()
+            # So small that its tasks are spread over the workers.
+            await scene.submit(
+                daemon, JOB, 'long', count=2, cpu=100, longRunning=True
+            )
+
+            async def runs_everywhere() -> bool:
+                return all(w.running for w in scene.fleet.workers)
+
+            await scene.wait_for(runs_everywhere)
+            first, other = scene.fleet.workers
+            first.restart()
+            await scene.wait_for(runs_everywhere)
+            assert (count_starts(first), count_starts(other)) == (2, 1)
+            scene.fleet.register(first)
+            await asyncio.sleep(SETTLED_SECONDS)
+            assert (count_starts(first), count_starts(other)) == (2, 1)
+            assert await runs_everywhere()
+
+    run(play())
