--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -199,6 +199,15 @@
         self.received = max(self.received, news.acknowledged)
         self.events.take_news(worker, news)
 
+    def note_registration(self, born: int) -> None:
+        """Takes in that the worker registered a new life.
+
+        Its lists often tell of that life before. What was placed there since
+        runs; given up, it would be started elsewhere and run twice.
+        """
+        if self._born is None or self._born < born:
+            self.restart('it registered anew')
+
     def restart(self, why: str) -> None:
         """Forgets an incarnation: nothing of it runs any more."""
         self.received = self.written = 0
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -250,7 +250,7 @@
         if before is not None and before.born not in (0, entry.born):
             link = self.links.get(entry.id)
             if link is not None:
-                link.restart('it registered anew')
+                link.note_registration(entry.born)
         if entry.id not in self.links:
             self._add_link(worker)
         if before is None or before.state != entry.state:
