Tell with the lease of starts that no row tells of

Cause: a new owner took all rows for true once it had seen a write after an outage, or a release; but a write holds 45 jobs, and tasks that were started unwritten may stand in none of them. Change: the lease's row tells while such starts are left; the next owner then waits for workers or leases as after an unseen outage. Test: a write of 45 of 46 jobs tells of the rest, the next one tells of none; both told nothing before.

--- a/lentilmount/control/campaign.py
+++ b/lentilmount/control/campaign.py
@@ -14,6 +14,7 @@
 
 from lentilmount.clock import Clock
 from lentilmount.control.candidates import Candidates
+from lentilmount.control.commits import is_unwritten
 from lentilmount.control.keys import make_owner_key
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import (
@@ -157,6 +158,12 @@
         self._told = data
         return {}
 
+    def _is_written(self, keeper: LeaseKeeper, lease: Lease) -> bool:
+        """Whether the rows surely tell of all that the last owner started."""
+        if is_unwritten(self._told):
+            return False
+        return keeper.has_seen_writes(lease.key) or lease.epoch == 1
+
     def _get_remaining(self, lease: Lease) -> Mapping[str, float]:
         """Returns what the previous owner told of leases at its release.
 
@@ -185,7 +192,7 @@
             self.make_calls(lease.epoch),
             self.clock,
             self._get_lapse_seconds(),
-            keeper.has_seen_writes(lease.key) or lease.epoch == 1,
+            self._is_written(keeper, lease),
             self.is_outage,
             self.advice,
             self.metrics,
@@ -204,6 +211,7 @@
             return
         now = self.clock.monotonic()
         lease.data = {
+            **lease.data,
             TOLD_BY: lease.epoch,
             REMAINING: list_remaining(owner.book, now),
         }
--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 from collections.abc import Callable, Mapping
+from typing import Any
 
 import attrs
 import logbook
@@ -71,6 +72,15 @@
 never be acknowledged while starts keep coming."""
 
 
+UNWRITTEN = 'unwritten'
+"""Where a lease's row tells that tasks may run of which no row tells."""
+
+
+def is_unwritten(data: Mapping[str, Any]) -> bool:
+    """Tells from a lease's data whether tasks may run that no row tells of."""
+    return bool(data.get(UNWRITTEN))
+
+
 @attrs.define
 class _Mark:
     """Ends that may be forgotten once some jobs are written.
@@ -117,6 +127,7 @@
     forget: Callable[[list[Job]], None]
     _dirty: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_closing: bool = False
+    _has_sent_unwritten: bool = False
     _settled: asyncio.Event = attrs.field(factory=asyncio.Event)
     _marks: collections.deque[_Mark] = attrs.Factory(collections.deque)
     _unsent: list[Task] = attrs.Factory(list)
@@ -144,6 +155,7 @@
     def send_unwritten(self) -> None:
         """Sends all starts at once: nobody can take over meanwhile."""
         placed, self._unsent = self._unsent, []
+        self._has_sent_unwritten |= bool(placed)
         self._send_starts(placed, set(self.book.jobs.values()))
 
     def _send_starts(self, placed: list[Task], written: set[Job]) -> None:
@@ -204,6 +216,7 @@
         old = [] if jobs else self.retention.list_old(self.clock.monotonic())
         removals = self.retention.make_removals(old)
         operations = [*states, *counts, *model, *removals]
+        self._tell_unwritten(bool(mark.waiting))
         if not await self._write(operations, [*jobs, *old]):
             self._unsent += placed
             return
@@ -218,8 +231,20 @@
         self._send_starts(placed, set(jobs))
         if self.book.dirty:
             self._dirty.set()
+        else:
+            self._has_sent_unwritten = False
         self._acknowledge(mark, {job.spec.id for job in jobs})
 
+    def _tell_unwritten(self, leaves_some: bool) -> None:
+        """Tells with the lease whether this write leaves starts untold.
+
+        The next owner takes rows for true once it has seen a write after an
+        outage. One that did not hold all jobs would have it start the others
+        again: twice, where their worker is not heard at once.
+        """
+        is_told = self._has_sent_unwritten and leaves_some
+        self.lease.data = {UNWRITTEN: True} if is_told else {}
+
     def _acknowledge(self, mark: _Mark, written: set[str]) -> None:
         """Lets workers forget the ends whose jobs are all written.
 
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -10,13 +10,14 @@
 
 from lentilmount.clock import ManualClock
 from lentilmount.control import commits as commits_module
-from lentilmount.control.commits import COMMIT_ROWS, Commits
+from lentilmount.control.commits import COMMIT_ROWS, Commits, is_unwritten
 from lentilmount.control.links import Link
 from lentilmount.control.retention import Retention
 from lentilmount.coordination.leases import Lease, LeaseKeeper
 from lentilmount.coordination.table import Key, Operation, Put
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerCalls
+from lentilmount.resources import Room
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.model import Task
 from lentilmount.scheduling.sharing import Sharing
@@ -179,3 +180,41 @@
         assert busy.version >= 3
 
     run(play())
+
+
+def test_a_lease_tells_of_starts_that_no_row_tells_of() -> None:
+    """A task runs twice after an outage of the store and a change of owners.
+
+    In the outage tasks were started unwritten. After it the owner wrote as
+    many jobs as a write holds and was lost, or gave the service up; the next
+    one had seen that write, took all rows for true, and started the rest again
+    before all workers were heard.
+    """
+
+    async def play() -> None:
+        table = cast(PlatformTable, _SlowTable())
+        slow = cast(_SlowTable, table)
+        keeper = LeaseKeeper(table, 'a', 2.0, ManualClock().monotonic)
+        key = Key('owners/desk', 'owner')
+        lease = await keeper.try_acquire(key)
+        assert lease is not None
+        book = Book()
+        worker = add_worker(book, 'w', capacity=Room(999.0, 999_000))
+        commits = _make_commits(table, keeper, lease, book, {}, print)
+        for number in range(COMMIT_ROWS + 1):
+            admit(book, make_job(f'job-{number}'))
+            task = find_task(book, f'job-{number}')
+            book.place([task], worker, 1.0)
+            commits.add_start(task)
+        commits.send_unwritten()
+        told: list[bool] = []
+        running = asyncio.create_task(commits.run())
+        while len(told) < 2:
+            version = slow.version
+            while slow.version == version:
+                await asyncio.sleep(0.001)
+            told.append(is_unwritten(slow.bodies[key]['data']))
+        running.cancel()
+        assert told == [True, False]
+
+    run(play())
