--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -218,3 +218,34 @@
         assert told == [True, False]
 
     run(play())
+
+
+def test_starts_in_a_write_on_its_way_are_sent_in_an_outage_too() -> None:
+    """The store goes away for all while a write with starts is on its way.
+
+    Tasks placed later are started at once, as nobody can take over. Those in
+    that write hold their room and are not started until the store is back.
+    """
+
+    async def play() -> None:
+        table = cast(PlatformTable, _SlowTable())
+        slow = cast(_SlowTable, table)
+        keeper = LeaseKeeper(table, 'a', 2.0, ManualClock().monotonic)
+        lease = await keeper.try_acquire(Key('owners/desk', 'owner'))
+        assert lease is not None
+        book, sent = Book(), cast(list[Task], [])
+        commits = _make_commits(table, keeper, lease, book, {}, sent.append)
+        worker = add_worker(book, 'w')
+        admit(book, make_job('a'))
+        first = find_task(book, 'a')
+        slow.gate.clear()
+        slow.begun.clear()
+        book.place([first], worker, 1.0)
+        commits.add_start(first)
+        running = asyncio.create_task(commits.run())
+        await slow.begun.wait()
+        commits.send_unwritten()
+        running.cancel()
+        assert sent == [first]
+
+    run(play())
--- /dev/null
+++ b/tests/test_restoring.py
@@ -0,0 +1,135 @@
+"""What a new owner restores from the rows of the one before."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from lentilmount.clock import SystemClock
+from lentilmount.control import intake as intakes
+from lentilmount.control.intake import Intake
+from lentilmount.control.keys import make_state_key
+from lentilmount.coordination.table import ABSENT, Put
+from lentilmount.coordination.transactions import make_token
+from lentilmount.platform.store import PAGE
+from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.reports import EndKind
+from lentilmount.scheduling.rows import encode_state, restore_state
+from lentilmount.scheduling.specs import JobSpec, TaskId
+from tests.fleet_scene import (
+    add_worker,
+    admit,
+    find_task,
+    make_job,
+    make_policy,
+    make_step,
+    run_task,
+)
+from tests.helpers import run
+from tests.platform_scene import open_table
+from tests.test_intake import submit
+
+
+def test_any_number_of_takeovers_raises_the_next_run_by_one_margin() -> None:
+    """Rows keep the run of a task and not the margin that a takeover adds.
+
+    A task runs as run 1. Owners come and go without placing it, and each
+    writes its row; only the last one places it. Its run is 10 after one
+    takeover and 10 after three, so a run's number does not tell how often a
+    service changed hands.
+    """
+    runs = []
+    for takeovers in (1, 3):
+        book = Book()
+        job = admit(book, make_job('a', make_step(lasting=True)))
+        run_task(book, find_task(book, 'a'), add_worker(book, 'w'))
+        body = encode_state(job)
+        for _ in range(takeovers):
+            book = Book()
+            job = admit(book, make_job('a', make_step(lasting=True)))
+            restore_state(book, job, body, 7.4, 0.0)
+            body = encode_state(job)
+        task = find_task(book, 'a')
+        book.end(task, EndKind.LAPSED, 8.0)
+        book.place([task], add_worker(book, 'v'), 8.0)
+        runs.append(task.run)
+    assert runs == [10, 10]
+
+
+def test_a_done_occurrence_is_not_run_again_by_a_slower_clock() -> None:
+    """A scheduled job's occurrence runs early in its time, and the owner goes.
+
+    The next owner's clock is 0.2 s behind: the occurrence is not due there
+    yet, so it has no tasks, and the row's word that they are done is dropped.
+    When its time comes they are started again.
+    """
+    spec = JobSpec(
+        'a',
+        'payload',
+        (make_step(),),
+        make_policy(),
+        occurrences=2,
+        first=100.0,
+        interval=50.0,
+    )
+    book = Book()
+    job = book.admit(spec, 0.0, 100.1)
+    task = find_task(book, 'a')
+    run_task(book, task, add_worker(book, 'w'))
+    book.end(task, EndKind.DONE, 2.0)
+    after = Book()
+    restored = after.admit(spec, 0.0, 99.9)
+    restore_state(after, restored, encode_state(job), 7.4, 0.0)
+    after.open_due(100.2)
+    assert TaskId('a', 0, 0, 0) not in after.ready
+
+
+def test_restoring_states_lets_the_lease_be_renewed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A small host restores the states of 1,000 jobs.
+
+    Its lease is to be renewed meanwhile. Admitting jobs gives way after each
+    page; restoring their tasks, the longer part, never does.
+    """
+    restored = 0
+    restore = restore_state
+
+    def count(*args: Any) -> None:
+        nonlocal restored
+        restored += 1
+        restore(*args)
+
+    monkeypatch.setattr(intakes, 'restore_state', count)
+
+    async def play() -> int:
+        async with open_table() as (_, table):
+            for number in range(3 * PAGE):
+                job_id = f'{number:016x}'
+                await submit(table, 'desk', job_id)
+                put = Put(
+                    make_state_key('desk', job_id),
+                    {'state': 'queued', 'tasks': {}},
+                    ABSENT,
+                )
+                await table.transact(make_token(), [put])
+            intake = Intake(
+                'desk',
+                table,
+                Book(),
+                SystemClock(),
+                lambda job_id: None,
+                lambda: None,
+            )
+            loading = asyncio.create_task(intake.load(1.0))
+            seen = [0]
+            while not loading.done():
+                await asyncio.sleep(0)
+                seen.append(restored)
+            await loading
+            assert restored == 3 * PAGE
+            return max(b - a for a, b in zip(seen, seen[1:], strict=False))
+
+    assert run(play()) <= PAGE
