--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -59,6 +59,10 @@
 RETRY_SECONDS = 0.2
 """Before a write without an answer is sent again."""
 
+SETTLE_SECONDS = 1.0
+"""Longest wait for the last write: a call to the store and its repetition. A
+planned stop has 6 s for all that it does."""
+
 
 @attrs.define(eq=False)
 class Commits:
@@ -92,6 +96,8 @@
     retention: Retention
     forget: Callable[[list[Job]], None]
     _dirty: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _is_closing: bool = False
+    _settled: asyncio.Event = attrs.field(factory=asyncio.Event)
     _unsent: list[Task] = attrs.Factory(list)
     _counts: dict[str, int] = attrs.Factory(dict)
     _counts_version: int = 0
@@ -136,13 +142,30 @@
                 self._unsent.append(task)
 
     async def run(self) -> None:
-        """Writes for as long as the lease is held."""
-        while True:
+        """Writes for as long as the lease is held, or until `settle`."""
+        while not self._is_closing:
             await wait_briefly(self._dirty, self._get_pause())
             self._dirty.clear()
+            if self._is_closing:
+                break
             await self._commit()
             pause = START_COMMIT_SECONDS if self._unsent else COMMIT_SECONDS
             await asyncio.sleep(pause)
+        self._settled.set()
+
+    async def settle(self) -> None:
+        """Waits for the write that is on its way; none is begun after it.
+
+        Given up instead, it would take effect after the lease's release and
+        make that fail: nobody would own the service for as long as a lease.
+        """
+        self._is_closing = True
+        self._dirty.set()
+        await wait_briefly(self._settled, SETTLE_SECONDS)
+
+    async def renew(self) -> bool:
+        """Renews the lease alone; returns whether it is still held."""
+        return await self._write([], [])
 
     def _get_pause(self) -> float:
         age = self.clock.monotonic() - self.lease.renewed_at
@@ -154,7 +177,7 @@
         jobs = self._take_dirty()
         placed, self._unsent = self._unsent, []
         complete = not self.book.dirty
-        counts = self._make_counts()
+        counts = self._make_counts(jobs)
         model = self._make_model()
         states = [self._make_state(job) for job in jobs]
         old = [] if jobs else self.retention.list_old(self.clock.monotonic())
@@ -215,9 +238,15 @@
             taken.append(self.book.jobs[job_id])
         return taken
 
-    def _make_counts(self) -> list[Operation]:
+    def _make_counts(self, jobs: list[Job]) -> list[Operation]:
+        """Counts the waiting jobs, if they were not just counted.
+
+        They go with the row of a job that has ended: otherwise a job that
+        callers see completed would still count as waiting.
+        """
         now = self.clock.monotonic()
-        if now - self._counts_at < COUNTS_SECONDS:
+        has_ended = any(job.state.is_final for job in jobs)
+        if now - self._counts_at < COUNTS_SECONDS and not has_ended:
             return []
         self._counts_at = now
         counts = self.book.count_pending()
--- a/lentilmount/control/intake.py
+++ b/lentilmount/control/intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -54,7 +55,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Follows the jobs' table."""
-        self._feed = Feed(self.table, JOBS_TABLE, FEED_SECONDS, self.service)
+        self._feed = Feed(
+            self.table, JOBS_TABLE, FEED_SECONDS, self.service, is_large=True
+        )
 
     async def load(self, lapse_seconds: float) -> None:
         """Reads everything the previous owner left.
@@ -69,7 +72,11 @@
         jobs = await self.table.read_all(JOBS_TABLE, self.service)
         partition = make_partition(STATES_TABLE, self.service)
         states = await scan_all(self.table, partition, PAGE)
-        cancelled = self._take_rows(jobs.rows)
+        cancelled = []
+        for start in range(0, len(jobs.rows), PAGE):
+            cancelled += self._take_rows(jobs.rows[start : start + PAGE])
+            # Lets the lease be renewed.
+            await asyncio.sleep(0)
         now = self.clock.monotonic()
         lapses_at = now + lapse_seconds
         for row in states:
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -19,6 +19,7 @@
 from lentilmount.control.registry import follow_workers
 from lentilmount.control.retention import Retention
 from lentilmount.control.steering import Steering
+from lentilmount.control.takeover import take_over
 from lentilmount.coordination.leases import Lease, LeaseKeeper
 from lentilmount.platform.advice import AdviceCalls
 from lentilmount.platform.store import PlatformTable
@@ -27,7 +28,7 @@
 from lentilmount.scheduling.health import Health
 from lentilmount.scheduling.inheritance import Inheritance
 from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
-from lentilmount.scheduling.placing import Allows, Placer
+from lentilmount.scheduling.placing import Placer
 from lentilmount.scheduling.reconciling import News
 from lentilmount.scheduling.reports import WorkerEntry, WorkerState
 from lentilmount.scheduling.sharing import Sharing
@@ -171,12 +172,13 @@
         Raises:
           UnavailableError: The rows could not be read at the start.
         """
-        await self._intake.load(self._lapse_seconds)
-        await self._commits.restore()
+        lapse_seconds = self._lapse_seconds
+        if not await take_over(self._intake, self._commits, lapse_seconds):
+            return
         self._inheritance = Inheritance(
             self.book,
             self._is_written,
-            self._clock.monotonic() + self._lapse_seconds,
+            self._clock.monotonic() + lapse_seconds,
             frozenset(self.book.jobs),
         )
         log.info(
@@ -199,6 +201,8 @@
             self._spawn(self._advice.run())
             self._spawn(self._tick_always())
             await self._ended.wait()
+            if not self._lost:
+                await self._commits.settle()
             for task in list(self._background):
                 task.cancel()
 
@@ -246,7 +250,7 @@
         if before is not None and before.born not in (0, entry.born):
             link = self.links.get(entry.id)
             if link is not None:
-                link.restart('it registered anew')
+                link.note_registration(entry.born)
         if entry.id not in self.links:
             self._add_link(worker)
         if before is None or before.state != entry.state:
@@ -359,7 +363,7 @@
     def _place(self) -> None:
         now = self._clock.monotonic()
         started: set[Job] = set()
-        allows: Allows = self._advice.allows
+        allows = self._advice.allows
         if self._inheritance.is_in_doubt(now):
             allows = self._allow_new
         for task, worker in self._placer.place(now, allows):
@@ -392,8 +396,5 @@
     async def _tick_always(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            wall = self._clock.wall()
-            for job in self.book.jobs.values():
-                if job.spec.occurrences > job.occurrences:
-                    self.book.open_occurrences(job, wall)
+            self.book.open_due(self._clock.wall())
             self._steering.tick(self._clock.monotonic())
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -150,7 +150,8 @@
       cancel_version: Version of its cancellation's row, if there is one.
       ended_at: Monotonic time at which it ended, as far as it is known.
       remaining: Tasks of each (occurrence, step) that are not done.
-      has_started: Whether any task was started.
+      has_started: Whether any task was placed.
+      has_begun: Whether a worker has surely begun any task.
       started_at: Monotonic time of the first start by this owner.
     """
 
@@ -167,6 +168,7 @@
     ended_at: float = math.inf
     remaining: dict[tuple[int, int], int] = attrs.Factory(dict)
     has_started: bool = False
+    has_begun: bool = False
     started_at: float = math.inf
 
 
@@ -200,6 +202,7 @@
       closed_until: Monotonic time until which it gets no work.
       on_trial: Whether it gets one task to try it.
       pace: How long tasks take there, as a multiple of what was expected.
+      changes: Raised whenever its tasks or what is known of them change.
     """
 
     entry: WorkerEntry
@@ -212,6 +215,7 @@
     closed_until: float = 0.0
     on_trial: bool = False
     pace: float = 1.0
+    changes: int = 0
     _used: Room | None = None
     _left: list[LeftTask] = attrs.Factory(list)
 
@@ -241,12 +245,14 @@
         """Takes in a task that runs or will run here."""
         self.tasks[task.id] = task
         self._used = None
+        self.changes += 1
 
     def remove(self, task: Task) -> None:
         """Takes out a task that surely no longer runs here."""
         if self.tasks.get(task.id) is task:
             del self.tasks[task.id]
             self._used = None
+            self.changes += 1
 
     @property
     def is_tried(self) -> bool:
