--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -182,6 +182,45 @@
     run(play())
 
 
+def test_a_restarted_worker_keeps_the_ends_of_its_new_life() -> None:
+    """A worker restarts under its id while a write is on its way.
+
+    The ends that the write acknowledges are of the life before, and numbers
+    begin anew. Taken for the new life, the worker was told to forget ends that
+    nobody had heard of, and tasks that were done there ran again.
+    """
+
+    async def play() -> int:
+        table = cast(PlatformTable, _SlowTable())
+        slow = cast(_SlowTable, table)
+        clock = ManualClock()
+        keeper = LeaseKeeper(table, 'a', 2.0, clock.monotonic)
+        lease = await keeper.try_acquire(Key('owners/desk', 'owner'))
+        assert lease is not None
+        book = Book()
+        worker = add_worker(book, 'w')
+        calls = WorkerCalls(HttpCaller(''), 1, 1.0)
+        link = Link(worker, book, calls, NoEvents(), 6.0, clock.monotonic)
+        link.received = 7
+        commits = _make_commits(table, keeper, lease, book, {'w': link}, print)
+        slow.gate.clear()
+        slow.begun.clear()
+        commits.note_change()
+        running = asyncio.create_task(commits.run())
+        await slow.begun.wait()
+        link.restart('it restarted')
+        link.wrote.clear()
+        slow.gate.set()
+        version = slow.version
+        while slow.version < version + 2:
+            commits.note_change()
+            await asyncio.sleep(0.001)
+        running.cancel()
+        return link.written
+
+    assert run(play()) == 0
+
+
 def test_a_lease_tells_of_starts_that_no_row_tells_of() -> None:
     """A task runs twice after an outage of the store and a change of owners.
 
