Acknowledge ends only of the life that listed them

Cause, change and why it holds: an acknowledgement carries the life of the worker in which its ends were received, and counts in that one only.

--- a/lentilmount/control/campaign.py
+++ b/lentilmount/control/campaign.py
@@ -14,7 +14,7 @@
 
 from lentilmount.clock import Clock
 from lentilmount.control.candidates import Candidates
-from lentilmount.control.commits import is_unwritten
+from lentilmount.control.commits import is_unwritten, keep_unwritten
 from lentilmount.control.keys import make_owner_key
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import (
@@ -158,9 +158,9 @@
         return is_same_host(self.name, holder)
 
     def _take_data(self, data: dict[str, Any]) -> dict[str, Any]:
-        """Takes in what the row told, which ends with our first write."""
+        """Takes in what the row told; returns what it tells until we write."""
         self._told = data
-        return {}
+        return keep_unwritten(data)
 
     def _is_written(self, keeper: LeaseKeeper, lease: Lease) -> bool:
         """Whether the rows surely tell of all that the last owner started."""
--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -81,16 +81,25 @@
     return bool(data.get(UNWRITTEN))
 
 
+def keep_unwritten(data: Mapping[str, Any]) -> dict[str, Any]:
+    """Returns of a lease's data what still holds before anything is written.
+
+    An owner that is stopped while it reads releases the lease as it found it.
+    """
+    return {UNWRITTEN: True} if is_unwritten(data) else {}
+
+
 @attrs.define
 class _Mark:
     """Ends that may be forgotten once some jobs are written.
 
     Attributes:
-      received: For each link, the number of the last end in the book.
+      received: For each link, the life of its worker and the number of the
+        last end in the book.
       waiting: Ids of the jobs that had changed by then and are not written.
     """
 
-    received: list[tuple[Link, int]]
+    received: list[tuple[Link, int, int]]
     waiting: set[str]
 
 
@@ -206,7 +215,9 @@
 
     async def _commit(self) -> None:
         """Writes what changed, then lets workers forget the ends in it."""
-        received = [(link, link.received) for link in self.links.values()]
+        received = [
+            (link, link.life, link.received) for link in self.links.values()
+        ]
         jobs = self._take_dirty()
         placed, self._unsent = self._unsent, []
         mark = _Mark(received, set(self.book.dirty))
@@ -256,9 +267,8 @@
             older.waiting -= written
         self._marks.append(mark)
         while self._marks and not self._marks[0].waiting:
-            for link, number in self._marks.popleft().received:
-                link.written = max(link.written, number)
-                link.wrote.set()
+            for link, life, number in self._marks.popleft().received:
+                link.acknowledge(life, number)
 
     async def _write(
         self, operations: list[Operation], jobs: list[Job]
--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -75,6 +75,7 @@
       monotonic: The clock for durations.
       received: Number of the last end taken into the book.
       written: Number of the last end whose effects are written.
+      life: Raised with each restart of the worker, which numbers ends anew.
     """
 
     worker: Worker
@@ -85,6 +86,7 @@
     monotonic: Callable[[], float]
     received: int = 0
     written: int = 0
+    life: int = 0
     wrote: asyncio.Event = attrs.field(factory=asyncio.Event)
     _born: int | None = None
     _clock_ms: int | None = None
@@ -223,9 +225,20 @@
         if self._born is None or self._born < born:
             self.restart('it registered anew')
 
+    def acknowledge(self, life: int, number: int) -> None:
+        """Lets the worker forget its ends up to a number, of one of its lives.
+
+        Numbers begin anew with each life: of an earlier one, they would have
+        it forget ends that nobody has heard of, and what is done run again.
+        """
+        if life == self.life:
+            self.written = max(self.written, number)
+        self.wrote.set()
+
     def restart(self, why: str) -> None:
         """Forgets an incarnation: nothing of it runs any more."""
         self.received = self.written = 0
+        self.life += 1
         self._born = None
         self._clock_ms = None
         self._last_until_ms = 0
