--- a/tests/test_giving_up.py
+++ b/tests/test_giving_up.py
@@ -20,6 +20,7 @@
 
 WAIT_SECONDS = 10.0
 HOST = Capacity(2.1, 100.0)
+OWNER_ROW = ('owners', SERVICE, 'owner')
 
 
 class _LateTable(PlatformTable):
@@ -57,7 +58,7 @@
 
 
 def _read_holder(store: RowStore) -> str:
-    change = store.rows.get(('owners', SERVICE, 'owner'))
+    change = store.rows.get(OWNER_ROW)
     if change is None or change.value is None:
         return ''
     holder: str = orjson.loads(change.value)[1]['holder']
@@ -114,3 +115,31 @@
 def test_a_service_is_free_after_a_stop_while_its_lease_is_taken() -> None:
     """The same where the first write of the lease is on its way."""
     assert run(_stop_during_a_write(is_held=False)) == ''
+
+
+def test_a_stop_while_reading_passes_on_that_starts_are_unwritten() -> None:
+    """A new owner is stopped while it reads, after an outage of the store.
+
+    The owner before told that tasks may run of which no row tells. Released
+    without that word, the next owner would start them again.
+    """
+
+    async def play() -> bool:
+        async with contextlib.AsyncExitStack() as stack:
+            store, table = _open(stack)
+            body = {'holder': '', 'epoch': 3, 'data': {'unwritten': True}}
+            store.write(OWNER_ROW, orjson.dumps(['before', body]))
+            table.is_silent = True
+            candidates = Candidates(HOST)
+            candidates.note({}, True)
+            campaign = make_campaign(table, candidates)
+            running = asyncio.create_task(campaign.run())
+            await _wait_for_write(table, store, is_held=True)
+            campaign.stop()
+            async with asyncio.timeout(WAIT_SECONDS):
+                await running
+            released = orjson.loads(store.rows[OWNER_ROW].value or b'')[1]
+            assert released['holder'] == ''
+            return bool(released['data']['unwritten'])
+
+    assert run(play())
