Open the tests' table service by one piece of code

Found on a last read of the change: four places opened a store, a caller and its closing alike, and one test had a second table with a gate before the jobs. Change: open_store and GatedTable serve them; assertions are the same. Only files of tests.

--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -262,13 +262,21 @@
         yield Scene(store, fleet, address, folder, stack)
 
 
+def open_store(
+    stack: contextlib.AsyncExitStack,
+) -> tuple[RowStore, HttpCaller]:
+    """Opens a stand-in of the table service, and what calls it."""
+    store = RowStore()
+    caller = HttpCaller(f'http://{serve_store(store, stack, Door())}')
+    stack.callback(caller.close)
+    return store, caller
+
+
 @contextlib.asynccontextmanager
 async def open_table() -> AsyncIterator[tuple[RowStore, PlatformTable]]:
     """Opens a stand-in of the table service and the client on it."""
     async with contextlib.AsyncExitStack() as stack:
-        store = RowStore()
-        caller = HttpCaller(f'http://{serve_store(store, stack, Door())}')
-        stack.callback(caller.close)
+        store, caller = open_store(stack)
         yield store, PlatformTable(caller, 0.5)
 
 
@@ -288,9 +296,7 @@
     stack: contextlib.AsyncExitStack,
 ) -> tuple[RowStore, GatedTable]:
     """Opens a stand-in of the table service with a gate before the jobs."""
-    store = RowStore()
-    caller = HttpCaller(f'http://{serve_store(store, stack, Door())}')
-    stack.callback(caller.close)
+    store, caller = open_store(stack)
     table = GatedTable(caller, 1.0)
     table.gate = asyncio.Event()
     return store, table
--- a/tests/test_giving_up.py
+++ b/tests/test_giving_up.py
@@ -13,10 +13,9 @@
 from lentilmount.coordination.table import Operation
 from lentilmount.platform.bootfile import Capacity
 from lentilmount.platform.store import Changes, PlatformTable
-from lentilmount.upstream.http import HttpCaller
-from stand_ins.rowstore import Door, RowStore
+from stand_ins.rowstore import RowStore
 from tests.helpers import run
-from tests.platform_scene import SERVICE, make_campaign, serve_store
+from tests.platform_scene import SERVICE, make_campaign, open_store
 
 WAIT_SECONDS = 10.0
 HOST = Capacity(2.1, 100.0)
@@ -51,9 +50,7 @@
 def _open(
     stack: contextlib.AsyncExitStack,
 ) -> tuple[RowStore, _LateTable]:
-    store = RowStore()
-    caller = HttpCaller(f'http://{serve_store(store, stack, Door())}')
-    stack.callback(caller.close)
+    store, caller = open_store(stack)
     return store, _LateTable(caller, 1.0)
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -22,7 +22,7 @@
 from lentilmount.scheduling.reports import WorkerState
 from lentilmount.scheduling.rows import make_unregistered
 from lentilmount.upstream.http import HttpCaller
-from stand_ins.rowstore import Door, RowStore
+from stand_ins.rowstore import RowStore
 from tests.fleet_scene import (
     admit,
     find_task,
@@ -31,15 +31,14 @@
     make_step,
 )
 from tests.helpers import run
-from tests.platform_scene import SERVICE, serve_store
+from tests.platform_scene import SERVICE, GatedTable, open_store
 
 WAIT_SECONDS = 10.0
 
 
-class _LongTable(PlatformTable):
-    """A store of which reading the jobs takes until it is let through."""
+class _LongTable(GatedTable):
+    """Notes whether the collector passes while the jobs are read."""
 
-    gate: asyncio.Event
     collects: bool | None = None
 
     async def read_all(self, table: str, part: str = '') -> Changes:
@@ -52,9 +51,7 @@
 def _open(
     stack: contextlib.AsyncExitStack,
 ) -> tuple[RowStore, _LongTable, LeaseKeeper]:
-    store = RowStore()
-    caller = HttpCaller(f'http://{serve_store(store, stack, Door())}')
-    stack.callback(caller.close)
+    store, caller = open_store(stack)
     table = _LongTable(caller, 1.0)
     table.gate = asyncio.Event()
     keeper = LeaseKeeper(table, 'host-1.a', 2.0, SystemClock().monotonic)
