Cut readings of the store by silence, not by their whole length

Cause: a reading ended at a timeout for its whole (0.6 s, 1.4 s for a feed). A configuration of 1,325 routes is one row of 340 kB: 0.54 s alone on a link of 5 Mbit/s. After an outage all hosts read it whole, also where nothing had changed, each attempt was cut with part of the answer there and thrown away, and hosts served by the old routes for ten seconds and more. One row cannot come in parts: the service has no reading by ranges of a row.

Ruled out: a longer timeout alone (a silent connection would keep changes back as long); doubling the timeout after each cut (the first parts are thrown away and fill the link again).

Change: lists and feeds end when nothing arrived for the time of a call, 5 s at most, also through another daemon; the configuration's feed goes on from where it was after a failure, as that of jobs does; a daemon that has heard of the configuration longer ago than a change may take answers 503, not run, and is not ready unless nobody hears from the table.

--- a/lentilmount/control/detour.py
+++ b/lentilmount/control/detour.py
@@ -29,6 +29,9 @@
 WAY_SECONDS = 0.1
 """For the way to the other daemon, beside the call's own time."""
 
+READ_AHEAD_SECONDS = 1.0
+"""For the other daemon to receive a long answer, which it passes on whole."""
+
 QUIET_SECONDS = 2.0
 """Without a use for so long the next one is told as a new beginning; a daemon
 has a call to the store every half second."""
@@ -60,6 +63,7 @@
         if not helpers:
             return None
         helper = helpers[0]
+        way = WAY_SECONDS if call.most is None else READ_AHEAD_SECONDS
         answer = await self.caller.call(
             call.method,
             RELAY_PREFIX + call.path,
@@ -69,7 +73,8 @@
                 PART_HEADER: call.part,
                 TIMEOUT_HEADER: str(int(1000 * call.timeout)),
             },
-            timeout=call.timeout + WAY_SECONDS,
+            timeout=call.timeout + way,
+            most=call.most,
             base=f'http://{helper}',
         )
         self._note(call.part, helper, answer.status)
--- a/lentilmount/control/feeds.py
+++ b/lentilmount/control/feeds.py
@@ -42,6 +42,7 @@
       part: The part that is listed; the store's feed tells of all parts.
       position: Version up to which changes are known; None to read all.
       is_large: Whether the table takes long to read.
+      failures: Calls that failed since the last one that was answered.
     """
 
     table: PlatformTable
@@ -50,7 +51,12 @@
     part: str = ''
     position: int | None = None
     is_large: bool = False
-    _failures: int = 0
+    failures: int = 0
+
+    @property
+    def is_up_to_date(self) -> bool:
+        """Whether the last call told of all that had changed."""
+        return self.position is not None and not self.failures
 
     async def read(self) -> tuple[RawRow, ...]:
         """Returns all rows or those that changed; none after a failure."""
@@ -61,10 +67,10 @@
             return ()
         except UnavailableError as error:
             log.warning('Cannot follow table {}: {}', self.name, error)
-            self._failures += 1
+            self.failures += 1
             await asyncio.sleep(RETRY_SECONDS)
             return ()
-        self._failures = 0
+        self.failures = 0
         self.position = found.version
         return found.rows
 
@@ -77,5 +83,5 @@
 
     def _is_list_due(self) -> bool:
         if self.is_large:
-            return self._failures > 0 and self._failures % 2 == 0
-        return self._failures > 0
+            return self.failures > 0 and self.failures % 2 == 0
+        return self.failures > 0
--- a/lentilmount/control/frontend.py
+++ b/lentilmount/control/frontend.py
@@ -109,6 +109,12 @@
                 kind=ErrorKind.NOT_READY,
                 retry_after=NO_CONFIGURATION_RETRY_SECONDS,
             )
+        if self._routes.is_outdated:
+            raise LentilmountError(
+                'the configuration may be older than what is in force',
+                kind=ErrorKind.NOT_READY,
+                retry_after=NO_CONFIGURATION_RETRY_SECONDS,
+            )
         host = self.request.host.partition(':')[0]
         found = self._routes.find(host, self.request.path)
         if found is None:
--- a/lentilmount/control/internal.py
+++ b/lentilmount/control/internal.py
@@ -13,7 +13,11 @@
     TIMEOUT_HEADER,
 )
 from lentilmount.control.storewatch import FindOutage
-from lentilmount.platform.store import PlatformTable, StoreCall
+from lentilmount.platform.store import (
+    READ_SECONDS,
+    PlatformTable,
+    StoreCall,
+)
 from lentilmount.upstream.http import CURL_ERROR
 
 NO_ANSWER = 504
@@ -59,6 +63,7 @@
             (self.request.uri or '').removeprefix(RELAY_PREFIX),
             self.request.body or None,
             int(self.request.headers[TIMEOUT_HEADER]) / 1000,
+            READ_SECONDS if self.request.method == 'GET' else None,
         )
         answer = await self._table.send_directly(call)
         is_lost = answer.status == CURL_ERROR
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -121,7 +121,7 @@
         if settings.advice is not None:
             caller = HttpCaller(f'http://{settings.advice}', ADVICE_SECONDS)
             self.advice = AdviceCalls(caller, ADVICE_SECONDS)
-        self.routes = RouteTable()
+        self.routes = RouteTable(self._clock.monotonic, settings.times.apply)
         self.campaigns: dict[str, Campaign] = {}
         self.name = make_name(settings.name)
 
@@ -159,6 +159,8 @@
         """Whether new connections are welcome."""
         if self.routes.current is None or self.traffic.is_closing:
             return False
+        if self.routes.is_outdated and not self.find_outage('').is_general():
+            return False
         return not any(o.is_cut_off() for o in self.outages.values())
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/lentilmount/control/routes.py
+++ b/lentilmount/control/routes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from collections.abc import Callable
 
 import logbook
 
@@ -28,13 +30,35 @@
 
 
 class RouteTable:
-    """The newest configuration that is known."""
+    """The newest configuration that is known.
 
-    def __init__(self) -> None:
+    Args:
+      monotonic: The clock for durations.
+      apply_seconds: In which a change is to be in force.
+    """
+
+    def __init__(self, monotonic: Callable[[], float], apply_seconds: float):
         self.current: RoutingConfiguration | None = None
+        self._monotonic = monotonic
+        self._apply_seconds = apply_seconds
         self._version = 0
+        self._confirmed_at = -math.inf
         self.changed = asyncio.Event()
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a newer one may have to be in force by now.
+
+        A daemon that hears of no change goes on by the old routes: it accepts
+        jobs on a queue that is gone, and knows nothing of a new one. Callers
+        that are told so ask another daemon.
+        """
+        return self._monotonic() - self._confirmed_at > self._apply_seconds
+
+    def confirm(self) -> None:
+        """Notes that there is none newer than what was offered."""
+        self._confirmed_at = self._monotonic()
+
     def offer(self, row: RawRow) -> None:
         """Takes over a row if it is newer than what is in force.
 
@@ -73,11 +97,13 @@
     table: PlatformTable, routes: RouteTable
 ) -> None:
     """Keeps a route table up to date for as long as it runs."""
-    feed = Feed(table, CONFIGURATION_TABLE, FEED_SECONDS)
+    feed = Feed(table, CONFIGURATION_TABLE, FEED_SECONDS, is_large=True)
     while True:
         for row in await feed.read():
             if row.key == CONFIGURATION_KEY:
                 routes.offer(row)
+        if feed.is_up_to_date:
+            routes.confirm()
         if routes.current is None and feed.position is not None:
             # The operators have not written it yet.
             feed.position = None
--- a/lentilmount/platform/bootfile.py
+++ b/lentilmount/platform/bootfile.py
@@ -36,11 +36,13 @@
       grace: From the signal to stop to the kill.
       lease: Longest lease that a worker grants.
       status: How long a finished job's state is kept.
+      apply: In which a change of the configuration is to be in force.
     """
 
     grace: float
     lease: float
     status: float
+    apply: float
 
 
 @attrs.frozen
@@ -137,6 +139,7 @@
             grace=fields.get_number('bounds.graceS'),
             lease=fields.get_number('bounds.maxHoldMs') / 1000,
             status=fields.get_number('bounds.status_s'),
+            apply=fields.get_number('bounds.configApplyMs') / 1000,
         ),
     )
     if fields.problems:
--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -44,6 +44,11 @@
 0.9 s there, more than a call may take, so that no attempt ever ended. 150 take
 0.27 s. Fewer would cost a new owner more answers from a slow store."""
 
+READ_SECONDS = 5.0
+"""Longest time for an answer to a reading that keeps arriving. The longest row,
+a configuration of a thousand routes, takes the smallest link (5 Mbit/s) half a
+second alone, and several times that beside everything else there."""
+
 REFUSED = (429, 503)
 """HTTP statuses that tell that nothing was done."""
 
@@ -61,7 +66,9 @@
       method: The HTTP method.
       path: Path and query.
       body: Body, if any.
-      timeout: Seconds to wait for an answer.
+      timeout: Seconds to wait for an answer, or for more of one that was
+        read in part.
+      most: Seconds for an answer that keeps arriving; None for `timeout`.
     """
 
     part: str
@@ -69,6 +76,7 @@
     path: str
     body: bytes | None
     timeout: float
+    most: float | None = None
 
 
 class Detour(Protocol):
@@ -284,7 +292,7 @@
         """
         wait_ms = int(wait * 1000)
         path = f'/rows-feed?table={table}&after={after}&waitMs={wait_ms}'
-        answer = await self._call('GET', path, extra=wait)
+        answer = await self._call('GET', path, extra=wait, most=READ_SECONDS)
         document = orjson.loads(answer.body)
         rows = tuple(_decode_raw(row) for row in document.get('rows') or ())
         return Changes(rows, int(document['ver']))
@@ -298,7 +306,8 @@
         if end:
             query['to'] = end
         path = '/rows-get?' + urllib.parse.urlencode(query)
-        answer = await self._call('GET', path, part=part)
+        most = READ_SECONDS if limit > 1 else None
+        answer = await self._call('GET', path, part=part, most=most)
         document = orjson.loads(answer.body)
         rows = tuple(_decode_raw(row) for row in document['rows'])
         has_more = bool(document.get('hasMore'))
@@ -320,6 +329,7 @@
             call.body,
             {'Content-Type': 'application/json'},
             timeout=call.timeout,
+            most=call.most,
         )
         is_good = answer.status in ANSWERED
         self._observe(call.part, answer.status, is_good)
@@ -356,9 +366,11 @@
         body: Any = None,
         extra: float = 0.0,
         part: str = '',
+        most: float | None = None,
     ) -> Answer:
         data = None if body is None else orjson.dumps(body)
-        call = StoreCall(part, method, path, data, self._timeout + extra)
+        timeout = self._timeout + extra
+        call = StoreCall(part, method, path, data, timeout, most)
         answer = await self._send(call)
         if answer.status in (200, 412):
             return answer
--- a/lentilmount/upstream/http.py
+++ b/lentilmount/upstream/http.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 
 import attrs
+import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
@@ -26,6 +28,65 @@
     headers: Mapping[str, str]
 
 
+class _Client(CurlAsyncHTTPClient):
+    """A curl client whose transfers can be ended from outside."""
+
+    def end_transfer(self, curl: pycurl.Curl, why: str) -> None:
+        """Fails a transfer as if it had run into its timeout."""
+        self._finish(curl, pycurl.E_OPERATION_TIMEDOUT, why)
+        self._process_queue()
+
+
+@attrs.define
+class _Patience:
+    """Ends a transfer of which nothing arrives any more.
+
+    A timeout for the whole of a long answer cannot tell a small link from a
+    silent service. It cut answers that were half there, again and again: a
+    host kept to an old configuration for as long as the new one took longer to
+    arrive than a call may take. Here only silence counts.
+
+    Attributes:
+      client: Whose transfer it is.
+      seconds: Longest time without a byte.
+    """
+
+    client: _Client
+    seconds: float
+    _curl: pycurl.Curl | None = None
+    _transfer: object = None
+    _received: int = 0
+    _timer: asyncio.TimerHandle | None = None
+
+    def begin(self, curl: pycurl.Curl) -> None:
+        """Watches the transfer for which a handle was just set up."""
+        self._curl = curl
+        # The client gives a handle a new one with each transfer.
+        self._transfer = curl.info
+        self._wait()
+
+    def _wait(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self.seconds, self._check)
+
+    def _check(self) -> None:
+        curl = self._curl
+        if curl is None or curl.info is not self._transfer:
+            return
+        received = curl.getinfo(pycurl.SIZE_DOWNLOAD_T)
+        if received > self._received:
+            self._received = received
+            self._wait()
+            return
+        why = f'Nothing more for {self.seconds} s, {received} bytes so far'
+        self.client.end_transfer(curl, why)
+
+    def end(self) -> None:
+        """Stops watching."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+
 class HttpCaller:
     """Sends requests to one base address.
 
@@ -46,9 +107,7 @@
         self.base = base
         self._authority = authority or None
         self.timeout = timeout
-        self._client = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=clients
-        )
+        self._client = _Client(force_instance=True, max_clients=clients)
 
     async def call(
         self,
@@ -58,6 +117,7 @@
         headers: dict[str, str] | None = None,
         timeout: float | None = None,
         base: str | None = None,
+        most: float | None = None,
     ) -> Answer:
         """Sends one request; never raises for a status or a failure.
 
@@ -69,14 +129,19 @@
           timeout: Seconds for the call; the caller's own if None.
           base: Another base address, so that one caller and its connections
             serve many upstreams.
+          most: Seconds for the call as long as its answer keeps arriving;
+            `timeout` is then the longest silence.
         """
+        silence = timeout or self.timeout
+        patience = None if most is None else _Patience(self._client, silence)
         request = HTTPRequest(
             (self.base if base is None else base) + path,
             method=method,
             body=body,
             headers={**LEFT_OUT, **(headers or {})},
             connect_timeout=CONNECT_SECONDS,
-            request_timeout=timeout or self.timeout,
+            request_timeout=silence if most is None else most,
+            prepare_curl_callback=patience.begin if patience else None,
             follow_redirects=False,
             decompress_response=False,
             ca_certs=self._authority,
@@ -88,6 +153,9 @@
             )
         except CurlError as error:
             return Answer(CURL_ERROR, str(error).encode(), {})
+        finally:
+            if patience is not None:
+                patience.end()
         return Answer(response.code, response.body or b'', response.headers)
 
     def close(self) -> None:
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -18,6 +18,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
+from tornado.web import Application
 
 from lentilmount.clock import ManualClock, SystemClock
 from lentilmount.control.campaign import Campaign
@@ -75,6 +76,7 @@
             'graceS': 4,
             'maxHoldMs': 6000,
             'status_s': 120,
+            'configApplyMs': 2000,
         },
         'somethingNew': True,
     }
@@ -236,17 +238,22 @@
     await reader
 
 
-def serve_store(
-    store: RowStore, stack: contextlib.AsyncExitStack, door: Door
-) -> str:
-    """Serves a store; returns the address."""
+def listen(app: Application, stack: contextlib.AsyncExitStack) -> str:
+    """Serves an application on any free port; returns the address."""
     sockets = bind_sockets(0, '127.0.0.1')
-    server = HTTPServer(make_row_service(store, door))
+    server = HTTPServer(app)
     server.add_sockets(sockets)
     stack.callback(server.stop)
     return f'127.0.0.1:{sockets[0].getsockname()[1]}'
 
 
+def serve_store(
+    store: RowStore, stack: contextlib.AsyncExitStack, door: Door
+) -> str:
+    """Serves a store; returns the address."""
+    return listen(make_row_service(store, door), stack)
+
+
 @contextlib.asynccontextmanager
 async def open_scene(
     folder: pathlib.Path, workers: int = 2
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -68,8 +68,11 @@
         headers: dict[str, str] | None = None,
         timeout: float | None = None,
         base: str | None = None,
+        most: float | None = None,
     ) -> Answer:
-        answer = await super().call(method, path, body, headers, timeout, base)
+        answer = await super().call(
+            method, path, body, headers, timeout, base, most
+        )
         self.sizes.append(len(answer.body))
         return answer
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -178,7 +178,7 @@
     The older row is delivered after the newer one; a route that was removed
     would be served again.
     """
-    routes = RouteTable()
+    routes = RouteTable(ManualClock().monotonic, 2.0)
     routes.offer(RawRow('config', make_configuration(2, '/new/'), 20))
     routes.offer(RawRow('config', make_configuration(1, '/old/'), 10))
     routes.offer(RawRow('config', b'nonsense', 30))
--- /dev/null
+++ b/tests/test_slow_links.py
@@ -0,0 +1,194 @@
+"""Long answers over links that are slow, and servers that fall silent."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+from collections.abc import AsyncIterator
+
+import attrs
+import orjson
+import pytest
+
+from lentilmount.clock import ManualClock
+from lentilmount.control import feeds
+from lentilmount.control.feeds import Feed
+from lentilmount.control.frontend import Traffic, make_frontend
+from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.routes import RouteTable, follow_configuration
+from lentilmount.control.storewatch import Outage, Peers, StoreWatch
+from lentilmount.control.submissions import Submissions
+from lentilmount.coordination.table import UnavailableError
+from lentilmount.platform.store import Changes, PlatformTable, RawRow
+from lentilmount.upstream.http import HttpCaller
+from tests.helpers import run
+from tests.platform_scene import (
+    PREFIX,
+    listen,
+    make_configuration,
+    open_store,
+)
+
+CALL_SECONDS = 0.2
+"""Longest silence of a call here."""
+
+PIECES = 10
+PIECE_SECONDS = 0.05
+"""A long answer: it takes longer than the longest silence, piece by piece."""
+
+
+@attrs.define
+class _Link:
+    """A server whose answers arrive piece by piece.
+
+    Attributes:
+      stops_after: Pieces after which nothing more comes.
+      calls: How many calls came.
+    """
+
+    stops_after: int
+    calls: int = 0
+
+    async def answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            await reader.readuntil(b'\r\n\r\n')
+            self.calls += 1
+            body = _make_answer()
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+            writer.write(head.encode())
+            size = len(body) // PIECES + 1
+            for number in range(min(PIECES, self.stops_after)):
+                writer.write(body[number * size : (number + 1) * size])
+                await writer.drain()
+                await asyncio.sleep(PIECE_SECONDS)
+            await reader.read()
+        writer.close()
+
+
+def _make_answer() -> bytes:
+    value = base64.b64encode(b'x' * 200_000).decode()
+    row = {'key': 'config', 'value': value, 'ver': 7, 'part': ''}
+    return orjson.dumps({'rows': [row], 'ver': 7, 'hasMore': False})
+
+
+@contextlib.asynccontextmanager
+async def _open_link(link: _Link) -> AsyncIterator[PlatformTable]:
+    async with contextlib.AsyncExitStack() as stack:
+        server = await asyncio.start_server(link.answer, '127.0.0.1', 0)
+        stack.callback(server.close)
+        port = server.sockets[0].getsockname()[1]
+        caller = HttpCaller(f'http://127.0.0.1:{port}')
+        stack.callback(caller.close)
+        yield PlatformTable(caller, CALL_SECONDS)
+
+
+async def _read_once(link: _Link, position: int | None) -> Feed:
+    async with _open_link(link) as table:
+        feed = Feed(table, 'op', 0.0, position=position, is_large=True)
+        await feed.read()
+        return feed
+
+
+@pytest.mark.parametrize('position', [None, 5])
+def test_an_answer_that_keeps_arriving_is_not_cut(
+    position: int | None,
+) -> None:
+    """A host on a small link reads a configuration of a thousand routes.
+
+    Each call ended at the timeout for its whole, with half of the answer
+    there. The next one began anew and ended so too: the host served by the
+    old routes for as long as the new ones took longer than one call.
+    """
+    link = _Link(stops_after=PIECES)
+    feed = run(_read_once(link, position))
+    assert feed.is_up_to_date
+    assert (feed.position, link.calls) == (7, 1)
+
+
+@pytest.mark.parametrize('pieces', [0, 3])
+def test_an_answer_that_stops_arriving_is_cut(pieces: int) -> None:
+    """The way to the store falls silent, at once or in the middle.
+
+    Nothing tells of it but the silence; a call that waited on would keep
+    back every change until the longest time for an answer is over.
+    """
+    feed = run(_read_once(_Link(stops_after=pieces), 5))
+    assert not feed.is_up_to_date
+    assert (feed.position, feed.failures) == (5, 1)
+
+
+def test_a_failed_call_does_not_read_the_configuration_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After an outage all hosts ask for what has changed, which is little.
+
+    Read whole by all of them, the longest row of the platform filled small
+    links for seconds, also where nothing had changed.
+    """
+    monkeypatch.setattr(feeds, 'RETRY_SECONDS', 0.0)
+    asked: list[str] = []
+
+    class Failing(PlatformTable):
+        """Answers the first reading and nothing more."""
+
+        async def follow(self, table: str, after: int, wait: float) -> Changes:
+            asked.append(f'after {after}')
+            raise UnavailableError('lost')
+
+        async def read_all(self, table: str, part: str = '') -> Changes:
+            asked.append('all')
+            return Changes((RawRow('config', make_configuration(1), 5),), 5)
+
+    async def play() -> None:
+        table = Failing(HttpCaller(''), CALL_SECONDS)
+        routes = RouteTable(ManualClock().monotonic, 2.0)
+        work = asyncio.create_task(follow_configuration(table, routes))
+        while len(asked) < 3:
+            await asyncio.sleep(0)
+        work.cancel()
+
+    run(play())
+    assert asked[:3] == ['all', 'after 5', 'after 5']
+
+
+def test_an_outdated_configuration_answers_nobody() -> None:
+    """The store tells one host of no change for longer than a change may take.
+
+    A caller of a new queue was told that there is none, and a job for a queue
+    that is gone was accepted. It is told to ask elsewhere, until the host has
+    heard again, whether or not anything has changed.
+    """
+
+    async def play() -> list[int]:
+        async with contextlib.AsyncExitStack() as stack:
+            clock = ManualClock()
+            _, store = open_store(stack)
+            table = PlatformTable(store, CALL_SECONDS)
+            outage = Outage(StoreWatch(clock.monotonic, ''), store, Peers('a'))
+            routes = RouteTable(clock.monotonic, 2.0)
+            routes.offer(RawRow('config', make_configuration(1), 1))
+            routes.confirm()
+            app = make_frontend(
+                Submissions(table, routes, clock, lambda part: outage),
+                routes,
+                Traffic(),
+                ControlMetrics(),
+            )
+            caller = HttpCaller(f'http://{listen(app, stack)}')
+            stack.callback(caller.close)
+            statuses = []
+            for passed in (1.9, 0.2, 0.0):
+                clock.advance(passed)
+                if not passed:
+                    routes.confirm()
+                for path in (PREFIX, '/unknown/'):
+                    answer = await caller.call(
+                        'GET', path, headers={'Host': 'desk.example'}
+                    )
+                    statuses.append(answer.status)
+            return statuses
+
+    assert run(play()) == [200, 404, 503, 503, 200, 404]
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -67,7 +67,8 @@
     watch = StoreWatch(clock.monotonic, 'desk')
     outage = Outage(watch, HttpCaller(''), Peers('a'))
     table = ToldTable(list(failures))
-    submissions = Submissions(table, RouteTable(), clock, lambda part: outage)
+    routes = RouteTable(clock.monotonic, 2.0)
+    submissions = Submissions(table, routes, clock, lambda part: outage)
     route = Route('desk.example', '/checks/', make_policy())
     run(submissions.submit(route, JOB, BODY))
     return table
