Move what a place costs into a module of its own

placing.py held the passes over the queue and the prices of workers. The prices go to costs.py as they were; no behaviour changes. 36 tests of placing and interference passed.

--- a/lentilmount/scheduling/placing.py
+++ b/lentilmount/scheduling/placing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import math
 from collections.abc import Iterable
 
@@ -10,10 +9,11 @@
 
 from lentilmount.resources import Room
 from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.costs import Costs
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
-from lentilmount.scheduling.offers import Allows, Offers, Price
+from lentilmount.scheduling.offers import Allows, Offers
 from lentilmount.scheduling.ranking import is_gathering, is_new, sort_steps
-from lentilmount.scheduling.sharing import Sharing, count_fills
+from lentilmount.scheduling.sharing import Sharing
 from lentilmount.scheduling.specs import StepSpec
 from lentilmount.scheduling.views import Views, WorkerView
 
@@ -21,46 +21,6 @@
 """Kinds of steps for which no worker is found in one pass before it ends: at
 0.1 ms each over 34 workers, one pass stays below 5 ms."""
 
-SAME_JOB_COST = 0.05
-SAME_RACK_COST = 0.02
-SAME_ZONE_COST = 0.01
-"""Costs of a lasting task for each task of its job on the same worker, rack
-and zone: a worker lost takes one task of a job with it, a rack few."""
-
-OPEN_COST = 2.0
-"""Cost of the first serving task on a worker. What disturbs others has a
-place where nothing serves, so as many workers as can be are kept so."""
-
-OTHER_IMAGE_COST = 1.0
-"""Cost of a serving task for each other serving image on a worker. What
-disturbs one image may be harmless to another; where one image has a worker to
-itself, every filling image that spares it has a place there."""
-
-PRESS_COST = 10.0
-"""Cost of a whole utilisation: an image that adds 0.06 is placed beside what
-serves as gladly as on a worker where nothing serves."""
-
-BESIDE_COST = 2.0
-"""Cost of a whole utilisation that filling tasks add where a serving task may
-go. Small: those end or move within seconds, and the serving task stays."""
-
-FAR_COST = 4.0
-"""Cost of a worker away from the rack with the data; above every other."""
-
-SLOW_COST = 2.0
-"""Cost for each time that a worker has lately been slower than expected."""
-
-CROWDED_COST = 3.0
-"""Cost of a filling task that finds no processor time left at all."""
-
-MOST_CROWDED = 0.25
-"""Share of its cores that a filling task may lack. Shared by more, the
-processors do no more work, and every job on them ends later."""
-
-EMPTY_COST = 0.6
-"""Cost for a harmless image of a worker where nothing serves: those are kept
-for the images that disturb what serves elsewhere."""
-
 Chosen = tuple[Task, Worker]
 Shape = tuple[Room, Room, str, str, bool]
 """What tasks have in common that fit on the same workers."""
@@ -100,6 +60,7 @@
     ):
         self._book = book
         self._sharing = sharing
+        self._costs = Costs(book, sharing)
         self._now = now
         self._allows = allows
         self._hopeless: set[Shape] = set()
@@ -154,7 +115,7 @@
 
     def _ask_all(self, task: Task) -> Offers:
         """Asks all workers for a step that a task stands for."""
-        offers = Offers(task, self._allows, self._get_cost(task))
+        offers = Offers(task, self._allows, self._costs.make_price(task))
         offers.ask_all(self._views)
         return offers
 
@@ -219,7 +180,7 @@
         untried = able
         if task.failed_on:
             untried = [v for v in able if v.worker.id not in task.failed_on]
-        cost = self._get_cost(task)
+        cost = self._costs.make_price(task)
         best, least = None, math.inf
         for view in untried or able:
             price = cost(view)
@@ -239,67 +200,6 @@
         if not own:
             self._hopeless.add(make_shape(spec))
 
-    def _get_cost(self, task: Task) -> Price:
-        if task.spec.lasting:
-            return self._make_lasting_cost(task)
-        if task.spec.fills:
-            return self._make_filling_cost(task)
-        return lambda view: _measure_plain_cost(task, view)
-
-    def _make_lasting_cost(self, task: Task) -> Price:
-        hosts: collections.Counter[str] = collections.Counter()
-        racks: collections.Counter[str] = collections.Counter()
-        zones: collections.Counter[str] = collections.Counter()
-        for other in task.job.tasks.values():
-            worker = self._book.workers.get(other.worker)
-            if worker is not None:
-                hosts[worker.id] += 1
-                racks[worker.rack] += 1
-                zones[worker.entry.zone] += 1
-
-        def cost(view: WorkerView) -> float:
-            worker = view.worker
-            price = view.free.cores / max(1.0, worker.entry.capacity.cores)
-            price += SAME_JOB_COST * hosts[worker.id]
-            price += SAME_RACK_COST * racks[worker.rack]
-            price += SAME_ZONE_COST * zones[worker.entry.zone]
-            price += SLOW_COST * (worker.pace - 1)
-            if task.serves:
-                price += self._measure_serving_cost(task, view)
-            return price
-
-        return cost
-
-    def _measure_serving_cost(self, task: Task, view: WorkerView) -> float:
-        price = 0.0 if view.serves else OPEN_COST
-        others = view.utilisation.keys() - {task.spec.image}
-        price += OTHER_IMAGE_COST * len(others)
-        beside = count_fills(view.worker)
-        return price + BESIDE_COST * self._sharing.sum_press(task, beside)
-
-    def _make_filling_cost(self, task: Task) -> Price:
-        image = task.spec.image
-
-        def cost(view: WorkerView) -> float:
-            if view.is_over:
-                # Each new task would run at full pace until the next look
-                # halts it, one after the other.
-                return math.inf
-            if not self._sharing.allows(view.utilisation, image):
-                return math.inf
-            crowding = view.measure_crowding(task)
-            if crowding > MOST_CROWDED:
-                return math.inf
-            price = EMPTY_COST
-            if view.serves:
-                press = self._sharing.measure_press(view.utilisation, image)
-                price = PRESS_COST * press
-            price += CROWDED_COST * crowding
-            price += _measure_distance(task, view.worker)
-            return price + SLOW_COST * (view.worker.pace - 1)
-
-        return cost
-
 
 def _is_like_its_step(task: Task) -> bool:
     """Whether a worker costs a task what it costs the others of its step.
@@ -310,20 +210,6 @@
     return not task.spec.lasting and not task.failed_on
 
 
-def _measure_plain_cost(task: Task, view: WorkerView) -> float:
-    worker = view.worker
-    capacity = max(1.0, worker.entry.capacity.cores)
-    price = (view.free.cores - task.spec.demand.cores) / capacity
-    price += _measure_distance(task, worker)
-    return price + SLOW_COST * (worker.pace - 1)
-
-
-def _measure_distance(task: Task, worker: Worker) -> float:
-    if not task.spec.rack or worker.rack == task.spec.rack:
-        return 0.0
-    return FAR_COST
-
-
 def make_shape(spec: StepSpec) -> Shape:
     """Returns what decides whether a worker can take a task of a step."""
     return (spec.reserved, spec.demand, spec.label, spec.image, spec.fills)
