Let no kind of work end the pass for another

Cause: a pass ended once 40 steps had found no worker, whatever they were.

Change: the bound is one for each kind of work (lasting, filling, plain); and a demand that found no worker speaks for all that ask for no less, so that many sizes cost few tries.

Two tests fail before, pass after.

--- a/lentilmount/scheduling/placing.py
+++ b/lentilmount/scheduling/placing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import enum
 import math
 from collections.abc import Iterable
 
@@ -18,12 +20,21 @@
 from lentilmount.scheduling.views import Views, WorkerView
 
 FAILED_TRIES = 40
-"""Kinds of steps for which no worker is found in one pass before it ends: at
-0.1 ms each over 34 workers, one pass stays below 5 ms."""
+"""Steps of one kind for which no worker is found in a pass before the others
+of that kind are left to the next one: it bounds the time of a pass."""
 
 Chosen = tuple[Task, Worker]
-Shape = tuple[Room, Room, str, str, bool]
-"""What tasks have in common that fit on the same workers."""
+Shape = tuple[str, str, bool]
+"""What tasks have in common of which the smaller fits wherever the larger does:
+label, filling image, and whether they fill."""
+
+
+class Kind(enum.Enum):
+    """What a task asks of a worker. A want of one is no want of another."""
+
+    LASTING = enum.auto()
+    FILLING = enum.auto()
+    PLAIN = enum.auto()
 
 
 @attrs.define
@@ -63,13 +74,13 @@
         self._costs = Costs(book, sharing)
         self._now = now
         self._allows = allows
-        self._hopeless: set[Shape] = set()
+        self._hopeless: dict[Shape, list[Room]] = {}
         self._views = views
 
     def run(self) -> list[Chosen]:
         """Places the tasks of each step until one does not fit."""
         placed: list[Chosen] = []
-        failed = 0
+        failed: collections.Counter[Kind] = collections.Counter()
         steps = sort_steps(self._book.ready.values(), self._now)
         newest = max(
             (s[0].job.accepted_at for s in steps if is_new(s[0])),
@@ -78,13 +89,12 @@
         for step in steps:
             if is_gathering(step, newest, self._now):
                 continue
-            if make_shape(step[0].spec) in self._hopeless:
+            kind = find_kind(step[0].spec)
+            if failed[kind] > FAILED_TRIES or self._is_hopeless(step[0].spec):
                 continue
             found, is_whole = self._place_step(step)
             placed += found
-            failed += not is_whole
-            if failed > FAILED_TRIES:
-                break
+            failed[kind] += not is_whole
         return placed
 
     def _place_step(self, step: list[Task]) -> tuple[list[Chosen], bool]:
@@ -198,7 +208,12 @@
         spec = task.spec
         own = spec.gang or spec.most_per_worker or task.failed_on
         if not own:
-            self._hopeless.add(make_shape(spec))
+            self._hopeless.setdefault(make_shape(spec), []).append(spec.demand)
+
+    def _is_hopeless(self, spec: StepSpec) -> bool:
+        """Tells whether a step that asks for no more has found no worker."""
+        smaller = self._hopeless.get(make_shape(spec), ())
+        return any(demand.fits(spec.demand) for demand in smaller)
 
 
 def _is_like_its_step(task: Task) -> bool:
@@ -211,5 +226,12 @@
 
 
 def make_shape(spec: StepSpec) -> Shape:
-    """Returns what decides whether a worker can take a task of a step."""
-    return (spec.reserved, spec.demand, spec.label, spec.image, spec.fills)
+    """Returns what decides beside its size which workers can take a step."""
+    return (spec.label, spec.image if spec.fills else '', spec.fills)
+
+
+def find_kind(spec: StepSpec) -> Kind:
+    """Returns the kind of a step."""
+    if spec.lasting:
+        return Kind.LASTING
+    return Kind.FILLING if spec.fills else Kind.PLAIN
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -20,6 +21,7 @@
 from lentilmount.scheduling.ranking import sort_steps
 from lentilmount.scheduling.reports import EndKind, WorkerState
 from lentilmount.scheduling.sharing import Sharing
+from lentilmount.scheduling.views import WorkerView
 from tests.fleet_scene import (
     add_worker,
     admit,
@@ -101,6 +103,45 @@
     assert [task.id.job for task, _ in place(book)] == ['low']
 
 
+def test_urgent_steps_of_all_sizes_do_not_hold_up_what_needs_no_room() -> None:
+    """Lasting work holds all cores while urgent jobs of many sizes wait.
+
+    Each size was one more step without a worker, and after forty of them the
+    pass ended: filling work, which needs no room, was not started for twenty
+    seconds, with every worker able to take it.
+    """
+    book = Book()
+    add_worker(book, 'w')
+    for number in range(3 * FAILED_TRIES):
+        # The next one asks for less, so the ones before say nothing of it.
+        step = make_step(demand=Room(90.0 - number / 10, 1000))
+        admit(book, make_job(f'urgent-{number}', step))
+    low = make_policy(priority=2)
+    admit(book, make_job('low', make_step(fills=True), policy=low))
+    assert [task.id.job for task, _ in place(book)] == ['low']
+
+
+def test_a_larger_step_is_not_tried_after_a_smaller_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What finds no worker speaks for all that asks for more."""
+    book = Book()
+    add_worker(book, 'w')
+    for number in range(20):
+        step = make_step(demand=Room(9.0 + number, 1000))
+        admit(book, make_job(f'urgent-{number:02}', step))
+    asked: list[str] = []
+    allows = WorkerView.allows
+
+    def note(view: WorkerView, task: Task) -> bool:
+        asked.append(task.id.job)
+        return allows(view, task)
+
+    monkeypatch.setattr(WorkerView, 'allows', note)
+    assert place(book) == []
+    assert asked == ['urgent-00']
+
+
 def test_a_gang_is_placed_whole_or_not_at_all() -> None:
     book = Book()
     add_worker(book, 'w')
