--- a/lentilmount/scheduling/ranking.py
+++ b/lentilmount/scheduling/ranking.py
@@ -4,14 +4,19 @@
 first makes every job late once there is too much; so jobs that can still be
 in time go first, by deadline, then those that can still be of some use, then
 the rest, which must be finished all the same.
+
+Filling work has few places, fewer than it has jobs. Shared among all of them
+each job gets on slowly and all are late, so what is begun goes on before more
+is begun, the least work left first.
 """
 
 from __future__ import annotations
 
 import enum
 from collections.abc import Iterable
+from typing import Any
 
-from lentilmount.scheduling.model import Task
+from lentilmount.scheduling.model import Job, Task
 from lentilmount.scheduling.views import get_step
 
 USEFUL_MULTIPLE = 3.0
@@ -35,7 +40,15 @@
 MOST_GATHER_SECONDS = 0.8
 """How long a lasting step waits at most while others keep coming."""
 
-Rank = tuple[int, int, str, float]
+Rank = tuple[int, tuple[Any, ...]]
+"""A turn, and the order within it; the smallest goes first."""
+
+
+class Turn(enum.IntEnum):
+    """Which of all tasks come before which."""
+
+    LASTING = 0
+    OTHER = 1
 
 
 def is_gathering(step: list[Task], newest: float, now: float) -> bool:
@@ -61,12 +74,25 @@
     """Returns a task's place in the order; the smallest goes first."""
     job = task.job
     if task.spec.lasting:
-        return (0, 0, task.spec.image, -task.spec.demand.cores)
+        return Turn.LASTING, (task.spec.image, -task.spec.demand.cores)
     start = job.accepted_at + _get_offset(task)
     left = job.chains[task.id.step]
     outlook = _find_outlook(start, left, job.objective, now)
+    first = (job.spec.queue.priority, outlook)
+    if task.spec.fills:
+        return Turn.OTHER, (*first, not job.has_started, measure_work(job))
     due = start + job.objective - left
-    return (1, job.spec.queue.priority, str(int(outlook)), due)
+    return Turn.OTHER, (*first, False, due)
+
+
+def measure_work(job: Job) -> float:
+    """Returns the core-seconds of a job that are not done, as declared."""
+    return sum(
+        count
+        * job.spec.steps[step].estimated_seconds
+        * job.spec.steps[step].demand.cores
+        for (_, step), count in job.remaining.items()
+    )
 
 
 def _get_offset(task: Task) -> float:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -191,6 +191,28 @@
     assert order == [fresh, late]
 
 
+def test_filling_work_that_is_begun_goes_on_before_more_is_begun() -> None:
+    """More best-effort jobs wait than find places, and all could be in time.
+
+    Shared by deadline, each job got a place now and then, and all were late.
+    The begun job goes first, though another is due before it; among the
+    others the one with least work left.
+    """
+    book = Book()
+    small = make_step(count=2, fills=True, image='f', after=())
+    large = make_step(count=5, fills=True, image='f')
+    begun = admit(book, make_job('begun', large))
+    admit(book, make_job('large', large))
+    admit(book, make_job('small', small))
+    due = make_policy(stretch=1.5)
+    admit(book, make_job('due', large, policy=due))
+    worker = add_worker(book, 'w')
+    run_task(book, find_task(book, 'begun'), worker)
+    assert begun.has_started
+    steps = sort_steps(book.ready.values(), now=0.1)
+    assert [s[0].id.job for s in steps][:2] == ['begun', 'small']
+
+
 def test_priority_goes_before_deadlines() -> None:
     book = Book()
     low = admit(book, make_job('low', policy=make_policy(priority=2)))
