Place lasting steps that are bounded per worker first of their image

Change: of the lasting tasks of an image those with the tightest bound are placed first, the others fill up the same workers.

The test fails before.

--- a/lentilmount/scheduling/ranking.py
+++ b/lentilmount/scheduling/ranking.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -74,7 +75,14 @@
     """Returns a task's place in the order; the smallest goes first."""
     job = task.job
     if task.spec.lasting:
-        return Turn.LASTING, (task.spec.image, -task.spec.demand.cores)
+        # Bounded to a few a worker, a step takes a place on many. Its image is
+        # there already only if the others of that image come after it.
+        bound = task.spec.most_per_worker or math.inf
+        return Turn.LASTING, (
+            task.spec.image,
+            bound,
+            -task.spec.demand.cores,
+        )
     start = job.accepted_at + _get_offset(task)
     left = job.chains[task.id.step]
     outlook = _find_outlook(start, left, job.objective, now)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -236,6 +236,29 @@
     assert sorted(len(found) for found in images.values()) == [1, 1]
 
 
+def test_steps_bounded_per_worker_spread_where_their_image_is() -> None:
+    """A job of one task a worker comes together with larger ones.
+
+    Placed last, its tasks found the workers of their image full, and each one
+    kept another worker from all filling work that its image does not bear.
+    """
+    book = Book()
+    for number in range(6):
+        add_worker(book, f'w{number}')
+    image = {'lasting': True, 'image': 'x', 'target_ms': 50.0}
+    admit(book, make_job('wide', make_step(count=9, **image)))
+    bounded = make_step(count=3, most_per_worker=1, **image)
+    admit(book, make_job('bounded', bounded))
+    admit(
+        book, make_job('other', make_step(count=8, **{**image, 'image': 'y'}))
+    )
+    placed = place(book, now=1.0)
+    workers = {worker.id for task, worker in placed if task.spec.image == 'x'}
+    # Twelve tasks of a quarter of a worker each.
+    assert len(placed) == 20
+    assert len(workers) == 3
+
+
 def test_a_worker_that_fails_everything_is_closed_and_tried_again() -> None:
     """A worker fails all it starts, and is always free for more.
 
