Move single serving tasks to workers of their image

Cause: filling work goes only where all that serves bears it.

Change: where filling work waits, up to three tasks of one image leave a worker if others of their image serve elsewhere and have room, and if the work that waits gains two cores or more for each; every half second one move, none while 4 of 100 lasting cores are away, none of a step beyond what it may miss. Gains are by the images of what waits and runs.

--- a/lentilmount/control/dispatch.py
+++ b/lentilmount/control/dispatch.py
@@ -50,6 +50,7 @@
       lease: The owner's lease.
       is_outage: Tells whether no daemon at all reaches the store.
       wake: Set when there may be something to place.
+      stop: Stops a task, for a reason; it is placed again.
     """
 
     book: Book
@@ -62,6 +63,7 @@
     lease: Lease
     is_outage: Callable[[], bool]
     wake: asyncio.Event
+    stop: Callable[[Task, str], None]
 
     @property
     def may_start(self) -> bool:
@@ -111,6 +113,9 @@
                     'worker': worker.id,
                 },
             )
+        if not self.inheritance.is_in_doubt(now) and not self.is_outage():
+            for task in self.placer.choose_moves(now):
+                self.stop(task, 'it serves better elsewhere')
         for job in started:
             self.metrics.observe_first_start(now - job.accepted_at)
         if self.is_outage():
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -190,6 +190,7 @@
             self._lease,
             self._is_outage,
             self._wake,
+            self._steering.stop,
         )
         log.info(
             'Loaded {} jobs of {}.',
--- a/lentilmount/scheduling/placing.py
+++ b/lentilmount/scheduling/placing.py
@@ -11,7 +11,9 @@
 
 from lentilmount.resources import Room
 from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.consolidation import Consolidation
 from lentilmount.scheduling.costs import Costs
+from lentilmount.scheduling.demand import FillingDemand
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.offers import Allows, Offers
 from lentilmount.scheduling.ranking import is_gathering, is_new, sort_steps
@@ -44,10 +46,22 @@
     book: Book
     sharing: Sharing
     _views: Views = attrs.field(init=False)
+    _consolidation: Consolidation = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Keeps what is worked out from pass to pass."""
         self._views = Views(self.book, self.sharing)
+        demand = FillingDemand(self.book, self.sharing)
+        self._consolidation = Consolidation(self.book, demand)
+
+    def choose_moves(self, now: float) -> list[Task]:
+        """Chooses serving tasks to be stopped, as they serve better elsewhere.
+
+        Placed again they go to a worker of their image, where there is room.
+        """
+        if not self._consolidation.is_due(now):
+            return []
+        return self._consolidation.choose(self._views.list_open(now), now)
 
     def place(self, now: float, allows: Allows) -> list[Chosen]:
         """Places what can be placed now, and returns it."""
--- a/lentilmount/scheduling/sharing.py
+++ b/lentilmount/scheduling/sharing.py
@@ -108,6 +108,10 @@
 """How hard a new filling task is taken to press: between its mean (0.76) and
 a busy spell."""
 
+HEAVY_PRESS = 0.1
+"""Press from which an image has no place beside another: with it a load at its
+mean is near the target."""
+
 LEAST_PRESS = 0.01
 """Below this a neighbour is not worth slowing down."""
 
@@ -281,6 +285,10 @@
             default=0.0,
         )
 
+    def measure_tolerance(self, images: Iterable[str], image: str) -> float:
+        """Returns how well serving images bear a filling one, from 0 to 1."""
+        return max(0.0, 1 - self.measure_press(images, image) / HEAVY_PRESS)
+
     def allows(self, utilisation: Mapping[str, float], image: str) -> bool:
         """Tells whether one more filling task keeps every tail in bounds.
 
