Let urgent work go before lasting tasks, and keep room for it a while

Cause: lasting tasks went first and stay for a minute.

The policy tests fail before (without the module they do not load).

--- a/lentilmount/scheduling/placing.py
+++ b/lentilmount/scheduling/placing.py
@@ -14,6 +14,7 @@
 from lentilmount.scheduling.consolidation import Consolidation
 from lentilmount.scheduling.costs import Costs
 from lentilmount.scheduling.demand import FillingDemand
+from lentilmount.scheduling.headroom import Headroom
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.offers import Allows, Offers
 from lentilmount.scheduling.ranking import is_gathering, is_new, sort_steps
@@ -47,12 +48,14 @@
     sharing: Sharing
     _views: Views = attrs.field(init=False)
     _consolidation: Consolidation = attrs.field(init=False)
+    _headroom: Headroom = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Keeps what is worked out from pass to pass."""
         self._views = Views(self.book, self.sharing)
         demand = FillingDemand(self.book, self.sharing)
         self._consolidation = Consolidation(self.book, demand)
+        self._headroom = Headroom(self.book)
 
     def choose_moves(self, now: float) -> list[Task]:
         """Chooses serving tasks to be stopped, as they serve better elsewhere.
@@ -68,7 +71,10 @@
         if not self.book.ready:
             return []
         views = self._views.list_open(now)
-        work = _Pass(self.book, self.sharing, views, now, allows)
+        self._headroom.note(now)
+        work = _Pass(
+            self.book, self.sharing, self._headroom, views, now, allows
+        )
         return work.run()
 
 
@@ -79,12 +85,14 @@
         self,
         book: Book,
         sharing: Sharing,
+        headroom: Headroom,
         views: list[WorkerView],
         now: float,
         allows: Allows,
     ):
         self._book = book
         self._sharing = sharing
+        self._headroom = headroom
         self._costs = Costs(book, sharing)
         self._now = now
         self._allows = allows
@@ -106,6 +114,10 @@
             kind = find_kind(step[0].spec)
             if failed[kind] > FAILED_TRIES or self._is_hopeless(step[0].spec):
                 continue
+            if kind is Kind.LASTING and self._headroom.keeps_room(
+                step, self._views, self._now
+            ):
+                continue
             found, is_whole = self._place_step(step)
             placed += found
             failed[kind] += not is_whole
--- a/lentilmount/scheduling/ranking.py
+++ b/lentilmount/scheduling/ranking.py
@@ -8,6 +8,9 @@
 Filling work has few places, fewer than it has jobs. Shared among all of them
 each job gets on slowly and all are late, so what is begun goes on before more
 is begun, the least work left first.
+
+Urgent work of a second needs a core now; a lasting task that takes it keeps it
+for a minute. So what can still be in time goes before lasting tasks.
 """
 
 from __future__ import annotations
@@ -25,6 +28,10 @@
 to who sent it: the users' measure of late work."""
 
 
+URGENT_PRIORITY = 0
+"""Queues of this priority come before all others."""
+
+
 class Outlook(enum.IntEnum):
     """How a job can still end."""
 
@@ -48,8 +55,9 @@
 class Turn(enum.IntEnum):
     """Which of all tasks come before which."""
 
-    LASTING = 0
-    OTHER = 1
+    URGENT = 0
+    LASTING = 1
+    OTHER = 2
 
 
 def is_gathering(step: list[Task], newest: float, now: float) -> bool:
@@ -83,13 +91,13 @@
             bound,
             -task.spec.demand.cores,
         )
-    start = job.accepted_at + _get_offset(task)
-    left = job.chains[task.id.step]
-    outlook = _find_outlook(start, left, job.objective, now)
+    outlook = find_outlook(task, now)
+    due = _get_start(task) + job.objective - job.chains[task.id.step]
+    if is_urgent(task) and outlook is Outlook.IN_TIME:
+        return Turn.URGENT, (due,)
     first = (job.spec.queue.priority, outlook)
     if task.spec.fills:
         return Turn.OTHER, (*first, not job.has_started, measure_work(job))
-    due = start + job.objective - left
     return Turn.OTHER, (*first, False, due)
 
 
@@ -103,18 +111,26 @@
     )
 
 
-def _get_offset(task: Task) -> float:
-    """Returns by how many seconds a task's occurrence is due later."""
+def is_urgent(task: Task) -> bool:
+    """Tells whether a task reserves room, and only for a short time."""
+    spec = task.spec
+    is_short = not spec.lasting and not spec.fills and not spec.gang
+    return is_short and task.job.spec.queue.priority <= URGENT_PRIORITY
+
+
+def _get_start(task: Task) -> float:
+    """Returns the monotonic time from which a task's occurrence is measured."""
     spec = task.job.spec
     if not spec.occurrences:
-        return 0.0
-    return max(0.0, spec.get_due(task.id.occurrence) - spec.accepted)
+        return task.job.accepted_at
+    later = spec.get_due(task.id.occurrence) - spec.accepted
+    return task.job.accepted_at + max(0.0, later)
 
 
-def _find_outlook(
-    start: float, left: float, objective: float, now: float
-) -> Outlook:
-    end = now + left - start
+def find_outlook(task: Task, now: float) -> Outlook:
+    """Tells how a task's job can still end if the task starts now."""
+    objective = task.job.objective
+    end = now + task.job.chains[task.id.step] - _get_start(task)
     if end <= objective:
         return Outlook.IN_TIME
     if end <= USEFUL_MULTIPLE * objective:
--- /dev/null
+++ b/tests/test_headroom.py
@@ -0,0 +1,92 @@
+"""Room for urgent work where lasting tasks ask for more than there is."""
+
+from __future__ import annotations
+
+from lentilmount.resources import Room
+from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.headroom import AVERAGE_SECONDS, KEEP_SECONDS
+from lentilmount.scheduling.placing import Placer
+from lentilmount.scheduling.reports import EndKind
+from lentilmount.scheduling.sharing import Sharing
+from tests.fleet_scene import (
+    add_worker,
+    admit,
+    find_task,
+    make_job,
+    make_policy,
+    make_step,
+    run_task,
+)
+
+PASS_SECONDS = 0.1
+
+LASTING = make_step(demand=Room(4.0, 1000), lasting=True, image='x')
+URGENT = make_step(demand=Room(2.0, 1000))
+
+
+def place_all(placer: Placer, now: float) -> list[str]:
+    """Runs a pass; returns the jobs of what it placed."""
+    placed = placer.place(now, lambda task, worker: True)
+    return [task.id.job for task, _ in placed]
+
+
+def test_urgent_work_goes_before_lasting_tasks_that_wait() -> None:
+    """A lasting task ends, another one waits, and so does an urgent job.
+
+    The lasting one took the core and kept it for a minute; the urgent job,
+    which needs it for a second, was late by ten.
+    """
+    book = Book()
+    add_worker(book, 'w', capacity=Room(4.0, 16_000))
+    admit(book, make_job('lasting', LASTING))
+    urgent = make_policy(stretch=9.0)
+    admit(book, make_job('urgent', URGENT, policy=urgent))
+    placer = Placer(book, Sharing())
+    assert place_all(placer, 5.0) == ['urgent']
+
+
+def test_a_late_job_does_not_go_before_lasting_tasks() -> None:
+    book = Book()
+    add_worker(book, 'w', capacity=Room(4.0, 16_000))
+    admit(book, make_job('lasting', LASTING))
+    admit(book, make_job('late', URGENT))
+    assert place_all(Placer(book, Sharing()), 5.0) == ['lasting']
+
+
+def test_lasting_tasks_leave_room_to_urgent_work_for_a_while() -> None:
+    """Urgent jobs have come one after the other, and the next is on its way.
+
+    A lasting task that has just been lost waits a few seconds in which they
+    find room, and no longer: it has to be back soon.
+    """
+    book = Book()
+    worker = add_worker(book, 'w', capacity=Room(6.0, 64_000))
+    admit(book, make_job('lasting', LASTING))
+    lasting = find_task(book, 'lasting')
+    policy = make_policy(stretch=99.0)
+    placer = Placer(book, Sharing())
+    run_task(book, lasting, worker)
+    # Urgent work keeps the two cores beside it busy.
+    now = 0.0
+    while now < 3 * AVERAGE_SECONDS:
+        job = admit(book, make_job(f'urgent-{now:.1f}', URGENT, policy=policy))
+        job.accepted_at = now
+        place_all(placer, now)
+        for task in list(worker.tasks.values()):
+            if task is not lasting:
+                book.confirm(task, task.run, now)
+                book.end(task, EndKind.DONE, now)
+        now += PASS_SECONDS
+    book.end(lasting, EndKind.FAILED, now)
+    assert 'lasting' not in place_all(placer, now + PASS_SECONDS)
+    assert 'lasting' in place_all(placer, now + KEEP_SECONDS)
+
+
+def test_without_urgent_work_a_lasting_task_is_placed_at_once() -> None:
+    book = Book()
+    worker = add_worker(book, 'w', capacity=Room(6.0, 64_000))
+    admit(book, make_job('lasting', LASTING))
+    lasting = find_task(book, 'lasting')
+    run_task(book, lasting, worker)
+    book.end(lasting, EndKind.FAILED, 9.0)
+    assert place_all(Placer(book, Sharing()), 9.1) == ['lasting']
