Send the starts of a write on its way in an outage too

Cause: starts wait for the write that tells of them. When the table goes away for all while that write is on its way, later starts are sent at once, but those in the write waited until the table was back.

Change: they are sent with the others, once.

--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -140,6 +140,7 @@
     _settled: asyncio.Event = attrs.field(factory=asyncio.Event)
     _marks: collections.deque[_Mark] = attrs.Factory(collections.deque)
     _unsent: list[Task] = attrs.Factory(list)
+    _in_write: list[Task] = attrs.Factory(list)
     _counts: dict[str, int] = attrs.Factory(dict)
     _counts_version: int = 0
     _counts_at: float = 0.0
@@ -162,8 +163,12 @@
         self._dirty.set()
 
     def send_unwritten(self) -> None:
-        """Sends all starts at once: nobody can take over meanwhile."""
-        placed, self._unsent = self._unsent, []
+        """Sends all starts at once: nobody can take over meanwhile.
+
+        Those of a write on its way too: it may take as long as the outage.
+        """
+        placed = [*self._in_write, *self._unsent]
+        self._in_write, self._unsent = [], []
         self._has_sent_unwritten |= bool(placed)
         self._send_starts(placed, set(self.book.jobs.values()))
 
@@ -219,7 +224,7 @@
             (link, link.life, link.received) for link in self.links.values()
         ]
         jobs = self._take_dirty()
-        placed, self._unsent = self._unsent, []
+        self._in_write, self._unsent = self._unsent, []
         mark = _Mark(received, set(self.book.dirty))
         counts = self._make_counts(jobs)
         model = self._make_model()
@@ -228,7 +233,9 @@
         removals = self.retention.make_removals(old)
         operations = [*states, *counts, *model, *removals]
         self._tell_unwritten(bool(mark.waiting))
-        if not await self._write(operations, [*jobs, *old]):
+        is_written = await self._write(operations, [*jobs, *old])
+        placed, self._in_write = self._in_write, []
+        if not is_written:
             self._unsent += placed
             return
         self.retention.forget(old)
