Open the occurrences that a row tells of, due or not

Cause: a new owner whose clock is behind had no tasks for an occurrence that the previous one had begun; what the row said of them was dropped, and what was done ran again when its time came.

Change: occurrences that a row tells of are opened when it is read.

--- a/lentilmount/scheduling/book.py
+++ b/lentilmount/scheduling/book.py
@@ -90,6 +90,11 @@
         while job.occurrences < total and not job.state.is_final:
             if spec.occurrences and wall < spec.get_due(job.occurrences):
                 return
+            self.open_until(job, job.occurrences + 1)
+
+    def open_until(self, job: Job, occurrences: int) -> None:
+        """Creates the tasks of the first occurrences, whether due or not."""
+        while job.occurrences < occurrences:
             self._open(job, job.occurrences)
             job.occurrences += 1
 
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -83,7 +83,9 @@
     """
     state = JobState(body['state'])
     entries = dict(body.get('tasks', {}))
-    for name in _list_done(entries.pop(DONE, {})):
+    done = list(_list_done(entries.pop(DONE, {})))
+    _open_told(book, job, [*done, *entries])
+    for name in done:
         task = job.tasks.get(_parse(job, name))
         if task is not None:
             book.restore_done(task, now)
@@ -99,6 +101,16 @@
     book.dirty.pop(job.spec.id, None)
 
 
+def _open_told(book: Book, job: Job, names: list[str]) -> None:
+    """Creates the tasks of occurrences that the previous owner has begun.
+
+    By a slower clock they are not due yet. What the row says of them would be
+    dropped, and what is done would run again when they are.
+    """
+    last = max((_parse(job, name).occurrence for name in names), default=-1)
+    book.open_until(job, min(last + 1, max(1, job.spec.occurrences)))
+
+
 def _list_done(done: dict[str, list[int]]) -> Iterator[str]:
     for step, ranges in done.items():
         for first, last in zip(ranges[::2], ranges[1::2], strict=True):
