--- a/lentilmount/scheduling/offers.py
+++ b/lentilmount/scheduling/offers.py
@@ -3,7 +3,7 @@
 Load pattern: steps of tens of tasks on hundreds of workers, hundreds of starts
 a second. The tasks of a step are alike, so what a worker asks for one of them
 holds for all until that worker changes. Asked for each task anew, choosing
-workers took half of the processor of an owner of 245 workers.
+workers takes most of an owner's processor.
 """
 
 from __future__ import annotations
--- a/lentilmount/scheduling/sharing.py
+++ b/lentilmount/scheduling/sharing.py
@@ -8,9 +8,7 @@
 
 Grounds: a tail grows with utilisation u as 1 / (1 - u), like the waiting time
 of a queue. So 1 - idle / tail is the utilisation, in which the load of the
-serving task and the press of each filling task simply add up. On 24,000 looks
-of a calm day this explained the tails to 0.07 to 0.10 (standard deviation, in
-utilisation); tails or their logarithms fitted worse (R2 0.2 to 0.35).
+serving task and the press of each filling task simply add up.
 """
 
 from __future__ import annotations
@@ -31,16 +29,15 @@
 )
 
 IDLE_RATIO = 0.2
-"""Tail of a serving task without any load, over its target. Alone the tail
-was never below 0.25, at the lowest load of 0.2."""
+"""Tail of a serving task without any load, over its target."""
 
 LIMIT = 1 - IDLE_RATIO
 """Utilisation at which the tail is at its target."""
 
 PRIOR_PRESS = 0.04
 PRIOR_VARIANCE = 0.08**2
-"""Of the press of an unknown pair in a busy spell. Known ones reach from 0 to
-0.25; half are below 0.03."""
+"""Of the press of an unknown pair in a busy spell: many pairs are harmless, and
+some are not."""
 
 PRESS_DRIFT = 0.004**2
 """Growth of a pair's variance a second: after a minute without a look it is
@@ -53,12 +50,10 @@
 START_LOAD = 0.5
 START_LOAD_VARIANCE = 0.2**2
 LOAD_DRIFT = 0.09**2
-"""Growth of a load's variance a second. Loads swing by 0.2 around their mean
-in 14 to 20 s, so by up to 0.09 a second."""
+"""Growth of a load's variance a second: loads swing within seconds."""
 
 MEASURE_VARIANCE = 0.06**2
-"""Of one figure: rough, rounded, and of the last half second. With loads and
-presses fitted, what is left is 0.04 to 0.1."""
+"""Of one figure: rough, rounded, and of the last half second."""
 
 LOAD_PREFIX = 'load:'
 """Before a job's id in the name of its load."""
@@ -78,11 +73,11 @@
 """What a load may swing to."""
 
 LEAST_LOAD = 0.15
-"""What a load may swing to: 0.2 was the lowest seen."""
+"""What a load may swing to."""
 
 TREND_SECONDS = 1.0
-"""Over which the trend of a load is taken; half a second less tells mostly
-noise, twice as much lags behind a swing of 14 s."""
+"""Over which the trend of a load is taken: less tells mostly noise, more lags
+behind a swing."""
 
 MOST_TREND = 0.11
 """Fastest change of a load a second; see LOAD_DRIFT."""
@@ -105,8 +100,8 @@
 standard deviation of the prediction."""
 
 NEW_INTENSITY = 0.85
-"""How hard a new filling task is taken to press: between its mean (0.76) and
-a busy spell."""
+"""How hard a new filling task is taken to press: between its mean and a busy
+spell."""
 
 HEAVY_PRESS = 0.1
 """Press from which an image has no place beside another: with it a load at its
@@ -307,8 +302,7 @@
 
 
 def _name_load(task: Task) -> str:
-    # The tasks of a job serve the same users: on a calm day their loads swung
-    # together, each job's by itself.
+    # The tasks of a job serve the same users, so their loads swing together.
     return LOAD_PREFIX + task.id.job
 
 
--- a/lentilmount/scheduling/views.py
+++ b/lentilmount/scheduling/views.py
@@ -1,9 +1,9 @@
 """What passes over the queue need to know of each worker, worked out once.
 
 Load pattern: hundreds of tasks wait while a hundred starts and ends a second
-call for a pass each. Worked out anew for each waiting task, the sums over a
-worker's tasks took most of an owner's processor; worked out anew for each of 50
-passes a second, those of 270 workers still took a third.
+call for a pass each. Worked out anew for each waiting task, or for each of 50
+passes a second, the sums over workers' tasks take most of an owner's
+processor.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 from lentilmount.scheduling.sharing import Sharing, count_fills
 
 SERVING_LOAD = 0.6
-"""Share of its cores that a serving task is taken to use: 0.45 on average,
-and half as much again when its load swings up."""
+"""Share of its cores that a serving task is taken to use: its mean, and a part
+of what its load swings up."""
 
 
 RENEW_SECONDS = 0.1
