Let no configuration grow old while no daemon hears from the table

After an outage for all of 4 s every daemon held its configuration for outdated and refused 196 requests, some of them after the table was back, until its feed was heard.

Change: while the outage is known to be general the configuration counts as confirmed; an outage of one daemon alone still makes it outdated.

--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -159,7 +159,7 @@
         """Whether new connections are welcome."""
         if self.routes.current is None or self.traffic.is_closing:
             return False
-        if self.routes.is_outdated and not self.find_outage('').is_general():
+        if self.routes.is_outdated:
             return False
         return not any(o.is_cut_off() for o in self.outages.values())
 
@@ -169,7 +169,9 @@
         async with asyncio.TaskGroup() as group:
             following = [
                 group.create_task(
-                    follow_configuration(self.table, self.routes)
+                    follow_configuration(
+                        self.table, self.routes, self.find_outage('').is_general
+                    )
                 ),
                 group.create_task(self._follow_peers()),
                 group.create_task(self.metrics.watch_lag()),
--- a/lentilmount/control/routes.py
+++ b/lentilmount/control/routes.py
@@ -94,15 +94,23 @@
 
 
 async def follow_configuration(
-    table: PlatformTable, routes: RouteTable
+    table: PlatformTable, routes: RouteTable, is_outage: Callable[[], bool]
 ) -> None:
-    """Keeps a route table up to date for as long as it runs."""
+    """Keeps a route table up to date for as long as it runs.
+
+    Args:
+      table: Where the configuration is.
+      routes: The route table.
+      is_outage: Tells whether no daemon at all reaches the store. Nothing can
+        be accepted by old routes then; called outdated as soon as the store
+        is back, all daemons would refuse what they could serve again.
+    """
     feed = Feed(table, CONFIGURATION_TABLE, FEED_SECONDS, is_large=True)
     while True:
         for row in await feed.read():
             if row.key == CONFIGURATION_KEY:
                 routes.offer(row)
-        if feed.is_up_to_date:
+        if feed.is_up_to_date or is_outage():
             routes.confirm()
         if routes.current is None and feed.position is not None:
             # The operators have not written it yet.
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -145,7 +145,9 @@
     async def play() -> None:
         table = Failing(HttpCaller(''), CALL_SECONDS)
         routes = RouteTable(ManualClock().monotonic, 2.0)
-        work = asyncio.create_task(follow_configuration(table, routes))
+        work = asyncio.create_task(
+            follow_configuration(table, routes, lambda: False)
+        )
         while len(asked) < 3:
             await asyncio.sleep(0)
         work.cancel()
@@ -154,6 +156,46 @@
     assert asked[:3] == ['all', 'after 5', 'after 5']
 
 
+@pytest.mark.parametrize('is_outage', [True, False])
+def test_an_outage_for_all_makes_no_configuration_outdated(
+    monkeypatch: pytest.MonkeyPatch, is_outage: bool
+) -> None:
+    """The store is away for all daemons for longer than a change may take.
+
+    Back again, it answers submissions at once. Refused by every daemon until
+    its feed is heard, clients lose a quarter of a second more.
+    """
+    monkeypatch.setattr(feeds, 'RETRY_SECONDS', 0.0)
+    clock = ManualClock()
+    routes = RouteTable(clock.monotonic, 2.0)
+    calls: list[str] = []
+
+    class Away(PlatformTable):
+        """Answers the first reading, and nothing for seconds."""
+
+        async def follow(self, table: str, after: int, wait: float) -> Changes:
+            calls.append(table)
+            clock.advance(1.5)
+            raise UnavailableError('lost')
+
+        async def read_all(self, table: str, part: str = '') -> Changes:
+            if calls:
+                return await self.follow(table, 0, 0.0)
+            return Changes((RawRow('config', make_configuration(1), 5),), 5)
+
+    async def play() -> bool:
+        table = Away(HttpCaller(''), CALL_SECONDS)
+        work = asyncio.create_task(
+            follow_configuration(table, routes, lambda: is_outage)
+        )
+        while len(calls) < 3:
+            await asyncio.sleep(0)
+        work.cancel()
+        return routes.is_outdated
+
+    assert run(play()) is not is_outage
+
+
 def test_an_outdated_configuration_answers_nobody() -> None:
     """The store tells one host of no change for longer than a change may take.
 
