Report what became of each queue's jobs, from log lines

On call had `trace` for one id and nothing for a bad hour. `lentilmount report` counts by queue what was accepted, refused, in time, late, failed, cancelled and left open, how long first starts took, and why runs were stopped or ended. The tool only; daemons are as they were. Not built: a split by time, a plot.

--- a/lentilmount/cli/actions.py
+++ b/lentilmount/cli/actions.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from lentilmount.cli import changes, follow, reads, traces
+from lentilmount.cli import changes, follow, reads, report, traces
 from lentilmount.cli.session import Session
 from lentilmount.status import ExitStatus
 
@@ -25,5 +25,6 @@
     'watch': follow.watch,
     'timeline': follow.timeline,
     'trace': traces.trace,
+    'report': report.report,
     'check': traces.check,
 }
--- a/lentilmount/cli/definition.py
+++ b/lentilmount/cli/definition.py
@@ -235,6 +235,15 @@
             _option('files', nargs='+', metavar='FILE', help='log files'),
         ),
     ),
+    Command(
+        'report',
+        'show what became of the jobs of each queue, by log lines',
+        'lentilmount report host-1.log host-2.log --output json',
+        (
+            _option('files', nargs='+', metavar='FILE', help='log files'),
+            OUTPUT,
+        ),
+    ),
     Command(
         'check',
         "check a host's settings (YAML) or a deploy file (TOML)",
--- a/lentilmount/cli/traces.py
+++ b/lentilmount/cli/traces.py
@@ -25,7 +25,7 @@
         (
             (str(line.get('time', '')), name, line)
             for name in options.files
-            for line in _read_lines(name)
+            for line in read_lines(name)
             if _speaks_of(line, options.id)
         ),
         key=lambda entry: entry[:2],
@@ -37,7 +37,7 @@
     return ExitStatus.OK
 
 
-def _read_lines(name: str) -> Iterator[dict[str, Any]]:
+def read_lines(name: str) -> Iterator[dict[str, Any]]:
     """Reads the JSON objects in a file, whatever stands before them."""
     for text in _read(name).splitlines():
         start = text.find('{')
