Tell how old the configuration in force is

Cause: of the incident's hypotheses two could not be told apart, nor from a healthy host: no line and no metric gave the age of what a host knows. A slow reading left no trace but its `In force` line.

Change: `In force` tells its bytes and its age, counted from when the call was sent; a reading that took half a second longer than it was to wait has a line, of every followed table; a line tells when the configuration may be outdated and when it no longer is; `lentilmount_configuration_age_seconds`. What is decided by the age is as it was.

--- a/lentilmount/control/feeds.py
+++ b/lentilmount/control/feeds.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import time
+from collections.abc import Callable
 
 import attrs
 import logbook
@@ -20,6 +23,9 @@
 RETRY_SECONDS = 0.2
 """Before a table is read again after a failure."""
 
+SLOW_SECONDS = 0.5
+"""Time for an answer, beside the wait for a change, that is worth a line."""
+
 
 @attrs.define
 class Feed:
@@ -43,6 +49,9 @@
       position: Version up to which changes are known; None to read all.
       is_large: Whether the table takes long to read.
       failures: Calls that failed since the last one that was answered.
+      monotonic: The clock for durations.
+      as_of: Monotonic time at which the newest call that was answered was
+        sent. What changed after it may not be known.
     """
 
     table: PlatformTable
@@ -52,6 +61,8 @@
     position: int | None = None
     is_large: bool = False
     failures: int = 0
+    monotonic: Callable[[], float] = time.monotonic
+    as_of: float = -math.inf
 
     @property
     def is_up_to_date(self) -> bool:
@@ -60,6 +71,7 @@
 
     async def read(self) -> tuple[RawRow, ...]:
         """Returns all rows or those that changed; none after a failure."""
+        asked_at = self.monotonic()
         try:
             found = await self._read()
         except HistoryLostError:
@@ -72,8 +84,23 @@
             return ()
         self.failures = 0
         self.position = found.version
+        self.as_of = asked_at
+        self._log_slow_reading(found.rows)
         return found.rows
 
+    def _log_slow_reading(self, rows: tuple[RawRow, ...]) -> None:
+        took = self.monotonic() - self.as_of
+        if took > self.wait_seconds + SLOW_SECONDS:
+            log.info(
+                'Read table {} slowly.',
+                self.name,
+                extra={
+                    'took': round(took, 3),
+                    'rows': len(rows),
+                    'bytes': sum(len(row.value) for row in rows),
+                },
+            )
+
     async def _read(self) -> Changes:
         if self.position is None or self._is_list_due():
             return await self.table.read_all(self.name, self.part)
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -24,7 +24,11 @@
 from lentilmount.control.keys import make_daemon_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics, make_metrics
 from lentilmount.control.owner import OwnerSettings
-from lentilmount.control.routes import RouteTable, follow_configuration
+from lentilmount.control.routes import (
+    RouteTable,
+    follow_configuration,
+    watch_age,
+)
 from lentilmount.control.storewatch import (
     Outage,
     Peers,
@@ -151,6 +155,9 @@
     def _refresh_metrics(self) -> None:
         ready = float(self.is_ready())
         self.metrics.set_gauge('lentilmount_ready', {'': ready}, '')
+        self.metrics.set_gauge(
+            'lentilmount_configuration_age_seconds', {'': self.routes.age}, ''
+        )
         for campaign in self.campaigns.values():
             if campaign.owner is not None:
                 campaign.owner.refresh_metrics()
@@ -173,6 +180,7 @@
                         self.table, self.routes, self.find_outage('').is_general
                     )
                 ),
+                group.create_task(watch_age(self.routes)),
                 group.create_task(self._follow_peers()),
                 group.create_task(self.metrics.watch_lag()),
                 group.create_task(guard(self.outages, GUARD_SECONDS)),
--- a/lentilmount/control/metrics.py
+++ b/lentilmount/control/metrics.py
@@ -66,6 +66,10 @@
             name: Gauge(name, text, registry=self.registry)
             for name, text in (
                 ('lentilmount_ready', 'Whether the daemon is ready, 0 or 1.'),
+                (
+                    'lentilmount_configuration_age_seconds',
+                    'Since when a newer configuration may have been written.',
+                ),
                 ('lentilmount_waiting_tasks', 'Tasks ready, by priority.'),
                 ('lentilmount_running_tasks', 'Tasks placed on workers.'),
                 ('lentilmount_workers', 'Workers, by whether they answer.'),
--- a/lentilmount/control/routes.py
+++ b/lentilmount/control/routes.py
@@ -28,6 +28,9 @@
 """How long the feed is asked to wait. A feed that has fallen silent costs this
 and the call's timeout, together below the 2 s in which a change is due."""
 
+WATCH_SECONDS = 0.1
+"""Between two looks at the age of the configuration."""
+
 
 class RouteTable:
     """The newest configuration that is known.
@@ -39,7 +42,7 @@
 
     def __init__(self, monotonic: Callable[[], float], apply_seconds: float):
         self.current: RoutingConfiguration | None = None
-        self._monotonic = monotonic
+        self.monotonic = monotonic
         self._apply_seconds = apply_seconds
         self._version = 0
         self._confirmed_at = -math.inf
@@ -53,17 +56,26 @@
         jobs on a queue that is gone, and knows nothing of a new one. Callers
         that are told so ask another daemon.
         """
-        return self._monotonic() - self._confirmed_at > self._apply_seconds
+        return self.age > self._apply_seconds
+
+    @property
+    def age(self) -> float:
+        """Seconds since when a newer configuration may have been written."""
+        return self.monotonic() - self._confirmed_at
 
     def confirm(self) -> None:
         """Notes that there is none newer than what was offered."""
-        self._confirmed_at = self._monotonic()
+        self._confirmed_at = self.monotonic()
 
-    def offer(self, row: RawRow) -> None:
+    def offer(self, row: RawRow, age: float = 0.0) -> None:
         """Takes over a row if it is newer than what is in force.
 
         Answers of different calls overtake each other; without the check an
         older one would bring back a route that was removed.
+
+        Args:
+          row: The row.
+          age: Seconds since the call that told of it was sent.
         """
         if row.version <= self._version or row.removed:
             return
@@ -76,7 +88,11 @@
             'In force: configuration {}, {} routes.',
             decoded.version,
             len(decoded.routes),
-            extra={'row_version': row.version},
+            extra={
+                'row_version': row.version,
+                'bytes': len(row.value),
+                'age': round(age, 3),
+            },
         )
         self._version = row.version
         self.current = decoded
@@ -93,6 +109,22 @@
         return None if best is None else (best, path[len(best.prefix) :])
 
 
+async def watch_age(routes: RouteTable) -> None:
+    """Logs when the configuration becomes outdated, and when it is no more."""
+    was_outdated = True
+    while True:
+        if routes.is_outdated is not was_outdated:
+            was_outdated = routes.is_outdated
+            if was_outdated:
+                log.warning(
+                    'The configuration may be outdated.',
+                    extra={'age': round(routes.age, 3)},
+                )
+            else:
+                log.info('The configuration is up to date.')
+        await asyncio.sleep(WATCH_SECONDS)
+
+
 async def follow_configuration(
     table: PlatformTable, routes: RouteTable, is_outage: Callable[[], bool]
 ) -> None:
@@ -105,11 +137,17 @@
         be accepted by old routes then; called outdated as soon as the store
         is back, all daemons would refuse what they could serve again.
     """
-    feed = Feed(table, CONFIGURATION_TABLE, FEED_SECONDS, is_large=True)
+    feed = Feed(
+        table,
+        CONFIGURATION_TABLE,
+        FEED_SECONDS,
+        is_large=True,
+        monotonic=routes.monotonic,
+    )
     while True:
         for row in await feed.read():
             if row.key == CONFIGURATION_KEY:
-                routes.offer(row)
+                routes.offer(row, routes.monotonic() - feed.as_of)
         if feed.is_up_to_date or is_outage():
             routes.confirm()
         if routes.current is None and feed.position is not None:
