Count a configuration's age from when the call was sent that told of it

Callers saw: a request handled by a version other than the one that had been due, up to 1.9 s late in the test, from a host that took its configuration for fresh.

Cause: a host counted what it knows from the last byte of an answer, and what an answer tells is as old as the moment the store wrote it. Since answers may take as long as they keep arriving, that is seconds on a small link.

Ruled out: counting from the first byte. A queue on the link holds that back too, and through another daemon it is the first byte of a copy. Counting from the store's own clock in its answers would be tighter, and needs a mapping of clocks that a suspended host breaks.

Change: `Feed.as_of` decides. So that a host in touch stays fresh by this stricter measure, the feed waits for a quarter of the time in which a change is due (0.5 s of 2 s, 0.75 s of 3 s; 0.8 s at most as before): two calls in a row fit in.

--- a/lentilmount/control/routes.py
+++ b/lentilmount/control/routes.py
@@ -25,8 +25,12 @@
 log = logbook.Logger('configuration')
 
 FEED_SECONDS = 0.8
-"""How long the feed is asked to wait. A feed that has fallen silent costs this
-and the call's timeout, together below the 2 s in which a change is due."""
+"""Longest time for which the feed is asked to wait."""
+
+FEED_SHARE = 0.25
+"""The same as a share of the time in which a change is due. What a call told is
+as old as the call, so two of them in a row have to fit into that time, also
+from a store that is slow."""
 
 WATCH_SECONDS = 0.1
 """Between two looks at the age of the configuration."""
@@ -43,7 +47,7 @@
     def __init__(self, monotonic: Callable[[], float], apply_seconds: float):
         self.current: RoutingConfiguration | None = None
         self.monotonic = monotonic
-        self._apply_seconds = apply_seconds
+        self.apply_seconds = apply_seconds
         self._version = 0
         self._confirmed_at = -math.inf
         self.changed = asyncio.Event()
@@ -56,16 +60,16 @@
         jobs on a queue that is gone, and knows nothing of a new one. Callers
         that are told so ask another daemon.
         """
-        return self.age > self._apply_seconds
+        return self.age > self.apply_seconds
 
     @property
     def age(self) -> float:
         """Seconds since when a newer configuration may have been written."""
         return self.monotonic() - self._confirmed_at
 
-    def confirm(self) -> None:
-        """Notes that there is none newer than what was offered."""
-        self._confirmed_at = self.monotonic()
+    def confirm(self, as_of: float) -> None:
+        """Notes that at a monotonic time there was none newer than is known."""
+        self._confirmed_at = max(self._confirmed_at, as_of)
 
     def offer(self, row: RawRow, age: float = 0.0) -> None:
         """Takes over a row if it is newer than what is in force.
@@ -140,7 +144,7 @@
     feed = Feed(
         table,
         CONFIGURATION_TABLE,
-        FEED_SECONDS,
+        min(FEED_SECONDS, FEED_SHARE * routes.apply_seconds),
         is_large=True,
         monotonic=routes.monotonic,
     )
@@ -148,8 +152,9 @@
         for row in await feed.read():
             if row.key == CONFIGURATION_KEY:
                 routes.offer(row, routes.monotonic() - feed.as_of)
-        if feed.is_up_to_date or is_outage():
-            routes.confirm()
+        routes.confirm(feed.as_of)
+        if is_outage():
+            routes.confirm(routes.monotonic())
         if routes.current is None and feed.position is not None:
             # The operators have not written it yet.
             feed.position = None
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -212,7 +212,7 @@
             outage = Outage(StoreWatch(clock.monotonic, ''), store, Peers('a'))
             routes = RouteTable(clock.monotonic, 2.0)
             routes.offer(RawRow('config', make_configuration(1), 1))
-            routes.confirm()
+            routes.confirm(clock.monotonic())
             app = make_frontend(
                 Submissions(table, routes, clock, lambda part: outage),
                 routes,
@@ -225,7 +225,7 @@
             for passed in (1.9, 0.2, 0.0):
                 clock.advance(passed)
                 if not passed:
-                    routes.confirm()
+                    routes.confirm(clock.monotonic())
                 for path in (PREFIX, '/unknown/'):
                     answer = await caller.call(
                         'GET', path, headers={'Host': 'desk.example'}
