Let an outage confirm a configuration only for as long as it surely lasted

Callers saw: after an outage for all daemons a request handled by the version of before, 0.75 s after the new one was due (test).

Cause: while an outage counts as general each failing call confirmed the configuration by the host's clock, at the call's end. That is up to 0.8 s after the other daemons were asked, and their answers lag by as much: a probe on its way when the store comes back fails first.

Ruled out: no exemption for outages.

Change: `Outage.away_until` tells up to when the store was surely away, one probe (0.8 s) before the others were last asked, and the configuration's age is counted from there at the earliest. It no longer depends on when a call ends.

--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -125,7 +125,11 @@
         if settings.advice is not None:
             caller = HttpCaller(f'http://{settings.advice}', ADVICE_SECONDS)
             self.advice = AdviceCalls(caller, ADVICE_SECONDS)
-        self.routes = RouteTable(self._clock.monotonic, settings.times.apply)
+        self.routes = RouteTable(
+            self._clock.monotonic,
+            settings.times.apply,
+            self.find_outage('').away_until,
+        )
         self.campaigns: dict[str, Campaign] = {}
         self.name = make_name(settings.name)
 
@@ -176,9 +180,7 @@
         async with asyncio.TaskGroup() as group:
             following = [
                 group.create_task(
-                    follow_configuration(
-                        self.table, self.routes, self.find_outage('').is_general
-                    )
+                    follow_configuration(self.table, self.routes)
                 ),
                 group.create_task(watch_age(self.routes)),
                 group.create_task(self._follow_peers()),
--- a/lentilmount/control/routes.py
+++ b/lentilmount/control/routes.py
@@ -42,12 +42,22 @@
     Args:
       monotonic: The clock for durations.
       apply_seconds: In which a change is to be in force.
+      away_until: Tells up to when the store was surely away for all daemons.
+        Nothing was written before, and nothing can be accepted by old routes:
+        called outdated as soon as the store is back, all daemons would refuse
+        what they could serve again.
     """
 
-    def __init__(self, monotonic: Callable[[], float], apply_seconds: float):
+    def __init__(
+        self,
+        monotonic: Callable[[], float],
+        apply_seconds: float,
+        away_until: Callable[[], float] = lambda: -math.inf,
+    ):
         self.current: RoutingConfiguration | None = None
         self.monotonic = monotonic
         self.apply_seconds = apply_seconds
+        self._away_until = away_until
         self._version = 0
         self._confirmed_at = -math.inf
         self.changed = asyncio.Event()
@@ -65,7 +75,8 @@
     @property
     def age(self) -> float:
         """Seconds since when a newer configuration may have been written."""
-        return self.monotonic() - self._confirmed_at
+        as_of = max(self._confirmed_at, self._away_until())
+        return self.monotonic() - as_of
 
     def confirm(self, as_of: float) -> None:
         """Notes that at a monotonic time there was none newer than is known."""
@@ -130,17 +141,9 @@
 
 
 async def follow_configuration(
-    table: PlatformTable, routes: RouteTable, is_outage: Callable[[], bool]
+    table: PlatformTable, routes: RouteTable
 ) -> None:
-    """Keeps a route table up to date for as long as it runs.
-
-    Args:
-      table: Where the configuration is.
-      routes: The route table.
-      is_outage: Tells whether no daemon at all reaches the store. Nothing can
-        be accepted by old routes then; called outdated as soon as the store
-        is back, all daemons would refuse what they could serve again.
-    """
+    """Keeps a route table up to date for as long as it runs."""
     feed = Feed(
         table,
         CONFIGURATION_TABLE,
@@ -153,8 +156,6 @@
             if row.key == CONFIGURATION_KEY:
                 routes.offer(row, routes.monotonic() - feed.as_of)
         routes.confirm(feed.as_of)
-        if is_outage():
-            routes.confirm(routes.monotonic())
         if routes.current is None and feed.position is not None:
             # The operators have not written it yet.
             feed.position = None
--- a/lentilmount/control/storewatch.py
+++ b/lentilmount/control/storewatch.py
@@ -138,6 +138,14 @@
         passed = self.watch.monotonic() - self._confirmed_at
         return self.is_suspected and passed < OUTAGE_SECONDS
 
+    def away_until(self) -> float:
+        """Monotonic time up to which the store was surely away for all.
+
+        A daemon whose probe was on its way as the store came back still says
+        that it is away, until that probe has failed and the next is answered.
+        """
+        return self._confirmed_at - OUTAGE_SECONDS
+
     def is_cut_off(self) -> bool:
         """Whether the store answers others and cannot be reached through them.
 
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -109,9 +109,7 @@
     store = _SlowStore(clock, versions, answer_seconds, caller.look)
 
     async def play() -> None:
-        work = asyncio.create_task(
-            follow_configuration(store, routes, lambda: False)
-        )
+        work = asyncio.create_task(follow_configuration(store, routes))
         while clock.monotonic() < start + 25.0:
             await asyncio.sleep(0)
         work.cancel()
@@ -141,7 +139,7 @@
     versions = [start, back_at]
     told: dict[str, float | None] = {'b': 5.0, 'c': 5.0}
     outage = make_outage(told, clock)
-    routes = RouteTable(clock.monotonic, APPLY_SECONDS)
+    routes = RouteTable(clock.monotonic, APPLY_SECONDS, outage.away_until)
     caller = _Caller(routes, clock, versions)
 
     async def look() -> None:
@@ -157,9 +155,7 @@
     )
 
     async def play() -> None:
-        work = asyncio.create_task(
-            follow_configuration(store, routes, outage.is_general)
-        )
+        work = asyncio.create_task(follow_configuration(store, routes))
         while clock.monotonic() < start + 20.0:
             await asyncio.sleep(0)
         work.cancel()
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import contextlib
+import math
 from collections.abc import AsyncIterator
 
 import attrs
@@ -145,9 +146,7 @@
     async def play() -> None:
         table = Failing(HttpCaller(''), CALL_SECONDS)
         routes = RouteTable(ManualClock().monotonic, 2.0)
-        work = asyncio.create_task(
-            follow_configuration(table, routes, lambda: False)
-        )
+        work = asyncio.create_task(follow_configuration(table, routes))
         while len(asked) < 3:
             await asyncio.sleep(0)
         work.cancel()
@@ -167,7 +166,8 @@
     """
     monkeypatch.setattr(feeds, 'RETRY_SECONDS', 0.0)
     clock = ManualClock()
-    routes = RouteTable(clock.monotonic, 2.0)
+    known_away = clock.monotonic if is_outage else lambda: -math.inf
+    routes = RouteTable(clock.monotonic, 2.0, known_away)
     calls: list[str] = []
 
     class Away(PlatformTable):
@@ -185,9 +185,7 @@
 
     async def play() -> bool:
         table = Away(HttpCaller(''), CALL_SECONDS)
-        work = asyncio.create_task(
-            follow_configuration(table, routes, lambda: is_outage)
-        )
+        work = asyncio.create_task(follow_configuration(table, routes))
         while len(calls) < 3:
             await asyncio.sleep(0)
         work.cancel()
