Find a request's route by its prefix instead of walking all routes

Cause: each request compared its host and path with every route.

Change: an index by host and prefix; the lengths of a host's prefixes, longest first, tell which parts of the path to look up.

--- a/lentilmount/control/routes.py
+++ b/lentilmount/control/routes.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
+import attrs
 import logbook
 
 from lentilmount.control.feeds import RETRY_SECONDS, Feed
@@ -36,6 +37,39 @@
 """Between two looks at the age of the configuration."""
 
 
+@attrs.frozen
+class _RouteIndex:
+    """Finds the route of a path without a look at each of them.
+
+    Attributes:
+      routes: By host and prefix.
+      lengths: Of a host's prefixes, the longest first.
+    """
+
+    routes: Mapping[tuple[str, str], Route]
+    lengths: Mapping[str, Sequence[int]]
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Finds the route with the longest prefix of a path."""
+        for length in self.lengths.get(host, ()):
+            found = self.routes.get((host, path[:length]))
+            if found is not None:
+                return found
+        return None
+
+
+def _index(routes: Iterable[Route]) -> _RouteIndex:
+    found: dict[tuple[str, str], Route] = {}
+    lengths: dict[str, set[int]] = {}
+    for route in routes:
+        found.setdefault((route.host, route.prefix), route)
+        lengths.setdefault(route.host, set()).add(len(route.prefix))
+    descending = {
+        host: sorted(known, reverse=True) for host, known in lengths.items()
+    }
+    return _RouteIndex(found, descending)
+
+
 class RouteTable:
     """The newest configuration that is known.
 
@@ -59,6 +93,7 @@
         self.apply_seconds = apply_seconds
         self._away_until = away_until
         self._version = 0
+        self._index = _index(())
         self._confirmed_at = -math.inf
         self.changed = asyncio.Event()
 
@@ -111,16 +146,12 @@
         )
         self._version = row.version
         self.current = decoded
+        self._index = _index(decoded.routes)
         self.changed.set()
 
     def find(self, host: str, path: str) -> tuple[Route, str] | None:
         """Finds the queue of a request, and the rest of its path."""
-        best: Route | None = None
-        for route in self.current.routes if self.current else ():
-            if route.host != host or not path.startswith(route.prefix):
-                continue
-            if best is None or len(route.prefix) > len(best.prefix):
-                best = route
+        best = self._index.find(host, path)
         return None if best is None else (best, path[len(best.prefix) :])
 
 
