Log the starts of a pass in one line

Cause: each start had a line, and each kind of line a budget of 200 a second.

Change: `Starting.` carries the starts of a pass, 100 at the most in a line. `lentilmount trace` shows of such a list what speaks of the id; `lentilmount report` reads it, and the lines of earlier daemons.

Ruled out: a larger budget. A line costs about 25 us, and a busy owner has no processor to spare.

--- a/lentilmount/cli/report.py
+++ b/lentilmount/cli/report.py
@@ -156,8 +156,13 @@
         kind = str(line.get('kind', ''))
         self._find(UNKNOWN_QUEUE).refused[kind] += 1
 
-    def _take_start(self, line: dict[str, Any], _: str) -> None:
-        job = _get_job(line)
+    def _take_starts(self, line: dict[str, Any], _: str) -> None:
+        tasks = [start[0] for start in line.get('starts', ())]
+        # Daemons of an earlier version write a line for each task.
+        for task in tasks or [line.get('task', '')]:
+            self._take_start(line, str(task).partition('.')[0])
+
+    def _take_start(self, line: dict[str, Any], job: str) -> None:
         if job in self._started or job not in self._accepted_at:
             return
         self._started.add(job)
@@ -198,7 +203,7 @@
 _TAKERS = {
     'Accepted': Reporter._take_accepted,
     'Refused': Reporter._take_refused,
-    'Starting': Reporter._take_start,
+    'Starting': Reporter._take_starts,
     'Stopping': Reporter._take_stop,
     'Ended': Reporter._take_end,
     'Job': Reporter._take_job,
--- a/lentilmount/cli/traces.py
+++ b/lentilmount/cli/traces.py
@@ -33,7 +33,9 @@
     if not found:
         raise NotFoundError(f'no line speaks of {options.id}')
     for _, name, line in found:
-        print(_format(line, pathlib.Path(name).stem), file=session.env.stdout)
+        narrowed = _narrow(line, options.id)
+        text = _format(narrowed, pathlib.Path(name).stem)
+        print(text, file=session.env.stdout)
     return ExitStatus.OK
 
 
@@ -67,6 +69,19 @@
     )
 
 
+def _narrow(line: dict[str, Any], wanted: str) -> dict[str, Any]:
+    """Leaves out entries of lists that do not speak of an id.
+
+    One line tells all starts of a pass, of many jobs.
+    """
+    return {
+        key: [entry for entry in value if wanted in str(entry)]
+        if isinstance(value, list) and wanted in str(value)
+        else value
+        for key, value in line.items()
+    }
+
+
 def _format(line: dict[str, Any], name: str) -> str:
     ids = ' '.join(
         f'{key}={value}'
--- a/lentilmount/control/dispatch.py
+++ b/lentilmount/control/dispatch.py
@@ -34,6 +34,20 @@
 """Lets several ends and arrivals be answered by one pass, of which each costs
 a few ms while work waits."""
 
+STARTS_PER_LINE = 100
+"""Starts told in one log line. With a line for each start the budget of their
+kind was used up at the rates of hundreds of workers."""
+
+Start = tuple[str, int, str]
+"""A task, its run and its worker, as they are logged."""
+
+
+def log_starts(starts: list[Start]) -> None:
+    """Logs what a pass has placed, in few lines."""
+    for first in range(0, len(starts), STARTS_PER_LINE):
+        told = starts[first : first + STARTS_PER_LINE]
+        log.info('Starting.', extra={'starts': told})
+
 
 @attrs.define(eq=False)
 class Dispatch:
@@ -100,19 +114,14 @@
         allows = self.advice.allows
         if self.inheritance.is_in_doubt(now):
             allows = self._allow_new
+        starts: list[Start] = []
         for task, worker in self.placer.place(now, allows):
             self.commits.add_start(task)
             self.metrics.count_start()
             if task.job.started_at == now:
                 started.add(task.job)
-            log.info(
-                'Starting.',
-                extra={
-                    'task': str(task.id),
-                    'run': task.run,
-                    'worker': worker.id,
-                },
-            )
+            starts.append((str(task.id), task.run, worker.id))
+        log_starts(starts)
         if not self.inheritance.is_in_doubt(now) and not self.is_outage():
             for task in self.placer.choose_moves(now):
                 self.stop(task, 'it serves better elsewhere')
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -13,6 +13,7 @@
 import pytest
 
 from lentilmount.context import Environment
+from lentilmount.control.dispatch import log_starts
 from lentilmount.core import main
 from lentilmount.logflow import LINES_A_SECOND, FlowHandler
 from lentilmount.status import ExitStatus
@@ -95,6 +96,24 @@
     run(play())
 
 
+def test_all_starts_of_a_busy_owner_can_be_traced(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Most starts of a busy owner were left out of its log."""
+    path = tmp_path / 'owner.log'
+    starts = [(f'{n:016x}.0.0.{n}', 1, f'w-{n}') for n in range(700)]
+    with (
+        open(path, 'wb', buffering=0) as file,
+        FlowHandler(file.fileno(), 'info').applicationbound(),
+    ):
+        log_starts(starts)
+    for n in (0, 99, 100, 699):
+        _, out, _ = run_tool('trace', f'{n:016x}', str(path))
+        assert len(out.splitlines()) == 1
+        assert f"w-{n}'" in out
+        assert out.count('w-') == 1
+
+
 def test_a_failed_job_is_explained(tmp_path: pathlib.Path) -> None:
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -11,7 +11,7 @@
 from lentilmount.status import ExitStatus
 from tests.test_explaining import run_tool
 
-LATE, EARLY, OPEN = 'a' * 16, 'b' * 16, 'c' * 16
+LATE, EARLY, OPEN, OTHER = 'a' * 16, 'b' * 16, 'c' * 16, 'd' * 16
 
 
 def make_line(second: float, message: str, **fields: Any) -> str:
@@ -30,9 +30,13 @@
     ]
     owner = [
         'Traceback (most recent call last):',
-        make_line(1.1, 'Starting.', task=f'{EARLY}.0.0.0', run=1),
+        make_line(
+            1.1,
+            'Starting.',
+            starts=[[f'{OTHER}.0.0.0', 1, 'w'], [f'{EARLY}.0.0.0', 1, 'w']],
+        ),
         make_line(4, 'Starting.', task=f'{LATE}.0.0.0', run=1),
-        make_line(5, 'Starting.', task=f'{LATE}.0.0.1', run=1),
+        make_line(5, 'Starting.', starts=[[f'{LATE}.0.0.1', 1, 'w']]),
         make_line(6, 'Stopping: it stands still.', task=f'{LATE}.0.0.1'),
         make_line(6, 'Ended: stopped.', task=f'{LATE}.0.0.1'),
         make_line(7, 'Ended: lapsed.', task=f'{LATE}.0.0.0'),
