Let a daemon that makes no calls probe the store

Cause: a daemon without a failed call says that the store answers it. One that makes no call for seconds says so in an outage too, so that no outage is known to be general, and calls of others are sent through it in vain. Until now the feed of the configuration kept every daemon calling; hosts that take it from another daemon are quiet.

Change: a part about which no call ended for 1 s is probed.

--- a/lentilmount/control/storewatch.py
+++ b/lentilmount/control/storewatch.py
@@ -19,8 +19,7 @@
 
 OUTAGE_SECONDS = 0.8
 """Without a good answer for so long, and with a call that failed since, the
-table counts as away. A quiet daemon looks at the table every 0.6 s at the
-latest, and an owner renews its lease every 0.5 s."""
+table counts as away. An owner renews its lease every 0.5 s."""
 
 CUT_OFF_SECONDS = 1.2
 """Without a good answer for so long, and no general outage confirmed, a daemon
@@ -30,6 +29,10 @@
 """How long the other daemons' answers are believed: they are asked every
 0.2 s for as long as the store does not answer here."""
 
+QUIET_SECONDS = 1.0
+"""Without a call about a part for so long a daemon probes it. Otherwise it
+would know of no outage, and tell the daemons that ask that there is none."""
+
 OLDEST_AGE = 1e9
 """Told for a store that has never answered: JSON has no infinity."""
 
@@ -58,10 +61,12 @@
     _good_at: float = -math.inf
     _has_failed: bool = False
     _is_down: bool = False
+    _called_at: float = -math.inf
 
     def note(self, is_good: bool) -> None:
         """Takes in whether a call was answered."""
         now = self.monotonic()
+        self._called_at = now
         if is_good:
             self._good_at = now
             self._has_failed = False
@@ -84,6 +89,11 @@
             return 0.0
         return self.monotonic() - self._good_at
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether no call was made for a while."""
+        return self.monotonic() - self._called_at > QUIET_SECONDS
+
     @property
     def has_heard(self) -> bool:
         """Whether there was a good answer ever."""
@@ -256,11 +266,12 @@
 async def probe_always(
     outages: Mapping[str, Outage], probe: Probe, pause: float
 ) -> None:
-    """Makes direct calls for as long as the store does not answer.
+    """Makes direct calls while the store does not answer, or nobody calls it.
 
-    All others go through other daemons meanwhile, and would not notice that
-    the store answers here again. Apart from `guard`: a call to a silent store
-    takes long enough to let the other daemons' answers grow old.
+    While it does not answer all other calls go through other daemons, and
+    would not notice that the store answers here again. Apart from `guard`: a
+    call to a silent store takes long enough to let the other daemons' answers
+    grow old.
 
     Args:
       outages: What is known, by part of the store.
@@ -268,6 +279,10 @@
       pause: Seconds between two rounds.
     """
     while True:
-        suspected = [part for part, o in outages.items() if o.is_suspected]
-        await asyncio.gather(*map(probe, suspected))
+        due = [
+            part
+            for part, outage in outages.items()
+            if outage.is_suspected or outage.watch.is_quiet
+        ]
+        await asyncio.gather(*map(probe, due))
         await asyncio.sleep(pause)
--- a/tests/test_storewatch.py
+++ b/tests/test_storewatch.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from lentilmount.clock import ManualClock
+from lentilmount.control.storewatch import (
+    Outage,
+    Peers,
+    StoreWatch,
+    probe_always,
+)
+from lentilmount.upstream.http import HttpCaller
 from tests.helpers import run
 from tests.platform_scene import make_outage
 
@@ -60,3 +69,29 @@
     outage.watch.note(True)
     assert not outage.is_cut_off()
     assert not outage.is_general()
+
+
+@pytest.mark.parametrize(('passed', 'probed'), [(0.5, []), (1.5, ['desk'])])
+def test_a_daemon_that_makes_no_calls_probes_the_store(
+    passed: float, probed: list[str]
+) -> None:
+    """Asked by others in an outage, a quiet daemon said that there was none."""
+    clock = ManualClock()
+    watch = StoreWatch(clock.monotonic, 'desk')
+    watch.note(True)
+    clock.advance(passed)
+    outage = Outage(watch, HttpCaller(''), Peers('a'))
+    found: list[str] = []
+
+    async def probe(part: str) -> None:
+        found.append(part)
+        watch.note(True)
+
+    async def play() -> None:
+        work = asyncio.create_task(probe_always({'desk': outage}, probe, 0.0))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        work.cancel()
+
+    run(play())
+    assert found == probed
