Take the configuration from a host with a larger link

Cause: each version of the configuration is one row, which every host read whole. With 3,045 routes it takes 1.3 s on 5 Mbit/s alone, and up to 4.8 s beside clients just after an outage; two versions meanwhile come both. By the stricter ages such hosts rightly refuse, and service is lost.

Change: daemons announce their zone. A host whose zone has one with four times its link asks that one, with a wait, and gets a newer row compressed, or that there is none, and since when that was known, counted from the request's arrival. Hosts spread over the larger ones. One that fails is left out for 3 s; with none left, or if what they know is older than three quarters of the time in which a change is due, the store is asked. Following the configuration has a module of its own now.

Weighed: rows pushed by the larger host, beside the same reading from the store, which then is broken off; a longer wait for readings.

Deployments with equal links are as before.

--- a/lentilmount/control/candidates.py
+++ b/lentilmount/control/candidates.py
@@ -29,10 +29,13 @@
     return min(capacity.cores, capacity.link_mbps / LINK_PER_CORE)
 
 
-def make_announcement(address: str, capacity: Capacity) -> dict[str, Any]:
+def make_announcement(
+    address: str, zone: str, capacity: Capacity
+) -> dict[str, Any]:
     """Returns the row by which a daemon tells the others of itself."""
     return {
         'address': address,
+        'zone': zone,
         'cores': capacity.cores,
         'link_mbps': capacity.link_mbps,
     }
--- a/lentilmount/control/internal.py
+++ b/lentilmount/control/internal.py
@@ -12,6 +12,11 @@
     RELAY_PREFIX,
     TIMEOUT_HEADER,
 )
+from lentilmount.control.fanout import (
+    CONFIGURATION_PATH,
+    ConfigurationHandler,
+)
+from lentilmount.control.routes import RouteTable
 from lentilmount.control.storewatch import FindOutage
 from lentilmount.platform.store import (
     READ_SECONDS,
@@ -74,6 +79,7 @@
 def make_internal(
     find: FindOutage,
     table: PlatformTable,
+    routes: RouteTable,
     is_closing: Callable[[], bool] = lambda: False,
 ) -> Application:
     """Builds what other daemons ask.
@@ -81,6 +87,7 @@
     Args:
       find: Finds what is known of a part of the store.
       table: Sends calls to the store for others.
+      routes: The configuration that is passed on.
       is_closing: Whether this daemon is being stopped.
     """
     return Application(
@@ -91,6 +98,11 @@
                 {'find': find, 'is_closing': is_closing},
             ),
             (RELAY_PREFIX + '/.*', RelayHandler, {'table': table}),
+            (
+                CONFIGURATION_PATH,
+                ConfigurationHandler,
+                {'routes': routes, 'is_closing': is_closing},
+            ),
         ],
         log_function=lambda handler: None,
     )
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -19,16 +19,14 @@
     read_capacities,
 )
 from lentilmount.control.detour import PeerDetour
+from lentilmount.control.fanout import Relays
+from lentilmount.control.follower import follow_configuration, watch_age
 from lentilmount.control.frontend import Traffic, make_frontend, make_readiness
 from lentilmount.control.internal import make_internal
 from lentilmount.control.keys import make_daemon_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics, make_metrics
 from lentilmount.control.owner import OwnerSettings
-from lentilmount.control.routes import (
-    RouteTable,
-    follow_configuration,
-    watch_age,
-)
+from lentilmount.control.routes import RouteTable
 from lentilmount.control.storewatch import (
     Outage,
     Peers,
@@ -121,6 +119,13 @@
         self.outages: dict[str, Outage] = {}
         self._peers = Peers(str(settings.internal))
         self._candidates = Candidates(settings.capacity)
+        self._relays = Relays(
+            settings.name,
+            settings.zone,
+            settings.capacity,
+            self.workers,
+            self._clock.monotonic,
+        )
         self.advice: AdviceCalls | None = None
         if settings.advice is not None:
             caller = HttpCaller(f'http://{settings.advice}', ADVICE_SECONDS)
@@ -180,7 +185,7 @@
         async with asyncio.TaskGroup() as group:
             following = [
                 group.create_task(
-                    follow_configuration(self.table, self.routes)
+                    follow_configuration(self.table, self.routes, self._relays)
                 ),
                 group.create_task(watch_age(self.routes)),
                 group.create_task(self._follow_peers()),
@@ -224,6 +229,7 @@
                 make_internal(
                     self.find_outage,
                     self.table,
+                    self.routes,
                     lambda: self.traffic.is_closing,
                 ),
                 settings.internal,
@@ -273,7 +279,9 @@
     async def _read_peers(self) -> bool:
         """Reads of the others; returns whether this daemon was announced."""
         key = make_daemon_key(self._settings.name)
-        announced = make_announcement(self._peers.own, self._settings.capacity)
+        announced = make_announcement(
+            self._peers.own, self._settings.zone, self._settings.capacity
+        )
         rows = await scan_all(self.table, key.partition, PAGE)
         mine = next((row for row in rows if row.key == key), None)
         if mine is None or mine.body != announced:
@@ -291,6 +299,7 @@
             log.info('Knows {} daemons.', len(peers))
         self._peers.known = peers
         self._candidates.note(read_capacities(others), mine is not None)
+        self._relays.note(others)
         return mine is not None
 
     async def _campaign(self, group: asyncio.TaskGroup) -> None:
--- a/lentilmount/control/routes.py
+++ b/lentilmount/control/routes.py
@@ -1,4 +1,4 @@
-"""The configuration in force, and how a daemon keeps up with it."""
+"""The configuration in force, and how old it may be."""
 
 from __future__ import annotations
 
@@ -9,33 +9,17 @@
 import attrs
 import logbook
 
-from lentilmount.control.feeds import RETRY_SECONDS, Feed
 from lentilmount.errors import InvalidError
 from lentilmount.platform.documents import (
     Route,
     RoutingConfiguration,
     decode_configuration,
 )
-from lentilmount.platform.store import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_TABLE,
-    PlatformTable,
-    RawRow,
-)
+from lentilmount.platform.store import RawRow
+from lentilmount.waiting import wait_briefly
 
 log = logbook.Logger('configuration')
 
-FEED_SECONDS = 0.8
-"""Longest time for which the feed is asked to wait."""
-
-FEED_SHARE = 0.25
-"""The same as a share of the time in which a change is due. What a call told is
-as old as the call, so two of them in a row have to fit into that time, also
-from a store that is slow."""
-
-WATCH_SECONDS = 0.1
-"""Between two looks at the age of the configuration."""
-
 
 @attrs.frozen
 class _RouteIndex:
@@ -73,6 +57,12 @@
 class RouteTable:
     """The newest configuration that is known.
 
+    Attributes:
+      current: The configuration, decoded.
+      row: Its row in the store.
+      position: Version of the store up to which changes are known.
+      changed: Set when another one comes into force.
+
     Args:
       monotonic: The clock for durations.
       apply_seconds: In which a change is to be in force.
@@ -92,9 +82,11 @@
         self.monotonic = monotonic
         self.apply_seconds = apply_seconds
         self._away_until = away_until
-        self._version = 0
         self._index = _index(())
         self._confirmed_at = -math.inf
+        self._accepted = asyncio.Event()
+        self.row: RawRow | None = None
+        self.position = 0
         self.changed = asyncio.Event()
 
     @property
@@ -110,12 +102,27 @@
     @property
     def age(self) -> float:
         """Seconds since when a newer configuration may have been written."""
-        as_of = max(self._confirmed_at, self._away_until())
-        return self.monotonic() - as_of
+        return self.monotonic() - self.as_of
+
+    @property
+    def as_of(self) -> float:
+        """Monotonic time at which there was none newer than is known."""
+        return max(self._confirmed_at, self._away_until())
 
-    def confirm(self, as_of: float) -> None:
-        """Notes that at a monotonic time there was none newer than is known."""
+    @property
+    def version(self) -> int:
+        """Version of the row in force; 0 before there is one."""
+        return 0 if self.row is None else self.row.version
+
+    def confirm(self, as_of: float, position: int | None = None) -> None:
+        """Notes that at a monotonic time there was none newer than is known.
+
+        Args:
+          as_of: The time.
+          position: The store's version then, if it is known.
+        """
         self._confirmed_at = max(self._confirmed_at, as_of)
+        self.position = max(self.position, position or 0)
 
     def offer(self, row: RawRow, age: float = 0.0) -> None:
         """Takes over a row if it is newer than what is in force.
@@ -127,7 +134,7 @@
           row: The row.
           age: Seconds since the call that told of it was sent.
         """
-        if row.version <= self._version or row.removed:
+        if row.version <= self.version or row.removed:
             return
         try:
             decoded = decode_configuration(row.value)
@@ -144,50 +151,19 @@
                 'age': round(age, 3),
             },
         )
-        self._version = row.version
+        self.row = row
         self.current = decoded
         self._index = _index(decoded.routes)
         self.changed.set()
+        self._accepted.set()
+        self._accepted = asyncio.Event()
+
+    async def wait_for_newer(self, version: int, seconds: float) -> None:
+        """Waits until a row newer than a version is in force, or in vain."""
+        if self.version <= version:
+            await wait_briefly(self._accepted, seconds)
 
     def find(self, host: str, path: str) -> tuple[Route, str] | None:
         """Finds the queue of a request, and the rest of its path."""
         best = self._index.find(host, path)
         return None if best is None else (best, path[len(best.prefix) :])
-
-
-async def watch_age(routes: RouteTable) -> None:
-    """Logs when the configuration becomes outdated, and when it is no more."""
-    was_outdated = True
-    while True:
-        if routes.is_outdated is not was_outdated:
-            was_outdated = routes.is_outdated
-            if was_outdated:
-                log.warning(
-                    'The configuration may be outdated.',
-                    extra={'age': round(routes.age, 3)},
-                )
-            else:
-                log.info('The configuration is up to date.')
-        await asyncio.sleep(WATCH_SECONDS)
-
-
-async def follow_configuration(
-    table: PlatformTable, routes: RouteTable
-) -> None:
-    """Keeps a route table up to date for as long as it runs."""
-    feed = Feed(
-        table,
-        CONFIGURATION_TABLE,
-        min(FEED_SECONDS, FEED_SHARE * routes.apply_seconds),
-        is_large=True,
-        monotonic=routes.monotonic,
-    )
-    while True:
-        for row in await feed.read():
-            if row.key == CONFIGURATION_KEY:
-                routes.offer(row, routes.monotonic() - feed.as_of)
-        routes.confirm(feed.as_of)
-        if routes.current is None and feed.position is not None:
-            # The operators have not written it yet.
-            feed.position = None
-            await asyncio.sleep(RETRY_SECONDS)
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -11,7 +11,8 @@
 
 from lentilmount.clock import ManualClock
 from lentilmount.control import feeds
-from lentilmount.control.routes import RouteTable, follow_configuration
+from lentilmount.control.follower import follow_configuration
+from lentilmount.control.routes import RouteTable
 from lentilmount.coordination.table import UnavailableError
 from lentilmount.platform.store import Changes, PlatformTable, RawRow
 from tests.helpers import run
--- /dev/null
+++ b/tests/test_fanout.py
@@ -0,0 +1,224 @@
+"""Taking the configuration from a host of the zone with a larger link."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import attrs
+import pytest
+from tornado.web import Application, RequestHandler
+
+from lentilmount.clock import SystemClock
+from lentilmount.control.fanout import (
+    CONFIGURATION_PATH,
+    ConfigurationHandler,
+    Relays,
+)
+from lentilmount.control.follower import follow_configuration
+from lentilmount.control.routes import RouteTable
+from lentilmount.coordination.table import UnavailableError
+from lentilmount.platform.bootfile import Capacity
+from lentilmount.platform.store import Changes, PlatformTable, RawRow
+from lentilmount.upstream.http import HttpCaller
+from tests.helpers import run
+from tests.platform_scene import listen, make_configuration
+
+APPLY_SECONDS = 2.0
+SMALL = Capacity(0.5, 5.0)
+monotonic = SystemClock().monotonic
+
+
+@attrs.define(eq=False)
+class _Store(PlatformTable):
+    """Tells of one row; notes what is asked.
+
+    Attributes:
+      row: The row.
+      is_away: Whether no call is answered.
+      asked: Positions it was asked from; 0 for a whole reading.
+    """
+
+    row: RawRow
+    is_away: bool = False
+    asked: list[int] = attrs.Factory(list)
+
+    async def read_all(self, table: str, part: str = '') -> Changes:
+        return await self.follow(table, 0, 0.0)
+
+    async def follow(self, table: str, after: int, wait: float) -> Changes:
+        self.asked.append(after)
+        await asyncio.sleep(0.01)
+        if self.is_away:
+            raise UnavailableError('silent')
+        rows = (self.row,) if self.row.version > after else ()
+        return Changes(rows, max(after, self.row.version))
+
+
+def _make_row(version: int) -> RawRow:
+    return RawRow('config', make_configuration(version), version)
+
+
+def _announce(address: str, link_mbps: float, zone: str) -> dict[str, object]:
+    return {'address': address, 'zone': zone, 'link_mbps': link_mbps}
+
+
+def _make_relays(caller: HttpCaller, *addresses: str) -> Relays:
+    relays = Relays('host-1', 'north', SMALL, caller, monotonic)
+    relays.note([_announce(address, 100.0, 'north') for address in addresses])
+    return relays
+
+
+@attrs.define
+class _Scene:
+    """A host with a small link, and one that passes the configuration on.
+
+    Attributes:
+      larger: What the larger host knows.
+      own: What the small host knows.
+      store: The store, as the small host sees it.
+      relays: The daemons that the small host asks.
+    """
+
+    larger: RouteTable
+    own: RouteTable
+    store: _Store
+    relays: Relays
+
+    async def wait_for(self, version: int) -> None:
+        """Waits until a version is in force on the small host."""
+        async with asyncio.timeout(5.0):
+            while self.own.version < version:
+                await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def _open_scene(is_closing: bool = False) -> AsyncIterator[_Scene]:
+    async with contextlib.AsyncExitStack() as stack:
+        larger = RouteTable(monotonic, APPLY_SECONDS)
+        arguments = {'routes': larger, 'is_closing': lambda: is_closing}
+        application = Application(
+            [(CONFIGURATION_PATH, ConfigurationHandler, arguments)],
+            log_function=lambda handler: None,
+        )
+        caller = HttpCaller('')
+        stack.callback(caller.close)
+        relays = _make_relays(caller, listen(application, stack))
+        own = RouteTable(monotonic, APPLY_SECONDS)
+        store = _Store(_make_row(1))
+        work = asyncio.create_task(follow_configuration(store, own, relays))
+        stack.callback(work.cancel)
+        yield _Scene(larger, own, store, relays)
+
+
+def test_a_small_host_takes_a_version_from_a_larger_one() -> None:
+    """Every host with a small link read every version whole from the store."""
+
+    async def play() -> list[int]:
+        async with _open_scene() as scene:
+            scene.larger.offer(_make_row(1))
+            scene.larger.confirm(monotonic(), 5)
+            await scene.wait_for(1)
+            scene.store.asked.clear()
+            for version in (2, 3):
+                scene.larger.offer(_make_row(version))
+                scene.larger.confirm(monotonic(), 5 + version)
+                await scene.wait_for(version)
+            assert scene.own.position == 8
+            assert not scene.own.is_outdated
+            return scene.store.asked
+
+    assert run(play()) == []
+
+
+def test_what_was_passed_on_is_no_fresher_than_its_sender_knew() -> None:
+    """A relay that has lost the store kept old routes in force elsewhere."""
+
+    async def play() -> float:
+        async with _open_scene() as scene:
+            scene.store.is_away = True
+            scene.larger.offer(_make_row(1))
+            scene.larger.confirm(monotonic() - 1.0, 1)
+            await scene.wait_for(1)
+            for _ in range(5):
+                await asyncio.sleep(0.05)
+                assert scene.own.as_of <= scene.larger.as_of
+            return scene.larger.as_of - scene.own.as_of
+
+    assert run(play()) < 0.5
+
+
+@pytest.mark.parametrize('is_closing', [False, True])
+def test_the_store_is_asked_where_a_relay_cannot_tell(is_closing: bool) -> None:
+    """A relay knows nothing new, or is being stopped."""
+
+    async def play() -> None:
+        async with _open_scene(is_closing) as scene:
+            scene.larger.offer(_make_row(1))
+            scene.larger.confirm(monotonic() - 10.0, 1)
+            scene.store.row = _make_row(2)
+            await scene.wait_for(2)
+            assert not scene.own.is_outdated
+
+    run(play())
+
+
+def test_a_relay_that_is_gone_is_left_out_for_a_while() -> None:
+    async def play() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            caller = HttpCaller('')
+            stack.callback(caller.close)
+            relays = _make_relays(caller, '127.0.0.1:1', '127.0.0.1:2')
+            assert await relays.read(0, 0.1) is None
+            assert relays.choose() == ''
+
+    run(play())
+
+
+def test_an_answer_that_cannot_be_read_is_left_out() -> None:
+    class Nonsense(RequestHandler):
+        """Answers with what no daemon sends."""
+
+        def get(self) -> None:
+            self.set_header('Lentilmount-Version', '7')
+            self.set_header('Lentilmount-Position', '7')
+            self.set_header('Lentilmount-As-Of-Ms', '0')
+            self.finish(b'not compressed')
+
+    async def play() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            caller = HttpCaller('')
+            stack.callback(caller.close)
+            application = Application([(CONFIGURATION_PATH, Nonsense)])
+            relays = _make_relays(caller, listen(application, stack))
+            assert await relays.read(0, 0.1) is None
+
+    run(play())
+
+
+def test_only_much_larger_links_of_the_zone_pass_it_on() -> None:
+    relays = Relays('host-1', 'north', SMALL, HttpCaller(''), monotonic)
+    relays.note(
+        [
+            _announce('a:1', 100.0, 'south'),
+            _announce('b:1', 5.0, 'north'),
+            _announce('c:1', 19.0, 'north'),
+            {'address': 'old:1'},
+        ]
+    )
+    assert relays.choose() == ''
+    relays.note([_announce('d:1', 20.0, 'north')])
+    assert relays.choose() == 'd:1'
+
+
+def test_hosts_of_a_zone_spread_over_its_relays() -> None:
+    announced = [_announce(f'{n}:1', 100.0, 'north') for n in range(3)]
+    chosen = set()
+    for number in range(30):
+        relays = Relays(
+            f'h-{number}', 'north', SMALL, HttpCaller(''), monotonic
+        )
+        relays.note(announced)
+        chosen.add(relays.choose())
+    assert len(chosen) == 3
--- a/tests/test_handing_over.py
+++ b/tests/test_handing_over.py
@@ -18,6 +18,7 @@
 from lentilmount.control import dispatch
 from lentilmount.control.candidates import Candidates
 from lentilmount.control.internal import make_internal
+from lentilmount.control.routes import RouteTable
 from lentilmount.control.storewatch import Outage, Peers, StoreWatch
 from lentilmount.platform.bootfile import Capacity
 from lentilmount.platform.store import PlatformTable
@@ -102,7 +103,9 @@
         caller = HttpCaller('')
         silent = Outage(watch, caller, Peers('b'))
         application = make_internal(
-            lambda part: silent, cast(PlatformTable, None)
+            lambda part: silent,
+            cast(PlatformTable, None),
+            RouteTable(watch.monotonic, 2.0),
         )
         sockets = bind_sockets(0, '127.0.0.1')
         server = HTTPServer(application)
@@ -155,7 +158,11 @@
     watch.note(True)
     outage = Outage(watch, HttpCaller(''), Peers('b'))
     server = HTTPServer(
-        make_internal(lambda part: outage, cast(PlatformTable, None))
+        make_internal(
+            lambda part: outage,
+            cast(PlatformTable, None),
+            RouteTable(watch.monotonic, 2.0),
+        )
     )
     sockets = bind_sockets(0, '127.0.0.1')
     server.add_sockets(sockets)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -81,7 +81,7 @@
     own: Capacity, other: Capacity, is_larger: bool
 ) -> None:
     candidates = Candidates(own)
-    rows = [make_announcement('b:1', other), {'address': 'old:1'}]
+    rows = [make_announcement('b:1', 'north', other), {'address': 'old:1'}]
     candidates.note(read_capacities(rows), True)
     assert candidates.list_larger() == (['b:1'] if is_larger else [])
     assert candidates.may_be_outranked is is_larger
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -15,9 +15,10 @@
 from lentilmount.clock import ManualClock
 from lentilmount.control import feeds
 from lentilmount.control.feeds import Feed
+from lentilmount.control.follower import follow_configuration
 from lentilmount.control.frontend import Traffic, make_frontend
 from lentilmount.control.metrics import ControlMetrics
-from lentilmount.control.routes import RouteTable, follow_configuration
+from lentilmount.control.routes import RouteTable
 from lentilmount.control.storewatch import Outage, Peers, StoreWatch
 from lentilmount.control.submissions import Submissions
 from lentilmount.coordination.table import UnavailableError
