Drop the feed's way for short tables, which nothing uses

Both feeds are of long tables, so `is_large` is always set, and nothing asks any more whether a feed is up to date: the age of what it knows decides. The test of the other way goes with it; tests of long tables assert the position and the failures, as before or more closely.

--- a/lentilmount/control/feeds.py
+++ b/lentilmount/control/feeds.py
@@ -31,15 +31,11 @@
 class Feed:
     """The rows of a table, and what changes in them.
 
-    A list is the truth and the store's feed a hint: after each failure, and
-    where the history is gone, everything is read again.
-
-    That is no way out for a table that takes long to read. One call lost on a
-    full link then brought a reading that filled the link for longer than the
-    call may take, and the next one: an owner on a link of 5 Mbit/s learned of
-    no job and of no cancellation for the rest of a day. Such a feed is first
-    asked again from where it was, which costs only what is new; if it stays
-    silent, the list and the feed are tried by turns.
+    Where the history is gone everything is read again. After a failed call the
+    feed is asked once more from where it was, which costs only what is new; if
+    it stays silent, the list and the feed are tried by turns. Read whole after
+    each failure, a long table filled a small link, so that the next call failed
+    too, and so on.
 
     Attributes:
       table: Calls the store.
@@ -47,7 +43,6 @@
       wait_seconds: How long the store's feed may wait for a change.
       part: The part that is listed; the store's feed tells of all parts.
       position: Version up to which changes are known; None to read all.
-      is_large: Whether the table takes long to read.
       failures: Calls that failed since the last one that was answered.
       monotonic: The clock for durations.
       as_of: Monotonic time at which the newest call that was answered was
@@ -59,16 +54,10 @@
     wait_seconds: float
     part: str = ''
     position: int | None = None
-    is_large: bool = False
     failures: int = 0
     monotonic: Callable[[], float] = time.monotonic
     as_of: float = -math.inf
 
-    @property
-    def is_up_to_date(self) -> bool:
-        """Whether the last call told of all that had changed."""
-        return self.position is not None and not self.failures
-
     async def read(self) -> tuple[RawRow, ...]:
         """Returns all rows or those that changed; none after a failure."""
         asked_at = self.monotonic()
@@ -109,6 +98,4 @@
         )
 
     def _is_list_due(self) -> bool:
-        if self.is_large:
-            return self.failures > 0 and self.failures % 2 == 0
-        return self.failures > 0
+        return self.failures > 0 and self.failures % 2 == 0
--- a/lentilmount/control/follower.py
+++ b/lentilmount/control/follower.py
@@ -63,13 +63,7 @@
       relays: The daemons that pass it on, if there are any.
     """
     wait = min(FEED_SECONDS, FEED_SHARE * routes.apply_seconds)
-    feed = Feed(
-        table,
-        CONFIGURATION_TABLE,
-        wait,
-        is_large=True,
-        monotonic=routes.monotonic,
-    )
+    feed = Feed(table, CONFIGURATION_TABLE, wait, monotonic=routes.monotonic)
     while True:
         if relays is not None and await _follow_relay(relays, routes):
             continue
--- a/lentilmount/control/intake.py
+++ b/lentilmount/control/intake.py
@@ -55,9 +55,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Follows the jobs' table."""
-        self._feed = Feed(
-            self.table, JOBS_TABLE, FEED_SECONDS, self.service, is_large=True
-        )
+        self._feed = Feed(self.table, JOBS_TABLE, FEED_SECONDS, self.service)
 
     async def load(self, lapse_seconds: float) -> None:
         """Reads everything the previous owner left.
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -85,9 +85,7 @@
     """
     new = Changes((RawRow('new', b'', 6),), 6)
     calls = _Calls(False, [None, new])
-    feed = Feed(
-        cast(PlatformTable, calls), 'jobs', 1.0, position=5, is_large=True
-    )
+    feed = Feed(cast(PlatformTable, calls), 'jobs', 1.0, position=5)
     assert run(_read(feed, 2)) == ['new']
     assert calls.asked == [5, 5]
     assert feed.position == 6
@@ -96,9 +94,7 @@
 def test_a_feed_that_stays_silent_is_read_whole() -> None:
     """The store's feed answers nothing while its lists are answered."""
     calls = _Calls(True, [None, None])
-    feed = Feed(
-        cast(PlatformTable, calls), 'jobs', 1.0, position=5, is_large=True
-    )
+    feed = Feed(cast(PlatformTable, calls), 'jobs', 1.0, position=5)
     assert run(_read(feed, 3)) == ['listed']
     assert calls.asked == [5, 5, None]
     assert feed.position == 9
@@ -108,20 +104,11 @@
     """Both fail for a while: each is tried again, from the same version."""
     new = Changes((RawRow('new', b'', 6),), 6)
     calls = _Calls(False, [None, None, new])
-    feed = Feed(
-        cast(PlatformTable, calls), 'jobs', 1.0, position=5, is_large=True
-    )
+    feed = Feed(cast(PlatformTable, calls), 'jobs', 1.0, position=5)
     assert run(_read(feed, 4)) == ['new']
     assert calls.asked == [5, 5, None, 5]
 
 
-def test_a_small_table_is_read_whole_after_a_failure() -> None:
-    calls = _Calls(True, [None])
-    feed = Feed(cast(PlatformTable, calls), 'op', 1.0, position=5)
-    assert run(_read(feed, 2)) == ['listed']
-    assert calls.asked == [5, None]
-
-
 def test_a_whole_reading_comes_in_answers_that_a_small_host_gets() -> None:
     """A new owner on the smallest link reads what was left to it.
 
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -89,7 +89,7 @@
 
 async def _read_once(link: _Link, position: int | None) -> Feed:
     async with _open_link(link) as table:
-        feed = Feed(table, 'op', 0.0, position=position, is_large=True)
+        feed = Feed(table, 'op', 0.0, position=position)
         await feed.read()
         return feed
 
@@ -106,8 +106,7 @@
     """
     link = _Link(stops_after=PIECES)
     feed = run(_read_once(link, position))
-    assert feed.is_up_to_date
-    assert (feed.position, link.calls) == (7, 1)
+    assert (feed.position, feed.failures, link.calls) == (7, 0, 1)
 
 
 @pytest.mark.parametrize('pieces', [0, 3])
@@ -118,7 +117,6 @@
     back every change until the longest time for an answer is over.
     """
     feed = run(_read_once(_Link(stops_after=pieces), 5))
-    assert not feed.is_up_to_date
     assert (feed.position, feed.failures) == (5, 1)
 
 
