--- a/lentilmount/control/detour.py
+++ b/lentilmount/control/detour.py
@@ -15,7 +15,7 @@
 import logbook
 
 from lentilmount.control.storewatch import FindOutage
-from lentilmount.platform.store import ANSWERED, REFUSED, StoreCall
+from lentilmount.platform.calls import ANSWERED, REFUSED, StoreCall
 from lentilmount.upstream.http import CURL_ERROR, Answer, HttpCaller
 
 log = logbook.Logger('detour')
--- a/lentilmount/control/internal.py
+++ b/lentilmount/control/internal.py
@@ -18,11 +18,8 @@
 )
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.storewatch import FindOutage
-from lentilmount.platform.store import (
-    READ_SECONDS,
-    PlatformTable,
-    StoreCall,
-)
+from lentilmount.platform.calls import StoreCall
+from lentilmount.platform.store import READ_SECONDS, PlatformTable
 from lentilmount.upstream.http import CURL_ERROR
 
 NO_ANSWER = 504
--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -7,7 +7,7 @@
 import math
 import urllib.parse
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 import orjson
@@ -22,6 +22,13 @@
     Row,
     UnavailableError,
 )
+from lentilmount.platform.calls import (
+    ANSWERED,
+    REFUSED,
+    Detour,
+    NoDetour,
+    StoreCall,
+)
 from lentilmount.upstream.http import Answer, HttpCaller
 
 CONFIGURATION_TABLE = 'op'
@@ -31,18 +38,14 @@
 SEPARATOR = '/'
 """Between table and part in the partition of a `Key`."""
 
-ANSWERED = (200, 410, 412)
-"""HTTP statuses of a service that works."""
-
 LEAST_WAY_SECONDS = 0.1
 """Time below which a second way is not tried: a call that ran into its timeout
 has used up what its caller waits for."""
 
 PAGE = 150
-"""Most rows asked for in one answer; the service gives 500. A row of a job
-takes about 1.1 kB, and the smallest hosts have links of 5 Mbit/s: 500 rows took
-0.9 s there, more than a call may take, so that no attempt ever ended. 150 take
-0.27 s. Fewer would cost a new owner more answers from a slow store."""
+"""Most rows asked for in one answer; the service gives 500. Jobs of 1.1 kB take
+a link of 5 Mbit/s 0.27 s. Fewer would cost a new owner more answers from a slow
+store."""
 
 PROBE_KEY = '~'
 """Sorts after all keys in use, so that the answer to a probe holds no row. The
@@ -53,58 +56,11 @@
 a configuration of a thousand routes, takes the smallest link (5 Mbit/s) half a
 second alone, and several times that beside everything else there."""
 
-REFUSED = (429, 503)
-"""HTTP statuses that tell that nothing was done."""
-
 Observe = Callable[[str, int, bool], None]
 """Takes the part that a call was about ('' for a whole table), the HTTP
 status, and whether that is an answer of a service that works."""
 
 
-@attrs.frozen
-class StoreCall:
-    """A call to the table service.
-
-    Attributes:
-      part: Which part of a table it is about; '' for a whole table.
-      method: The HTTP method.
-      path: Path and query.
-      body: Body, if any.
-      timeout: Seconds to wait for an answer, or for more of one that was
-        read in part.
-      most: Seconds for an answer that keeps arriving; None for `timeout`.
-    """
-
-    part: str
-    method: str
-    path: str
-    body: bytes | None
-    timeout: float
-    most: float | None = None
-
-
-class Detour(Protocol):
-    """Another way to the table service."""
-
-    def is_preferred(self, part: str) -> bool:
-        """Whether the direct way is known to fail."""
-
-    async def send(self, call: StoreCall) -> Answer | None:
-        """Returns an answer, 599 if it was lost; None if there is no way."""
-
-
-class NoDetour:
-    """The direct way is the only one."""
-
-    def is_preferred(self, part: str) -> bool:
-        """See `Detour`."""
-        return False
-
-    async def send(self, call: StoreCall) -> Answer | None:
-        """See `Detour`."""
-        return None
-
-
 class RefusedError(UnavailableError):
     """The service refused a call; nothing was done."""
 
