Let a call from before the store's return not count against it

Cause: a call that waits for a change hangs on for up to 1.4 s when the store is back already, and its end counted as a failure of that moment. A daemon whose only other calls were probes, which end with the first answer, then took the store for away again: its next reading went through another daemon.

Change: a failure counts if its call was sent after the last good answer.

Evidence: tests/test_storewatch.py fails on the code before.

--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -150,8 +150,10 @@
             self.outages[part] = outage
         return outage
 
-    def _observe_store(self, part: str, status: int, is_good: bool) -> None:
-        self.find_outage(part).watch.note(is_good)
+    def _observe_store(
+        self, part: str, status: int, is_good: bool, took: float
+    ) -> None:
+        self.find_outage(part).watch.note(is_good, took)
         self.metrics.count_store_call(status)
 
     async def _probe(self, part: str) -> None:
--- a/lentilmount/control/storewatch.py
+++ b/lentilmount/control/storewatch.py
@@ -63,10 +63,20 @@
     _is_down: bool = False
     _called_at: float = -math.inf
 
-    def note(self, is_good: bool) -> None:
-        """Takes in whether a call was answered."""
+    def note(self, is_good: bool, took: float = 0.0) -> None:
+        """Takes in whether a call was answered.
+
+        A call that was sent before the last good answer tells nothing new by
+        its failure: it may have waited for a store that is back since.
+
+        Args:
+          is_good: Whether it was.
+          took: Seconds from its sending until now.
+        """
         now = self.monotonic()
         self._called_at = now
+        if not is_good and now - took < self._good_at:
+            return
         if is_good:
             self._good_at = now
             self._has_failed = False
--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -56,9 +56,9 @@
 a configuration of a thousand routes, takes the smallest link (5 Mbit/s) half a
 second alone, and several times that beside everything else there."""
 
-Observe = Callable[[str, int, bool], None]
-"""Takes the part that a call was about ('' for a whole table), the HTTP
-status, and whether that is an answer of a service that works."""
+Observe = Callable[[str, int, bool, float], None]
+"""Takes the part that a call was about ('' for a whole table), the HTTP status,
+whether that is an answer of a service that works, and the seconds it took."""
 
 
 class RefusedError(UnavailableError):
@@ -148,8 +148,7 @@
     Args:
       caller: Sends the calls.
       timeout: Seconds for a call.
-      observe: Told of each direct call the part, its status, and whether
-        that is an answer of a service that works.
+      observe: Told of each direct call; see `Observe`.
       detour: Another way, taken where the direct one fails.
     """
 
@@ -157,7 +156,7 @@
         self,
         caller: HttpCaller,
         timeout: float,
-        observe: Observe = lambda part, status, is_good: None,
+        observe: Observe = lambda part, status, is_good, took: None,
         detour: Detour | None = None,
     ):
         self._caller = caller
@@ -283,6 +282,8 @@
 
     async def send_directly(self, call: StoreCall) -> Answer:
         """Sends a call; never raises for a status or a failure."""
+        clock = asyncio.get_running_loop()
+        sent_at = clock.time()
         answer = await self._caller.call(
             call.method,
             call.path,
@@ -292,7 +293,8 @@
             most=call.most,
         )
         is_good = answer.status in ANSWERED
-        self._observe(call.part, answer.status, is_good)
+        took = clock.time() - sent_at
+        self._observe(call.part, answer.status, is_good, took)
         return answer
 
     async def _send(self, call: StoreCall) -> Answer:
--- a/tests/test_storewatch.py
+++ b/tests/test_storewatch.py
@@ -95,3 +95,20 @@
 
     run(play())
     assert found == probed
+
+
+def test_a_call_from_before_the_stores_return_does_not_count() -> None:
+    """A feed that hung in an outage made its end last a second longer."""
+    clock = ManualClock()
+    watch = StoreWatch(clock.monotonic, 'desk')
+    watch.note(True)
+    clock.advance(2.0)
+    watch.note(False, 0.6)
+    assert watch.is_down
+    watch.note(True, 0.01)
+    clock.advance(0.7)
+    watch.note(False, 1.3)
+    clock.advance(0.2)
+    assert watch.age == 0.0
+    watch.note(False, 0.2)
+    assert watch.is_down
