Tell the next owner of all leases, not only of missed workers

Cause: only workers that did not answer were told. The reason, that leases of the others may be renewed, does not hold: after its release an owner sends nothing, and what is on its way counts from before it was sent.

Change: the leases of all workers with tasks are told. A worker whose leases are not known (adopted tasks, no renewal yet) is left out; before, one that was missed in that moment would have been told as free.

Evidence: tests/test_handovers.py. The test that asserted the old rule is replaced by three: leases are told whether or not the worker was missed, unknown ones are not told, and a renewal on its way is covered.

--- a/lentilmount/scheduling/inheritance.py
+++ b/lentilmount/scheduling/inheritance.py
@@ -47,19 +47,21 @@
 
 
 def list_remaining(book: Book, now: float) -> dict[str, float]:
-    """Lists for how long leases may still run where no look was answered.
+    """Lists for how long leases may still run on workers.
 
     Told to the next owner with the release of the service. Without it each
     new owner would wait for the longest lease anew, and where owners change
-    faster than that, what a gone worker ran would never be started again.
+    faster than that, what a gone worker ran would never be started again. All
+    workers are told, as one may be gone and not have been missed yet; calls on
+    their way are covered, since a lease counts from before it is sent.
 
     Returns:
-      Seconds by the worker's id.
+      Seconds by the worker's id; nothing of workers whose leases are unknown.
     """
     return {
         worker.id: max(0.0, worker.lapses_at - now)
         for worker in book.workers.values()
-        if worker.tasks and not worker.reachable
+        if worker.tasks and worker.lapses_at
     }
 
 
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -199,7 +199,8 @@
       reachable: Whether its last call was answered.
       present: Whether it is registered now.
       opaque: Whether it runs something that this owner does not know.
-      lapses_at: Monotonic time by which all leases there have run out.
+      lapses_at: Monotonic time by which all leases there have run out; 0 if
+        none is known.
       closed_until: Monotonic time until which it gets no work.
       on_trial: Whether it gets one task to try it.
       pace: How long tasks take there, as a multiple of what was expected.
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -6,9 +6,15 @@
 import pathlib
 import signal
 
+import pytest
+
+from lentilmount.clock import ManualClock
+from lentilmount.control.links import Link
+from lentilmount.platform.workers import WorkerCalls
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.inheritance import list_remaining, shorten_leases
 from lentilmount.scheduling.model import Worker
+from lentilmount.upstream.http import HttpCaller
 from tests.fleet_scene import (
     add_worker,
     admit,
@@ -18,6 +24,7 @@
 )
 from tests.helpers import run
 from tests.platform_scene import Daemon, Scene, open_scene
+from tests.test_control_links import LEASE_SECONDS, NoEvents
 
 JOB = '0123456789abcdef'
 TENURE_SECONDS = 3.5
@@ -92,10 +99,32 @@
     return book, worker
 
 
-def test_leases_that_may_be_renewed_are_not_told() -> None:
-    assert list_remaining(make_placed(False, 15.0)[0], 12.0) == {'w': 3.0}
-    assert list_remaining(make_placed(False, 15.0)[0], 16.0) == {'w': 0.0}
-    assert list_remaining(make_placed(True, 15.0)[0], 12.0) == {}
+@pytest.mark.parametrize('reachable', [True, False])
+def test_leases_are_told_whether_or_not_their_worker_was_missed(
+    reachable: bool,
+) -> None:
+    """A worker lost just before a handover kept its tasks for a lease more."""
+    assert list_remaining(make_placed(reachable, 15.0)[0], 12.0) == {'w': 3.0}
+    assert list_remaining(make_placed(reachable, 15.0)[0], 16.0) == {'w': 0.0}
+
+
+def test_unknown_leases_are_not_told_as_over() -> None:
+    """What a worker was found to run may have a lease of an earlier owner."""
+    assert list_remaining(make_placed(True, 0.0)[0], 12.0) == {}
+
+
+def test_a_renewal_on_its_way_is_told() -> None:
+    """A worker that carries it out late runs on for the whole lease."""
+    clock = ManualClock()
+    book, worker = make_placed(True, 0.0)
+    calls = WorkerCalls(HttpCaller(''), 1, 1.0)
+    link = Link(worker, book, calls, NoEvents(), LEASE_SECONDS, clock.monotonic)
+    link.note_clock(1000)
+    link.choose_lease_end()
+    clock.advance(2.0)
+    link.choose_lease_end()
+    told = list_remaining(book, clock.monotonic())
+    assert told['w'] >= LEASE_SECONDS
 
 
 def test_what_was_told_only_shortens_the_wait_for_a_worker_not_heard() -> None:
