--- a/lentilmount/control/steering.py
+++ b/lentilmount/control/steering.py
@@ -23,7 +23,7 @@
 INHERITED_PERCENT = 60
 """Pace of a filling task that was taken over. What the previous owner set is
 not known; left at 0 the task would seem to stand still, and at 100 all would
-press at once while the loads are not known yet."""
+interfere at once while the loads are not known yet."""
 
 TOLD_ENDS = (EndKind.FAILED, EndKind.LAPSED, EndKind.BROKEN, EndKind.ALONE)
 
--- a/lentilmount/scheduling/costs.py
+++ b/lentilmount/scheduling/costs.py
@@ -33,7 +33,7 @@
 disturbs one image may be harmless to another; where one image has a worker to
 itself, every filling image that spares it has a place there."""
 
-PRESS_COST = 10.0
+INTERFERENCE_COST = 10.0
 """Cost of a whole utilisation: an image that adds 0.06 is placed beside what
 serves as gladly as on a worker where nothing serves."""
 
@@ -108,7 +108,7 @@
         others = view.utilisation.keys() - {task.spec.image}
         price += OTHER_IMAGE_COST * len(others)
         beside = count_fills(view.worker)
-        return price + BESIDE_COST * self.sharing.sum_press(task, beside)
+        return price + BESIDE_COST * self.sharing.sum_interference(task, beside)
 
     def _make_filling_cost(self, task: Task) -> Price:
         image = task.spec.image
@@ -125,8 +125,10 @@
                 return math.inf
             price = EMPTY_COST
             if view.serves:
-                press = self.sharing.measure_press(view.utilisation, image)
-                price = PRESS_COST * press
+                interference = self.sharing.measure_interference(
+                    view.utilisation, image
+                )
+                price = INTERFERENCE_COST * interference
             price += CROWDED_COST * crowding
             price += _measure_distance(task, view.worker)
             return price + SLOW_COST * (view.worker.pace - 1)
--- a/lentilmount/scheduling/filtering.py
+++ b/lentilmount/scheduling/filtering.py
@@ -1,9 +1,9 @@
 """A Kalman filter over named terms of a sum, with their covariances.
 
 Source: Kalman, "A New Approach to Linear Filtering and Prediction Problems",
-1960. The covariances matter here: a load that is not known yet and the press
-of a task beside it explain the same figure, and a filter without them gives
-the error to both and is sure of both.
+1960. The covariances matter here: a load that is not known yet and the
+interference of a task beside it explain the same figure, and a filter without
+them gives the error to both and is sure of both.
 """
 
 from __future__ import annotations
@@ -18,9 +18,9 @@
     """What is believed of terms that were never measured.
 
     Attributes:
-      press: Mean of a press.
-      press_variance: Its variance.
-      press_drift: Growth of its variance a second.
+      interference: Mean of an interference.
+      interference_variance: Its variance.
+      interference_drift: Growth of its variance a second.
       load: Mean of a load.
       load_variance: Its variance, which is also the most that it grows to.
       load_drift: Growth of its variance a second.
@@ -28,9 +28,9 @@
       load_prefix: What the names of loads begin with.
     """
 
-    press: float
-    press_variance: float
-    press_drift: float
+    interference: float
+    interference_variance: float
+    interference_drift: float
     load: float
     load_variance: float
     load_drift: float
@@ -42,7 +42,7 @@
     """Estimates of the terms that add up to what is measured.
 
     A correction takes time with the square of the number of terms: with nine
-    presses and ten loads some 40 us.
+    pairs and ten loads some 40 us.
     """
 
     def __init__(self, priors: Priors):
@@ -72,7 +72,7 @@
         priors = self._priors
         if name.startswith(priors.load_prefix):
             return self.add(name, priors.load, priors.load_variance)
-        return self.add(name, priors.press, priors.press_variance)
+        return self.add(name, priors.interference, priors.interference_variance)
 
     def remove(self, name: str) -> None:
         """Forgets a term."""
@@ -96,8 +96,12 @@
         priors = self._priors
         for name, number in self._index.items():
             is_load = name.startswith(priors.load_prefix)
-            most = priors.load_variance if is_load else priors.press_variance
-            drift = priors.load_drift if is_load else priors.press_drift
+            most = (
+                priors.load_variance
+                if is_load
+                else priors.interference_variance
+            )
+            drift = priors.load_drift if is_load else priors.interference_drift
             row = self._covariance[number]
             if row[number] < most:
                 row[number] = min(most, row[number] + drift * passed)
@@ -139,7 +143,7 @@
         if number is not None:
             return self._means[number]
         is_load = name.startswith(self._priors.load_prefix)
-        return self._priors.load if is_load else self._priors.press
+        return self._priors.load if is_load else self._priors.interference
 
     def list_known(self) -> list[tuple[str, float, float]]:
         """Lists terms with their means and variances."""
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -112,7 +112,7 @@
 spells, which take turns every few seconds, task by task."""
 
 QUIET_INTENSITY = 0.4
-"""Press of a task in a quiet spell, over that in a busy one."""
+"""Interference of a task in a quiet spell, over that in a busy one."""
 
 MEAN_INTENSITY = 0.76
 """The same on average: tasks are busy more often than quiet."""
@@ -122,7 +122,7 @@
 
 
 def measure_intensity(task: Task) -> float:
-    """Returns how hard a filling task presses now, 1 for a busy spell."""
+    """Returns how much a filling task interferes now, 1 for a busy spell."""
     if task.usage is None or task.percent < LEAST_SHOWN_PERCENT:
         return MEAN_INTENSITY
     allowed = 10 * task.spec.demand.cores * task.percent
--- a/lentilmount/scheduling/pacing.py
+++ b/lentilmount/scheduling/pacing.py
@@ -1,7 +1,7 @@
 """Slowing down what fills beside what serves.
 
 Load pattern: a serving task nears its target because its load swings up or a
-neighbour turns busy. Only the neighbours that press are slowed, as far as
+neighbour turns busy. Only the neighbours that interfere are slowed, as far as
 needed, and get their time back when the load falls.
 """
 
@@ -13,7 +13,7 @@
 
 from lentilmount.scheduling.model import Task, Worker, measure_intensity
 from lentilmount.scheduling.sharing import (
-    LEAST_PRESS,
+    LEAST_INTERFERENCE,
     LIMIT,
     Sharing,
     count_paced,
@@ -92,19 +92,19 @@
     ) -> None:
         """Slows the worst neighbours until the excess is gone."""
         worst = sorted(
-            wanted, key=lambda t: -self._measure_press_now(served, t)
+            wanted, key=lambda t: -self._measure_interference_now(served, t)
         )
         for fill in worst:
-            press = self._measure_press_now(served, fill)
-            if excess <= 0 or press < LEAST_PRESS:
+            interference = self._measure_interference_now(served, fill)
+            if excess <= 0 or interference < LEAST_INTERFERENCE:
                 return
-            cut = min(wanted[fill], math.ceil(100 * excess / press))
+            cut = min(wanted[fill], math.ceil(100 * excess / interference))
             wanted[fill] -= cut
-            excess -= press * cut / 100
+            excess -= interference * cut / 100
 
-    def _measure_press_now(self, served: Task, fill: Task) -> float:
-        press = self._sharing.get_press(served, fill.spec.image)
-        return press * measure_intensity(fill)
+    def _measure_interference_now(self, served: Task, fill: Task) -> float:
+        interference = self._sharing.get_interference(served, fill.spec.image)
+        return interference * measure_intensity(fill)
 
     def _speed_up(self, served: list[Task], wanted: dict[Task, int]) -> None:
         """Gives one slowed neighbour more, if every tail allows it."""
@@ -113,7 +113,8 @@
             more = min(100, wanted[fill] + RAISE_STEP)
             beside = count_paced({**wanted, fill: more})
             if all(
-                self._sharing.get_press(task, fill.spec.image) < LEAST_PRESS
+                self._sharing.get_interference(task, fill.spec.image)
+                < LEAST_INTERFERENCE
                 or self._sharing.predict(task, beside) < RAISE_BELOW
                 for task in served
             ):
--- a/lentilmount/scheduling/sharing.py
+++ b/lentilmount/scheduling/sharing.py
@@ -8,7 +8,7 @@
 
 Grounds: a tail grows with utilisation u as 1 / (1 - u), like the waiting time
 of a queue. So 1 - idle / tail is the utilisation, in which the load of the
-serving task and the press of each filling task simply add up.
+serving task and the interference of each filling task simply add up.
 """
 
 from __future__ import annotations
@@ -34,12 +34,12 @@
 LIMIT = 1 - IDLE_RATIO
 """Utilisation at which the tail is at its target."""
 
-PRIOR_PRESS = 0.04
+PRIOR_INTERFERENCE = 0.04
 PRIOR_VARIANCE = 0.08**2
-"""Of the press of an unknown pair in a busy spell: many pairs are harmless, and
-some are not."""
+"""Of the interference of an unknown pair in a busy spell: many pairs are
+harmless, and some are not."""
 
-PRESS_DRIFT = 0.004**2
+INTERFERENCE_DRIFT = 0.004**2
 """Growth of a pair's variance a second: after a minute without a look it is
 half as unsure again as when it was last known."""
 
@@ -59,9 +59,9 @@
 """Before a job's id in the name of its load."""
 
 _PRIORS = Priors(
-    press=PRIOR_PRESS,
-    press_variance=PRIOR_VARIANCE,
-    press_drift=PRESS_DRIFT,
+    interference=PRIOR_INTERFERENCE,
+    interference_variance=PRIOR_VARIANCE,
+    interference_drift=INTERFERENCE_DRIFT,
     load=START_LOAD,
     load_variance=START_LOAD_VARIANCE,
     load_drift=LOAD_DRIFT,
@@ -100,14 +100,14 @@
 standard deviation of the prediction."""
 
 NEW_INTENSITY = 0.85
-"""How hard a new filling task is taken to press: between its mean and a busy
-spell."""
+"""How much a new filling task is taken to interfere: between its mean and a
+busy spell."""
 
-HEAVY_PRESS = 0.1
-"""Press from which an image has no place beside another: with it a load at its
-mean is near the target."""
+HEAVY_INTERFERENCE = 0.1
+"""Interference from which an image has no place beside another: with it a load
+at its mean is near the target."""
 
-LEAST_PRESS = 0.01
+LEAST_INTERFERENCE = 0.01
 """Below this a neighbour is not worth slowing down."""
 
 
@@ -229,14 +229,14 @@
 
     # Predicting.
 
-    def get_press(self, served: Task, image: str) -> float:
+    def get_interference(self, served: Task, image: str) -> float:
         """Returns what one filling task adds to a serving one."""
         return self._get_mean(served.spec.image, image)
 
     def _get_mean(self, serving: str, image: str) -> float:
         known = self._filters.get(serving)
         if known is None:
-            return PRIOR_PRESS
+            return PRIOR_INTERFERENCE
         return max(0.0, known.get_mean(image))
 
     def get_load(self, served: Task, ahead: float = 0.0) -> float:
@@ -259,12 +259,16 @@
         self, served: Task, beside: Mapping[str, float], ahead: float = 0.0
     ) -> float:
         """Predicts the utilisation of a serving task beside others."""
-        return self.get_load(served, ahead) + self.sum_press(served, beside)
+        return self.get_load(served, ahead) + self.sum_interference(
+            served, beside
+        )
 
-    def sum_press(self, served: Task, beside: Mapping[str, float]) -> float:
+    def sum_interference(
+        self, served: Task, beside: Mapping[str, float]
+    ) -> float:
         """Returns what filling tasks add to a serving one."""
         return sum(
-            count * self.get_press(served, image)
+            count * self.get_interference(served, image)
             for image, count in beside.items()
         )
 
@@ -273,7 +277,7 @@
         now = self.predict(served, beside)
         return max(now, self.predict(served, beside, PLACE_AHEAD_SECONDS))
 
-    def measure_press(self, images: Iterable[str], image: str) -> float:
+    def measure_interference(self, images: Iterable[str], image: str) -> float:
         """Returns the most that a filling image adds to serving ones."""
         return max(
             (self._get_mean(serving, image) for serving in images),
@@ -282,7 +286,10 @@
 
     def measure_tolerance(self, images: Iterable[str], image: str) -> float:
         """Returns how well serving images bear a filling one, from 0 to 1."""
-        return max(0.0, 1 - self.measure_press(images, image) / HEAVY_PRESS)
+        return max(
+            0.0,
+            1 - self.measure_interference(images, image) / HEAVY_INTERFERENCE,
+        )
 
     def allows(self, utilisation: Mapping[str, float], image: str) -> bool:
         """Tells whether one more filling task keeps every tail in bounds.
@@ -292,9 +299,9 @@
           image: What the filling task runs.
         """
         for serving, expected in utilisation.items():
-            press = self._get_mean(serving, image)
-            added = press * NEW_INTENSITY
-            if press >= LEAST_PRESS and (
+            interference = self._get_mean(serving, image)
+            added = interference * NEW_INTENSITY
+            if interference >= LEAST_INTERFERENCE and (
                 expected + added + LOAD_RISE >= PLACE_BELOW
             ):
                 return False
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,7 +1,7 @@
 """Who may fill beside what serves, and who is slowed down.
 
 Load pattern: hosts with a few serving tasks whose load swings, and filling
-tasks of some images beside them, of which one presses hard.
+tasks of some images beside them, of which one interferes much.
 """
 
 from __future__ import annotations
@@ -85,8 +85,8 @@
         now += 0.5
         tell(sharing, worker, served, 0.5, now)
     worker.remove(light)
-    assert sharing.get_press(served, 'heavy') > 0.08
-    assert sharing.get_press(served, 'light') < 0.03
+    assert sharing.get_interference(served, 'heavy') > 0.08
+    assert sharing.get_interference(served, 'light') < 0.03
     assert not sharing.allows({'web': 0.66}, 'heavy')
     assert sharing.allows({'web': 0.66}, 'light')
 
@@ -150,12 +150,14 @@
         tell(sharing, beside, served, 0.65, 0.5 * number)
     new = Sharing()
     new.restore(sharing.export())
-    known = sharing.get_press(served, 'heavy')
+    known = sharing.get_interference(served, 'heavy')
     assert known == pytest.approx(0.15, abs=0.02)
-    assert new.get_press(served, 'heavy') == pytest.approx(known, abs=1e-3)
+    assert new.get_interference(served, 'heavy') == pytest.approx(
+        known, abs=1e-3
+    )
 
 
-def test_a_load_and_a_press_are_told_apart() -> None:
+def test_a_load_and_an_interference_are_told_apart() -> None:
     """A new load and what runs beside it explain the same figure.
 
     Two tasks of one job serve on two workers, one of them beside a filling
@@ -203,11 +205,11 @@
     known.correct({'load:b': 1.0, 'x': 2.0}, 0.5)
 
 
-def test_a_quiet_spell_presses_less() -> None:
+def test_a_quiet_spell_interferes_less() -> None:
     """A filling task's use of its cores tells its spell.
 
-    Counted alike in both, the press of a busy task is taken for half of what
-    it is, and a quiet one is slowed for what it does not do.
+    Counted alike in both, the interference of a busy task is taken for half
+    of what it is, and a quiet one is slowed for what it does not do.
     """
     book, worker, _ = make_scene()
     fill = add_fill(book, worker, 'a', 'heavy')
