--- a/lentilmount/control/feeds.py
+++ b/lentilmount/control/feeds.py
@@ -93,9 +93,9 @@
     async def _read(self) -> Changes:
         if self.position is None or self._is_list_due():
             return await self.table.read_all(self.name, self.part)
-        # A call that waits for a change cannot be told from one that is lost.
-        wait = 0.0 if self.failures else self.wait_seconds
-        return await self.table.follow(self.name, self.position, wait)
+        return await self.table.follow(
+            self.name, self.position, self.wait_seconds
+        )
 
     def _is_list_due(self) -> bool:
         return self.failures > 0 and self.failures % 2 == 0
