Let a daemon that is being stopped take no calls of others

Cause: a daemon passed calls to the store on until its process ended, and the ones on their way were cancelled.

Change: from the signal on it answers other daemons 503, both when they ask whether the store answers it and for calls: whoever asks takes another daemon, and a call that came all the same is refused, truly not carried out.

--- a/lentilmount/control/internal.py
+++ b/lentilmount/control/internal.py
@@ -22,6 +22,10 @@
 from lentilmount.platform.store import READ_SECONDS, PlatformTable
 from lentilmount.upstream.http import CURL_ERROR
 
+NOT_READY = 503
+"""HTTP status of a daemon that is being stopped: a call that it took would be
+cut off by its end, and nobody would know whether it was carried out."""
+
 NO_ANSWER = 504
 """HTTP status for a call whose effect is not known."""
 
@@ -38,16 +42,22 @@
 
     def get(self) -> None:
         """Answers with the age of the last good answer."""
+        if self._is_closing():
+            self.set_status(NOT_READY)
+            return
         outage = self._find(self.get_query_argument('part'))
-        self.finish(orjson.dumps(outage.make_report(self._is_closing())))
+        self.finish(orjson.dumps(outage.make_report()))
 
 
 class RelayHandler(RequestHandler):
     """Sends calls to the store for daemons that it turns away."""
 
-    def initialize(self, table: PlatformTable) -> None:
+    def initialize(
+        self, table: PlatformTable, is_closing: Callable[[], bool]
+    ) -> None:
         """Takes what it calls the store with."""
         self._table = table
+        self._is_closing = is_closing
 
     async def get(self) -> None:
         """Sends a reading."""
@@ -58,6 +68,9 @@
         await self._relay()
 
     async def _relay(self) -> None:
+        if self._is_closing():
+            self.set_status(NOT_READY)
+            return
         # Directly only: sent on once more, a call could go round for ever.
         call = StoreCall(
             self.request.headers.get(PART_HEADER, ''),
@@ -94,7 +107,11 @@
                 StoreHandler,
                 {'find': find, 'is_closing': is_closing},
             ),
-            (RELAY_PREFIX + '/.*', RelayHandler, {'table': table}),
+            (
+                RELAY_PREFIX + '/.*',
+                RelayHandler,
+                {'table': table, 'is_closing': is_closing},
+            ),
             (
                 CONFIGURATION_PATH,
                 ConfigurationHandler,
--- a/lentilmount/control/storewatch.py
+++ b/lentilmount/control/storewatch.py
@@ -221,11 +221,10 @@
         if away and 2 * (len(known) + 1) > len(others) + 1:
             self._confirmed_at = asked_at
 
-    def make_report(self, is_closing: bool) -> dict[str, Any]:
+    def make_report(self) -> dict[str, Any]:
         """Returns what other daemons are told; see `may_own` and `ask`."""
-        watch = self.watch
-        may_own = watch.has_heard and not is_closing
-        return {'age': min(watch.age, OLDEST_AGE), 'may_own': may_own}
+        age = min(self.watch.age, OLDEST_AGE)
+        return {'age': age, 'may_own': self.watch.has_heard}
 
     async def may_own(self, address: str) -> bool:
         """Asks another daemon whether it can own what is in this part.
--- a/tests/test_detour.py
+++ b/tests/test_detour.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import pathlib
 
 import pytest
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.detour import PeerDetour
+from lentilmount.control.internal import make_internal
+from lentilmount.control.routes import RouteTable
 from lentilmount.coordination.table import Key, Put, UnavailableError
 from lentilmount.platform.store import PlatformTable, RefusedError
 from lentilmount.upstream.http import Answer, HttpCaller
@@ -15,8 +18,10 @@
 from tests.helpers import run
 from tests.platform_scene import (
     PREFIX,
+    listen,
     make_outage,
     open_scene,
+    open_store,
     wait_for_line,
 )
 
@@ -114,3 +119,28 @@
             assert not other.select(message='Taken: desk.')
 
     run(play())
+
+
+@pytest.mark.parametrize('path', ['/store?part=desk', '/relayed/rows-parts'])
+def test_a_daemon_that_is_being_stopped_takes_no_calls_of_others(
+    path: str,
+) -> None:
+    """A call that was passed on got 500 as the daemon in between ended."""
+
+    async def play() -> int:
+        async with contextlib.AsyncExitStack() as stack:
+            _, store = open_store(stack)
+            clock = ManualClock()
+            outage = make_outage({}, clock)
+            outage.watch.note(True)
+            application = make_internal(
+                lambda part: outage,
+                PlatformTable(store, 1.0),
+                RouteTable(clock.monotonic, 2.0),
+                lambda: True,
+            )
+            caller = HttpCaller(f'http://{listen(application, stack)}')
+            stack.callback(caller.close)
+            return (await caller.call('GET', path)).status
+
+    assert run(play()) == 503
