Call the daemons that pass the configuration on its sources

Relay is what this code says of calls to the store that go through another daemon. Also tells more exactly why an outage for all keeps a configuration fresh: nobody is served meanwhile. A version that was written just before it may be unheard.

--- a/lentilmount/control/fanout.py
+++ b/lentilmount/control/fanout.py
@@ -106,7 +106,7 @@
 
 
 @attrs.define
-class Relays:
+class Sources:
     """The daemons from which this one takes the configuration.
 
     Attributes:
@@ -129,7 +129,7 @@
     def note(self, announcements: Iterable[Mapping[str, Any]]) -> None:
         """Takes in what the other daemons have announced.
 
-        Hosts of a zone spread over its relays by a hash of both.
+        Hosts of a zone spread over its larger ones by a hash of both.
         """
         least = LINK_FACTOR * self.capacity.link_mbps
         addresses = [
@@ -193,10 +193,10 @@
     def _log_change(self, address: str) -> None:
         if address != self._followed:
             self._followed = address
-            source = 'another daemon' if address else 'the store'
+            origin = 'another daemon' if address else 'the store'
             log.info(
                 'Takes the configuration from {}.',
-                source,
+                origin,
                 extra={'daemon': address},
             )
 
--- a/lentilmount/control/follower.py
+++ b/lentilmount/control/follower.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from lentilmount.control.fanout import Relays
+from lentilmount.control.fanout import Sources
 from lentilmount.control.feeds import RETRY_SECONDS, Feed
 from lentilmount.control.routes import RouteTable
 from lentilmount.platform.store import (
@@ -25,7 +25,7 @@
 as old as the call, so two of them in a row have to fit into that time, also
 from a store that is slow."""
 
-RELAY_SHARE = 0.125
+SOURCE_SHARE = 0.125
 """The same for another daemon, which itself knows what the store told."""
 
 STALE_SHARE = 0.75
@@ -53,21 +53,21 @@
 
 
 async def follow_configuration(
-    table: PlatformTable, routes: RouteTable, relays: Relays | None = None
+    table: PlatformTable, routes: RouteTable, sources: Sources | None = None
 ) -> None:
     """Keeps a route table up to date for as long as it runs.
 
     Args:
       table: Where the configuration is.
       routes: The route table.
-      relays: The daemons that pass it on, if there are any.
+      sources: The daemons that pass it on, if there are any.
     """
     wait = min(FEED_SECONDS, FEED_SHARE * routes.apply_seconds)
     feed = Feed(table, CONFIGURATION_TABLE, wait, monotonic=routes.monotonic)
     while True:
-        if relays is not None and await _follow_relay(relays, routes):
+        if sources is not None and await _follow_source(sources, routes):
             continue
-        is_alone = relays is None or not relays.choose()
+        is_alone = sources is None or not sources.choose()
         feed.wait_seconds = wait if is_alone else 0.0
         await _follow_store(feed, routes)
         if routes.current is None and feed.position is not None:
@@ -76,10 +76,10 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
-async def _follow_relay(relays: Relays, routes: RouteTable) -> bool:
+async def _follow_source(sources: Sources, routes: RouteTable) -> bool:
     """Asks another daemon; returns whether what is known now is fresh."""
-    wait = RELAY_SHARE * routes.apply_seconds
-    reading = await relays.read(routes.version, wait)
+    wait = SOURCE_SHARE * routes.apply_seconds
+    reading = await sources.read(routes.version, wait)
     if reading is None:
         return False
     row = reading.row
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -19,7 +19,7 @@
     read_capacities,
 )
 from lentilmount.control.detour import PeerDetour
-from lentilmount.control.fanout import Relays
+from lentilmount.control.fanout import Sources
 from lentilmount.control.follower import follow_configuration, watch_age
 from lentilmount.control.frontend import Traffic, make_frontend, make_readiness
 from lentilmount.control.internal import make_internal
@@ -119,7 +119,7 @@
         self.outages: dict[str, Outage] = {}
         self._peers = Peers(str(settings.internal))
         self._candidates = Candidates(settings.capacity)
-        self._relays = Relays(
+        self._sources = Sources(
             settings.name,
             settings.zone,
             settings.capacity,
@@ -187,7 +187,7 @@
         async with asyncio.TaskGroup() as group:
             following = [
                 group.create_task(
-                    follow_configuration(self.table, self.routes, self._relays)
+                    follow_configuration(self.table, self.routes, self._sources)
                 ),
                 group.create_task(watch_age(self.routes)),
                 group.create_task(self._follow_peers()),
@@ -301,7 +301,7 @@
             log.info('Knows {} daemons.', len(peers))
         self._peers.known = peers
         self._candidates.note(read_capacities(others), mine is not None)
-        self._relays.note(others)
+        self._sources.note(others)
         return mine is not None
 
     async def _campaign(self, group: asyncio.TaskGroup) -> None:
--- a/lentilmount/control/routes.py
+++ b/lentilmount/control/routes.py
@@ -67,9 +67,9 @@
       monotonic: The clock for durations.
       apply_seconds: In which a change is to be in force.
       away_until: Tells up to when the store was surely away for all daemons.
-        Nothing was written before, and nothing can be accepted by old routes:
-        called outdated as soon as the store is back, all daemons would refuse
-        what they could serve again.
+        Until then nobody was served by any routes; if they counted as outdated
+        as soon as the store is back, all daemons would refuse what they could
+        serve again.
     """
 
     def __init__(
@@ -106,7 +106,7 @@
 
     @property
     def as_of(self) -> float:
-        """Monotonic time at which there was none newer than is known."""
+        """Monotonic time since when a newer one may be in force elsewhere."""
         return max(self._confirmed_at, self._away_until())
 
     @property
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -14,7 +14,7 @@
 from lentilmount.control.fanout import (
     CONFIGURATION_PATH,
     ConfigurationHandler,
-    Relays,
+    Sources,
 )
 from lentilmount.control.follower import follow_configuration
 from lentilmount.control.routes import RouteTable
@@ -64,10 +64,10 @@
     return {'address': address, 'zone': zone, 'link_mbps': link_mbps}
 
 
-def _make_relays(caller: HttpCaller, *addresses: str) -> Relays:
-    relays = Relays('host-1', 'north', SMALL, caller, monotonic)
-    relays.note([_announce(address, 100.0, 'north') for address in addresses])
-    return relays
+def _make_sources(caller: HttpCaller, *addresses: str) -> Sources:
+    sources = Sources('host-1', 'north', SMALL, caller, monotonic)
+    sources.note([_announce(address, 100.0, 'north') for address in addresses])
+    return sources
 
 
 @attrs.define
@@ -78,13 +78,13 @@
       larger: What the larger host knows.
       own: What the small host knows.
       store: The store, as the small host sees it.
-      relays: The daemons that the small host asks.
+      sources: The daemons that the small host asks.
     """
 
     larger: RouteTable
     own: RouteTable
     store: _Store
-    relays: Relays
+    sources: Sources
 
     async def wait_for(self, version: int) -> None:
         """Waits until a version is in force on the small host."""
@@ -104,12 +104,12 @@
         )
         caller = HttpCaller('')
         stack.callback(caller.close)
-        relays = _make_relays(caller, listen(application, stack))
+        sources = _make_sources(caller, listen(application, stack))
         own = RouteTable(monotonic, APPLY_SECONDS)
         store = _Store(_make_row(1))
-        work = asyncio.create_task(follow_configuration(store, own, relays))
+        work = asyncio.create_task(follow_configuration(store, own, sources))
         stack.callback(work.cancel)
-        yield _Scene(larger, own, store, relays)
+        yield _Scene(larger, own, store, sources)
 
 
 def test_a_small_host_takes_a_version_from_a_larger_one() -> None:
@@ -133,7 +133,7 @@
 
 
 def test_what_was_passed_on_is_no_fresher_than_its_sender_knew() -> None:
-    """A relay that has lost the store kept old routes in force elsewhere."""
+    """A source that has lost the store kept old routes in force elsewhere."""
 
     async def play() -> float:
         async with _open_scene() as scene:
@@ -151,7 +151,7 @@
 
 @pytest.mark.parametrize('is_closing', [False, True])
 def test_the_store_is_asked_where_a_relay_cannot_tell(is_closing: bool) -> None:
-    """A relay knows nothing new, or is being stopped."""
+    """A source knows nothing new, or is being stopped."""
 
     async def play() -> None:
         async with _open_scene(is_closing) as scene:
@@ -169,9 +169,9 @@
         async with contextlib.AsyncExitStack() as stack:
             caller = HttpCaller('')
             stack.callback(caller.close)
-            relays = _make_relays(caller, '127.0.0.1:1', '127.0.0.1:2')
-            assert await relays.read(0, 0.1) is None
-            assert relays.choose() == ''
+            sources = _make_sources(caller, '127.0.0.1:1', '127.0.0.1:2')
+            assert await sources.read(0, 0.1) is None
+            assert sources.choose() == ''
 
     run(play())
 
@@ -191,15 +191,15 @@
             caller = HttpCaller('')
             stack.callback(caller.close)
             application = Application([(CONFIGURATION_PATH, Nonsense)])
-            relays = _make_relays(caller, listen(application, stack))
-            assert await relays.read(0, 0.1) is None
+            sources = _make_sources(caller, listen(application, stack))
+            assert await sources.read(0, 0.1) is None
 
     run(play())
 
 
 def test_only_much_larger_links_of_the_zone_pass_it_on() -> None:
-    relays = Relays('host-1', 'north', SMALL, HttpCaller(''), monotonic)
-    relays.note(
+    sources = Sources('host-1', 'north', SMALL, HttpCaller(''), monotonic)
+    sources.note(
         [
             _announce('a:1', 100.0, 'south'),
             _announce('b:1', 5.0, 'north'),
@@ -207,18 +207,18 @@
             {'address': 'old:1'},
         ]
     )
-    assert relays.choose() == ''
-    relays.note([_announce('d:1', 20.0, 'north')])
-    assert relays.choose() == 'd:1'
+    assert sources.choose() == ''
+    sources.note([_announce('d:1', 20.0, 'north')])
+    assert sources.choose() == 'd:1'
 
 
 def test_hosts_of_a_zone_spread_over_its_relays() -> None:
     announced = [_announce(f'{n}:1', 100.0, 'north') for n in range(3)]
     chosen = set()
     for number in range(30):
-        relays = Relays(
+        sources = Sources(
             f'h-{number}', 'north', SMALL, HttpCaller(''), monotonic
         )
-        relays.note(announced)
-        chosen.add(relays.choose())
+        sources.note(announced)
+        chosen.add(sources.choose())
     assert len(chosen) == 3
