Wait for a job's row as long as a slow part may hold it

Load pattern: jobs come while the table service is slow. A part works its transactions off one after another and refuses what would wait for over a second. Sixty times as slow as usual each takes 0.36 s, and a submission was given up after 0.6 s, mostly still in that queue: the job was written, its caller was told that nobody knows, and sent it again.

Change: a transaction that accepts or cancels a job has 2 s; an owner's writes, which renew its lease of 2 s, and all other calls keep 0.6 s.

--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -60,6 +60,11 @@
 """For a call to the store: a write takes 6 ms, and 0.36 s when the store is
 sixty times as slow as usual."""
 
+SUBMISSION_SECONDS = 2.0
+"""For a transaction that accepts jobs. A part refuses what would wait for more
+than a second; given up earlier, a job is accepted all the same, and its caller
+is told that nobody knows and sends it again."""
+
 PEERS_SECONDS = 4.0
 """Between two readings of the other daemons' announcements. They serve to tell
 an outage of the store and to find larger hosts, so a new daemon may be missing
@@ -110,11 +115,18 @@
         )
         self.workers = HttpCaller('', ORDER_SECONDS, WORKER_CALLS)
         self.metrics = ControlMetrics()
+        detour = PeerDetour(
+            self.workers, self.find_outage, self._clock.monotonic
+        )
         self.table = PlatformTable(
+            self.store, STORE_SECONDS, self._observe_store, detour
+        )
+        self._jobs_table = PlatformTable(
             self.store,
             STORE_SECONDS,
             self._observe_store,
-            PeerDetour(self.workers, self.find_outage, self._clock.monotonic),
+            detour,
+            SUBMISSION_SECONDS,
         )
         self.outages: dict[str, Outage] = {}
         self._peers = Peers(str(settings.internal))
@@ -213,7 +225,7 @@
     def _listen_everywhere(self) -> list[HTTPServer]:
         settings = self._settings
         submissions = Submissions(
-            self.table,
+            self._jobs_table,
             self.routes,
             self._clock,
             self.find_outage,
--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -48,8 +48,8 @@
 
 SEND_AGAIN_SECONDS = 0.3
 """For how long a write whose answer was lost is sent again. A broken
-connection shows within ms; a call that only ran into its timeout (0.6 s) is
-not worth another one: the caller has 3 s in all."""
+connection shows within ms; a call that only ran into its timeout is not worth
+another one: the caller has 3 s in all."""
 
 SEND_AGAIN_PAUSE_SECONDS = 0.02
 
--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -150,6 +150,7 @@
       timeout: Seconds for a call.
       observe: Told of each direct call; see `Observe`.
       detour: Another way, taken where the direct one fails.
+      write_timeout: Seconds for a transaction; `timeout` if None.
     """
 
     def __init__(
@@ -158,11 +159,13 @@
         timeout: float,
         observe: Observe = lambda part, status, is_good, took: None,
         detour: Detour | None = None,
+        write_timeout: float | None = None,
     ):
         self._caller = caller
         self._timeout = timeout
         self._observe = observe
         self._detour = detour or NoDetour()
+        self._write_timeout = write_timeout or timeout
 
     async def read(self, keys: list[Key]) -> dict[Key, Row]:
         """See `Table`."""
@@ -203,7 +206,8 @@
                 body['removals'].append(address)
             else:
                 assert isinstance(operation, Check)
-        answer = await self._call('POST', '/rows-tx', body, part=part)
+        extra = self._write_timeout - self._timeout
+        answer = await self._call('POST', '/rows-tx', body, extra, part)
         document = orjson.loads(answer.body)
         if answer.status == 412:
             raise ConflictError(_list_failed(operations, document))
--- /dev/null
+++ b/tests/test_slow_store.py
@@ -0,0 +1,55 @@
+"""Accepting jobs while the table service is slow."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from lentilmount.coordination.table import Key, Put
+from lentilmount.platform.store import PlatformTable
+from lentilmount.upstream.http import Answer, HttpCaller
+from tests.helpers import run
+
+CALL_SECONDS = 0.1
+WRITE_SECONDS = 0.5
+
+
+@attrs.define(eq=False)
+class _SlowCaller(HttpCaller):
+    """Answers each call after some time.
+
+    Attributes:
+      seconds: The time.
+      timeouts: What the calls were given.
+    """
+
+    seconds: float
+    timeouts: list[float] = attrs.Factory(list)
+
+    async def call(self, *args: object, **options: object) -> Answer:
+        timeout = options['timeout']
+        assert isinstance(timeout, float)
+        self.timeouts.append(timeout)
+        await asyncio.sleep(self.seconds)
+        return Answer(200, b'{"ver":1,"rows":[]}', {})
+
+
+PUT = Put(Key('jobs/a', 'x'), {}, 0)
+
+
+def test_a_job_in_the_queue_of_a_slow_part_is_not_given_up() -> None:
+    """A job was accepted after its caller was told that nobody knows."""
+    caller = _SlowCaller(0.0)
+
+    async def play() -> None:
+        table = PlatformTable(caller, CALL_SECONDS, write_timeout=WRITE_SECONDS)
+        await table.transact('token', [PUT])
+        await table.read([PUT.key])
+
+    run(play())
+    assert caller.timeouts == [
+        pytest.approx(WRITE_SECONDS, abs=0.01),
+        pytest.approx(CALL_SECONDS, abs=0.01),
+    ]
