--- a/lentilmount/control/fanout.py
+++ b/lentilmount/control/fanout.py
@@ -82,8 +82,8 @@
         if row is None or self._is_closing():
             self.set_status(503)
             return
-        age_ms = 1000 * (self._routes.as_of - arrived_at)
-        self.set_header(AS_OF_HEADER, str(math.floor(age_ms)))
+        as_of_ms = 1000 * (self._routes.as_of - arrived_at)
+        self.set_header(AS_OF_HEADER, str(math.floor(as_of_ms)))
         self.set_header(POSITION_HEADER, str(self._routes.position))
         if row.version > after:
             self.set_header(VERSION_HEADER, str(row.version))
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -100,6 +100,19 @@
             self.overdue.append((round(now, 2), current.version))
 
 
+def _follow(store: _SlowStore, routes: RouteTable, until: float) -> None:
+    """Follows the configuration until a time of the store's clock."""
+
+    async def play() -> None:
+        work = asyncio.create_task(follow_configuration(store, routes))
+        while store.clock.monotonic() < until:
+            await asyncio.sleep(0)
+        work.cancel()
+
+    run(play())
+    assert routes.current is not None
+
+
 def _follow_slowly(answer_seconds: float) -> list[tuple[float, int]]:
     """Follows versions in a row; returns those served by for too long."""
     clock = ManualClock()
@@ -109,14 +122,7 @@
     caller = _Caller(routes, clock, versions)
     store = _SlowStore(clock, versions, answer_seconds, caller.look)
 
-    async def play() -> None:
-        work = asyncio.create_task(follow_configuration(store, routes))
-        while clock.monotonic() < start + 25.0:
-            await asyncio.sleep(0)
-        work.cancel()
-
-    run(play())
-    assert routes.current is not None
+    _follow(store, routes, start + 25.0)
     return caller.overdue
 
 
@@ -155,12 +161,5 @@
         clock, versions, 4.0, look, start + 5.0, back_at + 2 * CALL_SECONDS
     )
 
-    async def play() -> None:
-        work = asyncio.create_task(follow_configuration(store, routes))
-        while clock.monotonic() < start + 20.0:
-            await asyncio.sleep(0)
-        work.cancel()
-
-    run(play())
-    assert routes.current is not None
+    _follow(store, routes, start + 20.0)
     assert caller.overdue == []
