--- /dev/null
+++ b/tests/test_refused_stops.py
@@ -0,0 +1,68 @@
+"""Stops that an unhealthy worker refuses."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from lentilmount.clock import ManualClock
+from lentilmount.control import links
+from lentilmount.control.links import Link, Orders
+from lentilmount.platform.workers import OrderAnswer, Verdict, WorkerCalls
+from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.reports import WorkerEntry
+from lentilmount.upstream.http import HttpCaller
+from tests.fleet_scene import add_worker, admit, find_task, make_job, run_task
+from tests.helpers import run
+from tests.test_control_links import LEASE_SECONDS, NoEvents
+
+
+class _RefusingCalls(WorkerCalls):
+    """Refuses the first stop and takes the next one."""
+
+    def __init__(self) -> None:
+        super().__init__(HttpCaller(''), 1, 1.0)
+        self.verdicts = [Verdict.REFUSED, Verdict.DONE]
+
+    async def stop(
+        self, worker: WorkerEntry, task: str, run: int
+    ) -> OrderAnswer:
+        """See `WorkerCalls`."""
+        return OrderAnswer(self.verdicts.pop(0))
+
+
+def test_a_stop_that_was_refused_is_sent_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A start carried out late ran after its task had ended elsewhere."""
+    monkeypatch.setattr(links, 'RETRY_SECONDS', 0.0)
+    clock = ManualClock()
+    book = Book()
+    worker = add_worker(book, 'w')
+    admit(book, make_job('job'))
+    task = find_task(book, 'job')
+    run_task(book, task, worker)
+    book.begin_stop(task)
+    calls = _RefusingCalls()
+    link = Link(worker, book, calls, NoEvents(), LEASE_SECONDS, clock.monotonic)
+    started: list[Coroutine[Any, Any, None]] = []
+    orders = Orders(
+        book,
+        calls,
+        {worker.id: link},
+        NoEvents(),
+        clock.monotonic,
+        started.append,
+        lambda task, worker: '',
+        lambda: None,
+    )
+    orders.stop(task)
+
+    async def play() -> None:
+        await asyncio.wait_for(started[0], 5.0)
+
+    run(play())
+    assert calls.verdicts == []
