Send a stop again that its worker has refused

A look at 31.71 s did not list the run, so it counted as over; run 2 was done elsewhere at 33.2 s, and run 1 began at 36.64 s.

Change: only an answer other than a refusal says that a stop was taken.

--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -376,7 +376,8 @@
             if answer.verdict is Verdict.FENCED:
                 self.events.lose(f'{entry.id} knows a higher token')
                 return
-            if answer.verdict is not Verdict.UNKNOWN and task.run == run:
+            is_taken = answer.verdict not in (Verdict.UNKNOWN, Verdict.REFUSED)
+            if is_taken and task.run == run:
                 task.stopped_at = min(task.stopped_at, self.monotonic())
                 return
             await asyncio.sleep(RETRY_SECONDS)
