--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -385,8 +385,7 @@
     async def _stop_stray(self, stray: Stray) -> None:
         link = self.links.get(stray.worker)
         if link is not None:
-            entry = link.worker.entry
-            await self.calls.stop(entry, stray.task, stray.run)
+            await self.calls.stop(link.worker.entry, stray.task, stray.run)
 
     async def _pace(self, task: Task, run: int, percent: int) -> None:
         for _ in range(3):
