Wait until the slow body is held before the second is sent

The test sent a slow body of 6000 bytes and at once a small one of 3000, over two connections. Which header is admitted first is up to the server's tasks; where it was the small one, the slow body found 3000 of 8192 bytes held, was refused itself, and no later body met a full limit. Seen in a recording of prepare, on_finish and accept: the connection that was accepted second was admitted first.

Ruled out: a fault of the daemon. Both orders refuse exactly one body, and the one that does not fit.

Change: the test waits until the limit holds the slow body, and until it holds nothing after the slow connection ended. Stricter than before: the second body must be refused, and later taken, on the first attempt, where up to a hundred attempts were allowed.

--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -4,10 +4,12 @@
 
 import json
 import socket
+import time
 from typing import Any
 
 import pytest
 
+from lentilmount.daemon.bodies import BODY_LIMITS, BodyLimits
 from lentilmount.errors import ANSWERS, ErrorKind
 from stand_ins.site import Site, make_job, make_service
 
@@ -92,21 +94,29 @@
         b'Authorization: Bearer admin\r\n\r\n'
     )
     with open_listener(site, body_kb=8, buffered_kb=8) as address:
+        limits: BodyLimits = (
+            site.daemons[0].apps['operators'].settings[BODY_LIMITS]
+        )
         with socket.create_connection(address, 5) as slow:
             slow.sendall(head % 6000 + b'x' * 5999)
-            for _ in range(100):
-                answer = _ask(address, head % 3000 + b'x' * 3000)
-                if b' 503 ' in answer:
-                    break
+            _wait_until_held(limits, 6000)
+            answer = _ask(address, head % 3000 + b'x' * 3000)
+            assert answer.startswith(b'HTTP/1.1 503')
             assert b'Retry-After: 1' in answer
             assert _ask(address, head % 2 + b'[]').startswith(b'HTTP/1.1 400')
-        for _ in range(100):
-            answer = _ask(address, head % 3000 + b'x' * 3000)
-            if b' 400 ' in answer:
-                break
+        _wait_until_held(limits, 0)
+        answer = _ask(address, head % 3000 + b'x' * 3000)
         assert answer.startswith(b'HTTP/1.1 400')
 
 
+def _wait_until_held(limits: BodyLimits, size: int) -> None:
+    for _ in range(1000):
+        if limits.held == size:
+            return
+        time.sleep(0.005)
+    raise AssertionError(f'{limits.held} bytes are held, not {size}')
+
+
 def _ask(address: tuple[str, int], request: bytes) -> bytes:
     with socket.create_connection(address, 5) as link:
         link.sendall(request)
