Bring a lost lasting task back before urgent work

Cause: urgent work that can still be in time goes before lasting tasks in every pass. Its tasks are smaller and come all the time, so they take each gap before it is large enough for a lasting one.

Ruled out, by passes that told what kept lasting steps waiting (trials): the bound of vain tries (at most 11 of 40), closed or silent workers (245 of 246 open), a label.

Change: a lasting task that has run and been away for 4 s goes before all others. Where no worker has room for it, one on which short tasks keep enough from it is held in that pass.

Figures: the new test of tests/test_headroom.py failed before.

--- a/lentilmount/scheduling/placing.py
+++ b/lentilmount/scheduling/placing.py
@@ -14,10 +14,15 @@
 from lentilmount.scheduling.consolidation import Consolidation
 from lentilmount.scheduling.costs import Costs
 from lentilmount.scheduling.demand import FillingDemand
-from lentilmount.scheduling.headroom import Headroom
+from lentilmount.scheduling.headroom import Headroom, choose_held
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.offers import Allows, Offers
-from lentilmount.scheduling.ranking import is_gathering, is_new, sort_steps
+from lentilmount.scheduling.ranking import (
+    is_away,
+    is_gathering,
+    is_new,
+    sort_steps,
+)
 from lentilmount.scheduling.sharing import Sharing
 from lentilmount.scheduling.specs import StepSpec
 from lentilmount.scheduling.views import Views, WorkerView
@@ -26,6 +31,9 @@
 """Steps of one kind for which no worker is found in a pass before the others
 of that kind are left to the next one: it bounds the time of a pass."""
 
+MOST_HELD = 0.05
+"""Share of the workers that a pass keeps for lasting tasks that are away."""
+
 Chosen = tuple[Task, Worker]
 Shape = tuple[str, str, bool]
 """What tasks have in common of which the smaller fits wherever the larger does:
@@ -98,6 +106,7 @@
         self._allows = allows
         self._hopeless: dict[Shape, list[Room]] = {}
         self._views = views
+        self._most_held = math.ceil(len(views) * MOST_HELD)
 
     def run(self) -> list[Chosen]:
         """Places the tasks of each step until one does not fit."""
@@ -112,17 +121,33 @@
             if is_gathering(step, newest, self._now):
                 continue
             kind = find_kind(step[0].spec)
-            if failed[kind] > FAILED_TRIES or self._is_hopeless(step[0].spec):
-                continue
-            if kind is Kind.LASTING and self._headroom.keeps_room(
-                step, self._views, self._now
-            ):
-                continue
-            found, is_whole = self._place_step(step)
-            placed += found
-            failed[kind] += not is_whole
+            if failed[kind] <= FAILED_TRIES and self._is_tried(step, kind):
+                found, is_whole = self._place_step(step)
+                placed += found
+                failed[kind] += not is_whole
+            if is_away(step[0], self._now):
+                self._hold_worker(step)
         return placed
 
+    def _is_tried(self, step: list[Task], kind: Kind) -> bool:
+        """Tells whether a worker is looked for now."""
+        if self._is_hopeless(step[0].spec):
+            return False
+        return kind is not Kind.LASTING or not self._headroom.keeps_room(
+            step, self._views, self._now
+        )
+
+    def _hold_worker(self, step: list[Task]) -> None:
+        """Holds a worker for what waits of a step until it fits there."""
+        waiting = (t for t in step if t.phase is TaskPhase.WAITING)
+        task = next(waiting, None)
+        if task is None or not self._most_held:
+            return
+        view = choose_held(task, self._views)
+        if view is not None:
+            self._views.remove(view)
+            self._most_held -= 1
+
     def _place_step(self, step: list[Task]) -> tuple[list[Chosen], bool]:
         """Places tasks of a step; tells whether a worker was found for all."""
         placed: list[Chosen] = []
--- a/lentilmount/scheduling/ranking.py
+++ b/lentilmount/scheduling/ranking.py
@@ -10,7 +10,10 @@
 is begun, the least work left first.
 
 Urgent work of a second needs a core now; a lasting task that takes it keeps it
-for a minute. So what can still be in time goes before lasting tasks.
+for a minute. So what can still be in time goes before lasting tasks, but not
+for ever: short tasks are smaller, and while they come, no gap grows large
+enough for a lasting one. One that has run and is away for some seconds goes
+before all others.
 """
 
 from __future__ import annotations
@@ -48,6 +51,10 @@
 MOST_GATHER_SECONDS = 0.8
 """How long a lasting step waits at most while others keep coming."""
 
+AWAY_SECONDS = 4.0
+"""How long a lost lasting task lets urgent work go first. Where there is room
+for it, it is to be back within 6 s."""
+
 Rank = tuple[int, tuple[Any, ...]]
 """A turn, and the order within it; the smallest goes first."""
 
@@ -55,9 +62,10 @@
 class Turn(enum.IntEnum):
     """Which of all tasks come before which."""
 
-    URGENT = 0
-    LASTING = 1
-    OTHER = 2
+    AWAY = 0
+    URGENT = 1
+    LASTING = 2
+    OTHER = 3
 
 
 def is_gathering(step: list[Task], newest: float, now: float) -> bool:
@@ -79,6 +87,13 @@
     return task.spec.lasting and not task.run and not task.lost_at
 
 
+def is_away(task: Task, now: float) -> bool:
+    """Tells whether a lasting task has run and been away for too long."""
+    if not task.spec.lasting or not task.lost_at:
+        return False
+    return now - task.lost_at >= AWAY_SECONDS
+
+
 def rank_task(task: Task, now: float) -> Rank:
     """Returns a task's place in the order; the smallest goes first."""
     job = task.job
@@ -86,7 +101,8 @@
         # Bounded to a few a worker, a step takes a place on many. Its image is
         # there already only if the others of that image come after it.
         bound = task.spec.most_per_worker or math.inf
-        return Turn.LASTING, (
+        turn = Turn.AWAY if is_away(task, now) else Turn.LASTING
+        return turn, (
             task.spec.image,
             bound,
             -task.spec.demand.cores,
@@ -141,9 +157,11 @@
 def sort_steps(tasks: Iterable[Task], now: float) -> list[list[Task]]:
     """Groups tasks that are ready by step, the first to be placed first.
 
-    Tasks of a step are alike, so a step is ranked by its first task.
+    Tasks of a step are alike, so a step is ranked by its first task. Those
+    that have been away for too long are a group of their own.
     """
-    steps: dict[tuple[str, int, int], list[Task]] = {}
+    steps: dict[tuple[tuple[str, int, int], bool], list[Task]] = {}
     for task in tasks:
-        steps.setdefault(get_step(task), []).append(task)
+        key = (get_step(task), is_away(task, now))
+        steps.setdefault(key, []).append(task)
     return sorted(steps.values(), key=lambda step: rank_task(step[0], now))
--- a/lentilmount/scheduling/views.py
+++ b/lentilmount/scheduling/views.py
@@ -101,13 +101,15 @@
 
     def allows(self, task: Task) -> bool:
         """Tells whether a task may run beside what is there."""
+        return task.spec.reserved.fits(self.free) and self.takes(task)
+
+    def takes(self, task: Task) -> bool:
+        """Tells whether a task may run here once there is room for it."""
         spec = task.spec
         if spec.label and spec.label not in self.worker.entry.labels:
             return False
         if self.worker.on_trial and self.worker.is_tried:
             return False
-        if not spec.reserved.fits(self.free):
-            return False
         most = spec.most_per_worker
         return not most or self.same_step[get_step(task)] < most
 
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -20,6 +20,9 @@
 
 PASS_SECONDS = 0.1
 
+BACK_SECONDS = 6.0
+"""Within which a lost lasting task is to run again, where there is room."""
+
 LASTING = make_step(demand=Room(4.0, 1000), lasting=True, image='x')
 URGENT = make_step(demand=Room(2.0, 1000))
 
@@ -90,3 +93,34 @@
     run_task(book, lasting, worker)
     book.end(lasting, EndKind.FAILED, 9.0)
     assert place_all(Placer(book, Sharing()), 9.1) == ['lasting']
+
+
+def test_a_lost_lasting_task_is_back_beside_urgent_work() -> None:
+    """Urgent tasks took each gap before it was large enough for a lost one."""
+    book = Book()
+    workers = [
+        add_worker(book, name, capacity=Room(4.0, 64_000)) for name in 'ab'
+    ]
+    admit(book, make_job('lasting', LASTING))
+    lasting = find_task(book, 'lasting')
+    run_task(book, lasting, workers[0])
+    policy = make_policy(stretch=99.0)
+    placer = Placer(book, Sharing())
+    lost_at = 2.0
+    book.end(lasting, EndKind.FAILED, lost_at)
+    for number in range(round(BACK_SECONDS / PASS_SECONDS)):
+        now = lost_at + number * PASS_SECONDS
+        # Always more than there is room for, and it can be in time.
+        while sum(task is not lasting for task in book.ready.values()) < 5:
+            name = f'urgent-{len(book.jobs)}'
+            job = admit(book, make_job(name, URGENT, policy=policy))
+            job.accepted_at = now
+        placed = place_all(placer, now)
+        if 'lasting' in placed:
+            return
+        for worker in workers:
+            for task in list(worker.tasks.values()):
+                if now - task.placed_at >= URGENT.estimated_seconds:
+                    book.confirm(task, task.run, now)
+                    book.end(task, EndKind.DONE, now)
+    raise AssertionError('the lasting task is not back')
