Skip a step that asks for more than any worker has free

Cause: a pass ends for lasting steps after forty that find no worker. They go largest first within an image, so none of them speaks for those after it, and a small one that fits is never tried.

Ruled out: a higher bound. Each vain try asks all workers.

Change: a pass works out once the most that any worker has free; what asks for more is passed over without a try. The test of steps that speak for larger ones has two workers now, of which none fits though their largest amounts would: else nothing would be asked at all. It is as strict: one step is asked for, by both.

Figures: test_lasting_steps_of_all_sizes_do_not_hold_up_a_small_one failed before.

Conclusion: sizes alone no longer use up the tries of a pass.

--- a/lentilmount/scheduling/placing.py
+++ b/lentilmount/scheduling/placing.py
@@ -106,6 +106,7 @@
         self._allows = allows
         self._hopeless: dict[Shape, list[Room]] = {}
         self._views = views
+        self._most_free = _find_most_free(views)
         self._most_held = math.ceil(len(views) * MOST_HELD)
 
     def run(self) -> list[Chosen]:
@@ -262,7 +263,9 @@
             self._hopeless.setdefault(make_shape(spec), []).append(spec.demand)
 
     def _is_hopeless(self, spec: StepSpec) -> bool:
-        """Tells whether a step that asks for no more has found no worker."""
+        """Tells whether it is known without a look that no worker fits."""
+        if not spec.reserved.fits(self._most_free):
+            return True
         smaller = self._hopeless.get(make_shape(spec), ())
         return any(demand.fits(spec.demand) for demand in smaller)
 
@@ -276,6 +279,15 @@
     return not task.spec.lasting and not task.failed_on
 
 
+def _find_most_free(views: list[WorkerView]) -> Room:
+    """Returns the most of each resource that any worker has free."""
+    return Room(
+        max((view.free.cores for view in views), default=0.0),
+        max((view.free.memory_mb for view in views), default=0),
+        max((view.free.accelerators for view in views), default=0),
+    )
+
+
 def make_shape(spec: StepSpec) -> Shape:
     """Returns what decides beside its size which workers can take a step."""
     return (spec.label, spec.image if spec.fills else '', spec.fills)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -121,12 +121,25 @@
     assert [task.id.job for task, _ in place(book)] == ['low']
 
 
+def test_lasting_steps_of_all_sizes_do_not_hold_up_a_small_one() -> None:
+    """The largest goes first, and none spoke for the smaller ones after it."""
+    book = Book()
+    add_worker(book, 'w')
+    for number in range(3 * FAILED_TRIES):
+        large = make_step(demand=Room(90.0 - number / 10, 1000), lasting=True)
+        admit(book, make_job(f'large-{number}', large))
+    small = make_step(demand=Room(1.0, 1000), lasting=True)
+    admit(book, make_job('small', small))
+    assert [task.id.job for task, _ in place(book)] == ['small']
+
+
 def test_a_larger_step_is_not_tried_after_a_smaller_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """What finds no worker speaks for all that asks for more."""
     book = Book()
-    add_worker(book, 'w')
+    add_worker(book, 'few-cores')
+    add_worker(book, 'little-memory', capacity=Room(99.0, 500))
     for number in range(20):
         step = make_step(demand=Room(9.0 + number, 1000))
         admit(book, make_job(f'urgent-{number:02}', step))
@@ -139,7 +152,7 @@
 
     monkeypatch.setattr(WorkerView, 'allows', note)
     assert place(book) == []
-    assert asked == ['urgent-00']
+    assert asked == ['urgent-00', 'urgent-00']
 
 
 def test_a_gang_is_placed_whole_or_not_at_all() -> None:
