Keep a link's checkpoints in a module of their own

batch/links.py had over 400 lines and held beside the calls to a worker what the newest checkpoints are and which of them the table has. No change of behaviour; tests of the engine, its state machine and its faults pass unchanged.

--- a/lentilmount/batch/links.py
+++ b/lentilmount/batch/links.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from lentilmount.batch.checkpoints import Checkpoints
 from lentilmount.batch.drafts import Draft
 from lentilmount.batch.ledger import Ledger
 from lentilmount.batch.orders import LinkOptions, Orders
@@ -44,9 +45,6 @@
 """How often a worker is called while it stops something: urgent work waits
 for the room, and a worker takes a moment to save a checkpoint."""
 
-NOTE_CHECKPOINT_SECONDS = 300.0
-"""How often a task's newest checkpoint is recorded in the table."""
-
 
 class Link:
     """One worker's link, for as long as this daemon holds the slice.
@@ -82,8 +80,7 @@
         self._held_at = -1
         self._wake = asyncio.Event()
         self._intake: asyncio.Task[None] | None = None
-        self._checkpoints: dict[AttemptKey, str] = {}
-        self._noted: dict[AttemptKey, float] = {}
+        self._checkpoints = Checkpoints()
         # Until these times a task on the worker may be running under a lease
         # that a former owner gave, or that this one gave. A former owner may
         # renew up to the end of its promise, until the worker has seen our
@@ -157,16 +154,10 @@
         self._spawn(self._take_in(answer, sent_at))
 
     def _has_news(self, answer: SyncAnswer, now: float) -> bool:
-        self._learn_checkpoints(answer)
-        due = self._list_due_checkpoints(now)
+        self._checkpoints.learn(answer.attempts)
+        due = self._checkpoints.list_due(self.list_held(), now)
         return bool(due) or self._has_changed(answer)
 
-    def _learn_checkpoints(self, answer: SyncAnswer) -> None:
-        for report in answer.attempts:
-            if report.checkpoint:
-                key = (report.task, report.attempt)
-                self._checkpoints[key] = report.checkpoint
-
     def _take_answer(self, request: SyncRequest, answer: SyncAnswer) -> None:
         now = self._monotonic()
         if not self._is_fenced:
@@ -251,15 +242,15 @@
 
     async def _take_in(self, answer: SyncAnswer, sent_at: float) -> None:
         reports = {(r.task, r.attempt): r for r in answer.attempts}
-        self._learn_checkpoints(answer)
+        self._checkpoints.learn(answer.attempts)
         moves = self._find_moves(answer, reports, sent_at)
-        due = self._list_due_checkpoints(sent_at)
+        due = self._checkpoints.list_due(self.list_held(), sent_at)
         if moves or due or self._has_changed(answer):
             urgent = any(self._is_urgent(task) for task, _ in moves)
             async with self._ledger.change(urgent=urgent) as draft:
                 update_worker(draft, self.name, answer)
                 self._apply(draft, moves)
-                self._note_checkpoints(draft, due, sent_at)
+                self._checkpoints.record(draft, due, sent_at)
             self._on_change()
             self.wake()
         self._forget_finished(reports, sent_at)
@@ -277,7 +268,7 @@
         for task_id, report in moves:
             if draft.is_full:
                 break
-            known = self._checkpoints.get((task_id, report.attempt), '')
+            known = self._checkpoints.get((task_id, report.attempt))
             checkpoint = report.checkpoint or known
             whole = attrs.evolve(report, checkpoint=checkpoint)
             apply_report(draft, task_id, whole, self.name, self._judge_failure)
@@ -344,39 +335,11 @@
             elif not self._orders.may_still_start(key, sent_at):
                 self.send(Command(Action.FORGET, *key))
 
-    def _list_due_checkpoints(self, now: float) -> list[Task]:
-        # Without this, progress is lost when a worker and the owner of its
-        # slice are lost together; written at each report, it would be a
-        # write storm.
-        due = []
-        for task in self.list_held():
-            key = (task.id, task.attempt)
-            since = self._noted.setdefault(key, now)
-            known = self._checkpoints.get(key, '')
-            fresh = known not in ('', task.checkpoint)
-            if fresh and now - since >= NOTE_CHECKPOINT_SECONDS:
-                due.append(task)
-        return due
-
-    def _note_checkpoints(
-        self, draft: Draft, due: list[Task], now: float
-    ) -> None:
-        for task in due:
-            key = (task.id, task.attempt)
-            current = draft.get_task(task.id)
-            if draft.is_full or current is None or current.phase not in HOLDING:
-                continue
-            if current.attempt == task.attempt:
-                draft.set_checkpoint(current, self._checkpoints[key])
-                self._noted[key] = now
-
     def _clean_up(self, reports: dict[AttemptKey, AttemptReport]) -> None:
         held = {(task.id, task.attempt) for task in self.list_held()}
         known = held | set(reports)
         self._orders.forget(held, known)
-        for kept in (self._checkpoints, self._noted):
-            for key in [key for key in kept if key not in known]:
-                del kept[key]
+        self._checkpoints.keep(known)
 
     async def _give_up(self) -> None:
         held = self.list_held()
@@ -391,9 +354,7 @@
                     task.id,
                     task.attempt,
                     AttemptState.LAPSED,
-                    checkpoint=self._checkpoints.get(
-                        (task.id, task.attempt), ''
-                    ),
+                    checkpoint=self._checkpoints.get((task.id, task.attempt)),
                     message='the worker is not reachable',
                 )
                 apply_report(
