Hold a worker for a lost lasting task from pass to pass

Cause: the worker that is held for a lost task was chosen anew by each pass, from the tasks of all workers, some seventy times a second. By reading; no figure of an owner's processor shows it.

Change: the choice stands for 2 s; what short tasks keep is worked out with the rest of a worker's view; a twentieth of the workers is held at most. A task that does not wait for room holds none.

--- a/lentilmount/scheduling/headroom.py
+++ b/lentilmount/scheduling/headroom.py
@@ -13,7 +13,7 @@
 import attrs
 
 from lentilmount.scheduling.book import Book
-from lentilmount.scheduling.model import Task, TaskPhase
+from lentilmount.scheduling.model import Task
 from lentilmount.scheduling.ranking import Outlook, find_outlook, is_urgent
 from lentilmount.scheduling.views import WorkerView
 
@@ -83,30 +83,3 @@
         free = sum(view.free.cores for view in views)
         expected = max(0.0, BURST_FACTOR * self._demand - self._running)
         return free - step[0].spec.demand.cores < expected
-
-
-def choose_held(task: Task, views: list[WorkerView]) -> WorkerView | None:
-    """Chooses a worker that takes no more until a task fits there.
-
-    The more is free there already the sooner it does, and what ends there
-    makes it the choice of the next pass, too.
-
-    Args:
-      task: What no worker has room for now.
-      views: The workers that take new work.
-
-    Returns:
-      The worker, or None where what is short would not free enough.
-    """
-    able = [view for view in views if _frees_enough(task, view)]
-    return max(able, key=lambda view: view.free.cores, default=None)
-
-
-def _frees_enough(task: Task, view: WorkerView) -> bool:
-    if not view.takes(task):
-        return False
-    room = view.free
-    for other in view.worker.tasks.values():
-        if not other.spec.lasting or other.phase is TaskPhase.STOPPING:
-            room = room.add(other.spec.reserved)
-    return task.spec.reserved.fits(room)
--- /dev/null
+++ b/lentilmount/scheduling/holds.py
@@ -0,0 +1,80 @@
+"""Workers that take nothing more until a lasting task fits there.
+
+Load pattern: short tasks come all the time and take each gap on every worker
+before it is large enough for a lasting task, though what is short there keeps
+more than enough room from it.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from lentilmount.scheduling.model import Task
+from lentilmount.scheduling.views import WorkerView
+
+HOLD_SECONDS = 2.0
+"""How long a worker is held for one task: short tasks have ended by then."""
+
+MOST_HELD = 0.05
+"""Share of the workers that are held at once."""
+
+
+@attrs.frozen
+class _Hold:
+    """A worker held for a task.
+
+    Attributes:
+      worker: The worker, or '' where none would do.
+      until: Monotonic time until which the choice stands.
+    """
+
+    worker: str
+    until: float
+
+
+@attrs.define
+class Holds:
+    """Knows which worker is held for which task, from pass to pass."""
+
+    _holds: dict[Task, _Hold] = attrs.Factory(dict)
+
+    def expire(self, now: float) -> None:
+        """Ends the holds that have stood for their time."""
+        self._holds = {
+            task: hold for task, hold in self._holds.items() if now < hold.until
+        }
+
+    def end(self, task: Task) -> None:
+        """Ends the hold for a task that was placed."""
+        self._holds.pop(task, None)
+
+    def hold(
+        self, task: Task, views: list[WorkerView], now: float
+    ) -> WorkerView | None:
+        """Returns the worker that is held for a task, chosen if need be.
+
+        Args:
+          task: What no worker has room for now.
+          views: The workers that take new work and are not held.
+          now: Monotonic time.
+        """
+        hold = self._holds.get(task)
+        if hold is None:
+            if sum(bool(h.worker) for h in self._holds.values()) >= math.ceil(
+                MOST_HELD * len(views)
+            ):
+                return None
+            chosen = _choose(task, views)
+            name = chosen.worker.id if chosen is not None else ''
+            self._holds[task] = _Hold(name, now + HOLD_SECONDS)
+            return chosen
+        return next((v for v in views if v.worker.id == hold.worker), None)
+
+
+def _choose(task: Task, views: list[WorkerView]) -> WorkerView | None:
+    """Chooses the worker on which a task is likely to fit first."""
+    reserved = task.spec.reserved
+    able = [v for v in views if reserved.fits(v.soon) and v.takes(task)]
+    return max(able, key=lambda view: view.free.cores, default=None)
--- a/lentilmount/scheduling/placing.py
+++ b/lentilmount/scheduling/placing.py
@@ -14,7 +14,8 @@
 from lentilmount.scheduling.consolidation import Consolidation
 from lentilmount.scheduling.costs import Costs
 from lentilmount.scheduling.demand import FillingDemand
-from lentilmount.scheduling.headroom import Headroom, choose_held
+from lentilmount.scheduling.headroom import Headroom
+from lentilmount.scheduling.holds import Holds
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.offers import Allows, Offers
 from lentilmount.scheduling.ranking import (
@@ -31,9 +32,6 @@
 """Steps of one kind for which no worker is found in a pass before the others
 of that kind are left to the next one: it bounds the time of a pass."""
 
-MOST_HELD = 0.05
-"""Share of the workers that a pass keeps for lasting tasks that are away."""
-
 Chosen = tuple[Task, Worker]
 Shape = tuple[str, str, bool]
 """What tasks have in common of which the smaller fits wherever the larger does:
@@ -57,6 +55,7 @@
     _views: Views = attrs.field(init=False)
     _consolidation: Consolidation = attrs.field(init=False)
     _headroom: Headroom = attrs.field(init=False)
+    _holds: Holds = attrs.Factory(Holds)
 
     def __attrs_post_init__(self) -> None:
         """Keeps what is worked out from pass to pass."""
@@ -80,8 +79,15 @@
             return []
         views = self._views.list_open(now)
         self._headroom.note(now)
+        self._holds.expire(now)
         work = _Pass(
-            self.book, self.sharing, self._headroom, views, now, allows
+            self.book,
+            self.sharing,
+            self._headroom,
+            self._holds,
+            views,
+            now,
+            allows,
         )
         return work.run()
 
@@ -94,6 +100,7 @@
         book: Book,
         sharing: Sharing,
         headroom: Headroom,
+        holds: Holds,
         views: list[WorkerView],
         now: float,
         allows: Allows,
@@ -101,13 +108,13 @@
         self._book = book
         self._sharing = sharing
         self._headroom = headroom
+        self._holds = holds
         self._costs = Costs(book, sharing)
         self._now = now
         self._allows = allows
         self._hopeless: dict[Shape, list[Room]] = {}
         self._views = views
         self._most_free = _find_most_free(views)
-        self._most_held = math.ceil(len(views) * MOST_HELD)
 
     def run(self) -> list[Chosen]:
         """Places the tasks of each step until one does not fit."""
@@ -142,12 +149,11 @@
         """Holds a worker for what waits of a step until it fits there."""
         waiting = (t for t in step if t.phase is TaskPhase.WAITING)
         task = next(waiting, None)
-        if task is None or not self._most_held:
+        if task is None:
             return
-        view = choose_held(task, self._views)
+        view = self._holds.hold(task, self._views, self._now)
         if view is not None:
             self._views.remove(view)
-            self._most_held -= 1
 
     def _place_step(self, step: list[Task]) -> tuple[list[Chosen], bool]:
         """Places tasks of a step; tells whether a worker was found for all."""
@@ -173,6 +179,7 @@
             if offers is not None:
                 offers.renew(view)
             placed.append((task, view.worker))
+            self._holds.end(task)
         return placed, True
 
     def _ask_all(self, task: Task) -> Offers:
--- a/lentilmount/scheduling/ranking.py
+++ b/lentilmount/scheduling/ranking.py
@@ -160,8 +160,10 @@
     Tasks of a step are alike, so a step is ranked by its first task. Those
     that have been away for too long are a group of their own.
     """
-    steps: dict[tuple[tuple[str, int, int], bool], list[Task]] = {}
+    steps: dict[tuple[object, ...], list[Task]] = {}
     for task in tasks:
-        key = (get_step(task), is_away(task, now))
+        key: tuple[object, ...] = get_step(task)
+        if task.lost_at and is_away(task, now):
+            key = (*key, Turn.AWAY)
         steps.setdefault(key, []).append(task)
     return sorted(steps.values(), key=lambda step: rank_task(step[0], now))
--- a/lentilmount/scheduling/views.py
+++ b/lentilmount/scheduling/views.py
@@ -15,7 +15,7 @@
 
 from lentilmount.resources import Room
 from lentilmount.scheduling.book import Book
-from lentilmount.scheduling.model import Task, Worker
+from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import WorkerEntry, WorkerState
 from lentilmount.scheduling.sharing import Sharing, count_fills
 
@@ -37,6 +37,7 @@
     Attributes:
       worker: The worker.
       free: What is not reserved.
+      soon: What is not reserved once what is short there has ended.
       spare_cores: Cores that are left to filling tasks.
       filling_cores: Cores that the filling tasks there ask for.
       is_over: Whether a serving task there is over its target.
@@ -46,6 +47,7 @@
 
     worker: Worker
     free: Room = attrs.Factory(Room)
+    soon: Room = attrs.Factory(Room)
     spare_cores: float = 0.0
     filling_cores: float = 0.0
     is_over: bool = False
@@ -76,6 +78,7 @@
         self.is_over = any(map(sharing.is_over, self.worker.tasks.values()))
         worker = self.worker
         self.free = worker.entry.capacity.subtract(worker.used)
+        self.soon = worker.entry.capacity
         self.spare_cores = worker.entry.capacity.cores
         self.filling_cores = 0.0
         self.utilisation = {}
@@ -89,6 +92,8 @@
         self, task: Task, beside: dict[str, float], sharing: Sharing
     ) -> None:
         cores = task.spec.demand.cores
+        if task.spec.lasting and task.phase is not TaskPhase.STOPPING:
+            self.soon = self.soon.subtract(task.spec.reserved)
         if task.spec.fills:
             self.filling_cores += cores * task.percent / 100
             return
