Test holds of workers

A held worker takes nothing else, none is held where others last or where it is not room that is missing, few are held at once, and passes do not choose anew.

--- a/lentilmount/scheduling/holds.py
+++ b/lentilmount/scheduling/holds.py
@@ -61,20 +61,24 @@
           now: Monotonic time.
         """
         hold = self._holds.get(task)
-        if hold is None:
-            if sum(bool(h.worker) for h in self._holds.values()) >= math.ceil(
-                MOST_HELD * len(views)
-            ):
-                return None
-            chosen = _choose(task, views)
-            name = chosen.worker.id if chosen is not None else ''
-            self._holds[task] = _Hold(name, now + HOLD_SECONDS)
-            return chosen
-        return next((v for v in views if v.worker.id == hold.worker), None)
+        if hold is not None:
+            found = (v for v in views if v.worker.id == hold.worker)
+            return next(found, None)
+        held = sum(hold.worker != '' for hold in self._holds.values())
+        if held >= math.ceil(MOST_HELD * len(views)):
+            return None
+        chosen = _choose(task, views)
+        name = chosen.worker.id if chosen is not None else ''
+        self._holds[task] = _Hold(name, now + HOLD_SECONDS)
+        return chosen
 
 
 def _choose(task: Task, views: list[WorkerView]) -> WorkerView | None:
     """Chooses the worker on which a task is likely to fit first."""
     reserved = task.spec.reserved
     able = [v for v in views if reserved.fits(v.soon) and v.takes(task)]
-    return max(able, key=lambda view: view.free.cores, default=None)
+    chosen = max(able, key=lambda view: view.free.cores, default=None)
+    if chosen is not None and reserved.fits(chosen.free):
+        # It is not room that the task waits for.
+        return None
+    return chosen
--- /dev/null
+++ b/tests/test_holds.py
@@ -0,0 +1,129 @@
+"""Workers held for lasting tasks that were lost."""
+
+from __future__ import annotations
+
+import pytest
+
+from lentilmount.resources import Room
+from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.holds import HOLD_SECONDS, MOST_HELD, Holds
+from lentilmount.scheduling.model import Task, Worker
+from lentilmount.scheduling.placing import Placer
+from lentilmount.scheduling.ranking import AWAY_SECONDS
+from lentilmount.scheduling.reports import EndKind
+from lentilmount.scheduling.sharing import Sharing
+from lentilmount.scheduling.views import Views, WorkerView
+from tests.fleet_scene import (
+    add_worker,
+    admit,
+    find_task,
+    make_job,
+    make_policy,
+    make_step,
+    run_task,
+)
+
+LASTING = make_step(demand=Room(4.0, 1000), lasting=True, image='x')
+LOST_AT = 2.0
+AWAY_AT = LOST_AT + AWAY_SECONDS
+
+
+def fill(book: Book, worker: Worker, name: str, lasting: bool) -> None:
+    """Leaves a worker one core, beside a task that is short or lasts."""
+    step = make_step(demand=Room(3.0, 1000), lasting=lasting)
+    admit(book, make_job(name, step))
+    run_task(book, find_task(book, name), worker)
+
+
+def lose(book: Book, name: str) -> Task:
+    """Makes a lasting task that has run on a worker that is gone."""
+    gone = add_worker(book, f'gone-{name}', capacity=Room(4.0, 64_000))
+    admit(book, make_job(name, LASTING))
+    task = find_task(book, name)
+    run_task(book, task, gone)
+    book.end(task, EndKind.FAILED, LOST_AT)
+    gone.present = False
+    return task
+
+
+def list_views(book: Book) -> list[WorkerView]:
+    """Lists the workers that take work."""
+    return Views(book, Sharing()).list_open(AWAY_AT)
+
+
+def test_a_held_worker_takes_nothing_else() -> None:
+    """Urgent work took what had become free for a lost lasting task."""
+    book = Book()
+    worker = add_worker(book, 'w', capacity=Room(4.0, 64_000))
+    fill(book, worker, 'short', lasting=False)
+    lost = lose(book, 'lost')
+    urgent = make_step(demand=Room(1.0, 1000))
+    policy = make_policy(stretch=99.0)
+    admit(book, make_job('urgent', urgent, policy=policy))
+    placer = Placer(book, Sharing())
+    assert placer.place(AWAY_AT, lambda task, worker: True) == []
+    short = find_task(book, 'short')
+    book.end(short, EndKind.DONE, AWAY_AT)
+    placed = placer.place(AWAY_AT + 0.1, lambda task, worker: True)
+    assert placed == [(lost, worker)]
+
+
+def test_no_worker_is_held_where_others_last() -> None:
+    """A worker that never has room for the task idled beside what lasts."""
+    book = Book()
+    worker = add_worker(book, 'w', capacity=Room(4.0, 64_000))
+    fill(book, worker, 'other', lasting=True)
+    lost = lose(book, 'lost')
+    assert Holds().hold(lost, list_views(book), AWAY_AT) is None
+
+
+def test_no_worker_is_held_for_a_task_that_has_room() -> None:
+    """A task that waits for advice kept a worker from all others."""
+    book = Book()
+    add_worker(book, 'w', capacity=Room(4.0, 64_000))
+    lost = lose(book, 'lost')
+    assert Holds().hold(lost, list_views(book), AWAY_AT) is None
+
+
+def test_few_workers_are_held_at_once() -> None:
+    """After the loss of a zone all others would have stood still."""
+    book = Book()
+    count = round(2 / MOST_HELD)
+    for number in range(count):
+        name = f'w-{number}'
+        worker = add_worker(book, name, capacity=Room(4.0, 64_000))
+        fill(book, worker, f'short-{number}', lasting=False)
+    lost = [lose(book, f'lost-{number}') for number in range(count)]
+    holds = Holds()
+    views = list_views(book)
+    held = [holds.hold(task, views, AWAY_AT) for task in lost]
+    assert sum(view is not None for view in held) == 2
+
+
+def test_a_hold_is_not_chosen_anew_by_each_pass(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Choosing among all workers in each pass took an owner's processor."""
+    book = Book()
+    worker = add_worker(book, 'w', capacity=Room(4.0, 64_000))
+    fill(book, worker, 'short', lasting=False)
+    lost = lose(book, 'lost')
+    asked: list[str] = []
+    takes = WorkerView.takes
+
+    def note(view: WorkerView, task: Task) -> bool:
+        asked.append(view.worker.id)
+        return takes(view, task)
+
+    monkeypatch.setattr(WorkerView, 'takes', note)
+    holds = Holds()
+    views = list_views(book)
+    for now in (AWAY_AT, AWAY_AT + HOLD_SECONDS / 2):
+        holds.expire(now)
+        view = holds.hold(lost, views, now)
+        assert view is not None
+        assert view.worker is worker
+    assert asked == ['w']
+    holds.expire(AWAY_AT + HOLD_SECONDS)
+    holds.hold(lost, views, AWAY_AT + HOLD_SECONDS)
+    assert asked == ['w', 'w']
