--- a/lentilmount/scheduling/holds.py
+++ b/lentilmount/scheduling/holds.py
@@ -10,10 +10,13 @@
 import math
 
 import attrs
+import logbook
 
 from lentilmount.scheduling.model import Task
 from lentilmount.scheduling.views import WorkerView
 
+log = logbook.Logger('placing')
+
 HOLD_SECONDS = 2.0
 """How long a worker is held for one task: short tasks have ended by then."""
 
@@ -69,6 +72,11 @@
             return None
         chosen = _choose(task, views)
         name = chosen.worker.id if chosen is not None else ''
+        if name:
+            log.info(
+                'Holding a worker for a lost task.',
+                extra={'task': str(task.id), 'worker': name},
+            )
         self._holds[task] = _Hold(name, now + HOLD_SECONDS)
         return chosen
 
