Share the scene of a pass over the queue among tests

Five test files ran a pass with a lambda of their own, three recorded by hand what a view was asked.

--- a/tests/fleet_scene.py
+++ b/tests/fleet_scene.py
@@ -4,9 +4,12 @@
 
 from typing import Any
 
+import pytest
+
 from lentilmount.resources import Room
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.model import Job, Task, Worker
+from lentilmount.scheduling.placing import Placer
 from lentilmount.scheduling.reports import (
     EndKind,
     EndRow,
@@ -17,6 +20,7 @@
 )
 from lentilmount.scheduling.rows import encode_state, restore_state
 from lentilmount.scheduling.specs import JobSpec, QueuePolicy, StepSpec, TaskId
+from lentilmount.scheduling.views import WorkerView
 
 SERVICE = 'desk'
 
@@ -112,3 +116,28 @@
         restored = admit(new, job.spec)
         restore_state(new, restored, encode_state(job), lapses_at=20.0, now=4.0)
     return new
+
+
+def run_pass(placer: Placer, now: float) -> list[tuple[Task, Worker]]:
+    """Places what can be placed; no worker is ruled out from outside."""
+    return placer.place(now, lambda task, worker: True)
+
+
+def record_checks(
+    monkeypatch: pytest.MonkeyPatch, name: str
+) -> list[tuple[str, str]]:
+    """Returns a list that gets worker and job of each check by a view.
+
+    Args:
+      monkeypatch: What undoes it after the test.
+      name: The method of `WorkerView` that checks a task.
+    """
+    checks: list[tuple[str, str]] = []
+    check = getattr(WorkerView, name)
+
+    def note(view: WorkerView, task: Task) -> bool:
+        checks.append((view.worker.id, task.id.job))
+        return bool(check(view, task))
+
+    monkeypatch.setattr(WorkerView, name, note)
+    return checks
