Give tests of placing one line each on the failure they guard against

The longer stories stand in the messages of the commits that brought them and in docs/design/decisions-under-load.md. Only docstrings change.

--- a/tests/test_consolidation.py
+++ b/tests/test_consolidation.py
@@ -64,11 +64,7 @@
 
 
 def test_a_task_moves_to_a_worker_of_its_image() -> None:
-    """One small task keeps sixteen cores from all filling work that waits.
-
-    Its image serves on another worker that has room. Stopped, it is placed
-    there, and the work that it kept away starts where it was.
-    """
+    """One small task kept sixteen cores from all filling work that waited."""
     book, stray = open_book()
     placer = make_placer(book)
     assert placer.choose_moves(LATER) == [stray]
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -35,11 +35,7 @@
 
 
 def test_urgent_work_goes_before_lasting_tasks_that_wait() -> None:
-    """A lasting task ends, another one waits, and so does an urgent job.
-
-    The lasting one took the core and kept it for a minute; the urgent job,
-    which needs it for a second, was late by ten.
-    """
+    """A lasting task took the core that a job of a second needed at once."""
     book = Book()
     add_worker(book, 'w', capacity=Room(4.0, 16_000))
     admit(book, make_job('lasting', LASTING))
@@ -58,11 +54,7 @@
 
 
 def test_lasting_tasks_leave_room_to_urgent_work_for_a_while() -> None:
-    """Urgent jobs have come one after the other, and the next is on its way.
-
-    A lasting task that has just been lost waits a few seconds in which they
-    find room, and no longer: it has to be back soon.
-    """
+    """Lost lasting tasks took each gap before the next urgent job came."""
     book = Book()
     worker = add_worker(book, 'w', capacity=Room(6.0, 64_000))
     admit(book, make_job('lasting', LASTING))
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -87,12 +87,7 @@
 
 
 def test_what_fits_is_not_held_up_by_much_that_does_not() -> None:
-    """A burst of urgent jobs waits for room; filling work needs none.
-
-    The filling job comes after hundreds of urgent ones in the order. It is
-    placed in the same pass: one urgent step that finds no worker speaks for
-    all that are like it.
-    """
+    """Urgent jobs without room held up filling work, which needs none."""
     book = Book()
     add_worker(book, 'w')
     for number in range(3 * FAILED_TRIES):
@@ -104,12 +99,7 @@
 
 
 def test_urgent_steps_of_all_sizes_do_not_hold_up_what_needs_no_room() -> None:
-    """Lasting work holds all cores while urgent jobs of many sizes wait.
-
-    Each size was one more step without a worker, and after forty of them the
-    pass ended: filling work, which needs no room, was not started for twenty
-    seconds, with every worker able to take it.
-    """
+    """Forty sizes without a worker ended the pass before any filling work."""
     book = Book()
     add_worker(book, 'w')
     for number in range(3 * FAILED_TRIES):
@@ -186,11 +176,7 @@
 
 
 def test_jobs_that_can_be_in_time_go_before_those_that_cannot() -> None:
-    """A burst leaves more work than fits.
-
-    By deadline alone the job that is already late would go first, and make
-    the next one late too.
-    """
+    """By deadline alone a job that is late already makes the next one late."""
     book = Book()
     policy = make_policy(stretch=1.0, target_seconds=2.0)
     late = admit(book, make_job('late', policy=policy))
@@ -201,12 +187,7 @@
 
 
 def test_filling_work_that_is_begun_goes_on_before_more_is_begun() -> None:
-    """More best-effort jobs wait than find places, and all could be in time.
-
-    Shared by deadline, each job got a place now and then, and all were late.
-    The begun job goes first, though another is due before it; among the
-    others the one with least work left.
-    """
+    """Places shared by deadline made every best-effort job late."""
     book = Book()
     small = make_step(count=2, fills=True, image='f', after=())
     large = make_step(count=5, fills=True, image='f')
@@ -246,11 +227,7 @@
 
 
 def test_steps_bounded_per_worker_spread_where_their_image_is() -> None:
-    """A job of one task a worker comes together with larger ones.
-
-    Placed last, its tasks found the workers of their image full, and each one
-    kept another worker from all filling work that its image does not bear.
-    """
+    """Placed last, bounded tasks kept further workers from filling work."""
     book = Book()
     for number in range(6):
         add_worker(book, f'w{number}')
@@ -269,10 +246,7 @@
 
 
 def test_a_worker_that_fails_everything_is_closed_and_tried_again() -> None:
-    """A worker fails all it starts, and is always free for more.
-
-    Without closing it, it would use up the attempts of job after job.
-    """
+    """A failing worker, always free, used up the attempts of job after job."""
     book = Book()
     worker = add_worker(book, 'w')
     health = Health()
@@ -310,12 +284,7 @@
 
 
 def test_a_worker_on_trial_gets_one_task_beside_what_it_had() -> None:
-    """A worker with a lasting task is closed, and tried again.
-
-    What it had before says nothing about it now. Counted as the one task of
-    the trial, a lasting one would keep the worker out for good, and tasks
-    that fit nowhere else would wait for ever.
-    """
+    """An old lasting task counted as the trial, and kept the worker out."""
     book = Book()
     worker = add_worker(book, 'w')
     admit(book, make_job('old', make_step(lasting=True)))
@@ -335,12 +304,7 @@
 
 
 def test_a_worker_over_a_target_gets_nothing_that_fills() -> None:
-    """A tail is over its target, and the model sees no cause for it.
-
-    What fills there is halted. Each new filling task would run at full pace
-    until the next look; one after the other they would keep the tail up for
-    as long as the users of the serving task are promised it is not.
-    """
+    """Each new filling task ran until the next look and kept the tail up."""
     book = Book()
     worker = add_worker(book, 'w')
     step = make_step(lasting=True, image='web', target_ms=50.0)
@@ -360,11 +324,7 @@
 
 
 def test_ends_of_the_previous_owners_time_close_no_worker() -> None:
-    """A new owner hears of all ends that were not yet acknowledged.
-
-    They are of many jobs and come at once, failed ones without the successes
-    between them; a third of the workers was closed right after a takeover.
-    """
+    """Failures told at a takeover at once closed a third of the workers."""
     book = Book()
     worker = add_worker(book, 'w')
     health = Health()
--- a/tests/test_placing_scale.py
+++ b/tests/test_placing_scale.py
@@ -41,14 +41,7 @@
 def test_a_wide_step_looks_at_each_worker_once(
     step: StepSpec, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Quick jobs start seconds late on a deployment of hundreds of workers.
-
-    Steps are tens of tasks wide. The owner looked at every worker for every
-    task, hundreds of starts a second, and its processor was used up: looks,
-    starts and ends were worked off later and later.
-    Tasks of a step are alike, so one look at each worker serves them all, and
-    only the worker that took a task has to be looked at again.
-    """
+    """Asking all workers for each task of a step took an owner's processor."""
     book = Book()
     for number in range(WORKERS):
         add_worker(book, f'w-{number}')
@@ -74,13 +67,7 @@
 def test_a_pass_works_out_only_the_workers_that_changed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Fifty passes a second worked out hundreds of workers each.
-
-    A third of a busy owner's processor went to sums that were the same as in
-    the pass before. What is due anew: a worker that was looked at or whose
-    tasks changed, at once; all others after a tenth of a second, as what is
-    learned of images elsewhere changes them too.
-    """
+    """Working out all workers in each pass took a third of an owner's time."""
     book = Book()
     workers = [add_worker(book, f'w-{n}') for n in range(WORKERS)]
     admit(book, make_job('big', make_step(demand=Room(99.0, 1))))
