--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -70,11 +70,7 @@
 def test_a_refusal_does_not_tell_what_exists(
     site: Site, method: str, path: str
 ) -> None:
-    """A rival asks for a name that exists and for one that does not.
-
-    Were the resource looked up before the token is checked, the first would
-    be refused and the second not found, which tells one from the other.
-    """
+    """An answer without a valid token told whether a name exists."""
     told = []
     for name in ('secret-run', 'airtime', 'no-such-thing'):
         answer = site.send(method, path.format(name), token='rival')
@@ -148,11 +144,7 @@
 
 
 def test_a_rival_is_not_answered_by_a_request_id(site: Site) -> None:
-    """A rival sends a command with the id of somebody else's command.
-
-    Were the id alone the key of the stored answer, the rival would be sent
-    the other team's resource in place of an answer of its own.
-    """
+    """Stored by its id alone, an answer went to another team's request."""
     mine = make_service('hidden', 'desk', replicas=1)
     first = site.call('POST', '/v1/services', mine, Lentilmount_Request='id-1')
     again = site.call('POST', '/v1/services', mine, Lentilmount_Request='id-1')
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -90,11 +90,7 @@
 
 
 def test_a_task_goes_only_where_it_may() -> None:
-    """One of two workers may run the step.
-
-    The task is allowed there, with the ticket of its step; the other worker
-    is not asked about again.
-    """
+    """A worker that the advice rules out got the task."""
     scene = AdviceScene()
     scene.calls.eligible = {'may'}
     may, other = scene.add('may'), scene.add('other')
@@ -113,10 +109,7 @@
 
 
 def test_a_ticket_ends_with_its_time_and_with_the_worker() -> None:
-    """A start with a ticket that is no longer valid is rejected.
-
-    So it is not used in its last moments, nor after the worker restarted.
-    """
+    """A start with a ticket that is no longer valid is rejected."""
     scene = AdviceScene()
     scene.calls.eligible = {'w'}
     worker = scene.add('w')
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -82,11 +82,7 @@
 
 
 def test_many_bodies_do_not_fill_the_memory(site: Site) -> None:
-    """Two clients announce a body each, and send it slowly.
-
-    Both are within the limit of one body but not of all. The second is
-    refused at once and may come again, which it can when the first is gone.
-    """
+    """Large bodies that trickle in filled the memory of the host."""
     from tests.test_listeners import open_listener  # noqa: PLC0415
 
     head = (
@@ -219,11 +215,7 @@
 
 
 def test_a_stale_revision_loses_and_is_told_both(site: Site) -> None:
-    """Two operators read one revision, and both send a change.
-
-    The first is accepted. The second would silently undo it, so it is
-    refused with the revision that it gave and the one in force.
-    """
+    """The later of two changes silently undid the earlier one."""
     made = site.call('POST', '/v1/services', make_service('race', 'desk'))
     seen = made['resource']['metadata']['revision']
 
@@ -245,11 +237,7 @@
 
 
 def test_a_job_is_not_changed_and_its_name_not_used_again(site: Site) -> None:
-    """A job is deleted and another of the same name is sent.
-
-    Both would have the same task id, and a late word of a worker on the old
-    one could be taken for the new one's. So the name stays taken.
-    """
+    """A late report on a deleted job was taken for one on its successor."""
     site.tool('apply', '-f', '-', '--wait', stdin=json.dumps(make_job('once')))
     other = json.dumps(make_job('once', payload='{}')).encode()
     assert read_problem(site.send('POST', '/v1/jobs', other))['kind'] == (
@@ -298,11 +286,7 @@
 
 
 def test_a_slow_sender_is_cut_off(site: Site) -> None:
-    """A client sends half a header, or half a body, and no more.
-
-    Its connection is closed after the time for slow senders; without that,
-    such clients could hold all connections for good.
-    """
+    """Clients that send half a request held connections for good."""
     from tests.test_listeners import open_listener  # noqa: PLC0415
 
     head = (
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -92,11 +92,7 @@
 
 
 def test_an_end_that_was_not_written_reaches_the_next_owner() -> None:
-    """The owner is killed after a task is done and before that is written.
-
-    Its row still tells of the start on the worker; the worker lists the end
-    until it is acknowledged. The task must not be started a second time.
-    """
+    """A task that was done was started a second time by the next owner."""
     new, task = take_over('w')
     worker = add_worker(new, 'w')
     ended = make_end(1, task, 1, EndKind.DONE)
@@ -106,13 +102,7 @@
 
 
 def test_a_newer_run_supersedes_what_the_row_tells() -> None:
-    """A run of an outage stands in no row.
-
-    The store is away while a task is stopped on one worker and started on
-    another, where it ends. The next owner reads of the first worker, and
-    hears of the second one first: the end must count, and the first worker's
-    older end must not bring the task back.
-    """
+    """The end of an older run brought a task back that was done elsewhere."""
     new, task = take_over('first')
     second = add_worker(new, 'second')
     first = add_worker(new, 'first')
@@ -144,12 +134,7 @@
 
 
 def test_an_end_that_was_written_counts_once() -> None:
-    """The owner is killed after a failure is written, before it is forgotten.
-
-    The worker lists the failed end again to the next owner. Counted again it
-    would use up both attempts, and the client would see its job failed after
-    a single one.
-    """
+    """A failure counted again by the next owner used up both attempts."""
     book = Book()
     admit(book, make_job('a'))
     task = find_task(book, 'a')
@@ -166,12 +151,7 @@
 def test_failures_of_an_outage_count_in_whichever_order_they_are_heard() -> (
     None
 ):
-    """A task fails on two workers in an outage, and its owner is killed.
-
-    Its row tells of neither end. The next owner hears of the second failure
-    before the first. Both must count: the client sees its job failed, and the
-    task is not started a third time.
-    """
+    """A failure heard late did not count, and the task ran a third time."""
     new, task = take_over('first')
     first, second = add_worker(new, 'first'), add_worker(new, 'second')
     for worker, run in ((second, 2), (first, 1)):
@@ -183,11 +163,7 @@
 
 
 def test_a_task_done_before_its_leases_ran_out_stays_done() -> None:
-    """A worker is cut off until its leases have surely run out, then heard.
-
-    It lists a task as done that waits to be started again: the end counts,
-    and the client does not pay for the work twice.
-    """
+    """A task that a cut-off worker had finished ran again."""
     book = Book()
     admit(book, make_job('a'))
     task = find_task(book, 'a')
@@ -214,12 +190,7 @@
 
 
 def test_a_list_older_than_a_start_does_not_end_it() -> None:
-    """Answers on different connections overtake each other.
-
-    A look is answered before a start is carried out, and read after the
-    start's answer. The run is missing from the list and must not count as
-    lost, or it would be started again while it runs.
-    """
+    """A run missing from an overtaken list was started again while it ran."""
     book = Book()
     admit(book, make_job('a'))
     worker = add_worker(book, 'w')
@@ -233,11 +204,7 @@
 
 
 def test_a_stop_ahead_of_its_start_ends_the_task() -> None:
-    """A start gets no answer, and the stop of its run is answered.
-
-    The worker will reject the start when it comes, and lists nothing: the
-    next list proves that the run is gone.
-    """
+    """A start that arrives after its stop left the task waiting for its end."""
     book = Book()
     admit(book, make_job('a'))
     worker = add_worker(book, 'w')
@@ -299,12 +266,7 @@
 
 
 def test_inherited_tasks_wait_while_starts_may_be_unwritten() -> None:
-    """An outage for all ends, and a zone cut follows at once.
-
-    The owner inside the cut zone had started tasks there that no row tells
-    of. The next owner cannot ask those workers; what it has inherited waits
-    until it can, or until their leases have run out. New jobs do not wait.
-    """
+    """Tasks started unwritten in an outage ran twice under the next owner."""
     book = Book()
     admit(book, make_job('old'))
     admit(book, make_job('new'))
@@ -352,12 +314,7 @@
 
 
 def test_a_row_of_many_tasks_is_short_and_tells_the_same() -> None:
-    """A job of 80 tasks is written again with each change of any of them.
-
-    Such rows were over a third of what an owner sends. A new owner reads from
-    the shorter one what it read before: what is done, what runs where, what
-    failed, where it goes on.
-    """
+    """Rows of wide jobs were over a third of what an owner sends."""
     book = Book()
     admit(book, make_job('a', make_step(count=80), make_step(after=(0,))))
     worker = add_worker(book, 'i-40bb3c7090')
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -85,11 +85,7 @@
 
 
 def test_the_end_of_a_job_is_told_once() -> None:
-    """On call, someone asks whether a client's job was late, and by how much.
-
-    Its row is written again when its last task has stopped; the line that
-    tells of its end stands in the log once.
-    """
+    """The line on a job's end was written again with its row."""
 
     async def play() -> list[dict[str, Any]]:
         table = cast(PlatformTable, _SlowTable())
@@ -116,12 +112,7 @@
 
 
 def test_a_start_placed_during_a_write_waits_for_the_next() -> None:
-    """A row is on its way when another task of its job is placed.
-
-    The row does not tell of that task. Were it started as soon as the write
-    is answered, and the owner cut off with the worker before the next write,
-    the next owner would start it a second time.
-    """
+    """A start that no row tells of ran twice after a change of owners."""
 
     async def play() -> None:
         table = cast(PlatformTable, _SlowTable())
@@ -175,14 +166,7 @@
 def test_ends_are_acknowledged_while_more_jobs_change_than_a_write_holds(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Each step of a quick job starts a quarter of a second late.
-
-    On a busy deployment more jobs change between two writes than a write
-    holds, so there was never a moment at which all was written. No end was
-    acknowledged any more, and each worker that had told of one was left alone
-    for a quarter of a second, while the next steps waited for its other ends.
-    An end is written as soon as the jobs are that had changed until then.
-    """
+    """On a busy owner no end was acknowledged, and next steps began late."""
     monkeypatch.setattr(commits_module, 'COMMIT_SECONDS', 0.0)
 
     async def play() -> None:
@@ -215,12 +199,7 @@
 
 
 def test_a_restarted_worker_keeps_the_ends_of_its_new_life() -> None:
-    """A worker restarts under its id while a write is on its way.
-
-    The ends that the write acknowledges are of the life before, and numbers
-    begin anew. Taken for the new life, the worker was told to forget ends that
-    nobody had heard of, and tasks that were done there ran again.
-    """
+    """Ends of a worker's new life were acknowledged unheard, and ran again."""
 
     async def play() -> int:
         table = cast(PlatformTable, _SlowTable())
@@ -254,13 +233,7 @@
 
 
 def test_a_lease_tells_of_starts_that_no_row_tells_of() -> None:
-    """A task runs twice after an outage of the store and a change of owners.
-
-    In the outage tasks were started unwritten. After it the owner wrote as
-    many jobs as a write holds and was lost, or gave the service up; the next
-    one had seen that write, took all rows for true, and started the rest again
-    before all workers were heard.
-    """
+    """A task started in an outage ran twice after a change of owners."""
 
     async def play() -> None:
         table = cast(PlatformTable, _SlowTable())
@@ -292,11 +265,7 @@
 
 
 def test_starts_in_a_write_on_its_way_are_sent_in_an_outage_too() -> None:
-    """The store goes away for all while a write with starts is on its way.
-
-    Tasks placed later are started at once, as nobody can take over. Those in
-    that write hold their room and are not started until the store is back.
-    """
+    """Starts in a write on its way wait until the store is back."""
 
     async def play() -> None:
         table = cast(PlatformTable, _SlowTable())
--- a/tests/test_control_links.py
+++ b/tests/test_control_links.py
@@ -58,12 +58,7 @@
 
 
 def test_starts_to_a_worker_that_is_gone_do_not_renew_its_leases() -> None:
-    """A worker is gone for good while a start to it has no answer.
-
-    The start is sent again and again. The leases there must still run out:
-    until then none of its tasks is started elsewhere, and a client's lasting
-    task would stay away for ever.
-    """
+    """Repeated starts to a lost worker kept its tasks away for good."""
     clock = ManualClock()
     book = Book()
     worker = add_worker(book, 'w')
@@ -172,12 +167,7 @@
 
 
 def test_what_a_worker_that_is_gone_ran_is_freed_with_a_start_pending() -> None:
-    """A client's lasting task stays away for ever though there is room.
-
-    Its worker is gone for good while a start to it has no answer; the start
-    is sent again until the worker's leases have run out. The owner frees what
-    was there after one lease, as on a worker without such a start.
-    """
+    """A pending start kept a lost worker's tasks away for good."""
 
     async def play() -> None:
         async with asyncio.TaskGroup() as group:
@@ -195,13 +185,7 @@
 
 
 def test_a_start_sent_again_gives_no_lease_beyond_the_promise() -> None:
-    """A client's task runs twice after its owner alone lost the store.
-
-    The worker answers looks but not starts, as when their answers are lost on
-    the way. The owner is replaced, and the next one, which cannot reach the
-    worker, starts its tasks elsewhere as soon as all leases that were given
-    within the promise have run out. So none may be given after it.
-    """
+    """A repeated start gave a lease that the next owner did not wait for."""
 
     async def play() -> None:
         async with asyncio.TaskGroup() as group:
@@ -216,13 +200,7 @@
 
 
 def test_inherited_leases_are_waited_for_after_a_single_answer() -> None:
-    """A client's task runs twice after a change of owners.
-
-    The new owner is without the store and may renew nothing when a worker
-    answers its first look; then the worker is out of reach. It may run what
-    it told of until the previous owner's leases have run out, and is left
-    alone so long.
-    """
+    """A worker that answered once and fell silent was given up too soon."""
 
     async def play() -> None:
         clock = ManualClock()
--- a/tests/test_detour.py
+++ b/tests/test_detour.py
@@ -69,10 +69,7 @@
 def test_a_call_lost_on_one_way_may_have_been_carried_out(
     statuses: list[int],
 ) -> None:
-    """One way loses the answer, the other one refuses the same call.
-
-    Told as refused, a client would take its job for one that never runs.
-    """
+    """A job whose answer was lost on one way was told as refused."""
     with pytest.raises(UnavailableError) as caught:
         run(make_table(statuses).transact('token', [PUT]))
     assert not isinstance(caught.value, RefusedError)
@@ -82,12 +79,7 @@
 def test_a_daemon_turned_away_by_the_store_still_serves(
     tmp_path: pathlib.Path, fault: Fault
 ) -> None:
-    """The store turns the owner's daemon away and answers the other.
-
-    Clients of the first keep their connection to it. If the store is silent
-    their first call ends without an answer; from then on jobs are accepted,
-    run and shown all the same, and no other owner is needed.
-    """
+    """A daemon that the store turns away refused its clients."""
 
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -67,11 +67,7 @@
 
 
 def test_a_late_job_is_explained(tmp_path: pathlib.Path) -> None:
-    """The owner is killed; the job waits for the takeover.
-
-    The trace of the job's id shows that it was accepted, and by whom it was
-    started; the new owner's epoch and the time of its line tell why so late.
-    """
+    """A trace did not tell why a job was late."""
 
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
@@ -193,11 +189,7 @@
 
 
 def test_a_kind_of_line_has_a_budget() -> None:
-    """A fault repeats thousands of times a second.
-
-    The first lines are written, the rest is counted and told a second later;
-    lines of other kinds are not affected.
-    """
+    """A fault that repeats thousands of times a second filled the log."""
     reader, writer = os.pipe()
     now = [10.0]
     log = logbook.Logger('part')
@@ -217,11 +209,7 @@
 
 
 def test_a_full_pipe_does_not_block() -> None:
-    """Nobody reads the daemon's output for a while.
-
-    Lines beyond the backlog are dropped and counted; the daemon goes on, and
-    the next line that is written tells how many are missing.
-    """
+    """A daemon whose output nobody reads stood still."""
     reader, writer = os.pipe()
     now = [0.0]
     log = logbook.Logger('part')
--- a/tests/test_faults_of_commands.py
+++ b/tests/test_faults_of_commands.py
@@ -27,11 +27,7 @@
 
 
 def test_a_command_whose_answers_are_lost_is_one_change(site: Site) -> None:
-    """The table loses the answers to writes after they took effect.
-
-    The daemon sends its transaction again, and the tool its command, both
-    under the same id. The service is changed once: one revision up.
-    """
+    """A command that is sent again after a lost answer was a second change."""
     site.tool('apply', '-f', '-', stdin=json.dumps(make_service('l', 'desk')))
     before = site.call('GET', '/v1/services/desk/l')['metadata']['revision']
     newest = site.call('GET', '/v1/status')['revision']
@@ -86,11 +82,7 @@
 
 
 def test_signals_and_a_taken_port(tmp_path: pathlib.Path) -> None:
-    """A daemon is told to read its settings, and to stop; another cannot start.
-
-    The first reads a higher log level and a field that needs a restart. The
-    second is given the first's address, tells which field holds it, and ends.
-    """
+    """A reload or a taken port is not told with the field to change."""
     zones = make_zones(('a',), 1, 1, Room(4.0, 1024, 0))
     with Deployment(PlatformOptions(zones)) as deployment:
         process = deployment.start_daemon('one', 'a')
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -76,13 +76,7 @@
 
 
 def test_a_large_table_goes_on_where_it_was_after_a_failure() -> None:
-    """One call of an owner's feed runs into its timeout on a full link.
-
-    The owner then read all jobs anew. On a small host that took longer than
-    the timeout each time, filled the link, and left the rest of the day
-    without new jobs and without cancellations: jobs waited, and tasks of
-    cancelled ones ran on.
-    """
+    """Read anew after each failed call, a large table filled a small link."""
     new = Changes((RawRow('new', b'', 6),), 6)
     calls = _Calls(False, [None, new])
     feed = Feed(cast(PlatformTable, calls), 'jobs', 1.0, position=5)
@@ -110,11 +104,7 @@
 
 
 def test_a_whole_reading_comes_in_answers_that_a_small_host_gets() -> None:
-    """A new owner on the smallest link reads what was left to it.
-
-    All rows in one answer do not arrive within the call's timeout, however
-    often it is sent.
-    """
+    """All rows in one answer never arrived on the smallest link."""
 
     async def play() -> tuple[Mapping[str, bytes], int, int]:
         async with contextlib.AsyncExitStack() as stack:
@@ -138,11 +128,7 @@
 
 
 def test_rows_that_fill_an_answer_early_are_all_read() -> None:
-    """Long rows reach the answer's limit in bytes before that in rows.
-
-    Taken for the end of the table, jobs behind them would never be known to
-    a new owner.
-    """
+    """An answer cut by its size was taken for the end of the table."""
 
     async def play() -> tuple[int, int]:
         async with open_table() as (store, table):
--- a/tests/test_giving_up.py
+++ b/tests/test_giving_up.py
@@ -91,13 +91,7 @@
 
 
 def test_a_service_is_free_after_a_stop_with_a_write_on_its_way() -> None:
-    """A daemon is stopped as planned while its owner writes, as it often does.
-
-    The write took effect after the release had been tried, so the release
-    failed and the lease stayed with a daemon that was gone. Nobody placed
-    anything for 2 s, and a larger host that the service was meant for did not
-    get it: the small one found the lease still its own.
-    """
+    """A lease stayed with a stopped daemon whose last write came late."""
     assert run(_stop_during_a_write()) == ''
 
 
@@ -115,11 +109,7 @@
 
 
 def test_a_stop_while_reading_passes_on_that_starts_are_unwritten() -> None:
-    """A new owner is stopped while it reads, after an outage of the store.
-
-    The owner before told that tasks may run of which no row tells. Released
-    without that word, the next owner would start them again.
-    """
+    """The doubt about unwritten starts ended with a stop."""
 
     async def play() -> bool:
         async with contextlib.AsyncExitStack() as stack:
--- a/tests/test_handing_over.py
+++ b/tests/test_handing_over.py
@@ -48,13 +48,7 @@
 def test_an_owner_works_before_it_hands_over(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A small host takes over 1,000 jobs, which it reads for over 3 s.
-
-    A larger host answers and does not take the lease (it is being stopped, or
-    fails to read). The least tenure counts from the lease's taking, so it is
-    over before the jobs are read: the owner is told to stop, reads on to the
-    end, places nothing, and releases; and so each time.
-    """
+    """A small owner handed over before it had placed anything, each time."""
     monkeypatch.setattr(campaigns, 'LEAST_TENURE_SECONDS', 0.3)
     monkeypatch.setattr(campaigns, 'HEAD_START_SECONDS', 0.1)
     monkeypatch.setattr(campaigns, 'LARGER_POLL_SECONDS', 0.05)
@@ -91,12 +85,7 @@
 
 
 def test_a_daemon_that_never_heard_the_store_is_no_heir() -> None:
-    """A small owner asks a larger host that has never had a good answer.
-
-    Such a daemon has no failed call either, so it tells an age of 0 and the
-    owner hands the service over to a host that has not reached the store, or
-    is being stopped.
-    """
+    """A service was handed to a host that had not reached the store."""
 
     async def play() -> bool:
         watch = StoreWatch(SystemClock().monotonic, SERVICE)
@@ -125,12 +114,7 @@
 def test_a_host_is_not_outranked_by_its_own_address(
     tmp_path: pathlib.Path,
 ) -> None:
-    """A large host is removed for good; a small one comes at its address.
-
-    The old row stays. The small host takes it for another, larger one, hears
-    from itself that the store answers, and hands the service over to itself
-    every few seconds.
-    """
+    """A host handed its service over to itself every few seconds."""
 
     async def play() -> int:
         async with open_scene(tmp_path) as scene:
@@ -178,13 +162,7 @@
 def test_a_task_that_lasts_comes_back_while_its_service_changes_hands(
     tmp_path: pathlib.Path,
 ) -> None:
-    """A larger host answers and never takes the lease; a worker goes for good.
-
-    The small owner hands over every few seconds and takes the service back.
-    Each new owner waits for the leases on the worker from the beginning, 7.4 s
-    after its own reading, and is gone before that: what ran there is never
-    started elsewhere though there is room.
-    """
+    """Each new owner waited anew for a lost worker's leases."""
 
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -58,13 +58,7 @@
 def test_owners_in_turn_do_not_keep_what_a_gone_worker_ran(
     tmp_path: pathlib.Path,
 ) -> None:
-    """A client's lasting task stays away while daemons are restarted in turn.
-
-    Its worker is gone for good, and each daemon that owns the service is
-    stopped before it has waited for that worker's leases; the next one began
-    to wait anew. The task has to be back one lease after the worker's loss,
-    or little later, whoever owns the service then.
-    """
+    """Owners stopped in turn each waited anew for a lost worker's leases."""
 
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
--- a/tests/test_http_calls.py
+++ b/tests/test_http_calls.py
@@ -44,10 +44,7 @@
 
 
 def test_a_look_is_little_more_than_its_body() -> None:
-    """An owner of hundreds of workers makes thousands of calls a second.
-
-    On the smallest link a third of each was headers that nobody read.
-    """
+    """A third of what an owner sends was headers that nobody read."""
     heard = run(_send_look())
     assert b'X-Expected-Instance: i-40bb3c7090' in heard
     assert len(heard) <= LOOK_BYTES
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -35,11 +35,7 @@
 
 
 def test_an_owner_takes_in_the_jobs_of_its_own_service_only() -> None:
-    """Two services get jobs while their owners follow the same feed.
-
-    Each job is admitted by the owner of its service, whether it was handed in
-    before the owner began or since. Admitted by both, it would run twice.
-    """
+    """A job admitted by the owners of two services ran twice."""
 
     async def play() -> None:
         async with open_table() as (_, table):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -63,12 +63,7 @@
 
 
 def test_a_paused_holder_writes_nothing_when_it_wakes() -> None:
-    """A holder is paused past its lease, and another takes over.
-
-    The first wakes and sends the write that it had in hand. The write expects
-    the version of the lease's row, which the takeover raised, so it fails
-    whole and the row that it would have written stays absent.
-    """
+    """A holder that wakes after its lease wrote rows of its successor."""
 
     async def check() -> None:
         table, clock = MemoryTable(), ManualClock()
@@ -87,11 +82,7 @@
 
 
 def test_a_lost_answer_is_one_write() -> None:
-    """The answer to a renewal is lost after it took effect.
-
-    The holder sends the same transaction again; it conflicts with its own
-    first copy, whose token on the lease's row says that it applied.
-    """
+    """A renewal whose answer was lost was taken for a lost lease."""
 
     async def check() -> None:
         table, clock = LossyTable(), ManualClock()
@@ -108,11 +99,7 @@
 
 
 def test_a_renewal_sent_again_counts_from_the_first_time() -> None:
-    """Every answer to a renewal is lost, and it is sent again later.
-
-    It took effect the first time, and others count from there; so must the
-    holder, or it would trust its lease after another has taken it.
-    """
+    """A holder trusted its lease after another had taken it."""
 
     async def check() -> None:
         table, clock = LossyTable(), ManualClock()
--- a/tests/test_link_pauses.py
+++ b/tests/test_link_pauses.py
@@ -90,13 +90,7 @@
 def test_an_owner_alone_without_the_store_looks_seldom(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """An owner on a small link is cut off, and replaced.
-
-    Its workers listed the ends that it could not write four times a second
-    each. After the cut these lists filled its link, its calls to the store ran
-    into their timeouts, and it went on so for the rest of the day without
-    hearing of the new owner.
-    """
+    """Lists of unwritten ends filled the link of an owner that was cut off."""
     assert run(_list_pauses(False, monkeypatch)) == [1.5] * LOOKS
 
 
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -139,12 +139,7 @@
 def test_daemons_and_operators_over_tls(
     own_site: Site, authority: Authority
 ) -> None:
-    """A third daemon with TLS on every listener, and a fourth as its peer.
-
-    The two find each other by mutual TLS. A client without a certificate of
-    the authority gets no connection to the peers' listener, and one that
-    speaks an older TLS than allowed gets none to the operators'.
-    """
+    """A client without a certificate, or with an old TLS, got a connection."""
     tls = authority.issue('one')
     open_to_all = attrs.evolve(tls, authority='')
     listeners = ListenerTlsSettings(open_to_all, open_to_all, open_to_all, tls)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -161,11 +161,7 @@
 
 
 def test_a_daemon_that_stood_still_does_not_think_itself_alone() -> None:
-    """A daemon is paused for ten seconds and wakes.
-
-    It heard nobody meanwhile. Were silence counted over the pause, all
-    others would be down for it, and it would try to take every slice.
-    """
+    """A daemon that wakes took all others for down, and every slice."""
     clock = ManualClock()
     node = Membership(make_member('a', 1), SILENCE, clock.monotonic)
     node.observe([make_member('b', 1)])
@@ -200,12 +196,7 @@
 
 
 def test_the_last_started_of_one_name_has_it() -> None:
-    """A daemon is paused, and a replacement starts under its name.
-
-    The replacement's clock is behind, so it starts with the lower
-    incarnation; it raises it above its predecessor's, whose row it finds.
-    The old one wakes, finds the row changed, and is not ready any more.
-    """
+    """A paused daemon that wakes served beside its replacement."""
 
     async def check() -> None:
         table, clock = MemoryTable(), ManualClock()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -29,17 +29,7 @@
 def test_a_small_host_hands_a_service_over_to_a_larger_one(
     tmp_path: pathlib.Path,
 ) -> None:
-    """Quick jobs wait for seconds on a deployment whose hosts differ in size.
-
-    The first daemon that asked for the lease sits on a host with a tenth of
-    the link of others. All orders and looks go through that link, which is
-    full: starts, cancellations and acknowledgements come seconds late, while
-    a host that could carry them stands by.
-    The larger host has to own the service once it is there, and what runs has
-    to stay in place.
-    Shown by logs of six days with the same load and other seeds: who owned,
-    and what the checks earned, went together on each.
-    """
+    """Orders went through the full link of a small owner, seconds late."""
 
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
@@ -97,11 +87,7 @@
 
 
 def test_a_deferred_lease_is_left_to_others_for_a_while_only() -> None:
-    """All hosts wait for a lease whose holder is gone; some are small.
-
-    A large one takes it as soon as it has run out. Where there is none, a
-    small one must take it too, or the service would stand still.
-    """
+    """A free lease that small hosts left to larger ones was taken by nobody."""
 
     async def check() -> None:
         table, clock = MemoryTable(), ManualClock()
@@ -125,11 +111,7 @@
 
 
 def test_a_small_host_leaves_the_lease_of_its_own_dead_process() -> None:
-    """All daemons are killed at once, and the owner sat on a small host.
-
-    Its new process knows that the lease is free before all others do. Taken
-    at once, the service would be on the small host again.
-    """
+    """After a kill of all, the service was on the small host again."""
 
     async def check() -> None:
         table, clock = MemoryTable(), ManualClock()
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -19,13 +19,7 @@
 
 
 def test_a_job_waits_until_a_worker_has_begun_it() -> None:
-    """A caller is told that few jobs wait while many have not begun.
-
-    Jobs are placed on workers that were just cut off, together with their
-    zone: the starts are sent and never arrive. The owner counted a job as
-    begun once it was placed, and so did the next owner, from its row, until
-    the leases had run out and the job was placed again.
-    """
+    """Jobs whose starts never arrived counted as begun."""
     book = Book()
     admit(book, make_job('a'))
     task = find_task(book, 'a')
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -113,13 +113,7 @@
 
 
 def test_a_planned_stop_cuts_nothing_off(deployment: Deployment) -> None:
-    """SIGTERM comes twice while the balancer still sends for 0.9 s.
-
-    Every request is answered, also one whose body arrives over the whole
-    time. Kept connections are told to close from the signal on, so that the
-    balancer opens the next one elsewhere. Slices go to the other daemon, and
-    the process ends with status 0, though its health is asked all the time.
-    """
+    """A planned stop cut requests that were under way or yet to come."""
     stopping = deployment.daemons['e0']
     slow = start_slow_request(stopping)
     callers = [Caller(stopping, time.monotonic() + 1.4) for _ in range(6)]
@@ -173,11 +167,7 @@
 
 
 def test_a_killed_daemon_doubles_nothing(deployment: Deployment) -> None:
-    """SIGKILL comes while requests run.
-
-    Their callers see the connection end without an answer: nobody says that
-    they did not run. Each ran once at most, and each that was sent on ran.
-    """
+    """After a kill a request ran twice, or was told as not run."""
     killed = deployment.daemons['e2']
     ends: list[str] = []
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -173,11 +173,7 @@
 
 
 def test_an_older_configuration_never_comes_back() -> None:
-    """Answers of two calls overtake each other.
-
-    The older row is delivered after the newer one; a route that was removed
-    would be served again.
-    """
+    """A row delivered late brought a removed route back."""
     routes = RouteTable(ManualClock().monotonic, 2.0)
     routes.offer(RawRow('config', make_configuration(2, '/new/'), 20))
     routes.offer(RawRow('config', make_configuration(1, '/old/'), 10))
@@ -294,11 +290,7 @@
 
 
 def test_an_outage_does_not_cost_the_holder_its_lease() -> None:
-    """The table is away for longer than a lease.
-
-    The holder could not renew. When the table is back, another daemon that is
-    answered first must give the holder the time of a lease again.
-    """
+    """After an outage another daemon took the lease before its holder."""
 
     async def play(
         store: RowStore, table: PlatformTable, clock: ManualClock
@@ -318,11 +310,7 @@
 
 
 def test_a_dead_holder_of_the_same_host_is_not_waited_for() -> None:
-    """All daemons are killed at once, the holder with them.
-
-    Its host's next process knows that the holder is dead and goes on at once;
-    any other daemon gives it the time of a lease.
-    """
+    """A host's new process waited for the lease of its own dead one."""
 
     async def play(
         store: RowStore, table: PlatformTable, clock: ManualClock
@@ -350,11 +338,7 @@
 
 
 def test_an_outage_hides_the_holders_last_writes() -> None:
-    """The holder acts on in an outage and is lost before it can write.
-
-    The next holder must know that the rows may be behind: it has seen
-    renewals before the outage, and none since.
-    """
+    """A new holder took rows for true that an outage had left behind."""
 
     async def play(
         store: RowStore, table: PlatformTable, clock: ManualClock
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -104,11 +104,7 @@
 def test_a_killed_owner_is_replaced_and_its_tasks_go_on(
     tmp_path: pathlib.Path,
 ) -> None:
-    """The owner is killed while a task runs and another job waits for it.
-
-    The second daemon takes the lease, hears the worker, and leaves the task
-    in place: it is started once, and a new job is served.
-    """
+    """A task that runs under a lost owner was started again by the next."""
 
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
@@ -155,11 +151,7 @@
 
 
 def test_a_refused_job_never_runs(tmp_path: pathlib.Path) -> None:
-    """The store refuses all calls for a while.
-
-    A caller is told at once that its job was not accepted and when to come
-    back; the job is not started later, and work that runs goes on.
-    """
+    """A job that was told as refused ran later."""
 
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
@@ -185,11 +177,7 @@
 def test_an_answer_lost_by_the_store_is_told_as_unknown(
     tmp_path: pathlib.Path,
 ) -> None:
-    """The store writes the job and its answer is lost.
-
-    The caller gets 504, not a refusal, sends the same request again, and the
-    job runs once.
-    """
+    """A job whose answer was lost was told as refused, or ran twice."""
 
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -35,11 +35,7 @@
 
 @pytest.mark.parametrize('workers', [200, 245, 300])
 def test_a_long_list_leaves_the_link_to_orders(workers: int) -> None:
-    """An owner of 300 workers on the smallest link reads the list all day.
-
-    Read every 0.4 s it took half of the link; orders and the feed of jobs
-    queued behind it.
-    """
+    """The list of workers took half of the smallest link."""
     spent = workers * ENTRY_BYTES / choose_pause(workers)
     assert spent < SLOWEST_LINK_BYTES / 3.5
 
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -59,12 +59,7 @@
 
 
 def test_a_bad_hour_is_told_by_queue(tmp_path: pathlib.Path) -> None:
-    """Clients of one queue complain of lateness, others of silence.
-
-    The report tells that one of two checks was late after it waited for three
-    seconds, lost a run with its lease and had another stopped, and that the
-    nightly job has never been started.
-    """
+    """The report did not tell which queue was late, and why."""
     status, out, _ = run_tool(
         'report', *write_logs(tmp_path), '--output', 'json'
     )
--- a/tests/test_restoring.py
+++ b/tests/test_restoring.py
@@ -33,13 +33,7 @@
 
 
 def test_any_number_of_takeovers_raises_the_next_run_by_one_margin() -> None:
-    """Rows keep the run of a task and not the margin that a takeover adds.
-
-    A task runs as run 1. Owners come and go without placing it, and each
-    writes its row; only the last one places it. Its run is 10 after one
-    takeover and 10 after three, so a run's number does not tell how often a
-    service changed hands.
-    """
+    """Each takeover raised the number of a task's next run."""
     runs = []
     for takeovers in (1, 3):
         book = Book()
@@ -59,12 +53,7 @@
 
 
 def test_a_done_occurrence_is_not_run_again_by_a_slower_clock() -> None:
-    """A scheduled job's occurrence runs early in its time, and the owner goes.
-
-    The next owner's clock is 0.2 s behind: the occurrence is not due there
-    yet, so it has no tasks, and the row's word that they are done is dropped.
-    When its time comes they are started again.
-    """
+    """A done occurrence runs again under an owner whose clock is behind."""
     spec = JobSpec(
         'a',
         'payload',
@@ -89,11 +78,7 @@
 def test_restoring_states_lets_the_lease_be_renewed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A small host restores the states of 1,000 jobs.
-
-    Its lease is to be renewed meanwhile. Admitting jobs gives way after each
-    page; restoring their tasks, the longer part, never does.
-    """
+    """An owner that restores many tasks lost its lease meanwhile."""
     restored = 0
     restore = restore_state
 
--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -38,11 +38,7 @@
 
 
 def test_a_forgotten_job_leaves_nothing_for_the_collector() -> None:
-    """An owner of many jobs forgets 24 of them a second.
-
-    Each job and its tasks named each other, so their memory stayed until the
-    collector walked the whole book, for which it had to do so often.
-    """
+    """Forgotten jobs kept their memory until the collector walked the book."""
     gc.collect()
     gc.disable()
     try:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -106,11 +106,7 @@
 
 
 def test_everything_halts_when_the_target_is_missed_for_long() -> None:
-    """A tail stays over its target although the model sees no cause.
-
-    Its users wait, and the model may be wrong; before the time allowed is
-    over, everything that fills beside stops working.
-    """
+    """A tail stayed over its target for causes that the model does not see."""
     book, worker, served = make_scene()
     sharing = Sharing()
     sharing.restore([['web', 'light', 0.0]])
@@ -158,11 +154,7 @@
 
 
 def test_a_load_and_an_interference_are_told_apart() -> None:
-    """A new load and what runs beside it explain the same figure.
-
-    Two tasks of one job serve on two workers, one of them beside a filling
-    task; a filter that neglects covariances gives the whole error to both.
-    """
+    """An error of a load was taken for interference, and the other way."""
     known = Filter(_PRIORS)
     for step in range(20):
         known.age(0.5 * step)
@@ -206,11 +198,7 @@
 
 
 def test_a_quiet_spell_interferes_less() -> None:
-    """A filling task's use of its cores tells its spell.
-
-    Counted alike in both, the interference of a busy task is taken for half
-    of what it is, and a quiet one is slowed for what it does not do.
-    """
+    """A quiet task was throttled for what it does in busy spells."""
     book, worker, _ = make_scene()
     fill = add_fill(book, worker, 'a', 'heavy')
     assert measure_intensity(fill) == pytest.approx(1.0)
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -98,12 +98,7 @@
 def test_an_answer_that_keeps_arriving_is_not_cut(
     position: int | None,
 ) -> None:
-    """A host on a small link reads a configuration of a thousand routes.
-
-    Each call ended at the timeout for its whole, with half of the answer
-    there. The next one began anew and ended so too: the host served by the
-    old routes for as long as the new ones took longer than one call.
-    """
+    """A configuration that takes longer than a call never arrived."""
     link = _Link(stops_after=PIECES)
     feed = run(_read_once(link, position))
     assert (feed.position, feed.failures, link.calls) == (7, 0, 1)
@@ -111,11 +106,7 @@
 
 @pytest.mark.parametrize('pieces', [0, 3])
 def test_an_answer_that_stops_arriving_is_cut(pieces: int) -> None:
-    """The way to the store falls silent, at once or in the middle.
-
-    Nothing tells of it but the silence; a call that waited on would keep
-    back every change until the longest time for an answer is over.
-    """
+    """A call to a store that fell silent kept back every change."""
     feed = run(_read_once(_Link(stops_after=pieces), 5))
     assert (feed.position, feed.failures) == (5, 1)
 
@@ -123,11 +114,7 @@
 def test_a_failed_call_does_not_read_the_configuration_anew(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """After an outage all hosts ask for what has changed, which is little.
-
-    Read whole by all of them, the longest row of the platform filled small
-    links for seconds, also where nothing had changed.
-    """
+    """After an outage all hosts read the longest row whole."""
     monkeypatch.setattr(feeds, 'RETRY_SECONDS', 0.0)
     asked: list[str] = []
 
@@ -158,11 +145,7 @@
 def test_an_outage_for_all_makes_no_configuration_outdated(
     monkeypatch: pytest.MonkeyPatch, is_outage: bool
 ) -> None:
-    """The store is away for all daemons for longer than a change may take.
-
-    Back again, it answers submissions at once. Refused by every daemon until
-    its feed is heard, clients lose a quarter of a second more.
-    """
+    """After an outage for all every daemon refused until it heard the feed."""
     monkeypatch.setattr(feeds, 'RETRY_SECONDS', 0.0)
     clock = ManualClock()
     known_away = clock.monotonic if is_outage else lambda: -math.inf
@@ -194,12 +177,7 @@
 
 
 def test_an_outdated_configuration_answers_nobody() -> None:
-    """The store tells one host of no change for longer than a change may take.
-
-    A caller of a new queue was told that there is none, and a job for a queue
-    that is gone was accepted. It is told to ask elsewhere, until the host has
-    heard again, whether or not anything has changed.
-    """
+    """A host that hears of no change served by an outdated configuration."""
 
     async def play() -> list[int]:
         async with contextlib.AsyncExitStack() as stack:
--- a/tests/test_storewatch.py
+++ b/tests/test_storewatch.py
@@ -29,11 +29,7 @@
 def test_only_daemons_that_hear_from_the_store_help(
     ages: dict[str, float | None], helpers: list[str]
 ) -> None:
-    """The store turns one daemon away, or all, or the daemon is cut off.
-
-    Calls go through a daemon that hears from it; where there is none, clients
-    are refused at once.
-    """
+    """Calls went through a daemon that does not hear from the store either."""
     outage = make_outage(ages, ManualClock())
     assert sorted(outage.list_helpers()) == ['b', 'c']
     run(outage.ask())
@@ -53,12 +49,7 @@
 def test_an_outage_is_general_only_if_the_others_say_so(
     ages: dict[str, float | None], general: bool, cut_off: bool
 ) -> None:
-    """An owner loses the store, and must know whether it will be replaced.
-
-    It goes on starting tasks without the store only if most daemons answer
-    and none of them hears from it. Where one does, calls go through that one;
-    where none can be asked, the daemon takes no new clients.
-    """
+    """An owner that was about to be replaced started tasks unwritten."""
     clock = ManualClock()
     outage = make_outage(ages, clock)
     assert outage.watch.is_down
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -78,11 +78,7 @@
 def test_a_lost_answer_is_cleared_up_without_the_caller(
     failures: list[Exception],
 ) -> None:
-    """The connection breaks after the store may have written the job.
-
-    The write is sent again: it takes effect, or finds the row. The caller is
-    told that the job is accepted, at once.
-    """
+    """A broken connection to the store was left to the caller."""
     table = submit(failures)
     assert table.written == (THERE not in failures)
 
@@ -95,11 +91,7 @@
 
 
 def test_a_refusal_after_a_lost_answer_is_no_refusal() -> None:
-    """The first write is lost, and the store refuses the second one.
-
-    The first may still be carried out, so the caller must not be told that
-    the job never runs.
-    """
+    """A job that may still be written was told as refused."""
     with pytest.raises(UnknownOutcomeError) as caught:
         submit([LOST, REFUSED])
     assert caught.value.ran is Ran.UNKNOWN
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -80,12 +80,7 @@
 def test_a_new_owner_renews_its_lease_while_it_reads(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A small host takes over 1,000 jobs, which takes it over 3 s to read.
-
-    Its lease of 2 s lapsed before it was at work. The next host took the
-    lease and began to read, and lost it in the same way, and so on: no job
-    was started, and none was shown as it was, for the rest of the day.
-    """
+    """Reading a thousand jobs cost each new owner its lease."""
     monkeypatch.setattr(takeover, 'RENEW_SECONDS', 0.01)
 
     async def play() -> int:
@@ -157,11 +152,7 @@
 def test_a_stop_while_reading_is_not_kept_waiting(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """A daemon is stopped as planned while it reads what was left to it.
-
-    Nobody asked for the stop until all was read, and then it waited for the
-    last write of a writer that was never begun.
-    """
+    """A stop while reading waited for a writer that never began."""
     monkeypatch.setattr(commits, 'SETTLE_SECONDS', 1e9)
 
     async def play() -> None:
@@ -179,12 +170,7 @@
 
 
 def test_a_stop_while_reading_ends_without_the_store() -> None:
-    """The store goes away while a new owner reads, and the daemon is stopped.
-
-    The renewal beside the reading is repeated until the store answers, also
-    after the reading has failed, and nobody looks at the stop: the daemon is
-    killed at the end of its grace.
-    """
+    """A stop while reading waited for a renewal until the store is back."""
 
     async def play() -> None:
         async with contextlib.AsyncExitStack() as stack:
@@ -210,13 +196,7 @@
 
 
 def test_a_new_owner_moves_tasks_off_a_worker_that_is_leaving() -> None:
-    """A worker drains while its service changes hands.
-
-    The rows tell only its id, so the new owner makes it up as draining. When
-    its registration says so too nothing seems to have changed, and what lasts
-    there is not moved: it is away from the worker's exit until its leases
-    have run out.
-    """
+    """A new owner did not move what lasts off a worker that is leaving."""
 
     async def play() -> None:
         async with contextlib.AsyncExitStack() as stack:
--- a/tests/test_worker_restarts.py
+++ b/tests/test_worker_restarts.py
@@ -23,13 +23,7 @@
 def test_what_a_new_life_was_given_is_not_started_again(
     tmp_path: pathlib.Path,
 ) -> None:
-    """A lasting task runs twice at once, or is stopped and started again.
-
-    A worker restarts. Its owner hears so from its lists, which are of a new
-    life, and starts the lost task anew there. Then the new registration comes,
-    and the owner takes it for one more restart: it gives up what it has just
-    started, and starts it a third time.
-    """
+    """One restart of a worker was taken for two, and a task ran twice."""
 
     async def play() -> None:
         async with open_scene(tmp_path) as scene:
