--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -45,11 +45,7 @@
 
 
 def test_a_paused_owner_wakes_after_its_lease() -> None:
-    """The owner of a slice is stopped, and another daemon takes the slice.
-
-    Tasks run on in place under the new owner. The first wakes with calls in
-    hand; workers refuse its epoch, the table its version. Each job runs once.
-    """
+    """An owner that wakes after its lease doubled jobs."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell)
@@ -63,11 +59,7 @@
 
 
 def test_every_daemon_is_replaced_at_once() -> None:
-    """All daemons die and others start, which know nothing but the table.
-
-    The slice's lease lapses, a new daemon takes it and finds the tasks
-    running. Each job runs once.
-    """
+    """With all daemons replaced, running tasks were begun again."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell)
@@ -80,11 +72,7 @@
 
 
 def test_an_owner_cut_off_from_the_table_is_replaced() -> None:
-    """The owner reaches the workers but not the table; both daemons act.
-
-    The new owner's first call shows the workers its epoch, and from then on
-    they refuse the old one. Each job runs once.
-    """
+    """An owner without the table acted beside its successor."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell)
@@ -100,12 +88,7 @@
 
 
 def test_a_cut_zone_keeps_its_tasks_for_the_promise() -> None:
-    """The old owner reaches only workers, the new one only the table.
-
-    Within the promise (60 s) the old owner renews and nothing restarts. Past
-    it the tasks save a checkpoint and lapse; the new owner has waited for
-    just that, and gives them up. They resume once when the cut heals.
-    """
+    """A cut shorter than the promise restarted tasks, or doubled them."""
 
     def cut(seconds: float) -> Scene:
         async def scene(cell: Cell) -> None:
@@ -129,11 +112,7 @@
 
 
 def test_a_planned_stop_takes_the_promise_back() -> None:
-    """The owner gives the slice up; the next cannot reach a worker.
-
-    The row that was given up says that nobody renews any more, so the next
-    owner waits for the task lease (15 s) and not for the promise (60 s).
-    """
+    """After a planned stop the next owner waited for the promise."""
 
     async def scene(cell: Cell) -> None:
         task = await cell.submit('job', 200.0)
@@ -152,12 +131,7 @@
 
 
 def test_a_paused_worker_is_replaced_and_wakes() -> None:
-    """A worker stops for longer than its tasks' leases, with calls buffered.
-
-    The owner cannot reach it, waits until every lease it gave has lapsed,
-    and places the tasks elsewhere. The worker wakes, finds the leases
-    lapsed, and ignores the commands that came too late.
-    """
+    """A worker that wakes ran on what had been placed elsewhere."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell, seconds=60.0)
@@ -170,11 +144,7 @@
 
 
 def test_a_lost_rack_moves_to_other_racks() -> None:
-    """Two workers go silent for good and come back as new boots.
-
-    Their tasks lapse and resume on the third from the checkpoints that the
-    workers had reported, so no work is done twice.
-    """
+    """What a lost rack had done up to its checkpoints was done twice."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell, 4, seconds=60.0)
@@ -193,11 +163,7 @@
 
 
 def test_starts_and_stops_are_delayed_and_repeated() -> None:
-    """Calls to workers arrive twice, late, or without their answer.
-
-    A start counts as started until the worker says no; a late copy is
-    refused by its deadline, and an attempt is forgotten only after that.
-    """
+    """A late copy of a start began an attempt that was over."""
 
     async def scene(cell: Cell) -> None:
         for daemon in cell.daemons:
@@ -214,11 +180,7 @@
 
 
 def test_the_table_loses_answers_and_writes_late() -> None:
-    """Writes time out and take effect later, or lose their answer.
-
-    The same transaction is sent again until its fate is known; nothing is
-    started before that, and no job completes twice.
-    """
+    """A write whose fate was unknown completed a job twice."""
 
     async def scene(cell: Cell) -> None:
         for daemon in cell.daemons:
@@ -237,11 +199,7 @@
 
 
 def test_a_store_outage_of_ten_minutes_disturbs_nothing() -> None:
-    """The table is down for ten minutes; the promise is eleven.
-
-    Running tasks are renewed and end where they were; what was accepted
-    before waits, and starts when the table is back.
-    """
+    """An outage within the promise stopped running tasks."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell, 4, seconds=300.0)
@@ -259,11 +217,7 @@
 
 
 def test_a_store_outage_beyond_the_promise_ends_in_checkpoints() -> None:
-    """The table is down for longer than the promise (60 s).
-
-    Before the promise ends the owner has every task save a checkpoint, then
-    lets it lapse. Each resumes once, from there: nearly no work is lost.
-    """
+    """An outage beyond the promise threw work away."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell, 4, seconds=150.0)
@@ -298,11 +252,7 @@
 
 
 def test_clocks_run_at_different_rates() -> None:
-    """Workers' clocks are half a percent fast and slow, through a cut.
-
-    Leases are given on the worker's clock and waited out with the drift
-    allowed for, so a task that lapsed here has lapsed there.
-    """
+    """With clocks that drift apart a lapsed task was still running."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell, 9, seconds=90.0)
@@ -316,11 +266,7 @@
 
 
 def test_the_object_store_is_down() -> None:
-    """The object store is down while a worker fails and jobs end.
-
-    Tasks run on. What moves resumes from its last whole checkpoint and waits
-    for it to be readable; what is done finishes when its output is whole.
-    """
+    """Without the object store tasks resumed from nothing, or lost output."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell, 6, seconds=60.0)
@@ -339,10 +285,7 @@
 
 
 def test_a_missing_checkpoint_fails_the_attempt() -> None:
-    """The named checkpoint is gone: no attempt begins again from nothing.
-
-    Each worker refuses it, and after three workers the job has failed.
-    """
+    """An attempt without its checkpoint began again from nothing."""
 
     async def scene(cell: Cell) -> None:
         await submit_some(cell, 1, seconds=60.0)
--- a/tests/test_batch_rows.py
+++ b/tests/test_batch_rows.py
@@ -21,11 +21,7 @@
 
 
 def test_rows_that_cannot_be_read_do_not_stop_a_slice() -> None:
-    """A damaged request, one of a newer version, and a damaged task row.
-
-    The damaged request is set aside, the newer one waits for an owner that
-    knows it, the task's row stays as it is; jobs behind them run.
-    """
+    """One damaged row stopped all jobs behind it."""
     clock = ManualClock()
 
     async def work() -> None:
@@ -47,11 +43,7 @@
 
 
 def test_a_wave_of_cancellations_is_no_write_storm() -> None:
-    """5,000 jobs wait and are cancelled at once; urgent ones come meanwhile.
-
-    The owner works the wave off at its limit of rows; urgent jobs go ahead
-    and start within 2.1 s.
-    """
+    """Urgent jobs waited behind thousands of cancellations."""
     clock = ManualClock()
 
     async def work() -> None:
@@ -140,11 +132,7 @@
 
 
 def test_what_waited_for_the_store_is_worked_off_in_order() -> None:
-    """300 jobs and an urgent one are accepted while no daemon has the table.
-
-    When it is back the urgent job begins before the batch that came earlier,
-    and the rest follows within the limit of rows.
-    """
+    """After an outage urgent jobs waited behind batch."""
     clock = ManualClock()
 
     async def work() -> None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -255,11 +255,7 @@
 
 
 def test_a_snapshot_is_of_one_revision_while_others_write() -> None:
-    """Operators change resources while a daemon reads all of them.
-
-    Its scan finds some rows from before a change and some from after; what
-    was accepted meanwhile is put on top, so all rows are of one revision.
-    """
+    """A snapshot mixed rows of two revisions."""
 
     class Busy(FaultyTable):
         weight = 2.0
@@ -291,12 +287,7 @@
 
 
 def test_not_ready_until_the_newest_known_revision_is_in_force() -> None:
-    """A daemon starts where the table is out and hears that 5 exists.
-
-    It gets 3 from a peer that is behind. Serving by it could undo what
-    operators changed since, so it is not ready until it has 5; once it had
-    the newest it stays ready, though it may fall behind later.
-    """
+    """A daemon that starts behind undid changes."""
     configuration = Configuration()
     configuration.note(5)
     configuration.load(3, [make_team('one', 2.0)])
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -60,11 +60,7 @@
 def test_the_index_places_as_the_naive_placer_does(
     rooms: list[tuple[Room, bool]], data: st.DataObject
 ) -> None:
-    """Jobs are placed one by one on a random cluster by both placers.
-
-    Both find a place or neither does, and the index's choice leaves at most
-    `SCORE_BOUND` times the room that the naive choice leaves.
-    """
+    """The index found no place, or a far worse one, where there was one."""
     index = WorkerIndex()
     records = [make_record(n, room, up) for n, (room, up) in enumerate(rooms)]
     index.synchronize({r.name: r for r in records}, [r.name for r in records])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -162,11 +162,7 @@
 
 
 def test_urgent_work_evicts_the_cheapest_batch() -> None:
-    """A cluster is full of batch, and an urgent job comes.
-
-    The youngest job is evicted, as it loses least; the room is kept for the
-    urgent job, although batch waits, and it starts as soon as it is free.
-    """
+    """Eviction cost more than it had to, or its room went to batch."""
     bench = Bench(1)
     for number in range(8):
         bench.submit(f'old-{number}')
@@ -184,11 +180,7 @@
 
 
 def test_backfill_does_not_starve_a_large_job() -> None:
-    """Small jobs come all the time, and a job needs a whole worker.
-
-    Without a reservation each gap is filled by a small job, and the large
-    one never sees eight free cores.
-    """
+    """Small jobs took each gap from a job that needs a whole worker."""
     bench = Bench(2)
     large = ''
     for number in range(40):
@@ -238,11 +230,7 @@
 
 
 def test_throttling_does_not_flap() -> None:
-    """A service's ratio wavers around the limits after one real excess.
-
-    One throttle follows; while the ratio stays between the limits nothing
-    happens, and each relapse makes the next calm time longer.
-    """
+    """A ratio that wavers around its limits throttled and freed by turns."""
     isolator = Isolator(lambda: False)
     share = 1.0
     changes = []
@@ -269,11 +257,7 @@
 
 
 def test_noise_does_not_move_a_service_own_time() -> None:
-    """A service always runs beside jobs, and its measurements are noisy.
-
-    Corrected more in one direction, its own time would drift there, and its
-    neighbours would look harmful, or harmless, whatever they do.
-    """
+    """Noise made neighbours look harmful, or harmless."""
     chance = random.Random(1)
     model = InterferenceModel()
     model.observe('s', 2, {}, 20.0, 0.0)
@@ -307,11 +291,7 @@
 
 
 def test_interference_is_told_apart_and_forgotten() -> None:
-    """Two classes run beside a service in changing numbers.
-
-    The model learns which one slows it, trusts it, and after a long time
-    without measurements does not.
-    """
+    """The model blamed the wrong class, or for ever."""
     model = InterferenceModel()
     for step in range(400):
         mix = {'loud': float(step % 3 == 0), 'soft': float(step % 2)}
@@ -332,11 +312,7 @@
 
 
 def test_a_worker_that_fails_everything_is_told_from_a_bad_class() -> None:
-    """Two workers fail each job they get; one class fails on each worker.
-
-    The workers are quarantined after three different jobs, and their failures
-    count against no job. The class's failures count against no worker.
-    """
+    """Failures of bad workers counted against jobs."""
     rows = MemorySlice()
     rows.add_workers([Room(8.0, 32_000, 0)] * 10)
     names = list(rows.workers)
--- a/tests/test_routing_answers.py
+++ b/tests/test_routing_answers.py
@@ -29,12 +29,7 @@
 
 @pytest.mark.parametrize('act', BROKEN)
 def test_broken_answer_is_never_passed_on(act: Act) -> None:
-    """The caller sees an error that says "unknown", never a wrong answer.
-
-    The only upstream runs the request and then cuts the body, cuts a body
-    that has no length, answers another request, or resets. Each looks like
-    an answer at first; only its length and its request's name tell.
-    """
+    """The caller sees an error that says "unknown", never a wrong answer."""
 
     async def play() -> None:
         async with await Scene.start(1) as scene:
@@ -48,11 +43,7 @@
 
 @pytest.mark.parametrize('act', BROKEN)
 def test_broken_answer_is_retried_elsewhere(act: Act) -> None:
-    """The caller sees its own answer, from the second upstream.
-
-    One of two upstreams is broken; the idempotent request goes to the other
-    one after the first copy failed.
-    """
+    """The caller sees its own answer, from the second upstream."""
 
     async def play() -> None:
         async with await Scene.start(2) as scene:
@@ -69,12 +60,7 @@
     'act', [Act.ANSWER_TWICE, Act.ANSWER_UNNAMED_TWICE, Act.CLOSE_UNTOLD]
 )
 def test_second_answer_never_reaches_another_caller(act: Act) -> None:
-    """Callers see their own answers although every answer comes twice.
-
-    The upstream answers each request twice on its connection, or closes it
-    without telling. The second answer waits there when the next request is
-    sent on the same connection and would be taken for that one's answer.
-    """
+    """Callers see their own answers although every answer comes twice."""
 
     async def play() -> None:
         async with await Scene.start(1) as scene:
@@ -97,11 +83,7 @@
 
 
 def test_answers_out_of_order_reach_their_callers() -> None:
-    """Forty callers at once see their own answers, whatever the order.
-
-    Times in the slots vary tenfold, so that late answers cross with those to
-    requests sent later on other connections.
-    """
+    """Forty callers at once see their own answers, whatever the order."""
 
     async def play() -> None:
         options = RawOptions(mean_ms=5, spread=1.0)
@@ -146,12 +128,7 @@
 
 
 def test_leaving_caller_disturbs_nobody() -> None:
-    """The next caller on a kept connection sees its own answer.
-
-    A caller sends a request and leaves before the answer. Another sends two
-    requests at once on one connection, and the answers come in order. The
-    upstream still runs the first caller's request meanwhile.
-    """
+    """The next caller on a kept connection sees its own answer."""
 
     async def play() -> None:
         options = RawOptions(mean_ms=20)
--- a/tests/test_routing_connections.py
+++ b/tests/test_routing_connections.py
@@ -35,11 +35,7 @@
 
 
 def test_entry_hosts_come_and_go() -> None:
-    """The upstream never counts more than 64 connections.
-
-    Eight entry hosts that know nothing of each other send more than they may
-    at once; whenever one goes, another takes its seat with new connections.
-    """
+    """The upstream never counts more than 64 connections."""
 
     async def play() -> None:
         upstream = await RawUpstream(RawOptions(slots=64, mean_ms=3)).start()
@@ -58,11 +54,7 @@
 
 
 def test_idle_connections_count() -> None:
-    """An entry host that returns after a pause keeps within its share.
-
-    Its kept-alive connections are still open at the upstream. New ones, for
-    non-idempotent requests, replace them instead of coming on top.
-    """
+    """An entry host that returns after a pause keeps within its share."""
 
     async def play() -> None:
         options = RawOptions(slots=64, mean_ms=3)
@@ -82,11 +74,7 @@
 
 
 def test_abandoned_transfers_count() -> None:
-    """Requests past their deadline do not make room too early.
-
-    The upstream is silent. Each request times out, and its connection is
-    closed before another may take its place.
-    """
+    """Requests past their deadline do not make room too early."""
 
     async def play() -> None:
         async with await Scene.start(1) as scene:
--- a/tests/test_routing_gone.py
+++ b/tests/test_routing_gone.py
@@ -18,13 +18,7 @@
 
 
 def test_callers_do_not_meet_upstreams_that_are_gone() -> None:
-    """The owner of a slice dies while the table is out, and its tasks lapse.
-
-    The directory goes on listing them. They refuse at once and look idle, so
-    they drew a third of all requests, and callers were refused: 196 of 601.
-    Each is out after its first refusal, also beyond the share that ejection
-    may take, and the requests it refused go elsewhere without the budget.
-    """
+    """Callers were sent to tasks that had lapsed and refused them at once."""
 
     async def play() -> None:
         def answer(address: str, _: Call) -> Reply:
--- a/tests/test_routing_leaving.py
+++ b/tests/test_routing_leaving.py
@@ -108,12 +108,7 @@
 
 @pytest.mark.parametrize('source', ['list', 'peer', 'upstream'])
 def test_first_word_is_believed_and_never_taken_back(source: str) -> None:
-    """No request goes to the upstream from the first word on.
-
-    The host list, a peer or the upstream's own answer says that it leaves.
-    Then the lagging list, which knows nothing yet, is read again; the next
-    boot of the worker is used, though the old mark comes again from a peer.
-    """
+    """No request goes to the upstream from the first word on."""
 
     async def play() -> None:
         leaving = source == 'upstream'
@@ -205,11 +200,7 @@
 
 
 def test_every_daemon_knows_within_seconds() -> None:
-    """Two daemons know within 3 s while the host list is 30 s behind.
-
-    Only the worker itself says that it leaves, to the daemon that owns its
-    slice. That one marks it and tells the other by heartbeat.
-    """
+    """Two daemons know within 3 s while the host list is 30 s behind."""
 
     async def play() -> None:
         options = PlatformOptions(
--- a/tests/test_routing_limits.py
+++ b/tests/test_routing_limits.py
@@ -192,12 +192,7 @@
 
 
 def test_full_queue_refuses_at_once() -> None:
-    """A caller that would wait past its patience is refused at once.
-
-    Every upstream is busy and answers take a second, twice the target. The
-    refusal comes before anything else happens, says "not run" and when to
-    come again, and nothing was sent for it.
-    """
+    """A caller that would wait past its patience is refused at once."""
 
     async def play() -> None:
         clock = ManualClock()
@@ -388,11 +383,7 @@
 
 
 def test_hedge_answers_when_the_first_upstream_is_silent() -> None:
-    """The caller sees the second upstream's answer, long before the deadline.
-
-    A hundred quick answers teach the high quantile. Then the first copy
-    hangs, and its failure later on must not disturb the answer.
-    """
+    """A silent upstream kept the caller waiting until the deadline."""
 
     async def play() -> None:
         hang = asyncio.Event()
--- a/tests/test_routing_ran.py
+++ b/tests/test_routing_ran.py
@@ -46,13 +46,7 @@
 @pytest.mark.parametrize('idempotent', [True, False])
 @pytest.mark.parametrize('act', FAILURES)
 def test_not_run_is_only_said_when_true(act: Act, idempotent: bool) -> None:
-    """The caller sees "not run" only if no upstream counted the request.
-
-    Two of three upstreams fail in one way for every request: reset before
-    or after it ran, cut, cross, refuse, or stay silent until the deadline. A
-    non-idempotent request is sent on only after a failure that surely did
-    not run it, so that it runs at most once.
-    """
+    """The caller sees "not run" only if no upstream counted the request."""
 
     async def play() -> None:
         async with await Scene.start(3) as scene:
@@ -124,12 +118,7 @@
 
 @pytest.mark.parametrize('ours', [False, True])
 def test_library_sends_again_on_a_dead_connection(ours: bool) -> None:
-    """A plain client runs a POST twice; ours runs it once.
-
-    The upstream answers one request and keeps the connection. It runs the
-    next one on it and resets without an answer. libcurl takes the kept
-    connection for dead from the start and sends the request again by itself.
-    """
+    """A plain client runs a POST twice; ours runs it once."""
 
     async def play() -> int:
         async with await Scene.start(1) as scene:
@@ -149,12 +138,7 @@
 
 
 def test_refusal_after_a_library_retry_is_unknown() -> None:
-    """The caller sees "unknown" although the last error is "refused".
-
-    An idempotent request goes out on a kept connection; the upstream runs
-    it, stops listening and resets. libcurl connects again by itself, is
-    refused, and reports only that. The request has run all the same.
-    """
+    """The caller sees "unknown" although the last error is "refused"."""
 
     async def play() -> None:
         async with await Scene.start(1) as scene:
@@ -194,14 +178,7 @@
 
 
 def test_hedge_is_only_for_idempotent_requests() -> None:
-    """A slow non-idempotent request runs once; an idempotent one twice.
-
-    Both upstreams have answered within 5 ms; then each takes 600 ms for what
-    it gets first. Idempotent requests that hang there get a second copy at
-    the other, which answers first; the rest wait for the slow answer. The
-    router's clock stands still: an upstream that is silent for 100 ms would
-    be ejected, and then there is no other one for a copy.
-    """
+    """A slow non-idempotent request runs once; an idempotent one twice."""
 
     async def play() -> None:
         weights = ConfigurationSpec(hedge_share=1.0)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -175,12 +175,7 @@
 
 
 def test_a_reload_takes_what_may_change_and_tells_the_rest() -> None:
-    """New settings come by SIGHUP: some may change, some need a restart.
-
-    The first file changes both kinds, the second is wrong and changes
-    nothing at all, the third differs from what is in force, which the wrong
-    one must not have become.
-    """
+    """A wrong file of settings changed what was in force."""
     old = parse_settings(GOOD)
     new = attrs.evolve(
         old,
--- a/tests/test_slices.py
+++ b/tests/test_slices.py
@@ -33,11 +33,7 @@
 
 
 def test_daemons_that_wait_for_each_other_leave_no_slice_free() -> None:
-    """Each of two daemons hears a third that is not there any more.
-
-    Both take it for the first candidate and neither tries at once. The slice
-    stays free, so they try one after the other, in the order of their ranks.
-    """
+    """Daemons that wait for each other left a slice free."""
     clock = ManualClock()
     views = [
         make_preference(clock, me, other, 'gone')[0]
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -63,12 +63,7 @@
 
 
 def test_an_idle_service_does_not_keep_batch_away() -> None:
-    """A service gets no requests, and jobs of new classes wait for ever.
-
-    Its worker measures no percentile, so nothing is ever learned of the
-    pairs. The doubt about unknown pairs added up until a worker with 59 of
-    64 cores free took no fifth job: 304 of 580 jobs stayed pending.
-    """
+    """Doubt about unknown pairs kept batch off an idle worker."""
     assert count_admitted(p99_ms=0.0, load=0.0) == MANY
 
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -46,11 +46,7 @@
 
 
 def test_events_are_merged_by_their_stamps_and_the_silent_are_named() -> None:
-    """Daemon b's clock is behind by 5 s; c does not answer.
-
-    A heartbeat of a carries its stamp to b, so what b does after it comes
-    later in the time line although b's clock says otherwise.
-    """
+    """A clock that is behind put events out of order."""
 
     async def check() -> None:
         a, _ = make_log('a', 1005.0)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -115,12 +115,7 @@
 def test_a_cut_watch_goes_on_without_gap_or_repeat(
     steps: list[tuple[str, int]],
 ) -> None:
-    """A watcher is cut off anywhere, also between changes of one entry.
-
-    It comes back with the cursor of the last line it saw, at the same or at
-    another daemon. It is told each change once, and those of one log in
-    their order.
-    """
+    """A watch that was cut missed changes, or told them twice."""
 
     async def check() -> None:
         logs = Logs()
@@ -147,11 +142,7 @@
 
 
 def test_a_pruned_log_is_told() -> None:
-    """A watcher comes back after the entries it needs were pruned.
-
-    To go on with what is left would hide changes, so it is told GONE, and
-    lists again.
-    """
+    """A watch went on behind entries that were pruned."""
 
     async def check() -> None:
         logs = Logs()
@@ -170,11 +161,7 @@
 
 
 def test_a_cursor_ahead_of_this_daemon_is_no_future_one() -> None:
-    """Another daemon gave the cursor and has seen more of the log.
-
-    The table tells that the entry exists, so the watch waits for it. Only
-    what the table does not have either is from the future.
-    """
+    """A cursor of a daemon that is ahead was refused."""
 
     async def check() -> None:
         logs = Logs()
@@ -264,11 +251,7 @@
 
 
 def test_refused_evicted_and_resumed_work_is_followed(site: Site) -> None:
-    """One job fits no worker; the worker of the other is drained.
-
-    The first is refused at once with the reason. The second is stopped where
-    it runs, resumes elsewhere and completes, in its second attempt.
-    """
+    """A watch did not tell why work was refused or stopped."""
     start = site.call('GET', '/v1/jobs')['cursor']
     large = make_job('large', demand={'cores': 1000, 'memory_mb': 1})
     told = site.tool('apply', '-f', '-', '--wait', stdin=json.dumps(large))
@@ -308,11 +291,7 @@
 def test_a_watch_ends_with_the_daemon_and_goes_on_elsewhere(
     site: Site,
 ) -> None:
-    """A daemon is told to stop while somebody watches there.
-
-    The watch has no end of its own. Were it not ended, the stop would wait
-    for it until its limit and then cut it off.
-    """
+    """A watch without an end kept a stop waiting."""
 
     async def check() -> list[str]:
         settings = site.make_settings('watched', 'lodz')
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -69,11 +69,7 @@
 
 
 def test_all_daemons_are_replaced_under_load() -> None:
-    """Each daemon in turn gets a successor and is told to stop.
-
-    The balancer goes on sending for a second. Callers see every request
-    answered whole, none refused, and jobs go on in place under new owners.
-    """
+    """Requests failed while daemons were replaced in turn."""
 
     async def scenario(whole: Play) -> None:
         load = asyncio.create_task(whole.send_load(12.0))
@@ -92,12 +88,7 @@
 
 
 def test_a_rack_is_lost_while_its_owner_is_paused() -> None:
-    """The daemon that owns a slice is stopped, then a rack of it dies.
-
-    Another daemon takes the slice and finds the workers silent; their jobs
-    resume elsewhere once no lease can be left. The paused daemon wakes with
-    calls in hand, which the table and the workers refuse. No job is doubled.
-    """
+    """A paused owner that wakes doubled what a lost rack had run."""
 
     async def scenario(whole: Play) -> None:
         for number in range(8):
@@ -137,12 +128,7 @@
 
 
 def test_the_table_is_out_and_a_daemon_is_replaced_meanwhile() -> None:
-    """The table service is down, longer than the leases of tasks and slices.
-
-    A daemon dies meanwhile, so what it held lapses, and its successor becomes
-    ready from what its peers know. Callers are answered all the time. What
-    was submitted before completes once, after the table is back.
-    """
+    """Without the table a new daemon served nobody."""
 
     async def scenario(whole: Play) -> None:
         for number in range(6):
@@ -165,10 +151,7 @@
 
 
 def test_a_worker_fails_everything_during_a_wave_of_cancellations() -> None:
-    """One worker fails all it starts while half of the jobs are cancelled.
-
-    The others complete, each once: the worker is at fault and not they.
-    """
+    """Failures of one worker ended jobs."""
 
     async def scenario(whole: Play) -> None:
         workers = list(whole.deployment.platform.addresses['workers'].values())
--- a/tests/test_zone_cuts.py
+++ b/tests/test_zone_cuts.py
@@ -140,12 +140,7 @@
 
 
 def test_a_zone_that_is_cut_off_serves_and_heals() -> None:
-    """Zone b loses the table and zone a; its callers notice nothing.
-
-    It serves by the directory and the configuration in its memory. Zone a
-    sees it go down and accepts changes. After the cut it gets them, by a few
-    reads of the table, and both zones see each other again.
-    """
+    """A zone without the table refused its callers."""
 
     async def check() -> None:
         async with Scene() as scene:
@@ -172,11 +167,7 @@
 
 
 def test_a_daemon_that_starts_in_a_cut_zone_learns_from_peers() -> None:
-    """A daemon starts where the table cannot be reached.
-
-    A peer of its zone gives it the configuration and the directory. It is
-    ready and serves; it takes changes that are accepted meanwhile, too.
-    """
+    """A daemon that starts in a cut zone served nobody."""
 
     async def check() -> None:
         async with Scene() as scene:
@@ -201,11 +192,7 @@
 
 
 def test_one_way_cuts_are_seen_as_they_are() -> None:
-    """What b sends arrives at a, and nothing that a sends arrives at b.
-
-    For a, b is up; for b, a is down. Then neither reaches the other. A third
-    daemon that both reach passes beats on, and each sees the other again.
-    """
+    """A cut in one direction was taken for one in both, or for none."""
 
     async def check() -> None:
         async with Scene() as scene:
@@ -231,11 +218,7 @@
 
 
 def test_slices_are_spread_over_a_daemon_that_joins() -> None:
-    """A second daemon joins when the first has every slice of the zone.
-
-    It gets half of them. The tasks of those slices run on in place: no
-    attempt is repeated, and calls are answered all the time.
-    """
+    """Slices that change hands restarted their tasks."""
 
     async def check() -> None:
         async with Scene(workers=12) as scene:
