Measure orders under overload against a bound

Cause: how far the queue's order is from what is possible was not known (docs/design/decisions-under-load.md, "What is left").

Change: `python -m benchmarks overload` plays seeded arrivals of urgent, best-effort and lasting jobs, losses of workers and failures against the placer's real code, without network or interference, and compares the mean of the queues' shares with a bound: work as a fluid, the dearest first.

Found on the way: what fits of an item and what is earned by it must differ by the bisection's error; else work that fits nowhere blocked all that followed, and the bound fell below a real plan (test_no_order_of_whole_items_earns_more).

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -14,6 +14,7 @@
     'capacity',
     'recovery',
     'fullsize',
+    'overload',
 )
 """Each is a module here with `measure(quick: bool) -> Report`."""
 
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,63 @@
+"""The benchmark of orders under overload, and the bound it compares with."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+from hypothesis import given, settings, strategies
+
+from benchmarks.bound import Item, measure_bound
+from benchmarks.overload import LOADS, Replay
+
+ITEMS = strategies.lists(
+    strategies.builds(
+        lambda work, value, first, more: Item(work, value, first, first + more),
+        strategies.floats(0.5, 9.0),
+        strategies.floats(0.1, 5.0),
+        strategies.integers(0, 4),
+        strategies.integers(0, 3),
+    ),
+    max_size=6,
+)
+
+
+def test_all_is_earned_where_all_fits() -> None:
+    items = [Item(2.0, 1.0, 0, 0), Item(3.0, 5.0, 0, 1)]
+    assert measure_bound(items, [4.0, 4.0]) == 6.0
+
+
+def test_the_dearest_work_is_taken_first() -> None:
+    items = [Item(4.0, 1.0, 0, 0), Item(4.0, 3.0, 0, 0)]
+    assert measure_bound(items, [6.0]) == pytest.approx(3.5, abs=1e-2)
+
+
+def test_work_that_can_wait_leaves_the_window_to_what_cannot() -> None:
+    items = [Item(4.0, 3.0, 0, 1), Item(4.0, 1.0, 0, 0)]
+    assert measure_bound(items, [4.0, 4.0]) == 4.0
+
+
+@settings(max_examples=50, deadline=None, derandomize=True)
+@given(ITEMS, strategies.lists(strategies.floats(0.0, 9.0), max_size=5))
+def test_no_order_of_whole_items_earns_more(
+    items: list[Item], capacity: list[float]
+) -> None:
+    """A bound below what some plan earns would call that plan impossible."""
+    left = list(capacity)
+    earned = 0.0
+    for item in items:
+        windows = range(item.first, min(item.last + 1, len(left)))
+        window = next((w for w in windows if left[w] >= item.work), None)
+        if window is not None:
+            left[window] -= item.work
+            earned += item.value
+    assert earned <= measure_bound(items, capacity) + 1e-9
+
+
+@pytest.mark.parametrize('name', LOADS)
+def test_a_replay_stays_below_its_bound_and_repeats(name: str) -> None:
+    load = attrs.evolve(LOADS[name], workers=6, lasting_jobs=4, seconds=12.0)
+    first, second = Replay(load, 1), Replay(load, 1)
+    first.run()
+    second.run()
+    assert first.earned == second.earned
+    assert 0.0 < first.measure_worth() <= first.measure_bound()
