Let best-effort work use what lasting tasks leave in the replay

Cause: in the replay a lasting task used all cores that it reserves, so best-effort work beside it stood still for good, which real workers do not show. And lasting tasks failed after 60 s, where the other emulation has 300 s.

Change: a lasting task uses the share of its cores that the placer expects (SERVING_LOAD), in the bound, too; 300 s.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -22,6 +22,7 @@
 from lentilmount.scheduling.reports import EndKind, WorkerEntry, WorkerState
 from lentilmount.scheduling.sharing import Sharing
 from lentilmount.scheduling.specs import JobSpec, QueuePolicy, StepSpec
+from lentilmount.scheduling.views import SERVING_LOAD
 
 PASS_SECONDS = 0.05
 WINDOW_SECONDS = 1.0
@@ -52,7 +53,7 @@
     urgent_per_second: float = 2.0
     best_effort_per_second: float = 2.0
     lasting_jobs: int = 22
-    failing_seconds: float = 60.0
+    failing_seconds: float = 300.0
 
     def count_leaving(self) -> int:
         """Returns how many workers go."""
@@ -152,7 +153,7 @@
         return (most + free) / len(self.earned)
 
     def _list_windows(self, job: Job, scale: float) -> list[Item]:
-        work = _measure_cores(job) * WINDOW_SECONDS
+        work = _measure_cores(job) * SERVING_LOAD * WINDOW_SECONDS
         windows = range(len(self._list_capacity()))
         value = scale * WINDOW_SECONDS
         return [Item(work, value, window, window) for window in windows]
@@ -277,10 +278,15 @@
 
 def _measure_speed(worker: Worker) -> float:
     """Returns how fast filling tasks get on with what the others leave."""
-    tasks = worker.tasks.values()
-    wanted = sum(t.spec.demand.cores for t in tasks if t.spec.fills)
-    spare = worker.entry.capacity.cores - worker.used.cores
-    return min(1.0, max(0.0, spare) / wanted) if wanted else 1.0
+    wanted = used = 0.0
+    for task in worker.tasks.values():
+        cores = task.spec.demand.cores
+        if task.spec.fills:
+            wanted += cores
+        else:
+            used += cores * (SERVING_LOAD if task.spec.lasting else 1.0)
+    spare = max(0.0, worker.entry.capacity.cores - used)
+    return min(1.0, spare / wanted) if wanted else 1.0
 
 
 def measure(quick: bool) -> Report:
