Draw the replay's failures apart from its arrivals

Cause: failures of lasting tasks, drawn when one is placed, came from the same random numbers as arrivals, so policies compared on one seed met different arrivals (test_arrivals_do_not_depend_on_what_is_placed fails with one stream).

Change: a stream each.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -103,7 +103,9 @@
     def __init__(self, load: Load, seed: int):
         self.load = load
         self.earned = {policy.name: Earned() for policy in POLICIES}
+        # Failures depend on what is placed; arrivals must not depend on them.
         self._random = random.Random(seed)
+        self._failures = random.Random(seed)
         self._book = Book()
         self._placer = Placer(self._book, Sharing())
         self._left: dict[Task, float] = {}
@@ -130,6 +132,10 @@
         for job in self._jobs:
             self._count(job)
 
+    def list_arrivals(self) -> list[tuple[float, JobSpec]]:
+        """Lists all jobs, each with the time at which it came."""
+        return [(job.accepted_at, job.spec) for job in self._jobs]
+
     def measure_worth(self) -> float:
         """Returns the mean of the queues' shares."""
         shares = [earned.share for earned in self.earned.values()]
@@ -233,7 +239,7 @@
         self._left[task] = task.spec.estimated_seconds
         if task.spec.lasting:
             mean = self.load.failing_seconds
-            self._left[task] = self._random.expovariate(1 / mean)
+            self._left[task] = self._failures.expovariate(1 / mean)
 
     def _work(self) -> None:
         for worker in self._book.workers.values():
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -8,6 +8,7 @@
 
 from benchmarks.bound import Item, measure_bound
 from benchmarks.overload import LOADS, Replay
+from lentilmount.scheduling import headroom, ranking
 
 ITEMS = strategies.lists(
     strategies.builds(
@@ -61,3 +62,17 @@
     second.run()
     assert first.earned == second.earned
     assert 0.0 < first.measure_worth() <= first.measure_bound()
+
+
+def test_arrivals_do_not_depend_on_what_is_placed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Policies compared on one seed were played on different arrivals."""
+    load = attrs.evolve(LOADS['full'], workers=6, seconds=12.0)
+    usual, other = Replay(load, 1), Replay(load, 1)
+    usual.run()
+    monkeypatch.setattr(headroom, 'KEEP_SECONDS', 0.0)
+    monkeypatch.setattr(ranking, 'AWAY_SECONDS', 0.0)
+    other.run()
+    assert usual.list_arrivals() == other.list_arrivals()
+    assert usual.earned != other.earned
