Refuse other daemons' calls in one place while stopping

Cause: three handlers each asked whether the daemon is being stopped, two with the same lines and one with the status written out.

Change: a base that refuses before the request is answered. The configuration is still refused after a wait in which the stop began; a request that comes during a stop is now refused at once, where it waited for a newer row first.

Ruled out: the application's settings as the place of the question; every handler is given what it works with.

--- a/lentilmount/control/fanout.py
+++ b/lentilmount/control/fanout.py
@@ -18,8 +18,8 @@
 
 import attrs
 import logbook
-from tornado.web import RequestHandler
 
+from lentilmount.control.peerhandler import PeerHandler
 from lentilmount.control.routes import RouteTable
 from lentilmount.platform.bootfile import Capacity
 from lentilmount.platform.store import (
@@ -62,15 +62,15 @@
     return zlib.compress(value, COMPRESSION_LEVEL)
 
 
-class ConfigurationHandler(RequestHandler):
+class ConfigurationHandler(PeerHandler):
     """Tells another daemon of a newer configuration, or that there is none."""
 
     def initialize(
         self, routes: RouteTable, is_closing: Callable[[], bool]
     ) -> None:
         """Takes what it tells of."""
+        self.is_closing = is_closing
         self._routes = routes
-        self._is_closing = is_closing
 
     async def get(self) -> None:
         """Answers once there is a newer row, or after the time to wait."""
@@ -79,8 +79,8 @@
         wait = int(self.get_query_argument('wait_ms')) / 1000
         await self._routes.wait_for_newer(after, min(wait, MOST_WAIT_SECONDS))
         row = self._routes.row
-        if row is None or self._is_closing():
-            self.set_status(503)
+        if row is None or self.is_closing():
+            self.refuse()
             return
         as_of_ms = 1000 * (self._routes.as_of - arrived_at)
         self.set_header(AS_OF_HEADER, str(math.floor(as_of_ms)))
--- a/lentilmount/control/internal.py
+++ b/lentilmount/control/internal.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import orjson
-from tornado.web import Application, RequestHandler
+from tornado.web import Application
 
 from lentilmount.control.detour import (
     PART_HEADER,
@@ -16,48 +16,42 @@
     CONFIGURATION_PATH,
     ConfigurationHandler,
 )
+from lentilmount.control.peerhandler import PeerHandler
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.storewatch import FindOutage
 from lentilmount.platform.calls import StoreCall
 from lentilmount.platform.store import READ_SECONDS, PlatformTable
 from lentilmount.upstream.http import CURL_ERROR
 
-NOT_READY = 503
-"""HTTP status of a daemon that is being stopped: a call that it took would be
-cut off by its end, and nobody would know whether it was carried out."""
-
 NO_ANSWER = 504
 """HTTP status for a call whose effect is not known."""
 
 
-class StoreHandler(RequestHandler):
+class StoreHandler(PeerHandler):
     """Tells other daemons how long the store has not answered here."""
 
     def initialize(
         self, find: FindOutage, is_closing: Callable[[], bool]
     ) -> None:
         """Takes what it tells of."""
+        self.is_closing = is_closing
         self._find = find
-        self._is_closing = is_closing
 
     def get(self) -> None:
         """Answers with the age of the last good answer."""
-        if self._is_closing():
-            self.set_status(NOT_READY)
-            return
         outage = self._find(self.get_query_argument('part'))
         self.finish(orjson.dumps(outage.make_report()))
 
 
-class RelayHandler(RequestHandler):
+class RelayHandler(PeerHandler):
     """Sends calls to the store for daemons that it turns away."""
 
     def initialize(
         self, table: PlatformTable, is_closing: Callable[[], bool]
     ) -> None:
         """Takes what it calls the store with."""
+        self.is_closing = is_closing
         self._table = table
-        self._is_closing = is_closing
 
     async def get(self) -> None:
         """Sends a reading."""
@@ -68,9 +62,6 @@
         await self._relay()
 
     async def _relay(self) -> None:
-        if self._is_closing():
-            self.set_status(NOT_READY)
-            return
         # Directly only: sent on once more, a call could go round for ever.
         call = StoreCall(
             self.request.headers.get(PART_HEADER, ''),
