End a hold by the state of its task

Cause: a hold was ended by a call where a task is placed alone; the task of a gang or of a cancelled job kept its worker from all others for the rest of 2 s (test_a_hold_ends_with_its_task failed before). And how long urgent work goes before a lost task stood twice, once as room and once as order; were they to differ, a task would go first and yet be held back.

Change: a hold stands while its task waits; the room kept follows the order's time. A second check of what `is_away` checks itself is gone.

Ruled out: a call more for gangs; any further way out of the queue would need one.

--- a/lentilmount/scheduling/headroom.py
+++ b/lentilmount/scheduling/headroom.py
@@ -14,12 +14,17 @@
 
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.model import Task
-from lentilmount.scheduling.ranking import Outlook, find_outlook, is_urgent
+from lentilmount.scheduling.ranking import (
+    AWAY_SECONDS,
+    Outlook,
+    find_outlook,
+    is_urgent,
+)
 from lentilmount.scheduling.views import WorkerView
 
-KEEP_SECONDS = 4.0
-"""How long a lasting task leaves room to urgent work that is expected. Where
-there is room for them, lasting tasks are to be back within 6 s."""
+KEEP_SECONDS = AWAY_SECONDS
+"""How long a lasting task leaves room to urgent work that is expected: as long
+as urgent work goes before it."""
 
 AVERAGE_SECONDS = 4.0
 """Time over which the demand of urgent work is averaged."""
--- a/lentilmount/scheduling/holds.py
+++ b/lentilmount/scheduling/holds.py
@@ -12,7 +12,7 @@
 import attrs
 import logbook
 
-from lentilmount.scheduling.model import Task
+from lentilmount.scheduling.model import Task, TaskPhase
 from lentilmount.scheduling.views import WorkerView
 
 log = logbook.Logger('placing')
@@ -44,15 +44,13 @@
     _holds: dict[Task, _Hold] = attrs.Factory(dict)
 
     def expire(self, now: float) -> None:
-        """Ends the holds that have stood for their time."""
+        """Ends the holds of tasks that wait no more, and those of long ago."""
         self._holds = {
-            task: hold for task, hold in self._holds.items() if now < hold.until
+            task: hold
+            for task, hold in self._holds.items()
+            if task.phase is TaskPhase.WAITING and now < hold.until
         }
 
-    def end(self, task: Task) -> None:
-        """Ends the hold for a task that was placed."""
-        self._holds.pop(task, None)
-
     def hold(
         self, task: Task, views: list[WorkerView], now: float
     ) -> WorkerView | None:
--- a/lentilmount/scheduling/placing.py
+++ b/lentilmount/scheduling/placing.py
@@ -179,7 +179,6 @@
             if offers is not None:
                 offers.renew(view)
             placed.append((task, view.worker))
-            self._holds.end(task)
         return placed, True
 
     def _ask_all(self, task: Task) -> Offers:
--- a/lentilmount/scheduling/ranking.py
+++ b/lentilmount/scheduling/ranking.py
@@ -89,7 +89,7 @@
 
 def is_away(task: Task, now: float) -> bool:
     """Tells whether a lasting task has run and been away for too long."""
-    if not task.spec.lasting or not task.lost_at:
+    if not task.lost_at or not task.spec.lasting:
         return False
     return now - task.lost_at >= AWAY_SECONDS
 
@@ -163,7 +163,7 @@
     steps: dict[tuple[object, ...], list[Task]] = {}
     for task in tasks:
         key: tuple[object, ...] = get_step(task)
-        if task.lost_at and is_away(task, now):
+        if is_away(task, now):
             key = (*key, Turn.AWAY)
         steps.setdefault(key, []).append(task)
     return sorted(steps.values(), key=lambda step: rank_task(step[0], now))
--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -122,3 +122,18 @@
     holds.expire(AWAY_AT + HOLD_SECONDS)
     holds.hold(lost, views, AWAY_AT + HOLD_SECONDS)
     assert len(checks) == 2
+
+
+def test_a_hold_ends_with_its_task() -> None:
+    """The worker of a cancelled job's task was kept from others for 2 s."""
+    book = Book()
+    worker = add_worker(book, 'w', capacity=Room(4.0, 64_000))
+    fill(book, worker, 'short', lasting=False)
+    cancelled, lost = lose(book, 'cancelled'), lose(book, 'lost')
+    holds = Holds()
+    views = list_views(book)
+    assert holds.hold(cancelled, views, AWAY_AT) is not None
+    assert holds.hold(lost, views, AWAY_AT) is None
+    book.cancel('cancelled', AWAY_AT)
+    holds.expire(AWAY_AT)
+    assert holds.hold(lost, views, AWAY_AT) is not None
