Share workers, steps and failures between the two emulations

Cause: the replay under overload brought its own registration of workers, step of time and life of a lasting task, which the emulation of interference had already.

Change: both take them from benchmarks/emulated.py.

--- a/benchmarks/emulated.py
+++ b/benchmarks/emulated.py
@@ -7,11 +7,17 @@
 
 import attrs
 
-from lentilmount.scheduling.model import QUIET_INTENSITY, Task
+from lentilmount.resources import Room
+from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.model import QUIET_INTENSITY, Task, Worker
+from lentilmount.scheduling.reports import WorkerEntry, WorkerState
 
 STEP_SECONDS = 0.05
 """Time that an emulation goes on at once."""
 
+LASTING_SECONDS = 300.0
+"""After which a lasting task fails, on average."""
+
 
 @attrs.frozen
 class Load:
@@ -80,3 +86,26 @@
         """How hard it presses, 1 for a busy spell at full pace."""
         factor = 1.0 if self.busy else QUIET_INTENSITY
         return factor * self.percent / 100
+
+
+def add_worker(
+    book: Book,
+    name: str,
+    capacity: Room,
+    zone: str = 'z0',
+    labels: tuple[str, ...] = (),
+) -> Worker:
+    """Adds a worker that has answered."""
+    entry = WorkerEntry(
+        name,
+        1,
+        'address',
+        'service',
+        zone,
+        WorkerState.READY,
+        capacity,
+        labels,
+    )
+    worker = book.meet(entry)
+    worker.reached = worker.reachable = True
+    return worker
--- a/benchmarks/emulation.py
+++ b/benchmarks/emulation.py
@@ -11,7 +11,14 @@
 import math
 import random
 
-from benchmarks.emulated import STEP_SECONDS, Load, Outcome, Running
+from benchmarks.emulated import (
+    LASTING_SECONDS,
+    STEP_SECONDS,
+    Load,
+    Outcome,
+    Running,
+    add_worker,
+)
 from lentilmount.resources import Room
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.model import (
@@ -31,8 +38,6 @@
     EndRow,
     Look,
     RunningRow,
-    WorkerEntry,
-    WorkerState,
 )
 from lentilmount.scheduling.sharing import IDLE_RATIO, Sharing
 from lentilmount.scheduling.specs import JobSpec, QueuePolicy, StepSpec
@@ -46,9 +51,6 @@
 BUSY_SHARE = 0.6
 """Share of the time in which a filling task is busy."""
 
-LASTING_SECONDS = 300.0
-"""After which a lasting task fails, on average."""
-
 
 class Emulation:
     """Hosts, arrivals, and the policy that is measured."""
@@ -98,18 +100,13 @@
     def _add_workers(self) -> None:
         for number in range(self.load.workers):
             scale = 1.5 if number % 3 == 2 else 1.0
-            entry = WorkerEntry(
+            worker = add_worker(
+                self.book,
                 f'w{number}',
-                1,
-                'address',
-                'service',
-                f'z{number % 4}',
-                WorkerState.READY,
                 Room(self.load.cores * scale, int(128_000 * scale)),
+                f'z{number % 4}',
                 ('a', f'r{number // 8}'),
             )
-            worker = self.book.meet(entry)
-            worker.reached = worker.reachable = True
             self.running[worker.id] = {}
             self.ends[worker.id] = []
 
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -14,17 +14,17 @@
 import attrs
 
 from benchmarks.bound import Item, measure_bound
+from benchmarks.emulated import LASTING_SECONDS, STEP_SECONDS, add_worker
 from benchmarks.report import Report
 from lentilmount.resources import Room
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.model import Job, JobState, Task, Worker
 from lentilmount.scheduling.placing import Placer
-from lentilmount.scheduling.reports import EndKind, WorkerEntry, WorkerState
+from lentilmount.scheduling.reports import EndKind
 from lentilmount.scheduling.sharing import Sharing
 from lentilmount.scheduling.specs import JobSpec, QueuePolicy, StepSpec
 from lentilmount.scheduling.views import SERVING_LOAD
 
-PASS_SECONDS = 0.05
 WINDOW_SECONDS = 1.0
 SEEDS = range(1, 6)
 QUICK_SEEDS = range(1, 2)
@@ -43,7 +43,6 @@
       urgent_per_second: Arrivals of urgent jobs.
       best_effort_per_second: Arrivals of best-effort jobs.
       lasting_jobs: Jobs that last, there from the start.
-      failing_seconds: After which a lasting task fails, on average.
     """
 
     workers: int = 33
@@ -53,7 +52,6 @@
     urgent_per_second: float = 2.0
     best_effort_per_second: float = 2.0
     lasting_jobs: int = 22
-    failing_seconds: float = 300.0
 
     def count_leaving(self) -> int:
         """Returns how many workers go."""
@@ -66,11 +64,11 @@
     'workers go': Load(),
 }
 
-URGENT = QueuePolicy('urgent', 'desk', stretch=1.5, target_seconds=0.25)
+URGENT = QueuePolicy('urgent', 'service', stretch=1.5, target_seconds=0.25)
 BEST_EFFORT = QueuePolicy(
-    'best-effort', 'desk', priority=2, stretch=1.5, target_seconds=1.0
+    'best-effort', 'service', priority=2, stretch=1.5, target_seconds=1.0
 )
-LASTING = QueuePolicy('lasting', 'desk', target_seconds=2.5)
+LASTING = QueuePolicy('lasting', 'service', target_seconds=2.5)
 POLICIES = (URGENT, BEST_EFFORT, LASTING)
 
 
@@ -112,16 +110,16 @@
         self._jobs: list[Job] = []
         self._now = 0.0
         for number in range(load.workers):
-            self._add_worker(f'w-{number}')
+            add_worker(self._book, f'w-{number}', Room(load.cores, 64_000))
         for _ in range(load.lasting_jobs):
             self._admit(LASTING, self._draw_lasting())
 
     def run(self) -> None:
         """Plays it to the end."""
         load = self.load
-        steps = round(load.seconds / PASS_SECONDS)
+        steps = round(load.seconds / STEP_SECONDS)
         for step in range(steps):
-            self._now = step * PASS_SECONDS
+            self._now = step * STEP_SECONDS
             if step == steps // 3:
                 for number in range(load.count_leaving()):
                     self._lose(self._book.workers[f'w-{number}'])
@@ -182,14 +180,6 @@
             capacity.append(workers * load.cores * WINDOW_SECONDS)
         return capacity
 
-    def _add_worker(self, name: str) -> None:
-        capacity = Room(self.load.cores, 64_000)
-        entry = WorkerEntry(
-            name, 1, f'{name}:1', 'desk', 'a', WorkerState.READY, capacity, ()
-        )
-        worker = self._book.meet(entry)
-        worker.reached = worker.reachable = True
-
     def _lose(self, worker: Worker) -> None:
         worker.present = False
         for task in self._book.lapse(worker, self._now):
@@ -197,9 +187,9 @@
 
     def _draw_arrivals(self) -> None:
         load = self.load
-        if self._random.random() < load.urgent_per_second * PASS_SECONDS:
+        if self._random.random() < load.urgent_per_second * STEP_SECONDS:
             self._admit(URGENT, self._draw_steps(2, 10, 1.0, fills=False))
-        if self._random.random() < load.best_effort_per_second * PASS_SECONDS:
+        if self._random.random() < load.best_effort_per_second * STEP_SECONDS:
             self._admit(BEST_EFFORT, self._draw_steps(3, 20, 2.7, fills=True))
 
     def _draw_steps(
@@ -238,8 +228,7 @@
         self._book.confirm(task, task.run, self._now)
         self._left[task] = task.spec.estimated_seconds
         if task.spec.lasting:
-            mean = self.load.failing_seconds
-            self._left[task] = self._failures.expovariate(1 / mean)
+            self._left[task] = self._failures.expovariate(1 / LASTING_SECONDS)
 
     def _work(self) -> None:
         for worker in self._book.workers.values():
@@ -247,13 +236,13 @@
                 continue
             speed = _measure_speed(worker)
             for task in list(worker.tasks.values()):
-                self._go_on(task, PASS_SECONDS * speed)
+                self._go_on(task, STEP_SECONDS * speed)
 
     def _go_on(self, task: Task, filling_seconds: float) -> None:
         fills, lasts = task.spec.fills, task.spec.lasting
-        self._left[task] -= filling_seconds if fills else PASS_SECONDS
+        self._left[task] -= filling_seconds if fills else STEP_SECONDS
         if lasts:
-            share = PASS_SECONDS / task.spec.count
+            share = STEP_SECONDS / task.spec.count
             self.earned[LASTING.name].credit += share
         if self._left[task] <= 0:
             kind = EndKind.FAILED if lasts else EndKind.DONE
