--- a/lentilmount/scheduling/filtering.py
+++ b/lentilmount/scheduling/filtering.py
@@ -41,8 +41,7 @@
 class Filter:
     """Estimates of the terms that add up to what is measured.
 
-    A correction takes time with the square of the number of terms: with nine
-    pairs and ten loads some 40 us.
+    A correction takes time with the square of the number of terms.
     """
 
     def __init__(self, priors: Priors):
