Move orders to workers out of the module of links

A link keeps leases and lists, orders carry out decisions; they share the link's clock only.

No change of behaviour: test_refused_stops.py names the module that it patches by its new name, its check is as it was.

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -15,8 +15,9 @@
 from lentilmount.control.dispatch import Dispatch
 from lentilmount.control.gauges import refresh_gauges
 from lentilmount.control.intake import Intake
-from lentilmount.control.links import Link, Orders
+from lentilmount.control.links import Link
 from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.orders import Orders
 from lentilmount.control.registry import follow_workers
 from lentilmount.control.retention import Retention
 from lentilmount.control.steering import Steering
--- a/lentilmount/control/steering.py
+++ b/lentilmount/control/steering.py
@@ -5,8 +5,8 @@
 import attrs
 import logbook
 
-from lentilmount.control.links import Orders
 from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.orders import Orders
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.health import Health, list_hanging
 from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
--- a/tests/test_control_links.py
+++ b/tests/test_control_links.py
@@ -10,7 +10,8 @@
 import attrs
 
 from lentilmount.clock import ManualClock
-from lentilmount.control.links import Link, Orders
+from lentilmount.control.links import Link
+from lentilmount.control.orders import Orders
 from lentilmount.control.owner import PROMISE_SECONDS
 from lentilmount.platform.workers import (
     OrderAnswer,
--- a/tests/test_refused_stops.py
+++ b/tests/test_refused_stops.py
@@ -9,8 +9,9 @@
 import pytest
 
 from lentilmount.clock import ManualClock
-from lentilmount.control import links
-from lentilmount.control.links import Link, Orders
+from lentilmount.control import orders as orders_module
+from lentilmount.control.links import Link
+from lentilmount.control.orders import Orders
 from lentilmount.platform.workers import OrderAnswer, Verdict, WorkerCalls
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.reports import WorkerEntry
@@ -38,7 +39,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A start carried out late ran after its task had ended elsewhere."""
-    monkeypatch.setattr(links, 'RETRY_SECONDS', 0.0)
+    monkeypatch.setattr(orders_module, 'RETRY_SECONDS', 0.0)
     clock = ManualClock()
     book = Book()
     worker = add_worker(book, 'w')
