Bound how long an order without an answer holds a task

What callers saw: jobs placed on a worker that answers looks and no orders never ran, beside an idle sound one (8 of 8, after 30 s), and were shown as running; a cancelled lasting task ran on there for as long as it was watched (30 s).

Cause: an order of unknown outcome was sent again each 0.1 s without a bound, each copy of a start with a later deadline, so that there was no moment after which none could be carried out; and the worker, answering looks, kept its leases and got more work.

Ruled out: starting elsewhere after some tries (a start may be carried out seconds later: two runs); ending the leases at once (a worker gets well within seconds as a rule, and all its other work would end).

Change: copies of a start carry one deadline of 2 s; once the worker's clock is past it, a later list without the run frees the task. A worker whose last order was not answered is closed, and asked by a harmless stop until it answers. Pauses double up to 1 s. Where a stop is not answered for 3 s, leases are not renewed, at three tenths of the workers at most. Each of these is logged.

Why it works: a worker rejects a start whose deadline has passed, on its own clock, so a list made after that is proof; a lease that nobody renews ends what no stop reaches.

--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -25,6 +26,14 @@
 QUIET_LOOK_SECONDS = 1.5
 """Between looks at any other worker: leases of 6 s are renewed four times."""
 
+DOUBT_LOOK_SECONDS = 0.25
+"""Between looks at a worker that leaves orders unanswered: they tell when a
+start can no longer be carried out there."""
+
+START_SECONDS = 2.0
+"""Within which a worker must begin a start. Until then a start that is not
+answered keeps its task from any other worker; two calls fit in it."""
+
 RETRY_SECONDS = 0.1
 """Before a call without an answer is sent again."""
 
@@ -71,6 +80,7 @@
       received: Number of the last end taken into the book.
       written: Number of the last end whose effects are written.
       life: Raised with each restart of the worker, which numbers ends anew.
+      is_probed: Whether the worker is being asked to answer an order again.
     """
 
     worker: Worker
@@ -82,6 +92,7 @@
     received: int = 0
     written: int = 0
     life: int = 0
+    is_probed: bool = False
     wrote: asyncio.Event = attrs.field(factory=asyncio.Event)
     _born: int | None = None
     _clock_ms: int | None = None
@@ -143,6 +154,8 @@
         return QUIET_LOOK_SECONDS
 
     def _choose_wait(self) -> float:
+        if not self.worker.takes_orders and self.worker.tasks:
+            return DOUBT_LOOK_SECONDS
         serves = any(t.serves for t in self.worker.tasks.values())
         fills = any(t.spec.fills for t in self.worker.tasks.values())
         return LOOK_SECONDS if serves and fills else QUIET_LOOK_SECONDS
@@ -157,7 +170,9 @@
         return self.choose_lease_end() if self._may_renew() else None
 
     def _may_renew(self) -> bool:
-        return self.worker.reachable and self.events.may_renew()
+        worker = self.worker
+        may_renew = worker.reachable and worker.keeps_leases
+        return may_renew and self.events.may_renew()
 
     def choose_lease_end(self) -> int:
         """Returns the end of a lease that begins now, on the worker's clock.
@@ -169,10 +184,22 @@
         not renew any more: the next one counts on the end of its leases, and
         starts the same tasks elsewhere then.
         """
+        return self._give_lease(self.lease_seconds)
+
+    def choose_start_deadline(self) -> int:
+        """Returns by when a start must begin, on the worker's clock.
+
+        It is far shorter than a lease: no copy of the start is carried out
+        after it, so that the task can go to another worker soon. The leases
+        there, which looks renew, are as long as before.
+        """
+        return self._give_lease(min(START_SECONDS, self.lease_seconds))
+
+    def _give_lease(self, seconds: float) -> int:
         if self._clock_ms is None or not self._may_renew():
             return self._last_until_ms
         passed = self.monotonic() - self._clock_at
-        until = self._clock_ms + int(1000 * (passed + self.lease_seconds))
+        until = self._clock_ms + int(1000 * (passed + seconds))
         self._last_until_ms = max(self._last_until_ms, until)
         self._note_lease()
         return until
@@ -194,6 +221,38 @@
         self._clock_ms = clock_ms
         self._clock_at = self.monotonic()
         self._note_lease()
+        self._expire_starts(clock_ms)
+
+    def _expire_starts(self, clock_ms: int) -> None:
+        """Notes which starts can no longer be carried out."""
+        now = self.monotonic()
+        for task in self.worker.tasks.values():
+            is_pending = math.isinf(task.confirmed_at)
+            if is_pending and 0 < task.start_deadline_ms < clock_ms:
+                task.start_expired_at = min(task.start_expired_at, now)
+
+    def note_order(self, verdict: Verdict) -> None:
+        """Takes in whether the worker has answered an order."""
+        worker = self.worker
+        if verdict is Verdict.REFUSED:
+            return
+        is_answered = verdict is not Verdict.UNKNOWN
+        if is_answered != worker.takes_orders:
+            log.warning(
+                'Orders are {}.',
+                'answered again' if is_answered else 'not answered',
+                extra={'worker': worker.id},
+            )
+        worker.takes_orders = is_answered
+
+    def note_stop(self, is_taken: bool, sent_at: float) -> None:
+        """Takes in whether the worker has taken a stop."""
+        worker = self.worker
+        if is_taken:
+            worker.stop_unanswered_since = math.inf
+        else:
+            since = min(worker.stop_unanswered_since, sent_at)
+            worker.stop_unanswered_since = since
 
     def _take_look(self, look: Look, asked_at: float) -> None:
         worker = self.worker
@@ -202,6 +261,7 @@
         self._born = look.born
         if not worker.reached or not worker.reachable:
             log.info('Reached.', extra={'worker': worker.id})
+            worker.takes_orders = True
         worker.reached = worker.reachable = True
         self.note_clock(look.clock_ms)
         fresh = tuple(e for e in look.ended if e.number > self.received)
@@ -238,6 +298,8 @@
         self._clock_ms = None
         self._last_until_ms = 0
         worker = self.worker
+        worker.takes_orders = worker.keeps_leases = True
+        worker.stop_unanswered_since = math.inf
         tasks = self.book.lapse(worker, self.monotonic())
         if tasks:
             self.events.take_lapse(worker, tasks, why)
--- a/lentilmount/control/orders.py
+++ b/lentilmount/control/orders.py
@@ -23,7 +23,10 @@
 log = logbook.Logger('links')
 
 RETRY_SECONDS = 0.1
-"""Before an order without an answer is sent again."""
+"""Before an order without an answer is sent again; doubled each time."""
+
+LONGEST_RETRY_SECONDS = 1.0
+"""The longest such pause."""
 
 
 @attrs.define(eq=False)
@@ -73,14 +76,17 @@
         self.start_task(self._stop_stray(stray))
 
     async def _start(self, task: Task, run: int) -> None:
-        uncertain = False
+        link = self.links.get(task.worker)
+        if link is None or task.phase is not TaskPhase.STARTING:
+            return
+        order = self._make_start(link, task, run)
+        is_first = True
+        pause = RETRY_SECONDS
         while task.phase is TaskPhase.STARTING and task.run == run:
-            link = self.links.get(task.worker)
-            if link is None:
-                return
-            answer = await self._send_start(link, task, run)
+            answer = await self.calls.start(link.worker.entry, order)
+            self._note_answer(link, answer)
             if task.run != run or task.phase is not TaskPhase.STARTING:
-                return
+                break
             verdict = answer.verdict
             if verdict is Verdict.DONE:
                 self.book.confirm(task, run, self.monotonic())
@@ -88,28 +94,28 @@
             if verdict is Verdict.FENCED:
                 self.events.lose(f'{task.worker} knows a higher token')
                 return
-            if verdict is Verdict.UNKNOWN:
-                uncertain = True
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            self._take_rejection(task, run, verdict, uncertain)
-            return
-
-    async def _send_start(
-        self, link: Link, task: Task, run: int
-    ) -> OrderAnswer:
-        worker = link.worker
-        order = StartOrder(
+            if verdict is not Verdict.UNKNOWN:
+                self._take_rejection(task, run, verdict, not is_first)
+                return
+            is_first = False
+            pause = await _back_off(pause)
+        await self._probe(link, order.task, run)
+
+    def _make_start(self, link: Link, task: Task, run: int) -> StartOrder:
+        """Makes a start, of which each copy carries the same deadline."""
+        task.start_deadline_ms = link.choose_start_deadline()
+        return StartOrder(
             task=str(task.id),
             run=run,
             payload=task.job.spec.payload,
-            lease_until_ms=link.choose_lease_end(),
+            lease_until_ms=task.start_deadline_ms,
             checkpoint=task.checkpoint,
-            ticket=self.get_ticket(task, worker),
+            ticket=self.get_ticket(task, link.worker),
         )
-        answer = await self.calls.start(worker.entry, order)
+
+    def _note_answer(self, link: Link, answer: OrderAnswer) -> None:
+        link.note_order(answer.verdict)
         link.note_clock(answer.clock_ms)
-        return answer
 
     def _take_rejection(
         self, task: Task, run: int, verdict: Verdict, uncertain: bool
@@ -132,25 +138,60 @@
         self.wake()
 
     async def _stop(self, task: Task, run: int) -> None:
+        link = self.links.get(task.worker)
+        if link is None:
+            return
+        pause = RETRY_SECONDS
+        name = str(task.id)
         while task.phase is TaskPhase.STOPPING and task.run == run:
-            link = self.links.get(task.worker)
-            if link is None:
-                return
-            entry = link.worker.entry
-            answer = await self.calls.stop(entry, str(task.id), run)
-            if answer.verdict is Verdict.FENCED:
-                self.events.lose(f'{entry.id} knows a higher token')
+            sent_at = self.monotonic()
+            verdict = await self._send_stop(link, name, run)
+            if verdict is Verdict.FENCED:
                 return
-            is_taken = answer.verdict not in (Verdict.UNKNOWN, Verdict.REFUSED)
-            if is_taken and task.run == run:
-                task.stopped_at = min(task.stopped_at, self.monotonic())
+            link.note_stop(_is_taken(verdict), sent_at)
+            if _is_taken(verdict):
+                if task.run == run:
+                    task.stopped_at = min(task.stopped_at, self.monotonic())
                 return
-            await asyncio.sleep(RETRY_SECONDS)
+            pause = await _back_off(pause)
+        await self._probe(link, name, run)
+
+    async def _send_stop(self, link: Link, name: str, run: int) -> Verdict:
+        """Sends a stop once; returns what became of it."""
+        answer = await self.calls.stop(link.worker.entry, name, run)
+        self._note_answer(link, answer)
+        if answer.verdict is Verdict.FENCED:
+            self.events.lose(f'{link.worker.id} knows a higher token')
+        return answer.verdict
+
+    async def _probe(self, link: Link, name: str, run: int) -> None:
+        """Asks a worker that answers no orders until it answers one.
+
+        A stop of a run that is over does no harm there, whenever it is
+        carried out. One worker gets one at a time.
+        """
+        if link.is_probed:
+            return
+        link.is_probed = True
+        pause = RETRY_SECONDS
+        try:
+            while self._is_silent(link):
+                pause = await _back_off(pause)
+                await self._send_stop(link, name, run)
+        finally:
+            link.is_probed = False
+
+    def _is_silent(self, link: Link) -> bool:
+        worker = link.worker
+        is_known = self.links.get(worker.id) is link and worker.reachable
+        return is_known and not worker.takes_orders
 
     async def _stop_stray(self, stray: Stray) -> None:
         link = self.links.get(stray.worker)
         if link is not None:
-            await self.calls.stop(link.worker.entry, stray.task, stray.run)
+            sent_at = self.monotonic()
+            verdict = await self._send_stop(link, stray.task, stray.run)
+            link.note_stop(_is_taken(verdict), sent_at)
 
     async def _pace(self, task: Task, run: int, percent: int) -> None:
         for _ in range(3):
@@ -160,6 +201,17 @@
             answer = await self.calls.pace(
                 link.worker.entry, str(task.id), run, percent
             )
+            self._note_answer(link, answer)
             if answer.verdict is not Verdict.UNKNOWN:
                 return
             await asyncio.sleep(RETRY_SECONDS)
+
+
+def _is_taken(verdict: Verdict) -> bool:
+    return verdict not in (Verdict.UNKNOWN, Verdict.REFUSED)
+
+
+async def _back_off(pause: float) -> float:
+    """Waits before an order is sent again; returns the next pause."""
+    await asyncio.sleep(pause)
+    return min(2 * pause, LONGEST_RETRY_SECONDS)
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -344,7 +344,7 @@
     def take_news(self, worker: Worker, news: News) -> None:
         """See `Events`."""
         self._steering.take_news(worker, news, self._clock.monotonic())
-        if news.ended or news.adopted:
+        if news.ended or news.adopted or news.expired:
             self._wake.set()
             self._commits.note_change()
 
--- a/lentilmount/control/steering.py
+++ b/lentilmount/control/steering.py
@@ -52,6 +52,7 @@
         for task, kind in news.ended:
             self.forget(task)
             self._note_end(worker, task, kind, now)
+        self._note_expired(worker, news.expired, now)
         for stray in news.strays:
             self.orders.stop_stray(stray)
         for task in news.adopted:
@@ -83,6 +84,24 @@
                 extra={'worker': worker.id},
             )
 
+    def _note_expired(
+        self, worker: Worker, tasks: list[Task], now: float
+    ) -> None:
+        """Closes a worker that did not carry out starts in time."""
+        for task in tasks:
+            self.forget(task)
+            log.warning(
+                'Not started: no answer until the start expired.',
+                extra={
+                    'task': str(task.id),
+                    'run': task.run,
+                    'worker': worker.id,
+                },
+            )
+        workers = list(self.book.workers.values())
+        if tasks and self.health.may_close(workers, now):
+            self.health.close(worker, now)
+
     def _resume(self, task: Task) -> None:
         if task.phase is TaskPhase.STOPPING:
             self.orders.stop(task)
@@ -142,7 +161,23 @@
         """Moves what stands still, by itself or by order."""
         self._move_halted(now)
         self._stop_hanging(now)
-        self.health.end_trials(list(self.book.workers.values()), now)
+        workers = list(self.book.workers.values())
+        self.health.end_trials(workers, now)
+        self._review_leases(workers, now)
+
+    def _review_leases(self, workers: list[Worker], now: float) -> None:
+        left, kept = self.health.review_leases(workers, now)
+        for worker in left:
+            log.warning(
+                'Leases are not renewed: its stops are not answered.',
+                extra={
+                    'worker': worker.id,
+                    'since': round(now - worker.stop_unanswered_since, 3),
+                    'tasks': [str(task_id) for task_id in worker.tasks],
+                },
+            )
+        for worker in kept:
+            log.info('Leases are renewed again.', extra={'worker': worker.id})
 
     def _move_halted(self, now: float) -> None:
         for task, since in list(self._halted.items()):
--- a/lentilmount/scheduling/book.py
+++ b/lentilmount/scheduling/book.py
@@ -179,6 +179,8 @@
         task.worker = worker.id
         task.placed_at = now
         task.confirmed_at = math.inf
+        task.start_deadline_ms = 0
+        task.start_expired_at = math.inf
         task.stopped_at = math.inf
         task.percent = task.percent_before = 100
         task.usage = None
--- a/lentilmount/scheduling/health.py
+++ b/lentilmount/scheduling/health.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
@@ -34,6 +36,11 @@
 """A run is overdue after so many times its estimate and so much more.
 Estimates are off by a fifth as a rule, distance from the data costs three."""
 
+STOP_SECONDS = 3.0
+"""How long a worker may leave stops unanswered before its leases are left to
+run out. Nothing else ends there what a caller has cancelled; all that it runs
+ends with it, and is started elsewhere."""
+
 MOST_CLOSED = 0.3
 """Share of the workers that may be closed at once; beyond it something else
 must be at fault."""
@@ -86,6 +93,33 @@
         closed = sum(w.closed_until > now for w in workers)
         return closed < MOST_CLOSED * len(workers)
 
+    def review_leases(
+        self, workers: list[Worker], now: float
+    ) -> tuple[list[Worker], list[Worker]]:
+        """Leaves leases to run out where nothing can be stopped any more.
+
+        Where that is so of too many workers, something else is at fault, and
+        their leases are renewed.
+
+        Returns:
+          The workers whose leases are left to run out from now on, and those
+          whose leases are renewed again.
+        """
+        left: list[Worker] = []
+        kept: list[Worker] = []
+        most = MOST_CLOSED * len(workers)
+        count = sum(not worker.keeps_leases for worker in workers)
+        for worker in workers:
+            is_overdue = _is_stop_overdue(worker, now)
+            if worker.keeps_leases and is_overdue and count < most:
+                worker.keeps_leases = False
+                count += 1
+                left.append(worker)
+            elif not worker.keeps_leases and not is_overdue:
+                worker.keeps_leases = True
+                kept.append(worker)
+        return left, kept
+
     def _measure_pace(self, worker: Worker, task: Task, now: float) -> None:
         estimate = task.spec.estimated_seconds
         if task.spec.fills or not estimate or not task.placed_at:
@@ -105,6 +139,15 @@
     )
 
 
+def _is_stop_overdue(worker: Worker, now: float) -> bool:
+    if math.isinf(worker.stop_unanswered_since):
+        return False
+    stopping = (t.phase is TaskPhase.STOPPING for t in worker.tasks.values())
+    if not worker.runs_strays and not any(stopping):
+        worker.stop_unanswered_since = math.inf
+    return now - worker.stop_unanswered_since > STOP_SECONDS
+
+
 def list_hanging(worker: Worker, now: float) -> list[Task]:
     """Lists the tasks of a worker that stand still or are overdue."""
     return [
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -63,6 +63,9 @@
       failed_on: Workers on which it failed.
       placed_at: Monotonic time of its newest start.
       confirmed_at: Monotonic time at which its worker had surely started it.
+      start_deadline_ms: By when its start must begin, on its worker's clock; 0
+        if none was sent.
+      start_expired_at: Monotonic time at which that was surely past.
       stopped_at: Monotonic time at which its worker had surely begun to
         stop it.
       percent: Share of the time in which we let it work.
@@ -87,6 +90,8 @@
     failed_on: set[str] = attrs.Factory(set)
     placed_at: float = 0.0
     confirmed_at: float = 0.0
+    start_deadline_ms: int = 0
+    start_expired_at: float = math.inf
     stopped_at: float = math.inf
     percent: int = 100
     percent_before: int = 100
@@ -196,9 +201,14 @@
       entry: Its newest registration.
       tasks: Tasks that it runs or may run, those being stopped included.
       reached: Whether it has answered this owner.
-      reachable: Whether its last call was answered.
+      reachable: Whether its last look was answered.
+      takes_orders: Whether its last order was answered.
+      stop_unanswered_since: Monotonic time since which it has answered no
+        order while a stop is asked of it; infinity if none is.
+      keeps_leases: Whether its leases may be renewed.
       present: Whether it is registered now.
       opaque: Whether it runs something that this owner does not know.
+      runs_strays: Whether it runs something that should not be there.
       lapses_at: Monotonic time by which all leases there have run out; 0 if
         none is known.
       closed_until: Monotonic time until which it gets no work.
@@ -211,8 +221,12 @@
     tasks: dict[TaskId, Task] = attrs.Factory(dict)
     reached: bool = False
     reachable: bool = False
+    takes_orders: bool = True
+    stop_unanswered_since: float = math.inf
+    keeps_leases: bool = True
     present: bool = True
     opaque: bool = False
+    runs_strays: bool = False
     lapses_at: float = 0.0
     closed_until: float = 0.0
     on_trial: bool = False
--- a/lentilmount/scheduling/reconciling.py
+++ b/lentilmount/scheduling/reconciling.py
@@ -32,6 +32,7 @@
     Attributes:
       ended: Tasks that ended, and how.
       adopted: Tasks found running that were not known to run there.
+      expired: Tasks whose start was not carried out and no longer can be.
       strays: Runs to be stopped.
       unknown: Jobs that this owner does not know.
       acknowledged: The last end that may be forgotten once all is written.
@@ -39,6 +40,7 @@
 
     ended: list[tuple[Task, EndKind]] = attrs.Factory(list)
     adopted: list[Task] = attrs.Factory(list)
+    expired: list[Task] = attrs.Factory(list)
     strays: list[Stray] = attrs.Factory(list)
     unknown: list[str] = attrs.Factory(list)
     acknowledged: int = 0
@@ -70,9 +72,14 @@
             if task is not None:
                 listed.add(task.id)
         for task in self._list_vanished(worker, listed, asked_at):
+            if task.phase is TaskPhase.STARTING:
+                self._book.put_back(task)
+                news.expired.append(task)
+                continue
             self._book.end(task, EndKind.LAPSED, now)
             news.ended.append((task, EndKind.LAPSED))
         worker.opaque = bool(news.unknown)
+        worker.runs_strays = bool(news.strays)
         worker.changes += 1
         return news
 
@@ -83,13 +90,14 @@
         # list that was asked for after the start was confirmed proves that
         # the run is gone.
         # The same holds for a stop, which also prevents a start that has not
-        # reached the worker yet.
+        # reached the worker yet, and for the time by which a start must begin.
         for task in list(worker.tasks.values()):
             if task.id in listed:
                 continue
             known_at = {
+                TaskPhase.STARTING: task.start_expired_at,
                 TaskPhase.RUNNING: task.confirmed_at,
-                TaskPhase.STOPPING: task.stopped_at,
+                TaskPhase.STOPPING: min(task.stopped_at, task.start_expired_at),
             }
             if known_at.get(task.phase, math.inf) < asked_at:
                 yield task
--- a/stand_ins/fleet.py
+++ b/stand_ins/fleet.py
@@ -21,6 +21,9 @@
 
 STEP_SECONDS = 0.02
 LONGEST_LEASE_MS = 6000
+LOOK_PATH = '/hold'
+START_PATH = '/run-start'
+STOP_PATH = '/run-stop'
 
 
 @attrs.define(eq=False)
@@ -48,6 +51,11 @@
       fails: Payloads whose tasks fail.
       lasts: Payloads whose tasks never end.
       silent: Whether it answers nothing.
+      unanswered: Paths of the calls that it does not answer.
+      failing: Paths of the calls that it answers with an error of its own.
+      late_seconds: After which it carries out what it did not answer; 0 if it
+        never does.
+      asked: Paths of all calls but looks, in order.
     """
 
     id: str
@@ -59,6 +67,10 @@
     fails: set[str] = attrs.Factory(set)
     lasts: set[str] = attrs.Factory(set)
     silent: bool = False
+    unanswered: set[str] = attrs.Factory(set)
+    failing: set[str] = attrs.Factory(set)
+    late_seconds: float = 0.0
+    asked: list[str] = attrs.Factory(list)
     running: dict[str, FleetRun] = attrs.Factory(dict)
     ended: list[list[Any]] = attrs.Factory(list)
     highest: dict[str, int] = attrs.Factory(dict)
@@ -166,15 +178,32 @@
             return
         worker.token = body['fencingToken']
         worker.step()
+        path = self.request.path
+        if path != LOOK_PATH:
+            worker.asked.append(path)
+        if path in worker.failing:
+            self._tell(500, {})
+            return
+        if path in worker.unanswered:
+            await self._leave_unanswered(body)
+            return
         status, document = await self._act(body)
         self._tell(status, document)
 
+    async def _leave_unanswered(self, body: dict[str, Any]) -> None:
+        """Answers nothing; carries the call out late, if at all."""
+        if self.worker.late_seconds:
+            await asyncio.sleep(self.worker.late_seconds)
+            self.worker.step()
+            await self._act(body)
+        await asyncio.sleep(60)
+
     async def _act(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         worker = self.worker
-        if self.request.path == '/run-start':
+        if self.request.path == START_PATH:
             reason = worker.start(body)
             return (409, {'reason': reason}) if reason else (200, {})
-        if self.request.path == '/run-stop':
+        if self.request.path == STOP_PATH:
             worker.stop(body['task'], body['run'])
             return 200, {}
         if self.request.path == '/pace':
--- /dev/null
+++ b/tests/test_unanswered_orders.py
@@ -0,0 +1,234 @@
+"""Workers that answer looks and leave orders unanswered."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import pathlib
+
+import pytest
+
+from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.health import MOST_CLOSED, STOP_SECONDS, Health
+from lentilmount.scheduling.model import Task, TaskPhase, Worker
+from lentilmount.scheduling.reconciling import Reconciler
+from stand_ins.fleet import START_PATH, STOP_PATH, FleetWorker
+from tests.fleet_scene import (
+    add_worker,
+    admit,
+    find_task,
+    make_job,
+    make_look,
+    make_step,
+    run_task,
+)
+from tests.helpers import run
+from tests.platform_scene import PREFIX, Daemon, Scene, open_scene
+
+JOBS = [f'{number:016x}' for number in range(1, 9)]
+LASTING = 'f' * 16
+ORDERS = frozenset({START_PATH, STOP_PATH})
+
+LATE_SECONDS = 4.0
+"""After which a worker carries out what it left unanswered: longer than a start
+waits for, and shorter than the leases there."""
+
+WATCHED_SECONDS = 10.0
+MOST_ORDERS_PER_SECOND = 10.0
+"""To a worker that answers none: eight starts, each sent again once a second in
+the end, and the probe."""
+
+
+async def wait_for_end(scene: Scene, daemon: Daemon, job_id: str) -> None:
+    """Waits until a job is completed."""
+    await scene.wait_for_state(daemon, job_id, 'completed')
+
+
+def count_starts(scene: Scene) -> collections.Counter[str]:
+    """Counts the starts that were carried out, by task."""
+    return collections.Counter(task for task, _, _ in scene.fleet.list_starts())
+
+
+@pytest.mark.parametrize('fault', ['unanswered', 'failing'])
+@pytest.mark.parametrize('paths', [ORDERS, frozenset({START_PATH})])
+def test_a_worker_that_takes_no_starts_does_not_keep_its_jobs(
+    tmp_path: pathlib.Path, fault: str, paths: frozenset[str]
+) -> None:
+    """Jobs placed on a worker that answered only looks never ran."""
+
+    async def play() -> None:
+        async with open_scene(tmp_path) as scene:
+            daemon = await scene.start()
+            getattr(scene.fleet.workers[0], fault).update(paths)
+            for job_id in JOBS:
+                await scene.submit(daemon, job_id)
+            for job_id in JOBS:
+                await wait_for_end(scene, daemon, job_id)
+            assert set(count_starts(scene).values()) == {1}
+
+    run(play())
+
+
+def test_a_start_carried_out_late_does_not_run_beside_another(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A task given up for a start without an answer could run twice."""
+
+    async def play() -> None:
+        async with open_scene(tmp_path) as scene:
+            daemon = await scene.start()
+            odd = scene.fleet.workers[0]
+            odd.unanswered |= ORDERS
+            odd.late_seconds = LATE_SECONDS
+            for job_id in JOBS:
+                await scene.submit(daemon, job_id)
+            for job_id in JOBS:
+                await wait_for_end(scene, daemon, job_id)
+            await asyncio.sleep(LATE_SECONDS)
+            assert not odd.started
+            assert set(count_starts(scene).values()) == {1}
+
+    run(play())
+
+
+def test_a_worker_that_takes_orders_again_gets_work_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A worker that got well was left without work."""
+
+    async def play() -> None:
+        async with open_scene(tmp_path) as scene:
+            daemon = await scene.start()
+            odd = scene.fleet.workers[0]
+            odd.unanswered |= ORDERS
+            for job_id in JOBS:
+                await scene.submit(daemon, job_id)
+            for job_id in JOBS:
+                await wait_for_end(scene, daemon, job_id)
+            odd.unanswered.clear()
+            await scene.submit(
+                daemon, LASTING, count=2, cpu=5000, longRunning=True
+            )
+
+            async def is_used() -> bool:
+                return bool(odd.started)
+
+            await scene.wait_for(is_used)
+
+    run(play())
+
+
+async def start_lasting(scene: Scene, daemon: Daemon) -> FleetWorker:
+    """Starts a lasting task; returns the worker that runs it."""
+    for worker in scene.fleet.workers:
+        worker.lasts.add('long')
+    await scene.submit(daemon, LASTING, 'long', longRunning=True)
+
+    async def runs() -> bool:
+        return any(worker.running for worker in scene.fleet.workers)
+
+    await scene.wait_for(runs)
+    return next(w for w in scene.fleet.workers if w.running)
+
+
+def test_a_cancelled_task_ends_where_no_stop_is_answered(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A cancelled task ran on for as long as its worker answered looks."""
+
+    async def play() -> None:
+        async with open_scene(tmp_path) as scene:
+            daemon = await scene.start()
+            odd = await start_lasting(scene, daemon)
+            odd.unanswered.add(STOP_PATH)
+            answer = await scene.call(daemon, 'DELETE', PREFIX + LASTING)
+            assert answer.code == 200
+
+            async def has_ended() -> bool:
+                odd.step()
+                return not odd.running
+
+            await scene.wait_for(has_ended)
+            assert len(scene.fleet.list_starts()) == 1
+
+    run(play())
+
+
+@pytest.mark.parametrize('fault', ['unanswered', 'failing'])
+def test_orders_without_an_answer_are_sent_more_and_more_seldom(
+    tmp_path: pathlib.Path, fault: str
+) -> None:
+    """A worker that failed all orders was sent 78 a second."""
+
+    async def play() -> None:
+        async with open_scene(tmp_path) as scene:
+            daemon = await scene.start()
+            odd = scene.fleet.workers[0]
+            getattr(odd, fault).update(ORDERS)
+            for job_id in JOBS:
+                await scene.submit(daemon, job_id)
+            await asyncio.sleep(WATCHED_SECONDS)
+            assert len(odd.asked) <= MOST_ORDERS_PER_SECOND * WATCHED_SECONDS
+
+    run(play())
+
+
+def place_start(book: Book) -> tuple[Task, Worker]:
+    """Places a task whose start must begin by 2 s on the worker's clock."""
+    worker = add_worker(book, 'w')
+    admit(book, make_job('job'))
+    task = find_task(book, 'job')
+    book.place([task], worker, 1.0)
+    task.start_deadline_ms = 2000
+    return task, worker
+
+
+def test_a_start_that_may_still_be_carried_out_keeps_its_task() -> None:
+    """A list made before a start expired proves nothing about the start."""
+    book = Book()
+    task, worker = place_start(book)
+    reconciler = Reconciler(book)
+    reconciler.take_look(worker, make_look(), 3.0, 3.1)
+    task.start_expired_at = 4.0
+    reconciler.take_look(worker, make_look(), 3.9, 4.1)
+    assert task.phase is TaskPhase.STARTING
+    news = reconciler.take_look(worker, make_look(), 4.2, 4.3)
+    assert news.expired == [task]
+    assert task.id in book.ready
+
+
+def open_overdue(workers: int) -> list[Worker]:
+    """Returns workers of which each has left a stop unanswered."""
+    book = Book()
+    spec = make_step(count=workers, lasting=True)
+    admit(book, make_job('job', spec))
+    found = []
+    for index in range(workers):
+        worker = add_worker(book, f'w{index}')
+        task = find_task(book, 'job', 0, index)
+        run_task(book, task, worker)
+        book.begin_stop(task)
+        worker.stop_unanswered_since = 1.0
+        found.append(worker)
+    return found
+
+
+def test_leases_of_few_workers_at_once_are_left_to_run_out() -> None:
+    """An owner whose own orders get lost would end the work of all workers."""
+    workers = open_overdue(20)
+    health = Health()
+    assert health.review_leases(workers, 1.0 + STOP_SECONDS) == ([], [])
+    left, _ = health.review_leases(workers, 1.1 + STOP_SECONDS)
+    assert len(left) == MOST_CLOSED * len(workers)
+    assert [w for w in workers if not w.keeps_leases] == left
+
+
+def test_leases_are_renewed_again_once_nothing_is_left_to_stop() -> None:
+    """A worker on which a task ended by itself lost all its other tasks."""
+    workers = open_overdue(1)
+    health = Health()
+    assert health.review_leases(workers, 1.1 + STOP_SECONDS) == (workers, [])
+    for task in workers[0].tasks.values():
+        task.phase = TaskPhase.RUNNING
+    assert health.review_leases(workers, 2.0 + STOP_SECONDS) == ([], workers)
+    assert workers[0].keeps_leases
