Show a job as running only once a worker has begun it

Cause: placing a task made the job running, and the row with that is written before the start is sent. Evidence: the probe's log has the job running, no start at any worker, and the task begun a second later.

Ruled out: a reading of an older row (the row was the newest); a worker that lost the task (none had begun it).

Change: the state follows what workers have begun, as the count of waiting jobs already did.

Why it works: a start's answer, a list of what runs or an end is proof that a worker has begun; nothing else makes the job running.

--- a/lentilmount/scheduling/book.py
+++ b/lentilmount/scheduling/book.py
@@ -192,18 +192,27 @@
         self.note_started(task.job)
 
     def note_started(self, job: Job) -> None:
-        """Notes that a job is running."""
+        """Notes that a task of a job was placed."""
         job.has_started = True
+        self.dirty[job.spec.id] = None
+
+    def note_begun(self, job: Job) -> None:
+        """Notes that a worker has begun a task of a job.
+
+        Only then is the job shown as running: a start that was sent may never
+        be carried out.
+        """
+        job.has_begun = True
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
-        self.dirty[job.spec.id] = None
+            self.dirty[job.spec.id] = None
 
     def confirm(self, task: Task, run: int, now: float) -> None:
         """Takes in that a worker has started a run."""
         if task.run == run and task.phase is TaskPhase.STARTING:
             task.phase = TaskPhase.RUNNING
             task.confirmed_at = now
-            task.job.has_begun = True
+            self.note_begun(task.job)
 
     def reject(self, task: Task, run: int) -> None:
         """Takes in that a worker surely has not started a run."""
--- a/lentilmount/scheduling/reconciling.py
+++ b/lentilmount/scheduling/reconciling.py
@@ -116,7 +116,7 @@
         task = self._find(end.task)
         if task is None:
             return
-        task.job.has_begun = True
+        self._book.note_begun(task.job)
         here = task.worker == worker.id and task.run == end.run
         if not here:
             self._take_late_end(task, end, news, now)
@@ -164,7 +164,7 @@
         if task is None:
             news.unknown.append(row.task)
             return None
-        task.job.has_begun = True
+        self._book.note_begun(task.job)
         self._supersede(task, row.run)
         idle = task.phase in (TaskPhase.WAITING, TaskPhase.GIVEN_UP)
         if idle and row.run >= task.run:
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -99,7 +99,9 @@
         book.finish(job, state, now)
     else:
         job.state = state
-    job.has_started = state is not JobState.QUEUED
+    has_begun = state is not JobState.QUEUED
+    job.has_begun |= has_begun
+    job.has_started |= has_begun
     book.dirty.pop(job.spec.id, None)
 
 
--- a/tests/test_book.py
+++ b/tests/test_book.py
@@ -74,6 +74,21 @@
     assert job.state is JobState.RUNNING
 
 
+def test_a_job_runs_once_a_worker_has_begun_it() -> None:
+    """A job was shown as running while its start was still on its way."""
+    book = Book()
+    job = admit(book, make_job('a'))
+    task = find_task(book, 'a')
+    book.place([task], add_worker(book, 'w'), 1.0)
+    assert job.state.value == 'queued'
+    assert hand_over(book).jobs['a'].state is JobState.QUEUED
+    book.dirty.clear()
+    book.confirm(task, task.run, 2.0)
+    assert job.state.value == 'running'
+    assert 'a' in book.dirty
+    assert hand_over(book).count_pending() == {'queue': 0}
+
+
 def test_what_is_being_stopped_takes_room_until_its_end_is_listed() -> None:
     book = Book()
     admit(book, make_job('a', make_step(count=4, demand=make_step().demand)))
--- /dev/null
+++ b/tests/test_shown_states.py
@@ -0,0 +1,38 @@
+"""What callers are told of a job, against what workers do."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+from stand_ins.fleet import START_PATH, STOP_PATH
+from tests.helpers import run
+from tests.platform_scene import open_scene, wait_for_line
+
+JOB = '0123456789abcdef'
+
+SETTLED_SECONDS = 1.5
+"""More than a write of what was placed, and a reading of it."""
+
+
+def test_a_job_is_not_shown_as_running_before_a_worker_has_begun_it(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A job was shown as running when its start was decided."""
+
+    async def play() -> None:
+        async with open_scene(tmp_path) as scene:
+            daemon = await scene.start()
+            for worker in scene.fleet.workers:
+                worker.lasts.add('long')
+                worker.unanswered |= {START_PATH, STOP_PATH}
+            await scene.submit(daemon, JOB, 'long', longRunning=True)
+            await wait_for_line(scene, daemon, 'Starting.')
+            await asyncio.sleep(SETTLED_SECONDS)
+            assert await scene.get_state(daemon, JOB) == 'queued'
+            for worker in scene.fleet.workers:
+                worker.unanswered.clear()
+            await scene.wait_for_state(daemon, JOB, 'running')
+            assert any(worker.running for worker in scene.fleet.workers)
+
+    run(play())
