Tell with each write of the lease when leases on silent workers end

Cause: an owner told the end of its workers' leases with the release of the service only, and one that is killed writes none. Each new owner counted the longest lease, 7.4 s, from its own start. Evidence: one lapse, at the last owner, 7.4 s after it had loaded the jobs.

Ruled out: slow takeovers (2.0 to 2.6 s each); looks that renew the leases of a silent worker (its row tells of one start, and it answers nothing).

Change: the lease's row, which each write renews, tells the seconds left on workers that do not answer. The next owner counts them from when it first saw that row, and passes them on. A worker told as silent gets neither leases nor work until a write that tells otherwise is known to be in the store.

Why it works: the knowledge outlives its owner at no further write, and nothing can make it untrue after its owner is gone.

--- a/lentilmount/batch/manager.py
+++ b/lentilmount/batch/manager.py
@@ -141,7 +141,9 @@
                 if not self._stopping and await self._is_mine(slice_name):
                     lease = await self._keeper.try_acquire(
                         make_slice_key(slice_name),
-                        self._ledger_options.extend_promise,
+                        lambda told: self._ledger_options.extend_promise(
+                            told.data
+                        ),
                     )
                     if lease is not None:
                         await self._own(slice_name, lease)
--- a/lentilmount/control/campaign.py
+++ b/lentilmount/control/campaign.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 import uuid
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -14,20 +14,25 @@
 
 from lentilmount.clock import Clock
 from lentilmount.control.candidates import Candidates
-from lentilmount.control.commits import is_unwritten, keep_unwritten
 from lentilmount.control.keys import make_owner_key
+from lentilmount.control.leasedata import LeaseData, decode, is_unwritten
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import (
     PROMISE_SECONDS,
     Owner,
     OwnerSettings,
 )
-from lentilmount.coordination.leases import Lease, LeaseKeeper
+from lentilmount.coordination.leases import (
+    CLOCK_DRIFT,
+    Lease,
+    LeaseKeeper,
+    Told,
+)
 from lentilmount.coordination.table import UnavailableError
 from lentilmount.platform.advice import AdviceCalls
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerCalls
-from lentilmount.scheduling.inheritance import list_remaining
+from lentilmount.scheduling.inheritance import InheritedLeases
 
 log = logbook.Logger('campaign')
 
@@ -45,12 +50,6 @@
 NAME_SEPARATOR = '.'
 """Between the host's name and the process's own part in a holder's name."""
 
-REMAINING = 'remaining'
-"""Where a released lease tells of workers' leases that may still run."""
-
-TOLD_BY = 'told_by'
-"""The epoch of the owner that told it."""
-
 POLL_SECONDS = 0.5
 JITTER_SECONDS = 0.1
 
@@ -116,7 +115,8 @@
     may_own: Callable[[str], Awaitable[bool]]
     owner: Owner | None = None
     _stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _told: dict[str, Any] = attrs.Factory(dict)
+    _told: LeaseData = attrs.Factory(LeaseData)
+    _inherited: InheritedLeases = attrs.Factory(InheritedLeases)
     _tenure: float = 0.0
     _handed_over: int = 0
 
@@ -157,29 +157,28 @@
         """
         return is_same_host(self.name, holder)
 
-    def _take_data(self, data: dict[str, Any]) -> dict[str, Any]:
-        """Takes in what the row told; returns what it tells until we write."""
-        self._told = data
-        return keep_unwritten(data)
+    def _take_data(self, told: Told) -> dict[str, Any]:
+        """Takes in what the row told; returns what it tells until we write.
+
+        What a release told of all workers is dropped from the row: kept, their
+        leases could not be renewed before the next write.
+        """
+        self._told = decode(told.data, told.epoch)
+        is_held = told.holder != ''
+        self._inherited = InheritedLeases(
+            self._told.remaining, told.seen_at, is_held
+        )
+        now = self.clock.monotonic()
+        left = self._inherited.list_left(CLOCK_DRIFT, now) if is_held else {}
+        data = LeaseData(self._told.is_unwritten, left)
+        return data.encode(told.epoch + 1)
 
     def _is_written(self, keeper: LeaseKeeper, lease: Lease) -> bool:
         """Whether the rows surely tell of all that the last owner started."""
-        if is_unwritten(self._told):
+        if self._told.is_unwritten:
             return False
         return keeper.has_seen_writes(lease.key) or lease.epoch == 1
 
-    def _get_remaining(self, lease: Lease) -> Mapping[str, float]:
-        """Returns what the previous owner told of leases at its release.
-
-        An owner since then, killed or of an earlier version, has renewed
-        leases and told nothing; what stands there is no longer true, and gone
-        by, tasks would run twice.
-        """
-        if self._told.get(TOLD_BY) != lease.epoch - 1:
-            return {}
-        remaining: dict[str, float] = self._told[REMAINING]
-        return remaining
-
     def _defer(self) -> float:
         return HEAD_START_SECONDS if self.candidates.may_be_outranked else 0.0
 
@@ -200,7 +199,7 @@
             self.is_outage,
             self.advice,
             self.metrics,
-            self._get_remaining(lease),
+            self._inherited,
         )
         self.owner = owner
         handover = asyncio.create_task(self._hand_over(owner, lease))
@@ -213,12 +212,8 @@
             self.owner = None
         if owner.lost:
             return
-        now = self.clock.monotonic()
-        lease.data = {
-            **lease.data,
-            TOLD_BY: lease.epoch,
-            REMAINING: list_remaining(owner.book, now),
-        }
+        data = LeaseData(is_unwritten(lease.data), owner.list_remaining())
+        lease.data = data.encode(lease.epoch)
         if await keeper.release(lease):
             log.info('Released: {}.', self.settings.service)
         else:
--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections
 from collections.abc import Callable, Mapping
-from typing import Any
 
 import attrs
 import logbook
@@ -16,6 +15,7 @@
     make_model_key,
     make_state_key,
 )
+from lentilmount.control.leasedata import LeaseData
 from lentilmount.control.links import Link
 from lentilmount.control.retention import Retention
 from lentilmount.coordination.leases import Lease, LeaseKeeper, LeaseLostError
@@ -30,6 +30,7 @@
 )
 from lentilmount.coordination.transactions import make_token
 from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.inheritance import list_silent
 from lentilmount.scheduling.model import Job, Task, TaskPhase
 from lentilmount.scheduling.rows import encode_state
 from lentilmount.scheduling.sharing import Sharing
@@ -72,23 +73,6 @@
 never be acknowledged while starts keep coming."""
 
 
-UNWRITTEN = 'unwritten'
-"""Where a lease's row tells that tasks may run of which no row tells."""
-
-
-def is_unwritten(data: Mapping[str, Any]) -> bool:
-    """Tells from a lease's data whether tasks may run that no row tells of."""
-    return bool(data.get(UNWRITTEN))
-
-
-def keep_unwritten(data: Mapping[str, Any]) -> dict[str, Any]:
-    """Returns of a lease's data what still holds before anything is written.
-
-    An owner that is stopped while it reads releases the lease as it found it.
-    """
-    return {UNWRITTEN: True} if is_unwritten(data) else {}
-
-
 @attrs.define
 class _Mark:
     """Ends that may be forgotten once some jobs are written.
@@ -232,12 +216,14 @@
         old = [] if jobs else self.retention.list_old(self.clock.monotonic())
         removals = self.retention.make_removals(old)
         operations = [*states, *counts, *model, *removals]
-        self._tell_unwritten(bool(mark.waiting))
+        silent = self._tell_next_owner(bool(mark.waiting))
         is_written = await self._write(operations, [*jobs, *old])
         placed, self._in_write = self._in_write, []
         if not is_written:
             self._unsent += placed
             return
+        for worker in self.book.workers.values():
+            worker.is_told_silent = worker.id in silent
         self.retention.forget(old)
         self.forget(old)
         for job in jobs:
@@ -272,15 +258,27 @@
                 },
             )
 
-    def _tell_unwritten(self, leaves_some: bool) -> None:
-        """Tells with the lease whether this write leaves starts untold.
+    def _tell_next_owner(self, leaves_some: bool) -> Mapping[str, float]:
+        """Tells with the lease what no other row tells of.
+
+        Whether this write leaves starts untold: the next owner takes rows for
+        true once it has seen a write after an outage. One that did not hold
+        all jobs would have it start the others again: twice, where their worker
+        is not heard at once.
+
+        And when leases on silent workers have run out. From this moment they
+        are not renewed until a write says that the worker is heard again.
 
-        The next owner takes rows for true once it has seen a write after an
-        outage. One that did not hold all jobs would have it start the others
-        again: twice, where their worker is not heard at once.
+        Returns:
+          The silent workers, as told.
         """
-        is_told = self._has_sent_unwritten and leaves_some
-        self.lease.data = {UNWRITTEN: True} if is_told else {}
+        silent = list_silent(self.book, self.clock.monotonic())
+        for worker_id in silent:
+            self.book.workers[worker_id].is_told_silent = True
+        is_unwritten = self._has_sent_unwritten and leaves_some
+        data = LeaseData(is_unwritten, silent)
+        self.lease.data = data.encode(self.lease.epoch)
+        return silent
 
     def _acknowledge(self, mark: _Mark, written: set[str]) -> None:
         """Lets workers forget the ends whose jobs are all written.
--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -27,8 +27,9 @@
 """Between looks at any other worker: leases of 6 s are renewed four times."""
 
 DOUBT_LOOK_SECONDS = 0.25
-"""Between looks at a worker that leaves orders unanswered: they tell when a
-start can no longer be carried out there."""
+"""Between looks at a worker that leaves orders unanswered, as they tell when a
+start can no longer be carried out there, and at one whose leases may be renewed
+again in a moment."""
 
 START_SECONDS = 2.0
 """Within which a worker must begin a start. Until then a start that is not
@@ -112,6 +113,7 @@
             await self._look()
 
     async def _wait_for_lapse(self) -> None:
+        self.worker.is_missed = True
         await asyncio.sleep(RETRY_SECONDS)
         self._check_lapse('its leases ran out, and it is not registered')
 
@@ -154,7 +156,8 @@
         return QUIET_LOOK_SECONDS
 
     def _choose_wait(self) -> float:
-        if not self.worker.takes_orders and self.worker.tasks:
+        worker = self.worker
+        if worker.is_told_silent or (worker.tasks and not worker.takes_orders):
             return DOUBT_LOOK_SECONDS
         serves = any(t.serves for t in self.worker.tasks.values())
         fills = any(t.spec.fills for t in self.worker.tasks.values())
@@ -171,8 +174,8 @@
 
     def _may_renew(self) -> bool:
         worker = self.worker
-        may_renew = worker.reachable and worker.keeps_leases
-        return may_renew and self.events.may_renew()
+        is_kept = worker.keeps_leases and not worker.is_told_silent
+        return worker.reachable and is_kept and self.events.may_renew()
 
     def choose_lease_end(self) -> int:
         """Returns the end of a lease that begins now, on the worker's clock.
@@ -263,6 +266,7 @@
             log.info('Reached.', extra={'worker': worker.id})
             worker.takes_orders = True
         worker.reached = worker.reachable = True
+        worker.is_missed = False
         self.note_clock(look.clock_ms)
         fresh = tuple(e for e in look.ended if e.number > self.received)
         news = Reconciler(self.book).take_look(
@@ -314,5 +318,6 @@
                 extra={'worker': self.worker.id},
             )
         self.worker.reachable = False
+        self.worker.is_missed = True
         self._check_lapse('it could not be reached until its leases ran out')
         await asyncio.sleep(RETRY_SECONDS)
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import attrs
@@ -28,7 +28,12 @@
 from lentilmount.platform.workers import WorkerCalls
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.health import Health
-from lentilmount.scheduling.inheritance import Inheritance, shorten_leases
+from lentilmount.scheduling.inheritance import (
+    Inheritance,
+    InheritedLeases,
+    list_remaining,
+    shorten_leases,
+)
 from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
 from lentilmount.scheduling.placing import Placer
 from lentilmount.scheduling.reconciling import News
@@ -79,8 +84,7 @@
       is_outage: Tells whether no daemon at all reaches the store.
       advice: How the advice service is called, if there is one.
       metrics: What the daemon counts.
-      remaining: What the previous owner told of workers' leases at its
-        release; see `list_remaining`.
+      inherited: What the previous owner told of workers' leases.
     """
 
     def __init__(
@@ -96,7 +100,7 @@
         is_outage: Callable[[], bool],
         advice: AdviceCalls | None,
         metrics: ControlMetrics,
-        remaining: Mapping[str, float],
+        inherited: InheritedLeases,
     ):
         self.book = Book()
         self.links: dict[str, Link] = {}
@@ -107,7 +111,7 @@
         self._calls = calls
         self._clock = clock
         self._lapse_seconds = lapse_seconds
-        self._remaining = remaining
+        self._inherited = inherited
         self._is_written = is_written
         self._is_outage = is_outage
         self._metrics = metrics
@@ -173,7 +177,7 @@
         ):
             return
         now = self._clock.monotonic()
-        shorten_leases(self.book, self._remaining, CLOCK_DRIFT, now)
+        self._take_leases()
         inheritance = Inheritance(
             self.book,
             self._is_written,
@@ -219,6 +223,21 @@
             for task in list(self._background):
                 task.cancel()
 
+    def _take_leases(self) -> None:
+        told = self._inherited
+        shorten_leases(self.book, told.remaining, CLOCK_DRIFT, told.at)
+        for worker_id in told.remaining if told.are_withheld else ():
+            worker = self.book.workers.get(worker_id)
+            if worker is not None:
+                worker.is_told_silent = True
+
+    def list_remaining(self) -> dict[str, float]:
+        """Lists for how long leases may still run on workers."""
+        now = self._clock.monotonic()
+        if not self.at_work.is_set():
+            return self._inherited.list_left(CLOCK_DRIFT, now)
+        return list_remaining(self.book, now)
+
     def stop(self) -> None:
         """Makes `run` return."""
         self._ended.set()
@@ -344,6 +363,8 @@
     def take_news(self, worker: Worker, news: News) -> None:
         """See `Events`."""
         self._steering.take_news(worker, news, self._clock.monotonic())
+        if worker.is_told_silent:
+            self._commits.note_change()
         if news.ended or news.adopted or news.expired:
             self._wake.set()
             self._commits.note_change()
--- a/lentilmount/coordination/leases.py
+++ b/lentilmount/coordination/leases.py
@@ -29,8 +29,6 @@
 IsGone = Callable[[str], bool]
 """Whether the process that a holder's name belongs to has surely ended."""
 
-Amend = Callable[[dict[str, Any]], dict[str, Any]]
-"""Makes a lease's data at a takeover from the data before."""
 
 CLOCK_DRIFT = 0.01
 """Two monotonic clocks differ in rate by less than this share."""
@@ -40,6 +38,32 @@
     """The lease is held by another, or may be."""
 
 
+@attrs.frozen
+class Told:
+    """What a lease's row told before the lease was taken.
+
+    Attributes:
+      data: What it carried beside its holder and epoch.
+      holder: Who held it, or '' where it was given up or never held.
+      epoch: The last holder's; 0 if there was none.
+      seen_at: Monotonic time by which it had surely been written.
+    """
+
+    data: dict[str, Any]
+    holder: str
+    epoch: int
+    seen_at: float
+
+
+Amend = Callable[[Told], dict[str, Any]]
+"""Makes a lease's data at a takeover from what the row told."""
+
+
+def keep_data(told: Told) -> dict[str, Any]:
+    """Leaves a lease's data as they are."""
+    return dict(told.data)
+
+
 @attrs.frozen
 class Renewal:
     """A write of a lease's row: its token, when it was first sent, the row."""
@@ -113,7 +137,7 @@
         self._renewed: set[Key] = set()
 
     async def try_acquire(
-        self, key: Key, amend: Amend = dict, defer: float = 0.0
+        self, key: Key, amend: Amend = keep_data, defer: float = 0.0
     ) -> Lease | None:
         """Takes a lease if it is free or surely lapsed.
 
@@ -147,7 +171,7 @@
         self,
         key: Key,
         row: Row | None,
-        amend: Amend = dict,
+        amend: Amend = keep_data,
         defer: float = 0.0,
     ) -> Lease | None:
         """Takes a lease whose row was just read; see `try_acquire`."""
@@ -160,7 +184,7 @@
             version=row.version if row else ABSENT,
             renewed_at=0.0,
             valid_until=0.0,
-            data=amend(row.body['data'] if row else {}),
+            data=amend(self._read_told(key, row)),
         )
         try:
             await self.renew(lease)
@@ -168,6 +192,18 @@
             return None
         return lease
 
+    def _read_told(self, key: Key, row: Row | None) -> Told:
+        now = self._monotonic()
+        if row is None:
+            return Told({}, '', 0, now)
+        version, seen_at = self._seen.get(key, (ABSENT, now))
+        return Told(
+            row.body['data'],
+            row.body['holder'],
+            row.body['epoch'],
+            seen_at if version == row.version else now,
+        )
+
     def has_seen_writes(self, key: Key) -> bool:
         """Tells whether the last holder's writes were followed to the end.
 
--- a/lentilmount/scheduling/inheritance.py
+++ b/lentilmount/scheduling/inheritance.py
@@ -7,7 +7,7 @@
 import attrs
 
 from lentilmount.scheduling.book import Book
-from lentilmount.scheduling.model import Task
+from lentilmount.scheduling.model import Task, Worker
 
 
 @attrs.define
@@ -46,6 +46,35 @@
         return task.id.job in self.jobs
 
 
+@attrs.frozen
+class InheritedLeases:
+    """What the previous owner told of leases on workers.
+
+    Attributes:
+      remaining: Seconds for which they may still run, by the worker's id.
+      at: Monotonic time from which these seconds count at the latest.
+      are_withheld: Whether the row still tells it, so that none of them may be
+        renewed yet.
+    """
+
+    remaining: Mapping[str, float] = attrs.Factory(dict)
+    at: float = 0.0
+    are_withheld: bool = False
+
+    def list_left(self, drift: float, now: float) -> dict[str, float]:
+        """Returns the seconds that are left now, by the worker's id.
+
+        Args:
+          drift: Share by which two clocks differ in rate at most.
+          now: Monotonic time.
+        """
+        passed = now - self.at
+        return {
+            name: max(0.0, seconds * (1 + drift) - passed)
+            for name, seconds in self.remaining.items()
+        }
+
+
 def list_remaining(book: Book, now: float) -> dict[str, float]:
     """Lists for how long leases may still run on workers.
 
@@ -65,6 +94,29 @@
     }
 
 
+def list_silent(book: Book, now: float) -> dict[str, float]:
+    """Lists for how long leases may still run on workers that do not answer.
+
+    Told with each write of the lease, since an owner that is killed writes no
+    release: where owners are killed faster than leases run out, each would
+    wait for them anew.
+
+    Returns:
+      See `list_remaining`.
+    """
+    return {
+        name: seconds
+        for name, seconds in list_remaining(book, now).items()
+        if is_silent(book.workers[name])
+    }
+
+
+def is_silent(worker: Worker) -> bool:
+    """Tells whether a worker does not answer, as far as owners know."""
+    is_missed = worker.is_missed or worker.is_told_silent
+    return is_missed and not worker.reachable
+
+
 def shorten_leases(
     book: Book, remaining: Mapping[str, float], drift: float, now: float
 ) -> None:
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -202,6 +202,9 @@
       tasks: Tasks that it runs or may run, those being stopped included.
       reached: Whether it has answered this owner.
       reachable: Whether its last look was answered.
+      is_missed: Whether a look at it got no answer since it last answered.
+      is_told_silent: Whether the service's lease may tell the next owner that
+        its leases are no longer renewed.
       takes_orders: Whether its last order was answered.
       stop_unanswered_since: Monotonic time since which it has answered no
         order while a stop is asked of it; infinity if none is.
@@ -221,6 +224,8 @@
     tasks: dict[TaskId, Task] = attrs.Factory(dict)
     reached: bool = False
     reachable: bool = False
+    is_missed: bool = False
+    is_told_silent: bool = False
     takes_orders: bool = True
     stop_unanswered_since: float = math.inf
     keeps_leases: bool = True
--- a/lentilmount/scheduling/views.py
+++ b/lentilmount/scheduling/views.py
@@ -168,6 +168,7 @@
         worker.present
         and worker.reachable
         and worker.takes_orders
+        and not worker.is_told_silent
         and not worker.opaque
         and worker.entry.state is WorkerState.READY
         and now >= worker.closed_until
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -11,7 +11,8 @@
 
 from lentilmount.clock import ManualClock
 from lentilmount.control import commits as commits_module
-from lentilmount.control.commits import COMMIT_ROWS, Commits, is_unwritten
+from lentilmount.control.commits import COMMIT_ROWS, Commits
+from lentilmount.control.leasedata import is_unwritten
 from lentilmount.control.links import Link
 from lentilmount.control.retention import Retention
 from lentilmount.coordination.leases import Lease, LeaseKeeper
--- /dev/null
+++ b/tests/test_killed_owners.py
@@ -0,0 +1,178 @@
+"""Owners that are killed or freeze, and what is known of leases after them."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+import time
+
+import pytest
+
+from lentilmount.clock import ManualClock
+from lentilmount.control.campaign import LEASE_SECONDS, POLL_SECONDS
+from lentilmount.control.leasedata import REMAINING, LeaseData, decode
+from lentilmount.control.links import Link
+from lentilmount.coordination.leases import CLOCK_DRIFT
+from lentilmount.platform.workers import Verdict, WorkerCalls
+from lentilmount.scheduling.inheritance import (
+    InheritedLeases,
+    list_remaining,
+    list_silent,
+)
+from lentilmount.scheduling.views import is_open
+from lentilmount.upstream.http import HttpCaller
+from tests.helpers import run
+from tests.platform_scene import (
+    WAIT_SECONDS,
+    Daemon,
+    Scene,
+    open_scene,
+)
+from tests.test_control_links import NoEvents
+from tests.test_handovers import (
+    DAEMONS,
+    JOB,
+    TENURE_SECONDS,
+    find_owner,
+    make_placed,
+)
+
+WORKER_LEASE_SECONDS = 6.0
+
+LONGEST_WAIT_SECONDS = 7.5
+"""For leases of an owner that is gone: a worker's lease by its slowest clock,
+the second for which the owner may have renewed it, and calls on their way."""
+
+TAKEOVER_SECONDS = LEASE_SECONDS + 2 * POLL_SECONDS
+"""Without an owner after each kill."""
+
+OWNERLESS_SECONDS = (DAEMONS - 1) * TAKEOVER_SECONDS
+"""The longest that the three kills of a test leave nobody to act."""
+
+FREEZE_SECONDS = 8.0
+
+
+async def end_owner(
+    scene: Scene, daemons: list[Daemon], how: signal.Signals
+) -> None:
+    """Kills or freezes the owner's daemon and waits for the next owner."""
+    epoch, owner = find_owner(daemons)
+    owner.process.send_signal(how)
+    if how is signal.SIGSTOP:
+        asyncio.get_running_loop().call_later(
+            FREEZE_SECONDS, owner.process.send_signal, signal.SIGCONT
+        )
+
+    async def is_taken() -> bool:
+        return find_owner(daemons)[0] > epoch
+
+    await scene.wait_for(is_taken)
+
+
+@pytest.mark.parametrize('how', [signal.SIGKILL, signal.SIGSTOP])
+@pytest.mark.parametrize('moment', [0.0, 1.0, TENURE_SECONDS])
+def test_owners_that_fail_in_turn_do_not_keep_what_a_gone_worker_ran(
+    tmp_path: pathlib.Path, how: signal.Signals, moment: float
+) -> None:
+    """Each owner that was not stopped as planned made the next wait anew."""
+
+    async def play() -> tuple[float, int]:
+        async with open_scene(tmp_path) as scene:
+            for worker in scene.fleet.workers:
+                worker.lasts.add('long')
+            daemons = [
+                await scene.start(f'host-{number}') for number in range(DAEMONS)
+            ]
+            await scene.submit(daemons[0], JOB, 'long', longRunning=True)
+            await scene.wait_for_state(daemons[0], JOB, 'running')
+            lost = next(w for w in scene.fleet.workers if w.running)
+            lost.silent = True
+            began = time.monotonic()
+
+            async def is_back() -> bool:
+                return len(scene.fleet.list_starts()) > 1
+
+            pause = moment
+            for _ in range(DAEMONS - 1):
+                await asyncio.sleep(pause)
+                if await is_back():
+                    break
+                await end_owner(scene, daemons, how)
+                pause = TENURE_SECONDS
+            async with asyncio.timeout(WAIT_SECONDS):
+                await scene.wait_for(is_back)
+            took = time.monotonic() - began
+            await asyncio.sleep(1.0)
+            return took, len(scene.fleet.list_starts())
+
+    took, starts = run(play())
+    assert starts == 2
+    assert took < moment + LONGEST_WAIT_SECONDS + OWNERLESS_SECONDS
+
+
+class _LostCalls(WorkerCalls):
+    """Calls of which none is answered."""
+
+    def __init__(self) -> None:
+        super().__init__(HttpCaller(''), 1, 1.0)
+
+    async def look(self, *args: object, **options: object) -> Verdict:
+        """See `WorkerCalls`."""
+        return Verdict.UNKNOWN
+
+
+def test_only_workers_that_missed_a_look_are_told_as_silent() -> None:
+    """A worker not asked yet may hold any lease of the owner before."""
+    book, worker = make_placed(False, 15.0)
+    assert list_silent(book, 12.0) == {}
+    worker.is_missed = True
+    assert list_silent(book, 12.0) == {'w': 3.0}
+    worker.reachable = True
+    assert list_silent(book, 12.0) == {}
+
+
+def test_a_worker_told_as_silent_gets_no_lease_before_it_is_told_anew() -> None:
+    """The next owner would start tasks that still ran under a renewed lease."""
+    clock = ManualClock()
+    book, worker = make_placed(True, 0.0)
+    link = Link(
+        worker,
+        book,
+        _LostCalls(),
+        NoEvents(),
+        WORKER_LEASE_SECONDS,
+        clock.monotonic,
+    )
+    link.note_clock(1000)
+    end = link.choose_lease_end()
+    told = list_remaining(book, clock.monotonic())
+    worker.is_told_silent = True
+    clock.advance(1.0)
+    assert link.choose_lease_end() == end
+    assert link.choose_start_deadline() == end
+    assert list_remaining(book, clock.monotonic())['w'] <= told['w'] - 1.0
+    assert not is_open(worker, clock.monotonic())
+    worker.is_told_silent = False
+    assert link.choose_lease_end() > end
+
+
+def test_what_was_told_counts_from_when_its_row_was_seen() -> None:
+    """Each takeover added the time for which nobody owned the service."""
+    told = InheritedLeases({'w': 5.0}, at=10.0)
+    left = told.list_left(CLOCK_DRIFT, 12.0)
+    assert left == {'w': pytest.approx(5.0 * (1 + CLOCK_DRIFT) - 2.0)}
+    assert told.list_left(CLOCK_DRIFT, 20.0) == {'w': 0.0}
+
+
+def test_what_an_earlier_owner_told_is_not_believed() -> None:
+    """An owner since then has renewed leases and told nothing."""
+    data = LeaseData(remaining={'w': 3.0}).encode(4)
+    assert decode(data, 4).remaining == {'w': 3.0}
+    assert decode(data, 5).remaining == {}
+    assert REMAINING not in LeaseData().encode(4)
+
+
+def test_leases_are_told_as_no_shorter_than_they_are() -> None:
+    data = LeaseData(remaining={'w': 3.001}).encode(4)
+    assert decode(data, 4).remaining['w'] >= 3.001
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -18,6 +18,7 @@
 from lentilmount.coordination.table import UnavailableError
 from lentilmount.platform.store import Changes, PlatformTable
 from lentilmount.platform.workers import WorkerCalls
+from lentilmount.scheduling.inheritance import InheritedLeases
 from lentilmount.scheduling.model import TaskPhase
 from lentilmount.scheduling.reports import WorkerState
 from lentilmount.scheduling.rows import make_unregistered
@@ -73,7 +74,7 @@
         lambda: False,
         None,
         ControlMetrics(),
-        {},
+        InheritedLeases(),
     )
 
 
