Pass on the doubt about unwritten starts with each write

What callers could see: a task that runs twice, after an outage of the store and two changes of owner within 7.4 s with a worker cut off.

Cause: an owner that took over without having seen a write may inherit starts that no row tells of, and waits. Its own writes did not tell so; the next owner saw them and took the rows for complete. Evidence: the data of the first write after such a takeover were empty (test_killed_owners.py, KeyError before).

Ruled out: passing on a flag alone. Each owner would be in doubt for 7.4 s from its own start, and owners that change in turn would leave lasting tasks away.

Change: the lease tells the doubt and the seconds that it lasts; the next owner counts these from when it first saw the row.

--- a/lentilmount/control/campaign.py
+++ b/lentilmount/control/campaign.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import random
 import uuid
@@ -15,7 +16,7 @@
 from lentilmount.clock import Clock
 from lentilmount.control.candidates import Candidates
 from lentilmount.control.keys import make_owner_key
-from lentilmount.control.leasedata import LeaseData, decode, is_unwritten
+from lentilmount.control.leasedata import LeaseData, decode
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import (
     PROMISE_SECONDS,
@@ -115,7 +116,7 @@
     may_own: Callable[[str], Awaitable[bool]]
     owner: Owner | None = None
     _stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _told: LeaseData = attrs.Factory(LeaseData)
+    _is_written: bool = True
     _inherited: InheritedLeases = attrs.Factory(InheritedLeases)
     _tenure: float = 0.0
     _handed_over: int = 0
@@ -133,7 +134,9 @@
         while not self._stopping.is_set():
             try:
                 lease = await keeper.try_acquire(
-                    key, self._take_data, self._defer()
+                    key,
+                    functools.partial(self._take_data, keeper),
+                    self._defer(),
                 )
             except UnavailableError as error:
                 log.warning('Cannot look at the lease: {}', error)
@@ -157,27 +160,32 @@
         """
         return is_same_host(self.name, holder)
 
-    def _take_data(self, told: Told) -> dict[str, Any]:
+    def _take_data(self, keeper: LeaseKeeper, told: Told) -> dict[str, Any]:
         """Takes in what the row told; returns what it tells until we write.
 
         What a release told of all workers is dropped from the row: kept, their
         leases could not be renewed before the next write.
         """
-        self._told = decode(told.data, told.epoch)
+        data = decode(told.data, told.epoch)
         is_held = told.holder != ''
-        self._inherited = InheritedLeases(
-            self._told.remaining, told.seen_at, is_held
+        is_seen = keeper.has_seen_writes(make_owner_key(self.settings.service))
+        self._is_written = not data.is_unwritten and (
+            is_seen or told.epoch == 0
         )
+        inherited = InheritedLeases(
+            data.remaining,
+            told.seen_at,
+            is_held,
+            data.doubt if is_seen else None,
+        )
+        self._inherited = inherited
         now = self.clock.monotonic()
-        left = self._inherited.list_left(CLOCK_DRIFT, now) if is_held else {}
-        data = LeaseData(self._told.is_unwritten, left)
-        return data.encode(told.epoch + 1)
-
-    def _is_written(self, keeper: LeaseKeeper, lease: Lease) -> bool:
-        """Whether the rows surely tell of all that the last owner started."""
-        if self._told.is_unwritten:
-            return False
-        return keeper.has_seen_writes(lease.key) or lease.epoch == 1
+        kept = LeaseData(
+            not self._is_written,
+            inherited.list_left(CLOCK_DRIFT, now) if is_held else {},
+            inherited.get_doubt_left(CLOCK_DRIFT, now),
+        )
+        return kept.encode(told.epoch + 1)
 
     def _defer(self) -> float:
         return HEAD_START_SECONDS if self.candidates.may_be_outranked else 0.0
@@ -195,7 +203,7 @@
             self.make_calls(lease.epoch),
             self.clock,
             self._get_lapse_seconds(),
-            self._is_written(keeper, lease),
+            self._is_written,
             self.is_outage,
             self.advice,
             self.metrics,
@@ -212,8 +220,9 @@
             self.owner = None
         if owner.lost:
             return
-        data = LeaseData(is_unwritten(lease.data), owner.list_remaining())
-        lease.data = data.encode(lease.epoch)
+        data = decode(lease.data, lease.epoch)
+        told = attrs.evolve(data, remaining=owner.list_remaining())
+        lease.data = told.encode(lease.epoch)
         if await keeper.release(lease):
             log.info('Released: {}.', self.settings.service)
         else:
--- a/lentilmount/control/commits.py
+++ b/lentilmount/control/commits.py
@@ -15,7 +15,7 @@
     make_model_key,
     make_state_key,
 )
-from lentilmount.control.leasedata import LeaseData
+from lentilmount.control.leasedata import describe
 from lentilmount.control.links import Link
 from lentilmount.control.retention import Retention
 from lentilmount.coordination.leases import Lease, LeaseKeeper, LeaseLostError
@@ -30,7 +30,7 @@
 )
 from lentilmount.coordination.transactions import make_token
 from lentilmount.scheduling.book import Book
-from lentilmount.scheduling.inheritance import list_silent
+from lentilmount.scheduling.inheritance import Inheritance
 from lentilmount.scheduling.model import Job, Task, TaskPhase
 from lentilmount.scheduling.rows import encode_state
 from lentilmount.scheduling.sharing import Sharing
@@ -104,6 +104,7 @@
       lose: Called when the lease is lost.
       retention: Finds jobs whose rows can go.
       forget: Called with the jobs whose rows are gone.
+      inheritance: What the previous owner may have started unwritten.
     """
 
     service: str
@@ -118,6 +119,7 @@
     lose: Callable[[str], None]
     retention: Retention
     forget: Callable[[list[Job]], None]
+    inheritance: Inheritance | None = None
     _dirty: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_closing: bool = False
     _has_sent_unwritten: bool = False
@@ -261,24 +263,19 @@
     def _tell_next_owner(self, leaves_some: bool) -> Mapping[str, float]:
         """Tells with the lease what no other row tells of.
 
-        Whether this write leaves starts untold: the next owner takes rows for
-        true once it has seen a write after an outage. One that did not hold
-        all jobs would have it start the others again: twice, where their worker
-        is not heard at once.
-
-        And when leases on silent workers have run out. From this moment they
-        are not renewed until a write says that the worker is heard again.
+        From this moment no lease is given to a worker that is told as silent,
+        until a write that does not tell it is known to be in the store.
 
         Returns:
           The silent workers, as told.
         """
-        silent = list_silent(self.book, self.clock.monotonic())
-        for worker_id in silent:
-            self.book.workers[worker_id].is_told_silent = True
         is_unwritten = self._has_sent_unwritten and leaves_some
-        data = LeaseData(is_unwritten, silent)
+        now = self.clock.monotonic()
+        data = describe(self.book, self.inheritance, is_unwritten, now)
+        for worker_id in data.remaining:
+            self.book.workers[worker_id].is_told_silent = True
         self.lease.data = data.encode(self.lease.epoch)
-        return silent
+        return data.remaining
 
     def _acknowledge(self, mark: _Mark, written: set[str]) -> None:
         """Lets workers forget the ends whose jobs are all written.
--- a/lentilmount/control/leasedata.py
+++ b/lentilmount/control/leasedata.py
@@ -8,12 +8,19 @@
 
 import attrs
 
+from lentilmount.scheduling.book import Book
+from lentilmount.scheduling.inheritance import Inheritance, list_silent
+
 UNWRITTEN = 'unwritten'
 """Where a lease's row tells that tasks may run of which no row tells."""
 
 REMAINING = 'remaining'
 """Where it tells for how many seconds leases may still run on workers."""
 
+DOUBT = 'doubt'
+"""Where it tells for how many seconds tasks may still run that an owner before
+the row's has started and no row tells of; left out where that is not known."""
+
 TOLD_BY = 'told_by'
 """The epoch of the owner that told of leases on workers."""
 
@@ -32,10 +39,13 @@
       remaining: Seconds for which leases may still run on workers, by id,
         counted from before the row was written. Of other workers nothing is
         known.
+      doubt: Seconds after which no such task runs any more, or None where that
+        is not known; counted in the same way.
     """
 
     is_unwritten: bool = False
     remaining: Mapping[str, float] = attrs.Factory(dict)
+    doubt: float | None = None
 
     def encode(self, epoch: int) -> dict[str, Any]:
         """Builds a lease's data.
@@ -46,10 +56,12 @@
         data: dict[str, Any] = {}
         if self.is_unwritten:
             data[UNWRITTEN] = True
+            if self.doubt is not None:
+                data[DOUBT] = _round_up(self.doubt)
         if self.remaining:
             data[TOLD_BY] = epoch
             data[REMAINING] = {
-                worker: math.ceil(100 * seconds) / 100
+                worker: _round_up(seconds)
                 for worker, seconds in self.remaining.items()
             }
         return data
@@ -68,4 +80,31 @@
     """
     is_current = data.get(TOLD_BY) == epoch
     remaining = data[REMAINING] if is_current else {}
-    return LeaseData(is_unwritten(data), remaining)
+    return LeaseData(is_unwritten(data), remaining, data.get(DOUBT))
+
+
+def describe(
+    book: Book, inheritance: Inheritance | None, is_unwritten: bool, now: float
+) -> LeaseData:
+    """Builds what an owner tells with a write.
+
+    The next owner takes rows for true once it has seen a write after an outage.
+    One that did not hold all jobs, or came from an owner that is itself in
+    doubt, would have it start the others again: twice, where their worker is
+    not heard at once.
+
+    Args:
+      book: What the owner knows.
+      inheritance: What the previous owner may have started unwritten.
+      is_unwritten: Whether starts were sent that no row tells of after it.
+      now: Monotonic time.
+    """
+    silent = list_silent(book, now)
+    doubt = inheritance.get_left(now) if inheritance is not None else None
+    if is_unwritten:
+        return LeaseData(True, silent)
+    return LeaseData(doubt is not None, silent, doubt)
+
+
+def _round_up(seconds: float) -> float:
+    return math.ceil(100 * seconds) / 100
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -178,12 +178,14 @@
             return
         now = self._clock.monotonic()
         self._take_leases()
+        doubt = self._inherited.get_doubt_left(CLOCK_DRIFT, now)
         inheritance = Inheritance(
             self.book,
             self._is_written,
-            now + lapse_seconds,
+            now + (lapse_seconds if doubt is None else doubt),
             frozenset(self.book.jobs),
         )
+        self._commits.inheritance = inheritance
         dispatch = Dispatch(
             self.book,
             Placer(self.book, self._sharing),
--- a/lentilmount/scheduling/inheritance.py
+++ b/lentilmount/scheduling/inheritance.py
@@ -41,6 +41,13 @@
             return False
         return any(not worker.reached for worker in self.book.workers.values())
 
+    def get_left(self, now: float) -> float | None:
+        """Returns for how many seconds a doubt lasts at most, or None.
+
+        An owner in doubt tells it to the next one, whose rows say no more.
+        """
+        return self.until - now if self.is_in_doubt(now) else None
+
     def holds(self, task: Task) -> bool:
         """Tells whether a task is one that a doubt is about."""
         return task.id.job in self.jobs
@@ -55,11 +62,14 @@
       at: Monotonic time from which these seconds count at the latest.
       are_withheld: Whether the row still tells it, so that none of them may be
         renewed yet.
+      doubt: Seconds for which tasks may still run that no row tells of, or None
+        where that is not known; counted in the same way.
     """
 
     remaining: Mapping[str, float] = attrs.Factory(dict)
     at: float = 0.0
     are_withheld: bool = False
+    doubt: float | None = None
 
     def list_left(self, drift: float, now: float) -> dict[str, float]:
         """Returns the seconds that are left now, by the worker's id.
@@ -68,12 +78,20 @@
           drift: Share by which two clocks differ in rate at most.
           now: Monotonic time.
         """
-        passed = now - self.at
         return {
-            name: max(0.0, seconds * (1 + drift) - passed)
+            name: self._count_down(seconds, drift, now)
             for name, seconds in self.remaining.items()
         }
 
+    def get_doubt_left(self, drift: float, now: float) -> float | None:
+        """Returns the seconds of doubt that are left now, or None."""
+        if self.doubt is None:
+            return None
+        return self._count_down(self.doubt, drift, now)
+
+    def _count_down(self, seconds: float, drift: float, now: float) -> float:
+        return max(0.0, seconds * (1 + drift) - (now - self.at))
+
 
 def list_remaining(book: Book, now: float) -> dict[str, float]:
     """Lists for how long leases may still run on workers.
--- a/tests/test_killed_owners.py
+++ b/tests/test_killed_owners.py
@@ -3,19 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import pathlib
 import signal
 import time
+from typing import Any
 
+import orjson
 import pytest
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.campaign import LEASE_SECONDS, POLL_SECONDS
-from lentilmount.control.leasedata import REMAINING, LeaseData, decode
+from lentilmount.control.candidates import Candidates
+from lentilmount.control.leasedata import (
+    REMAINING,
+    LeaseData,
+    decode,
+    describe,
+)
 from lentilmount.control.links import Link
 from lentilmount.coordination.leases import CLOCK_DRIFT
 from lentilmount.platform.workers import Verdict, WorkerCalls
 from lentilmount.scheduling.inheritance import (
+    Inheritance,
     InheritedLeases,
     list_remaining,
     list_silent,
@@ -27,9 +37,12 @@
     WAIT_SECONDS,
     Daemon,
     Scene,
+    make_campaign,
+    open_gated_table,
     open_scene,
 )
 from tests.test_control_links import NoEvents
+from tests.test_giving_up import HOST, OWNER_ROW
 from tests.test_handovers import (
     DAEMONS,
     JOB,
@@ -173,6 +186,45 @@
     assert REMAINING not in LeaseData().encode(4)
 
 
+def test_an_owner_in_doubt_tells_for_how_long() -> None:
+    """An owner replaced while in doubt left a task that could run twice."""
+    book, worker = make_placed(False, 15.0)
+    worker.reached = False
+    doubt = Inheritance(book, False, 17.0, frozenset({'job'}))
+    told = decode(describe(book, doubt, False, 12.0).encode(4), 4)
+    assert told.is_unwritten
+    assert told.doubt == 5.0
+    own = decode(describe(book, doubt, True, 12.0).encode(4), 4)
+    assert own.is_unwritten
+    assert own.doubt is None
+    worker.reached = True
+    assert not describe(book, doubt, False, 12.0).is_unwritten
+
+
+def test_a_lease_of_which_no_write_was_seen_is_taken_in_doubt() -> None:
+    """The first write of a new owner told that all was written."""
+
+    async def play() -> dict[str, Any]:
+        async with contextlib.AsyncExitStack() as stack:
+            store, table = open_gated_table(stack)
+            body = {'holder': 'host-2.b', 'epoch': 3, 'data': {}}
+            store.write(OWNER_ROW, orjson.dumps(['before', body]))
+            candidates = Candidates(HOST)
+            candidates.note({}, True)
+            campaign = make_campaign(table, candidates)
+            running = asyncio.create_task(campaign.run())
+            row = body
+            async with asyncio.timeout(WAIT_SECONDS):
+                while row['holder'] == 'host-2.b':
+                    await asyncio.sleep(0.01)
+                    row = orjson.loads(store.rows[OWNER_ROW].value or b'')[1]
+            campaign.stop()
+            await running
+            return row
+
+    assert run(play())['data']['unwritten'] is True
+
+
 def test_leases_are_told_as_no_shorter_than_they_are() -> None:
     data = LeaseData(remaining={'w': 3.001}).encode(4)
     assert decode(data, 4).remaining['w'] >= 3.001
