Wait for leases of the owner before, whatever a start gives

What callers could see: a task that runs twice.

Cause: the end of leases on a worker was worked out from our own alone. Since a start gives 2 s only, the first start of a new owner moved that end before the leases that the killed owner had given; the worker then left a look unanswered and its tasks counted as lapsed while they ran. Where nothing was known of leases (end 0) a worker that was heard once and fell silent was given up at once; that is older.

Ruled out: late starts (the runs that were doubled had been started by the owner before, 25 s earlier); the ends told with the lease (the worker was heard).

Change: the inherited end stays the least; unknown leases are bounded from the first answer, since our token keeps others from renewing from then on.

Figures: two tests in test_control_links.py, both failed before.

--- a/lentilmount/control/links.py
+++ b/lentilmount/control/links.py
@@ -99,6 +99,11 @@
     _clock_ms: int | None = None
     _clock_at: float = 0.0
     _last_until_ms: int = 0
+    _inherited_end: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Keeps what is known of the previous owner's leases."""
+        self._inherited_end = self.worker.lapses_at
 
     async def run(self) -> None:
         """Keeps the link until the worker is gone and runs nothing."""
@@ -213,9 +218,9 @@
             # freed early its tasks would run twice.
             return
         left = (self._last_until_ms - self._clock_ms) / 1000
-        self.worker.lapses_at = (
-            self._clock_at + left / CLOCK_RATE + LAPSE_MARGIN_SECONDS
-        )
+        end = self._clock_at + left / CLOCK_RATE + LAPSE_MARGIN_SECONDS
+        # The previous owner's leases may be longer than a start's.
+        self.worker.lapses_at = max(end, self._inherited_end)
 
     def note_clock(self, clock_ms: int | None) -> None:
         """Takes in a worker's clock from any answer."""
@@ -262,6 +267,8 @@
         if self._born is not None and look.born != self._born:
             self.restart('it restarted')
         self._born = look.born
+        if not worker.reached:
+            self._bound_inherited()
         if not worker.reached or not worker.reachable:
             log.info('Reached.', extra={'worker': worker.id})
             worker.takes_orders = True
@@ -275,6 +282,14 @@
         self.received = max(self.received, news.acknowledged)
         self.events.take_news(worker, news)
 
+    def _bound_inherited(self) -> None:
+        """Notes when unknown leases end: none is given there by others now."""
+        if self.worker.lapses_at:
+            return
+        longest = self.lease_seconds / CLOCK_RATE + LAPSE_MARGIN_SECONDS
+        self._inherited_end = self.monotonic() + longest
+        self.worker.lapses_at = self._inherited_end
+
     def note_registration(self, born: int) -> None:
         """Takes in that the worker registered a new life.
 
@@ -301,6 +316,7 @@
         self._born = None
         self._clock_ms = None
         self._last_until_ms = 0
+        self._inherited_end = 0.0
         worker = self.worker
         worker.takes_orders = worker.keeps_leases = True
         worker.stop_unanswered_since = math.inf
--- a/tests/test_control_links.py
+++ b/tests/test_control_links.py
@@ -200,6 +200,42 @@
     run(play())
 
 
+def test_a_start_does_not_end_the_leases_of_the_owner_before() -> None:
+    """What an owner before had started ran twice beside a worker's start."""
+    clock = ManualClock()
+    book = Book()
+    worker = add_worker(book, 'w')
+    worker.lapses_at = clock.monotonic() + LEASE_SECONDS
+    inherited = worker.lapses_at
+    calls = SilentCalls(clock)
+    link = Link(worker, book, calls, NoEvents(), LEASE_SECONDS, clock.monotonic)
+    link.note_clock(CLOCK_MS)
+    link.choose_start_deadline()
+    assert worker.lapses_at >= inherited
+
+
+def test_leases_that_are_not_known_are_waited_for() -> None:
+    """What a worker was found to run ran twice once the worker fell silent."""
+
+    async def play() -> None:
+        clock = ManualClock()
+        book = Book()
+        worker = add_worker(book, 'w')
+        worker.reached = worker.reachable = False
+        calls = SilentCalls(clock)
+        calls.looks.append(make_look())
+        events = Promise(clock, clock.monotonic())
+        link = Link(worker, book, calls, events, LEASE_SECONDS, clock.monotonic)
+        begun_at = clock.monotonic()
+        keeping = asyncio.create_task(link.run())
+        while not worker.reached:
+            await asyncio.sleep(0.0)
+        keeping.cancel()
+        assert worker.lapses_at >= begun_at + CALL_SECONDS + LEASE_SECONDS
+
+    run(play())
+
+
 def test_inherited_leases_are_waited_for_after_a_single_answer() -> None:
     """A worker that answered once and fell silent was given up too soon."""
 
