Send a change of pace until it is answered

What callers could see: a serving task over its target, beside a best-effort task that the owner takes to be slowed down.

Cause: a change of pace without an answer was sent three times within 2.7 s and then believed. On a worker that leaves orders unanswered for longer the book and the worker differed until the next change. Found by looking for the fault of unanswered starts elsewhere; test_unanswered_orders.py failed before (2 answers left to be asked for), passes now.

Change: the change is sent again, with growing pauses, until it is answered, is replaced, or the task no longer runs.

--- a/lentilmount/control/orders.py
+++ b/lentilmount/control/orders.py
@@ -194,9 +194,12 @@
             link.note_stop(_is_taken(verdict), sent_at)
 
     async def _pace(self, task: Task, run: int, percent: int) -> None:
-        for _ in range(3):
-            link = self.links.get(task.worker)
-            if link is None or task.run != run or task.percent != percent:
+        link = self.links.get(task.worker)
+        if link is None:
+            return
+        pause = RETRY_SECONDS
+        while task.run == run and task.percent == percent:
+            if not task.phase.is_placed:
                 return
             answer = await self.calls.pace(
                 link.worker.entry, str(task.id), run, percent
@@ -204,7 +207,7 @@
             self._note_answer(link, answer)
             if answer.verdict is not Verdict.UNKNOWN:
                 return
-            await asyncio.sleep(RETRY_SECONDS)
+            pause = await _back_off(pause)
 
 
 def _is_taken(verdict: Verdict) -> bool:
--- a/tests/test_unanswered_orders.py
+++ b/tests/test_unanswered_orders.py
@@ -5,13 +5,22 @@
 import asyncio
 import collections
 import pathlib
+from collections.abc import Coroutine
+from typing import Any
 
 import pytest
 
+from lentilmount.clock import ManualClock
+from lentilmount.control import orders as orders_module
+from lentilmount.control.links import Link
+from lentilmount.control.orders import Orders
+from lentilmount.platform.workers import OrderAnswer, Verdict, WorkerCalls
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.health import MOST_CLOSED, STOP_SECONDS, Health
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reconciling import Reconciler
+from lentilmount.scheduling.reports import WorkerEntry
+from lentilmount.upstream.http import HttpCaller
 from stand_ins.fleet import START_PATH, STOP_PATH, FleetWorker
 from tests.fleet_scene import (
     add_worker,
@@ -24,6 +33,7 @@
 )
 from tests.helpers import run
 from tests.platform_scene import PREFIX, Daemon, Scene, open_scene
+from tests.test_control_links import NoEvents
 
 JOBS = [f'{number:016x}' for number in range(1, 9)]
 LASTING = 'f' * 16
@@ -33,6 +43,8 @@
 """After which a worker carries out what it left unanswered: longer than a start
 waits for, and shorter than the leases there."""
 
+LOST_ANSWERS = 5
+
 WATCHED_SECONDS = 10.0
 MOST_ORDERS_PER_SECOND = 10.0
 """To a worker that answers none: eight starts, each sent again once a second in
@@ -197,6 +209,53 @@
     assert task.id in book.ready
 
 
+class _LossyCalls(WorkerCalls):
+    """Loses the answers of the first changes of pace."""
+
+    def __init__(self) -> None:
+        super().__init__(HttpCaller(''), 1, 1.0)
+        self.verdicts = [Verdict.UNKNOWN] * LOST_ANSWERS + [Verdict.DONE]
+
+    async def pace(
+        self, worker: WorkerEntry, task: str, run: int, percent: int
+    ) -> OrderAnswer:
+        """See `WorkerCalls`."""
+        return OrderAnswer(self.verdicts.pop(0))
+
+
+def test_a_change_of_pace_is_sent_until_it_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A task that was taken to be slowed down went on interfering."""
+    monkeypatch.setattr(orders_module, 'RETRY_SECONDS', 0.0)
+    book = Book()
+    worker = add_worker(book, 'w')
+    admit(book, make_job('job', make_step(fills=True)))
+    task = find_task(book, 'job')
+    run_task(book, task, worker)
+    calls = _LossyCalls()
+    clock = ManualClock()
+    link = Link(worker, book, calls, NoEvents(), 6.0, clock.monotonic)
+    started: list[Coroutine[Any, Any, None]] = []
+    orders = Orders(
+        book,
+        calls,
+        {worker.id: link},
+        NoEvents(),
+        clock.monotonic,
+        started.append,
+        lambda task, worker: '',
+        lambda: None,
+    )
+    orders.pace(task, 20)
+
+    async def play() -> None:
+        await asyncio.wait_for(started[0], 5.0)
+
+    run(play())
+    assert calls.verdicts == []
+
+
 def open_overdue(workers: int) -> list[Worker]:
     """Returns workers of which each has left a stop unanswered."""
     book = Book()
