--- a/tests/test_refused_stops.py
+++ b/tests/test_refused_stops.py
@@ -21,6 +21,25 @@
 from tests.test_control_links import LEASE_SECONDS, NoEvents
 
 
+def make_orders(
+    book: Book,
+    calls: WorkerCalls,
+    link: Link,
+    started: list[Coroutine[Any, Any, None]],
+) -> Orders:
+    """Returns orders to one worker, of which each is kept unsent in a list."""
+    return Orders(
+        book,
+        calls,
+        {link.worker.id: link},
+        NoEvents(),
+        link.monotonic,
+        started.append,
+        lambda task, worker: '',
+        lambda: None,
+    )
+
+
 class _RefusingCalls(WorkerCalls):
     """Refuses the first stop and takes the next one."""
 
@@ -50,16 +69,7 @@
     calls = _RefusingCalls()
     link = Link(worker, book, calls, NoEvents(), LEASE_SECONDS, clock.monotonic)
     started: list[Coroutine[Any, Any, None]] = []
-    orders = Orders(
-        book,
-        calls,
-        {worker.id: link},
-        NoEvents(),
-        clock.monotonic,
-        started.append,
-        lambda task, worker: '',
-        lambda: None,
-    )
+    orders = make_orders(book, calls, link, started)
     orders.stop(task)
 
     async def play() -> None:
--- a/tests/test_unanswered_orders.py
+++ b/tests/test_unanswered_orders.py
@@ -13,7 +13,6 @@
 from lentilmount.clock import ManualClock
 from lentilmount.control import orders as orders_module
 from lentilmount.control.links import Link
-from lentilmount.control.orders import Orders
 from lentilmount.platform.workers import OrderAnswer, Verdict, WorkerCalls
 from lentilmount.scheduling.book import Book
 from lentilmount.scheduling.health import MOST_CLOSED, STOP_SECONDS, Health
@@ -34,6 +33,7 @@
 from tests.helpers import run
 from tests.platform_scene import PREFIX, Daemon, Scene, open_scene
 from tests.test_control_links import NoEvents
+from tests.test_refused_stops import make_orders
 
 JOBS = [f'{number:016x}' for number in range(1, 9)]
 LASTING = 'f' * 16
@@ -51,9 +51,12 @@
 the end, and the probe."""
 
 
-async def wait_for_end(scene: Scene, daemon: Daemon, job_id: str) -> None:
-    """Waits until a job is completed."""
-    await scene.wait_for_state(daemon, job_id, 'completed')
+async def complete_jobs(scene: Scene, daemon: Daemon) -> None:
+    """Hands in all jobs, and waits until they are completed."""
+    for job_id in JOBS:
+        await scene.submit(daemon, job_id)
+    for job_id in JOBS:
+        await scene.wait_for_state(daemon, job_id, 'completed')
 
 
 def count_starts(scene: Scene) -> collections.Counter[str]:
@@ -72,10 +75,7 @@
         async with open_scene(tmp_path) as scene:
             daemon = await scene.start()
             getattr(scene.fleet.workers[0], fault).update(paths)
-            for job_id in JOBS:
-                await scene.submit(daemon, job_id)
-            for job_id in JOBS:
-                await wait_for_end(scene, daemon, job_id)
+            await complete_jobs(scene, daemon)
             assert set(count_starts(scene).values()) == {1}
 
     run(play())
@@ -92,10 +92,7 @@
             odd = scene.fleet.workers[0]
             odd.unanswered |= ORDERS
             odd.late_seconds = LATE_SECONDS
-            for job_id in JOBS:
-                await scene.submit(daemon, job_id)
-            for job_id in JOBS:
-                await wait_for_end(scene, daemon, job_id)
+            await complete_jobs(scene, daemon)
             await asyncio.sleep(LATE_SECONDS)
             assert not odd.started
             assert set(count_starts(scene).values()) == {1}
@@ -113,10 +110,7 @@
             daemon = await scene.start()
             odd = scene.fleet.workers[0]
             odd.unanswered |= ORDERS
-            for job_id in JOBS:
-                await scene.submit(daemon, job_id)
-            for job_id in JOBS:
-                await wait_for_end(scene, daemon, job_id)
+            await complete_jobs(scene, daemon)
             odd.unanswered.clear()
             await scene.submit(
                 daemon, LASTING, count=2, cpu=5000, longRunning=True
@@ -242,17 +236,7 @@
     clock = ManualClock()
     link = Link(worker, book, calls, NoEvents(), 6.0, clock.monotonic)
     started: list[Coroutine[Any, Any, None]] = []
-    orders = Orders(
-        book,
-        calls,
-        {worker.id: link},
-        NoEvents(),
-        clock.monotonic,
-        started.append,
-        lambda task, worker: '',
-        lambda: None,
-    )
-    orders.pace(task, 20)
+    make_orders(book, calls, link, started).pace(task, 20)
 
     async def play() -> None:
         await asyncio.wait_for(started[0], 5.0)
