Do not stop a task to find out whether its worker takes orders

What callers could see: a task that began, whose start's answer was lost, was stopped within 0.1 s of being listed, and started anew.

A worker that leaves orders unanswered is asked again by a stop of a run that is over; where the list had told meanwhile that the run was at work, that was the run itself. The new case in test_unanswered_orders.py failed before.

Ruled out: no stop at all (nothing else that is harmless shows that orders are answered again, and a task would have to try it).

Change: the stop names the run before.

--- a/lentilmount/control/orders.py
+++ b/lentilmount/control/orders.py
@@ -168,8 +168,9 @@
     async def _probe(self, link: Link, name: str, run: int) -> None:
         """Asks a worker that answers no orders until it answers one.
 
-        A stop of a run that is over does no harm there, whenever it is
-        carried out. One worker gets one at a time.
+        The run may be at work there, as its start can have been heard all the
+        same. A stop of the one before does no harm, whenever it is carried
+        out. One worker gets one at a time.
         """
         if link.is_probed:
             return
@@ -178,7 +179,7 @@
         try:
             while self._is_silent(link):
                 pause = await _back_off(pause)
-                await self._send_stop(link, name, run)
+                await self._send_stop(link, name, run - 1)
         finally:
             link.is_probed = False
 
--- a/stand_ins/fleet.py
+++ b/stand_ins/fleet.py
@@ -53,6 +53,7 @@
       silent: Whether it answers nothing.
       unanswered: Paths of the calls that it does not answer.
       failing: Paths of the calls that it answers with an error of its own.
+      hears: Whether it carries out at once what it does not answer.
       late_seconds: After which it carries out what it did not answer; 0 if it
         never does.
       asked: Paths of all calls but looks, in order.
@@ -69,6 +70,7 @@
     silent: bool = False
     unanswered: set[str] = attrs.Factory(set)
     failing: set[str] = attrs.Factory(set)
+    hears: bool = False
     late_seconds: float = 0.0
     asked: list[str] = attrs.Factory(list)
     running: dict[str, FleetRun] = attrs.Factory(dict)
@@ -192,7 +194,9 @@
 
     async def _leave_unanswered(self, body: dict[str, Any]) -> None:
         """Answers nothing; carries the call out late, if at all."""
-        if self.worker.late_seconds:
+        if self.worker.hears:
+            await self._act(body)
+        elif self.worker.late_seconds:
             await asyncio.sleep(self.worker.late_seconds)
             self.worker.step()
             await self._act(body)
--- a/tests/test_unanswered_orders.py
+++ b/tests/test_unanswered_orders.py
@@ -100,6 +100,27 @@
     run(play())
 
 
+def test_a_task_whose_start_was_not_answered_runs_on(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A running task was stopped to find out whether orders are answered."""
+
+    async def play() -> None:
+        async with open_scene(tmp_path) as scene:
+            daemon = await scene.start()
+            for worker in scene.fleet.workers:
+                worker.lasts.add('long')
+                worker.unanswered |= ORDERS
+                worker.hears = True
+            await scene.submit(daemon, LASTING, 'long', longRunning=True)
+            await scene.wait_for_state(daemon, LASTING, 'running')
+            await asyncio.sleep(LATE_SECONDS)
+            assert len(scene.fleet.list_starts()) == 1
+            assert any(worker.running for worker in scene.fleet.workers)
+
+    run(play())
+
+
 def test_a_worker_that_takes_orders_again_gets_work_again(
     tmp_path: pathlib.Path,
 ) -> None:
