Wake frozen daemons of a test only while they run

A daemon that was ended before its freeze was over left a traceback in the log of the loop. No check has changed.

--- a/tests/test_killed_owners.py
+++ b/tests/test_killed_owners.py
@@ -66,6 +66,12 @@
 FREEZE_SECONDS = 8.0
 
 
+def wake(daemon: Daemon) -> None:
+    """Lets a frozen daemon go on, unless it was ended meanwhile."""
+    with contextlib.suppress(ProcessLookupError):
+        daemon.process.send_signal(signal.SIGCONT)
+
+
 async def end_owner(
     scene: Scene, daemons: list[Daemon], how: signal.Signals
 ) -> None:
@@ -73,9 +79,7 @@
     epoch, owner = find_owner(daemons)
     owner.process.send_signal(how)
     if how is signal.SIGSTOP:
-        asyncio.get_running_loop().call_later(
-            FREEZE_SECONDS, owner.process.send_signal, signal.SIGCONT
-        )
+        asyncio.get_running_loop().call_later(FREEZE_SECONDS, wake, owner)
 
     async def is_taken() -> bool:
         return find_owner(daemons)[0] > epoch
