Leave the CPU share of inherited tasks that are not throttled

Cause: a new owner set every best-effort task that it took over to 60%, and then raised one of a worker's with each poll. At 446 workers that is a command for each of thousands of tasks, another one to undo it, and all best-effort work at 60% meanwhile, though few tasks were throttled.

Change: a task whose reported usage is that of an unthrottled one keeps its share, and no command is sent; the others are set to 60% as before.

Ruled out: writing the shares into the state rows (a row for each change of one).

--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -13,7 +13,7 @@
 from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
 from lentilmount.scheduling.reconciliation import ReconcileResult
 from lentilmount.scheduling.reports import EndKind
-from lentilmount.scheduling.throttling import Throttler
+from lentilmount.scheduling.throttling import Throttler, runs_unthrottled
 
 log = logbook.Logger('steering')
 
@@ -21,9 +21,10 @@
 """Time after which a best-effort task throttled to 0 is moved elsewhere."""
 
 INHERITED_CPU_PERCENT = 60
-"""CPU share of a best-effort task taken over from the previous owner, whose
-setting is not known. At 0 the task would seem stalled; at 100 all such tasks
-would interfere at once before the loads are known."""
+"""CPU share of a best-effort task that was taken over from the previous owner
+and may be throttled; its setting is not known. At 0 the task would seem
+stalled; at 100 all such tasks would interfere at once before the loads are
+known."""
 
 LOGGED_ENDS = (EndKind.FAILED, EndKind.LAPSED, EndKind.BROKEN, EndKind.ALONE)
 
@@ -107,7 +108,7 @@
     def _resume(self, task: Task) -> None:
         if task.phase is TaskPhase.STOPPING:
             self.commands.stop(task)
-        elif task.spec.fills:
+        elif task.spec.fills and not runs_unthrottled(task):
             self.commands.throttle(task, INHERITED_CPU_PERCENT)
 
     def forget(self, task: Task) -> None:
--- a/lentilmount/scheduling/throttling.py
+++ b/lentilmount/scheduling/throttling.py
@@ -19,7 +19,12 @@
     count_by_cpu_share,
     measure_utilisation,
 )
-from lentilmount.scheduling.model import Task, Worker, measure_intensity
+from lentilmount.scheduling.model import (
+    QUIET_USAGE,
+    Task,
+    Worker,
+    measure_intensity,
+)
 
 THROTTLE_ABOVE = TARGET_UTILISATION - 0.03
 THROTTLE_TARGET = TARGET_UTILISATION - 0.1
@@ -39,6 +44,21 @@
 suspended, whatever the model predicts. It is half of the shortest allowed time
 (4 s) minus the age of a measurement (0.5 s) and one poll interval (0.5 s)."""
 
+UNTHROTTLED_USAGE = 0.95 * QUIET_USAGE
+"""Least share of its cores that an unthrottled best-effort task uses."""
+
+
+def runs_unthrottled(task: Task) -> bool:
+    """Returns whether the usage of a best-effort task shows no throttling.
+
+    Load pattern: an owner takes over thousands of best-effort tasks whose CPU
+    shares it does not know. Setting each of them anew took as many commands,
+    and slowed all of them down for seconds, though few were throttled.
+    """
+    if task.usage is None:
+        return False
+    return task.usage >= UNTHROTTLED_USAGE * 1000 * task.spec.demand.cores
+
 
 @attrs.define
 class Throttler:
