Keep commands from waiting behind the polls of a large fleet

Cause: all calls of an owner share 600 handles, first come first served. On the large deployment 446 polls, 575 after workers are added, wait at the workers for up to 1.5 s each, and calls to the workers of a zone that is cut off hold a handle until their timeout; starts and stops of all other workers wait behind them, unseen, as a call's timeout begins when it is sent.

Change: 2,000 calls at once (a host has 4,100 descriptors); handles are created on demand, so that a daemon that calls few others has few.

Figures: 600 handles took 4.5 MB in each daemon; one that makes one call at a time now has one.

--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -88,9 +88,10 @@
 """Timeout for a call to the advice service, which handles calls in sequence."""
 
 MAX_STORE_CALLS = 64
-MAX_WORKER_CALLS = 600
-"""Maximum concurrent calls to workers: a poll and two commands for each of 200
-workers."""
+MAX_WORKER_CALLS = 2000
+"""Maximum concurrent calls to workers: a poll and two commands for each of 660
+workers. Polls wait at the workers and calls to an unreachable one take a second
+to fail, so with fewer a lost zone delayed the commands to all others."""
 
 METRICS_PORT = int(os.environ.get('LENTILMOUNT_METRICS_PORT', '9464'))
 """Port of the daemon's own metrics on the host's address; the same as in the
--- a/lentilmount/upstream/http.py
+++ b/lentilmount/upstream/http.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import Any
 
 import attrs
 import pycurl
@@ -29,7 +30,28 @@
 
 
 class _Client(CurlAsyncHTTPClient):
-    """A curl client whose transfers can be aborted."""
+    """A curl client that creates handles on demand and can abort transfers.
+
+    A handle takes about 7 kB. Only the daemon that calls all workers needs
+    hundreds of them.
+    """
+
+    def initialize(  # type: ignore[override]
+        self, max_clients: int = 10, **options: Any
+    ) -> None:
+        """See `CurlAsyncHTTPClient`."""
+        super().initialize(max_clients=0, **options)
+        self._max_clients = max_clients
+
+    def fetch_impl(
+        self, request: HTTPRequest, callback: Callable[[HTTPResponse], None]
+    ) -> None:
+        """See `CurlAsyncHTTPClient`."""
+        if not self._free_list and len(self._curls) < self._max_clients:
+            curl = self._curl_create()
+            self._curls.append(curl)
+            self._free_list.append(curl)
+        super().fetch_impl(request, callback)
 
     def end_transfer(self, curl: pycurl.Curl, reason: str) -> None:
         """Fails a transfer as if it had timed out."""
