Take the age of jobs from the store's steady clock, not from hosts' clocks

Cause: the owner took the accepting host's time of day for the time of a job's acceptance.

Ruled out: a time by the store's clock in the job's row (earlier daemons cannot read rows with fields that they don't know, and lose such jobs while both run).

Change: each answer of the store tells its newest version and its steady clock; `version_times.py` keeps both, and bounds the age of a row by its version. The bounds limit what the hosts' clocks say. An owner writes some of these samples beside the interference that it learned, for a next owner that has just started.

Not covered: due times of timed jobs, which callers give by the time of day.

--- a/lentilmount/control/job_loader.py
+++ b/lentilmount/control/job_loader.py
@@ -116,8 +116,13 @@
         except (ValueError, TypeError, KeyError) as error:
             log.error('Job {} cannot be read: {!r}', row.key, error)
             return
-        now, wall = self.clock.monotonic(), self.clock.wall()
-        self.cluster.admit(spec, now, wall).row_version = row.version
+        job = self.cluster.admit(
+            spec,
+            self.clock.monotonic(),
+            self.clock.wall(),
+            self.table.version_times.bound_age(row.version),
+        )
+        job.row_version = row.version
 
     async def follow(self) -> None:
         """Applies new jobs and cancellations until it is cancelled."""
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -56,6 +56,7 @@
 )
 from lentilmount.platform.workers import WorkerClient
 from lentilmount.upstream.http import HttpClient
+from lentilmount.version_times import VersionTimes
 
 log = logbook.Logger('daemon')
 
@@ -123,8 +124,13 @@
         relay = PeerRelay(
             self.workers, self.find_outage_detector, self._clock.monotonic
         )
+        version_times = VersionTimes(self._clock.monotonic)
         self.table = PlatformTable(
-            self.store, STORE_TIMEOUT_SECONDS, self._observe_store, relay
+            self.store,
+            STORE_TIMEOUT_SECONDS,
+            self._observe_store,
+            relay,
+            version_times=version_times,
         )
         self._jobs_table = PlatformTable(
             self.store,
@@ -132,6 +138,7 @@
             self._observe_store,
             relay,
             SUBMISSION_TIMEOUT_SECONDS,
+            version_times,
         )
         self.outage_detectors: dict[str, OutageDetector] = {}
         self._peers = PeerList(str(settings.internal))
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -155,6 +155,7 @@
             self.handle_lease_lost,
             Retention(settings.service, self.cluster, settings.status_seconds),
             self._forget_jobs,
+            table.version_times,
         )
         self._job_loader = JobLoader(
             settings.service,
--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -34,6 +34,7 @@
 from lentilmount.scheduling.model import Job, Task, TaskPhase
 from lentilmount.scheduling.rows import encode_state
 from lentilmount.scheduling.takeover import UnrecordedStarts
+from lentilmount.version_times import VersionTimes
 from lentilmount.waiting import wait_with_timeout
 
 log = logbook.Logger('commits')
@@ -106,6 +107,7 @@
       handle_lease_lost: Called with the reason when the lease is lost.
       retention: Selects jobs whose rows can be deleted.
       forget: Called with the jobs whose rows were deleted.
+      version_times: Times of versions of the store, for the next owner.
       unrecorded_starts: Starts by the previous owner that may be in no row.
     """
 
@@ -121,6 +123,7 @@
     handle_lease_lost: Callable[[str], None]
     retention: Retention
     forget: Callable[[list[Job]], None]
+    version_times: VersionTimes
     unrecorded_starts: UnrecordedStarts | None = None
     _write_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_closing: bool = False
@@ -380,7 +383,10 @@
             return []
         self._model_at = now
         key = make_model_key(self.service)
-        body = {'pairs': self.interference_model.export()}
+        body = {
+            'pairs': self.interference_model.export(),
+            'versions': self.version_times.export(),
+        }
         return [Put(key, body, self._model_version)]
 
     async def restore(self) -> None:
@@ -394,8 +400,10 @@
         rows = await self.table.read([counts_key, model_key])
         self._update_versions(rows)
         if model_key in rows:
-            pairs = rows[model_key].body['pairs']
-            self.interference_model.restore(pairs)
+            body = rows[model_key].body
+            self.interference_model.restore(body['pairs'])
+            # Daemons of earlier versions write none.
+            self.version_times.restore(body.get('versions', ()))
 
     async def read_versions(self, jobs: list[Job]) -> None:
         """Reads the versions of rows again after a conflict."""
--- a/lentilmount/control/takeover.py
+++ b/lentilmount/control/takeover.py
@@ -97,5 +97,6 @@
     state_writer: StateWriter,
     lease_expiry_seconds: float,
 ) -> None:
-    await job_loader.load(lease_expiry_seconds)
+    # First, as it tells the ages of the rows that are loaded next.
     await state_writer.restore()
+    await job_loader.load(lease_expiry_seconds)
--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import math
+import time
 import urllib.parse
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -30,6 +31,7 @@
     StoreRelay,
 )
 from lentilmount.upstream.http import HttpClient, HttpResponse
+from lentilmount.version_times import VersionTimes
 
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
@@ -152,6 +154,7 @@
       observe: Called after each direct call; see `CallObserver`.
       relay: Another route to the service, used when direct calls fail.
       write_timeout: Timeout of a transaction in seconds; None for `timeout`.
+      version_times: Records when versions of the store were the newest ones.
     """
 
     def __init__(
@@ -161,7 +164,9 @@
         observe: CallObserver = lambda part, status, is_answered, took: None,
         relay: StoreRelay | None = None,
         write_timeout: float | None = None,
+        version_times: VersionTimes | None = None,
     ):
+        self.version_times = version_times or VersionTimes(time.monotonic)
         self._http_client = http_client
         self._timeout = timeout
         self._observe = observe
@@ -209,10 +214,10 @@
                 assert isinstance(operation, Check)
         extra_seconds = self._write_timeout - self._timeout
         answer = await self._call('POST', '/rows-tx', body, extra_seconds, part)
-        document = orjson.loads(answer.body)
         if answer.status == 412:
+            document = orjson.loads(answer.body)
             raise ConflictError(_list_failed(operations, document))
-        return int(document['ver'])
+        return int(self._decode(answer)['ver'])
 
     async def read_all(self, table: str, part: str = '') -> Changes:
         """Reads all rows of a part.
@@ -268,7 +273,7 @@
         answer = await self._call(
             'GET', path, extra_seconds=wait, total_timeout=READ_SECONDS
         )
-        document = orjson.loads(answer.body)
+        document = self._decode(answer)
         rows = tuple(_decode_raw(row) for row in document.get('rows') or ())
         return Changes(rows, int(document['ver']))
 
@@ -285,11 +290,19 @@
         answer = await self._call(
             'GET', path, part=part, total_timeout=total_timeout
         )
-        document = orjson.loads(answer.body)
+        document = self._decode(answer)
         rows = tuple(_decode_raw(row) for row in document['rows'])
         has_more = bool(document.get('hasMore'))
         return Changes(rows, int(document['ver']), has_more)
 
+    def _decode(self, answer: HttpResponse) -> dict[str, Any]:
+        document: dict[str, Any] = orjson.loads(answer.body)
+        if 'nowMs' in document:
+            self.version_times.record(
+                int(document['ver']), float(document['nowMs']) / 1000
+            )
+        return document
+
     def make_probe(self, partition: str) -> StoreCall:
         """Returns a call with a short answer, to test whether a part works."""
         table, part = _split(partition)
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -24,6 +24,7 @@
     WorkerEntry,
 )
 from lentilmount.scheduling.specs import JobSpec, TaskId
+from lentilmount.version_times import AgeBounds
 
 RUN_NUMBER_MARGIN = 8
 """How far the run number of an inherited task is raised above the known one.
@@ -32,6 +33,12 @@
 rejects a run whose number is not above that of a run that ended there."""
 
 
+MAX_AGE_SECONDS = 3600.0
+"""Age by the clocks of hosts beyond which they cannot be right."""
+
+UNKNOWN_AGE = AgeBounds()
+
+
 def measure_critical_paths(spec: JobSpec) -> tuple[float, ...]:
     """Returns for each step the length in seconds of its critical path.
 
@@ -66,13 +73,28 @@
 
     # Jobs.
 
-    def admit(self, spec: JobSpec, now: float, wall_time: float) -> Job:
-        """Adds a job and creates its due tasks, unless it is known already."""
+    def admit(
+        self,
+        spec: JobSpec,
+        now: float,
+        wall_time: float,
+        age_bounds: AgeBounds = UNKNOWN_AGE,
+    ) -> Job:
+        """Adds a job and creates its due tasks, unless it is known already.
+
+        Args:
+          spec: The job.
+          now: Monotonic time in seconds.
+          wall_time: Unix time in seconds.
+          age_bounds: Bounds of the time since the job was accepted. Its own
+            time of acceptance is by the clock of another host, which may be
+            off by any amount.
+        """
         existing = self.jobs.get(spec.id)
         if existing is not None:
             return existing
-        # Another host's clock that set the acceptance time may be ahead.
-        age = min(max(0.0, wall_time - spec.accepted), 3600.0)
+        age = min(max(0.0, wall_time - spec.accepted), MAX_AGE_SECONDS)
+        age = age_bounds.clamp(age)
         job = Job(spec, accepted_at=now - age)
         job.critical_paths = measure_critical_paths(spec)
         critical_path = max(job.critical_paths, default=0.0)
--- a/stand_ins/rowstore.py
+++ b/stand_ins/rowstore.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import enum
+import time
 from typing import Any, cast
 
 import attrs
@@ -235,7 +236,9 @@
             connection.detach().close()
             return
         self.set_status(status)
-        self.finish(orjson.dumps({**document, 'nowMs': 1}))
+        self.finish(
+            orjson.dumps({**document, 'nowMs': int(1000 * time.monotonic())})
+        )
 
 
 class _TransactHandler(_RowsHandler):
--- a/tests/test_state_writer.py
+++ b/tests/test_state_writer.py
@@ -24,6 +24,7 @@
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import JobState, Task
 from lentilmount.upstream.http import HttpClient
+from lentilmount.version_times import VersionTimes
 from tests.helpers import run
 from tests.scheduling_fixtures import (
     add_worker,
@@ -82,6 +83,7 @@
         print,
         Retention('desk', cluster, 120.0),
         lambda jobs: None,
+        VersionTimes(ManualClock().monotonic),
     )
 
 
