Count the headroom of urgent tasks in slots, and hold workers until they have one

Cause: headroom was the sum of free cores over all workers. On the large deployment a quick check needs 11 cores on one worker and a long-running task 6.4, and more long-running work waits than fits: each gap of one long-running task is too small for a check and goes to the next long-running task, while the gaps of 446 workers add up to enough. After 4 s a waiting long-running task took any gap.

Change: headroom is counted in slots of the mean size of urgent tasks. A long-running task takes no slot while fewer are free than urgent tasks are expected, and new ones wait as long as that lasts; interrupted ones wait 4 s at most, as before. Gaps too small for a slot are still used, but on a tenth of the workers at most, those with the largest gaps, while slots are short.

--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -121,7 +121,9 @@
         self._now = now
         self._is_allowed = is_allowed
         self._infeasible: dict[StepShape, list[Room]] = {}
+        self._without_headroom: dict[StepShape, list[Room]] = {}
         self._views = views
+        headroom.begin_pass(views)
         self._most_free = _find_most_free(views)
 
     def run(self) -> list[Placement]:
@@ -151,9 +153,9 @@
         """Returns whether to search for a worker for a step in this pass."""
         if self._is_infeasible(step[0].spec):
             return False
-        return (
-            kind is not TaskKind.LONG_RUNNING
-            or not self._headroom.should_keep_free(step, self._views, self._now)
+        is_new = kind is TaskKind.LONG_RUNNING and has_never_run(step[0])
+        return not is_new or not self._exceeds(
+            step[0].spec, self._without_headroom
         )
 
     def _reserve_worker(self, step: list[Task]) -> None:
@@ -187,6 +189,7 @@
                 return placed, False
             self._cluster.place([task], view.worker, self._now)
             view.refresh(self._interference_model)
+            self._headroom.refresh(view)
             if candidates is not None:
                 candidates.refresh(view)
             placed.append((task, view.worker))
@@ -250,9 +253,16 @@
         """Returns the cheapest worker that may run a task, or None."""
         fitting = [view for view in views if view.can_start(task)]
         allowed = [v for v in fitting if self._is_allowed(task, v.worker)]
-        best = self._find_cheapest(task, allowed)
+        chosen = allowed
+        if task.spec.lasting:
+            chosen = [
+                view
+                for view in allowed
+                if self._headroom.allows(task, view, self._now)
+            ]
+        best = self._find_cheapest(task, chosen)
         if best is None and len(allowed) == len(fitting):
-            self._record_infeasible(task)
+            self._record_infeasible(task, len(chosen) < len(allowed))
         return best
 
     def _find_cheapest(
@@ -271,23 +281,35 @@
                 best, lowest_cost = view, cost
         return best
 
-    def _record_infeasible(self, task: Task) -> None:
+    def _record_infeasible(self, task: Task, by_headroom: bool = False) -> None:
         """Records that steps like a task's, and larger ones, will not fit.
 
         Free resources only shrink during a pass. Gangs, steps with a limit per
         worker and tasks that failed on some worker are left out, because they
         can fail to fit for other reasons than size.
+
+        Args:
+          task: The task.
+          by_headroom: Whether it would fit if it left no headroom.
         """
         spec = task.spec
         has_other_limits = spec.gang or spec.most_per_worker or task.failed_on
-        if not has_other_limits:
-            self._infeasible.setdefault(get_shape(spec), []).append(spec.demand)
+        if has_other_limits:
+            return
+        infeasible = self._without_headroom if by_headroom else self._infeasible
+        infeasible.setdefault(get_shape(spec), []).append(spec.demand)
 
     def _is_infeasible(self, spec: StepSpec) -> bool:
         """Returns whether a step is known to fit on no worker in this pass."""
         if not spec.reserved.fits(self._most_free):
             return True
-        smaller = self._infeasible.get(get_shape(spec), ())
+        return self._exceeds(spec, self._infeasible)
+
+    def _exceeds(
+        self, spec: StepSpec, infeasible: dict[StepShape, list[Room]]
+    ) -> bool:
+        """Returns whether a step is as large as one that did not fit."""
+        smaller = infeasible.get(get_shape(spec), ())
         return any(demand.fits(spec.demand) for demand in smaller)
 
 
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -124,3 +124,89 @@
                     cluster.confirm_start(task, task.run, now)
                     cluster.end_run(task, EndKind.DONE, now)
     raise AssertionError('the long-running task was not restarted in time')
+
+
+WATCH = make_step(demand=Room(6.0, 6000), lasting=True, image='watch')
+QUICK = make_step(demand=Room(11.0, 11_000))
+
+
+def end_tasks(cluster: ClusterState, now: float, cancelled: str) -> None:
+    """Ends quick tasks after a second, and cancels one long-running job."""
+    for task in cluster.cancel(cancelled, now):
+        cluster.end_run(task, EndKind.STOPPED, now)
+    for worker in cluster.workers.values():
+        for task in list(worker.tasks.values()):
+            is_over = now - task.placed_at >= task.spec.estimated_seconds
+            if is_over and not task.spec.lasting:
+                cluster.end_run(task, EndKind.DONE, now)
+
+
+def play_quick_work_on_a_full_fleet(seconds: float) -> list[bool]:
+    """Plays quick tasks that are larger than long-running ones.
+
+    Ten workers are full of long-running tasks and more of them wait. Every half
+    second one of those is cancelled and another arrives, and a quick task
+    arrives that must start within a second.
+
+    Returns:
+      Whether each quick task started in time.
+    """
+    cluster = ClusterState()
+    for number in range(10):
+        add_worker(cluster, f'w{number}', capacity=Room(32.0, 128_000))
+    for number in range(80):
+        admit(cluster, make_job(f'watch-{number}', WATCH))
+    placer = Placer(cluster, InterferenceModel())
+    policy = make_policy(stretch=1.5, target_seconds=0.5)
+    in_time: dict[str, bool] = {}
+    for number in range(round(seconds / PASS_SECONDS)):
+        now = 10.0 + number * PASS_SECONDS
+        if number % 5 == 0:
+            end_tasks(cluster, now, f'watch-{number // 5 * 7 % 80}')
+            quick = admit(
+                cluster, make_job(f'quick-{number}', QUICK, policy=policy)
+            )
+            watch = admit(cluster, make_job(f'watch-{80 + number}', WATCH))
+            quick.accepted_at = watch.accepted_at = now
+            in_time[quick.spec.id] = False
+        for task, _ in run_pass(placer, now):
+            cluster.confirm_start(task, task.run, now)
+            if not task.spec.lasting:
+                waited = now - task.job.accepted_at
+                in_time[task.id.job] = waited <= 1.0
+    return list(in_time.values())
+
+
+def test_quick_tasks_larger_than_each_gap_find_room() -> None:
+    """Each gap went to a long-running task before two of them made a slot.
+
+    The free cores of all workers together were enough for quick tasks, so that
+    long-running tasks took single gaps on a fleet without any slot.
+    """
+    in_time = play_quick_work_on_a_full_fleet(40.0)
+    later = in_time[len(in_time) // 2 :]
+    assert sum(later) >= 0.8 * len(later)
+
+
+def test_long_running_tasks_still_fill_what_quick_ones_cannot_use() -> None:
+    """Held workers must stay few: the others are for waiting work."""
+    cluster = ClusterState()
+    workers = [
+        add_worker(cluster, f'w{number}', capacity=Room(32.0, 128_000))
+        for number in range(10)
+    ]
+    placer = Placer(cluster, InterferenceModel())
+    policy = make_policy(stretch=99.0)
+    for number in range(60):
+        now = 10.0 + number * PASS_SECONDS
+        job = admit(cluster, make_job(f'quick-{number}', QUICK, policy=policy))
+        job.accepted_at = now
+        for task, _ in run_pass(placer, now):
+            cluster.confirm_start(task, task.run, now)
+        end_tasks(cluster, now, '')
+    for number in range(80):
+        admit(cluster, make_job(f'watch-{number}', WATCH))
+    run_pass(placer, now)
+    used = [sum(t.spec.lasting for t in w.tasks.values()) for w in workers]
+    # Some ten quick tasks at a time, in as many slots on five workers or less.
+    assert sum(used) >= 5 * 5
