Ask a bounded number of daemons about the store

Cause: a daemon that the store does not answer asked all others, for each part, five times a second.

Ruled out: polling in longer periods (an outage for all is noticed later); gossip of all reports (2.4 kB an answer, a third of the smallest link).

Change: a daemon that knows of others that reach the store asks eight of those; one that does not asks 32 at a time, in turn, and adds up their reports, if there is a time at which the store answered none of a majority. Deployments of up to 33 hosts ask as before. The policy is a module of its own, without a network.

--- a/lentilmount/control/store_health.py
+++ b/lentilmount/control/store_health.py
@@ -17,6 +17,7 @@
 import logbook
 import orjson
 
+from lentilmount.control.peer_reports import ConfirmedOutage, PeerReports
 from lentilmount.upstream.http import HttpClient
 
 log = logbook.Logger('store')
@@ -29,10 +30,6 @@
 """Time without a successful answer, and without a confirmed outage for all,
 after which a daemon is cut off. Allows for two rounds of polling its peers."""
 
-PEER_ANSWERS_VALID_SECONDS = 1.0
-"""How long the answers of peers are used. They are polled every 0.2 s while
-the store does not answer this daemon."""
-
 IDLE_SECONDS = 1.0
 """Time without calls about a part of the store after which it is probed.
 Otherwise an idle daemon would tell its peers that there is no outage."""
@@ -153,14 +150,18 @@
     health: StoreHealth
     http_client: HttpClient
     peers: PeerList
-    _confirmed_at: float = -math.inf
-    _polled_at: float = -math.inf
-    _ages: dict[str, float] = attrs.Factory(dict)
+    _outage: ConfirmedOutage = ConfirmedOutage()
+    _reports: PeerReports = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Creates the reports of the other daemons."""
+        self._reports = PeerReports(self.health.monotonic)
 
     def is_general(self) -> bool:
         """Returns whether the store was just unreachable for all daemons."""
-        elapsed = self.health.monotonic() - self._confirmed_at
-        return self.is_suspected and elapsed < OUTAGE_SECONDS
+        elapsed = self.health.monotonic() - self._outage.at
+        is_recent = elapsed < OUTAGE_SECONDS + self._outage.span
+        return self.is_suspected and is_recent
 
     def outage_until(self) -> float:
         """Returns until when the store was certainly unreachable for all.
@@ -171,7 +172,7 @@
         Returns:
           Monotonic time in seconds.
         """
-        return self._confirmed_at - OUTAGE_SECONDS
+        return self._outage.at - OUTAGE_SECONDS
 
     def is_cut_off(self) -> bool:
         """Returns whether only this daemon can't reach the store, by any route.
@@ -204,34 +205,22 @@
         """
         if self.is_general():
             return []
-        elapsed = self.health.monotonic() - self._polled_at
         relays = self.peers.list_others()
-        if elapsed < PEER_ANSWERS_VALID_SECONDS:
-            relays = [
-                peer for peer, age in self._ages.items() if age < OUTAGE_SECONDS
-            ]
+        if self._reports.has_asked(relays):
+            relays = self._reports.list_reachable(relays)
         random.shuffle(relays)
         return relays
 
     async def poll_peers(self) -> None:
-        """Asks all other daemons whether the store answers them.
-
-        A general outage is confirmed if a majority of the daemons, this one
-        included, answers and the store is unreachable for all of these.
-        """
+        """Asks other daemons whether the store answers them."""
         others = self.peers.list_others()
-        polled_at = self.health.monotonic()
-        answers = await asyncio.gather(*map(self._ask_peer, others))
-        self._polled_at = polled_at
-        self._ages = {
-            peer: age
-            for peer, age in zip(others, answers, strict=True)
-            if age is not None
-        }
-        ages = list(self._ages.values())
-        is_unreachable_for_all = all(age > OUTAGE_SECONDS for age in ages)
-        if is_unreachable_for_all and 2 * (len(ages) + 1) > len(others) + 1:
-            self._confirmed_at = polled_at
+        asked = self._reports.choose(others)
+        asked_at = self.health.monotonic()
+        answers = await asyncio.gather(*map(self._ask_peer, asked))
+        self._reports.record(asked_at, dict(zip(asked, answers, strict=True)))
+        outage = self._reports.find_outage(others)
+        if outage is not None:
+            self._outage = outage
 
     def make_report(self) -> dict[str, Any]:
         """Returns the report for other daemons (`may_own`, `poll_peers`)."""
