Set only the options of a call that are used

Change: the client sets the eight that its requests need. Bodies are given whole. Headers with line breaks are refused as before.

--- a/lentilmount/upstream/http.py
+++ b/lentilmount/upstream/http.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import io
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -10,11 +12,17 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
 
 CONNECT_SECONDS = 1.0
 CURL_ERROR = 599
 
-SUPPRESSED_HEADERS = {'User-Agent': '', 'Accept': ''}
+SUPPRESSED_HEADERS = {
+    'User-Agent': '',
+    'Accept': '',
+    'Expect': '',
+    'Content-Type': '',
+}
 """Headers that curl adds unless they are given empty. With Accept-Encoding
 they took 91 of the 289 bytes of a poll of a worker. An owner of 245 workers
 makes up to 2,200 calls per second: 1.6 Mbit/s that no service here reads."""
@@ -29,6 +37,21 @@
     headers: Mapping[str, str]
 
 
+def _encode_headers(headers: Mapping[str, str]) -> list[bytes]:
+    """Returns header lines; curl leaves out those without a value.
+
+    Raises:
+      ValueError: A header contains a line break.
+    """
+    lines = [
+        f'{name}: {value}'.encode('latin-1') for name, value in headers.items()
+    ]
+    for line in lines:
+        if b'\r' in line or b'\n' in line:
+            raise ValueError(f'a header contains a line break: {line!r}')
+    return lines
+
+
 class _Client(CurlAsyncHTTPClient):
     """A curl client that creates handles on demand and can abort transfers.
 
@@ -53,6 +76,49 @@
             self._free_list.append(curl)
         super().fetch_impl(request, callback)
 
+    def _curl_setup_request(
+        self,
+        curl: pycurl.Curl,
+        request: HTTPRequest,
+        buffer: io.BytesIO,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Sets the options of a request of `HttpClient`.
+
+        The inherited method sets 26 options for features that are not used
+        here, most of them to their defaults. That was a quarter of the time of
+        a call, of which an owner of hundreds of workers makes thousands per
+        second.
+
+        Raises:
+          ValueError: A header contains a line break.
+        """
+        curl.setopt(pycurl.URL, request.url)
+        curl.setopt(pycurl.HTTPHEADER, _encode_headers(request.headers))
+        curl.setopt(
+            pycurl.HEADERFUNCTION,
+            functools.partial(self._curl_header_callback, headers, None),
+        )
+        curl.setopt(pycurl.WRITEFUNCTION, buffer.write)
+        curl.setopt(pycurl.MAXFILESIZE, self.max_body_size)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(
+            pycurl.CONNECTTIMEOUT_MS, int(1000 * (request.connect_timeout or 0))
+        )
+        curl.setopt(
+            pycurl.TIMEOUT_MS, int(1000 * (request.request_timeout or 0))
+        )
+        if request.ca_certs is not None:
+            curl.setopt(pycurl.CAINFO, request.ca_certs)
+        if request.body is not None or request.method == 'POST':
+            curl.setopt(pycurl.POSTFIELDS, request.body or b'')
+        if request.method == 'HEAD':
+            curl.setopt(pycurl.NOBODY, True)
+        elif request.method not in ('GET', 'POST'):
+            curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        if request.prepare_curl_callback is not None:
+            request.prepare_curl_callback(curl)
+
     def end_transfer(self, curl: pycurl.Curl, reason: str) -> None:
         """Fails a transfer as if it had timed out."""
         self._finish(curl, pycurl.E_OPERATION_TIMEDOUT, reason)
