Poll calm workers less often, and review all workers three times a second

Ten times a second it went through all tasks for hanging ones, and again for the demand of urgent tasks.

Reviews are 0.3 s apart, sums of the urgent demand 0.25 s.

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -31,6 +31,7 @@
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
 from lentilmount.scheduling.placement import Placer
+from lentilmount.scheduling.poll_intervals import choose_poll_seconds
 from lentilmount.scheduling.reconciliation import ReconcileResult
 from lentilmount.scheduling.reports import WorkerEntry, WorkerState
 from lentilmount.scheduling.takeover import (
@@ -377,6 +378,10 @@
             or self._is_outage()
         )
 
+    def choose_poll_seconds(self, worker: Worker) -> float:
+        """See `SessionListener`."""
+        return choose_poll_seconds(worker, self._interference_model)
+
     def handle_tasks_ended(
         self, worker: Worker, tasks: list[Task], reason: str
     ) -> None:
--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 import logbook
 
@@ -17,6 +19,11 @@
 
 log = logbook.Logger('steering')
 
+REVIEW_SECONDS = 0.3
+"""Interval between reviews of all workers and tasks. It adds to the second and
+more after which tasks are found to hang; a review of thousands of tasks takes
+some milliseconds."""
+
 MOVE_AFTER_SECONDS = 1.5
 """Time after which a best-effort task throttled to 0 is moved elsewhere."""
 
@@ -47,6 +54,7 @@
     commands: CommandSender
     metrics: ControlMetrics
     _suspended_since: dict[Task, float] = attrs.Factory(dict)
+    _reviewed_at: float = -math.inf
 
     def handle_poll_result(
         self, worker: Worker, result: ReconcileResult, now: float
@@ -165,6 +173,9 @@
     def check(self, now: float) -> None:
         """Moves suspended and hanging tasks, and reviews worker health."""
         self._move_suspended(now)
+        if now - self._reviewed_at < REVIEW_SECONDS:
+            return
+        self._reviewed_at = now
         self._stop_hanging(now)
         workers = list(self.cluster.workers.values())
         self.health.end_probations(workers, now)
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -13,23 +13,17 @@
 from lentilmount.platform.workers import CallStatus, WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import Task, Worker
+from lentilmount.scheduling.poll_intervals import DEFAULT_SECONDS
 from lentilmount.scheduling.reconciliation import Reconciler, ReconcileResult
 from lentilmount.scheduling.reports import WorkerReport
 from lentilmount.waiting import wait_with_timeout
 
 log = logbook.Logger('links')
 
-THROTTLING_POLL_SECONDS = 0.5
-"""Longest time that a poll waits for a run to end where best-effort tasks run
-beside serving tasks: throttling needs recent usage figures."""
-
-DEFAULT_POLL_SECONDS = 1.5
-"""The same for any other worker: leases of 6 s are renewed four times."""
-
 FAST_POLL_SECONDS = 0.25
-"""The same for a worker that does not answer commands, as only its clock shows
-that a start has expired there, and for one whose leases may soon be renewed
-again."""
+"""Longest time that a poll of a worker waits for a run to end if the worker
+does not answer commands, as only its clock shows that a start has expired
+there, or if its leases may soon be renewed again."""
 
 START_TIMEOUT_SECONDS = 3.0
 """Time within which a worker must begin a start. Until then the task of an
@@ -72,6 +66,9 @@
     def may_renew(self) -> bool:
         """Returns whether workers' leases may still be renewed."""
 
+    def choose_poll_seconds(self, worker: Worker) -> float:
+        """Returns how long a poll of a worker may wait for a run to end."""
+
 
 @attrs.define(eq=False)
 class WorkerSession:
@@ -170,7 +167,7 @@
         """
         if self.listener.may_renew():
             return UNRECORDED_ENDS_PAUSE_SECONDS
-        return DEFAULT_POLL_SECONDS
+        return DEFAULT_SECONDS
 
     def _choose_poll_wait(self) -> float:
         worker = self.worker
@@ -178,13 +175,7 @@
             worker.tasks and not worker.answers_commands
         ):
             return FAST_POLL_SECONDS
-        has_serving = any(t.is_serving for t in self.worker.tasks.values())
-        has_best_effort = any(t.spec.fills for t in self.worker.tasks.values())
-        return (
-            THROTTLING_POLL_SECONDS
-            if has_serving and has_best_effort
-            else DEFAULT_POLL_SECONDS
-        )
+        return self.listener.choose_poll_seconds(worker)
 
     def _choose_renewal_expiry(self) -> int | None:
         """Returns when renewed leases expire on the worker's clock, or None.
--- a/lentilmount/scheduling/headroom.py
+++ b/lentilmount/scheduling/headroom.py
@@ -39,7 +39,7 @@
 AVERAGING_SECONDS = 4.0
 """Time constant in seconds of the average demand of urgent tasks."""
 
-UPDATE_INTERVAL_SECONDS = 0.1
+UPDATE_INTERVAL_SECONDS = 0.25
 """Minimum time between two sums over all tasks, in seconds."""
 
 BURST_FACTOR = 1.3
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -21,6 +21,7 @@
 )
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import Task, Worker
+from lentilmount.scheduling.poll_intervals import DEFAULT_SECONDS
 from lentilmount.scheduling.reconciliation import ReconcileResult
 from lentilmount.scheduling.reports import WorkerEntry, WorkerReport
 from lentilmount.upstream.http import HttpClient
@@ -61,6 +62,10 @@
         """See `SessionListener`."""
         return True
 
+    def choose_poll_seconds(self, worker: Worker) -> float:
+        """See `SessionListener`."""
+        return DEFAULT_SECONDS
+
 
 def test_starts_to_a_worker_that_is_gone_do_not_renew_its_leases() -> None:
     """Repeated starts renewed a lost worker's leases: its tasks never moved."""
