Bound the long-running tasks that one pass places

Change: 50 a pass; the next pass goes on at once, in the same order.

The test failed before (480 in a pass).

--- a/lentilmount/control/dispatcher.py
+++ b/lentilmount/control/dispatcher.py
@@ -93,6 +93,8 @@
             self.wake.clear()
             if self.may_start:
                 self._place()
+                if self.placer.is_incomplete:
+                    self.wake.set()
             await asyncio.sleep(PASS_PAUSE_SECONDS)
 
     async def _wait_for_first_polls(self) -> None:
--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -32,6 +32,12 @@
 """Number of steps of one kind without a suitable worker after which a pass
 skips the rest of that kind. It bounds the duration of a pass."""
 
+MAX_LONG_RUNNING_STARTS = 50
+"""Number of long-running tasks placed in a pass; the next one goes on. Each is
+compared with every worker, which takes most of a millisecond for hundreds of
+them. Thousands arrive at once when a system starts or its workers are replaced,
+and the owner must renew its lease and start urgent tasks meanwhile."""
+
 Placement = tuple[Task, Worker]
 StepShape = tuple[str, str, bool]
 """Requirements of a step besides its size.
@@ -50,7 +56,14 @@
 
 @attrs.define
 class Placer:
-    """Chooses workers for the ready tasks of a cluster state."""
+    """Chooses workers for the ready tasks of a cluster state.
+
+    Attributes:
+      cluster: Jobs, tasks and workers.
+      interference_model: Learned interference between images.
+      is_incomplete: Whether the last pass left tasks to the next one, although
+        they may fit.
+    """
 
     cluster: ClusterState
     interference_model: InterferenceModel
@@ -58,6 +71,7 @@
     _consolidator: Consolidator = attrs.field(init=False)
     _headroom: Headroom = attrs.field(init=False)
     _reservations: WorkerReservations = attrs.Factory(WorkerReservations)
+    is_incomplete: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Creates the state that is kept between passes."""
@@ -83,6 +97,7 @@
           is_allowed: Whether a task may run on a worker, by rules outside the
             cluster state.
         """
+        self.is_incomplete = False
         if not self.cluster.ready:
             return []
         views = self._views.list_open(now)
@@ -97,7 +112,9 @@
             now,
             is_allowed,
         )
-        return placement_pass.run()
+        placements = placement_pass.run()
+        self.is_incomplete = placement_pass.is_incomplete
+        return placements
 
 
 class _PlacementPass:
@@ -120,6 +137,8 @@
         self._costs = CostModel(cluster, interference_model)
         self._now = now
         self._is_allowed = is_allowed
+        self.is_incomplete = False
+        self._long_running_left = MAX_LONG_RUNNING_STARTS
         self._infeasible: dict[StepShape, list[Room]] = {}
         self._without_headroom: dict[StepShape, list[Room]] = {}
         self._views = views
@@ -175,6 +194,9 @@
         for task in step:
             if task.phase is not TaskPhase.WAITING:
                 continue
+            if task.spec.lasting and not self._long_running_left:
+                self.is_incomplete = True
+                return placed, True
             if task.spec.gang:
                 members = self._place_gang(task)
                 placed += members
@@ -193,6 +215,7 @@
             if candidates is not None:
                 candidates.refresh(view)
             placed.append((task, view.worker))
+            self._long_running_left -= task.spec.lasting
         return placed, True
 
     def _find_candidates(self, task: Task) -> StepCandidates:
--- a/tests/test_task_placement_scale.py
+++ b/tests/test_task_placement_scale.py
@@ -7,7 +7,7 @@
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.interference import InterferenceModel
-from lentilmount.scheduling.placement import Placer
+from lentilmount.scheduling.placement import MAX_LONG_RUNNING_STARTS, Placer
 from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import EndKind
 from lentilmount.scheduling.specs import StepSpec
@@ -17,6 +17,7 @@
     admit,
     make_entry,
     make_job,
+    make_policy,
     make_report,
     make_step,
     record_checks,
@@ -101,3 +102,32 @@
     cluster.end_run(first, EndKind.DONE, 10.02)
     ((second, worker_of_second),) = run_pass(placer, 10.02)
     assert (second is not first, worker_of_second) == (True, worker)
+
+
+def test_a_pass_over_thousands_of_long_running_tasks_is_bounded() -> None:
+    """The first pass of an owner blocked it for 1.7 s.
+
+    Hundreds of long-running jobs arrive at once when a system starts. Urgent
+    tasks, which are placed first, were sent only after that pass, and the
+    owner's lease of 2 s was not renewed.
+    """
+    cluster = ClusterState()
+    for number in range(WORKERS):
+        add_worker(cluster, f'w-{number}', capacity=Room(32.0, 128_000))
+    step = make_step(
+        count=24, demand=Room(6.0, 6000), lasting=True, image='watch'
+    )
+    for number in range(20):
+        admit(cluster, make_job(f'watch-{number}', step))
+    placer = Placer(cluster, InterferenceModel())
+    passes: list[int] = []
+    while not passes or placer.is_incomplete:
+        passes.append(len(run_pass(placer, 10.0 + 0.01 * len(passes))))
+    assert max(passes) <= MAX_LONG_RUNNING_STARTS
+    assert sum(passes) == 20 * 24
+    urgent = make_job('urgent', make_step(), policy=make_policy(stretch=99.0))
+    for number in range(20, 25):
+        admit(cluster, make_job(f'watch-{number}', step))
+    admit(cluster, urgent).accepted_at = 11.0
+    placed = run_pass(placer, 11.0)
+    assert placed[0][0].id.job == 'urgent'
