Count reports of the same half second once

Change: a task's measurement counts from 0.25 s after the one before. Whether its tail exceeds the target is noted with each report, as before.

--- a/lentilmount/scheduling/interference.py
+++ b/lentilmount/scheduling/interference.py
@@ -97,6 +97,11 @@
 USAGE_WINDOW_SECONDS = 0.5
 """Time covered by one measurement in seconds."""
 
+MIN_MEASUREMENT_SECONDS = USAGE_WINDOW_SECONDS / 2
+"""Time between two measurements of a task from which they count as two. Reports
+follow each other within less when runs end, and their windows are then mostly
+the same: counted twice, one measurement would seem twice as certain."""
+
 MAX_PLACEMENT_UTILISATION = TARGET_UTILISATION - 0.05
 """Utilisation up to which best-effort tasks are added. The margin is half a
 standard deviation of the prediction."""
@@ -143,9 +148,11 @@
     Attributes:
       over_since: Monotonic time since which it exceeds its target; infinity if
         it does not.
+      measured_at: Monotonic time of the last measurement that was counted.
     """
 
     over_since: float = math.inf
+    measured_at: float = -math.inf
 
 
 def measure_utilisation(ratio: float) -> float:
@@ -179,6 +186,9 @@
             tail_state.over_since = math.inf
         else:
             tail_state.over_since = min(tail_state.over_since, now)
+        if now - tail_state.measured_at < MIN_MEASUREMENT_SECONDS:
+            return
+        tail_state.measured_at = now
         terms = {_get_load_term(task): 1.0}
         for image, count in neighbours.items():
             terms[image] = count
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -235,7 +235,10 @@
 
 
 class _AllowAllModel(InterferenceModel):
-    """Allows every placement."""
+    """Allows every placement, and learns nothing."""
+
+    def observe(self, *_: object) -> None:
+        pass
 
     def allows(self, *_: object) -> bool:
         return True
@@ -258,3 +261,26 @@
     assert result.serving > 0.95
     assert naive_result.serving < 0.7
     assert result.filling > 0.85
+
+
+def test_reports_of_the_same_half_second_count_once() -> None:
+    """Reports after each run end made one measurement look like many.
+
+    A worker with many short tasks reports several times in the half second that
+    a measurement covers.
+    """
+    cluster, worker, serving_task = make_serving_worker()
+    add_best_effort_task(cluster, worker, 'batch', 'batch')
+    models = InterferenceModel(), InterferenceModel()
+    serving_task.usage = 0.9 * TARGET_MS
+    for step in range(50):
+        models[0].observe(worker, 0.5 * step)
+        for part in range(5):
+            models[1].observe(worker, 0.5 * step + 0.04 * part)
+    once, often = (model.get_load(serving_task) for model in models)
+    assert often == pytest.approx(once)
+    serving_task.usage = 2 * TARGET_MS
+    models[1].observe(worker, 25.0)
+    models[1].observe(worker, 25.1)
+    # That it is over its target shows at once all the same.
+    assert models[1].get_seconds_over_target(serving_task, 25.1) > 0.0
