Mend the model that routing decisions are compared with

* It compared costs exactly.
Two that differ by the order in which their terms were added (2e-14 s) gave another answer than the code, which adds them in another order.
Now both choices are right within 1e-9 s.
* It took an upstream as strictly worse when its cost was higher by any amount.
The balancer goes by cost only where costs differ by a quarter and a millisecond, else by load, as its docstring says; so it may choose an upstream of 200 ms with load 7 before one of 162 ms with load 12, and then a remote one.
The first flaw hid this one (found by the same test: steps take, end, report 7, three takes, report 3, wait 0.2 s, takes).
Now the model follows that rule, so it allows fewer choices than before where costs differ little.

The product is as it was.

--- a/tests/test_routing_decision.py
+++ b/tests/test_routing_decision.py
@@ -34,6 +34,9 @@
 SPILL = 0.003
 TYPICAL = 0.1
 DAEMONS = 3
+ROUNDING = 1e-9
+"""Difference in seconds below which two costs are equal but for the order in
+which their terms were added: far below what decisions take into account."""
 
 Step = tuple[str, int, int]
 
@@ -90,12 +93,16 @@
         if not near or not far:
             return self.drop_worst(near or far)
         right = self.drop_worst(near)
-        worth = {n for n in right if self.get_cost(n) > TYPICAL + SPILL}
+        worth = {n for n in right if self.may_cost(n, TYPICAL + SPILL)}
         for n in self.drop_worst(far) if worth else ():
-            if any(self.get_cost(n) + SPILL < self.get_cost(m) for m in worth):
+            if any(self.may_cost(m, self.get_cost(n) + SPILL) for m in worth):
                 right.add(n)
         return right
 
+    def may_cost(self, index: int, more_than: float) -> bool:
+        """Returns whether a cost is higher, or equal but for rounding."""
+        return self.get_cost(index) > more_than - ROUNDING
+
     def drop_worst(self, some: list[int]) -> set[int]:
         """Removes upstreams that lose against every other one.
 
@@ -105,10 +112,11 @@
         """
 
         def beats(one: int, other: int) -> bool:
-            return (self.get_cost(one), self.count_load(one)) < (
-                self.get_cost(other),
-                self.count_load(other),
-            )
+            if is_lower(self.get_cost(one), self.get_cost(other)):
+                return True
+            if is_lower(self.get_cost(other), self.get_cost(one)):
+                return False
+            return self.count_load(one) < self.count_load(other)
 
         return {
             n
@@ -121,6 +129,11 @@
         return self.count_own(index) + self.count_others(index)
 
 
+def is_lower(one: float, other: float) -> bool:
+    """Returns whether a cost is significantly lower than another one."""
+    return one * 1.25 + 0.001 < other - ROUNDING
+
+
 def make_pools(clock: ManualClock) -> Pools:
     directory = UpstreamDirectory()
     for index, zone in enumerate(ZONES):
