--- a/lentilmount/control/peer_reports.py
+++ b/lentilmount/control/peer_reports.py
@@ -16,8 +16,9 @@
 
 import attrs
 
-REACHABLE_SECONDS = 0.8
-"""Age of a daemon's last answer from the store up to which it reaches it."""
+OUTAGE_SECONDS = 0.8
+"""Time without a successful answer, with a failed call since, after which the
+store counts as unreachable. An owner renews its lease every 0.5 s."""
 
 VALID_SECONDS = 1.0
 """How long a report is used beyond the time that a round of reports takes."""
@@ -53,7 +54,7 @@
     @property
     def is_reachable(self) -> bool:
         """Whether the store answered that daemon."""
-        return self.age is not None and self.age < REACHABLE_SECONDS
+        return self.age is not None and self.age < OUTAGE_SECONDS
 
     @property
     def unreachable_since(self) -> float:
--- a/lentilmount/control/store_health.py
+++ b/lentilmount/control/store_health.py
@@ -17,15 +17,15 @@
 import logbook
 import orjson
 
-from lentilmount.control.peer_reports import ConfirmedOutage, PeerReports
+from lentilmount.control.peer_reports import (
+    OUTAGE_SECONDS,
+    ConfirmedOutage,
+    PeerReports,
+)
 from lentilmount.upstream.http import HttpClient
 
 log = logbook.Logger('store')
 
-OUTAGE_SECONDS = 0.8
-"""Time without a successful answer, with a failed call since, after which the
-store counts as unreachable. An owner renews its lease every 0.5 s."""
-
 CUT_OFF_SECONDS = 1.2
 """Time without a successful answer, and without a confirmed outage for all,
 after which a daemon is cut off. Allows for two rounds of polling its peers."""
