--- a/lentilmount/scheduling/headroom.py
+++ b/lentilmount/scheduling/headroom.py
@@ -102,7 +102,7 @@
         self._memory_mb += weight * (memory_mb - self._memory_mb)
 
     @property
-    def _missing(self) -> int:
+    def _slots_to_keep(self) -> int:
         """Number of slots to keep free beside the running urgent tasks."""
         expected = BURST_FACTOR * self._tasks - self._running
         return max(0, math.ceil(expected - ROUNDING))
@@ -115,7 +115,7 @@
         """
         self._slots = {v.worker.id: self._count_slots(v.free) for v in views}
         self._free_slots = sum(self._slots.values())
-        missing = self._missing - self._free_slots
+        missing = self._slots_to_keep - self._free_slots
         most = math.ceil(MAX_HELD_SHARE * len(views))
         self._held = frozenset()
         if missing > 0:
@@ -150,14 +150,14 @@
           view: The worker.
           now: Monotonic time.
         """
-        missing = self._missing
-        if not missing or not _yields(task, now):
+        kept = self._slots_to_keep
+        if not kept or not _yields(task, now):
             return True
         if view.worker.id in self._held:
             return False
         after = self._count_slots(view.free.subtract(task.spec.reserved))
         lost = self._slots.get(view.worker.id, 0) - after
-        return lost <= 0 or self._free_slots - lost >= missing
+        return lost <= 0 or self._free_slots - lost >= kept
 
 
 def _yields(task: Task, now: float) -> bool:
--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -140,7 +140,7 @@
         self.is_incomplete = False
         self._long_running_left = MAX_LONG_RUNNING_STARTS
         self._infeasible: dict[StepShape, list[Room]] = {}
-        self._without_headroom: dict[StepShape, list[Room]] = {}
+        self._infeasible_for_new: dict[StepShape, list[Room]] = {}
         self._views = views
         headroom.begin_pass(views)
         self._most_free = _find_most_free(views)
@@ -174,7 +174,7 @@
             return False
         is_new = kind is TaskKind.LONG_RUNNING and has_never_run(step[0])
         return not is_new or not self._exceeds(
-            step[0].spec, self._without_headroom
+            step[0].spec, self._infeasible_for_new
         )
 
     def _reserve_worker(self, step: list[Task]) -> None:
@@ -319,7 +319,9 @@
         has_other_limits = spec.gang or spec.most_per_worker or task.failed_on
         if has_other_limits:
             return
-        infeasible = self._without_headroom if by_headroom else self._infeasible
+        infeasible = (
+            self._infeasible_for_new if by_headroom else self._infeasible
+        )
         infeasible.setdefault(get_shape(spec), []).append(spec.demand)
 
     def _is_infeasible(self, spec: StepSpec) -> bool:
