Leave a held lease to larger hosts for longer

Renewals of the owner, a large host, took over 3 s, so that a host of 0.516 cores saw its lease unchanged for 2 s and its head start of 1.2 s and sent a takeover, which took effect at 15.9 s, after the store was well again.

Ruled out: a longer head start for each lease (a free one would wait as long after planned stops).

Change: a lease that was not released, by a process that is not known to have ended, is left to larger hosts for 4 s, if some are known.

--- a/lentilmount/control/election.py
+++ b/lentilmount/control/election.py
@@ -62,6 +62,12 @@
 """Delay before a small host takes a free lease: two checks by larger hosts. A
 takeover takes that much longer where none of them takes it."""
 
+HELD_LEASE_HEAD_START_SECONDS = 4.0
+"""The same for a lease that was not released, if larger hosts are known. Its
+holder may be alive and its renewals late, as while the store is slow, and the
+write by which a small host takes the lease may take effect later still. A small
+owner then has the work of hundreds of workers until it hands over."""
+
 MIN_TENURE_SECONDS = 3.0
 """Shortest time from the end of loading until an owner hands over to a larger
 host. A handover takes about a second, a quarter of the time at most, where the
@@ -154,7 +160,7 @@
                 lease = await keeper.try_acquire(
                     key,
                     functools.partial(self._update_data, keeper),
-                    self._choose_delay(),
+                    self._choose_delay(keeper.get_holder(key)),
                 )
             except UnavailableError as error:
                 log.warning('Cannot read the lease: {}', error)
@@ -216,12 +222,18 @@
         )
         return new_data.encode(record.epoch + 1)
 
-    def _choose_delay(self) -> float:
-        return (
-            LARGER_HOST_HEAD_START_SECONDS
-            if self.candidates.may_have_larger
-            else 0.0
-        )
+    def _choose_delay(self, holder: str) -> float:
+        """Returns for how long a lease is left to larger hosts.
+
+        Args:
+          holder: Holder of the lease; '' if it was released or is not known.
+        """
+        if not self.candidates.may_have_larger:
+            return 0.0
+        is_held = bool(holder) and not self._has_ended(holder)
+        if is_held and self.candidates.list_larger():
+            return HELD_LEASE_HEAD_START_SECONDS
+        return LARGER_HOST_HEAD_START_SECONDS
 
     async def _run_owner(self, keeper: LeaseKeeper, lease: Lease) -> None:
         log.info(
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+from typing import cast
 
 import pytest
 
@@ -12,12 +13,21 @@
     make_announcement,
     read_capacities,
 )
+from lentilmount.control.election import (
+    HELD_LEASE_HEAD_START_SECONDS,
+    LARGER_HOST_HEAD_START_SECONDS,
+)
 from lentilmount.coordination.leases import LeaseKeeper
 from lentilmount.coordination.table import Key
 from lentilmount.platform.host_settings import Capacity
+from lentilmount.platform.store import PlatformTable
 from stand_ins.table import MemoryTable
 from tests.helpers import run
-from tests.platform_fixtures import open_platform, wait_for_line
+from tests.platform_fixtures import (
+    make_election,
+    open_platform,
+    wait_for_line,
+)
 
 FIRST = '0123456789abcdef'
 SECOND = 'fedcba9876543210'
@@ -129,3 +139,27 @@
         assert await after.try_acquire(KEY, delay=1.0) is not None
 
     run(check())
+
+
+@pytest.mark.parametrize(
+    ('holder', 'larger', 'seconds'),
+    [
+        ('large-2.0a', True, HELD_LEASE_HEAD_START_SECONDS),
+        ('', True, LARGER_HOST_HEAD_START_SECONDS),
+        # An earlier process of this host holds it no longer.
+        ('host-1.0a', True, LARGER_HOST_HEAD_START_SECONDS),
+        ('large-2.0a', False, 0.0),
+    ],
+)
+def test_a_small_host_leaves_a_held_lease_to_larger_ones_for_longer(
+    holder: str, larger: bool, seconds: float
+) -> None:
+    """A small host took the lease of a live owner while the store was slow.
+
+    The renewals of the owner came late, and so did the small host's write.
+    """
+    candidates = Candidates(Capacity(0.5, 20.0))
+    candidates.update({'large:1': LARGE_HOST} if larger else {}, True)
+    table = cast(PlatformTable, None)
+    election = make_election(table, candidates)
+    assert election._choose_delay(holder) == seconds
