Count the slots to keep once a pass, and select recent reports in one place

Read again after the work: the headroom worked out the slots to keep for every worker that a long-running task was compared with, though they change only between passes; the reports of peers were filtered by age twice, with two limits; the docstring of the check for ended holders told half of what it checks.

Behaviour, bounds and assertions are as they were; a test calls the renamed method.

--- a/lentilmount/control/election.py
+++ b/lentilmount/control/election.py
@@ -181,8 +181,9 @@
             self._watch.has_ended.clear()
 
     def _has_ended(self, holder: str) -> bool:
-        """Returns whether a holder is an earlier process of this host.
+        """Returns whether the process of a holder is known to have ended.
 
+        It is an earlier process of this host, or its host refuses connections.
         A host runs one process at a time, so the lease of its earlier process
         need not expire. After all daemons were killed at once, work resumes 2 s
         earlier.
--- a/lentilmount/control/peer_reports.py
+++ b/lentilmount/control/peer_reports.py
@@ -114,30 +114,29 @@
         for address, age in ages.items():
             self._reports[address] = PeerReport(asked_at, age)
 
-    def _list_valid(self, others: list[str]) -> dict[str, PeerReport]:
+    def _list_recent(
+        self, others: list[str], seconds: float
+    ) -> dict[str, PeerReport]:
         now = self.monotonic()
         return {
             address: report
             for address in others
             if (report := self._reports.get(address)) is not None
-            and now - report.asked_at < VALID_SECONDS + MAX_OUTAGE_SPAN_SECONDS
+            and now - report.asked_at < seconds
         }
 
     def has_asked(self, others: list[str]) -> bool:
         """Returns whether any daemon was asked lately."""
-        now = self.monotonic()
-        return any(
-            now - report.asked_at < VALID_SECONDS
-            for report in self._list_valid(others).values()
-        )
+        return bool(self._list_recent(others, VALID_SECONDS))
 
     def list_reachable(self, others: list[str]) -> list[str]:
         """Lists the daemons that lately reached the store."""
-        now = self.monotonic()
         return [
             address
-            for address, report in self._list_valid(others).items()
-            if report.is_reachable and now - report.asked_at < VALID_SECONDS
+            for address, report in self._list_recent(
+                others, VALID_SECONDS
+            ).items()
+            if report.is_reachable
         ]
 
     def find_outage(self, others: list[str]) -> ConfirmedOutage | None:
@@ -148,7 +147,9 @@
         """
         reports = [
             report
-            for report in self._list_valid(others).values()
+            for report in self._list_recent(
+                others, VALID_SECONDS + MAX_OUTAGE_SPAN_SECONDS
+            ).values()
             if report.age is not None
         ]
         if 2 * (len(reports) + 1) <= len(others) + 1:
--- a/lentilmount/scheduling/headroom.py
+++ b/lentilmount/scheduling/headroom.py
@@ -67,6 +67,7 @@
     _memory_mb: float = 0.0
     _running: int = 0
     _updated_at: float = -math.inf
+    _kept: int = 0
     _slots: dict[str, int] = attrs.Factory(dict)
     _free_slots: int = 0
     _held: frozenset[str] = frozenset()
@@ -101,9 +102,8 @@
         self._cores += weight * (cores - self._cores)
         self._memory_mb += weight * (memory_mb - self._memory_mb)
 
-    @property
-    def _slots_to_keep(self) -> int:
-        """Number of slots to keep free beside the running urgent tasks."""
+    def _count_slots_to_keep(self) -> int:
+        """Returns how many slots to keep beside the running urgent tasks."""
         expected = BURST_FACTOR * self._tasks - self._running
         return max(0, math.ceil(expected - ROUNDING))
 
@@ -115,7 +115,8 @@
         """
         self._slots = {v.worker.id: self._count_slots(v.free) for v in views}
         self._free_slots = sum(self._slots.values())
-        missing = self._slots_to_keep - self._free_slots
+        self._kept = self._count_slots_to_keep()
+        missing = self._kept - self._free_slots
         most = math.ceil(MAX_HELD_SHARE * len(views))
         self._held = frozenset()
         if missing > 0:
@@ -150,14 +151,13 @@
           view: The worker.
           now: Monotonic time.
         """
-        kept = self._slots_to_keep
-        if not kept or not _yields(task, now):
+        if not self._kept or not _yields(task, now):
             return True
         if view.worker.id in self._held:
             return False
         after = self._count_slots(view.free.subtract(task.spec.reserved))
         lost = self._slots.get(view.worker.id, 0) - after
-        return lost <= 0 or self._free_slots - lost >= kept
+        return lost <= 0 or self._free_slots - lost >= self._kept
 
 
 def _yields(task: Task, now: float) -> bool:
--- a/tests/test_peer_reports.py
+++ b/tests/test_peer_reports.py
@@ -16,6 +16,7 @@
     MAX_OUTAGE_SPAN_SECONDS,
     MAX_PEERS,
     MAX_RELAYS,
+    VALID_SECONDS,
     PeerReports,
 )
 
@@ -136,7 +137,9 @@
         if outage is None:
             continue
         assert outage.span <= MAX_OUTAGE_SPAN_SECONDS
-        known = reports._list_valid(OTHERS)
+        known = reports._list_recent(
+            OTHERS, VALID_SECONDS + MAX_OUTAGE_SPAN_SECONDS
+        )
         for address in known:
             report = known[address]
             assert report.unreachable_since <= outage.at
