Stop starts that may outlive a restart of their worker

What callers see: a task of their job runs on two workers at once.

Cause: after a restart under the same id the owner took all runs on the worker as ended, also those whose start had no answer yet. Such a start was still on its way, or sent again each second, and the new incarnation executed it: it knows no stops, and the deadline, a time of the old clock, lies far ahead on the new one.

Ruled out: relying on the next report, which lists the run as stale; the task is placed elsewhere some ms after the restart was seen, and a poll may wait 0.8 s. A new epoch after each restart: all other workers would have to be polled anew.

Change: a session keeps the starts without an answer for 30 s. At a restart their tasks stay and are stopped on the new incarnation, which rejects the run from then on; they are placed again when a later report does not list it. A start without an answer is not repeated while polls of its worker fail. Leases of such a worker are assumed to last for the longest time from any call of up to then.

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -33,7 +33,11 @@
 from lentilmount.scheduling.placement import Placer
 from lentilmount.scheduling.poll_intervals import choose_poll_seconds
 from lentilmount.scheduling.reconciliation import ReconcileResult
-from lentilmount.scheduling.reports import WorkerEntry, WorkerState
+from lentilmount.scheduling.reports import (
+    StaleRun,
+    WorkerEntry,
+    WorkerState,
+)
 from lentilmount.scheduling.takeover import (
     InheritedLeases,
     UnrecordedStarts,
@@ -397,6 +401,20 @@
         self._wake.set()
         self._state_writer.request_write()
 
+    def handle_late_starts(
+        self, worker: Worker, late_starts: list[StaleRun]
+    ) -> None:
+        """See `SessionListener`."""
+        log.info(
+            'Stops {} runs that it may still start after its restart.',
+            len(late_starts),
+            extra={
+                'worker': worker.id,
+                'tasks': [start.task for start in late_starts],
+            },
+        )
+        self._commands.stop_late_starts(late_starts)
+
     def handle_poll_result(
         self, worker: Worker, result: ReconcileResult
     ) -> None:
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -22,7 +22,7 @@
 )
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
-from lentilmount.scheduling.reconciliation import StaleRun
+from lentilmount.scheduling.reports import StaleRun
 
 log = logbook.Logger('links')
 
@@ -84,18 +84,41 @@
         """Sends the stop of a run that the worker must not run."""
         self.start_task(self._stop_stale_run(stale_run))
 
+    def stop_late_starts(self, late_starts: list[StaleRun]) -> None:
+        """Stops runs that a restarted worker may still start."""
+        for late_start in late_starts:
+            task = self.cluster.find_task(late_start.task)
+            if task is not None and self._is_stopping(task, late_start):
+                self.stop(task)
+            else:
+                self.stop_stale_run(late_start)
+
+    def _is_stopping(self, task: Task, stale_run: StaleRun) -> bool:
+        is_current = (task.worker, task.run) == (
+            stale_run.worker,
+            stale_run.run,
+        )
+        return is_current and task.phase is TaskPhase.STOPPING
+
     async def _start(self, task: Task, run: int) -> None:
         session = self.sessions.get(task.worker)
         is_due = task.phase is TaskPhase.STARTING and task.run == run
         if session is None or not is_due:
             return
         command = self._make_start(session, task, run)
+        session.add_unanswered_start(command.task, run)
         is_first = True
         pause = RETRY_SECONDS
         while task.phase is TaskPhase.STARTING and task.run == run:
+            if not is_first and not session.worker.reachable:
+                # Its next incarnation would execute the start as well.
+                pause = await _back_off(pause)
+                continue
             answer = await self.worker_client.start(
                 session.worker.entry, command
             )
+            if is_first and answer.status is not CallStatus.UNKNOWN:
+                session.settle_start(command.task, run)
             self._record_answer(session, answer)
             if task.run != run or task.phase is not TaskPhase.STARTING:
                 break
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -15,7 +15,7 @@
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.scheduling.poll_intervals import DEFAULT_SECONDS
 from lentilmount.scheduling.reconciliation import Reconciler, ReconcileResult
-from lentilmount.scheduling.reports import WorkerReport
+from lentilmount.scheduling.reports import StaleRun, WorkerReport
 from lentilmount.waiting import wait_with_timeout
 
 log = logbook.Logger('links')
@@ -42,6 +42,9 @@
 EXPIRY_MARGIN_SECONDS = 0.1
 """Time for a worker to end its tasks once a lease has expired."""
 
+LATE_START_SECONDS = 30.0
+"""Time after which an unanswered start is assumed never to be executed."""
+
 FORGET_SECONDS = 1.0
 """Delay before the session of an unregistered worker without tasks ends; also
 the time for which a worker that refused a start gets no tasks."""
@@ -63,6 +66,11 @@
     ) -> None:
         """Called when all tasks on a worker have ended."""
 
+    def handle_late_starts(
+        self, worker: Worker, late_starts: list[StaleRun]
+    ) -> None:
+        """Called when a restarted worker may still execute earlier starts."""
+
     def may_renew(self) -> bool:
         """Returns whether workers' leases may still be renewed."""
 
@@ -105,6 +113,7 @@
     _clock_read_at: float = 0.0
     _last_expiry_ms: int = 0
     _inherited_expiry: float = attrs.field(init=False)
+    _unanswered_starts: dict[StaleRun, float] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Stores when the previous owner's leases expire."""
@@ -251,6 +260,18 @@
             if is_pending and 0 < task.start_deadline_ms < clock_ms:
                 task.start_expired_at = min(task.start_expired_at, now)
 
+    def add_unanswered_start(self, task: str, run: int) -> None:
+        """Records that a start is about to be sent."""
+        now = self.monotonic()
+        for start, sent_at in list(self._unanswered_starts.items()):
+            if now - sent_at > LATE_START_SECONDS:
+                del self._unanswered_starts[start]
+        self._unanswered_starts[StaleRun(self.worker.id, task, run)] = now
+
+    def settle_start(self, task: str, run: int) -> None:
+        """Records that no copy of a start can be executed later."""
+        self._unanswered_starts.pop(StaleRun(self.worker.id, task, run), None)
+
     def record_command(self, status: CallStatus) -> None:
         """Records whether the worker answered a command."""
         worker = self.worker
@@ -316,10 +337,17 @@
 
         The worker has answered this owner, so it accepts no more from others.
         """
-        if self.worker.leases_expire_at:
-            return
+        if not self.worker.leases_expire_at:
+            self._bound_leases(0.0)
+
+    def _bound_leases(self, delay: float) -> None:
+        """Assumes the longest lease from any call of up to now.
+
+        Args:
+          delay: Longest time in seconds until such a call arrives.
+        """
         longest = self.lease_seconds / MIN_CLOCK_RATE + EXPIRY_MARGIN_SECONDS
-        self._inherited_expiry = self.monotonic() + longest
+        self._inherited_expiry = self.monotonic() + delay + longest
         self.worker.leases_expire_at = self._inherited_expiry
 
     def handle_registration(self, started_ms: int) -> None:
@@ -344,7 +372,13 @@
         self.end_written.set()
 
     def handle_restart(self, why: str) -> None:
-        """Resets the session after a restart: all runs there have ended."""
+        """Resets the session after a restart: all runs there have ended.
+
+        A start without an answer may still reach the new incarnation, which
+        executes it: stops are forgotten, and on the new clock its deadline is
+        far away. Its task is kept until the new incarnation has accepted a
+        stop of that run.
+        """
         self.received_end = self.written_end = 0
         self.incarnation += 1
         self._started_ms = None
@@ -353,9 +387,17 @@
         self._inherited_expiry = 0.0
         worker = self.worker
         self._reset_command_state()
-        tasks = self.cluster.end_worker_tasks(worker, self.monotonic())
+        late_starts = list(self._unanswered_starts)
+        self._unanswered_starts.clear()
+        if late_starts:
+            self._bound_leases(self.worker_client.timeout)
+        tasks = self.cluster.end_worker_tasks(
+            worker, self.monotonic(), frozenset(late_starts)
+        )
         if tasks:
             self.listener.handle_tasks_ended(worker, tasks, why)
+        if late_starts:
+            self.listener.handle_late_starts(worker, late_starts)
 
     async def _handle_failure(self, status: CallStatus) -> None:
         if status is CallStatus.FENCED:
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -21,6 +21,7 @@
 )
 from lentilmount.scheduling.reports import (
     EndKind,
+    StaleRun,
     WorkerEntry,
 )
 from lentilmount.scheduling.specs import JobSpec, TaskId
@@ -143,6 +144,14 @@
             if task.phase is TaskPhase.WAITING:
                 self.ready[task.id] = task
 
+    def find_task(self, name: str) -> Task | None:
+        """Returns the task with a formatted id, or None if it is not known."""
+        task_id = TaskId.parse(name)
+        if task_id is None:
+            return None
+        job = self.jobs.get(task_id.job)
+        return job.tasks.get(task_id) if job is not None else None
+
     def are_predecessors_done(self, task: Task) -> bool:
         """Returns whether all steps that a task depends on are done."""
         return all(
@@ -398,13 +407,34 @@
         worker.is_registered = True
         return worker
 
-    def end_worker_tasks(self, worker: Worker, now: float) -> list[Task]:
+    def end_worker_tasks(
+        self,
+        worker: Worker,
+        now: float,
+        late_starts: frozenset[StaleRun] = frozenset(),
+    ) -> list[Task]:
         """Ends all runs on a worker whose leases expired or that restarted.
 
+        Args:
+          worker: The worker.
+          now: Monotonic time.
+          late_starts: Starts that a restarted worker may still execute; their
+            tasks must be stopped there instead.
+
         Returns:
-          The tasks that were placed there.
+          The tasks whose runs have ended.
         """
-        tasks = list(worker.tasks.values())
-        for task in tasks:
+        ended = []
+        for task in list(worker.tasks.values()):
+            if StaleRun(worker.id, str(task.id), task.run) in late_starts:
+                self._stop_anew(task)
+                continue
             self.end_run(task, EndKind.LAPSED, now)
-        return tasks
+            ended.append(task)
+        return ended
+
+    def _stop_anew(self, task: Task) -> None:
+        """Marks a task as being stopped; earlier stops have no effect."""
+        self.begin_stop(task)
+        task.stopped_at = math.inf
+        task.start_expired_at = math.inf
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -13,6 +13,7 @@
     EndKind,
     EndReport,
     RunReport,
+    StaleRun,
     WorkerReport,
 )
 from lentilmount.scheduling.specs import TaskId
@@ -21,21 +22,6 @@
 """Share of its allowed CPU usage below which a task counts as idle."""
 
 
-@attrs.frozen
-class StaleRun:
-    """A run that a worker reports and that must be stopped.
-
-    Attributes:
-      worker: Id of the worker.
-      task: Formatted id of the task.
-      run: Run number.
-    """
-
-    worker: str
-    task: str
-    run: int
-
-
 @attrs.define
 class ReconcileResult:
     """Changes made by one report of a worker.
@@ -118,13 +104,6 @@
             if settled_at.get(task.phase, math.inf) < requested_at:
                 yield task
 
-    def _find(self, name: str) -> Task | None:
-        task_id = TaskId.parse(name)
-        if task_id is None:
-            return None
-        job = self._cluster.jobs.get(task_id.job)
-        return job.tasks.get(task_id) if job is not None else None
-
     def _apply_end(
         self,
         worker: Worker,
@@ -133,7 +112,7 @@
         now: float,
     ) -> None:
         result.last_end_number = max(result.last_end_number, end.number)
-        task = self._find(end.task)
+        task = self._cluster.find_task(end.task)
         if task is None:
             return
         self._cluster.mark_started(task.job)
@@ -190,7 +169,7 @@
         result: ReconcileResult,
         now: float,
     ) -> Task | None:
-        task = self._find(run_report.task)
+        task = self._cluster.find_task(run_report.task)
         if task is None:
             result.unknown_tasks.append(run_report.task)
             return None
--- a/lentilmount/scheduling/reports.py
+++ b/lentilmount/scheduling/reports.py
@@ -109,3 +109,18 @@
     clock_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+
+
+@attrs.frozen
+class StaleRun:
+    """A run on a worker that must be stopped if it is or gets there.
+
+    Attributes:
+      worker: Id of the worker.
+      task: Formatted id of the task.
+      run: Run number.
+    """
+
+    worker: str
+    task: str
+    run: int
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -6,8 +6,8 @@
 
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import JobState, Task, TaskPhase
-from lentilmount.scheduling.reconciliation import Reconciler, StaleRun
-from lentilmount.scheduling.reports import EndKind
+from lentilmount.scheduling.reconciliation import Reconciler
+from lentilmount.scheduling.reports import EndKind, StaleRun
 from lentilmount.scheduling.rows import encode_state, restore_state
 from lentilmount.scheduling.takeover import UnrecordedStarts
 from tests.scheduling_fixtures import (
--- a/tests/test_poll_intervals.py
+++ b/tests/test_poll_intervals.py
@@ -24,7 +24,11 @@
     choose_poll_seconds,
 )
 from lentilmount.scheduling.reconciliation import ReconcileResult
-from lentilmount.scheduling.reports import WorkerEntry, WorkerReport
+from lentilmount.scheduling.reports import (
+    StaleRun,
+    WorkerEntry,
+    WorkerReport,
+)
 from lentilmount.scheduling.throttling import SUSPEND_AFTER_SECONDS
 from lentilmount.upstream.http import HttpClient
 from tests.helpers import run
@@ -60,6 +64,11 @@
     ) -> None:
         """See `SessionListener`."""
 
+    def handle_late_starts(
+        self, worker: Worker, late_starts: list[StaleRun]
+    ) -> None:
+        """See `SessionListener`."""
+
     def may_renew(self) -> bool:
         """See `SessionListener`."""
         return self.renews
--- a/tests/test_restarts_with_commands.py
+++ b/tests/test_restarts_with_commands.py
@@ -21,7 +21,12 @@
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.scheduling.reconciliation import ReconcileResult
-from lentilmount.scheduling.reports import RunReport, WorkerEntry, WorkerReport
+from lentilmount.scheduling.reports import (
+    RunReport,
+    StaleRun,
+    WorkerEntry,
+    WorkerReport,
+)
 from lentilmount.upstream.http import HttpClient
 from stand_ins.virtual_time import run_virtual
 from tests.scheduling_fixtures import (
@@ -140,6 +145,13 @@
         for stale_run in result.stale_runs:
             self.commands.stop_stale_run(stale_run)
 
+    def handle_late_starts(
+        self, worker: Worker, late_starts: list[StaleRun]
+    ) -> None:
+        """See `SessionListener`."""
+        assert self.commands is not None
+        self.commands.stop_late_starts(late_starts)
+
 
 @attrs.define(eq=False)
 class RestartScene:
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -23,7 +23,11 @@
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.scheduling.poll_intervals import DEFAULT_SECONDS
 from lentilmount.scheduling.reconciliation import ReconcileResult
-from lentilmount.scheduling.reports import WorkerEntry, WorkerReport
+from lentilmount.scheduling.reports import (
+    StaleRun,
+    WorkerEntry,
+    WorkerReport,
+)
 from lentilmount.upstream.http import HttpClient
 from tests.helpers import run
 from tests.scheduling_fixtures import (
@@ -58,6 +62,11 @@
     ) -> None:
         """See `SessionListener`."""
 
+    def handle_late_starts(
+        self, worker: Worker, late_starts: list[StaleRun]
+    ) -> None:
+        """See `SessionListener`."""
+
     def may_renew(self) -> bool:
         """See `SessionListener`."""
         return True
