Acknowledge no run ends after a failed poll

What callers see: a task of their job runs again although it has completed.

Cause: a poll acknowledges run ends by the number of the newest recorded one. Each incarnation of a worker numbers its ends anew, and a worker that crashes and is back within the timeout of a poll (0.8 s and the wait) may execute a start meanwhile. The next poll then acknowledged the end of that run by the number of an earlier incarnation's end, before the owner had seen it; the owner took the run as lost.

Ruled out: comparing clocks of commands' answers to notice the restart: a worker that had just started before has no larger clock.

Change: after a failed poll the next one acknowledges nothing. Ends that were not acknowledged are listed again, and known ones are skipped as before.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -156,7 +156,7 @@
         asked_at = self.monotonic()
         answer = await self.worker_client.poll(
             self.worker.entry,
-            self.written_end,
+            self._choose_acknowledgement(),
             self._choose_renewal_expiry(),
             self._choose_poll_wait() if may_wait else 0.0,
         )
@@ -165,6 +165,15 @@
             return
         await self._handle_failure(answer)
 
+    def _choose_acknowledgement(self) -> int:
+        """Returns the number of the last run end that the next poll confirms.
+
+        After a failed poll the worker may have restarted. The number would
+        then confirm ends of its next incarnation that this owner has not seen,
+        and their tasks would run again.
+        """
+        return self.written_end if self.worker.reachable else 0
+
     def _choose_pause(self) -> float:
         """Returns how long, in seconds, a poll waits for ends to be recorded.
 
--- a/tests/test_restarts_with_commands.py
+++ b/tests/test_restarts_with_commands.py
@@ -19,9 +19,11 @@
     WorkerClient,
 )
 from lentilmount.scheduling.cluster import ClusterState
-from lentilmount.scheduling.model import Task, Worker
+from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reconciliation import ReconcileResult
 from lentilmount.scheduling.reports import (
+    EndKind,
+    EndReport,
     RunReport,
     StaleRun,
     WorkerEntry,
@@ -33,6 +35,7 @@
     add_worker,
     admit,
     find_task,
+    make_end,
     make_job,
 )
 from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
@@ -51,9 +54,11 @@
       incarnation: Number of the incarnation.
       start_seconds: Time for which a start is on its way.
       silent: Whether no call reaches it.
+      silent_polls: Whether no poll reaches it.
       running: Current run of each task.
       highest: Highest run that was stopped or ended, by task.
       executed: Incarnation, task and run of each start that was executed.
+      ended: Run ends that no poll has acknowledged.
       late_starts: Starts that arrived at another incarnation than the one to
         which they were sent.
     """
@@ -61,9 +66,11 @@
     incarnation: int = 1
     start_seconds: float = CALL_SECONDS
     silent: bool = False
+    silent_polls: bool = False
     running: dict[str, int] = attrs.Factory(dict)
     highest: dict[str, int] = attrs.Factory(dict)
     executed: list[tuple[int, str, int]] = attrs.Factory(list)
+    ended: list[EndReport] = attrs.Factory(list)
     late_starts: int = 0
     booted_at: float = 0.0
 
@@ -80,6 +87,11 @@
         self.highest.clear()
         self.booted_at = asyncio.get_running_loop().time()
 
+    def finish(self, task: Task) -> None:
+        """Ends a run as done."""
+        run = self.running.pop(str(task.id))
+        self.ended.append(make_end(1, task, run, EndKind.DONE))
+
     async def start(
         self, worker: WorkerEntry, command: StartCommand
     ) -> CommandAnswer:
@@ -120,15 +132,18 @@
         wait: float,
     ) -> WorkerReport | CallStatus:
         """See `WorkerClient`."""
-        if self.silent:
+        if self.silent or self.silent_polls:
             await asyncio.sleep(TIMEOUT_SECONDS + wait)
             return CallStatus.UNKNOWN
         await asyncio.sleep(CALL_SECONDS)
+        self.ended = [end for end in self.ended if end.number > seen]
         running = tuple(
             RunReport(task, run, '', 0, None)
             for task, run in self.running.items()
         )
-        return WorkerReport(self.incarnation, self.clock_ms, running, ())
+        return WorkerReport(
+            self.incarnation, self.clock_ms, running, tuple(self.ended)
+        )
 
 
 @attrs.define(eq=False)
@@ -161,6 +176,7 @@
     worker: Worker
     other: Worker
     task: Task
+    session: WorkerSession
     client: RestartingWorker
     commands: CommandSender
 
@@ -221,6 +237,7 @@
                 worker,
                 add_worker(cluster, 'other'),
                 find_task(cluster, 'job'),
+                session,
                 client,
                 commands,
             )
@@ -263,3 +280,22 @@
         assert not scene.client.executed
 
     play(scenario)
+
+
+def test_ends_of_the_next_incarnation_are_not_acknowledged_unseen() -> None:
+    """The number of an old end acknowledged a new one, whose task ran again."""
+
+    async def scenario(scene: RestartScene) -> None:
+        session, client = scene.session, scene.client
+        session.acknowledge(session.incarnation, 3)
+        client.silent_polls = True
+        await asyncio.sleep(DELAY_SECONDS)
+        client.restart()
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: bool(client.running))
+        client.finish(scene.task)
+        client.silent_polls = False
+        await scene.observe(3.0)
+        assert scene.task.phase is TaskPhase.DONE
+
+    play(scenario)
