Show a task that crashes its workers without an end

What callers see: workers are lost one after the other, with all that runs there.

Cause: a run that is lost with its worker ends as lapsed, which counts as no attempt.

Change: workers of the stand-in crash once they have started a payload, and are back under the same id after 0.3 s.

--- a/stand_ins/fleet.py
+++ b/stand_ins/fleet.py
@@ -60,6 +60,9 @@
       started: Every start that was carried out: task, run, token.
       failing_payloads: Payloads whose tasks fail.
       long_running_payloads: Payloads whose tasks never end.
+      crashing_payloads: Payloads whose tasks crash it once they have started.
+      down_seconds: Time after a crash until the next incarnation answers.
+      crashes: Number of crashes.
       silent: Whether it answers no call.
       unanswered: Paths of the calls that it does not answer.
       failing: Paths of the calls that it answers with status 500.
@@ -83,6 +86,9 @@
     started: list[tuple[str, int, int]] = attrs.Factory(list)
     failing_payloads: set[str] = attrs.Factory(set)
     long_running_payloads: set[str] = attrs.Factory(set)
+    crashing_payloads: set[str] = attrs.Factory(set)
+    down_seconds: float = 0.3
+    crashes: int = 0
     silent: bool = False
     unanswered: set[str] = attrs.Factory(set)
     failing: set[str] = attrs.Factory(set)
@@ -94,6 +100,12 @@
     highest: dict[str, int] = attrs.Factory(dict)
     lease_until_ms: int = 0
     sequence: int = 0
+    _down_until: float = 0.0
+
+    @property
+    def is_down(self) -> bool:
+        """Whether it has crashed and is not back yet."""
+        return time.monotonic() < self._down_until
 
     @property
     def clock_ms(self) -> int:
@@ -141,6 +153,8 @@
             payload in self.failing_payloads,
             payload in self.long_running_payloads,
         )
+        if payload in self.crashing_payloads:
+            self._crash()
         return ''
 
     def stop(self, name: str, run: int) -> None:
@@ -173,6 +187,12 @@
         self.highest.clear()
         self.lease_until_ms = self.sequence = self.token = 0
 
+    def _crash(self) -> None:
+        """Loses all state, and answers nothing for a while."""
+        self.crashes += 1
+        self.restart()
+        self._down_until = time.monotonic() + self.down_seconds
+
     def describe(self, address: str) -> bytes:
         """Returns the registration that is written to the store."""
         return orjson.dumps(
@@ -197,7 +217,7 @@
 
     async def post(self) -> None:
         worker = self.worker
-        if worker.silent:
+        if worker.silent or worker.is_down:
             await asyncio.sleep(60)
         body = orjson.loads(self.request.body)
         if body['fencingToken'] < worker.token:
