Let only reports end the runs of a restarted worker

What callers see: a task of their job runs on two workers at once.

Cause: the registration of a new incarnation ended all runs on the worker. It is read up to 0.8 s after it was written, and a start may have been answered by the new incarnation before its first report; a new owner knows no starts of the previous one at all. Those runs went on while their tasks were placed elsewhere. A report of the earlier incarnation that came after the registration was also acknowledged to the new one, ends of which were then dropped unseen.

Ruled out: comparing start times in the registration with those of reports; before the first report there is nothing to compare with.

Change: a registration ends no runs. Reports of the incarnation before it are dropped from then on.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -109,6 +109,7 @@
     is_probed: bool = False
     end_written: asyncio.Event = attrs.field(factory=asyncio.Event)
     _started_ms: int | None = None
+    _ended_incarnation_ms: int | None = None
     _clock_ms: int | None = None
     _clock_read_at: float = 0.0
     _last_expiry_ms: int = 0
@@ -160,10 +161,16 @@
             self._choose_renewal_expiry(),
             self._choose_poll_wait() if may_wait else 0.0,
         )
-        if isinstance(answer, WorkerReport):
+        if not isinstance(answer, WorkerReport):
+            await self._handle_failure(answer)
+        elif self._is_outdated(answer):
+            await self._handle_failure(CallStatus.OTHER_INSTANCE)
+        else:
             self._handle_report(answer, asked_at)
-            return
-        await self._handle_failure(answer)
+
+    def _is_outdated(self, report: WorkerReport) -> bool:
+        ended_ms = self._ended_incarnation_ms
+        return ended_ms is not None and report.started_ms == ended_ms
 
     def _choose_acknowledgement(self) -> int:
         """Returns the number of the last run end that the next poll confirms.
@@ -360,14 +367,14 @@
         self.worker.leases_expire_at = self._inherited_expiry
 
     def handle_registration(self, started_ms: int) -> None:
-        """Handles the registration of a new incarnation of the worker.
+        """Handles the registration of an incarnation of the worker.
 
-        Often its reports have shown that incarnation already. Tasks placed on
-        it since then are running; ending them here would start them elsewhere
-        and run them twice.
+        It ends no runs, as this incarnation may have started some already;
+        only its first report tells which. Reports of the earlier one that
+        arrive from now on are dropped.
         """
-        if self._started_ms is None or self._started_ms < started_ms:
-            self.handle_restart('it registered anew')
+        is_known = self._started_ms == started_ms
+        self._ended_incarnation_ms = None if is_known else self._started_ms
 
     def acknowledge(self, incarnation: int, number: int) -> None:
         """Acknowledges run ends up to a number, for one incarnation.
