Keep runs that a restarted worker confirmed after its report

What callers see: a task of their job runs on two workers at once.

Cause: a report and the answer to a start travel on different connections. If the answer of a new incarnation arrives before its first report, which was made before the start, the report ended the run that the answer had confirmed.

Ruled out: waiting for a second report before anything ends, which would delay all tasks of a worker that crashed.

Change: a restart ends no runs that were confirmed since its report was asked for. A later report that does not list them ends them.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -326,7 +326,7 @@
             self._started_ms is not None
             and report.started_ms != self._started_ms
         ):
-            self.handle_restart('it restarted')
+            self.handle_restart('it restarted', asked_at)
         self._started_ms = report.started_ms
         if not worker.has_answered:
             self._bound_inherited_leases()
@@ -387,13 +387,19 @@
             self.written_end = max(self.written_end, number)
         self.end_written.set()
 
-    def handle_restart(self, why: str) -> None:
+    def handle_restart(self, why: str, asked_at: float = math.inf) -> None:
         """Resets the session after a restart: all runs there have ended.
 
         A start without an answer may still reach the new incarnation, which
         executes it: stops are forgotten, and on the new clock its deadline is
         far away. Its task is kept until the new incarnation has accepted a
         stop of that run.
+
+        Args:
+          why: How the restart was noticed.
+          asked_at: Monotonic time at which the report that shows the restart
+            was requested. The new incarnation may have started the runs that
+            were confirmed since then.
         """
         self.received_end = self.written_end = 0
         self.incarnation += 1
@@ -408,7 +414,7 @@
         if late_starts:
             self._bound_leases(self.worker_client.timeout)
         tasks = self.cluster.end_worker_tasks(
-            worker, self.monotonic(), frozenset(late_starts)
+            worker, self.monotonic(), frozenset(late_starts), asked_at
         )
         if tasks:
             self.listener.handle_tasks_ended(worker, tasks, why)
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -412,6 +412,7 @@
         worker: Worker,
         now: float,
         late_starts: frozenset[StaleRun] = frozenset(),
+        asked_at: float = math.inf,
     ) -> list[Task]:
         """Ends all runs on a worker whose leases expired or that restarted.
 
@@ -420,6 +421,8 @@
           now: Monotonic time.
           late_starts: Starts that a restarted worker may still execute; their
             tasks must be stopped there instead.
+          asked_at: Monotonic time since which a restarted worker may have
+            started the runs that it has confirmed. They are kept.
 
         Returns:
           The tasks whose runs have ended.
@@ -429,6 +432,8 @@
             if StaleRun(worker.id, str(task.id), task.run) in late_starts:
                 self._stop_anew(task)
                 continue
+            if asked_at <= task.confirmed_at < math.inf:
+                continue
             self.end_run(task, EndKind.LAPSED, now)
             ended.append(task)
         return ended
