Take a worker's clock only from its current incarnation

What callers see: a task whose start was not answered stays where it is for ever.

Cause: the answer to a command of an earlier incarnation that arrives after the restart set the clock of the new one. Its own smaller clock was ignored from then on, so that no start expired there. The answer of another worker at the same address told its clock as well.

Ruled out: taking smaller clocks too; answers overtake each other on several connections.

Change: an answer sets the clock only if no restart was seen since the call, and if it is not that of another instance.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import attrs
@@ -114,12 +114,12 @@
                 # Its next incarnation would execute the start as well.
                 pause = await _back_off(pause)
                 continue
-            answer = await self.worker_client.start(
-                session.worker.entry, command
+            answer = await self._call(
+                session,
+                self.worker_client.start(session.worker.entry, command),
             )
             if is_first and answer.status is not CallStatus.UNKNOWN:
                 session.settle_start(command.task, run)
-            self._record_answer(session, answer)
             if task.run != run or task.phase is not TaskPhase.STARTING:
                 break
             status = answer.status
@@ -152,11 +152,21 @@
             ticket=self.get_ticket(task, session.worker),
         )
 
-    def _record_answer(
-        self, session: WorkerSession, answer: CommandAnswer
-    ) -> None:
+    async def _call(
+        self, session: WorkerSession, call: Awaitable[CommandAnswer]
+    ) -> CommandAnswer:
+        """Makes a call and records its answer.
+
+        The clock in the answer may be that of an earlier incarnation of the
+        worker, or of another worker at its address.
+        """
+        incarnation = session.incarnation
+        answer = await call
         session.record_command(answer.status)
-        session.update_clock(answer.clock_ms)
+        is_other = answer.status is CallStatus.OTHER_INSTANCE
+        if session.incarnation == incarnation and not is_other:
+            session.update_clock(answer.clock_ms)
+        return answer
 
     def _handle_rejection(
         self, task: Task, run: int, status: CallStatus, may_be_executed: bool
@@ -201,8 +211,9 @@
         self, session: WorkerSession, name: str, run: int
     ) -> CallStatus:
         """Sends a stop once; returns its status."""
-        answer = await self.worker_client.stop(session.worker.entry, name, run)
-        self._record_answer(session, answer)
+        answer = await self._call(
+            session, self.worker_client.stop(session.worker.entry, name, run)
+        )
         if answer.status is CallStatus.FENCED:
             self.listener.handle_lease_lost(
                 f'{session.worker.id} has seen a higher token'
@@ -249,10 +260,12 @@
         while task.run == run and task.cpu_percent == cpu_percent:
             if not task.phase.is_placed:
                 return
-            answer = await self.worker_client.throttle(
-                session.worker.entry, str(task.id), run, cpu_percent
+            answer = await self._call(
+                session,
+                self.worker_client.throttle(
+                    session.worker.entry, str(task.id), run, cpu_percent
+                ),
             )
-            self._record_answer(session, answer)
             if answer.status is not CallStatus.UNKNOWN:
                 return
             pause = await _back_off(pause)
