Repeat a stop that an earlier incarnation answered

What callers see: a task of their job runs on two workers at once.

Cause: a stop that was answered before a restart, and whose answer arrived after it, counted for the new incarnation, which has forgotten it. The task was freed, and its late start was executed.

Ruled out: a stop sent after the restart beside it; the first answer ends both.

Change: an answer that arrives after a restart has been seen settles nothing; the stop is sent again.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -196,9 +196,13 @@
         name = str(task.id)
         while task.phase is TaskPhase.STOPPING and task.run == run:
             sent_at = self.monotonic()
+            incarnation = session.incarnation
             status = await self._send_stop(session, name, run)
             if status is CallStatus.FENCED:
                 return
+            if session.incarnation != incarnation:
+                # The worker has forgotten the stop if it accepted it before.
+                continue
             session.record_stop(_is_accepted(status), sent_at)
             if _is_accepted(status):
                 if task.run == run:
