Probe a worker after any command without an answer

What callers see: a sound worker gets no more tasks.

Cause: a worker whose last command was not answered gets none until it answers one. Nothing was sent to it again if the command was a throttle of a task that ended meanwhile, or the single stop of a run that was gone.

Ruled out: taking polls as a sign that it answers; a worker may answer polls only.

Change: both end with the probe that starts and stops end with.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -255,6 +255,7 @@
                 session, stale_run.task, stale_run.run
             )
             session.record_stop(_is_accepted(status), sent_at)
+            await self._probe(session, stale_run.task, stale_run.run)
 
     async def _stop_late_start(self, late_start: StaleRun) -> None:
         """Stops a run elsewhere until the worker accepts it or restarts."""
@@ -280,9 +281,7 @@
         if session is None:
             return
         pause = RETRY_SECONDS
-        while task.run == run and task.cpu_percent == cpu_percent:
-            if not task.phase.is_placed:
-                return
+        while self._is_throttled(task, run, cpu_percent):
             answer = await self._call(
                 session,
                 self.worker_client.throttle(
@@ -292,6 +291,12 @@
             if answer.status is not CallStatus.UNKNOWN:
                 return
             pause = await _back_off(pause)
+        await self._probe(session, str(task.id), run)
+
+    def _is_throttled(self, task: Task, run: int, cpu_percent: int) -> bool:
+        """Returns whether a CPU share is still meant for a run."""
+        is_current = (task.run, task.cpu_percent) == (run, cpu_percent)
+        return is_current and task.phase.is_placed
 
 
 def _is_accepted(status: CallStatus) -> bool:
