Acknowledge each run end once

What callers see: a task of their job runs again although it has completed.

Cause: each poll repeated the number of the newest recorded end. A poll under way while its worker restarted acknowledged ends of the next incarnation by it, although no poll had failed.

Ruled out: a short timeout of polls; the restart may take less than any.

Change: a number is sent until a poll with it was answered, and then no more.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -110,6 +110,7 @@
     end_written: asyncio.Event = attrs.field(factory=asyncio.Event)
     _started_ms: int | None = None
     _ended_incarnation_ms: int | None = None
+    _acknowledged_end: int = 0
     _clock_ms: int | None = None
     _clock_read_at: float = 0.0
     _last_expiry_ms: int = 0
@@ -161,9 +162,10 @@
             self.received_end <= self.written_end and self.worker.reachable
         )
         asked_at = self.monotonic()
+        acknowledged_end = self._choose_acknowledgement()
         answer = await self.worker_client.poll(
             self.worker.entry,
-            self._choose_acknowledgement(),
+            acknowledged_end,
             self._choose_renewal_expiry(),
             self._choose_poll_wait() if may_wait else 0.0,
         )
@@ -172,6 +174,9 @@
         elif self._is_outdated(answer):
             await self._handle_failure(CallStatus.OTHER_INSTANCE)
         else:
+            self._acknowledged_end = max(
+                self._acknowledged_end, acknowledged_end
+            )
             self._handle_report(answer, asked_at)
 
     def _is_outdated(self, report: WorkerReport) -> bool:
@@ -181,11 +186,13 @@
     def _choose_acknowledgement(self) -> int:
         """Returns the number of the last run end that the next poll confirms.
 
-        After a failed poll the worker may have restarted. The number would
-        then confirm ends of its next incarnation that this owner has not seen,
-        and their tasks would run again.
+        Each number is sent until a poll with it was answered, and not after a
+        failed poll: if the worker has restarted, it would confirm ends of the
+        next incarnation that this owner has not seen, and their tasks would
+        run again.
         """
-        return self.written_end if self.worker.reachable else 0
+        is_due = self.written_end > self._acknowledged_end
+        return self.written_end if is_due and self.worker.reachable else 0
 
     def _choose_pause(self) -> float:
         """Returns how long, in seconds, a poll waits for ends to be recorded.
@@ -413,7 +420,7 @@
             was requested. The new incarnation may have started the runs that
             were confirmed since then.
         """
-        self.received_end = self.written_end = 0
+        self.received_end = self.written_end = self._acknowledged_end = 0
         self.incarnation += 1
         self._started_ms = None
         self._clock_ms = None
