Assume the longest lease when a worker's clock is behind

What callers see: a task of their job runs on two workers at once.

Cause: a start that is sent before a restart is noticed has a deadline by the old clock, which the new incarnation takes for the longest lease. The owner counted from its last poll, and freed the tasks of a worker that was cut off then up to a second early.

Ruled out: the longest lease after each answered start, which would keep the tasks of each worker that crashes for longer.

Change: an answer whose clock shows less than it must by now, but for 50 ms on the way, extends the assumed leases to the longest from now.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -39,6 +39,9 @@
 MIN_CLOCK_RATE = 0.98
 """Slowest rate of a worker's clock that the platform allows."""
 
+CLOCK_TOLERANCE_MS = 50
+"""Time for which an answer may have been on its way."""
+
 EXPIRY_MARGIN_SECONDS = 0.1
 """Time for a worker to end its tasks once a lease has expired."""
 
@@ -274,13 +277,27 @@
 
     def update_clock(self, clock_ms: int | None) -> None:
         """Updates the worker's clock from the answer to a call."""
-        if clock_ms is None or clock_ms < (self._clock_ms or 0):
+        if clock_ms is None:
+            return
+        if self._is_behind(clock_ms):
+            # Perhaps a new incarnation, which takes a deadline by the clock of
+            # the earlier one for the longest lease.
+            self._bound_leases(0.0)
+        if clock_ms < (self._clock_ms or 0):
             return
         self._clock_ms = clock_ms
         self._clock_read_at = self.monotonic()
         self._update_lease_expiry()
         self._expire_starts(clock_ms)
 
+    def _is_behind(self, clock_ms: int) -> bool:
+        """Returns whether the worker's clock shows less than it must by now."""
+        if self._clock_ms is None:
+            return False
+        elapsed = self.monotonic() - self._clock_read_at
+        expected_ms = self._clock_ms + 1000 * elapsed * MIN_CLOCK_RATE
+        return clock_ms < expected_ms - CLOCK_TOLERANCE_MS
+
     def _expire_starts(self, clock_ms: int) -> None:
         """Marks the starts whose deadline has passed on the worker's clock."""
         now = self.monotonic()
@@ -383,7 +400,9 @@
         """
         longest = self.lease_seconds / MIN_CLOCK_RATE + EXPIRY_MARGIN_SECONDS
         self._inherited_expiry = self.monotonic() + delay + longest
-        self.worker.leases_expire_at = self._inherited_expiry
+        self.worker.leases_expire_at = max(
+            self.worker.leases_expire_at, self._inherited_expiry
+        )
 
     def handle_registration(self, started_ms: int) -> None:
         """Handles the registration of an incarnation of the worker.
