Start nothing on a new incarnation before its registration

What callers see: a worker is loaded beyond its room, or runs tasks that need a label it lacks.

Cause: a worker that restarts under its id may be of another kind. Its report shows the restart at once, and tasks were placed by the registration of the earlier incarnation until the next one was read, in an outage of the store for as long.

Ruled out: asking the worker; its reports do not have its room.

Change: a worker whose newest report is of another incarnation than its registration gets no tasks.

Tests: the worker of test_tasks_of_a_new_incarnation_are_not_started_again started its task before it had registered.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -363,7 +363,7 @@
             and report.started_ms != self._started_ms
         ):
             self.handle_restart('it restarted', asked_at)
-        self._started_ms = report.started_ms
+        self._started_ms = worker.incarnation_ms = report.started_ms
         if not worker.has_answered:
             self._bound_inherited_leases()
         if not worker.has_answered or not worker.reachable:
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -208,6 +208,8 @@
       tasks: Tasks that it runs or may run, including those being stopped.
       has_answered: Whether it has ever answered this owner.
       reachable: Whether it answered the last poll.
+      incarnation_ms: Start time of the incarnation that made the newest report,
+        as in `WorkerEntry.started_ms`; None if it is not known.
       has_missed_poll: Whether a poll has failed since its last answer.
       is_reported_unreachable: Whether the service's lease row may list it as
         unreachable, so that the next owner assumes its leases are no longer
@@ -232,6 +234,7 @@
     tasks: dict[TaskId, Task] = attrs.Factory(dict)
     has_answered: bool = False
     reachable: bool = False
+    incarnation_ms: int | None = None
     has_missed_poll: bool = False
     is_reported_unreachable: bool = False
     answers_commands: bool = True
@@ -253,6 +256,11 @@
         """Id of the worker."""
         return self.entry.id
 
+    @property
+    def is_entry_outdated(self) -> bool:
+        """Whether a newer incarnation, maybe of another size, has reported."""
+        return self.incarnation_ms not in (None, self.entry.started_ms)
+
     @property
     def rack(self) -> str:
         """Rack of the worker, which is its last label."""
--- a/lentilmount/scheduling/views.py
+++ b/lentilmount/scheduling/views.py
@@ -183,6 +183,7 @@
     return (
         worker.is_registered
         and worker.reachable
+        and not worker.is_entry_outdated
         and worker.answers_commands
         and not worker.is_reported_unreachable
         and not worker.runs_unknown_tasks
--- a/tests/test_worker_restarts.py
+++ b/tests/test_worker_restarts.py
@@ -41,6 +41,10 @@
             await platform.wait_for(runs_everywhere)
             first, other = platform.fleet.workers
             first.restart()
+            # Its reports show the restart before its registration does.
+            await asyncio.sleep(SETTLED_SECONDS)
+            assert (count_starts(first), count_starts(other)) == (1, 1)
+            platform.fleet.register(first)
             await platform.wait_for(runs_everywhere)
             assert (count_starts(first), count_starts(other)) == (2, 1)
             platform.fleet.register(first)
