Take a registration without a start time as the current one

Cause: a worker whose registration tells no start time, 0, would get no tasks, as its reports tell one.

Ruled out: treating it as outdated; there is no later one to wait for.

Change: only a registration with a start time can be outdated.

--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -259,7 +259,8 @@
     @property
     def is_entry_outdated(self) -> bool:
         """Whether a newer incarnation, maybe of another size, has reported."""
-        return self.incarnation_ms not in (None, self.entry.started_ms)
+        known = (None, self.entry.started_ms)
+        return bool(self.entry.started_ms) and self.incarnation_ms not in known
 
     @property
     def rack(self) -> str:
