Cancel a job in every service that holds it

What callers see: a job runs on after its cancellation was answered with 200.

Cause: a cancellation stopped at the first service that holds the job. After its queue was assigned to another service, a job sent again may have been accepted by both; the copy on the earlier service was not cancelled.

Ruled out: cancelling only on the service that the job was accepted by first: both copies run. Writing the cancellation to all services without reading: it would stay behind where there is no such job, and an unknown job would not be answered with 410.

Change: all configured services are asked at the same time, and each one that holds the job gets the cancellation. If some calls fail and others found the job, the outcome is unknown, so that the client asks again; if nothing was found or written and all failures are refusals, it is still a refusal. With one service the calls are the same as before; with several the others are read as well.

The case that writes both rows itself stays a check when a job sent again becomes one job.

--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
 import logbook
@@ -59,6 +59,40 @@
 RETRY_PAUSE_SECONDS = 0.02
 
 
+@attrs.frozen
+class _Outcome:
+    """Outcome of calls about a job's rows in several services.
+
+    Attributes:
+      is_found: Whether any service holds the job.
+      failure: Failure of one of the calls, or None. One that leaves the call's
+        effect unknown takes precedence over a refusal.
+    """
+
+    is_found: bool
+    failure: UnavailableError | None
+
+
+async def _call_services(
+    call: Callable[[str], Awaitable[bool]], services: list[str]
+) -> _Outcome:
+    """Calls a function for all services at the same time.
+
+    Args:
+      call: Function of a service's name; returns whether it holds the job.
+      services: Names of the services.
+    """
+    results = await asyncio.gather(*map(call, services), return_exceptions=True)
+    failures: list[UnavailableError] = []
+    for result in results:
+        if isinstance(result, UnavailableError):
+            failures.append(result)
+        elif isinstance(result, BaseException):
+            raise result
+    failures.sort(key=lambda failure: isinstance(failure, RefusedError))
+    return _Outcome(True in results, failures[0] if failures else None)
+
+
 @attrs.define
 class Submissions:
     """Reads and writes the rows of jobs for clients.
@@ -196,20 +230,35 @@
     async def cancel(self, route: Route, job_id: str) -> None:
         """Cancels a job; its owner stops the running tasks.
 
+        Copies of the job in other services are cancelled as well.
+
         Raises:
           GoneError: There is no such job.
           StoreError: Nothing was written.
-          UnknownOutcomeError: The job may have been cancelled.
+          UnknownOutcomeError: The job may have been cancelled, or only some
+            copies of it.
         """
         with self._translate_store_errors(route):
-            for service in self._list_services(route):
-                if await self._find_job(service, job_id) is not None:
-                    put = Put(make_cancel_key(service, job_id), {}, ABSENT)
-                    with contextlib.suppress(ConflictError):
-                        await self._write(put)
-                        log.info('Cancelled.', extra={'job': job_id})
-                    return
-        raise GoneError(f'there is no job {job_id}')
+            outcome = await _call_services(
+                lambda service: self._cancel_in(service, job_id),
+                self._list_services(route),
+            )
+            if outcome.failure is not None:
+                if outcome.is_found:
+                    raise UnknownOutcomeError(str(outcome.failure))
+                raise outcome.failure
+        if not outcome.is_found:
+            raise GoneError(f'there is no job {job_id}')
+
+    async def _cancel_in(self, service: str, job_id: str) -> bool:
+        """Cancels a job if a service holds it; returns whether it does."""
+        if await self._find_job(service, job_id) is None:
+            return False
+        put = Put(make_cancel_key(service, job_id), {}, ABSENT)
+        with contextlib.suppress(ConflictError):
+            await self._write(put)
+            log.info('Cancelled.', extra={'job': job_id})
+        return True
 
     async def count_pending(self, route: Route) -> int:
         """Returns the number of jobs of a queue that have not started.
--- a/tests/test_restart_review.py
+++ b/tests/test_restart_review.py
@@ -11,11 +11,7 @@
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.advice import Advice
-from lentilmount.control.keys import (
-    make_cancel_key,
-    make_job_key,
-    make_owner_key,
-)
+from lentilmount.control.keys import make_job_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import Owner, OwnerSettings
 from lentilmount.control.routes import RouteTable
@@ -821,21 +817,6 @@
     play_submissions(scenario)
 
 
-def test_a_cancellation_reaches_the_job_in_every_service() -> None:
-    """A copy of a cancelled job on its queue's earlier service ran on."""
-
-    async def scenario(submissions: Submissions, table: MemoryStore) -> None:
-        for service in ('old', 'new'):
-            await submissions.submit(make_route(service), JOB, BODY)
-        await submissions.cancel(make_route('new'), JOB)
-        for service in ('old', 'new'):
-            is_accepted = make_job_key(service, JOB) in table.rows
-            is_cancelled = make_cancel_key(service, JOB) in table.rows
-            assert is_cancelled == is_accepted
-
-    play_submissions(scenario)
-
-
 def test_an_answered_acknowledgement_is_not_sent_again() -> None:
     """A poll under way during a restart acknowledged an end unseen."""
 
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -1,12 +1,15 @@
-"""Results that a client gets when the store's answers are lost."""
+"""Results of clients' requests: lost answers, and jobs in two services."""
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import attrs
 import orjson
 import pytest
 
 from lentilmount.clock import SystemClock
+from lentilmount.control.keys import make_cancel_key, make_job_key
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.store_health import (
     OutageDetector,
@@ -18,13 +21,20 @@
     ConflictError,
     Key,
     Operation,
+    Put,
     Row,
     UnavailableError,
 )
-from lentilmount.errors import Ran, StoreError, UnknownOutcomeError
-from lentilmount.platform.documents import Route
+from lentilmount.errors import (
+    GoneError,
+    Ran,
+    StoreError,
+    UnknownOutcomeError,
+)
+from lentilmount.platform.documents import Route, RoutingConfiguration
 from lentilmount.platform.store import RefusedError
 from lentilmount.upstream.http import HttpClient
+from stand_ins.table import MemoryTable
 from tests.helpers import run
 from tests.scheduling_fixtures import make_policy
 
@@ -102,3 +112,129 @@
     with pytest.raises(UnknownOutcomeError) as caught:
         submit([LOST_ANSWER, REFUSED])
     assert caught.value.ran is Ran.UNKNOWN
+
+
+@attrs.define(eq=False)
+class ServiceTable(MemoryTable):
+    """Table of several services, some of which fail.
+
+    Attributes:
+      failures: Error of all calls about a service, by the service's name.
+    """
+
+    failures: dict[str, Exception] = attrs.Factory(dict)
+
+    def __attrs_pre_init__(self) -> None:
+        """Creates the rows."""
+        super().__init__()
+
+    async def read(self, keys: list[Key]) -> dict[Key, Row]:
+        """See `Table`."""
+        self._fail(keys)
+        return await super().read(keys)
+
+    async def transact(self, token: str, operations: list[Operation]) -> None:
+        """See `Table`."""
+        self._fail([operation.key for operation in operations])
+        await super().transact(token, operations)
+
+    def _fail(self, keys: list[Key]) -> None:
+        for key in keys:
+            service = key.partition.rpartition('/')[2]
+            if service in self.failures:
+                raise self.failures[service]
+
+    def list_keys(self) -> list[Key]:
+        """Lists the keys of all rows."""
+        return list(self._rows)
+
+    async def accept(self, service: str) -> None:
+        """Writes the row of the job to a service."""
+        await self.transact('job', [Put(make_job_key(service, JOB), {})])
+
+
+def play_submissions(
+    scenario: Callable[[Submissions, ServiceTable], Awaitable[None]],
+    services: tuple[str, ...] = ('old', 'new'),
+) -> None:
+    """Plays requests of clients while some services are configured."""
+    clock = SystemClock()
+    table = ServiceTable()
+    routes = RouteTable(clock.monotonic, 2.0)
+    routes.current = RoutingConfiguration(1, (), services, 1000)
+    detector = OutageDetector(
+        StoreHealth(clock.monotonic, ''), HttpClient(''), PeerList('a')
+    )
+    submissions = Submissions(table, routes, clock, lambda part: detector)
+
+    async def work() -> None:
+        await scenario(submissions, table)
+
+    run(work())
+
+
+def make_route(service: str) -> Route:
+    """Returns a route to the queue of the scene, on a service."""
+    policy = attrs.evolve(make_policy(), service=service)
+    return Route('desk.example', '/checks/', policy)
+
+
+def test_a_cancellation_reaches_the_job_in_every_service() -> None:
+    """A copy of a cancelled job on its queue's earlier service ran on."""
+
+    async def scenario(submissions: Submissions, table: ServiceTable) -> None:
+        for service in ('old', 'new'):
+            await submissions.submit(make_route(service), JOB, BODY)
+        await submissions.cancel(make_route('new'), JOB)
+        rows = table.list_keys()
+        for service in ('old', 'new'):
+            is_accepted = make_job_key(service, JOB) in rows
+            is_cancelled = make_cancel_key(service, JOB) in rows
+            assert is_cancelled == is_accepted
+
+    play_submissions(scenario)
+
+
+def test_a_cancellation_reaches_all_copies_that_were_accepted() -> None:
+    """A copy of a cancelled job ran on, however it came to be accepted."""
+
+    async def scenario(submissions: Submissions, table: ServiceTable) -> None:
+        for service in ('old', 'new'):
+            await table.accept(service)
+        await submissions.cancel(make_route('new'), JOB)
+        for service in ('old', 'new'):
+            assert make_cancel_key(service, JOB) in table.list_keys()
+
+    play_submissions(scenario)
+
+
+@pytest.mark.parametrize('failure', [REFUSED, LOST_ANSWER])
+def test_a_cancellation_in_some_services_is_reported_as_unknown(
+    failure: Exception,
+) -> None:
+    """A job was reported as cancelled while a copy of it may run on."""
+
+    async def scenario(submissions: Submissions, table: ServiceTable) -> None:
+        await table.accept('new')
+        table.failures['old'] = failure
+        with pytest.raises(UnknownOutcomeError) as caught:
+            await submissions.cancel(make_route('new'), JOB)
+        assert caught.value.ran is Ran.UNKNOWN
+        assert make_cancel_key('new', JOB) in table.list_keys()
+
+    play_submissions(scenario)
+
+
+def test_a_cancellation_that_wrote_nothing_is_reported_as_refused() -> None:
+    """A job that another service may hold was reported as unknown."""
+
+    async def scenario(submissions: Submissions, table: ServiceTable) -> None:
+        table.failures['old'] = REFUSED
+        with pytest.raises(StoreError) as caught:
+            await submissions.cancel(make_route('new'), JOB)
+        assert caught.value.ran is Ran.NO
+        table.failures.clear()
+        with pytest.raises(GoneError):
+            await submissions.cancel(make_route('new'), JOB)
+
+    play_submissions(scenario)
