Look for a job in the other services before accepting it

What callers see: a job runs twice that was sent again after its queue was assigned to another service.

Cause: only the row of the queue's present service shows that a job is known. The earlier service still holds the job and runs it; its row was not looked for.

Ruled out: a condition on the other services' rows in the write itself. It spans partitions, which takes the store twice as long for every submission. Remembering earlier services of each queue: a daemon that has just started knows none.

Change: with several services configured, the job's rows in the others are read at the same time before the write. A job found there is known already, even if another read fails. If none is found and a read fails, the outcome is unknown: this request wrote nothing, but a refusal says that the job never runs, and it may run there. No read is made about a service whose part of the store is known to be unreachable. With one service a submission is one call as before.

Each submission costs one read more for each other service, and while a part of the store is down, new jobs of the other services are not accepted either. Two cases remain: a write whose answer was lost and that the store carries out only after the read, and a service that the configuration no longer lists.

--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -58,6 +58,8 @@
 
 RETRY_PAUSE_SECONDS = 0.02
 
+NO_ANSWER = 'the table does not answer'
+
 
 @attrs.frozen
 class _Outcome:
@@ -93,6 +95,12 @@
     return _Outcome(True in results, failures[0] if failures else None)
 
 
+def _log_known(job_id: str) -> None:
+    log.info(
+        'Known already; the job was accepted before.', extra={'job': job_id}
+    )
+
+
 @attrs.define
 class Submissions:
     """Reads and writes the rows of jobs for clients.
@@ -127,9 +135,7 @@
           UnknownOutcomeError: The write may have been carried out.
         """
         if self.find_outage_detector(route.policy.service).is_unreachable:
-            raise StoreError(
-                'the table does not answer', retry_after=CALLER_RETRY_SECONDS
-            )
+            raise StoreError(NO_ANSWER, retry_after=CALLER_RETRY_SECONDS)
         try:
             yield
         except RefusedError as error:
@@ -142,6 +148,9 @@
     async def submit(self, route: Route, job_id: str, body: bytes) -> None:
         """Accepts a job; idempotent, however often the caller sends it.
 
+        It remains one job if its queue is assigned to another service between
+        two copies of the request.
+
         Raises:
           InvalidError: The job is not valid.
           StoreError: The job was not accepted and never runs.
@@ -153,13 +162,13 @@
         put = Put(key, encode_job_row(spec), ABSENT)
         try:
             with self._translate_store_errors(route):
+                if await self._is_held_elsewhere(route, job_id):
+                    _log_known(job_id)
+                    return
                 await self._write(put)
         except ConflictError:
             # An earlier copy of this request has created the row.
-            log.info(
-                'Known already; the job was accepted before.',
-                extra={'job': job_id},
-            )
+            _log_known(job_id)
             return
         log.info(
             'Accepted.',
@@ -170,6 +179,37 @@
             },
         )
 
+    async def _is_held_elsewhere(self, route: Route, job_id: str) -> bool:
+        """Returns whether another service than the queue's own holds a job.
+
+        An earlier copy of the request may have been accepted there before the
+        queue was assigned to its present service.
+
+        Raises:
+          UnknownOutcomeError: It is not known. Nothing was written, but the
+            job may run there.
+        """
+        _, *others = self._list_services(route)
+        if not others:
+            return False
+        outcome = await _call_services(
+            lambda service: self._holds(service, job_id), others
+        )
+        if outcome.failure is not None and not outcome.is_found:
+            raise UnknownOutcomeError(str(outcome.failure))
+        return outcome.is_found
+
+    async def _holds(self, service: str, job_id: str) -> bool:
+        """Returns whether a service holds a job.
+
+        Raises:
+          UnavailableError: It is not known. The call is not made if the table
+            is known to be unavailable.
+        """
+        if self.find_outage_detector(service).is_unreachable:
+            raise RefusedError(NO_ANSWER)
+        return await self._find_job(service, job_id) is not None
+
     async def _write(self, put: Put) -> None:
         """Creates a row, retrying until the outcome is known or time runs out.
 
--- a/tests/test_restart_review.py
+++ b/tests/test_restart_review.py
@@ -14,13 +14,6 @@
 from lentilmount.control.keys import make_job_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import Owner, OwnerSettings
-from lentilmount.control.routes import RouteTable
-from lentilmount.control.store_health import (
-    OutageDetector,
-    PeerList,
-    StoreHealth,
-)
-from lentilmount.control.submissions import Submissions
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.coordination.leases import LeaseKeeper
@@ -34,11 +27,7 @@
     Row,
 )
 from lentilmount.platform.advice import AdviceClient, Tickets
-from lentilmount.platform.documents import (
-    Route,
-    RoutingConfiguration,
-    encode_job_row,
-)
+from lentilmount.platform.documents import encode_job_row
 from lentilmount.platform.store import (
     WORKERS_TABLE,
     Changes,
@@ -91,7 +80,7 @@
     RestartingWorker,
     RestartScene,
 )
-from tests.test_submissions import BODY, JOB
+from tests.test_submissions import JOB
 from tests.test_worker_session import LEASE_SECONDS
 
 LATE_SECONDS = 4.0
@@ -780,43 +769,6 @@
     run_virtual(work(), clock)
 
 
-def play_submissions(
-    scenario: Callable[[Submissions, MemoryStore], Awaitable[None]],
-) -> None:
-    """Plays requests of clients while two services are configured."""
-    clock = ManualClock()
-
-    async def work() -> None:
-        table = MemoryStore(clock, {})
-        routes = RouteTable(clock.monotonic, 2.0)
-        routes.current = RoutingConfiguration(1, (), ('old', 'new'), 1000)
-        detector = OutageDetector(
-            StoreHealth(clock.monotonic, ''), HttpClient(''), PeerList('a')
-        )
-        await scenario(
-            Submissions(table, routes, clock, lambda part: detector), table
-        )
-
-    run_virtual(work(), clock)
-
-
-def make_route(service: str) -> Route:
-    """Returns a route to the queue of the scene, on a service."""
-    policy = attrs.evolve(make_policy(), service=service)
-    return Route('desk.example', '/checks/', policy)
-
-
-def test_a_job_sent_again_after_its_queue_moved_is_one_job() -> None:
-    """Owners of two services each ran the job."""
-
-    async def scenario(submissions: Submissions, table: MemoryStore) -> None:
-        await submissions.submit(make_route('old'), JOB, BODY)
-        await submissions.submit(make_route('new'), JOB, BODY)
-        assert list(table.rows) == [make_job_key('old', JOB)]
-
-    play_submissions(scenario)
-
-
 def test_an_answered_acknowledgement_is_not_sent_again() -> None:
     """A poll under way during a restart acknowledged an end unseen."""
 
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -179,6 +179,75 @@
     return Route('desk.example', '/checks/', policy)
 
 
+def test_a_job_sent_again_after_its_queue_moved_is_one_job() -> None:
+    """Owners of two services each ran the job."""
+
+    async def scenario(submissions: Submissions, table: ServiceTable) -> None:
+        await submissions.submit(make_route('old'), JOB, BODY)
+        await submissions.submit(make_route('new'), JOB, BODY)
+        assert table.list_keys() == [make_job_key('old', JOB)]
+
+    play_submissions(scenario)
+
+
+@pytest.mark.parametrize('failure', [REFUSED, LOST_ANSWER])
+def test_a_job_that_may_be_held_elsewhere_is_reported_as_unknown(
+    failure: Exception,
+) -> None:
+    """A job that ran on another service was reported as refused."""
+
+    async def scenario(submissions: Submissions, table: ServiceTable) -> None:
+        await submissions.submit(make_route('old'), JOB, BODY)
+        table.failures['old'] = failure
+        with pytest.raises(UnknownOutcomeError) as caught:
+            await submissions.submit(make_route('new'), JOB, BODY)
+        assert caught.value.ran is Ran.UNKNOWN
+        assert table.list_keys() == [make_job_key('old', JOB)]
+
+    play_submissions(scenario)
+
+
+def test_a_job_found_elsewhere_is_known_although_a_read_fails() -> None:
+    """The failure of a third service hid that the job was accepted."""
+
+    async def scenario(submissions: Submissions, table: ServiceTable) -> None:
+        await submissions.submit(make_route('old'), JOB, BODY)
+        table.failures['third'] = REFUSED
+        await submissions.submit(make_route('new'), JOB, BODY)
+        assert table.list_keys() == [make_job_key('old', JOB)]
+
+    play_submissions(scenario, ('old', 'new', 'third'))
+
+
+def test_a_submission_to_the_only_service_makes_one_call() -> None:
+    """Calls to the store are limited and priced."""
+
+    async def scenario(submissions: Submissions, table: ServiceTable) -> None:
+        await submissions.submit(make_route('old'), JOB, BODY)
+        assert table.calls == {'transact': 1}
+
+    play_submissions(scenario, ('old',))
+
+
+def test_a_submission_makes_no_calls_about_unreachable_services() -> None:
+    """Each submission waited for the timeout of a read that had to fail."""
+
+    async def scenario(submissions: Submissions, table: ServiceTable) -> None:
+        health = StoreHealth(submissions.clock.monotonic, 'old')
+        health.record(is_answered=False)
+        unreachable = OutageDetector(health, HttpClient(''), PeerList('a'))
+        assert unreachable.is_unreachable
+        find_reachable = submissions.find_outage_detector
+        submissions.find_outage_detector = lambda part: (
+            unreachable if part == 'old' else find_reachable(part)
+        )
+        with pytest.raises(UnknownOutcomeError):
+            await submissions.submit(make_route('new'), JOB, BODY)
+        assert not table.calls
+
+    play_submissions(scenario)
+
+
 def test_a_cancellation_reaches_the_job_in_every_service() -> None:
     """A copy of a cancelled job on its queue's earlier service ran on."""
 
