End all members of a gang that is done

What callers see: a job whose gang is done stays running for ever, and its later steps never start.

Cause: the first done end completes the members that wait; those that are placed are stopped first, and their own end decides. A member whose worker was lost, or whose start was rejected, was put back into the queue instead. It is never placed, as a gang starts with all its members. The state row kept it: a new owner took a member that was being stopped as running, and one that waited as waiting.

Ruled out: marking placed members done at once: their resources would be taken as free while they still run.

Change: a member that ends or certainly does not run, by whatever way, is done if another member of its gang is. The run that the gang has done does not count as failed for one of its members. Whether any is done shows in the step's count of unfinished tasks; the members are looked at only then.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -268,7 +268,10 @@
             task.phase = TaskPhase.STOPPING
 
     def requeue(self, task: Task) -> None:
-        """Releases a task's resources; requeues it unless its job is over."""
+        """Releases a task's resources; requeues it unless its work is over.
+
+        That is if its job is over or its gang is done.
+        """
         worker = self.workers.get(task.worker)
         if worker is not None:
             worker.remove(task)
@@ -278,9 +281,18 @@
             task.phase = TaskPhase.GIVEN_UP
             return
         task.phase = TaskPhase.WAITING
-        if self.are_predecessors_done(task):
+        if self._is_gang_done(task):
+            members = self.list_step_tasks(task)
+            self._mark_done(task, max(m.last_ended_at for m in members))
+        elif self.are_predecessors_done(task):
             self.ready[task.id] = task
 
+    def _is_gang_done(self, task: Task) -> bool:
+        """Returns whether a task belongs to a gang with a done member."""
+        step_key = (task.id.occurrence, task.id.step)
+        is_any_done = task.job.remaining[step_key] < task.spec.count
+        return task.spec.gang and is_any_done
+
     def end_run(self, task: Task, kind: EndKind, now: float) -> list[Task]:
         """Records how the run of a placed task ended.
 
@@ -308,12 +320,14 @@
 
         Runs are identified by their numbers, because workers report an end
         until it is acknowledged and a new owner may receive the reports in any
-        order. Long-running tasks may fail any number of times.
+        order. Long-running tasks may fail any number of times. A run that was
+        done by another member of its gang has not failed.
 
         Returns:
           Tasks that must be stopped because the job has failed.
         """
-        if task.spec.lasting:
+        is_done_run = task.phase is TaskPhase.DONE and task.run == run
+        if task.spec.lasting or is_done_run:
             return []
         task.failed_runs.add(run)
         self.dirty[task.job.spec.id] = None
@@ -354,6 +368,7 @@
     def _mark_done(self, task: Task, now: float) -> None:
         job = task.job
         task.phase = TaskPhase.DONE
+        task.last_ended_at = now
         task.checkpoint = ''
         self.ready.pop(task.id, None)
         step_key = (task.id.occurrence, task.id.step)
@@ -383,6 +398,15 @@
         task.job.has_started = True
         self._mark_done(task, now)
 
+    def complete_restored_gangs(self, job: Job, now: float) -> None:
+        """Ends the members of gangs that were restored with a done member.
+
+        The owner stops those that may still run.
+        """
+        for task in list(job.tasks.values()):
+            if task.id.index == 0 and self._is_gang_done(task):
+                self.complete_task(task, now)
+
     def restore_placed(self, task: Task, worker: Worker) -> None:
         """Restores from a state row that a task may run on a worker."""
         task.phase = TaskPhase.RUNNING
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -116,6 +116,8 @@
     job.has_started |= has_started
     job.was_placed |= has_started
     cluster.dirty.pop(job.spec.id, None)
+    if not state.is_final:
+        cluster.complete_restored_gangs(job, now)
 
 
 def _create_recorded_occurrences(
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import orjson
+import pytest
 
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import JobState, Task, TaskPhase
 from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import EndKind, StaleRun
 from lentilmount.scheduling.rows import encode_state, restore_state
+from lentilmount.scheduling.specs import StepSpec
 from lentilmount.scheduling.takeover import UnrecordedStarts
 from tests.scheduling_fixtures import (
     add_worker,
@@ -314,6 +316,126 @@
     assert job.state is JobState.COMPLETED
 
 
+def test_a_gang_that_is_done_ends_all_members() -> None:
+    """A member whose worker was lost ran again after its gang was done."""
+    cluster = ClusterState()
+    first, second = add_worker(cluster, 'a'), add_worker(cluster, 'b')
+    admit(cluster, make_job('job', make_step(count=2, gang=True)))
+    tasks = [find_task(cluster, 'job', index=index) for index in (0, 1)]
+    run_task(cluster, tasks[0], first)
+    run_task(cluster, tasks[1], second)
+    report = make_report(
+        ended=(make_end(1, tasks[0], tasks[0].run, EndKind.DONE),)
+    )
+    Reconciler(cluster).reconcile(first, report, 2.0, 2.0)
+    cluster.end_worker_tasks(second, 3.0)
+    assert [task.phase for task in tasks] == [TaskPhase.DONE, TaskPhase.DONE]
+
+
+def start_gang(*later: StepSpec) -> tuple[ClusterState, list[Task]]:
+    """Returns a gang of two that runs, on one worker for each member."""
+    cluster = ClusterState()
+    gang = make_step(count=2, gang=True)
+    admit(
+        cluster, make_job('a', gang, *later, policy=make_policy(max_attempts=1))
+    )
+    members = [find_task(cluster, 'a', 0, index) for index in range(2)]
+    cluster.assign_run_number(members)
+    for member in members:
+        worker = add_worker(cluster, f'w{member.id.index}')
+        cluster.place_with_run_number(member, worker, 1.0)
+        cluster.confirm_start(member, member.run, 1.0)
+    return cluster, members
+
+
+@pytest.mark.parametrize('kind', [EndKind.LAPSED, EndKind.FAILED])
+def test_steps_after_a_done_gang_run_whatever_ends_its_members(
+    kind: EndKind,
+) -> None:
+    """A lost member blocked all later steps, or failed the job."""
+    cluster, (first, second) = start_gang(make_step(after=(0,)))
+    cluster.end_run(first, EndKind.DONE, 2.0)
+    last = find_task(cluster, 'a', 1)
+    assert last.id not in cluster.ready
+    end = make_end(1, second, second.run, kind)
+    for at in (3.0, 4.0):
+        # A worker repeats an end until it is acknowledged.
+        Reconciler(cluster).reconcile(
+            cluster.workers['w1'], make_report(ended=(end,)), at, at
+        )
+    assert list(cluster.ready) == [last.id]
+    assert last.job.state is JobState.RUNNING
+
+
+def test_a_start_that_is_rejected_after_its_gang_is_done_is_done() -> None:
+    """A member whose stop proved that it does not run was started again."""
+    cluster, (first, second) = start_gang()
+    second.phase = TaskPhase.STARTING
+    cluster.end_run(first, EndKind.DONE, 2.0)
+    assert second.phase.value == 'stopping'
+    cluster.reject_start(second, second.run)
+    assert second.phase is TaskPhase.DONE
+    assert not cluster.workers['w1'].tasks
+    assert not cluster.ready
+    assert second.job.state is JobState.COMPLETED
+    assert second.job.ended_at == 2.0
+
+
+def test_a_newer_run_of_a_done_gang_is_stopped() -> None:
+    """A member of a done gang was adopted and ran on."""
+    cluster, (first, second) = start_gang(make_step(after=(0,)))
+    cluster.end_run(first, EndKind.DONE, 2.0)
+    other = add_worker(cluster, 'other')
+    running = make_running(second, second.run + 1)
+    result = Reconciler(cluster).reconcile(
+        other, make_report(running=(running,)), 3.0, 3.0
+    )
+    assert result.stale_runs == [
+        StaleRun('other', str(second.id), second.run + 1)
+    ]
+    assert second.phase is TaskPhase.DONE
+
+
+def test_a_takeover_between_the_ends_of_a_done_gang_stops_the_rest() -> None:
+    """The new owner ran a member on, and placed it again when it was lost."""
+    cluster, (first, _) = start_gang()
+    cluster.end_run(first, EndKind.DONE, 2.0)
+    new = hand_over(cluster)
+    job, second = new.jobs['a'], find_task(new, 'a', 0, 1)
+    assert second.phase.value == 'stopping'
+    assert job.state.value == 'running'
+    new.end_worker_tasks(new.workers['w1'], 9.0)
+    assert second.phase is TaskPhase.DONE
+    assert not new.ready
+    assert job.state is JobState.COMPLETED
+    assert job.ended_at == 9.0
+
+
+def test_a_row_with_a_lost_member_of_a_done_gang_is_completed() -> None:
+    """Jobs in which an earlier version left such a member never ended."""
+    cluster = ClusterState()
+    job = admit(cluster, make_job('a', make_step(count=2, gang=True)))
+    body = {
+        'state': 'running',
+        'tasks': {'done': {'0.0': [0, 0]}, '0.0.1': [1, '']},
+    }
+    restore_state(cluster, job, body, leases_expire_at=20.0, now=4.0)
+    assert job.state is JobState.COMPLETED
+    assert job.ended_at == 4.0
+    assert not cluster.ready
+    assert 'a' in cluster.dirty
+
+
+def test_a_cancelled_job_stays_cancelled_after_a_takeover() -> None:
+    """A done gang of a cancelled job made it completed."""
+    cluster, (first, _) = start_gang()
+    cluster.end_run(first, EndKind.DONE, 2.0)
+    cluster.cancel('a', 2.5)
+    new = hand_over(cluster)
+    new.end_worker_tasks(new.workers['w1'], 9.0)
+    assert new.jobs['a'].state is JobState.CANCELLED
+
+
 def test_gang_members_share_their_attempts() -> None:
     cluster = ClusterState()
     spec = make_job(
--- a/tests/test_restart_review.py
+++ b/tests/test_restart_review.py
@@ -46,7 +46,6 @@
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import TaskPhase
 from lentilmount.scheduling.placement import Placer
-from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import (
     EndKind,
     RunReport,
@@ -68,10 +67,7 @@
     make_entry,
     make_job,
     make_policy,
-    make_report,
-    make_step,
     run_pass,
-    run_task,
 )
 from tests.test_restarts_with_commands import (
     CALL_SECONDS,
@@ -480,22 +476,6 @@
     play(scenario)
 
 
-def test_a_gang_that_is_done_ends_all_members() -> None:
-    """A member whose worker was lost ran again after its gang was done."""
-    cluster = ClusterState()
-    first, second = add_worker(cluster, 'a'), add_worker(cluster, 'b')
-    admit(cluster, make_job('job', make_step(count=2, gang=True)))
-    tasks = [find_task(cluster, 'job', index=index) for index in (0, 1)]
-    run_task(cluster, tasks[0], first)
-    run_task(cluster, tasks[1], second)
-    report = make_report(
-        ended=(make_end(1, tasks[0], tasks[0].run, EndKind.DONE),)
-    )
-    Reconciler(cluster).reconcile(first, report, 2.0, 2.0)
-    cluster.end_worker_tasks(second, 3.0)
-    assert [task.phase for task in tasks] == [TaskPhase.DONE, TaskPhase.DONE]
-
-
 def test_a_new_incarnation_gets_no_tasks_by_an_old_registration() -> None:
     """A restarted worker of another kind was loaded over its capacity."""
 
