Label a ticket with the incarnation that it was requested for

What callers see: a task may be started again and again with a ticket that its worker rejects, until the ticket expires.

Cause: a ticket is valid during one life of its worker. It was labelled with the incarnation known when the answer arrived; a worker that restarted during the call, which takes tens of ms and more for each worker named, then seemed to have one.

Ruled out: dropping the tickets of a worker at its registration: the answer comes after it.

Change: the incarnations are read when the call is sent. A ticket of an earlier one is not used, and the worker is named again in a later call.

--- a/lentilmount/control/advice.py
+++ b/lentilmount/control/advice.py
@@ -43,8 +43,8 @@
     """Answers of the advice service for one step.
 
     Attributes:
-      tickets: Ticket, incarnation of the worker and monotonic expiry time, by
-        worker id.
+      tickets: Ticket, incarnation of the worker when it was requested and
+        monotonic expiry time, by worker id.
       excluded: Workers that may not run the step; that does not change.
     """
 
@@ -138,8 +138,12 @@
             return False
         sent_at = self.monotonic()
         step = get_step_key(task)
-        names = [worker.id for worker in candidates]
-        answer = await self.client.ask('.'.join(map(str, step)), names)
+        started_ms = {
+            worker.id: worker.entry.started_ms for worker in candidates
+        }
+        answer = await self.client.ask(
+            '.'.join(map(str, step)), list(started_ms)
+        )
         if answer is None:
             log.warning(
                 'No answer from the advice service.', extra={'step': step}
@@ -147,22 +151,17 @@
             return False
         cached = self._steps.setdefault(step, _StepTickets())
         expires_at = sent_at + answer.valid_seconds - VALID_MARGIN_SECONDS
-        for worker in candidates:
-            ticket = answer.by_worker.get(worker.id)
+        for name, incarnation in started_ms.items():
+            ticket = answer.by_worker.get(name)
             if ticket is None:
-                cached.excluded.add(worker.id)
+                cached.excluded.add(name)
                 continue
-            started_ms = worker.entry.started_ms
-            cached.tickets[worker.id] = (
-                ticket,
-                started_ms,
-                expires_at,
-            )
+            cached.tickets[name] = (ticket, incarnation, expires_at)
         log.info(
             'Advised.',
             extra={
                 'step': step,
-                'asked': len(names),
+                'asked': len(started_ms),
                 'may': len(answer.by_worker),
             },
         )
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -7,11 +7,16 @@
 import attrs
 
 from lentilmount.clock import ManualClock
-from lentilmount.control.advice import WORKERS_PER_CALL, Advice
+from lentilmount.control.advice import (
+    PAUSE_SECONDS,
+    WORKERS_PER_CALL,
+    Advice,
+)
 from lentilmount.platform.advice import AdviceClient, Tickets
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.upstream.http import HttpClient
+from stand_ins.virtual_time import run_virtual
 from tests.helpers import run
 from tests.scheduling_fixtures import (
     add_worker,
@@ -126,6 +131,61 @@
     assert not advice.allows(task, worker)
 
 
+@attrs.define(eq=False)
+class RestartingAdvice(AdviceClient):
+    """An advice service whose answer comes after the restart of a worker.
+
+    Attributes:
+      cluster: Contains the worker.
+    """
+
+    cluster: ClusterState
+
+    async def ask(self, step: str, workers: list[str]) -> Tickets | None:
+        """See `AdviceClient`."""
+        for name in workers:
+            self.cluster.register_worker(make_entry(name, started_ms=2))
+        return Tickets(dict.fromkeys(workers, 'ticket'), 10.0)
+
+
+def test_a_ticket_of_an_earlier_incarnation_is_not_used() -> None:
+    """A ticket requested before a restart was taken for one of after it."""
+    clock = ManualClock()
+    cluster = ClusterState()
+    worker = add_worker(cluster, 'w')
+    admit(cluster, make_job('job', policy=make_policy(advised=True)))
+    task = find_task(cluster, 'job')
+
+    async def work() -> None:
+        client = RestartingAdvice(HttpClient(''), 1.0, cluster)
+        advice = Advice(cluster, client, clock.monotonic, lambda: None)
+        running = asyncio.create_task(advice.run())
+        await asyncio.sleep(0.01)
+        running.cancel()
+        assert not advice.get_ticket(task, worker)
+
+    run_virtual(work(), clock)
+
+
+def test_a_ticket_is_requested_again_after_a_restart() -> None:
+    """A step waited for a ticket of an incarnation that had ended."""
+    clock = ManualClock()
+    cluster = ClusterState()
+    worker = add_worker(cluster, 'w')
+    admit(cluster, make_job('job', policy=ADVISED))
+    task = find_task(cluster, 'job')
+
+    async def work() -> None:
+        client = RestartingAdvice(HttpClient(''), 1.0, cluster)
+        advice = Advice(cluster, client, clock.monotonic, lambda: None)
+        running = asyncio.create_task(advice.run())
+        await asyncio.sleep(1.5 * PAUSE_SECONDS)
+        running.cancel()
+        assert advice.get_ticket(task, worker) == 'ticket'
+
+    run_virtual(work(), clock)
+
+
 def test_few_workers_are_named_in_a_call() -> None:
     """If no worker of a call may run the step, others are asked next."""
     fixture = AdviceFixture()
--- a/tests/test_restart_review.py
+++ b/tests/test_restart_review.py
@@ -10,7 +10,6 @@
 import orjson
 
 from lentilmount.clock import ManualClock
-from lentilmount.control.advice import Advice
 from lentilmount.control.keys import make_job_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import Owner, OwnerSettings
@@ -26,7 +25,6 @@
     Put,
     Row,
 )
-from lentilmount.platform.advice import AdviceClient, Tickets
 from lentilmount.platform.documents import encode_job_row
 from lentilmount.platform.store import (
     WORKERS_TABLE,
@@ -66,7 +64,6 @@
     make_end,
     make_entry,
     make_job,
-    make_policy,
     run_pass,
 )
 from tests.test_restarts_with_commands import (
@@ -768,42 +765,6 @@
     play(scenario)
 
 
-@attrs.define(eq=False)
-class RestartingAdvice(AdviceClient):
-    """An advice service whose answer comes after the restart of a worker.
-
-    Attributes:
-      cluster: Contains the worker.
-    """
-
-    cluster: ClusterState
-
-    async def ask(self, step: str, workers: list[str]) -> Tickets | None:
-        """See `AdviceClient`."""
-        for name in workers:
-            self.cluster.register_worker(make_entry(name, started_ms=2))
-        return Tickets(dict.fromkeys(workers, 'ticket'), 10.0)
-
-
-def test_a_ticket_of_an_earlier_incarnation_is_not_used() -> None:
-    """A ticket requested before a restart was taken for one of after it."""
-    clock = ManualClock()
-    cluster = ClusterState()
-    worker = add_worker(cluster, 'w')
-    admit(cluster, make_job('job', policy=make_policy(advised=True)))
-    task = find_task(cluster, 'job')
-
-    async def work() -> None:
-        client = RestartingAdvice(HttpClient(''), 1.0, cluster)
-        advice = Advice(cluster, client, clock.monotonic, lambda: None)
-        running = asyncio.create_task(advice.run())
-        await asyncio.sleep(0.01)
-        running.cancel()
-        assert not advice.get_ticket(task, worker)
-
-    run_virtual(work(), clock)
-
-
 def test_a_delivered_call_is_not_repeated_by_the_http_client() -> None:
     """A call that was delivered before a reset was sent again unnoticed."""
     bodies: list[bytes] = []
