Repeat an unanswered start only after a report of its worker

What callers see: a worker is crashed twice by one start, or executes the start of a task that was about to go elsewhere.

Cause: a start without an answer was repeated after 0.1 s as long as no poll of its worker had failed. A poll fails after its wait and 0.8 s, and a worker may be back by then: its next incarnation executed the copy.

Ruled out: a longer pause before the first repetition; a poll may wait longer.

Change: a start is repeated only once a report that was requested after the last copy has arrived.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -108,12 +108,15 @@
         command = self._make_start(session, task, run)
         session.add_unanswered_start(command.task, run)
         is_first = True
+        sent_at = 0.0
         pause = RETRY_SECONDS
         while task.phase is TaskPhase.STARTING and task.run == run:
-            if not is_first and not session.worker.reachable:
-                # Its next incarnation would execute the start as well.
-                pause = await _back_off(pause)
+            if not is_first and not session.is_asked_since(sent_at):
+                # It may have crashed, and its next incarnation would execute
+                # the start as well.
+                await asyncio.sleep(RETRY_SECONDS)
                 continue
+            sent_at = self.monotonic()
             answer = await self._call(
                 session,
                 self.worker_client.start(session.worker.entry, command),
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -114,6 +114,7 @@
     _started_ms: int | None = None
     _ended_incarnation_ms: int | None = None
     _acknowledged_end: int = 0
+    _report_asked_at: float = -math.inf
     _clock_ms: int | None = None
     _clock_read_at: float = 0.0
     _last_expiry_ms: int = 0
@@ -306,6 +307,10 @@
             if is_pending and 0 < task.start_deadline_ms < clock_ms:
                 task.start_expired_at = min(task.start_expired_at, now)
 
+    def is_asked_since(self, at: float) -> bool:
+        """Returns whether the newest report was requested after a time."""
+        return self._report_asked_at > at
+
     def add_unanswered_start(self, task: str, run: int) -> None:
         """Records that a start is about to be sent."""
         self._forget_late_starts()
@@ -364,6 +369,7 @@
         ):
             self.handle_restart('it restarted', asked_at)
         self._started_ms = worker.incarnation_ms = report.started_ms
+        self._report_asked_at = asked_at
         if not worker.has_answered:
             self._bound_inherited_leases()
         if not worker.has_answered or not worker.reachable:
