Give up a task that crashes three workers in a row

What callers see: workers are lost one after the other, each with all tasks on it, and the job of the one that crashes them is never shown as failed.

Cause: a run that is lost with its worker ends as lapsed, which counts as no attempt, so nothing bounded the starts.

Ruled out: counting all tasks that were lost with a worker; a crash takes ten, and a cut of a zone hundreds, so that innocent jobs would be failed.

Change: tasks whose start was sent within a second before the last answer of a worker that is lost are suspects, and their rows tell it to the next owner. A task that has run for a second is cleared. After two losses in a row a task is tried alone: no other one is started on its worker until it is cleared, and it goes to a worker that has answered for a while and runs few tasks. After the third its job has failed. A takeover blames no task of its own for a worker that it never reached, but those that were suspects before.

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -396,8 +396,9 @@
             reason,
             extra={'worker': worker.id, 'tasks': [str(t.id) for t in tasks]},
         )
-        for task in tasks:
-            self._task_controller.forget(task)
+        self._task_controller.handle_lost_tasks(
+            worker, tasks, self._clock.monotonic()
+        )
         self._wake.set()
         self._state_writer.request_write()
 
@@ -413,6 +414,14 @@
                 'tasks': [start.task for start in late_starts],
             },
         )
+        lost = [
+            task
+            for task in worker.tasks.values()
+            if StaleRun(worker.id, str(task.id), task.run) in late_starts
+        ]
+        self._task_controller.handle_lost_tasks(
+            worker, lost, self._clock.monotonic()
+        )
         self._commands.stop_late_starts(late_starts)
 
     def handle_poll_result(
--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -10,9 +10,16 @@
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.crashes import is_given_up
 from lentilmount.scheduling.health import WorkerHealth, list_hanging
 from lentilmount.scheduling.interference import InterferenceModel
-from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
+from lentilmount.scheduling.model import (
+    Job,
+    JobState,
+    Task,
+    TaskPhase,
+    Worker,
+)
 from lentilmount.scheduling.reconciliation import ReconcileResult
 from lentilmount.scheduling.reports import EndKind
 from lentilmount.scheduling.throttling import Throttler, runs_unthrottled
@@ -113,6 +120,38 @@
         if tasks and self.health.may_quarantine(workers, now):
             self.health.quarantine(worker, now)
 
+    def handle_lost_tasks(
+        self, worker: Worker, tasks: list[Task], now: float
+    ) -> None:
+        """Handles tasks that were lost together with their worker."""
+        for task in tasks:
+            self.forget(task)
+        suspects = [task for task in tasks if task.run in task.crashed_runs]
+        if not suspects:
+            return
+        log.warning(
+            'Was lost shortly after it had started {} tasks.',
+            len(suspects),
+            extra={
+                'worker': worker.id,
+                'tasks': {str(t.id): len(t.crashed_runs) for t in suspects},
+            },
+        )
+        for task in filter(is_given_up, suspects):
+            self._give_up(task, now)
+
+    def _give_up(self, task: Task, now: float) -> None:
+        """Ends the job of a task that crashes each worker that starts it."""
+        if task.job.state.is_final:
+            return
+        log.warning(
+            'Job is given up: a task of it crashed {} workers in a row.',
+            len(task.crashed_runs),
+            extra={'task': str(task.id), 'run': task.run},
+        )
+        for other in self.cluster.finish_job(task.job, JobState.FAILED, now):
+            self.commands.stop(other)
+
     def _resume(self, task: Task) -> None:
         if task.phase is TaskPhase.STOPPING:
             self.commands.stop(task)
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -116,7 +116,7 @@
                 # the start as well.
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            sent_at = self.monotonic()
+            sent_at = task.start_sent_at = self.monotonic()
             answer = await self._call(
                 session,
                 self.worker_client.start(session.worker.entry, command),
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -287,7 +287,7 @@
         if clock_ms < (self._clock_ms or 0):
             return
         self._clock_ms = clock_ms
-        self._clock_read_at = self.monotonic()
+        self._clock_read_at = self.worker.last_answer_at = self.monotonic()
         self._update_lease_expiry()
         self._expire_starts(clock_ms)
 
@@ -374,6 +374,7 @@
             self._bound_inherited_leases()
         if not worker.has_answered or not worker.reachable:
             log.info('Reached.', extra={'worker': worker.id})
+            worker.reached_at = self.monotonic()
             self._reset_command_state()
         worker.has_answered = worker.reachable = True
         worker.has_missed_poll = False
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Iterable
 
+from lentilmount.scheduling.crashes import list_suspects
 from lentilmount.scheduling.model import (
     EndedTask,
     Job,
@@ -219,6 +220,7 @@
         task.worker = worker.id
         task.placed_at = now
         task.confirmed_at = math.inf
+        task.start_sent_at = math.inf
         task.start_deadline_ms = 0
         task.start_expired_at = math.inf
         task.stopped_at = math.inf
@@ -342,6 +344,12 @@
             failures = sum(t.failures for t in self.list_step_tasks(task))
         return failures >= task.job.spec.queue.max_attempts
 
+    def clear_suspicion(self, task: Task) -> None:
+        """Records that a task has run without crashing its worker."""
+        if task.crashed_runs:
+            task.crashed_runs.clear()
+            self.dirty[task.job.spec.id] = None
+
     def list_step_tasks(self, task: Task) -> list[Task]:
         """Lists all tasks in the same step and occurrence as a task."""
         job, occurrence, step = task.id.job, task.id.occurrence, task.id.step
@@ -440,6 +448,8 @@
     ) -> list[Task]:
         """Ends all runs on a worker whose leases expired or that restarted.
 
+        Records which of them may have crashed it.
+
         Args:
           worker: The worker.
           now: Monotonic time.
@@ -452,6 +462,8 @@
           The tasks whose runs have ended.
         """
         ended = []
+        for task in list_suspects(worker):
+            task.crashed_runs.add(task.run)
         for task in list(worker.tasks.values()):
             if StaleRun(worker.id, str(task.id), task.run) in late_starts:
                 self._stop_anew(task)
--- /dev/null
+++ b/lentilmount/scheduling/crashes.py
@@ -0,0 +1,67 @@
+"""Attribution of lost workers to the tasks that crash them.
+
+A worker that crashes loses all its tasks, of which only those that it has just
+started can be the cause. Often that is a coincidence, as whole racks fail while
+tasks start everywhere. So a task is given up only if several workers in a row
+were lost as they started it, and before the last time it is put on trial: no
+other task starts beside it.
+"""
+
+from __future__ import annotations
+
+import math
+
+from lentilmount.scheduling.model import Task, Worker
+
+STARTUP_SECONDS = 1.0
+"""Time after its start for which a task may be the cause of a crash."""
+
+TRIAL_CRASHES = 2
+"""Number of crashes in a row from which a task is started alone."""
+
+MAX_CRASHES = 3
+"""Number of crashes in a row after which a task is given up."""
+
+
+STEADY_SECONDS = 10.0
+"""Time without a failed poll after which a worker is unlikely to be lost for
+another reason within the trial of a task."""
+
+
+def list_suspects(worker: Worker) -> list[Task]:
+    """Lists the tasks of a lost worker that may have crashed it."""
+    return [t for t in worker.tasks.values() if _is_suspect(t, worker)]
+
+
+def _is_suspect(task: Task, worker: Worker) -> bool:
+    if math.isinf(task.start_sent_at) and task.start_sent_at > 0:
+        return False
+    if task.crashed_runs:
+        # It would have been cleared if it had run for long enough.
+        return True
+    return task.start_sent_at > worker.last_answer_at - STARTUP_SECONDS
+
+
+def is_cleared(task: Task, now: float) -> bool:
+    """Returns whether a running task has run too long to crash its worker."""
+    return now - task.confirmed_at >= STARTUP_SECONDS
+
+
+def is_on_trial(task: Task) -> bool:
+    """Returns whether no other task may be started beside a task."""
+    return len(task.crashed_runs) >= TRIAL_CRASHES
+
+
+def is_given_up(task: Task) -> bool:
+    """Returns whether a task has crashed too many workers."""
+    return len(task.crashed_runs) >= MAX_CRASHES
+
+
+def measure_trial_risk(worker: Worker, now: float) -> tuple[bool, int]:
+    """Returns how little a worker suits a trial; the smallest is chosen.
+
+    A worker that may be lost for another reason proves nothing, and a task on
+    trial may end all others on its worker.
+    """
+    is_unsteady = now - worker.reached_at < STEADY_SECONDS
+    return is_unsteady, len(worker.tasks)
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -61,9 +61,13 @@
       checkpoint: Newest checkpoint, or ''.
       failed_runs: Numbers of the failed runs that count against its job.
       failed_on: Ids of the workers on which it failed.
+      crashed_runs: Numbers of its newest runs if their workers, one after the
+        other, were lost shortly after they had started it.
       placed_at: Monotonic time of the newest placement in seconds.
       confirmed_at: Monotonic time by which its worker has certainly started it;
         infinity until then, 0 if it was restored from a row and not reported.
+      start_sent_at: Monotonic time at which its start was last sent; infinity
+        if it was not, minus infinity if a previous owner may have sent it.
       start_deadline_ms: Deadline for the start in ms of the worker's clock; 0
         if no start was sent.
       start_expired_at: Monotonic time by which that deadline has certainly
@@ -91,8 +95,10 @@
     checkpoint: str = ''
     failed_runs: set[int] = attrs.Factory(set)
     failed_on: set[str] = attrs.Factory(set)
+    crashed_runs: set[int] = attrs.Factory(set)
     placed_at: float = 0.0
     confirmed_at: float = 0.0
+    start_sent_at: float = -math.inf
     start_deadline_ms: int = 0
     start_expired_at: float = math.inf
     stopped_at: float = math.inf
@@ -210,6 +216,9 @@
       reachable: Whether it answered the last poll.
       incarnation_ms: Start time of the incarnation that made the newest report,
         as in `WorkerEntry.started_ms`; None if it is not known.
+      reached_at: Monotonic time since which no poll has failed.
+      last_answer_at: Monotonic time of its newest answer to any call; minus
+        infinity if there is none.
       has_missed_poll: Whether a poll has failed since its last answer.
       is_reported_unreachable: Whether the service's lease row may list it as
         unreachable, so that the next owner assumes its leases are no longer
@@ -235,6 +244,8 @@
     has_answered: bool = False
     reachable: bool = False
     incarnation_ms: int | None = None
+    reached_at: float = -math.inf
+    last_answer_at: float = -math.inf
     has_missed_poll: bool = False
     is_reported_unreachable: bool = False
     answers_commands: bool = True
--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -10,10 +10,15 @@
 import attrs
 
 from lentilmount.resources import Room
-from lentilmount.scheduling.candidates import IsAllowed, StepCandidates
+from lentilmount.scheduling.candidates import (
+    CostFunction,
+    IsAllowed,
+    StepCandidates,
+)
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.consolidation import Consolidator
 from lentilmount.scheduling.costs import CostModel
+from lentilmount.scheduling.crashes import is_on_trial, measure_trial_risk
 from lentilmount.scheduling.demand import BestEffortDemand
 from lentilmount.scheduling.headroom import Headroom
 from lentilmount.scheduling.interference import InterferenceModel
@@ -297,6 +302,8 @@
                 v for v in allowed if v.worker.id not in task.failed_on
             ]
         cost_function = self._costs.make_cost_function(task)
+        if is_on_trial(task):
+            return self._find_for_trial(preferred or allowed, cost_function)
         best, lowest_cost = None, math.inf
         for view in preferred or allowed:
             cost = cost_function(view)
@@ -304,6 +311,16 @@
                 best, lowest_cost = view, cost
         return best
 
+    def _find_for_trial(
+        self, allowed: list[WorkerView], cost_function: CostFunction
+    ) -> WorkerView | None:
+        suitable = [v for v in allowed if cost_function(v) < math.inf]
+        return min(
+            suitable,
+            key=lambda view: measure_trial_risk(view.worker, self._now),
+            default=None,
+        )
+
     def _record_infeasible(self, task: Task, by_headroom: bool = False) -> None:
         """Records that steps like a task's, and larger ones, will not fit.
 
@@ -341,10 +358,11 @@
 def _shares_step_costs(task: Task) -> bool:
     """Returns whether the costs of a task equal those of its step.
 
-    The cost of a long-running task depends on where the others are, and a task
-    that has failed on a worker avoids it.
+    The cost of a long-running task depends on where the others are, a task that
+    has failed on a worker avoids it, and one on trial avoids other tasks.
     """
-    return not task.spec.lasting and not task.failed_on
+    has_own_costs = task.failed_on or is_on_trial(task)
+    return not task.spec.lasting and not has_own_costs
 
 
 def _find_most_free(views: list[WorkerView]) -> Room:
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.crashes import is_cleared
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import (
     EndKind,
@@ -210,6 +211,7 @@
         task.worker = worker.id
         task.placed_at = now
         task.confirmed_at = now
+        task.start_sent_at = -math.inf
         task.stopped_at = math.inf
         worker.add(task)
         self._cluster.ready.pop(task.id, None)
@@ -219,6 +221,8 @@
 
     def _update(self, task: Task, run_report: RunReport, now: float) -> None:
         self._cluster.confirm_start(task, run_report.run, now)
+        if is_cleared(task, now):
+            self._cluster.clear_suspicion(task)
         if run_report.checkpoint:
             task.checkpoint = run_report.checkpoint
         task.usage = run_report.usage
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -21,6 +21,13 @@
 the service; if they ignored it, they would run the tasks again. In rows of
 those versions, it is the entry of a done task."""
 
+REQUIRED_FIELDS = 2
+"""Number of fields that each task entry has: run and worker."""
+
+DEFAULT_FIELDS: tuple[Any, ...] = (0, '', (), '', ())
+"""Defaults of the fields of a task entry: run, worker, failed runs, checkpoint
+and runs that may have crashed their workers."""
+
 
 def encode_state(job: Job) -> dict[str, Any]:
     """Builds the body of a job's state row.
@@ -57,11 +64,15 @@
 
 
 def _encode_task(task: Task) -> list[Any]:
-    entry: list[Any] = [task.run, task.worker]
-    if task.failed_runs or task.checkpoint:
-        entry.append(sorted(task.failed_runs))
-    if task.checkpoint:
-        entry.append(task.checkpoint)
+    entry: list[Any] = [
+        task.run,
+        task.worker,
+        sorted(task.failed_runs),
+        task.checkpoint,
+        sorted(task.crashed_runs),
+    ]
+    while len(entry) > REQUIRED_FIELDS and not entry[-1]:
+        entry.pop()
     return entry
 
 
@@ -156,11 +167,11 @@
     if entry == DONE:
         cluster.restore_done(task, now)
         return
-    run, worker, *rest = entry
-    failed_runs = rest[0] if rest else ()
-    checkpoint = rest[1] if len(rest) > 1 else ''
+    fields = [*entry, *DEFAULT_FIELDS[len(entry) :]]
+    run, worker, failed_runs, checkpoint, crashed_runs = fields
     task.failed_runs = set(failed_runs)
     task.checkpoint = checkpoint
+    task.crashed_runs = set(crashed_runs)
     task.job.has_started |= bool(failed_runs or checkpoint)
     task.run = run
     task.skipped = RUN_NUMBER_MARGIN
--- a/lentilmount/scheduling/views.py
+++ b/lentilmount/scheduling/views.py
@@ -15,6 +15,7 @@
 
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.crashes import is_on_trial
 from lentilmount.scheduling.interference import (
     InterferenceModel,
     count_best_effort,
@@ -46,6 +47,7 @@
       best_effort_cores: Cores requested by the best-effort tasks there.
       is_over_target: Whether a serving task there exceeds its latency target.
       utilisation: Highest expected utilisation by serving image.
+      has_trial: Whether a task there must be started alone.
       step_counts: Number of tasks by job, occurrence and step.
     """
 
@@ -55,6 +57,7 @@
     spare_cores: float = 0.0
     best_effort_cores: float = 0.0
     is_over_target: bool = False
+    has_trial: bool = False
     utilisation: dict[str, float] = attrs.Factory(dict)
     step_counts: collections.Counter[tuple[str, int, int]] = attrs.Factory(
         collections.Counter
@@ -83,6 +86,7 @@
         self.is_over_target = any(
             map(interference_model.is_over_target, self.worker.tasks.values())
         )
+        self.has_trial = any(map(is_on_trial, self.worker.tasks.values()))
         worker = self.worker
         self.free = worker.entry.capacity.subtract(worker.used)
         self.free_after_short_tasks = worker.entry.capacity
@@ -131,6 +135,8 @@
             return False
         if self.worker.on_probation and self.worker.is_being_tested:
             return False
+        if self.has_trial:
+            return False
         most = spec.most_per_worker
         return not most or self.step_counts[get_step_key(task)] < most
 
--- a/stand_ins/fleet.py
+++ b/stand_ins/fleet.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -62,7 +64,9 @@
       long_running_payloads: Payloads whose tasks never end.
       crashing_payloads: Payloads whose tasks crash it once they have started.
       down_seconds: Time after a crash until the next incarnation answers.
+      answers_crashing: Whether the start that crashes it is answered.
       crashes: Number of crashes.
+      register: Writes its registration.
       silent: Whether it answers no call.
       unanswered: Paths of the calls that it does not answer.
       failing: Paths of the calls that it answers with status 500.
@@ -88,7 +92,9 @@
     long_running_payloads: set[str] = attrs.Factory(set)
     crashing_payloads: set[str] = attrs.Factory(set)
     down_seconds: float = 0.3
+    answers_crashing: bool = True
     crashes: int = 0
+    register: Callable[[], None] = lambda: None
     silent: bool = False
     unanswered: set[str] = attrs.Factory(set)
     failing: set[str] = attrs.Factory(set)
@@ -192,6 +198,8 @@
         self.crashes += 1
         self.restart()
         self._down_until = time.monotonic() + self.down_seconds
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.down_seconds, self.register)
 
     def describe(self, address: str) -> bytes:
         """Returns the registration that is written to the store."""
@@ -234,7 +242,11 @@
         if path in worker.unanswered:
             await self._leave_unanswered(body)
             return
+        crashes = worker.crashes
         status, document = await self._carry_out(body)
+        is_answered = path == START_PATH and worker.answers_crashing
+        if worker.crashes > crashes and not is_answered:
+            await asyncio.sleep(60)
         self._respond(status, document)
 
     async def _leave_unanswered(self, body: dict[str, Any]) -> None:
@@ -298,7 +310,8 @@
             self._servers.append(server)
             port = sockets[0].getsockname()[1]
             self._addresses[worker.id] = f'127.0.0.1:{port}'
-            self.register(worker)
+            worker.register = functools.partial(self.register, worker)
+            worker.register()
 
     def register(self, worker: FleetWorker) -> None:
         """Writes a worker's registration."""
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -4,22 +4,58 @@
 
 import pathlib
 
+import pytest
+
+from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.task_control import TaskController
+from lentilmount.control.worker_commands import CommandSender
+from lentilmount.platform.workers import WorkerClient
+from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.crashes import (
+    MAX_CRASHES,
+    STARTUP_SECONDS,
+    TRIAL_CRASHES,
+    is_given_up,
+    is_on_trial,
+)
+from lentilmount.scheduling.health import WorkerHealth
+from lentilmount.scheduling.interference import InterferenceModel
+from lentilmount.scheduling.model import JobState, Task, TaskPhase, Worker
+from lentilmount.scheduling.placement import Placer
+from lentilmount.scheduling.reconciliation import Reconciler
+from lentilmount.upstream.http import HttpClient
 from tests.helpers import run
 from tests.platform_fixtures import PlatformFixture, open_platform
+from tests.scheduling_fixtures import (
+    add_worker,
+    admit,
+    find_task,
+    hand_over,
+    make_job,
+    make_report,
+    make_running,
+    make_step,
+    run_pass,
+    run_task,
+)
+from tests.test_worker_session import IgnoringListener
 
 CRASHING_JOB = 'c' * 16
 JOBS = [f'{number:016x}' for number in range(1, 5)]
 MAX_STARTS = 5
 """Starts allowed in all: two after the third crash."""
 
+LEASE_SECONDS = 6.2
+
 
 def count_crashes(platform: PlatformFixture) -> int:
     """Counts the crashes of all workers."""
     return sum(worker.crashes for worker in platform.fleet.workers)
 
 
+@pytest.mark.parametrize('is_answered', [True, False])
 def test_a_task_that_crashes_its_workers_is_given_up(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, is_answered: bool
 ) -> None:
     """A task that crashed each worker was started again without an end."""
 
@@ -27,6 +63,7 @@
         async with open_platform(tmp_path, workers=3) as platform:
             for worker in platform.fleet.workers:
                 worker.crashing_payloads.add('crash')
+                worker.answers_crashing = is_answered
             daemon = await platform.start()
             await platform.submit(daemon, CRASHING_JOB, 'crash')
             for job_id in JOBS:
@@ -37,3 +74,178 @@
             assert count_crashes(platform) <= MAX_STARTS
 
     run(scenario())
+
+
+def start_task(
+    cluster: ClusterState, task: Task, worker: Worker, now: float
+) -> None:
+    """Starts a task on a worker that answers the start."""
+    run_task(cluster, task, worker, now)
+    task.start_sent_at = worker.last_answer_at = now
+
+
+def crash(cluster: ClusterState, worker: Worker, now: float) -> list[Task]:
+    """Ends the tasks of a worker that crashed; returns them."""
+    return cluster.end_worker_tasks(worker, now + LEASE_SECONDS)
+
+
+def crash_in_turn(
+    cluster: ClusterState, task: Task, count: int, now: float = 100.0
+) -> None:
+    """Starts a task on as many workers, each of which it crashes."""
+    for number in range(count):
+        worker = add_worker(cluster, f'crashed-{number}')
+        start_task(cluster, task, worker, now)
+        crash(cluster, worker, now)
+        worker.reachable = False
+
+
+def test_tasks_that_have_run_for_a_while_are_no_suspects() -> None:
+    """All tasks on a crashed worker would be given up with the cause."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job', make_step(count=2, lasting=True)))
+    older, newer = (find_task(cluster, 'job', index=n) for n in range(2))
+    worker = add_worker(cluster, 'w')
+    start_task(cluster, older, worker, 100.0)
+    start_task(cluster, newer, worker, 100.1 + STARTUP_SECONDS)
+    crash(cluster, worker, 102.0)
+    assert (older.crashed_runs, newer.crashed_runs) == (set(), {1})
+
+
+def test_a_task_whose_start_was_not_sent_is_no_suspect() -> None:
+    """A task placed on a worker that was already gone would be blamed."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job'))
+    task = find_task(cluster, 'job')
+    worker = add_worker(cluster, 'w')
+    cluster.place([task], worker, 100.0)
+    crash(cluster, worker, 100.0)
+    assert not task.crashed_runs
+
+
+def test_a_suspect_that_runs_for_a_while_is_cleared() -> None:
+    """A task that met three unrelated crashes in its life would be given up."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job', make_step(lasting=True)))
+    task = find_task(cluster, 'job')
+    crash_in_turn(cluster, task, MAX_CRASHES - 1)
+    worker = add_worker(cluster, 'w')
+    start_task(cluster, task, worker, 120.0)
+    report = make_report(running=(make_running(task, task.run),))
+    reconciler = Reconciler(cluster)
+    early = 119.9 + STARTUP_SECONDS
+    reconciler.reconcile(worker, report, early, early)
+    assert task.crashed_runs
+    late = 120.0 + STARTUP_SECONDS
+    reconciler.reconcile(worker, report, late, late)
+    assert not task.crashed_runs
+    assert not find_task(hand_over(cluster), 'job').crashed_runs
+
+
+@pytest.mark.parametrize('lasting', [False, True])
+def test_crashes_are_counted_across_takeovers(lasting: bool) -> None:
+    """A new owner would start a task of two crashes three times more."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job', make_step(lasting=lasting)))
+    task = find_task(cluster, 'job')
+    crash_in_turn(cluster, task, MAX_CRASHES - 1)
+    worker = add_worker(cluster, 'w')
+    start_task(cluster, task, worker, 120.0)
+    successor = hand_over(cluster)
+    inherited = find_task(successor, 'job')
+    assert is_on_trial(inherited)
+    crash(successor, successor.workers['w'], 121.0)
+    assert is_given_up(inherited)
+
+
+def test_a_takeover_blames_no_tasks_of_its_own() -> None:
+    """Tasks inherited on a worker that is cut off would become suspects."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job'))
+    worker = add_worker(cluster, 'w')
+    start_task(cluster, find_task(cluster, 'job'), worker, 120.0)
+    successor = hand_over(cluster)
+    crash(successor, successor.workers['w'], 121.0)
+    assert not find_task(successor, 'job').crashed_runs
+
+
+def test_no_task_is_started_beside_one_on_trial() -> None:
+    """Tasks started beside the cause of a crash would be blamed with it."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job'))
+    task = find_task(cluster, 'job')
+    crash_in_turn(cluster, task, TRIAL_CRASHES)
+    worker = add_worker(cluster, 'w')
+    start_task(cluster, task, worker, 120.0)
+    admit(cluster, make_job('other'))
+    placer = Placer(cluster, InterferenceModel())
+    assert run_pass(placer, 120.1) == []
+    report = make_report(running=(make_running(task, task.run),))
+    Reconciler(cluster).reconcile(worker, report, 122.0, 122.0)
+    assert run_pass(placer, 122.1) == [(find_task(cluster, 'other'), worker)]
+
+
+def test_a_task_on_trial_goes_where_fewest_tasks_run() -> None:
+    """Each trial would end as many tasks of others as any crash."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job'))
+    task = find_task(cluster, 'job')
+    crash_in_turn(cluster, task, TRIAL_CRASHES)
+    busy, quiet = add_worker(cluster, 'busy'), add_worker(cluster, 'quiet')
+    admit(cluster, make_job('busy', make_step(count=2)))
+    for index in range(2):
+        start_task(cluster, find_task(cluster, 'busy', 0, index), busy, 110.0)
+    placed = run_pass(Placer(cluster, InterferenceModel()), 120.0)
+    assert placed == [(task, quiet)]
+
+
+def test_a_task_on_trial_avoids_workers_that_were_just_lost() -> None:
+    """A worker that goes down and up by turns would convict any task."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job'))
+    task = find_task(cluster, 'job')
+    crash_in_turn(cluster, task, TRIAL_CRASHES)
+    add_worker(cluster, 'unsteady').reached_at = 119.0
+    steady = add_worker(cluster, 'steady')
+    admit(cluster, make_job('busy'))
+    start_task(cluster, find_task(cluster, 'busy'), steady, 110.0)
+    placed = run_pass(Placer(cluster, InterferenceModel()), 120.0)
+    assert placed == [(task, steady)]
+
+
+def test_other_tasks_of_a_job_that_is_given_up_are_stopped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The other tasks of a job that is given up would run on."""
+    stopped: list[Task] = []
+    monkeypatch.setattr(
+        CommandSender, 'stop', lambda self, task: stopped.append(task)
+    )
+    cluster = ClusterState()
+    admit(cluster, make_job('job', make_step(count=2, lasting=True)))
+    task, other = (find_task(cluster, 'job', index=n) for n in range(2))
+    run_task(cluster, other, add_worker(cluster, 'w'))
+    crash_in_turn(cluster, task, MAX_CRASHES)
+    commands = CommandSender(
+        cluster,
+        WorkerClient(HttpClient(''), 1, 1.0),
+        {},
+        IgnoringListener(),
+        lambda: 130.0,
+        lambda command: None,
+        lambda task, worker: '',
+        lambda: None,
+    )
+    controller = TaskController(
+        cluster,
+        InterferenceModel(),
+        WorkerHealth(),
+        commands,
+        ControlMetrics(),
+    )
+    lost_on = cluster.workers[f'crashed-{MAX_CRASHES - 1}']
+    controller.handle_lost_tasks(lost_on, [task], 130.0)
+    assert cluster.jobs['job'].state is JobState.FAILED
+    assert stopped == [other]
+    assert task.phase is TaskPhase.GIVEN_UP
+    assert not cluster.ready
