Withdraw starts whose worker has shrunk before they are sent

What callers see: tasks on a worker run beyond its capacity.

Cause: a placement reserves room by the registration known then, waits for the write of its row, which takes seconds while the store is slow, and is then sent. The capacity was not looked at again, so starts went to workers that had registered a smaller one meanwhile.

Ruled out: the summaries of workers for placement; they are worked out again when a worker's registration is replaced, and each pass starts from them. Sending the start and stopping it again, which overloads the worker in between.

Change: before the first copy of a start is sent, the reservations on its worker are compared with the capacity. Where they exceed it, the task goes back to the queue: no copy was sent, so it certainly does not run. A gang goes back as a whole, with a stop for members that were sent already, since the others would wait for the missing one and end alone. Running tasks are left alone.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -105,6 +105,10 @@
         is_due = task.phase is TaskPhase.STARTING and task.run == run
         if session is None or not is_due:
             return
+        together = self._list_members(task)
+        if any(self._is_overcommitted(member) for member in together):
+            self._withdraw(together)
+            return
         command = self._make_start(session, task, run)
         session.add_unanswered_start(command.task, run)
         is_first = True
@@ -138,6 +142,38 @@
             pause = await _back_off(pause)
         await self._probe(session, command.task, run)
 
+    def _list_members(self, task: Task) -> list[Task]:
+        """Lists the tasks that must start together with a task."""
+        if not task.spec.gang:
+            return [task]
+        return self.cluster.list_step_tasks(task)
+
+    def _is_overcommitted(self, task: Task) -> bool:
+        worker = self.cluster.workers.get(task.worker)
+        return worker is not None and worker.is_overcommitted
+
+    def _withdraw(self, tasks: list[Task]) -> None:
+        """Requeues placed tasks, none of which may start without the others.
+
+        A task of which no copy was sent certainly does not run. The others are
+        stopped.
+        """
+        for task in tasks:
+            if task.phase is TaskPhase.STARTING and not task.start_deadline_ms:
+                log.info(
+                    'Not started: the worker has become too small.',
+                    extra={
+                        'task': str(task.id),
+                        'run': task.run,
+                        'worker': task.worker,
+                    },
+                )
+                self.cluster.reject_start(task, task.run)
+            elif task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
+                self.cluster.begin_stop(task)
+                self.stop(task)
+        self.wake()
+
     def _make_start(
         self, session: WorkerSession, task: Task, run: int
     ) -> StartCommand:
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -270,6 +270,11 @@
             self._used = total
         return self._used
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Whether its tasks reserve more than its current capacity."""
+        return not self.used.fits(self.entry.capacity)
+
     def add(self, task: Task) -> None:
         """Adds a task that runs or will run on the worker."""
         self.tasks[task.id] = task
--- /dev/null
+++ b/tests/test_shrinking_capacity.py
@@ -0,0 +1,207 @@
+"""Starts on workers whose capacity shrinks while they run."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+import pytest
+
+from lentilmount.clock import ManualClock
+from lentilmount.control.worker_commands import CommandSender
+from lentilmount.control.worker_session import WorkerSession
+from lentilmount.platform.workers import (
+    CallStatus,
+    CommandAnswer,
+    StartCommand,
+    WorkerClient,
+)
+from lentilmount.resources import Room
+from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.model import Task, TaskPhase, Worker
+from lentilmount.scheduling.reports import WorkerEntry
+from lentilmount.scheduling.specs import StepSpec
+from lentilmount.upstream.http import HttpClient
+from stand_ins.virtual_time import run_virtual
+from tests.scheduling_fixtures import (
+    add_worker,
+    admit,
+    find_task,
+    make_entry,
+    make_job,
+    make_step,
+    run_task,
+)
+from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
+
+CLOCK_MS = 1000
+
+
+@attrs.define(eq=False)
+class RecordingClient(WorkerClient):
+    """Records the commands to all workers.
+
+    Attributes:
+      start_status: Outcome of each start.
+      starts: Names of the tasks of all starts sent, in order.
+      stops: Names of the tasks of all stops sent, in order.
+    """
+
+    start_status: CallStatus = CallStatus.DONE
+    starts: list[str] = attrs.Factory(list)
+    stops: list[str] = attrs.Factory(list)
+
+    async def start(
+        self, worker: WorkerEntry, command: StartCommand
+    ) -> CommandAnswer:
+        """See `WorkerClient`."""
+        self.starts.append(command.task)
+        return CommandAnswer(self.start_status, CLOCK_MS)
+
+    async def stop(
+        self, worker: WorkerEntry, task: str, run: int
+    ) -> CommandAnswer:
+        """See `WorkerClient`."""
+        self.stops.append(task)
+        return CommandAnswer(CallStatus.DONE, CLOCK_MS)
+
+
+@attrs.define(eq=False)
+class CommandScene:
+    """The commands of an owner to some workers, in virtual time."""
+
+    clock: ManualClock = attrs.Factory(ManualClock)
+    cluster: ClusterState = attrs.Factory(ClusterState)
+    client: RecordingClient = attrs.Factory(
+        lambda: RecordingClient(HttpClient(''), 1, 1.0)
+    )
+    sessions: dict[str, WorkerSession] = attrs.Factory(dict)
+    sent: list[Coroutine[Any, Any, None]] = attrs.Factory(list)
+    wakes: list[bool] = attrs.Factory(list)
+    commands: CommandSender = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Creates the command sender."""
+        self.commands = CommandSender(
+            self.cluster,
+            self.client,
+            self.sessions,
+            IgnoringListener(),
+            self.clock.monotonic,
+            self.sent.append,
+            lambda task, worker: '',
+            lambda: self.wakes.append(True),
+        )
+
+    def add_worker(self, name: str, cores: float = 8.0) -> Worker:
+        """Adds a worker with a session that knows its clock."""
+        worker = add_worker(self.cluster, name, capacity=Room(cores, 16_000))
+        session = WorkerSession(
+            worker,
+            self.cluster,
+            self.client,
+            IgnoringListener(),
+            LEASE_SECONDS,
+            self.clock.monotonic,
+        )
+        session.update_clock(CLOCK_MS)
+        self.sessions[name] = session
+        return worker
+
+    def resize(self, worker: Worker, cores: float) -> None:
+        """Registers a worker with another number of cores."""
+        entry = make_entry(worker.id, capacity=Room(cores, 16_000))
+        self.cluster.register_worker(entry)
+
+    def place(
+        self, job_id: str, worker: Worker, step: StepSpec | None = None
+    ) -> Task:
+        """Places the first task of a new job on a worker."""
+        admit(self.cluster, make_job(job_id, step or make_step()))
+        task = find_task(self.cluster, job_id)
+        self.cluster.place([task], worker, self.clock.monotonic())
+        return task
+
+    def run(self) -> None:
+        """Runs all commands, and those that they cause."""
+
+        async def play() -> None:
+            while self.sent:
+                batch = [*self.sent]
+                self.sent.clear()
+                await asyncio.gather(*batch)
+
+        run_virtual(play(), self.clock)
+
+
+@pytest.mark.parametrize(('cores', 'started'), [(2.0, 1), (1.0, 0), (4.0, 2)])
+def test_placed_starts_are_not_sent_to_a_worker_that_has_shrunk(
+    cores: float, started: int
+) -> None:
+    """Starts sent after a slow write overloaded a worker that had shrunk."""
+    scene = CommandScene()
+    worker = scene.add_worker('w')
+    tasks = [scene.place(f'job-{number}', worker) for number in range(2)]
+    scene.resize(worker, cores)
+    for task in tasks:
+        scene.commands.start(task)
+    scene.run()
+    assert len(scene.client.starts) == started
+    assert len(scene.cluster.ready) == 2 - started
+    assert worker.used.fits(worker.entry.capacity)
+    assert scene.client.stops == []
+    assert len(scene.wakes) == 2 - started
+
+
+def test_running_tasks_go_on_where_a_start_is_withdrawn() -> None:
+    """A worker that shrank below what runs there got another start."""
+    scene = CommandScene()
+    worker = scene.add_worker('w')
+    admit(scene.cluster, make_job('running', make_step(demand=Room(4.0, 1000))))
+    running = find_task(scene.cluster, 'running')
+    run_task(scene.cluster, running, worker)
+    task = scene.place('job', worker)
+    scene.resize(worker, 3.0)
+    scene.commands.start(task)
+    scene.run()
+    assert scene.client.starts == scene.client.stops == []
+    assert (running.phase, task.phase) == (TaskPhase.RUNNING, TaskPhase.WAITING)
+
+
+def test_a_gang_is_withdrawn_as_a_whole() -> None:
+    """A member whose worker had shrunk was missing, and the others waited."""
+    scene = CommandScene()
+    large, small = scene.add_worker('large'), scene.add_worker('small')
+    admit(scene.cluster, make_job('gang', make_step(count=2, gang=True)))
+    members = [find_task(scene.cluster, 'gang', 0, n) for n in range(2)]
+    scene.cluster.assign_run_number(members)
+    for member, worker in zip(members, (large, small), strict=True):
+        scene.cluster.place_with_run_number(member, worker, 0.0)
+    scene.resize(small, 1.0)
+    for member in members:
+        scene.commands.start(member)
+    scene.run()
+    assert scene.client.starts == scene.client.stops == []
+    assert [member.phase for member in members] == [TaskPhase.WAITING] * 2
+    assert not large.tasks
+
+
+def test_sent_members_of_a_withdrawn_gang_are_stopped() -> None:
+    """A member that was sent before its gang was withdrawn waited alone."""
+    scene = CommandScene()
+    large, small = scene.add_worker('large'), scene.add_worker('small')
+    admit(scene.cluster, make_job('gang', make_step(count=2, gang=True)))
+    sent, unsent = (find_task(scene.cluster, 'gang', 0, n) for n in range(2))
+    scene.cluster.assign_run_number([sent, unsent])
+    scene.cluster.place_with_run_number(sent, large, 0.0)
+    scene.cluster.place_with_run_number(unsent, small, 0.0)
+    scene.commands.start(sent)
+    scene.run()
+    scene.resize(small, 1.0)
+    scene.commands.start(unsent)
+    scene.run()
+    assert scene.client.starts == scene.client.stops == [str(sent.id)]
+    assert sent.phase is TaskPhase.STOPPING
+    assert unsent.phase is TaskPhase.WAITING
