Do not repeat starts to a worker that has shrunk

What callers see: tasks on a worker run beyond its capacity.

Cause: a start without an answer is sent again until its deadline, 3 s. The first copy may be lost, the worker may register a smaller capacity meanwhile, and a later copy is executed all the same.

Ruled out: giving the task back at once, as the lost copy may have been executed and the task would run twice; stopping it, as running tasks are not to be stopped because their worker has shrunk.

Change: a start is not repeated while the reservations on its worker exceed the capacity. The worker's reports then show that it runs, or that its deadline has passed, as before. It is repeated again if the capacity returns before that.

Figures: the new test failed before (three more copies in 2.5 s, none expected) and passes now. 53 tests of commands, sessions and structure pass.

A copy that is on its way when the capacity shrinks can't be called back.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -114,8 +114,7 @@
         is_first = True
         pause = RETRY_SECONDS
         while task.phase is TaskPhase.STARTING and task.run == run:
-            if not is_first and not session.worker.reachable:
-                # Its next incarnation would execute the start as well.
+            if not is_first and not _may_repeat_start(session.worker):
                 pause = await _back_off(pause)
                 continue
             answer = await self.worker_client.start(
@@ -294,6 +293,16 @@
             pause = await _back_off(pause)
 
 
+def _may_repeat_start(worker: Worker) -> bool:
+    """Returns whether an unanswered start may be sent again.
+
+    The next incarnation of an unreachable worker would execute it as well. An
+    overcommitted worker may have missed the earlier copies, and its reports
+    show whether it did.
+    """
+    return worker.reachable and not worker.is_overcommitted
+
+
 def _is_accepted(status: CallStatus) -> bool:
     return status not in (CallStatus.UNKNOWN, CallStatus.REFUSED)
 
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -38,6 +38,9 @@
 
 CLOCK_MS = 1000
 
+REPEATING_SECONDS = 2.5
+"""Time in which an unanswered start is repeated several times."""
+
 
 @attrs.define(eq=False)
 class RecordingClient(WorkerClient):
@@ -205,3 +208,32 @@
     assert scene.client.starts == scene.client.stops == [str(sent.id)]
     assert sent.phase is TaskPhase.STOPPING
     assert unsent.phase is TaskPhase.WAITING
+
+
+def test_an_unanswered_start_is_not_repeated_to_a_worker_that_has_shrunk() -> (
+    None
+):
+    """The first copy was lost, and a later one overloaded the worker."""
+    scene = CommandScene()
+    worker = scene.add_worker('w')
+    scene.client.start_status = CallStatus.UNKNOWN
+    task = scene.place('job', worker)
+    scene.commands.start(task)
+
+    async def play() -> None:
+        command = asyncio.create_task(scene.sent.pop())
+        await asyncio.sleep(REPEATING_SECONDS)
+        repeated = len(scene.client.starts)
+        assert repeated > 1
+        scene.resize(worker, 1.0)
+        await asyncio.sleep(REPEATING_SECONDS)
+        assert len(scene.client.starts) == repeated
+        assert scene.client.stops == []
+        assert task.phase is TaskPhase.STARTING
+        scene.resize(worker, 8.0)
+        await asyncio.sleep(REPEATING_SECONDS)
+        assert len(scene.client.starts) > repeated
+        scene.cluster.reject_start(task, task.run)
+        await command
+
+    run_virtual(play(), scene.clock)
