Leave out a worker for a second after it had no room for a start

What callers see: their tasks start late, and starts are rejected in a row.

Cause: a worker that guards its capacity rejects starts as soon as it has shrunk, while its registration tells of it a heartbeat and a read later. Until then each pass, every some 10 ms, placed the rejected task there again.

Ruled out: quarantine with probation, as nothing is wrong with the worker.

Change: such a worker gets no tasks for a second, like one that refused a start as unhealthy; by then its registration was usually read again.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -33,6 +33,11 @@
 """Upper bound on that delay."""
 
 
+_PAUSING = frozenset({CallStatus.REFUSED, CallStatus.NO_ROOM})
+"""Rejections after which a worker gets no tasks for a while. One without room
+may have shrunk, which its registration shows only later."""
+
+
 @attrs.define(eq=False)
 class CommandSender:
     """Sends start, stop and throttle commands until their outcome is known.
@@ -208,7 +213,7 @@
             self.stop(task)
             return
         worker = self.cluster.workers.get(task.worker)
-        if worker is not None and status is CallStatus.REFUSED:
+        if worker is not None and status in _PAUSING:
             worker.quarantined_until = self.monotonic() + FORGET_SECONDS
         self.cluster.reject_start(task, run)
         self.wake()
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -47,7 +47,8 @@
 
 FORGET_SECONDS = 1.0
 """Delay before the session of an unregistered worker without tasks ends; also
-the time for which a worker that refused a start gets no tasks."""
+the time for which a worker that refused a start, or had no room for it, gets no
+tasks."""
 
 
 class SessionListener(Protocol):
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -11,7 +11,7 @@
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.worker_commands import CommandSender
-from lentilmount.control.worker_session import WorkerSession
+from lentilmount.control.worker_session import FORGET_SECONDS, WorkerSession
 from lentilmount.platform.workers import (
     CallStatus,
     CommandAnswer,
@@ -20,7 +20,9 @@
 )
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
+from lentilmount.scheduling.placement import Placer
 from lentilmount.scheduling.reports import WorkerEntry
 from lentilmount.scheduling.specs import StepSpec
 from lentilmount.upstream.http import HttpClient
@@ -32,11 +34,13 @@
     make_entry,
     make_job,
     make_step,
+    run_pass,
     run_task,
 )
 from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
 
 CLOCK_MS = 1000
+PASS_SECONDS = 0.1
 
 REPEATING_SECONDS = 2.5
 """Time in which an unanswered start is repeated several times."""
@@ -237,3 +241,20 @@
         await command
 
     run_virtual(play(), scene.clock)
+
+
+def test_a_worker_that_rejects_a_start_for_room_is_left_out_for_a_while() -> (
+    None
+):
+    """Tasks were placed in each pass on a worker that rejected them."""
+    scene = CommandScene()
+    worker = scene.add_worker('w')
+    scene.client.start_status = CallStatus.NO_ROOM
+    task = scene.place('job', worker)
+    scene.commands.start(task)
+    scene.run()
+    assert task.phase is TaskPhase.WAITING
+    now = scene.clock.monotonic()
+    placer = Placer(scene.cluster, InterferenceModel())
+    assert run_pass(placer, now + PASS_SECONDS) == []
+    assert run_pass(placer, now + FORGET_SECONDS) == [(task, worker)]
