Stop a gang of which a member was rejected

What callers see: a gang waits in vain until it ends alone, and runs only then.

Cause: where a worker rejects the start of one member, for example as it has shrunk and guards its capacity, only that member went back to the queue. The others kept waiting on their workers for a member that could not be placed without them, until their time for that had passed.

Ruled out: placing the one member again: all members of a run carry one number, which the rejecting worker may not accept again.

Change: a rejection withdraws all members: those not sent yet go back to the queue, the others are stopped, and the gang is placed again as a whole.

Gangs of which a member is never answered, or whose worker is lost, may still end alone.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -112,7 +112,7 @@
             return
         together = self._list_members(task)
         if any(self._is_overcommitted(member) for member in together):
-            self._withdraw(together)
+            self._withdraw(together, 'the worker has become too small')
             return
         command = self._make_start(session, task, run)
         session.add_unanswered_start(command.task, run)
@@ -156,16 +156,21 @@
         worker = self.cluster.workers.get(task.worker)
         return worker is not None and worker.is_overcommitted
 
-    def _withdraw(self, tasks: list[Task]) -> None:
+    def _withdraw(self, tasks: list[Task], reason: str) -> None:
         """Requeues placed tasks, none of which may start without the others.
 
         A task of which no copy was sent certainly does not run. The others are
         stopped.
+
+        Args:
+          tasks: The tasks.
+          reason: Reason that is logged.
         """
         for task in tasks:
             if task.phase is TaskPhase.STARTING and not task.start_deadline_ms:
                 log.info(
-                    'Not started: the worker has become too small.',
+                    'Not started: {}.',
+                    reason,
                     extra={
                         'task': str(task.id),
                         'run': task.run,
@@ -206,6 +211,14 @@
             status.value,
             extra={'task': str(task.id), 'run': run, 'worker': task.worker},
         )
+        self._settle_rejection(task, run, status, may_be_executed)
+        if task.spec.gang:
+            members = self.cluster.list_step_tasks(task)
+            self._withdraw(members, 'another member was rejected')
+
+    def _settle_rejection(
+        self, task: Task, run: int, status: CallStatus, may_be_executed: bool
+    ) -> None:
         if may_be_executed:
             # The worker may still execute an earlier copy of the start; a stop
             # of the same run prevents that.
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -258,3 +258,27 @@
     placer = Placer(scene.cluster, InterferenceModel())
     assert run_pass(placer, now + PASS_SECONDS) == []
     assert run_pass(placer, now + FORGET_SECONDS) == [(task, worker)]
+
+
+@pytest.mark.parametrize('status', [CallStatus.NO_ROOM, CallStatus.TOO_LATE])
+def test_a_gang_of_which_a_member_was_rejected_is_stopped(
+    status: CallStatus,
+) -> None:
+    """The other members waited for one whose worker had no room for it."""
+    scene = CommandScene()
+    large, small = scene.add_worker('large'), scene.add_worker('small')
+    admit(scene.cluster, make_job('gang', make_step(count=2, gang=True)))
+    started, rejected = (
+        find_task(scene.cluster, 'gang', 0, n) for n in range(2)
+    )
+    scene.cluster.assign_run_number([started, rejected])
+    scene.cluster.place_with_run_number(started, large, 0.0)
+    scene.cluster.place_with_run_number(rejected, small, 0.0)
+    scene.commands.start(started)
+    scene.run()
+    scene.client.start_status = status
+    scene.commands.start(rejected)
+    scene.run()
+    assert scene.client.stops == [str(started.id)]
+    assert started.phase is TaskPhase.STOPPING
+    assert rejected.phase is TaskPhase.WAITING
