Start no tasks by outdated registrations

What callers see: tasks on a worker run beyond its capacity.

Cause: the capacity of a worker is known from its registration in the store alone, and the last one read was used for any length of time: in an outage of the store, in which starts go on unrecorded; where the list takes seconds to arrive; for 2.2 s after an outage, in which a missing or unreadable entry does not unregister its worker; and for starts that waited for a write through an outage and were sent with its end, before the list was read again.

Ruled out: the reports of workers, which go on in an outage: they list runs and no capacity. Counting the age from the answer: a list may be on its way for 5 s. Unregistering such workers: they are still polled and keep their leases.

Change: a registration carries the time at which it was requested. Once that is 2.5 s ago, its worker gets no new tasks, starts of which no copy was sent go back to the queue, and unanswered ones are not repeated. A smaller capacity binds starts at the earliest 3 s and a heartbeat after it shrank, and each registration is as new as a heartbeat; half a second is left for the call.

The price is not measured: in an outage of over 2.5 s, accepted tasks now wait for its end. Where workers guard their capacity this would not be needed; an owner does not know which do.

--- a/lentilmount/control/registry.py
+++ b/lentilmount/control/registry.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 
+import attrs
 import logbook
 
 from lentilmount.coordination.table import UnavailableError
@@ -81,7 +82,7 @@
                 unreadable.add(row.key)
             elif entry.service == service:
                 seen.add(entry.id)
-                on_entry(entry)
+                on_entry(attrs.evolve(entry, read_at=sent_at))
         if sent_at >= complete_from:
             for worker_id in known - seen:
                 on_missing(worker_id)
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -111,15 +111,15 @@
         if session is None or not is_due:
             return
         together = self._list_members(task)
-        if any(self._is_overcommitted(member) for member in together):
-            self._withdraw(together, 'the worker has become too small')
+        if any(self._may_overcommit(member) for member in together):
+            self._withdraw(together, 'the worker may be too small by now')
             return
         command = self._make_start(session, task, run)
         session.add_unanswered_start(command.task, run)
         is_first = True
         pause = RETRY_SECONDS
         while task.phase is TaskPhase.STARTING and task.run == run:
-            if not is_first and not _may_repeat_start(session.worker):
+            if not is_first and not self._may_repeat_start(session):
                 pause = await _back_off(pause)
                 continue
             answer = await self.worker_client.start(
@@ -152,9 +152,12 @@
             return [task]
         return self.cluster.list_step_tasks(task)
 
-    def _is_overcommitted(self, task: Task) -> bool:
+    def _may_overcommit(self, task: Task) -> bool:
+        """Returns whether a placed task may exceed its worker's capacity."""
         worker = self.cluster.workers.get(task.worker)
-        return worker is not None and worker.is_overcommitted
+        return worker is not None and worker.may_be_overcommitted(
+            self.monotonic()
+        )
 
     def _withdraw(self, tasks: list[Task], reason: str) -> None:
         """Requeues placed tasks, none of which may start without the others.
@@ -197,6 +200,18 @@
             ticket=self.get_ticket(task, session.worker),
         )
 
+    def _may_repeat_start(self, session: WorkerSession) -> bool:
+        """Returns whether an unanswered start may be sent again.
+
+        The next incarnation of an unreachable worker would execute it as well.
+        An overcommitted worker may have missed the earlier copies, and its
+        reports show whether it did.
+        """
+        worker = session.worker
+        return worker.reachable and not worker.may_be_overcommitted(
+            self.monotonic()
+        )
+
     def _record_answer(
         self, session: WorkerSession, answer: CommandAnswer
     ) -> None:
@@ -311,16 +326,6 @@
             pause = await _back_off(pause)
 
 
-def _may_repeat_start(worker: Worker) -> bool:
-    """Returns whether an unanswered start may be sent again.
-
-    The next incarnation of an unreachable worker would execute it as well. An
-    overcommitted worker may have missed the earlier copies, and its reports
-    show whether it did.
-    """
-    return worker.reachable and not worker.is_overcommitted
-
-
 def _is_accepted(status: CallStatus) -> bool:
     return status not in (CallStatus.UNKNOWN, CallStatus.REFUSED)
 
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -199,6 +199,11 @@
     at: float
 
 
+MAX_REGISTRATION_AGE_SECONDS = 2.5
+"""Longest time in seconds for which a registration is used to start tasks. A
+capacity that has shrunk binds starts from 3 s after it was registered."""
+
+
 @attrs.define(eq=False)
 class Worker:
     """State of a worker as known to the owner.
@@ -270,10 +275,14 @@
             self._used = total
         return self._used
 
-    @property
-    def is_overcommitted(self) -> bool:
-        """Whether its tasks reserve more than its current capacity."""
-        return not self.used.fits(self.entry.capacity)
+    def is_registration_outdated(self, now: float) -> bool:
+        """Returns whether its capacity may have shrunk since it was read."""
+        return now - self.entry.read_at > MAX_REGISTRATION_AGE_SECONDS
+
+    def may_be_overcommitted(self, now: float) -> bool:
+        """Returns whether its tasks may reserve more than its capacity."""
+        is_known_to_fit = self.used.fits(self.entry.capacity)
+        return not is_known_to_fit or self.is_registration_outdated(now)
 
     def add(self, task: Task) -> None:
         """Adds a task that runs or will run on the worker."""
--- a/lentilmount/scheduling/reports.py
+++ b/lentilmount/scheduling/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import attrs
 
@@ -31,6 +32,8 @@
       labels: Kind and rack of the worker.
       drain_seconds: Minimum time in seconds that a draining worker remains, or
         None.
+      read_at: Monotonic time at which it was requested from the store; infinity
+        if it is not from there.
     """
 
     id: str
@@ -42,6 +45,7 @@
     capacity: Room
     labels: tuple[str, ...] = ()
     drain_seconds: float | None = None
+    read_at: float = math.inf
 
 
 @attrs.frozen
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -50,7 +50,7 @@
 
 
 @attrs.define(eq=False)
-class _ScriptedTable(PlatformTable):
+class ScriptedTable(PlatformTable):
     """Returns scripted answers, each after the seconds that it takes.
 
     Attributes:
@@ -89,7 +89,7 @@
     unregistered: list[str] = []
 
     async def play() -> None:
-        table = _ScriptedTable(clock, answers)
+        table = ScriptedTable(clock, answers)
         await poll_workers(
             table,
             'desk',
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lentilmount.clock import ManualClock
+from lentilmount.control import registry
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.control.worker_session import FORGET_SECONDS, WorkerSession
 from lentilmount.platform.workers import (
@@ -21,12 +22,18 @@
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.interference import InterferenceModel
-from lentilmount.scheduling.model import Task, TaskPhase, Worker
+from lentilmount.scheduling.model import (
+    MAX_REGISTRATION_AGE_SECONDS,
+    Task,
+    TaskPhase,
+    Worker,
+)
 from lentilmount.scheduling.placement import Placer
 from lentilmount.scheduling.reports import WorkerEntry
 from lentilmount.scheduling.specs import StepSpec
 from lentilmount.upstream.http import HttpClient
 from stand_ins.virtual_time import run_virtual
+from tests.helpers import run
 from tests.scheduling_fixtures import (
     add_worker,
     admit,
@@ -37,10 +44,12 @@
     run_pass,
     run_task,
 )
+from tests.test_registry import ScriptedTable
 from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
 
 CLOCK_MS = 1000
 PASS_SECONDS = 0.1
+READ_AT = 10.0
 
 REPEATING_SECONDS = 2.5
 """Time in which an unanswered start is repeated several times."""
@@ -282,3 +291,60 @@
     assert scene.client.stops == [str(started.id)]
     assert started.phase is TaskPhase.STOPPING
     assert rejected.phase is TaskPhase.WAITING
+
+
+def test_no_task_is_placed_by_an_outdated_registration() -> None:
+    """Tasks were placed while nothing could tell that a worker had shrunk."""
+    cluster = ClusterState()
+    worker = add_worker(cluster, 'w', read_at=READ_AT)
+    admit(cluster, make_job('job', make_step(count=2)))
+    first, second = (find_task(cluster, 'job', 0, n) for n in range(2))
+    placer = Placer(cluster, InterferenceModel())
+    outdated_at = READ_AT + MAX_REGISTRATION_AGE_SECONDS
+    cluster.ready.pop(second.id)
+    assert run_pass(placer, outdated_at) == [(first, worker)]
+    cluster.ready[second.id] = second
+    assert run_pass(placer, outdated_at + PASS_SECONDS) == []
+    cluster.register_worker(make_entry('w', read_at=outdated_at))
+    assert run_pass(placer, outdated_at + PASS_SECONDS) == [(second, worker)]
+
+
+def test_placed_starts_are_not_sent_by_an_outdated_registration() -> None:
+    """Starts were sent after an outage before the registrations were read."""
+    scene = CommandScene()
+    worker = scene.add_worker('w')
+    now = scene.clock.monotonic()
+    scene.cluster.register_worker(make_entry('w', read_at=now))
+    tasks = [scene.place(f'job-{number}', worker) for number in range(2)]
+    scene.clock.advance(MAX_REGISTRATION_AGE_SECONDS)
+    scene.commands.start(tasks[0])
+    scene.run()
+    scene.clock.advance(PASS_SECONDS)
+    scene.commands.start(tasks[1])
+    scene.run()
+    assert scene.client.starts == [str(tasks[0].id)]
+    assert tasks[1].phase is TaskPhase.WAITING
+
+
+def test_the_age_of_a_registration_counts_from_the_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A list that took seconds to arrive counted as new."""
+    monkeypatch.setattr(registry, 'POLL_SECONDS', 0.0)
+    clock = ManualClock()
+    first = clock.monotonic()
+    answers = [(0.5, 'a'), (4.0, None), (3.0, 'a')]
+    entries: list[WorkerEntry] = []
+
+    async def play() -> None:
+        await registry.poll_workers(
+            ScriptedTable(clock, answers),
+            'desk',
+            entries.append,
+            lambda worker_id: None,
+            clock.monotonic,
+        )
+
+    with pytest.raises(asyncio.CancelledError):
+        run(play())
+    assert [entry.read_at - first for entry in entries] == [0.0, 4.5]
