Ignore registrations whose capacity is not a number

What callers see: tasks on a worker run beyond its capacity, or none is placed.

Cause: an entry of the list may come from another writer, with fields of another type. Texts, which JSON keeps apart from numbers, were converted: 'inf' made a worker endless, 'nan' made the largest free amount undefined, which rules out every step in a pass, and true was a thousandth of a core.

Ruled out: a missing capacity, an empty text and none at all, which were rejected before; an amount that is missing is 0 and stays so.

Change: an amount that is neither a number nor empty, or is negative, makes the whole entry invalid, like a missing capacity.

--- a/lentilmount/platform/documents.py
+++ b/lentilmount/platform/documents.py
@@ -234,7 +234,7 @@
             service=service,
             zone=zone,
             state=WorkerState(document['state']),
-            capacity=_decode_room(document['capacity']),
+            capacity=_decode_capacity(document['capacity']),
             labels=labels,
             # 'remainingMs' is the least time that the worker stays.
             drain_seconds=None
@@ -245,6 +245,18 @@
         return None
 
 
+def _decode_capacity(document: Mapping[str, Any]) -> Room:
+    """Decodes the capacity of a worker.
+
+    Raises:
+      ValueError: An amount is not a number, or negative.
+    """
+    amounts = [document.get(name) or 0 for name in ('cpu', 'memMb', 'gpu')]
+    if not all(type(a) in (int, float) and a >= 0 for a in amounts):
+        raise ValueError(f'capacity: {document!r}')
+    return _decode_room(document)
+
+
 def decode_worker_report(body: bytes) -> WorkerReport:
     """Decodes a worker's answer to a poll.
 
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -7,12 +7,14 @@
 from typing import Any
 
 import attrs
+import orjson
 import pytest
 
 from lentilmount.clock import ManualClock
 from lentilmount.control import registry
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.control.worker_session import FORGET_SECONDS, WorkerSession
+from lentilmount.platform.documents import decode_registration
 from lentilmount.platform.workers import (
     CallStatus,
     CommandAnswer,
@@ -348,3 +350,56 @@
     with pytest.raises(asyncio.CancelledError):
         run(play())
     assert [entry.read_at - first for entry in entries] == [0.0, 4.5]
+
+
+@pytest.mark.parametrize(
+    'capacity',
+    [
+        {'cpu': '8000', 'memMb': 1000},
+        {'cpu': 'inf', 'memMb': 1000},
+        {'cpu': 'nan', 'memMb': 1000},
+        {'cpu': True, 'memMb': 1000},
+        {'cpu': 8000, 'memMb': '1000'},
+        {'cpu': 8000, 'memMb': 1000, 'gpu': [1]},
+        {'cpu': 8000, 'memMb': -1},
+        '',
+        None,
+    ],
+)
+def test_a_registration_without_a_valid_capacity_is_ignored(
+    capacity: Any,
+) -> None:
+    """A capacity given as text was read as a number, such as infinity."""
+    assert decode_registration('w', encode_registration(capacity)) is None
+
+
+@pytest.mark.parametrize(
+    ('capacity', 'expected'),
+    [
+        ({}, Room()),
+        ({'cpu': 1500, 'memMb': 64}, Room(1.5, 64)),
+        ({'cpu': 1500.0, 'memMb': 64, 'gpu': 0}, Room(1.5, 64)),
+        ({'memMb': 64, 'gpu': 2}, Room(0.0, 64, 2)),
+    ],
+)
+def test_a_capacity_may_omit_what_a_worker_lacks(
+    capacity: dict[str, float], expected: Room
+) -> None:
+    """A worker that shrinks to nothing must not keep its last capacity."""
+    entry = decode_registration('w', encode_registration(capacity))
+    assert entry is not None
+    assert entry.capacity == expected
+
+
+def encode_registration(capacity: Any) -> bytes:
+    """Returns the registration of a worker, as it writes it."""
+    return orjson.dumps(
+        {
+            'service': 'desk',
+            'address': 'w:1',
+            'zone': 'north',
+            'state': 'ready',
+            'born': 1,
+            'capacity': capacity,
+        }
+    )
