Count stale runs that a worker lists as long as they run

What callers see: tasks on a worker run beyond its capacity.

Cause: a run that a worker lists although its task is placed elsewhere or over is stopped. Until it has ended it holds its room, but no task of the worker stood for it, so that another start was sent beside it.

Ruled out: giving such a worker no tasks at all: most stops of this kind concern tasks that are counted already, and its next report may take 1.5 s.

Change: each report replaces the resources of the stale runs that it lists, and they count as used. Tasks that are being stopped were counted before and count once.

Independent of shrinking; found by looking for it.

--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -251,6 +251,7 @@
     slowdown: float = 1.0
     change_count: int = 0
     _used: Room | None = None
+    _stale: Room = attrs.Factory(Room)
     _ended_tasks: list[EndedTask] = attrs.Factory(list)
 
     @property
@@ -265,11 +266,14 @@
 
     @property
     def used(self) -> Room:
-        """Resources reserved by its tasks, including those being stopped."""
+        """Resources reserved by its tasks, including those being stopped.
+
+        Stale runs that it listed in its last report count as well.
+        """
         if self._used is None:
             # Summed from scratch: incremental additions and subtractions
             # would accumulate rounding errors over hours.
-            total = Room()
+            total = self._stale
             for task in self.tasks.values():
                 total = total.add(task.spec.reserved)
             self._used = total
@@ -290,6 +294,12 @@
         self._used = None
         self.change_count += 1
 
+    def set_stale(self, stale: Room) -> None:
+        """Replaces the resources of the stale runs that it lists."""
+        self._stale = stale
+        self._used = None
+        self.change_count += 1
+
     def remove(self, task: Task) -> None:
         """Removes a task that certainly no longer runs on the worker."""
         if self.tasks.get(task.id) is task:
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import (
@@ -31,6 +32,7 @@
       adopted: Running tasks that were not known to run on the worker.
       expired: Tasks whose start was not carried out before its deadline.
       stale_runs: Runs to be stopped.
+      stale: Resources of those among them that the worker lists.
       unknown_tasks: Formatted ids of running tasks whose job is unknown to this
         owner.
       last_end_number: Number of the newest end in the report. Ends up to it may
@@ -41,6 +43,7 @@
     adopted: list[Task] = attrs.Factory(list)
     expired: list[Task] = attrs.Factory(list)
     stale_runs: list[StaleRun] = attrs.Factory(list)
+    stale: Room = attrs.Factory(Room)
     unknown_tasks: list[str] = attrs.Factory(list)
     last_end_number: int = 0
 
@@ -83,7 +86,7 @@
             result.ended.append((task, EndKind.LAPSED))
         worker.runs_unknown_tasks = bool(result.unknown_tasks)
         worker.has_stale_runs = bool(result.stale_runs)
-        worker.change_count += 1
+        worker.set_stale(result.stale)
         return result
 
     def _list_missing_tasks(
@@ -183,6 +186,7 @@
             result.stale_runs.append(
                 StaleRun(worker.id, run_report.task, run_report.run)
             )
+            result.stale = result.stale.add(task.spec.reserved)
             return None
         if task.confirmed_at == 0.0:
             # Restored from a state row and reported for the first time.
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -31,7 +31,8 @@
     Worker,
 )
 from lentilmount.scheduling.placement import Placer
-from lentilmount.scheduling.reports import WorkerEntry
+from lentilmount.scheduling.reconciliation import Reconciler
+from lentilmount.scheduling.reports import EndKind, WorkerEntry
 from lentilmount.scheduling.specs import StepSpec
 from lentilmount.upstream.http import HttpClient
 from stand_ins.virtual_time import run_virtual
@@ -42,6 +43,8 @@
     find_task,
     make_entry,
     make_job,
+    make_report,
+    make_running,
     make_step,
     run_pass,
     run_task,
@@ -403,3 +406,36 @@
             'capacity': capacity,
         }
     )
+
+
+def test_a_run_that_must_be_stopped_counts_until_it_has_ended() -> None:
+    """A start was sent beside a stale run, whose capacity seemed free."""
+    cluster = ClusterState()
+    worker, other = (add_worker(cluster, name) for name in ('w', 'other'))
+    admit(cluster, make_job('moved', make_step(demand=Room(6.0, 1000))))
+    moved = find_task(cluster, 'moved')
+    run_task(cluster, moved, worker)
+    stale_run = moved.run
+    cluster.end_run(moved, EndKind.LAPSED, 2.0)
+    run_task(cluster, moved, other, 3.0)
+    reconciler = Reconciler(cluster)
+    listed = make_report((make_running(moved, stale_run),))
+    assert reconciler.reconcile(worker, listed, 4.0, 4.0).stale_runs
+    admit(cluster, make_job('job', make_step(demand=Room(4.0, 1000))))
+    placer = Placer(cluster, InterferenceModel())
+    assert run_pass(placer, 4.0) == []
+    reconciler.reconcile(worker, make_report(), 5.0, 5.0)
+    assert run_pass(placer, 5.0) == [(find_task(cluster, 'job'), worker)]
+
+
+def test_a_stopping_task_counts_once_in_reports() -> None:
+    """A task that is being stopped is listed and reserves its room already."""
+    cluster = ClusterState()
+    worker = add_worker(cluster, 'w')
+    admit(cluster, make_job('job', make_step(demand=Room(6.0, 1000))))
+    task = find_task(cluster, 'job')
+    run_task(cluster, task, worker)
+    cluster.begin_stop(task)
+    listed = make_report((make_running(task, task.run),))
+    Reconciler(cluster).reconcile(worker, listed, 4.0, 4.0)
+    assert worker.used == Room(6.0, 1000)
