Guard what was right about workers that shrink

Cause: none; these points were looked at for faults and have none.

Ruled out, each by a test: summaries, headroom slots, records of steps that fit nowhere and candidates of a step that outlive a change of the capacity; a division by a capacity of 0, and costs or moves by negative free resources; a new owner that places tasks before it has read the registrations. A task adopted from a report counts before a start placed earlier is sent; that one needs the check before the first copy of a start.

Change: tests only.

Figures: 17 cases.

Conclusion: right before, except for the adopted task.

--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -41,8 +41,10 @@
     add_worker,
     admit,
     find_task,
+    hand_over,
     make_entry,
     make_job,
+    make_policy,
     make_report,
     make_running,
     make_step,
@@ -439,3 +441,72 @@
     listed = make_report((make_running(task, task.run),))
     Reconciler(cluster).reconcile(worker, listed, 4.0, 4.0)
     assert worker.used == Room(6.0, 1000)
+
+
+@pytest.mark.parametrize('cores', [0.0, 0.5, 4.0])
+@pytest.mark.parametrize(
+    'step',
+    [
+        make_step(),
+        make_step(lasting=True, image='x', target_ms=50.0),
+        make_step(fills=True, image='x'),
+        make_step(count=2, gang=True),
+        make_step(count=3),
+    ],
+    ids=['plain', 'serving', 'best-effort', 'gang', 'wide'],
+)
+def test_each_pass_uses_the_newest_capacity(
+    step: StepSpec, cores: float
+) -> None:
+    """No state that is kept between passes may hide that a worker shrank.
+
+    What runs there exceeds the capacity, so its free resources are negative.
+    """
+    cluster = ClusterState()
+    worker = add_worker(cluster, 'w')
+    full = make_step(demand=Room(5.0, 1000), lasting=True, image='x')
+    admit(cluster, make_job('running', full))
+    run_task(cluster, find_task(cluster, 'running'), worker)
+    placer = Placer(cluster, InterferenceModel())
+    assert run_pass(placer, 4.0) == []
+    cluster.register_worker(make_entry('w', capacity=Room(cores, 16_000)))
+    urgent = make_policy(stretch=99.0)
+    admit(cluster, make_job('urgent', policy=urgent))
+    admit(cluster, make_job('job', step))
+    assert run_pass(placer, 5.0) == []
+    assert placer.choose_moves(5.0) == []
+    cluster.register_worker(make_entry('w', capacity=Room(16.0, 16_000)))
+    assert len(run_pass(placer, 5.1)) == 1 + step.count
+
+
+def test_a_new_owner_places_nothing_before_it_has_read_registrations() -> None:
+    """Rows tell which worker runs a task, and nothing of its capacity."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job', make_step(count=2)))
+    worker = add_worker(cluster, 'w')
+    cluster.place([find_task(cluster, 'job')], worker, 1.0)
+    successor = hand_over(cluster)
+    successor.workers['w'].has_answered = True
+    successor.workers['w'].reachable = True
+    placer = Placer(successor, InterferenceModel())
+    assert run_pass(placer, 5.0) == []
+    successor.register_worker(make_entry('w', capacity=Room(2.0, 16_000)))
+    assert run_pass(placer, 5.0) == []
+    successor.register_worker(make_entry('w', capacity=Room(4.0, 16_000)))
+    assert len(run_pass(placer, 5.0)) == 1
+
+
+def test_a_task_adopted_from_a_report_counts_before_a_start_is_sent() -> None:
+    """A worker listed an unknown run after a start was placed beside it."""
+    scene = CommandScene()
+    worker = scene.add_worker('w')
+    admit(scene.cluster, make_job('inherited', make_step(demand=Room(7.0, 1))))
+    inherited = find_task(scene.cluster, 'inherited')
+    task = scene.place('job', worker)
+    listed = make_report((make_running(inherited, 1),))
+    Reconciler(scene.cluster).reconcile(worker, listed, 4.0, 4.0)
+    assert inherited.phase is TaskPhase.RUNNING
+    scene.commands.start(task)
+    scene.run()
+    assert scene.client.starts == []
+    assert task.phase is TaskPhase.WAITING
