Play random changes of capacity against placements and their starts

Cause: none; the tests so far play one order of events each.

Ruled out: adding the rule to the machine of the placement tests, which confirms starts at once and whose invariant a worker that shrinks breaks rightly.

Change: a test only: a state machine of jobs, gangs, passes, writes that end later, changes of capacity and run ends, in which no start may bring a worker over the capacity that it has registered.

Conclusion: holds for these examples.

--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Coroutine
 from typing import Any
 
 import attrs
 import orjson
 import pytest
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lentilmount.clock import ManualClock
 from lentilmount.control import registry
@@ -510,3 +513,110 @@
     scene.run()
     assert scene.client.starts == []
     assert task.phase is TaskPhase.WAITING
+
+
+@attrs.define(eq=False)
+class ResizedWorkers(RecordingClient):
+    """Workers that start whatever they are told to.
+
+    Attributes:
+      cluster: Cluster state of their owner.
+      running: Tasks that run, by worker id.
+      overloaded: Ids of the workers that a start brought over their capacity.
+    """
+
+    cluster: ClusterState = attrs.field(factory=ClusterState)
+    running: dict[str, list[Task]] = attrs.Factory(
+        lambda: collections.defaultdict(list)
+    )
+    overloaded: list[str] = attrs.Factory(list)
+
+    async def start(
+        self, worker: WorkerEntry, command: StartCommand
+    ) -> CommandAnswer:
+        """See `WorkerClient`."""
+        task = self.cluster.find_task(command.task)
+        assert task is not None
+        running = self.running[worker.id]
+        running.append(task)
+        used = Room()
+        for other in running:
+            used = used.add(other.spec.reserved)
+        if not used.fits(worker.capacity):
+            self.overloaded.append(worker.id)
+        return CommandAnswer(CallStatus.DONE, CLOCK_MS)
+
+
+class ShrinkingMachine(RuleBasedStateMachine):
+    """Random placements, writes that end later, and changes of capacity."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.client = ResizedWorkers(HttpClient(''), 1, 1.0)
+        self.scene = CommandScene(client=self.client)
+        self.cluster = self.client.cluster = self.scene.cluster
+        self.placer = Placer(self.cluster, InterferenceModel())
+        self.written: list[Task] = []
+        self.jobs = 0
+        for number in range(3):
+            self.scene.add_worker(f'w{number}')
+
+    @rule(
+        count=strategies.integers(1, 4),
+        cores=strategies.integers(1, 6),
+        fills=strategies.booleans(),
+        gang=strategies.booleans(),
+    )
+    def submit(self, count: int, cores: int, fills: bool, gang: bool) -> None:
+        step = make_step(
+            count=count,
+            demand=Room(float(cores), 3000),
+            fills=fills,
+            gang=gang,
+            image='f' if fills else '',
+        )
+        admit(self.cluster, make_job(f'j{self.jobs}', step))
+        self.jobs += 1
+        self.run_placement_pass()
+
+    @rule()
+    def run_placement_pass(self) -> None:
+        self.scene.clock.advance(PASS_SECONDS)
+        placed = run_pass(self.placer, self.scene.clock.monotonic())
+        self.written += [task for task, _ in placed]
+
+    @rule()
+    def finish_write(self) -> None:
+        for task in self.written:
+            self.scene.commands.start(task)
+        self.written.clear()
+        self.scene.run()
+
+    @rule(number=strategies.integers(0, 2), cores=strategies.integers(0, 9))
+    def resize(self, number: int, cores: int) -> None:
+        self.scene.resize(self.cluster.workers[f'w{number}'], float(cores))
+
+    @rule(
+        number=strategies.integers(0, 2),
+        kind=strategies.sampled_from([EndKind.DONE, EndKind.LAPSED]),
+    )
+    def end(self, number: int, kind: EndKind) -> None:
+        running = self.client.running[f'w{number}']
+        for task in running[:1]:
+            running.remove(task)
+            self.cluster.end_run(task, kind, self.scene.clock.monotonic())
+
+    @invariant()
+    def no_start_exceeds_the_capacity(self) -> None:
+        assert self.client.overloaded == []
+
+    @invariant()
+    def what_runs_is_placed_there(self) -> None:
+        for name, running in self.client.running.items():
+            assert all(task.worker == name for task in running)
+
+
+ShrinkingMachine.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestShrinkingMachine = ShrinkingMachine.TestCase
