End reservations on workers that have shrunk

What callers see: short tasks wait although a worker has room for them.

Cause: a worker reserved for an interrupted long-running task stays so for 2 s. The reservation was not looked at again, so a worker that had shrunk below that task got no other tasks in that time, and no other worker was reserved.

Ruled out: a start beyond the capacity, which a reservation never led to: the task is placed only where it fits.

Change: a reservation ends once the task would not fit there even after the short tasks have ended, and another worker is chosen.

--- a/lentilmount/scheduling/reservations.py
+++ b/lentilmount/scheduling/reservations.py
@@ -67,7 +67,10 @@
         reservation = self._reservations.get(task)
         if reservation is not None:
             found = (v for v in views if v.worker.id == reservation.worker)
-            return next(found, None)
+            view = next(found, None)
+            if view is None or _may_fit(task, view):
+                return view
+            del self._reservations[task]
         reserved_count = sum(
             reservation.worker != ''
             for reservation in self._reservations.values()
@@ -87,14 +90,14 @@
 
 def _choose_worker(task: Task, views: list[WorkerView]) -> WorkerView | None:
     """Chooses the worker where a task is likely to fit first."""
-    reserved = task.spec.reserved
-    suitable = [
-        v
-        for v in views
-        if reserved.fits(v.free_after_short_tasks) and v.accepts(task)
-    ]
+    suitable = [v for v in views if _may_fit(task, v) and v.accepts(task)]
     chosen = max(suitable, key=lambda view: view.free.cores, default=None)
-    if chosen is not None and reserved.fits(chosen.free):
+    if chosen is not None and task.spec.reserved.fits(chosen.free):
         # The task fits already, so it waits for something else.
         return None
     return chosen
+
+
+def _may_fit(task: Task, view: WorkerView) -> bool:
+    """Returns whether a task fits once the short tasks there have ended."""
+    return task.spec.reserved.fits(view.free_after_short_tasks)
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -36,7 +36,9 @@
 from lentilmount.scheduling.placement import Placer
 from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import EndKind, WorkerEntry
+from lentilmount.scheduling.reservations import WorkerReservations
 from lentilmount.scheduling.specs import StepSpec
+from lentilmount.scheduling.views import WorkerViews
 from lentilmount.upstream.http import HttpClient
 from stand_ins.virtual_time import run_virtual
 from tests.helpers import run
@@ -515,6 +517,28 @@
     assert task.phase is TaskPhase.WAITING
 
 
+def test_a_reservation_ends_where_the_worker_has_shrunk() -> None:
+    """A worker was held for a task that would not fit there any more."""
+    cluster = ClusterState()
+    names = ('w', 'other')
+    for name, cores in zip(names, (5.0, 4.0), strict=True):
+        worker = add_worker(cluster, name, capacity=Room(cores, 64_000))
+        step = make_step(demand=Room(3.0, 1000))
+        admit(cluster, make_job(f'short-{name}', step))
+        run_task(cluster, find_task(cluster, f'short-{name}'), worker)
+    admit(cluster, make_job('job', make_step(demand=Room(4.0, 1000))))
+    task = find_task(cluster, 'job')
+    reservations = WorkerReservations()
+    views = WorkerViews(cluster, InterferenceModel())
+    reserved = []
+    for cores in (5.0, 3.5):
+        cluster.register_worker(make_entry('w', capacity=Room(cores, 64_000)))
+        view = reservations.reserve(task, views.list_open(2.0), 2.0)
+        assert view is not None
+        reserved.append(view.worker.id)
+    assert reserved == ['w', 'other']
+
+
 @attrs.define(eq=False)
 class ResizedWorkers(RecordingClient):
     """Workers that start whatever they are told to.
