--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -33,6 +33,11 @@
 """Upper bound on that delay."""
 
 
+_PAUSING = frozenset({CallStatus.REFUSED, CallStatus.NO_ROOM})
+"""Rejections after which a worker gets no tasks for a while. One without room
+may have shrunk, which its registration shows only later."""
+
+
 @attrs.define(eq=False)
 class CommandSender:
     """Sends start, stop and throttle commands until their outcome is known.
@@ -105,15 +110,17 @@
         is_due = task.phase is TaskPhase.STARTING and task.run == run
         if session is None or not is_due:
             return
+        together = self._list_members(task)
+        if any(self._may_overcommit(member) for member in together):
+            self._withdraw(together, 'the worker may be too small by now')
+            return
         command = self._make_start(session, task, run)
         session.add_unanswered_start(command.task, run)
         is_first = True
         sent_at = 0.0
         pause = RETRY_SECONDS
         while task.phase is TaskPhase.STARTING and task.run == run:
-            if not is_first and not session.is_asked_since(sent_at):
-                # It may have crashed, and its next incarnation would execute
-                # the start as well.
+            if not is_first and not self._may_repeat_start(session, sent_at):
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             sent_at = task.start_sent_at = self.monotonic()
@@ -141,6 +148,46 @@
             pause = await _back_off(pause)
         await self._probe(session, command.task, run)
 
+    def _list_members(self, task: Task) -> list[Task]:
+        """Lists the tasks that must start together with a task."""
+        if not task.spec.gang:
+            return [task]
+        return self.cluster.list_step_tasks(task)
+
+    def _may_overcommit(self, task: Task) -> bool:
+        """Returns whether a placed task may exceed its worker's capacity."""
+        worker = self.cluster.workers.get(task.worker)
+        return worker is not None and worker.may_be_overcommitted(
+            self.monotonic()
+        )
+
+    def _withdraw(self, tasks: list[Task], reason: str) -> None:
+        """Requeues placed tasks, none of which may start without the others.
+
+        A task of which no copy was sent certainly does not run. The others are
+        stopped.
+
+        Args:
+          tasks: The tasks.
+          reason: Reason that is logged.
+        """
+        for task in tasks:
+            if task.phase is TaskPhase.STARTING and not task.start_deadline_ms:
+                log.info(
+                    'Not started: {}.',
+                    reason,
+                    extra={
+                        'task': str(task.id),
+                        'run': task.run,
+                        'worker': task.worker,
+                    },
+                )
+                self.cluster.reject_start(task, task.run)
+            elif task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
+                self.cluster.begin_stop(task)
+                self.stop(task)
+        self.wake()
+
     def _make_start(
         self, session: WorkerSession, task: Task, run: int
     ) -> StartCommand:
@@ -155,6 +202,21 @@
             ticket=self.get_ticket(task, session.worker),
         )
 
+    def _may_repeat_start(self, session: WorkerSession, sent_at: float) -> bool:
+        """Returns whether an unanswered start may be sent again.
+
+        The worker may have crashed, and its next incarnation would execute the
+        start as well. An overcommitted worker may have missed the earlier
+        copies, and its reports show whether it did.
+
+        Args:
+          session: Session of the worker.
+          sent_at: Monotonic time at which the last copy was sent.
+        """
+        return session.is_asked_since(
+            sent_at
+        ) and not session.worker.may_be_overcommitted(self.monotonic())
+
     async def _call(
         self, session: WorkerSession, call: Awaitable[CommandAnswer]
     ) -> CommandAnswer:
@@ -179,6 +241,14 @@
             status.value,
             extra={'task': str(task.id), 'run': run, 'worker': task.worker},
         )
+        self._settle_rejection(task, run, status, may_be_executed)
+        if task.spec.gang:
+            members = self.cluster.list_step_tasks(task)
+            self._withdraw(members, 'another member was rejected')
+
+    def _settle_rejection(
+        self, task: Task, run: int, status: CallStatus, may_be_executed: bool
+    ) -> None:
         if may_be_executed:
             # The worker may still execute an earlier copy of the start; a stop
             # of the same run prevents that.
@@ -186,7 +256,7 @@
             self.stop(task)
             return
         worker = self.cluster.workers.get(task.worker)
-        if worker is not None and status is CallStatus.REFUSED:
+        if worker is not None and status in _PAUSING:
             worker.quarantined_until = self.monotonic() + FORGET_SECONDS
         self.cluster.reject_start(task, run)
         self.wake()
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -205,6 +205,11 @@
     at: float
 
 
+MAX_REGISTRATION_AGE_SECONDS = 2.5
+"""Longest time in seconds for which a registration is used to start tasks. A
+capacity that has shrunk binds starts from 3 s after it was registered."""
+
+
 @attrs.define(eq=False)
 class Worker:
     """State of a worker as known to the owner.
@@ -260,6 +265,7 @@
     slowdown: float = 1.0
     change_count: int = 0
     _used: Room | None = None
+    _stale: Room = attrs.Factory(Room)
     _ended_tasks: list[EndedTask] = attrs.Factory(list)
 
     @property
@@ -280,22 +286,40 @@
 
     @property
     def used(self) -> Room:
-        """Resources reserved by its tasks, including those being stopped."""
+        """Resources reserved by its tasks, including those being stopped.
+
+        Stale runs that it listed in its last report count as well.
+        """
         if self._used is None:
             # Summed from scratch: incremental additions and subtractions
             # would accumulate rounding errors over hours.
-            total = Room()
+            total = self._stale
             for task in self.tasks.values():
                 total = total.add(task.spec.reserved)
             self._used = total
         return self._used
 
+    def is_registration_outdated(self, now: float) -> bool:
+        """Returns whether its capacity may have shrunk since it was read."""
+        return now - self.entry.read_at > MAX_REGISTRATION_AGE_SECONDS
+
+    def may_be_overcommitted(self, now: float) -> bool:
+        """Returns whether its tasks may reserve more than its capacity."""
+        is_known_to_fit = self.used.fits(self.entry.capacity)
+        return not is_known_to_fit or self.is_registration_outdated(now)
+
     def add(self, task: Task) -> None:
         """Adds a task that runs or will run on the worker."""
         self.tasks[task.id] = task
         self._used = None
         self.change_count += 1
 
+    def set_stale(self, stale: Room) -> None:
+        """Replaces the resources of the stale runs that it lists."""
+        self._stale = stale
+        self._used = None
+        self.change_count += 1
+
     def remove(self, task: Task) -> None:
         """Removes a task that certainly no longer runs on the worker."""
         if self.tasks.get(task.id) is task:
