Give up batch tasks that crash the workers they start on

What callers see: a job stays "starting" or "pending" for ever, and the workers of its slice crash one after the other, with all that runs on them.

Cause: the batch engine takes the loss of an attempt with its worker for an eviction ("lease lapsed"). Only reported failures are counted, so nothing bounds the attempts of a task whose start crashes its worker.

Ruled out: counting such a loss as a failure on that worker. One loss would give a job up in a slice with a single worker, and tasks beside the guilty one would be given up with it. A field of its own for the count: the previous build refuses rows with unknown fields.

Change: a session remembers which starts may have had an effect, and how long the worker has reported each attempt. When the worker restarts or its leases have ended, only attempts reported for less than a second are counted. The count stands in `failed_on`, as entries with a prefix, so that it survives a change of owner and the previous build reads the row. That build takes the entries for failures, so it may give such a job up after fewer than three reported ones. An attempt that was reported for a second clears the count. After two crashes a task starts alone, on a worker reserved for it until no attempt is starting there; after three its job has failed. The third crash has thus no other possible culprit. Placement avoids the workers that a task has crashed.

A new owner counts inherited attempts only if they were still starting. Replicas of services are not given up, but start alone.

--- a/lentilmount/batch/placement.py
+++ b/lentilmount/batch/placement.py
@@ -264,12 +264,13 @@
     ) -> Iterator[_Entry]:
         start = bisect.bisect_left(members, (task.demand.cores - 1e-9, ''))
         order = range(start, len(members))
+        avoided = {*task.failures, *task.crashes}
         found = 0
         for position in reversed(order) if spread else order:
             entry = self._entries[members[position][1]]
             if not task.demand.fits(entry.free):
                 continue
-            if entry.record.name in task.failed_on:
+            if entry.record.name in avoided:
                 continue
             yield entry
             found += 1
--- a/lentilmount/batch/policy.py
+++ b/lentilmount/batch/policy.py
@@ -163,7 +163,7 @@
     def handle_failure(self, task: Task, worker: str) -> bool:
         """Records a failed attempt; returns whether to give the job up."""
         self.quarantine.record_failure(task, worker)
-        failed_on = (*task.failed_on, worker)
+        failed_on = (*task.failures, worker)
         return not task.is_service and self.quarantine.should_give_up(
             task, failed_on, len(self._ledger.workers)
         )
--- a/lentilmount/batch/records.py
+++ b/lentilmount/batch/records.py
@@ -8,6 +8,12 @@
 from lentilmount.coordination.table import Key, Row
 from lentilmount.resources import Demand, Phase, Room, Urgency
 
+CRASH_PREFIX = 'crash/'
+"""Prefix of the entries of `Task.failed_on` for workers that a task crashed.
+
+A field of their own would make the rows unreadable for an older daemon.
+"""
+
 
 @attrs.frozen
 class Task:
@@ -34,7 +40,8 @@
       checkpoint: Name of the checkpoint to resume from, or ''.
       output: Name of the committed output, or ''.
       evictions: Number of evictions.
-      failed_on: Names of the workers on which it failed.
+      failed_on: Names of the workers on which it failed, and with
+        `CRASH_PREFIX` of those that crashed at its start.
       cancel: Whether a cancellation was accepted.
     """
 
@@ -75,6 +82,33 @@
         """Whether it is a replica of a service."""
         return self.id.startswith('Service/')
 
+    @property
+    def failures(self) -> tuple[str, ...]:
+        """Names of the workers on which it failed."""
+        return tuple(
+            entry
+            for entry in self.failed_on
+            if not entry.startswith(CRASH_PREFIX)
+        )
+
+    @property
+    def crashes(self) -> tuple[str, ...]:
+        """Names of the workers that crashed at its last starts, in a row."""
+        return tuple(
+            entry.removeprefix(CRASH_PREFIX)
+            for entry in self.failed_on
+            if entry.startswith(CRASH_PREFIX)
+        )
+
+    def add_crash(self, worker: str) -> Task:
+        """Returns the task with one more worker that crashed at its start."""
+        entry = f'{CRASH_PREFIX}{worker}'
+        return attrs.evolve(self, failed_on=(*self.failed_on, entry))
+
+    def clear_crashes(self) -> Task:
+        """Returns the task without workers that crashed at its start."""
+        return attrs.evolve(self, failed_on=self.failures)
+
     @property
     def commitment(self) -> str:
         """Key of its entry in the worker's commitments."""
--- a/lentilmount/batch/reports.py
+++ b/lentilmount/batch/reports.py
@@ -6,6 +6,12 @@
 
 import attrs
 
+from lentilmount.batch.crashes import (
+    Survival,
+    explain_crashes,
+    record_start,
+    should_give_up,
+)
 from lentilmount.batch.drafts import Draft
 from lentilmount.batch.records import Task
 from lentilmount.batch.states import COMMITTED_PHASES, STOPPING, Transition
@@ -40,6 +46,7 @@
     report: AttemptReport,
     worker: str,
     handle_failure: HandleFailure,
+    survival: Survival = Survival.UNKNOWN,
 ) -> None:
     """Applies the transition for a report if it is of the current attempt.
 
@@ -52,6 +59,7 @@
       report: The worker's report.
       worker: Name of the worker.
       handle_failure: Records a failure; returns whether to give the job up.
+      survival: Whether the worker survived the start of the attempt.
     """
     task = draft.get_task(task_id)
     if task is None or task.attempt != report.attempt:
@@ -65,10 +73,14 @@
     transition = _TRANSITIONS_BY_STATE[report.state]
     if transition is Transition.STOPPED and task.phase not in STOPPING:
         transition = Transition.LOST
+    task = record_start(task, worker, survival)
     if transition is Transition.FAIL:
         gives_up = handle_failure(task, worker)
         _apply_failure(draft, task, report, worker, gives_up)
         return
+    if transition is Transition.LOST and should_give_up(task):
+        draft.transition(task, Transition.GIVE_UP, reason=explain_crashes(task))
+        return
     evicted = transition in (Transition.STOPPED, Transition.LOST)
     draft.transition(
         task,
--- a/lentilmount/batch/scheduler.py
+++ b/lentilmount/batch/scheduler.py
@@ -12,6 +12,7 @@
 import attrs
 
 from lentilmount.batch.budget import EvictionBudget
+from lentilmount.batch.crashes import START_WATCH_SECONDS, must_start_alone
 from lentilmount.batch.drafts import Draft
 from lentilmount.batch.fairness import FairShare
 from lentilmount.batch.learning import SizeLearner
@@ -98,6 +99,8 @@
         self.index = WorkerIndex()
         self.reservations: dict[str, Reservation] = {}
         self._refresh_at = -math.inf
+        # Tasks beside which no other attempt may start yet, by worker.
+        self._starting_alone: dict[str, Task] = {}
         self._occupancy = occupancy
         self._sizes = sizes
         self._overruns = overruns
@@ -141,6 +144,7 @@
         """
         result = PlacementResult()
         self._drop_reservations(now)
+        self._drop_started(now)
         failed = 0
         queue_pass = QueuePass(self.queue, self._fair.get_share, now, wall)
         while True:
@@ -187,6 +191,8 @@
             self.index.update(draft.get_worker(worker.name))
             self.reservations.pop(task.id, None)
             self._on_change(placed)
+            if must_start_alone(placed):
+                self._starting_alone[worker.name] = placed
             result.workers.add(worker.name)
             return True
         self._reserve_or_preempt(draft, queue_pass, group, task, now, result)
@@ -208,7 +214,7 @@
         if not task.failed_on:
             return task
         names = {record.name for record in self.index.list_open()}
-        if names - set(task.failed_on):
+        if names - {*task.failures, *task.crashes}:
             return task
         return attrs.evolve(task, failed_on=())
 
@@ -218,7 +224,8 @@
     def _exclude_reserved(self, task: Task, cost: Cost, now: float) -> Cost:
         """Returns a cost that rejects workers reserved for other tasks.
 
-        It also rejects workers on probation that already hold a task.
+        It also rejects workers on probation that already hold a task, and
+        those where a task that must start alone would not.
         """
         reserved_workers = {
             reservation.worker: reservation
@@ -240,10 +247,31 @@
                 return math.inf
             if self._has_probation_task(record):
                 return math.inf
+            if not self._may_start_beside(task, record.name, now):
+                return math.inf
             return cost(record)
 
         return get_cost
 
+    def _may_start_beside(self, task: Task, worker: str, now: float) -> bool:
+        if worker in self._starting_alone:
+            return False
+        return not must_start_alone(task) or not any(
+            self._is_starting(other, now)
+            for other in self._occupancy.list_tasks(worker)
+        )
+
+    def _is_starting(self, task: Task, now: float) -> bool:
+        seconds = self._occupancy.get_running_seconds(task.id, now)
+        return seconds < START_WATCH_SECONDS
+
+    def _drop_started(self, now: float) -> None:
+        for worker, task in list(self._starting_alone.items()):
+            current = self._occupancy.get(task.id)
+            is_held = current is not None and current.attempt == task.attempt
+            if not is_held or not self._is_starting(task, now):
+                del self._starting_alone[worker]
+
     def _has_probation_task(self, record: WorkerRecord) -> bool:
         on_probation = self._quarantine.is_on_probation(record.name)
         return on_probation and bool(record.commitments)
@@ -267,12 +295,17 @@
         result: PlacementResult,
     ) -> None:
         reservation = self.reservations.get(task.id)
+        starts_alone = must_start_alone(task)
         if reservation is not None:
-            if task.demand.fits(self.index.get_free(reservation.worker)):
+            if not starts_alone and task.demand.fits(
+                self.index.get_free(reservation.worker)
+            ):
                 # The reserved worker has enough free resources, so something
                 # else blocks the task.
                 del self.reservations[task.id]
             return
+        if starts_alone and self._reserve_alone(task, now):
+            return
         if group.tier < BATCH:
             self._preempt(draft, task, now, result)
             return
@@ -285,17 +318,36 @@
         if pending_seconds >= RESERVE_AFTER_SECONDS and not reserved:
             self._reserve(task, now)
 
+    def _reserve_alone(self, task: Task, now: float) -> bool:
+        """Reserves a worker with room until no attempt is starting there.
+
+        Returns:
+          Whether a worker has room.
+        """
+        pending_seconds = self.queue.get_pending_seconds(task.id, now)
+        cost = self._make_cost(task, now, pending_seconds)
+        cost = self._exclude_reserved(task.clear_crashes(), cost, now)
+        worker = self.index.choose(self._reset_failed_workers(task), cost)
+        if worker is None:
+            return False
+        until = now + START_WATCH_SECONDS + PREEMPTION_RESERVATION_SECONDS
+        self.reservations[task.id] = Reservation(
+            task.id, worker.name, now, until, urgent=True
+        )
+        return True
+
     def _preempt(
         self, draft: Draft, task: Task, now: float, result: PlacementResult
     ) -> None:
         reserved_workers = {
             reservation.worker for reservation in self.reservations.values()
         }
+        avoided = {*task.failures, *task.crashes}
         candidates = (
             (record, list(self._list_victims(draft, record.name)))
             for record in self._list_candidates(task.demand)
             if record.name not in reserved_workers
-            and record.name not in task.failed_on
+            and record.name not in avoided
         )
         chosen = choose_victims(
             task.demand,
--- a/lentilmount/batch/worker_session.py
+++ b/lentilmount/batch/worker_session.py
@@ -23,6 +23,7 @@
     requires_transition,
     update_worker,
 )
+from lentilmount.batch.starts import Starts
 from lentilmount.batch.states import COMMITTED_PHASES, STOPPING
 from lentilmount.batch.worker_commands import SessionOptions, WorkerCommands
 from lentilmount.batch.worker_state import WorkerState
@@ -92,6 +93,8 @@
         self._wake = asyncio.Event()
         self._report_task: asyncio.Task[None] | None = None
         self._checkpoints = Checkpoints()
+        self._starts = Starts()
+        self._starts.record_inherited(self.list_committed())
         # Until these times a task may be running on the worker under a lease
         # from a previous owner or from this one. A previous owner may renew
         # until its offline renewal ends, or until the worker has received
@@ -151,6 +154,7 @@
         if request.extends_leases:
             expiry = self._commands.get_latest_expiry(sent_at)
             self._own_leases_end = max(self._own_leases_end, expiry)
+        self._starts.record_sent(request.commands)
         try:
             answer = await self._workers.sync(self.record.address, request)
         except WorkerError:
@@ -182,6 +186,8 @@
             lease = self._ledger.task_lease_seconds
             self._previous_leases_end = now + lease * (1 + 2 * CLOCK_DRIFT)
         self._commands.handle_answer(request, answer, now)
+        self._starts.record_outcomes(request.commands, answer.outcomes)
+        self._starts.record_reports(answer.attempts, now)
         if request.with_usage:
             self.usage = answer.usage
             self._worker_state.record_usage_read(now)
@@ -288,9 +294,23 @@
             known = self._checkpoints.get((task_id, report.attempt))
             checkpoint = report.checkpoint or known
             full_report = attrs.evolve(report, checkpoint=checkpoint)
-            apply_report(
-                draft, task_id, full_report, self.name, self._handle_failure
-            )
+            self._apply_report(draft, task_id, full_report)
+
+    def _apply_report(
+        self,
+        draft: Draft,
+        task_id: str,
+        report: AttemptReport,
+        is_worker_lost: bool = False,
+    ) -> None:
+        task = draft.get_task(task_id)
+        boot = draft.get_worker(self.name).boot
+        has_restarted = task is not None and task.boot != boot
+        key = (task_id, report.attempt)
+        survival = self._starts.judge(key, is_worker_lost or has_restarted)
+        apply_report(
+            draft, task_id, report, self.name, self._handle_failure, survival
+        )
 
     def _has_worker_changed(self, answer: SyncAnswer) -> bool:
         record = self.record
@@ -360,6 +380,7 @@
         known = committed | set(reports)
         self._commands.forget(committed, known)
         self._checkpoints.discard_others(known)
+        self._starts.discard_others(known)
 
     async def _give_up_tasks(self) -> None:
         committed = self.list_committed()
@@ -379,7 +400,5 @@
                     checkpoint=self._checkpoints.get((task.id, task.attempt)),
                     message='the worker is not reachable',
                 )
-                apply_report(
-                    draft, task.id, report, self.name, self._handle_failure
-                )
+                self._apply_report(draft, task.id, report, True)
         self._on_change()
--- a/stand_ins/attempts.py
+++ b/stand_ins/attempts.py
@@ -12,6 +12,7 @@
 
 TICK_SECONDS = 0.05
 CHECKPOINT_SECONDS = 0.5
+RESTART_SECONDS = 5.0
 MAX_LATENCIES = 200
 
 
@@ -99,6 +100,7 @@
       clock_rate: Rate of the worker's clock relative to real time.
       tick_seconds: Period of the task updates.
       checkpoint_seconds: Seconds of work between two checkpoints of a job.
+      restart_seconds: Time from a crash to the worker's next boot.
     """
 
     name: str
@@ -110,3 +112,4 @@
     clock_rate: float = 1.0
     tick_seconds: float = TICK_SECONDS
     checkpoint_seconds: float = CHECKPOINT_SECONDS
+    restart_seconds: float = RESTART_SECONDS
--- a/stand_ins/cell.py
+++ b/stand_ins/cell.py
@@ -15,6 +15,7 @@
 from lentilmount.batch.records import Task
 from lentilmount.batch.worker_commands import SessionOptions
 from lentilmount.clock import ManualClock
+from lentilmount.codec import structure
 from lentilmount.configuration import Configuration
 from lentilmount.coordination.membership import Member, Membership
 from lentilmount.coordination.table import Put
@@ -244,13 +245,22 @@
         seconds: float = 10.0,
         cores: float = 1.0,
         urgency: Urgency = Urgency.BATCH,
+        **work: Any,
     ) -> str:
-        """Submits a job as the operators' API does; returns its task's id."""
+        """Submits a job as the operators' API does; returns its task's id.
+
+        Args:
+          name: Name of the job.
+          seconds: Seconds of work.
+          cores: Demanded cores.
+          urgency: Urgency of the job.
+          **work: Further fields of its payload, read by the workers.
+        """
         task = Task(
             f'Job/{TEAM}/{name}/0',
             Demand(cores, 1000),
             urgency=urgency,
-            payload=json.dumps({'seconds': seconds}),
+            payload=json.dumps({'seconds': seconds, **work}),
             accepted=float(len(self.accepted)),
         )
         rank = '0' if urgency is Urgency.URGENT else '1'
@@ -298,6 +308,15 @@
             if write.key.partition == f'done/{SLICE}'
         ]
 
+    def read_done(self, task: str) -> Task:
+        """Returns the row of a task that has ended."""
+        (body,) = [
+            write['body']
+            for write in self.list_history()
+            if write['partition'] == f'done/{SLICE}' and write['sort'] == task
+        ]
+        return structure(body['task'], Task)
+
     async def finish(self, seconds: float = 600.0) -> bool:
         """Waits until every job has ended.
 
--- a/stand_ins/local.py
+++ b/stand_ins/local.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from typing import TypeVar
 
@@ -173,7 +174,8 @@
             await asyncio.sleep(seconds)
             while worker.paused:
                 await asyncio.sleep(0.1)
-            worker.sync(request)
+            with contextlib.suppress(WorkerError):
+                worker.sync(request)
 
         task = asyncio.create_task(deliver())
         self._late_calls.add(task)
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -15,7 +15,7 @@
 import random
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -31,6 +31,7 @@
     SyncAnswer,
     SyncRequest,
     Usage,
+    WorkerError,
 )
 from stand_ins.attempts import Attempt, Run, WorkerOptions
 from stand_ins.faults import Faults
@@ -91,6 +92,18 @@
         self._saves = 0
         self._started_at = self._monotonic()
 
+    def crash(self) -> None:
+        """Ends all attempts at once; the next boot follows some time later."""
+        self.restart()
+        self.paused = True
+        asyncio.get_running_loop().call_later(
+            self.options.restart_seconds, self._recover
+        )
+
+    def _recover(self) -> None:
+        self._started_at = self._monotonic()
+        self.paused = False
+
     def read_clock(self) -> float:
         """Returns the seconds since boot on the worker's own clock."""
         return (self._monotonic() - self._started_at) * self.options.clock_rate
@@ -100,13 +113,14 @@
 
         Commands of an epoch below the highest seen are fenced. Leases are
         renewed only if the caller has seen the current state.
+
+        Raises:
+          WorkerError: A start crashed the worker.
         """
         self.tick()
         highest = self._epochs.get(request.scope, 0)
         self._epochs[request.scope] = max(highest, request.epoch)
-        outcomes = tuple(
-            self._execute(request, command) for command in request.commands
-        )
+        outcomes = tuple(self._execute_all(request))
         reports = tuple(self._report(a) for a in self.attempts.values())
         self._count_changes(reports)
         seen = request.boot == self.boot and request.seen == self._version
@@ -143,6 +157,13 @@
                 until = max(attempt.lease_until, request.renew_until)
                 attempt.lease_until = until
 
+    def _execute_all(self, request: SyncRequest) -> Iterator[Outcome]:
+        boot = self.boot
+        for command in request.commands:
+            yield self._execute(request, command)
+            if self.boot != boot:
+                raise WorkerError('the worker crashed')
+
     def _execute(self, request: SyncRequest, command: Command) -> Outcome:
         if request.epoch < self._epochs[request.scope]:
             return Outcome.FENCED
@@ -172,6 +193,9 @@
         attempt = Attempt(command, command.lease_until, self._monotonic())
         attempt.work = json.loads(command.payload) if command.payload else {}
         self.attempts[key] = attempt
+        if attempt.work.get('crash_after') == 0.0:
+            self.crash()
+            return Outcome.DONE
         if command.resume_from:
             attempt.loading = True
             asyncio.ensure_future(self._load(attempt))
@@ -320,6 +344,9 @@
             before = attempt.done
             saving = self.options.checkpoint_seconds
             attempt.done += seconds * speed
+            if attempt.done >= attempt.work.get('crash_after', math.inf):
+                self.crash()
+                return
             if attempt.work.get('fail'):
                 self._end(attempt, AttemptState.FAILED, 'told to fail')
             elif attempt.done >= attempt.work.get('seconds', 1.0):
