Guard the boot id of the calls to workers by tests

What callers would see: a task of their job runs on two workers at once.

Cause looked for: a start that is in flight or repeated while its worker restarts, and versions or outcomes of one boot that are applied to the next, as found in the platform's engine. The batch engine is right: each request with commands names the boot that it is meant for, the worker rejects those of another one, an attempt belongs to one boot, and versions are compared with their boot.

Ruled out: the deadline of a start as the only safeguard. It is a time of the old clock and lies ahead on the new one if the worker had been up for longer.

No change of the engine.

Figures: without the boot in requests the scenario breaks "no task runs in two places at once"; with it, it breaks nothing.

Conclusion: nothing to mend, as long as workers reject requests for another boot.

--- a/tests/test_batch_mutations.py
+++ b/tests/test_batch_mutations.py
@@ -18,6 +18,7 @@
 from lentilmount.batch.states import Transition
 from lentilmount.batch.worker_commands import WorkerCommands
 from lentilmount.batch.worker_session import WorkerSession
+from lentilmount.batch.worker_state import WorkerState
 from lentilmount.clock import ManualClock
 from lentilmount.coordination.leases import Lease, LeaseKeeper
 from lentilmount.coordination.table import (
@@ -145,6 +146,26 @@
     await asyncio.sleep(12.0)
 
 
+async def restart_with_start_in_flight(cell: Cell) -> None:
+    """A worker restarts while a copy of a start command is in flight.
+
+    The copy arrives when the owner has seen the restart and has placed the
+    task again. Its deadline is a time of the old clock and lies ahead on the
+    new one.
+    """
+    await asyncio.sleep(10.0)
+    for daemon in cell.daemons:
+        for faults in daemon.workers.faults.values():
+            faults.repeat, faults.repeat_seconds = 1.0, 6.0
+    task = await cell.submit('job', 30.0)
+    while not cell.list_runs():
+        await asyncio.sleep(0.01)
+    cell.find_worker(find_committed_worker(cell)).restart()
+    while [run.task for run in cell.list_runs()] != [task] * 2:
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(10.0)
+
+
 async def isolate_worker_past_promise(cell: Cell) -> None:
     """The old owner reaches only one worker, the new one only the others."""
     await cell.submit('job', 150.0)
@@ -265,6 +286,15 @@
     patch.setattr(WorkerCommands, '_make_commands', ignore)
 
 
+def break_request_boot(patch: Patch) -> None:
+    make = WorkerState.make_request
+
+    def omit(self: WorkerState, *args: Any) -> SyncRequest:
+        return attrs.evolve(make(self, *args), boot='')
+
+    patch.setattr(WorkerState, 'make_request', omit)
+
+
 def break_offline_renewal(patch: Patch) -> None:
     patch.setattr(WorkerCommands, '_may_renew', lambda *_: True)
 
@@ -336,6 +366,11 @@
         checker.NO_CONCURRENT_RUNS,
     ),
     'boot': (break_boot, restart_before_start, checker.NO_CONCURRENT_RUNS),
+    'boot of a request': (
+        break_request_boot,
+        restart_with_start_in_flight,
+        checker.NO_CONCURRENT_RUNS,
+    ),
     'promise': (
         break_offline_renewal,
         isolate_worker_past_promise,
