Withhold starts that exceed a worker's current capacity

What callers see: nothing at first; a worker gets more than it has, beside a task that is still saving its checkpoint.

Cause: a placement and the report of a smaller capacity may share a transaction. The placement is checked against the former capacity, and the report then lowers it in the same row. The start was sent although the last answer showed the new capacity.

Ruled out: the room of what is being stopped. Its commitment stays until the worker reports its end. Workers that grow: their row changes with the next answer, and what waits for room is tried again.

Change: a session sends a start only if it fits beside all other commitments into the capacity of the worker's last answer. An attempt whose start is withheld, or was sent without effect, is placed again ("the worker has shrunk").

Running tasks are not evicted when a worker shrinks below what they hold.

--- a/lentilmount/batch/worker_commands.py
+++ b/lentilmount/batch/worker_commands.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 import attrs
 
-from lentilmount.batch.records import Task
+from lentilmount.batch.records import Task, WorkerRecord
 from lentilmount.batch.reports import AttemptKey
 from lentilmount.batch.states import STOPPING
 from lentilmount.coordination.leases import CLOCK_DRIFT, Lease
-from lentilmount.resources import Phase
+from lentilmount.resources import Phase, Room
 from lentilmount.upstream.workers import (
     Action,
     Command,
@@ -72,14 +72,17 @@
         them: the transaction may be applied at any later time, so a worker
         that becomes reachable meanwhile must not start or continue them.
       refused: Attempts that the worker refused to start.
+      withheld: Attempts that are not started, since the worker has shrunk.
     """
 
     def __init__(self, lease: Lease, options: SessionOptions):
         self.clock_sample: ClockSample | None = None
         self.ending: set[AttemptKey] = set()
         self.refused: set[AttemptKey] = set()
+        self.withheld: set[AttemptKey] = set()
         self._lease = lease
         self._options = options
+        self._capacity = Room()
         self._commands: dict[tuple[Action, str, int], Command] = {}
         # Monotonic time when each start was last sent.
         self._starts: dict[AttemptKey, float] = {}
@@ -101,6 +104,7 @@
           now: Monotonic time of the answer.
         """
         self.clock_sample = ClockSample(answer.boot, answer.clock, now)
+        self._capacity = answer.capacity
         for command, outcome in zip(
             request.commands, answer.outcomes, strict=False
         ):
@@ -131,14 +135,16 @@
         return now + lease * (1 + CLOCK_DRIFT)
 
     def make_commands(
-        self, tasks: Iterable[Task], now: float
+        self, record: WorkerRecord, tasks: Sequence[Task], now: float
     ) -> tuple[Command, ...]:
         """Returns the commands to send now.
 
         Args:
+          record: The worker's row.
           tasks: The tasks committed on the worker.
           now: Monotonic time.
         """
+        self.withheld = self._find_withheld(record, tasks)
         commands = [
             command
             for task in tasks
@@ -152,6 +158,29 @@
         ]
         return tuple(commands)
 
+    def _find_withheld(
+        self, record: WorkerRecord, tasks: Sequence[Task]
+    ) -> set[AttemptKey]:
+        # A task may be placed while the worker's answer shows a smaller
+        # capacity, which its row gets only in the same transaction or later.
+        # The other attempts count until their end, also while they stop.
+        starting = [task for task in tasks if task.phase is Phase.STARTING]
+        free = attrs.evolve(record, capacity=self._capacity).free
+        for task in starting:
+            free = free.add(task.demand)
+        # Starts that were sent may have had an effect, so they go first.
+        starting.sort(
+            key=lambda task: (task.id, task.attempt) not in self._starts
+        )
+        withheld = set()
+        for task in starting:
+            key = (task.id, task.attempt)
+            if not task.demand.fits(free):
+                withheld.add(key)
+            if key in self._starts or key not in withheld:
+                free = free.subtract(task.demand)
+        return withheld
+
     def _read_clock(self, now: float) -> float:
         assert self.clock_sample is not None
         return self.clock_sample.remote + (now - self.clock_sample.local)
@@ -183,7 +212,7 @@
 
     def _make_start(self, task: Task, now: float) -> list[Command]:
         key = (task.id, task.attempt)
-        if key in self.refused:
+        if key in self.refused or key in self.withheld:
             return []
         self._starts[key] = now
         clock = self._read_clock(now)
--- a/lentilmount/batch/worker_session.py
+++ b/lentilmount/batch/worker_session.py
@@ -233,7 +233,9 @@
         if self._is_steady(now):
             renew_until = self._commands.get_lease_end(now)
         else:
-            commands = self._commands.make_commands(self.list_committed(), now)
+            commands = self._commands.make_commands(
+                self.record, self.list_committed(), now
+            )
         return self._worker_state.make_request(
             scope, epoch, commands, renew_until, now
         )
@@ -356,6 +358,10 @@
             return AttemptReport(*key, AttemptState.FAILED, message=message)
         if task.phase in STOPPING:
             return AttemptReport(*key, AttemptState.LAPSED)
+        if key in self._commands.withheld:
+            self._commands.ending.add(key)
+            message = 'the worker has shrunk'
+            return AttemptReport(*key, AttemptState.LAPSED, message=message)
         return None
 
     def _forget_finished(
