Refuse no job while workers have shrunk for a while

What callers see: their job is refused ("no worker has ...") for ever, though it fits as soon as the workers have grown again.

Cause: an owner publishes the current capacities of its workers as their shapes, and refuses pending jobs that are larger than all shapes. A worker may shrink and grow while it runs.

Ruled out: publishing every capacity ever seen; jobs would wait for ever for a worker that has become smaller.

Change: the largest capacity that a worker has reported since its boot counts as its shape.

A job larger than all workers since their boot is refused as before (test).

Conclusion: a worker that shrinks within the second before its owner ends may be taken for a small one by the next owner, until it grows.

--- a/lentilmount/batch/owner.py
+++ b/lentilmount/batch/owner.py
@@ -26,7 +26,7 @@
     make_inbox_partition,
 )
 from lentilmount.batch.retention import Retention
-from lentilmount.batch.shapes import WorkerShapes, publish_shapes
+from lentilmount.batch.shapes import ShapePublisher, WorkerShapes
 from lentilmount.batch.states import COMMITTED_PHASES, STOPPING, Transition
 from lentilmount.batch.worker_commands import SessionOptions
 from lentilmount.batch.worker_session import WorkerSession
@@ -104,6 +104,7 @@
         self.policy = Policy(
             ledger, self.sessions, configuration, len(options.slices), monotonic
         )
+        self._publisher = ShapePublisher(ledger.lease.data)
         self._shapes = WorkerShapes(table, options.slices, monotonic)
 
     def wake(self) -> None:
@@ -341,7 +342,7 @@
         return leaving or self._configuration.get_worker(worker).drain
 
     async def _refuse_infeasible(self) -> None:
-        publish_shapes(self.ledger.lease.data, self.ledger.workers.values())
+        self._publisher.publish(self.ledger.workers.values())
         await self._shapes.refresh()
         infeasible = self.policy.list_infeasible(self._shapes.list_shapes)
         while infeasible:
--- a/lentilmount/batch/shapes.py
+++ b/lentilmount/batch/shapes.py
@@ -9,6 +9,9 @@
 
 import contextlib
 from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import attrs
 
 from lentilmount.batch.records import WorkerRecord, make_slice_key
 from lentilmount.codec import structure, unstructure
@@ -21,25 +24,67 @@
 """Field of the lease's data with the shapes; absent until all are known."""
 
 
-def publish_shapes(
-    data: dict[str, object], records: Iterable[WorkerRecord]
-) -> None:
+SHRUNK_FIELD = 'shrunk'
+"""Field of the lease's data with the workers that were larger since boot."""
+
+
+@attrs.frozen
+class _Shape:
+    """The largest capacity that a worker has reported since its boot."""
+
+    boot: str
+    capacity: Room
+
+
+class ShapePublisher:
     """Writes the shapes of a slice's workers to its lease's data.
 
-    Nothing is published until every worker has reported its capacity, since a
-    missing shape could cause a job to be refused that could run.
+    A worker may shrink for a while. A job that fits on it afterwards must wait
+    and not be refused, so the largest capacity since the worker's boot counts.
 
     Args:
       data: Data of the lease, which is changed.
-      records: The slice's worker records.
     """
-    known = list(records)
-    if not known or not all(record.boot for record in known):
-        return
-    shapes = {record.capacity for record in known}
-    data[SHAPES_FIELD] = [
-        unstructure(shape) for shape in sorted(shapes, key=_rank)
-    ]
+
+    def __init__(self, data: dict[str, Any]):
+        self._data = data
+        self._shapes = {
+            name: structure(plain, _Shape)
+            for name, plain in data.get(SHRUNK_FIELD, {}).items()
+        }
+
+    def publish(self, records: Iterable[WorkerRecord]) -> None:
+        """Publishes the shapes once every worker has reported its capacity.
+
+        A missing shape could cause a job to be refused that could run.
+
+        Args:
+          records: The slice's worker records.
+        """
+        known = list(records)
+        if not known or not all(record.boot for record in known):
+            return
+        self._shapes = {record.name: self._enlarge(record) for record in known}
+        capacities = {shape.capacity for shape in self._shapes.values()}
+        self._data[SHAPES_FIELD] = [
+            unstructure(capacity) for capacity in sorted(capacities, key=_rank)
+        ]
+        self._data[SHRUNK_FIELD] = {
+            record.name: unstructure(self._shapes[record.name])
+            for record in known
+            if self._shapes[record.name].capacity != record.capacity
+        }
+
+    def _enlarge(self, record: WorkerRecord) -> _Shape:
+        known = self._shapes.get(record.name)
+        if known is None or known.boot != record.boot:
+            return _Shape(record.boot, record.capacity)
+        capacity = Room(
+            max(known.capacity.cores, record.capacity.cores),
+            max(known.capacity.memory_mb, record.capacity.memory_mb),
+            max(known.capacity.accelerators, record.capacity.accelerators),
+        )
+        return _Shape(record.boot, capacity)
 
 
 def _rank(shape: Room) -> tuple[float, int, int]:
--- a/tests/test_batch_capacity.py
+++ b/tests/test_batch_capacity.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lentilmount.clock import ManualClock
-from lentilmount.resources import Room
+from lentilmount.resources import Phase, Room
 from stand_ins.cell import Cell, CellOptions
 from stand_ins.virtual_time import run_virtual
 
@@ -97,3 +97,41 @@
         assert len(cell.list_runs()) == 4
 
     run_scenario(scenario)
+
+
+def test_a_job_waits_for_a_worker_that_has_shrunk() -> None:
+    """A job was refused for ever, since all workers had shrunk for a while."""
+
+    async def scenario(cell: Cell) -> None:
+        await asyncio.sleep(5.0)
+        set_capacity(cell, SMALL)
+        await asyncio.sleep(10.0)
+        task = await cell.submit('large', 5.0, cores=3.0)
+        await asyncio.sleep(20.0)
+        assert cell.list_done() == []
+        old = await cell.wait_for_owner()
+        cell.add_daemon()
+        await old.kill()
+        await asyncio.sleep(20.0)
+        assert cell.list_done() == []
+        set_capacity(cell, LARGE)
+        assert await cell.finish(30.0)
+        assert cell.read_done(task).phase is Phase.COMPLETED
+
+    run_scenario(scenario)
+
+
+def test_a_job_larger_than_all_workers_since_their_boot_is_refused() -> None:
+    """A job waited for a worker that had become smaller with its restart."""
+
+    async def scenario(cell: Cell) -> None:
+        await asyncio.sleep(5.0)
+        set_capacity(cell, SMALL)
+        for worker in cell.workers:
+            worker.restart()
+        await asyncio.sleep(5.0)
+        task = await cell.submit('large', 5.0, cores=3.0)
+        assert await cell.finish(30.0)
+        assert cell.read_done(task).phase is Phase.REFUSED
+
+    run_scenario(scenario)
