Reserve workers for tasks that avoid one they crashed

What callers see: a large job that lost its worker at its start waits for ever while small ones take all freed room.

Cause: a task that avoids some workers gets no reservation, since others of its size may fit there. That was so for tasks that failed; since crashes at their start are counted, it held for innocent tasks beside the guilty one, too.

Ruled out: letting it return to the worker that crashed. A worker that crashes at each start would get an innocent task given up.

Change: a task with crashes and without failures gets a reservation, on a worker that it does not avoid. It does not count as unplaceable for others of its size. Tasks that failed are treated as before.

A task that crashes the only worker of a slice runs 3 times (test).

--- a/lentilmount/batch/placement.py
+++ b/lentilmount/batch/placement.py
@@ -264,7 +264,7 @@
     ) -> Iterator[_Entry]:
         start = bisect.bisect_left(members, (task.demand.cores - 1e-9, ''))
         order = range(start, len(members))
-        avoided = {*task.failures, *task.crashes}
+        avoided = task.avoided_workers
         found = 0
         for position in reversed(order) if spread else order:
             entry = self._entries[members[position][1]]
--- a/lentilmount/batch/records.py
+++ b/lentilmount/batch/records.py
@@ -100,6 +100,11 @@
             if entry.startswith(CRASH_PREFIX)
         )
 
+    @property
+    def avoided_workers(self) -> frozenset[str]:
+        """Names of the workers on which it failed or which it crashed."""
+        return frozenset((*self.failures, *self.crashes))
+
     def add_crash(self, worker: str) -> Task:
         """Returns the task with one more worker that crashed at its start."""
         entry = f'{CRASH_PREFIX}{worker}'
--- a/lentilmount/batch/scheduler.py
+++ b/lentilmount/batch/scheduler.py
@@ -214,7 +214,7 @@
         if not task.failed_on:
             return task
         names = {record.name for record in self.index.list_open()}
-        if names - {*task.failures, *task.crashes}:
+        if names - task.avoided_workers:
             return task
         return attrs.evolve(task, failed_on=())
 
@@ -310,9 +310,11 @@
             self._preempt(draft, task, now, result)
             return
         has_room = self.index.choose(task) is not None
-        if has_room or task.failed_on:
+        if has_room or task.failures:
             return
-        queue_pass.record_unplaceable(task.demand)
+        # Others of its size may fit on the workers that it avoids.
+        if not task.crashes:
+            queue_pass.record_unplaceable(task.demand)
         pending_seconds = self.queue.get_pending_seconds(task.id, now)
         reserved = any(not r.urgent for r in self.reservations.values())
         if pending_seconds >= RESERVE_AFTER_SECONDS and not reserved:
@@ -342,7 +344,7 @@
         reserved_workers = {
             reservation.worker for reservation in self.reservations.values()
         }
-        avoided = {*task.failures, *task.crashes}
+        avoided = task.avoided_workers
         candidates = (
             (record, list(self._list_victims(draft, record.name)))
             for record in self._list_candidates(task.demand)
@@ -391,9 +393,11 @@
         return lost * (1 + victim.evictions) / excess
 
     def _reserve(self, task: Task, now: float) -> None:
+        avoided = self._reset_failed_workers(task).avoided_workers
         candidates = (
             (record, self._occupancy.list_tasks(record.name))
             for record in self._list_candidates(task.demand)
+            if record.name not in avoided
         )
         found = find_reservation(
             task, candidates, lambda t: self._estimate_end(t, now)
--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -168,6 +168,17 @@
     assert cell.read_done(cell.accepted[0]).phase is Phase.COMPLETED
 
 
+def test_a_task_that_crashes_the_only_worker_is_given_up() -> None:
+    """A task crashed the only worker without end, or failed after one crash."""
+
+    async def scenario(cell: Cell) -> None:
+        await cell.submit('bad', crash_after=0.0)
+
+    cell = run_scenario(scenario, workers=1)
+    assert cell.read_done(cell.accepted[0]).phase is Phase.FAILED
+    assert count_runs(cell, cell.accepted[0]) == 3
+
+
 KEY = ('Job/crew/job/0', 1)
 START = Command(Action.START, *KEY)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -183,9 +183,14 @@
     assert bench.list_phase(Phase.STARTING) == [urgent]
 
 
-def test_backfill_does_not_starve_a_large_job() -> None:
-    """Small jobs took all freed resources, so a large job never started."""
+@pytest.mark.parametrize('crashes', [0, 1, 2])
+def test_backfill_does_not_starve_a_large_job(crashes: int) -> None:
+    """Small jobs took all freed resources, so a large job never started.
+
+    The same holds if it has to avoid a worker that crashed at its start.
+    """
     bench = PolicyBench(2)
+    crashed = list(bench.rows.workers)[:1] * crashes
     large = ''
     for number in range(40):
         bench.submit(f'first-{number}')
@@ -194,6 +199,8 @@
         bench.submit(f'more-{step}')
         if step == 20:
             large = bench.submit('large', 'other', cores=8.0)
+            for worker in crashed:
+                bench.rows.admit(bench.rows.tasks[large].add_crash(worker))
         bench.place()
         for task in bench.list_phase(Phase.STARTING):
             if task == large:
