Call a worker before a start that follows an old answer

What callers see: a worker that has just shrunk gets one more task than it can hold; a job counts a crash of a worker that was down before its start was sent.

Cause: an idle worker is called each two seconds, and a start was sent with the next call, whatever had happened on the worker since its last answer.

Ruled out: calling idle workers more often; most calls would show nothing new.

Change: where the last answer is older than half a second, a start waits for one more answer and follows at once. It waits only once, so that a slow daemon sends it too. The stand-in now records each start over its capacity at that time, not only over one that it had shown.

Conclusion: the time in which a worker's state is not known at a start falls from the interval of calls to about one round trip. It is not zero: only the worker could refuse a start that does not fit.

--- a/lentilmount/batch/worker_commands.py
+++ b/lentilmount/batch/worker_commands.py
@@ -22,6 +22,12 @@
 LAST_CHECKPOINT_SHARE = 0.1
 """Last share of the offline renewal time, in which tasks save a checkpoint."""
 
+MAX_ANSWER_AGE_SECONDS = 0.5
+"""Maximum age of a worker's last answer when a start is sent.
+
+The worker may have shrunk or crashed since an older one.
+"""
+
 
 @attrs.frozen
 class SessionOptions:
@@ -73,6 +79,8 @@
         that becomes reachable meanwhile must not start or continue them.
       refused: Attempts that the worker refused to start.
       withheld: Attempts that are not started, since the worker has shrunk.
+      has_deferred: Whether starts waited for the last answer, and are sent with
+        the next call.
     """
 
     def __init__(self, lease: Lease, options: SessionOptions):
@@ -80,6 +88,8 @@
         self.ending: set[AttemptKey] = set()
         self.refused: set[AttemptKey] = set()
         self.withheld: set[AttemptKey] = set()
+        self.has_deferred = False
+        self._defers = False
         self._lease = lease
         self._options = options
         self._capacity = Room()
@@ -105,6 +115,7 @@
         """
         self.clock_sample = ClockSample(answer.boot, answer.clock, now)
         self._capacity = answer.capacity
+        self.has_deferred, self._defers = self._defers, False
         for command, outcome in zip(
             request.commands, answer.outcomes, strict=False
         ):
@@ -214,6 +225,9 @@
         key = (task.id, task.attempt)
         if key in self.refused or key in self.withheld:
             return []
+        if self._is_answer_old(now):
+            self._defers = True
+            return []
         self._starts[key] = now
         clock = self._read_clock(now)
         return [
@@ -231,6 +245,12 @@
             )
         ]
 
+    def _is_answer_old(self, now: float) -> bool:
+        # Starts are deferred only once, or a slow daemon would send none.
+        assert self.clock_sample is not None
+        age = now - self.clock_sample.local
+        return not self.has_deferred and age > MAX_ANSWER_AGE_SECONDS
+
     def _may_renew(self, now: float) -> bool:
         # A table outage must not interrupt running tasks, so leases are
         # renewed without it, but only for a limited time: a new owner waits
--- a/lentilmount/batch/worker_session.py
+++ b/lentilmount/batch/worker_session.py
@@ -191,7 +191,7 @@
         if request.with_usage:
             self.usage = answer.usage
             self._worker_state.record_usage_read(now)
-        if not self.reachable:
+        if not self.reachable or self._commands.has_deferred:
             self.reachable = True
             self.wake()
 
--- a/stand_ins/worker.py
+++ b/stand_ins/worker.py
@@ -20,7 +20,7 @@
 import attrs
 
 from lentilmount.codec import encode
-from lentilmount.resources import Demand, Room
+from lentilmount.resources import Demand
 from lentilmount.upstream.object_store import ObjectStore
 from lentilmount.upstream.workers import (
     Action,
@@ -54,8 +54,7 @@
       served: Number of runs of each request, by request id.
       boot: Boot id, new at each restart.
       attempts: Attempts, by task and attempt number.
-      overcommits: Attempts whose start exceeded the capacity that the worker
-        had and that its last answer showed.
+      overcommits: Attempts whose start exceeded the worker's capacity.
     """
 
     def __init__(
@@ -73,7 +72,6 @@
         self.endpoint = ''
         self.runs: list[Run] = []
         self.overcommits: list[tuple[str, int]] = []
-        self._shown_capacity = options.capacity
         self.served: collections.Counter[str] = collections.Counter()
         self._objects = objects
         self._random = random.Random(seed)
@@ -131,7 +129,6 @@
         if seen:
             self._renew_all(request)
         seen = seen and request.seen_saves == self._saves
-        self._shown_capacity = self.options.capacity
         return SyncAnswer(
             boot=self.boot,
             clock=self.read_clock(),
@@ -198,9 +195,7 @@
         attempt = Attempt(command, command.lease_until, self._monotonic())
         attempt.work = json.loads(command.payload) if command.payload else {}
         self.attempts[key] = attempt
-        if not self._fits(self.options.capacity) and not self._fits(
-            self._shown_capacity
-        ):
+        if not self._fits():
             self.overcommits.append(key)
         if attempt.work.get('crash_after') == 0.0:
             self.crash()
@@ -210,7 +205,7 @@
             asyncio.ensure_future(self._load(attempt))
         return Outcome.DONE
 
-    def _fits(self, capacity: Room) -> bool:
+    def _fits(self) -> bool:
         demands = [
             attempt.command.demand
             for attempt in self.attempts.values()
@@ -221,7 +216,7 @@
             sum(demand.memory_mb for demand in demands),
             sum(demand.accelerators for demand in demands),
         )
-        return total.fits(capacity)
+        return total.fits(self.options.capacity)
 
     async def _load(self, attempt: Attempt) -> None:
         # Without its checkpoint the attempt would repeat finished work, so
--- a/tests/test_batch_capacity.py
+++ b/tests/test_batch_capacity.py
@@ -62,6 +62,28 @@
     assert [run.state for run in cell.list_runs()] == ['finished'] * 2
 
 
+@pytest.mark.parametrize('seconds', [0.3, 0.6, 0.9, 1.2, 1.5, 1.8])
+def test_a_task_is_not_started_over_a_capacity_not_yet_shown(
+    seconds: float,
+) -> None:
+    """A task was started on a worker that had shrunk since its last answer.
+
+    An idle worker is called each two seconds.
+    """
+
+    async def scenario(cell: Cell) -> None:
+        await cell.submit('long', 30.0, cores=2.0)
+        await asyncio.sleep(5.0)
+        await cell.submit('next', 5.0, cores=2.0)
+        set_capacity(cell, SMALL)
+
+    async def shrink_between_calls(cell: Cell) -> None:
+        await asyncio.sleep(seconds)
+        await scenario(cell)
+
+    run_scenario(shrink_between_calls)
+
+
 @pytest.mark.parametrize('seconds', [0.05, 0.15, 0.25, 0.4])
 def test_a_task_that_is_being_stopped_counts(seconds: float) -> None:
     """A task was started beside one that was still saving its checkpoint."""
--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -147,6 +147,27 @@
     assert count_runs(cell, cell.accepted[0]) == 5
 
 
+@pytest.mark.parametrize('seconds', [0.0, 0.4, 0.8, 1.2, 1.6])
+def test_a_task_is_not_blamed_for_an_earlier_crash(seconds: float) -> None:
+    """A task was blamed for the crash of a worker that was already down.
+
+    An idle worker is called each two seconds, and its crash is noticed then.
+    """
+
+    async def scenario(cell: Cell) -> None:
+        await asyncio.sleep(4.0 + seconds)
+        cell.workers[0].crash()
+        await cell.submit('job', 10.0)
+
+    cell = run_scenario(scenario, workers=1)
+    rows = [
+        write['body']
+        for write in cell.list_history()
+        if write['partition'].startswith('task/') and write['body']
+    ]
+    assert {tuple(row['failed_on']) for row in rows} == {()}
+
+
 def test_a_task_that_must_start_alone_starts_among_many_others() -> None:
     """A task that had to start alone waited while others started everywhere."""
 
