Count only workers that have certainly crashed

What callers see: jobs are shown as failed that could be done.

Cause: each worker whose leases ran out counted against the tasks that it had just started, also one that was only cut off.

Ruled out: a fourth crash before a task is given up; a cut is no better evidence then. Leaving out moments at which several workers are lost: the tasks of one job crash several at once.

Change: suspects count once their worker has restarted, or another instance answers at its address, up to 15 s after the loss. The time in which a task is a suspect is half a second instead of one.

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -396,12 +396,18 @@
             reason,
             extra={'worker': worker.id, 'tasks': [str(t.id) for t in tasks]},
         )
-        self._task_controller.handle_lost_tasks(
-            worker, tasks, self._clock.monotonic()
-        )
+        for task in tasks:
+            self._task_controller.forget(task)
         self._wake.set()
         self._state_writer.request_write()
 
+    def handle_crash(self, worker: Worker, suspects: list[Task]) -> None:
+        """See `SessionListener`."""
+        self._task_controller.handle_crash(
+            worker, suspects, self._clock.monotonic()
+        )
+        self._state_writer.request_write()
+
     def handle_late_starts(
         self, worker: Worker, late_starts: list[StaleRun]
     ) -> None:
@@ -414,14 +420,6 @@
                 'tasks': [start.task for start in late_starts],
             },
         )
-        lost = [
-            task
-            for task in worker.tasks.values()
-            if StaleRun(worker.id, str(task.id), task.run) in late_starts
-        ]
-        self._task_controller.handle_lost_tasks(
-            worker, lost, self._clock.monotonic()
-        )
         self._commands.stop_late_starts(late_starts)
 
     def handle_poll_result(
--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -120,17 +120,12 @@
         if tasks and self.health.may_quarantine(workers, now):
             self.health.quarantine(worker, now)
 
-    def handle_lost_tasks(
-        self, worker: Worker, tasks: list[Task], now: float
+    def handle_crash(
+        self, worker: Worker, suspects: list[Task], now: float
     ) -> None:
-        """Handles tasks that were lost together with their worker."""
-        for task in tasks:
-            self.forget(task)
-        suspects = [task for task in tasks if task.run in task.crashed_runs]
-        if not suspects:
-            return
+        """Gives up the tasks that crashed too many workers in a row."""
         log.warning(
-            'Was lost shortly after it had started {} tasks.',
+            'Crashed shortly after it had started {} tasks.',
             len(suspects),
             extra={
                 'worker': worker.id,
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -12,6 +12,7 @@
 
 from lentilmount.platform.workers import CallStatus, WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.crashes import PROOF_SECONDS
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.scheduling.poll_intervals import DEFAULT_SECONDS
 from lentilmount.scheduling.reconciliation import Reconciler, ReconcileResult
@@ -70,6 +71,14 @@
     ) -> None:
         """Called when all tasks on a worker have ended."""
 
+    def handle_crash(self, worker: Worker, suspects: list[Task]) -> None:
+        """Called when a worker has certainly crashed.
+
+        Args:
+          worker: The worker.
+          suspects: Tasks that may have crashed it.
+        """
+
     def handle_late_starts(
         self, worker: Worker, late_starts: list[StaleRun]
     ) -> None:
@@ -141,8 +150,11 @@
     def _is_unused(self) -> bool:
         """Returns whether the worker is gone and will not start anything."""
         self._forget_late_starts()
-        is_gone = not self.worker.is_registered and not self.worker.tasks
-        return is_gone and not self._unanswered_starts
+        worker = self.worker
+        if self.monotonic() - worker.lost_at > PROOF_SECONDS:
+            worker.suspects.clear()
+        is_gone = not worker.is_registered and not worker.tasks
+        return is_gone and not self._unanswered_starts and not worker.suspects
 
     async def _wait_for_expiry(self) -> None:
         self.worker.has_missed_poll = True
@@ -157,6 +169,13 @@
                 self.cluster.end_worker_tasks(self.worker, now),
                 why,
             )
+        if self.worker.has_crashed:
+            self._confirm_crash()
+
+    def _confirm_crash(self) -> None:
+        suspects = self.cluster.confirm_crash(self.worker)
+        if suspects:
+            self.listener.handle_crash(self.worker, suspects)
 
     async def _poll(self) -> None:
         if self.received_end > self.written_end:
@@ -371,6 +390,8 @@
             self.handle_restart('it restarted', asked_at)
         self._started_ms = worker.incarnation_ms = report.started_ms
         self._report_asked_at = asked_at
+        worker.has_crashed = False
+        worker.suspects.clear()
         if not worker.has_answered:
             self._bound_inherited_leases()
         if not worker.has_answered or not worker.reachable:
@@ -466,12 +487,15 @@
             self.listener.handle_tasks_ended(worker, tasks, why)
         if late_starts:
             self.listener.handle_late_starts(worker, late_starts)
+        self._confirm_crash()
 
     async def _handle_failure(self, status: CallStatus) -> None:
         if status is CallStatus.FENCED:
             self.listener.handle_lease_lost(
                 f'{self.worker.id} has seen a higher token'
             )
+        if status is CallStatus.OTHER_INSTANCE:
+            self.worker.has_crashed = True
         if self.worker.reachable:
             log.warning(
                 'Cannot be reached: {}.',
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -346,6 +346,7 @@
 
     def clear_suspicion(self, task: Task) -> None:
         """Records that a task has run without crashing its worker."""
+        task.cleared_run = task.run
         if task.crashed_runs:
             task.crashed_runs.clear()
             self.dirty[task.job.spec.id] = None
@@ -448,7 +449,7 @@
     ) -> list[Task]:
         """Ends all runs on a worker whose leases expired or that restarted.
 
-        Records which of them may have crashed it.
+        Notes which of them may have crashed it, for `confirm_crash`.
 
         Args:
           worker: The worker.
@@ -462,8 +463,8 @@
           The tasks whose runs have ended.
         """
         ended = []
-        for task in list_suspects(worker):
-            task.crashed_runs.add(task.run)
+        worker.lost_at = now
+        worker.suspects |= {task: task.run for task in list_suspects(worker)}
         for task in list(worker.tasks.values()):
             if StaleRun(worker.id, str(task.id), task.run) in late_starts:
                 self._stop_anew(task)
@@ -474,6 +475,23 @@
             ended.append(task)
         return ended
 
+    def confirm_crash(self, worker: Worker) -> list[Task]:
+        """Counts the crash of a worker against the tasks that may be the cause.
+
+        Returns:
+          These tasks.
+        """
+        suspects = [
+            task
+            for task, run in worker.suspects.items()
+            if task.phase is not TaskPhase.DONE and run > task.cleared_run
+        ]
+        for task in suspects:
+            task.crashed_runs.add(worker.suspects[task])
+            self.dirty[task.job.spec.id] = None
+        worker.suspects.clear()
+        return suspects
+
     def _stop_anew(self, task: Task) -> None:
         """Marks a task as being stopped; earlier stops have no effect."""
         self.begin_stop(task)
--- a/lentilmount/scheduling/crashes.py
+++ b/lentilmount/scheduling/crashes.py
@@ -3,8 +3,9 @@
 A worker that crashes loses all its tasks, of which only those that it has just
 started can be the cause. Often that is a coincidence, as whole racks fail while
 tasks start everywhere. So a task is given up only if several workers in a row
-were lost as they started it, and before the last time it is put on trial: no
-other task starts beside it.
+crashed as they started it, and before the last time it is put on trial: no
+other task starts beside it. A worker that was only cut off does not count: its
+crash is certain once it has restarted, or another instance has its address.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 
 from lentilmount.scheduling.model import Task, Worker
 
-STARTUP_SECONDS = 1.0
+STARTUP_SECONDS = 0.5
 """Time after its start for which a task may be the cause of a crash."""
 
 TRIAL_CRASHES = 2
@@ -23,6 +24,9 @@
 """Number of crashes in a row after which a task is given up."""
 
 
+PROOF_SECONDS = 15.0
+"""Time after the loss of a worker within which its crash may be proved."""
+
 STEADY_SECONDS = 10.0
 """Time without a failed poll after which a worker is unlikely to be lost for
 another reason within the trial of a task."""
@@ -34,11 +38,11 @@
 
 
 def _is_suspect(task: Task, worker: Worker) -> bool:
-    if math.isinf(task.start_sent_at) and task.start_sent_at > 0:
+    if task.start_sent_at == math.inf:
         return False
-    if task.crashed_runs:
-        # It would have been cleared if it had run for long enough.
-        return True
+    if not worker.has_answered:
+        # The previous owner would have cleared it if it had run for a while.
+        return bool(task.crashed_runs)
     return task.start_sent_at > worker.last_answer_at - STARTUP_SECONDS
 
 
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -62,10 +62,11 @@
       failed_runs: Numbers of the failed runs that count against its job.
       failed_on: Ids of the workers on which it failed.
       crashed_runs: Numbers of its newest runs if their workers, one after the
-        other, were lost shortly after they had started it.
+        other, crashed shortly after they had started it.
       placed_at: Monotonic time of the newest placement in seconds.
       confirmed_at: Monotonic time by which its worker has certainly started it;
         infinity until then, 0 if it was restored from a row and not reported.
+      cleared_run: Number of the newest run that did not crash its worker.
       start_sent_at: Monotonic time at which its start was last sent; infinity
         if it was not, minus infinity if a previous owner may have sent it.
       start_deadline_ms: Deadline for the start in ms of the worker's clock; 0
@@ -96,6 +97,7 @@
     failed_runs: set[int] = attrs.Factory(set)
     failed_on: set[str] = attrs.Factory(set)
     crashed_runs: set[int] = attrs.Factory(set)
+    cleared_run: int = 0
     placed_at: float = 0.0
     confirmed_at: float = 0.0
     start_sent_at: float = -math.inf
@@ -221,6 +223,11 @@
       reachable: Whether it answered the last poll.
       incarnation_ms: Start time of the incarnation that made the newest report,
         as in `WorkerEntry.started_ms`; None if it is not known.
+      has_crashed: Whether it has certainly ended, as another instance has its
+        address.
+      suspects: Runs that may have crashed it, by task, until its crash is
+        proved or it answers again.
+      lost_at: Monotonic time at which its tasks were last lost with it.
       reached_at: Monotonic time since which no poll has failed.
       last_answer_at: Monotonic time of its newest answer to any call; minus
         infinity if there is none.
@@ -249,6 +256,9 @@
     has_answered: bool = False
     reachable: bool = False
     incarnation_ms: int | None = None
+    has_crashed: bool = False
+    suspects: dict[Task, int] = attrs.Factory(dict)
+    lost_at: float = -math.inf
     reached_at: float = -math.inf
     last_answer_at: float = -math.inf
     has_missed_poll: bool = False
--- a/tests/test_poll_intervals.py
+++ b/tests/test_poll_intervals.py
@@ -64,6 +64,9 @@
     ) -> None:
         """See `SessionListener`."""
 
+    def handle_crash(self, worker: Worker, suspects: list[Task]) -> None:
+        """See `SessionListener`."""
+
     def handle_late_starts(
         self, worker: Worker, late_starts: list[StaleRun]
     ) -> None:
--- a/tests/test_restarts_with_commands.py
+++ b/tests/test_restarts_with_commands.py
@@ -55,6 +55,7 @@
       start_seconds: Time for which a start is on its way.
       silent: Whether no call reaches it.
       silent_polls: Whether no poll reaches it.
+      is_replaced: Whether another instance answers at its address.
       running: Current run of each task.
       highest: Highest run that was stopped or ended, by task.
       executed: Incarnation, task and run of each start that was executed.
@@ -67,6 +68,7 @@
     start_seconds: float = CALL_SECONDS
     silent: bool = False
     silent_polls: bool = False
+    is_replaced: bool = False
     running: dict[str, int] = attrs.Factory(dict)
     highest: dict[str, int] = attrs.Factory(dict)
     executed: list[tuple[int, str, int]] = attrs.Factory(list)
@@ -136,6 +138,8 @@
             await asyncio.sleep(TIMEOUT_SECONDS + wait)
             return CallStatus.UNKNOWN
         await asyncio.sleep(CALL_SECONDS)
+        if self.is_replaced:
+            return CallStatus.OTHER_INSTANCE
         self.ended = [end for end in self.ended if end.number > seen]
         running = tuple(
             RunReport(task, run, '', 0, None)
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -63,6 +63,9 @@
     ) -> None:
         """See `SessionListener`."""
 
+    def handle_crash(self, worker: Worker, suspects: list[Task]) -> None:
+        """See `SessionListener`."""
+
     def handle_late_starts(
         self, worker: Worker, late_starts: list[StaleRun]
     ) -> None:
