--- /dev/null
+++ b/stand_ins/model_network.py
@@ -0,0 +1,261 @@
+"""Calls to model workers, which get lost or arrive late, and a table."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import math
+
+import attrs
+import orjson
+
+from lentilmount.coordination.table import (
+    ConflictError,
+    Delete,
+    Key,
+    Operation,
+    Put,
+    Row,
+)
+from lentilmount.platform.store import (
+    PAGE_ROWS,
+    Changes,
+    HistoryLostError,
+    PlatformTable,
+    RawRow,
+    decode_row,
+)
+from lentilmount.upstream.http import CURL_ERROR, HttpClient, HttpResponse
+from stand_ins.model_worker import POLL_PATH, ModelWorker
+from stand_ins.rowstore import Address, Change, RowStore
+
+CALL_SECONDS = 0.004
+NEVER = 3600.0
+NO_ANSWER = HttpResponse(CURL_ERROR, b'', {})
+
+
+class Fault(enum.Enum):
+    """What happens to a call.
+
+    LOST calls are not carried out, UNANSWERED ones at once, LATE ones seconds
+    later; none of them is answered. SLOW ones are delayed on both ways.
+    """
+
+    NONE = 'none'
+    LOST = 'lost'
+    UNANSWERED = 'unanswered'
+    LATE = 'late'
+    SLOW = 'slow'
+
+
+@attrs.frozen
+class CallFault:
+    """Fault of one call, and its delay in seconds if it has one."""
+
+    fault: Fault = Fault.NONE
+    seconds: float = 0.0
+
+
+@attrs.define(eq=False)
+class Link:
+    """The way to one worker.
+
+    Attributes:
+      worker: The worker.
+      loses_calls: Whether no call arrives.
+      loses_answers: Whether no answer arrives.
+      faults: Faults of the next calls, by path.
+      disturbed_at: Time in seconds of the newest fault.
+    """
+
+    worker: ModelWorker
+    loses_calls: bool = False
+    loses_answers: bool = False
+    faults: dict[str, list[CallFault]] = attrs.Factory(dict)
+    disturbed_at: float = -math.inf
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether calls or their answers are lost."""
+        return self.loses_calls or self.loses_answers
+
+    def take_fault(self, path: str) -> CallFault:
+        """Returns the fault of a call that is being sent."""
+        faults = self.faults.get(path)
+        fault = faults.pop(0) if faults else CallFault()
+        if self.loses_calls and fault.fault is not Fault.LATE:
+            return CallFault(Fault.LOST)
+        return fault
+
+
+@attrs.define(eq=False)
+class Network(HttpClient):
+    """Sends the calls of owners to model workers.
+
+    Attributes:
+      links: Links by address.
+      late_calls: Number of calls that are still to be carried out late.
+    """
+
+    links: dict[str, Link] = attrs.Factory(dict)
+    late_calls: int = 0
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout: float | None = None,
+        base: str | None = None,
+        total_timeout: float | None = None,
+        reads_headers: bool = True,
+    ) -> HttpResponse:
+        """See `HttpClient`."""
+        link = self.links.get(str(base).removeprefix('http://'))
+        if link is None:
+            await asyncio.sleep(CALL_SECONDS)
+            return NO_ANSWER
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._exchange(link, path, body or b'')
+        except TimeoutError:
+            return NO_ANSWER
+
+    async def _exchange(
+        self, link: Link, path: str, body: bytes
+    ) -> HttpResponse:
+        fault = link.take_fault(path)
+        if fault.fault is not Fault.NONE:
+            link.disturbed_at = _now()
+        if fault.fault is Fault.LOST:
+            await asyncio.sleep(NEVER)
+        delay = CALL_SECONDS
+        if fault.fault in (Fault.LATE, Fault.SLOW):
+            delay = fault.seconds
+        arrival = self._deliver(link, path, body, delay)
+        if fault.fault in (Fault.LATE, Fault.UNANSWERED):
+            await asyncio.sleep(NEVER)
+        response = await arrival
+        if response is None:
+            return NO_ANSWER
+        status, document = response
+        if path == POLL_PATH and status == 200:
+            wait_ms = orjson.loads(body).get('waitMs', 0)
+            report = await link.worker.report(wait_ms)
+            if report is None:
+                return NO_ANSWER
+            document = report
+        await asyncio.sleep(delay)
+        if link.loses_answers:
+            link.disturbed_at = _now()
+            await asyncio.sleep(NEVER)
+        return HttpResponse(status, orjson.dumps(document), {})
+
+    def _deliver(
+        self, link: Link, path: str, body: bytes, delay: float
+    ) -> asyncio.Future[tuple[int, dict[str, object]] | None]:
+        """Carries out a call after a delay, whether its sender waits or not."""
+        loop = asyncio.get_running_loop()
+        arrival: asyncio.Future[tuple[int, dict[str, object]] | None]
+        arrival = loop.create_future()
+        sent_to = link.worker.incarnation if link.worker.is_up else 0
+        self.late_calls += 1
+
+        def deliver() -> None:
+            self.late_calls -= 1
+            response = None
+            if link.worker.is_up:
+                is_late = sent_to != link.worker.incarnation
+                if delay > CALL_SECONDS or is_late:
+                    link.disturbed_at = _now()
+                response = link.worker.receive(
+                    path, orjson.loads(body), is_late
+                )
+            if not arrival.done():
+                arrival.set_result(response)
+
+        loop.call_later(delay, deliver)
+        return arrival
+
+
+class MemoryTable(PlatformTable):
+    """A table client that reads and writes a store in this process."""
+
+    def __init__(self, store: RowStore):
+        super().__init__(Network(), 1.0)
+        self._store = store
+
+    async def read(self, keys: list[Key]) -> dict[Key, Row]:
+        """See `PlatformTable`."""
+        await asyncio.sleep(CALL_SECONDS)
+        found = {}
+        for key in keys:
+            change = self._store.rows.get(_make_address(key))
+            if change is not None:
+                found[key] = decode_row(key, _make_raw(change))
+        return found
+
+    async def scan(
+        self, partition: str, after: str = '', limit: int = PAGE_ROWS
+    ) -> list[Row]:
+        """See `PlatformTable`."""
+        changes = await self.read_all(*partition.split('/', 1))
+        return [
+            decode_row(Key(partition, raw.key), raw)
+            for raw in changes.rows
+            if raw.key > after
+        ][:limit]
+
+    async def transact(self, token: str, operations: list[Operation]) -> int:
+        """See `PlatformTable`."""
+        await asyncio.sleep(CALL_SECONDS)
+        conditions = {_make_address(o.key): o.expected for o in operations}
+        writes: dict[Address, bytes | None] = {}
+        for operation in operations:
+            if isinstance(operation, Put):
+                value = orjson.dumps([token, operation.body])
+                writes[_make_address(operation.key)] = value
+            elif isinstance(operation, Delete):
+                writes[_make_address(operation.key)] = None
+        current = self._store.transact(conditions, writes)
+        version = self._store.version
+        await asyncio.sleep(CALL_SECONDS)
+        if current is not None:
+            raise ConflictError(
+                tuple(
+                    o.key
+                    for o in operations
+                    if current[_make_address(o.key)] != o.expected
+                )
+            )
+        return version
+
+    async def read_all(self, table: str, part: str = '') -> Changes:
+        """See `PlatformTable`."""
+        await asyncio.sleep(CALL_SECONDS)
+        rows = self._store.scan(table, part, '', '', 10_000)
+        return Changes(tuple(map(_make_raw, rows)), self._store.version)
+
+    async def follow(self, table: str, after: int, wait: float) -> Changes:
+        """See `PlatformTable`."""
+        await asyncio.sleep(CALL_SECONDS)
+        changes = await self._store.follow(table, after, wait)
+        if changes is None:
+            raise HistoryLostError(table)
+        return Changes(tuple(map(_make_raw, changes)), self._store.version)
+
+
+def _make_address(key: Key) -> Address:
+    table, _, part = key.partition.partition('/')
+    return table, part, key.sort
+
+
+def _make_raw(change: Change) -> RawRow:
+    _, part, key = change.address
+    is_removed = change.value is None
+    return RawRow(key, change.value or b'', change.version, is_removed, part)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/stand_ins/model_site.py
@@ -0,0 +1,375 @@
+"""A service with a real owner and model workers in virtual time.
+
+The owner is the product's, from the election on. What runs is judged by what
+the model workers have carried out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import attrs
+import orjson
+
+from lentilmount.clock import ManualClock
+from lentilmount.control.candidates import Candidates
+from lentilmount.control.election import ServiceElection, make_name
+from lentilmount.control.keys import CANCEL_SUFFIX, JOBS_TABLE
+from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.owner import OwnerSettings
+from lentilmount.platform.documents import encode_job_row
+from lentilmount.platform.host_settings import Capacity
+from lentilmount.platform.store import WORKERS_TABLE
+from lentilmount.platform.workers import WorkerClient
+from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.model import JobState, TaskPhase
+from lentilmount.scheduling.specs import JobSpec, TaskId
+from stand_ins.model_network import Link, MemoryTable, Network
+from stand_ins.model_worker import Execution, ModelWorker
+from stand_ins.rowstore import RowStore
+
+SERVICE = 'desk'
+LEASE_SECONDS = 6.0
+TIMEOUT_SECONDS = 0.8
+REGISTRATION_SECONDS = 0.2
+"""Time from the start of a worker until it is registered."""
+
+EXPIRY_SECONDS = 3.0
+"""Time after which the registration of a silent worker is removed."""
+
+STOP_LIMIT_SECONDS = 3.9
+"""Time within which a run that must not go on has to end."""
+
+DISTURBED_LIMIT_SECONDS = 3.0
+"""Further time for that where calls were lost or late."""
+
+NOTICE_SECONDS = 2.0
+"""Time from the start of a worker from which the stop of a late start can have
+reached it."""
+
+FINISH_SECONDS = 30.0
+
+
+async def _may_own(address: str) -> bool:
+    return True
+
+
+@attrs.define(eq=False)
+class ModelSite:
+    """A table, workers, and the process that competes for their service.
+
+    Attributes:
+      clock: The clock.
+      store: The table.
+      network: Calls to the workers.
+      record: All runs of all workers, in the order of their starts.
+      workers: Workers that run or will run again, by position.
+      jobs: Submitted jobs by id.
+      cancelled: Ids of the cancelled jobs.
+      violations: What was found wrong.
+      election: The election that runs the owner; None while it is killed.
+    """
+
+    clock: ManualClock
+    store: RowStore = attrs.Factory(RowStore)
+    network: Network = attrs.Factory(Network)
+    record: list[Execution] = attrs.Factory(list)
+    workers: list[ModelWorker] = attrs.Factory(list)
+    jobs: dict[str, JobSpec] = attrs.Factory(dict)
+    cancelled: set[str] = attrs.Factory(set)
+    violations: list[str] = attrs.Factory(list)
+    election: ServiceElection | None = None
+    _process: asyncio.Task[None] | None = None
+    _owner: object = None
+    _learned_at: dict[str, float] = attrs.Factory(dict)
+    _unregistered: set[str] = attrs.Factory(set)
+    _registered_at: dict[str, float] = attrs.Factory(dict)
+    _count: int = 0
+
+    # Workers.
+
+    def add_worker(self) -> None:
+        """Starts a worker with a new id."""
+        self.workers.append(self._make_worker())
+        self._boot(self.workers[-1])
+
+    def _make_worker(self) -> ModelWorker:
+        self._count += 1
+        worker = ModelWorker(
+            f'w{self._count}', f'w{self._count}:1', self.record
+        )
+        self.network.links[worker.address] = Link(worker)
+        return worker
+
+    def get_link(self, worker: ModelWorker) -> Link:
+        """Returns the link to a worker."""
+        return self.network.links[worker.address]
+
+    def _boot(self, worker: ModelWorker) -> None:
+        worker.boot()
+        incarnation = worker.incarnation
+
+        def register() -> None:
+            if worker.is_up and worker.incarnation == incarnation:
+                self.register(worker)
+
+        _call_later(REGISTRATION_SECONDS, register)
+
+    def register(self, worker: ModelWorker) -> None:
+        """Writes the registration of a worker that is up."""
+        if worker.is_up and worker.id not in self._unregistered:
+            self._registered_at.setdefault(worker.id, self.clock.now)
+            self.store.write(
+                (WORKERS_TABLE, '', worker.id), worker.describe(SERVICE)
+            )
+
+    def set_registered(self, worker: ModelWorker, is_registered: bool) -> None:
+        """Lets the registration of a worker vanish or come back."""
+        if is_registered:
+            self._unregistered.discard(worker.id)
+            self.register(worker)
+        else:
+            self._unregistered.add(worker.id)
+            self._remove_registration(worker)
+
+    def _remove_registration(self, worker: ModelWorker) -> None:
+        self._registered_at.pop(worker.id, None)
+        address = (WORKERS_TABLE, '', worker.id)
+        if address in self.store.rows:
+            self.store.write(address, None)
+
+    def crash(self, position: int, seconds: float, has_same_id: bool) -> None:
+        """Crashes a worker, which comes back later, under its id or another."""
+        worker = self.workers[position]
+        if not worker.is_up:
+            return
+        worker.crash()
+        incarnation = worker.incarnation
+
+        def expire() -> None:
+            if worker.incarnation == incarnation:
+                self._remove_registration(worker)
+
+        _call_later(EXPIRY_SECONDS, expire)
+        if not has_same_id:
+            worker = self.workers[position] = self._make_worker()
+        _call_later(seconds, lambda: self._boot(worker))
+
+    # The owner.
+
+    def start_owner(self) -> None:
+        """Starts the process that competes for the service."""
+        candidates = Candidates(Capacity(2.0, 200.0), True, 'host-1')
+        self.election = ServiceElection(
+            OwnerSettings(SERVICE, LEASE_SECONDS, 120.0),
+            MemoryTable(self.store),
+            make_name('host-1'),
+            self.clock,
+            lambda epoch: WorkerClient(self.network, epoch, TIMEOUT_SECONDS),
+            lambda: False,
+            None,
+            ControlMetrics(),
+            candidates,
+            _may_own,
+        )
+        self._process = asyncio.create_task(self.election.run())
+
+    async def kill_owner(self) -> None:
+        """Kills the process; all that it knows is gone."""
+        if self._process is not None:
+            self._process.cancel()
+            await asyncio.wait({self._process})
+        self._process = self.election = None
+
+    @property
+    def cluster(self) -> ClusterState | None:
+        """What the current owner knows; None if there is none."""
+        owner = self.election.owner if self.election is not None else None
+        return owner.cluster if owner and owner.loaded.is_set() else None
+
+    def find_worker(self, task: str) -> str:
+        """Returns the id of the worker where the owner has a task, or ''."""
+        task_id = TaskId.parse(task)
+        if self.cluster is None or task_id is None:
+            return ''
+        job = self.cluster.jobs.get(task_id.job)
+        return job.tasks[task_id].worker if job is not None else ''
+
+    # Jobs.
+
+    def submit(self, spec: JobSpec) -> None:
+        """Writes the row of an accepted job."""
+        self.jobs[spec.id] = spec
+        self._write_job(spec.id, encode_job_row(spec))
+
+    def cancel(self, job_id: str) -> None:
+        """Writes the row that cancels a job."""
+        self.cancelled.add(job_id)
+        self._write_job(job_id + CANCEL_SUFFIX, {})
+
+    def _write_job(self, key: str, body: dict[str, object]) -> None:
+        value = orjson.dumps(['token', body])
+        self.store.write((JOBS_TABLE, SERVICE, key), value)
+
+    # Checks.
+
+    async def watch(self) -> None:
+        """Checks what runs again and again, until it is cancelled."""
+        while True:
+            await asyncio.sleep(0.2)
+            self.check()
+
+    def check(self) -> None:
+        """Adds violations by what has run up to now."""
+        if self._process is not None and self._process.done():
+            self._add(f'the process ended: {self._process}')
+        self._note_cancellations()
+        by_task: dict[str, list[Execution]] = {}
+        for execution in self.record:
+            by_task.setdefault(execution.task, []).append(execution)
+        for executions in by_task.values():
+            for number, later in enumerate(executions):
+                for earlier in executions[:number]:
+                    self._check_pair(earlier, later)
+        for execution in self.record:
+            if math.isinf(execution.ended_at):
+                self._check_cancelled(execution)
+
+    def _check_pair(self, earlier: Execution, later: Execution) -> None:
+        is_beside = earlier.ended_at > later.started_at
+        is_after_done = earlier.kind == 'done' and earlier.is_acknowledged
+        if not is_beside and not is_after_done:
+            return
+        if not self._is_unavoidable(earlier, later):
+            problem = 'beside' if is_beside else 'after the end of'
+            self._add(f'started {problem} a run', earlier, later)
+        elif self._is_overdue(later, later.started_at):
+            self._add('a late start runs on', earlier, later)
+
+    def _is_unavoidable(self, earlier: Execution, later: Execution) -> bool:
+        """Returns whether no owner could have prevented a late start."""
+        if not later.is_late or earlier.started_at >= later.booted_at:
+            return False
+        link = self.network.links[f'{later.worker}:1']
+        is_early = later.started_at < later.booted_at + NOTICE_SECONDS
+        return is_early or link.disturbed_at >= later.booted_at
+
+    def _check_cancelled(self, execution: Execution) -> None:
+        learned_at = self._learned_at.get(execution.task.partition('.')[0])
+        if learned_at is not None and self._is_overdue(execution, learned_at):
+            self._add('runs on after its cancellation', execution)
+
+    def _is_overdue(self, execution: Execution, since: float) -> bool:
+        """Returns whether a run should have been stopped by now.
+
+        That is so 3.9 s after the time from which the owner could stop it, and
+        3 s later if calls were lost or late since; each fault of the link after
+        that postpones it again.
+        """
+        if math.isfinite(execution.ended_at) or self.cluster is None:
+            return False
+        link = self.network.links[f'{execution.worker}:1']
+        registered_at = self._registered_at.get(execution.worker)
+        if registered_at is None or link.is_cut:
+            return False
+        since = max(since, execution.started_at, registered_at)
+        since = max(since, self._learned_at[''])
+        limit = since + STOP_LIMIT_SECONDS
+        if link.disturbed_at >= since:
+            limit = max(
+                limit + DISTURBED_LIMIT_SECONDS,
+                link.disturbed_at + STOP_LIMIT_SECONDS,
+            )
+        return self.clock.now > limit
+
+    def _note_cancellations(self) -> None:
+        cluster = self.cluster
+        if cluster is not self._owner:
+            self._owner = cluster
+            self._learned_at = {'': self.clock.now}
+        for job_id in self.cancelled if cluster is not None else ():
+            job = cluster.jobs.get(job_id) if cluster is not None else None
+            if job is not None and job.state is JobState.CANCELLED:
+                self._learned_at.setdefault(job_id, self.clock.now)
+        for link in self.network.links.values():
+            if link.is_cut:
+                link.disturbed_at = self.clock.now
+
+    def _add(self, problem: str, *executions: Execution) -> None:
+        found = f'{problem}: ' + ', '.join(map(_format, executions))
+        if found not in self.violations:
+            self.violations.append(found)
+
+    # The end.
+
+    async def finish(self) -> None:
+        """Removes all faults, waits, and checks that all jobs have ended."""
+        for link in self.network.links.values():
+            link.loses_calls = link.loses_answers = False
+            link.faults.clear()
+        for worker in self.workers:
+            self.set_registered(worker, True)
+        if self.election is None:
+            self.start_owner()
+        end = self.clock.now + FINISH_SECONDS
+        while self.clock.now < end and self._list_unfinished():
+            await asyncio.sleep(0.5)
+        for problem in self._list_unfinished():
+            if problem:
+                self.violations.append(problem)
+
+    def _list_unfinished(self) -> list[str]:
+        cluster = self.cluster
+        if cluster is None:
+            return ['there is no owner']
+        found = [] if self.network.late_calls == 0 else ['']
+        for job_id in self.jobs:
+            job = cluster.jobs.get(job_id)
+            if job is None:
+                found.append(f'{job_id} is not known')
+                continue
+            for task in job.tasks.values():
+                problem = self._find_problem(job.state, str(task.id))
+                if task.spec.lasting and not job.state.is_final:
+                    problem = (
+                        ''
+                        if task.phase is TaskPhase.RUNNING
+                        and self._count_running(str(task.id)) == 1
+                        else 'does not run'
+                    )
+                if problem:
+                    found.append(f'{task.id} of a {job.state} job {problem}')
+        return found
+
+    def _count_running(self, task: str) -> int:
+        return sum(
+            e.task == task and math.isinf(e.ended_at) for e in self.record
+        )
+
+    def _find_problem(self, state: JobState, task: str) -> str:
+        if not state.is_final:
+            return 'has not ended'
+        if self._count_running(task):
+            return 'runs on'
+        done = [e for e in self.record if e.task == task and e.kind == 'done']
+        if state is JobState.COMPLETED and not done:
+            return 'was never done'
+        noted = [e for e in done if e.is_acknowledged]
+        extra = [e for e in noted if not self._is_unavoidable(noted[0], e)]
+        return 'was done more than once' if len(extra) > 1 else ''
+
+
+def _format(execution: Execution) -> str:
+    late = ', late' if execution.is_late else ''
+    return (
+        f'{execution.task} run {execution.run} on {execution.worker}'
+        f' incarnation {execution.incarnation} of {execution.booted_at:.3f}'
+        f' at {execution.started_at:.3f} to {execution.ended_at:.3f}'
+        f' ({execution.kind}{late})'
+    )
+
+
+def _call_later(seconds: float, call: object) -> None:
+    assert callable(call)
+    asyncio.get_running_loop().call_later(seconds, call)
