Show a late start that outlives the session of its worker

What callers see: a task of their job runs again although it has completed.

Cause: a worker that is unregistered and has no tasks loses its session, and with it the list of starts without an answer. Back under the same id within 30 s of such a start, it gets a new session, whose first report shows no restart, and nothing stops the start before it arrives.

Ruled out: that no owner could prevent it. The worker was up and registered for 3.5 s before the start arrived, and its task had run elsewhere since its leases ran out.

Conclusion: real, and not mended here. It takes a call that is executed 12 s late.

--- a/tests/test_session_schedules.py
+++ b/tests/test_session_schedules.py
@@ -4,11 +4,22 @@
 
 import asyncio
 
+from lentilmount.clock import ManualClock
+from stand_ins.model_network import CallFault, Fault
+from stand_ins.model_site import ModelSite
+from stand_ins.model_worker import START_PATH
+from stand_ins.virtual_time import run_virtual
 from tests.test_restarts_with_commands import (
     DELAY_SECONDS,
     RestartScene,
     play,
 )
+from tests.test_session_state_machine import make_spec
+
+LATE_SECONDS = 12.0
+DOWN_SECONDS = 8.0
+"""Longer than a lease, so that the task has run elsewhere, and than it takes
+until the registration of a silent worker is removed."""
 
 
 def test_a_start_that_outlives_two_restarts_runs_on_one_worker() -> None:
@@ -40,3 +51,35 @@
         await scene.observe(3.0)
 
     play(scenario)
+
+
+def test_a_start_that_outlives_the_session_of_its_worker_is_stopped() -> None:
+    """A worker that was gone for long executed a start of before its crash."""
+    clock = ManualClock()
+    site = ModelSite(clock)
+
+    async def scenario() -> None:
+        for _ in range(2):
+            site.add_worker()
+        site.start_owner()
+        await asyncio.sleep(1.5)
+        watch = asyncio.create_task(site.watch())
+        spec = make_spec(0, 'short', False)
+        links = [site.get_link(worker) for worker in site.workers]
+        for link in links:
+            link.faults[START_PATH] = [CallFault(Fault.LATE, LATE_SECONDS)]
+        site.submit(spec)
+        await asyncio.sleep(0.1)
+        name = site.find_worker(f'{spec.id}.0.0.0')
+        for position, link in enumerate(links):
+            link.faults.clear()
+            if link.worker.id == name:
+                site.crash(position, DOWN_SECONDS, 0.2, True)
+        await site.finish()
+        site.check()
+        watch.cancel()
+        await site.kill_owner()
+
+    run_virtual(scenario(), clock)
+    assert site.network.late_calls == 0
+    assert site.violations == []
