Excuse a late start on a worker that nobody could reach in time

What callers see: nothing; a test.

Cause: the search reported a start that reached a worker cut off since its restart, as another run began 0.17 s after the cut was healed and before a poll had succeeded.

Ruled out: a fault of the owner: the leases had run out, it could not know of the restart, and the start was stopped with the first answer.

Change: a cut counts up to 2 s after its end, the time within which a worker is reached.

--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -45,8 +45,8 @@
 """Further time for that where calls were lost or late."""
 
 NOTICE_SECONDS = 2.0
-"""Time within which the stop of a late start reaches a worker that is up and
-registered."""
+"""Time within which a worker that is up, registered and not cut off is reached,
+so that a late start is stopped."""
 
 FINISH_SECONDS = 30.0
 
@@ -276,7 +276,8 @@
             return False
         link = self.network.links[f'{late.worker}:1']
         if other.started_at >= late.booted_at:
-            return link.is_cut_during(late.booted_at, other.started_at)
+            noticed_at = other.started_at - NOTICE_SECONDS
+            return link.is_cut_during(late.booted_at, noticed_at)
         reachable_at = max(
             late.booted_at,
             self._learned_at[''],
