Show a waiting task that runs twice after its late start

What callers see: a task of their job runs on two workers at once.

Cause: a start whose deadline passed frees its task. If the worker then restarts, the start is valid again on the new clock. A restart keeps the task of a late start only while it is still placed there; a waiting one is placed at once, and the stop of the late start is sent a single time.

Ruled out: that no owner could prevent it: the restart was seen before the task was placed.

Conclusion: real, and not mended here. It takes a restart, a start several seconds late and a lost or slow stop.

--- a/tests/test_session_schedules.py
+++ b/tests/test_session_schedules.py
@@ -4,13 +4,19 @@
 
 import asyncio
 
+import pytest
+
 from lentilmount.clock import ManualClock
+from lentilmount.control.worker_session import START_TIMEOUT_SECONDS
+from lentilmount.platform.workers import CallStatus, CommandAnswer
 from stand_ins.model_network import CallFault, Fault
 from stand_ins.model_site import ModelSite
 from stand_ins.model_worker import START_PATH
 from stand_ins.virtual_time import run_virtual
 from tests.test_restarts_with_commands import (
     DELAY_SECONDS,
+    TIMEOUT_SECONDS,
+    RestartingWorker,
     RestartScene,
     play,
 )
@@ -83,3 +89,25 @@
     run_virtual(scenario(), clock)
     assert site.network.late_calls == 0
     assert site.violations == []
+
+
+def test_a_waiting_task_is_kept_until_its_late_start_is_stopped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The stop of an expired start was lost after a restart; it ran twice."""
+
+    async def lose(*arguments: object) -> CommandAnswer:
+        await asyncio.sleep(TIMEOUT_SECONDS)
+        return CommandAnswer(CallStatus.UNKNOWN)
+
+    async def scenario(scene: RestartScene) -> None:
+        scene.client.start_seconds = START_TIMEOUT_SECONDS + DELAY_SECONDS
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: scene.task.id in scene.cluster.ready)
+        monkeypatch.setattr(RestartingWorker, 'stop', lose)
+        scene.client.restart()
+        await scene.wait_until(lambda: scene.session.incarnation == 1)
+        await scene.observe(3.0)
+        assert scene.client.late_starts
+
+    play(scenario)
