Remove the registration of the worker that crashed

What callers see: nothing; a test.

Cause: in the model site a worker that came back under a new id lost its own registration, and the crashed one kept it: jobs seemed never to end.

Ruled out: a fault of the owner, which rightly gave no task to a worker that was not registered.

Change: the registration that expires is that of the crashed worker.

Figures: the example in which a lasting job did not run passes.

Conclusion: both violations of that example were of the model.

--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -160,11 +160,11 @@
         if not worker.is_up:
             return
         worker.crash()
-        incarnation = worker.incarnation
+        crashed, incarnation = worker, worker.incarnation
 
         def expire() -> None:
-            if worker.incarnation == incarnation:
-                self._remove_registration(worker)
+            if crashed.incarnation == incarnation:
+                self._remove_registration(crashed)
 
         _call_later(EXPIRY_SECONDS, expire)
         if not has_same_id:
