Hold a waiting task whose start may outlive a restart

What callers see: a task of their job runs on two workers at once.

Cause: a task whose start has expired without an answer waits for a worker. If the worker that was asked restarts then, the start is valid again by the new clock; the task was placed elsewhere while the stop of that start was on its way.

Ruled out: sending the stop earlier; the restart forgets it.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -463,6 +463,8 @@
           The tasks whose runs have ended.
         """
         ended = []
+        for late_start in late_starts:
+            self._hold_waiting(late_start, worker)
         worker.lost_at = now
         worker.suspects |= {task: task.run for task in list_suspects(worker)}
         for task in list(worker.tasks.values()):
@@ -475,6 +477,17 @@
             ended.append(task)
         return ended
 
+    def _hold_waiting(self, late_start: StaleRun, worker: Worker) -> None:
+        """Keeps a waiting task on a worker that may still start it."""
+        task = self.find_task(late_start.task)
+        if task is None or task.phase is not TaskPhase.WAITING:
+            return
+        if task.run == late_start.run:
+            task.phase = TaskPhase.STOPPING
+            task.worker = worker.id
+            worker.add(task)
+            self.ready.pop(task.id, None)
+
     def confirm_crash(self, worker: Worker) -> list[Task]:
         """Counts the crash of a worker against the tasks that may be the cause.
 
