Suspect only tasks that their worker has started

What callers see: jobs are shown as failed that could be done.

Cause: a start sent to a worker that had already crashed, or was cut off, counted as the cause of its loss.

Change: a task is a suspect only if its worker has answered its start or listed it.

Conclusion: a task whose worker crashes before it answers the start is not bounded any more.

--- a/lentilmount/scheduling/crashes.py
+++ b/lentilmount/scheduling/crashes.py
@@ -38,7 +38,8 @@
 
 
 def _is_suspect(task: Task, worker: Worker) -> bool:
-    if task.start_sent_at == math.inf:
+    if math.isinf(task.confirmed_at):
+        # The worker may have been gone when the start was sent.
         return False
     if not worker.has_answered:
         # The previous owner would have cleared it if it had run for a while.
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -119,13 +119,19 @@
     assert (older.crashed_runs, newer.crashed_runs) == (set(), {1})
 
 
-def test_a_task_whose_start_was_not_sent_is_no_suspect() -> None:
+@pytest.mark.parametrize('is_sent', [False, True])
+def test_a_task_whose_start_was_not_answered_is_no_suspect(
+    is_sent: bool,
+) -> None:
     """A task placed on a worker that was already gone would be blamed."""
     cluster = ClusterState()
     admit(cluster, make_job('job'))
     task = find_task(cluster, 'job')
     worker = add_worker(cluster, 'w')
+    worker.last_answer_at = 100.0
     cluster.place([task], worker, 100.0)
+    if is_sent:
+        task.start_sent_at = 100.0
     crash(cluster, worker, 100.0)
     assert not task.crashed_runs
 
