Keep the worker that restarts in test fixtures of its own

Cause: the scene of a worker that restarts stood in two test files, with its worker in a third that others imported.

Ruled out: one file for all tests; each file is about one feature.

Change: tests/restart_fixtures.py holds the worker, its session and the scene once; the tests of the review are in test_incarnations.py, named for what they test.

--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -27,6 +27,7 @@
 from lentilmount.upstream.http import HttpClient
 from tests.helpers import run
 from tests.platform_fixtures import PlatformFixture, open_platform
+from tests.restart_fixtures import TIMEOUT_SECONDS, RestartScene, play
 from tests.scheduling_fixtures import (
     add_worker,
     admit,
@@ -39,11 +40,6 @@
     run_pass,
     run_task,
 )
-from tests.test_restarts_with_commands import (
-    TIMEOUT_SECONDS,
-    RestartScene,
-    play,
-)
 from tests.test_worker_session import IgnoringListener
 
 CRASHING_JOB = 'c' * 16
--- a/tests/test_restart_review.py
+++ b/tests/test_incarnations.py
@@ -3,18 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-import attrs
 import orjson
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.keys import make_job_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import Owner, OwnerSettings
-from lentilmount.control.worker_commands import CommandSender
-from lentilmount.control.worker_session import WorkerSession
 from lentilmount.coordination.leases import LeaseKeeper
 from lentilmount.coordination.table import (
     ABSENT,
@@ -40,7 +36,6 @@
     WorkerClient,
 )
 from lentilmount.resources import Room
-from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import TaskPhase
 from lentilmount.scheduling.placement import Placer
@@ -56,23 +51,19 @@
 from lentilmount.version_times import VersionTimes
 from stand_ins.virtual_time import run_virtual
 from tests.helpers import run
+from tests.restart_fixtures import (
+    CALL_SECONDS,
+    TIMEOUT_SECONDS,
+    RestartScene,
+    play,
+)
 from tests.scheduling_fixtures import (
     SERVICE,
-    add_worker,
-    admit,
-    find_task,
     make_end,
     make_entry,
     make_job,
     run_pass,
 )
-from tests.test_restarts_with_commands import (
-    CALL_SECONDS,
-    TIMEOUT_SECONDS,
-    RecordingListener,
-    RestartingWorker,
-    RestartScene,
-)
 from tests.test_submissions import JOB
 from tests.test_worker_session import LEASE_SECONDS
 
@@ -80,201 +71,10 @@
 """Time after which a call without an answer is executed."""
 
 
-@attrs.define(eq=False)
-class LateWorker(RestartingWorker):
-    """A worker that executes calls late and whose answers may be delayed.
-
-    Attributes:
-      late_start_seconds: Time after which a start without an answer is
-        executed; 0 for starts that are answered.
-      late_poll_seconds: The same for polls while no poll is answered.
-      lost_starts: Whether starts have no answer and no effect.
-      lost_commands: Number of stops and throttle commands that are lost next.
-      refused_stops: Number of stops that the worker refuses next.
-      stop_answer_seconds: Time for which answers to stops are on their way.
-      poll_seconds: Time for which polls are on their way.
-      poll_answer_seconds: Time for which answers to polls are on their way.
-      reported: Incarnation that made the newest report.
-      lease_until_ms: Expiry of its leases on its clock.
-    """
-
-    late_start_seconds: float = 0.0
-    late_poll_seconds: float = 0.0
-    lost_starts: bool = False
-    lost_commands: int = 0
-    refused_stops: int = 0
-    stop_answer_seconds: float = 0.0
-    poll_seconds: float = 0.0
-    poll_answer_seconds: float = 0.0
-    reported: int = 0
-    lease_until_ms: int = 0
-
-    def restart(self) -> None:
-        """See `RestartingWorker`."""
-        super().restart()
-        self.ended.clear()
-        self.lease_until_ms = 0
-
-    def renew(self, lease_until_ms: int | None) -> None:
-        """Renews its leases, for the longest time at most."""
-        longest = self.clock_ms + int(1000 * LEASE_SECONDS)
-        until = min(lease_until_ms or 0, longest)
-        self.lease_until_ms = max(self.lease_until_ms, until)
-
-    def end_expired(self) -> None:
-        """Ends its runs if its leases have expired."""
-        if self.clock_ms > self.lease_until_ms:
-            self.running.clear()
-
-    async def start(
-        self, worker: WorkerEntry, command: StartCommand
-    ) -> CommandAnswer:
-        """See `WorkerClient`."""
-        if self.lost_starts or self.late_start_seconds:
-            if self.late_start_seconds:
-                asyncio.get_running_loop().call_later(
-                    self.late_start_seconds, self._execute, command
-                )
-            await asyncio.sleep(TIMEOUT_SECONDS)
-            return CommandAnswer(CallStatus.UNKNOWN)
-        answer = await super().start(worker, command)
-        if answer.status is CallStatus.DONE:
-            self.renew(command.lease_until_ms)
-        return answer
-
-    def _execute(self, command: StartCommand) -> None:
-        is_rejected = command.run <= self.highest.get(command.task, 0)
-        if is_rejected or command.lease_until_ms < self.clock_ms:
-            return
-        self.renew(command.lease_until_ms)
-        self.running[command.task] = command.run
-        self.executed.append((self.incarnation, command.task, command.run))
-
-    async def stop(
-        self, worker: WorkerEntry, task: str, run: int
-    ) -> CommandAnswer:
-        """See `WorkerClient`."""
-        if self.lost_commands:
-            return await self._lose_command()
-        if self.refused_stops:
-            self.refused_stops -= 1
-            await asyncio.sleep(CALL_SECONDS)
-            return CommandAnswer(CallStatus.REFUSED)
-        delay = self.stop_answer_seconds
-        answer = await super().stop(worker, task, run)
-        await asyncio.sleep(delay)
-        return answer
-
-    async def throttle(
-        self, worker: WorkerEntry, task: str, run: int, percent: int
-    ) -> CommandAnswer:
-        """See `WorkerClient`."""
-        if self.lost_commands:
-            return await self._lose_command()
-        await asyncio.sleep(CALL_SECONDS)
-        return CommandAnswer(CallStatus.DONE, self.clock_ms)
-
-    async def _lose_command(self) -> CommandAnswer:
-        self.lost_commands -= 1
-        await asyncio.sleep(TIMEOUT_SECONDS)
-        return CommandAnswer(CallStatus.UNKNOWN)
-
-    async def poll(
-        self,
-        worker: WorkerEntry,
-        seen: int,
-        lease_until_ms: int | None,
-        wait: float,
-    ) -> WorkerReport | CallStatus:
-        """See `WorkerClient`."""
-        if self.silent and self.late_poll_seconds:
-            asyncio.get_running_loop().call_later(
-                self.late_poll_seconds, self.renew, lease_until_ms
-            )
-        await asyncio.sleep(self.poll_seconds)
-        report = await super().poll(worker, seen, lease_until_ms, wait)
-        if isinstance(report, WorkerReport):
-            self.reported = self.incarnation
-            self.renew(lease_until_ms)
-            await asyncio.sleep(self.poll_answer_seconds)
-        return report
-
-
-@attrs.define(eq=False)
-class LateScene(RestartScene):
-    """A scene whose worker is a `LateWorker`."""
-
-    client: LateWorker
-
-
-def play(
-    scenario: Callable[[LateScene], Awaitable[None]], is_new: bool = False
-) -> None:
-    """Plays a scenario in virtual time.
-
-    Args:
-      scenario: The scenario.
-      is_new: Whether the owner is new: it has restored the task from a row and
-        has not reached the worker yet. Otherwise it was just placed there.
-    """
-    clock = ManualClock()
-
-    async def work() -> None:
-        cluster = ClusterState()
-        worker = add_worker(cluster, 'w')
-        worker.has_answered = worker.reachable = False
-        admit(cluster, make_job('job'))
-        task = find_task(cluster, 'job')
-        client = LateWorker(HttpClient(''), 1, TIMEOUT_SECONDS)
-        listener = RecordingListener()
-        if is_new:
-            client.silent = True
-            task.run = 1
-            worker.leases_expire_at = clock.monotonic() + 7.5
-            cluster.restore_placed(task, worker)
-        session = WorkerSession(
-            worker, cluster, client, listener, LEASE_SECONDS, clock.monotonic
-        )
-        async with asyncio.TaskGroup() as group:
-            started: list[asyncio.Task[None]] = []
-
-            def start_task(command: Coroutine[Any, Any, None]) -> None:
-                started.append(group.create_task(command))
-
-            commands = listener.commands = CommandSender(
-                cluster,
-                client,
-                {worker.id: session},
-                listener,
-                clock.monotonic,
-                start_task,
-                lambda task, worker: '',
-                lambda: None,
-            )
-            started.append(group.create_task(session.run()))
-            scene = LateScene(
-                cluster=cluster,
-                worker=worker,
-                other=add_worker(cluster, 'other'),
-                task=task,
-                session=session,
-                client=client,
-                commands=commands,
-            )
-            if not is_new:
-                await scene.wait_until(lambda: worker.reachable)
-                cluster.place([task], worker, clock.monotonic())
-            await scenario(scene)
-            for started_task in started:
-                started_task.cancel()
-
-    run_virtual(work(), clock)
-
-
 def test_a_registration_does_not_end_a_run_that_it_follows() -> None:
     """A run that the new incarnation had answered was started elsewhere."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         # The poll in flight at the crash has no answer yet.
         scene.client.silent_polls = True
         await asyncio.sleep(2 * CALL_SECONDS)
@@ -292,7 +92,7 @@
 ):
     """A start by the previous owner ran on; the new one started it again."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         scene.client.restart()
         scene.client.running[str(scene.task.id)] = scene.task.run
         await asyncio.sleep(0.5)
@@ -306,7 +106,7 @@
 def test_an_older_first_report_does_not_end_a_newer_run() -> None:
     """The first report overtaken by a start's answer ended the new run."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         client = scene.client
         client.restart()
         client.poll_answer_seconds = 0.1
@@ -320,7 +120,7 @@
 def test_a_late_start_is_stopped_after_each_of_two_restarts() -> None:
     """A second restart forgot the stop: the start ran there and elsewhere."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         scene.client.late_start_seconds = LATE_SECONDS
         scene.commands.start(scene.task)
         await asyncio.sleep(0.2)
@@ -335,7 +135,7 @@
 def test_the_stop_of_a_late_start_that_moved_on_is_repeated() -> None:
     """A stop was refused and not repeated: the start ran there as well."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         scene.client.late_start_seconds = 1.5 * LATE_SECONDS
         scene.commands.start(scene.task)
         await scene.observe(LATE_SECONDS)
@@ -350,7 +150,7 @@
 def test_a_stop_by_an_earlier_incarnation_settles_nothing_in_the_next() -> None:
     """An old stop's answer freed a task whose start the worker then ran."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         client = scene.client
         client.late_start_seconds = LATE_SECONDS
         client.stop_answer_seconds = 0.5
@@ -369,7 +169,7 @@
 def test_a_late_answer_does_not_set_the_clock_of_the_next_incarnation() -> None:
     """By an old clock, a start without an answer never expired."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         client = scene.client
         client.stop_answer_seconds = 0.5
         scene.commands.stop_stale_run(
@@ -394,7 +194,7 @@
 def test_leases_include_late_polls_of_an_earlier_incarnation() -> None:
     """A poll by an old clock renewed leases for longer than was assumed."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         client = scene.client
         client.silent = True
         client.late_poll_seconds = 1.5 * LATE_SECONDS
@@ -421,7 +221,7 @@
 def test_leases_include_a_start_that_the_next_incarnation_answered() -> None:
     """A lease by an old clock lasted longer than the owner assumed."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         client = scene.client
         client.silent_polls = True
         await asyncio.sleep(0.1)
@@ -441,7 +241,7 @@
 def test_a_lost_stop_of_a_late_start_does_not_close_its_worker() -> None:
     """A worker that did not answer one stop got no more tasks."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         scene.client.lost_starts = True
         scene.commands.start(scene.task)
         await scene.observe(LATE_SECONDS)
@@ -458,7 +258,7 @@
 def test_a_lost_throttle_command_does_not_close_its_worker() -> None:
     """A worker got no more tasks when a task ended before an answer."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         client = scene.client
         scene.commands.start(scene.task)
         await scene.wait_until(lambda: scene.task.phase is TaskPhase.RUNNING)
@@ -476,7 +276,7 @@
 def test_a_new_incarnation_gets_no_tasks_by_an_old_registration() -> None:
     """A restarted worker of another kind was loaded over its capacity."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         cluster = scene.cluster
         cluster.workers.pop(scene.other.id)
         scene.client.restart()
@@ -500,7 +300,7 @@
 def test_a_report_of_an_earlier_incarnation_is_not_acknowledged() -> None:
     """Ends of an old report acknowledged those of the next incarnation."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         client, session = scene.client, scene.session
         client.poll_answer_seconds = 0.5
         client.ended = [make_end(3, scene.task, 0, EndKind.DONE)]
@@ -748,7 +548,7 @@
 def test_an_answered_acknowledgement_is_not_sent_again() -> None:
     """A poll under way during a restart acknowledged an end unseen."""
 
-    async def scenario(scene: LateScene) -> None:
+    async def scenario(scene: RestartScene) -> None:
         session, client = scene.session, scene.client
         session.acknowledge(session.incarnation, 3)
         await asyncio.sleep(0.5)
--- a/tests/test_session_schedules.py
+++ b/tests/test_session_schedules.py
@@ -13,7 +13,7 @@
 from stand_ins.model_site import ModelSite
 from stand_ins.model_worker import START_PATH
 from stand_ins.virtual_time import run_virtual
-from tests.test_restarts_with_commands import (
+from tests.restart_fixtures import (
     DELAY_SECONDS,
     TIMEOUT_SECONDS,
     RestartingWorker,
