Report lines that were left out even if the output was full

What callers saw: nothing yet.

Cause: the line `Left out N lines.` goes through the bounded backlog like any other. With a full backlog it was dropped, and its count was forgotten.

Evidence: test_a_full_pipe_does_not_hide_that_lines_were_left_out failed before; only `Later.` was written.

Ruled out: a reserve in the backlog for such lines; the count can wait for the next second.

Change: a count that could not be written is written in a later second.

Why it works: counts are only cleared once their line is in the backlog, and what is in the backlog is written or, if the reader is gone, read by nobody.

Figures: none.

--- a/lentilmount/logflow.py
+++ b/lentilmount/logflow.py
@@ -72,8 +72,14 @@
         self._write(make_line(record))
 
     def _report_suppressed(self) -> None:
-        for (part, text), count in self._suppressed.items():
-            self._write(
+        """Reports how many lines of each kind were left out.
+
+        A report that does not fit the backlog is made again later.
+        """
+        unreported: collections.Counter[LineKind] = collections.Counter()
+        for kind, count in self._suppressed.items():
+            part, text = kind
+            is_written = self._write(
                 {
                     'level': 'warning',
                     'part': 'logs',
@@ -81,18 +87,22 @@
                     'of': f'{part}: {text}',
                 }
             )
-        self._suppressed.clear()
+            if not is_written:
+                unreported[kind] = count
+        self._suppressed = unreported
 
-    def _write(self, line: dict[str, Any]) -> None:
+    def _write(self, line: dict[str, Any]) -> bool:
+        """Writes a line or adds it to the backlog; returns whether it fits."""
         if self.dropped and not self._backlog:
             line = {**line, 'dropped_before': self.dropped}
             self.dropped = 0
         data = orjson.dumps(line, default=str) + b'\n'
         if len(self._backlog) + len(data) > BACKLOG_BYTES:
             self.dropped += 1
-            return
+            return False
         self._backlog += data
         self._flush()
+        return True
 
     def _flush(self) -> None:
         try:
--- a/tests/test_diagnostic_logs.py
+++ b/tests/test_diagnostic_logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import io
 import json
 import os
@@ -15,7 +16,11 @@
 from lentilmount.context import Environment
 from lentilmount.control.dispatcher import log_starts
 from lentilmount.core import main
-from lentilmount.logflow import MAX_LINES_PER_SECOND, NonBlockingHandler
+from lentilmount.logflow import (
+    BACKLOG_BYTES,
+    MAX_LINES_PER_SECOND,
+    NonBlockingHandler,
+)
 from lentilmount.status import ExitStatus
 from stand_ins.rowstore import Fault
 from tests.helpers import run
@@ -210,6 +215,36 @@
     os.close(writer)
 
 
+def test_a_full_pipe_does_not_hide_that_lines_were_left_out() -> None:
+    """The line that counts what was left out was itself dropped."""
+    reader, writer = os.pipe()
+    now = [0.0]
+    log = logbook.Logger('part')
+    with NonBlockingHandler(writer, 'info', lambda: now[0]) as handler:
+        for _ in range(MAX_LINES_PER_SECOND + 50):
+            log.info('x' * 3000)
+        now[0] = 1.0
+        # Too large for what is left of the backlog, as is the count.
+        while handler._backlog:
+            handler._backlog += b'\n'
+            if len(handler._backlog) >= BACKLOG_BYTES:
+                break
+        log.info('Dropped.')
+        while handler._backlog:
+            os.read(reader, 1_000_000)
+            handler._flush()
+        os.set_blocking(reader, False)
+        with contextlib.suppress(BlockingIOError):
+            while os.read(reader, 1_000_000):
+                pass
+        now[0] = 2.0
+        log.info('Later.')
+    messages = [line['message'] for line in read_lines(reader)]
+    assert messages == ['Left out 50 lines.', 'Later.']
+    os.close(reader)
+    os.close(writer)
+
+
 def test_a_full_pipe_does_not_block() -> None:
     """A daemon blocked when nobody read its output."""
     reader, writer = os.pipe()
