Log each way by which a task loses its placement or gets one without a start

What callers saw: one task ran on two workers at a time, on real processes. The owner's log could not tell "placed again by a silent path" from "its line was left out".

Cause: silent were the end `stopped` and `done`, an older placement dropped for a newer run, the end of a run that is not the current one, an adopted run, a waiting task that is held, a start stopped anew after a restart, stale runs, what is restored from rows, and members of a gang that are stopped because another was rejected.

Ruled out: returning all of it in ReconcileResult. Four callers of `requeue` make no such result, so the next one could be silent again; `requeue` itself records it. A line for each task: over the limit in any burst. Logging what a pass undoes within itself: a gang that does not fit would do so in each pass, and nothing was told of it.

Change: `ClusterState` records each change, typed, in a bounded history; the owner logs it each 0.1 s and before the starts of a pass, up to 100 in a line, with task, run, worker, kind, reason and earlier phase. What a takeover restored is one line with counts and up to 100 tasks. A counter of freed placements by reason. No decision reads the history.

Why it works: all that frees a placement goes through `requeue`, and what places a task again is logged after the history.

--- a/lentilmount/control/dispatcher.py
+++ b/lentilmount/control/dispatcher.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 
 import attrs
-import logbook
 
 from lentilmount.control.advice import Advice
 from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.placement_log import Start, log_starts
 from lentilmount.control.state_writer import StateWriter
 from lentilmount.coordination.leases import Lease
 from lentilmount.scheduling.cluster import ClusterState
@@ -18,8 +18,6 @@
 from lentilmount.scheduling.takeover import UnrecordedStarts
 from lentilmount.waiting import wait_with_timeout
 
-log = logbook.Logger('owner')
-
 PASS_SECONDS = 0.1
 """Longest interval between placement passes without an event: quarantines end
 and gathered steps become due by time alone."""
@@ -34,20 +32,6 @@
 """Pause between passes, so that several run ends and arrivals share one pass. A
 pass costs a few ms while tasks are waiting."""
 
-STARTS_PER_LINE = 100
-"""Maximum number of starts in a log line. One line per start exceeded the rate
-limit of that kind of line with hundreds of workers."""
-
-Start = tuple[str, int, str]
-"""Id of a task, number of its run and id of its worker, as logged."""
-
-
-def log_starts(starts: list[Start]) -> None:
-    """Logs the starts of a pass, many to a line."""
-    for first in range(0, len(starts), STARTS_PER_LINE):
-        batch = starts[first : first + STARTS_PER_LINE]
-        log.info('Starting.', extra={'starts': batch})
-
 
 @attrs.define(eq=False)
 class Dispatcher:
@@ -65,6 +49,7 @@
       is_outage: Returns whether the store is unavailable to all daemons.
       wake: Set when there may be tasks to place.
       stop: Stops a task for a given reason, to be placed again.
+      log_starts: Logs the starts of a pass.
     """
 
     cluster: ClusterState
@@ -78,6 +63,7 @@
     is_outage: Callable[[], bool]
     wake: asyncio.Event
     stop: Callable[[Task, str], None]
+    log_starts: Callable[[list[Start]], None] = log_starts
 
     @property
     def may_start(self) -> bool:
@@ -125,7 +111,7 @@
             if task.job.first_placed_at == now:
                 newly_started.add(task.job)
             starts.append((str(task.id), task.run, worker.id))
-        log_starts(starts)
+        self.log_starts(starts)
         if not self.unrecorded_starts.may_exist(now) and not self.is_outage():
             for task in self.placer.choose_moves(now):
                 self.stop(task, 'it serves better elsewhere')
--- a/lentilmount/control/metrics.py
+++ b/lentilmount/control/metrics.py
@@ -48,6 +48,10 @@
         self._ends = self._make_counter(
             'lentilmount_ends_total', 'Ends of runs, by how they ended.'
         )
+        self._freed = self._make_counter(
+            'lentilmount_placements_freed_total',
+            'Placements that are over, by how that is known.',
+        )
         self._takeovers = self._make_counter(
             'lentilmount_takeovers_total', 'Leases on services taken.'
         )
@@ -110,6 +114,10 @@
         """Counts the end of a run, by its end kind."""
         self._ends.inc({'how': kind})
 
+    def count_freed(self, reason: str) -> None:
+        """Counts a placement that is over, by its reason."""
+        self._freed.inc({'reason': reason})
+
     def count_takeover(self, service: str) -> None:
         """Counts an acquired lease of a service."""
         self._takeovers.inc({'service': service})
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -15,6 +15,7 @@
 from lentilmount.control.gauges import refresh_gauges
 from lentilmount.control.job_loader import JobLoader
 from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.placement_log import PlacementLog, log_restored
 from lentilmount.control.registry import poll_workers
 from lentilmount.control.retention import Retention
 from lentilmount.control.state_writer import StateWriter
@@ -126,6 +127,9 @@
         self._lost_reason = ''
         self._group: asyncio.TaskGroup | None = None
         self._background: set[asyncio.Task[None]] = set()
+        self._placement_log = PlacementLog(
+            settings.service, self.cluster.history, metrics
+        )
         interference_model = self._interference_model = InterferenceModel()
         self._advice = Advice(
             self.cluster, advice, clock.monotonic, self._wake.set
@@ -219,6 +223,7 @@
             self._is_outage,
             self._wake,
             self._task_controller.stop,
+            self._placement_log.log_starts,
         )
         log.info(
             'Loaded {} jobs of {}.',
@@ -230,6 +235,7 @@
                 'written': self._are_all_recorded,
             },
         )
+        log_restored(self.cluster, self._settings.service)
         self.loaded.set()
         async with asyncio.TaskGroup() as group:
             self._group = group
@@ -440,7 +446,11 @@
         refresh_gauges(self.cluster, self._metrics)
 
     async def _run_periodic_checks(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_SECONDS)
-            self.cluster.create_due_tasks(self._clock.wall())
-            self._task_controller.check(self._clock.monotonic())
+        try:
+            while True:
+                await asyncio.sleep(CHECK_SECONDS)
+                self.cluster.create_due_tasks(self._clock.wall())
+                self._task_controller.check(self._clock.monotonic())
+                self._placement_log.flush()
+        finally:
+            self._placement_log.flush()
--- /dev/null
+++ b/lentilmount/control/placement_log.py
@@ -0,0 +1,119 @@
+"""Log lines and metrics of how tasks are placed, started and freed.
+
+One line holds many tasks: at hundreds of starts a second, a line for each
+would exceed the rate limit of its kind, and a task's history would have gaps.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from typing import TypeVar
+
+import attrs
+import logbook
+
+from lentilmount.control.metrics import ControlMetrics
+from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.history import (
+    ChangeKind,
+    PlacementChange,
+    PlacementHistory,
+)
+
+log = logbook.Logger('owner')
+
+TASKS_PER_LINE = 100
+"""Maximum number of tasks in a log line."""
+
+Start = tuple[str, int, str]
+"""Id of a task, number of its run and id of its worker, as logged."""
+
+T = TypeVar('T')
+
+
+def _split(entries: Sequence[T]) -> Iterator[Sequence[T]]:
+    for first in range(0, len(entries), TASKS_PER_LINE):
+        yield entries[first : first + TASKS_PER_LINE]
+
+
+def log_starts(starts: list[Start], service: str = '') -> None:
+    """Logs the starts of a pass, many to a line."""
+    for batch in _split(starts):
+        log.info('Starting.', extra={'service': service, 'starts': batch})
+
+
+def log_restored(cluster: ClusterState, service: str) -> None:
+    """Logs what was restored from rows, as much as fits into a line.
+
+    That is the placements, and the tasks that had runs and may be placed now.
+    """
+    restored = [
+        (str(task.id), task.run, worker.id)
+        for worker in cluster.workers.values()
+        for task in worker.tasks.values()
+    ]
+    waiting = [(str(t.id), t.run) for t in cluster.ready.values() if t.run]
+    if restored or waiting:
+        log.info(
+            'Restored {} placements.',
+            len(restored),
+            extra={
+                'service': service,
+                'restored': restored[:TASKS_PER_LINE],
+                'waiting_count': len(waiting),
+                'waiting': waiting[:TASKS_PER_LINE],
+            },
+        )
+
+
+@attrs.define(eq=False)
+class PlacementLog:
+    """Logs what happens to the placements of one service.
+
+    Attributes:
+      service: Name of the service.
+      history: Changes of placements.
+      metrics: Metrics of the daemon.
+    """
+
+    service: str
+    history: PlacementHistory
+    metrics: ControlMetrics
+
+    def log_starts(self, starts: list[Start]) -> None:
+        """Logs starts, after all that happened before them."""
+        if starts:
+            self.flush()
+            log_starts(starts, self.service)
+
+    def flush(self) -> None:
+        """Logs all that was recorded since the last call."""
+        dropped = self.history.dropped
+        if dropped:
+            log.warning(
+                'Left out {} changes of placements.',
+                dropped,
+                extra={'service': self.service},
+            )
+        changes = self.history.drain()
+        for change in changes:
+            if change.kind is ChangeKind.FREED:
+                self.metrics.count_freed(change.reason.value)
+        for batch in _split([_make_change_entry(c) for c in changes]):
+            log.info(
+                'Placements changed.',
+                extra={'service': self.service, 'changes': batch},
+            )
+
+
+def _make_change_entry(
+    change: PlacementChange,
+) -> tuple[str, int, str, str, str, str]:
+    return (
+        str(change.task),
+        change.run,
+        change.worker,
+        change.kind.value,
+        change.reason.value,
+        change.phase,
+    )
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -21,6 +21,7 @@
     WorkerClient,
 )
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.history import ChangeReason
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import StaleRun
 
@@ -182,8 +183,19 @@
                         'worker': task.worker,
                     },
                 )
-                self.cluster.reject_start(task, task.run)
+                self.cluster.reject_start(
+                    task, task.run, ChangeReason.NEVER_SENT
+                )
             elif task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
+                log.info(
+                    'Stopping: {}.',
+                    reason,
+                    extra={
+                        'task': str(task.id),
+                        'run': task.run,
+                        'worker': task.worker,
+                    },
+                )
                 self.cluster.begin_stop(task)
                 self.stop(task)
         self.wake()
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -13,6 +13,7 @@
 from lentilmount.platform.workers import CallStatus, WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.crashes import PROOF_SECONDS
+from lentilmount.scheduling.history import ChangeReason
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.scheduling.poll_intervals import DEFAULT_SECONDS
 from lentilmount.scheduling.reconciliation import Reconciler, ReconcileResult
@@ -481,7 +482,11 @@
         if late_starts:
             self._bound_leases(self.worker_client.timeout)
         tasks = self.cluster.end_worker_tasks(
-            worker, self.monotonic(), frozenset(late_starts), asked_at
+            worker,
+            self.monotonic(),
+            frozenset(late_starts),
+            asked_at,
+            ChangeReason.RESTARTED,
         )
         if tasks:
             self.listener.handle_tasks_ended(worker, tasks, why)
--- a/lentilmount/logflow.py
+++ b/lentilmount/logflow.py
@@ -21,15 +21,16 @@
 from lentilmount.logs import LEVELS, make_line
 
 MAX_LINES_PER_SECOND = 200
-"""Limit for each kind of line. It logs in full the 100 or so starts a second
-of the current deployment size. A line costs about 25 us, so one kind uses at
-most 0.5% of a core."""
+"""Limit for each kind of line. Lines that hold many tasks stay below it at any
+size; see `control/placement_log.py`. A line costs about 25 us, so one kind uses
+at most 0.5% of a core."""
 
 BACKLOG_BYTES = 256 * 1024
 """Bound on buffered output for a slow reader; lines beyond it are dropped."""
 
-LineKind = tuple[str, str]
-"""Name of the logger, and the message before formatting."""
+LineKind = tuple[str, str, str]
+"""Name of the logger, the message before formatting, and the service or ''.
+A daemon may own several services, and each is to be logged in full."""
 
 
 class NonBlockingHandler(logbook.Handler):  # type: ignore[misc]
@@ -64,7 +65,11 @@
             self._report_suppressed()
             self._second = second
             self._line_counts.clear()
-        kind = (record.channel or '', str(record.msg))
+        kind = (
+            record.channel or '',
+            str(record.msg),
+            str(record.extra.get('service', '')),
+        )
         self._line_counts[kind] += 1
         if self._line_counts[kind] > MAX_LINES_PER_SECOND:
             self._suppressed[kind] += 1
@@ -78,13 +83,14 @@
         """
         unreported: collections.Counter[LineKind] = collections.Counter()
         for kind, count in self._suppressed.items():
-            part, text = kind
+            part, text, service = kind
             is_written = self._write(
                 {
                     'level': 'warning',
                     'part': 'logs',
                     'message': f'Left out {count} lines.',
                     'of': f'{part}: {text}',
+                    'of_service': service,
                 }
             )
             if not is_written:
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -11,6 +11,12 @@
 from collections.abc import Iterable
 
 from lentilmount.scheduling.crashes import list_suspects
+from lentilmount.scheduling.history import (
+    ChangeKind,
+    ChangeReason,
+    PlacementChange,
+    PlacementHistory,
+)
 from lentilmount.scheduling.model import (
     EndedTask,
     Job,
@@ -65,6 +71,7 @@
       workers: All workers that run or may run tasks, by id.
       ready: Tasks that may be placed now, by id.
       dirty: Ids of the jobs whose state row must be written; values are unused.
+      history: Changes of placements, to be logged.
     """
 
     def __init__(self) -> None:
@@ -72,6 +79,7 @@
         self.workers: dict[str, Worker] = {}
         self.ready: dict[TaskId, Task] = {}
         self.dirty: dict[str, None] = {}
+        self.history = PlacementHistory()
 
     # Jobs.
 
@@ -256,24 +264,72 @@
             task.confirmed_at = now
             self.mark_started(task.job)
 
-    def reject_start(self, task: Task, run: int) -> None:
-        """Records that a worker has certainly not started a run."""
+    def reject_start(
+        self,
+        task: Task,
+        run: int,
+        reason: ChangeReason | None = ChangeReason.REJECTED,
+    ) -> None:
+        """Records that a worker has certainly not started a run.
+
+        Args:
+          task: The task.
+          run: The run.
+          reason: See `requeue`.
+        """
         if task.run == run and task.phase in (
             TaskPhase.STARTING,
             TaskPhase.STOPPING,
         ):
-            self.requeue(task)
+            self.requeue(task, reason)
 
     def begin_stop(self, task: Task) -> None:
         """Marks a placed task as being stopped."""
         if task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
             task.phase = TaskPhase.STOPPING
 
-    def requeue(self, task: Task) -> None:
+    def record_change(
+        self,
+        task: Task,
+        kind: ChangeKind,
+        reason: ChangeReason,
+        run: int | None = None,
+        worker: str | None = None,
+    ) -> None:
+        """Records a change of a placement, before it is made.
+
+        Args:
+          task: The task.
+          kind: What happens.
+          reason: Why.
+          run: The run, if it is not that of the task's placement.
+          worker: Id of the worker, if it is not that of the placement.
+        """
+        self.history.add(
+            PlacementChange(
+                task.id,
+                task.run if run is None else run,
+                task.worker if worker is None else worker,
+                kind,
+                reason,
+                task.phase.value,
+            )
+        )
+
+    def requeue(
+        self, task: Task, reason: ChangeReason | None = ChangeReason.WITHDRAWN
+    ) -> None:
         """Releases a task's resources; requeues it unless its work is over.
 
         That is if its job is over or its gang is done.
+
+        Args:
+          task: The task.
+          reason: Why its placement is over; None if the placement is undone in
+            the pass that made it, so that nothing has recorded it.
         """
+        if reason is not None and task.phase.is_placed:
+            self.record_change(task, ChangeKind.FREED, reason)
         worker = self.workers.get(task.worker)
         if worker is not None:
             worker.remove(task)
@@ -295,9 +351,21 @@
         is_any_done = task.job.remaining[step_key] < task.spec.count
         return task.spec.gang and is_any_done
 
-    def end_run(self, task: Task, kind: EndKind, now: float) -> list[Task]:
+    def end_run(
+        self,
+        task: Task,
+        kind: EndKind,
+        now: float,
+        reason: ChangeReason | None = None,
+    ) -> list[Task]:
         """Records how the run of a placed task ended.
 
+        Args:
+          task: The task.
+          kind: How it ended.
+          now: Monotonic time.
+          reason: How that is known; None if its worker has reported it.
+
         Returns:
           Tasks that must be stopped because of it.
         """
@@ -307,7 +375,7 @@
             share = measure_intensity(task) * task.cpu_percent / 100
             ended = EndedTask(task.spec.image, share, now)
             self.workers[worker].record_ended_task(ended)
-        self.requeue(task)
+        self.requeue(task, reason or ChangeReason(kind.value))
         if task.job.state.is_final:
             return []
         if kind is EndKind.DONE and not task.spec.lasting:
@@ -446,6 +514,7 @@
         now: float,
         late_starts: frozenset[StaleRun] = frozenset(),
         asked_at: float = math.inf,
+        reason: ChangeReason = ChangeReason.LEASE_EXPIRED,
     ) -> list[Task]:
         """Ends all runs on a worker whose leases expired or that restarted.
 
@@ -458,6 +527,7 @@
             tasks must be stopped there instead.
           asked_at: Monotonic time since which a restarted worker may have
             started the runs that it has confirmed. They are kept.
+          reason: How it is known that the runs have ended.
 
         Returns:
           The tasks whose runs have ended.
@@ -473,7 +543,7 @@
                 continue
             if asked_at <= task.confirmed_at < math.inf:
                 continue
-            self.end_run(task, EndKind.LAPSED, now)
+            self.end_run(task, EndKind.LAPSED, now, reason)
             ended.append(task)
         return ended
 
@@ -483,6 +553,12 @@
         if task is None or task.phase is not TaskPhase.WAITING:
             return
         if task.run == late_start.run:
+            self.record_change(
+                task,
+                ChangeKind.HELD,
+                ChangeReason.UNANSWERED,
+                worker=worker.id,
+            )
             task.phase = TaskPhase.STOPPING
             task.worker = worker.id
             worker.add(task)
@@ -507,6 +583,9 @@
 
     def _stop_anew(self, task: Task) -> None:
         """Marks a task as being stopped; earlier stops have no effect."""
+        self.record_change(
+            task, ChangeKind.STOPPED_ANEW, ChangeReason.UNANSWERED
+        )
         self.begin_stop(task)
         task.stopped_at = math.inf
         task.start_expired_at = math.inf
--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -268,7 +268,7 @@
         self, placed: list[Placement], previous: list[tuple[Task, int, int]]
     ) -> None:
         for member, _ in placed:
-            self._cluster.reject_start(member, member.run)
+            self._cluster.reject_start(member, member.run, None)
         for member, run, skipped in previous:
             member.run = run
             member.skipped = skipped
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -10,6 +10,7 @@
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.crashes import is_cleared
+from lentilmount.scheduling.history import ChangeKind, ChangeReason
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import (
     EndKind,
@@ -80,10 +81,12 @@
                 listed.add(task.id)
         for task in self._list_missing_tasks(worker, listed, requested_at):
             if task.phase is TaskPhase.STARTING:
-                self._cluster.requeue(task)
+                self._cluster.requeue(task, ChangeReason.START_EXPIRED)
                 result.expired.append(task)
                 continue
-            self._cluster.end_run(task, EndKind.LAPSED, now)
+            self._cluster.end_run(
+                task, EndKind.LAPSED, now, ChangeReason.ABSENT
+            )
             result.ended.append((task, EndKind.LAPSED))
         worker.runs_unknown_tasks = bool(result.unknown_tasks)
         worker.has_stale_runs = bool(result.stale_runs)
@@ -122,6 +125,13 @@
         self._cluster.mark_started(task.job)
         is_current_run = task.worker == worker.id and task.run == end.run
         if not is_current_run:
+            self._cluster.record_change(
+                task,
+                ChangeKind.OTHER_END,
+                ChangeReason(end.kind.value),
+                end.run,
+                worker.id,
+            )
             self._apply_unexpected_end(task, end, result, now)
             return
         if end.checkpoint:
@@ -133,6 +143,9 @@
         self, tasks: list[Task], result: ReconcileResult
     ) -> None:
         for task in tasks:
+            self._cluster.record_change(
+                task, ChangeKind.STALE, ChangeReason.SUPERSEDED
+            )
             result.stale_runs.append(
                 StaleRun(task.worker, str(task.id), task.run)
             )
@@ -181,9 +194,23 @@
         self._drop_older_placement(task, run_report.run)
         is_unplaced = task.phase in (TaskPhase.WAITING, TaskPhase.GIVEN_UP)
         if is_unplaced and run_report.run >= task.run:
+            self._cluster.record_change(
+                task,
+                ChangeKind.ADOPTED,
+                ChangeReason.LISTED,
+                run_report.run,
+                worker.id,
+            )
             self._adopt(task, worker, run_report, now)
             result.adopted.append(task)
         if task.worker != worker.id or task.run != run_report.run:
+            self._cluster.record_change(
+                task,
+                ChangeKind.STALE,
+                ChangeReason.LISTED,
+                run_report.run,
+                worker.id,
+            )
             result.stale_runs.append(
                 StaleRun(worker.id, run_report.task, run_report.run)
             )
@@ -191,6 +218,9 @@
             return None
         if task.confirmed_at == 0.0:
             # Restored from a state row and reported for the first time.
+            self._cluster.record_change(
+                task, ChangeKind.CONFIRMED, ChangeReason.LISTED
+            )
             task.confirmed_at = now
             result.adopted.append(task)
         self._update(task, run_report, now)
@@ -205,7 +235,7 @@
         missed and the task run again.
         """
         if task.phase.is_placed and run > task.run:
-            self._cluster.requeue(task)
+            self._cluster.requeue(task, ChangeReason.NEWER_RUN)
 
     def _adopt(
         self, task: Task, worker: Worker, run_report: RunReport, now: float
--- a/tests/test_diagnostic_logs.py
+++ b/tests/test_diagnostic_logs.py
@@ -14,7 +14,7 @@
 import pytest
 
 from lentilmount.context import Environment
-from lentilmount.control.dispatcher import log_starts
+from lentilmount.control.placement_log import log_starts
 from lentilmount.core import main
 from lentilmount.logflow import (
     BACKLOG_BYTES,
