Log how a start was settled unless its first copy was accepted

Cause: only rejections were logged, without the number of copies.

Evidence: test_each_start_that_is_not_simply_accepted_is_logged and two more; there was nothing to compare with before.

Ruled out: a line for each start; plain ones are 700 a second and tell nothing.

Change: `Starts settled.` lists task, run, worker, status of the newest copy, copies and seconds since the first. `superseded` says that the run was not to be started any more: a second sender, or an answer that came after the task was freed. A counter of copies. The sending itself is as it was, in a function of its own.

Why it works: each way out of the sending returns to one place that records it.

--- a/lentilmount/control/metrics.py
+++ b/lentilmount/control/metrics.py
@@ -52,6 +52,10 @@
             'lentilmount_placements_freed_total',
             'Placements that are over, by how that is known.',
         )
+        self._start_copies = self._make_counter(
+            'lentilmount_start_copies_total',
+            'Copies of starts sent to workers, repeated ones included.',
+        )
         self._takeovers = self._make_counter(
             'lentilmount_takeovers_total', 'Leases on services taken.'
         )
@@ -118,6 +122,10 @@
         """Counts a placement that is over, by its reason."""
         self._freed.inc({'reason': reason})
 
+    def count_start_copies(self, copies: int) -> None:
+        """Counts the copies of a start that were sent."""
+        self._start_copies.add({}, copies)
+
     def count_takeover(self, service: str) -> None:
         """Counts an acquired lease of a service."""
         self._takeovers.inc({'service': service})
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -143,6 +143,7 @@
             self._spawn,
             self._advice.get_ticket,
             self._wake.set,
+            self._placement_log.record_start,
         )
         self._task_controller = TaskController(
             self.cluster,
--- a/lentilmount/control/placement_log.py
+++ b/lentilmount/control/placement_log.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator, Sequence
 from typing import TypeVar
 
@@ -13,6 +14,7 @@
 import logbook
 
 from lentilmount.control.metrics import ControlMetrics
+from lentilmount.platform.workers import CallStatus
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.history import (
     ChangeKind,
@@ -66,6 +68,55 @@
         )
 
 
+@attrs.define
+class StartProgress:
+    """Copies of a start that were sent, and their outcome.
+
+    Attributes:
+      task: Formatted id of the task.
+      run: Run number.
+      worker: Id of the worker.
+      copies: Number of copies sent.
+      first_sent_at: Monotonic time in seconds at which the first one was sent;
+        infinity if none was.
+      settled_at: Monotonic time at which it became certain that no further
+        copy is sent.
+      status: Outcome of the newest copy; None if none was sent.
+      is_superseded: Whether the run was no longer to be started by then.
+    """
+
+    task: str
+    run: int
+    worker: str
+    copies: int = 0
+    first_sent_at: float = math.inf
+    settled_at: float = math.inf
+    status: CallStatus | None = None
+    is_superseded: bool = False
+
+    def count_copy(self, now: float) -> None:
+        """Records that a copy is sent."""
+        self.copies += 1
+        self.first_sent_at = min(self.first_sent_at, now)
+
+    @property
+    def is_plain(self) -> bool:
+        """Whether the first copy was accepted, and its run still wanted."""
+        is_accepted = self.copies == 1 and self.status is CallStatus.DONE
+        return is_accepted and not self.is_superseded
+
+    @property
+    def seconds(self) -> float:
+        """Seconds from the first copy to the outcome."""
+        return round(max(0.0, self.settled_at - self.first_sent_at), 3)
+
+    @property
+    def outcome(self) -> str:
+        """How the start was settled, as logged."""
+        status = self.status.value if self.status else 'not-sent'
+        return f'{status}, superseded' if self.is_superseded else status
+
+
 @attrs.define(eq=False)
 class PlacementLog:
     """Logs what happens to the placements of one service.
@@ -79,6 +130,7 @@
     service: str
     history: PlacementHistory
     metrics: ControlMetrics
+    _settled: list[StartProgress] = attrs.Factory(list)
 
     def log_starts(self, starts: list[Start]) -> None:
         """Logs starts, after all that happened before them."""
@@ -86,6 +138,15 @@
             self.flush()
             log_starts(starts, self.service)
 
+    def record_start(self, progress: StartProgress) -> None:
+        """Counts the copies of a start, and logs it unless it was plain."""
+        self.metrics.count_start_copies(progress.copies)
+        if progress.is_plain:
+            return
+        self._settled.append(progress)
+        if len(self._settled) >= TASKS_PER_LINE:
+            self.flush()
+
     def flush(self) -> None:
         """Logs all that was recorded since the last call."""
         dropped = self.history.dropped
@@ -104,6 +165,12 @@
                 'Placements changed.',
                 extra={'service': self.service, 'changes': batch},
             )
+        settled, self._settled = self._settled, []
+        for starts in _split([_make_start_entry(s) for s in settled]):
+            log.info(
+                'Starts settled.',
+                extra={'service': self.service, 'settled': starts},
+            )
 
 
 def _make_change_entry(
@@ -117,3 +184,16 @@
         change.reason.value,
         change.phase,
     )
+
+
+def _make_start_entry(
+    progress: StartProgress,
+) -> tuple[str, int, str, str, int, float]:
+    return (
+        progress.task,
+        progress.run,
+        progress.worker,
+        progress.outcome,
+        progress.copies,
+        progress.seconds,
+    )
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -9,6 +9,7 @@
 import attrs
 import logbook
 
+from lentilmount.control.placement_log import StartProgress
 from lentilmount.control.worker_session import (
     FORGET_SECONDS,
     SessionListener,
@@ -39,6 +40,14 @@
 may have shrunk, which its registration shows only later."""
 
 
+_STARTED = frozenset({TaskPhase.STARTING, TaskPhase.RUNNING, TaskPhase.DONE})
+"""Phases in which the outcome of a task's start is still of use."""
+
+
+def ignore_start(progress: StartProgress) -> None:
+    """Records nothing about a start."""
+
+
 @attrs.define(eq=False)
 class CommandSender:
     """Sends start, stop and throttle commands until their outcome is known.
@@ -52,6 +61,7 @@
       start_task: Runs a coroutine in the background.
       get_ticket: Returns the advice service's ticket for a task on a worker.
       wake: Called when a task may be placed again.
+      record_start: Called when no further copy of a start is to be sent.
     """
 
     cluster: ClusterState
@@ -62,6 +72,7 @@
     start_task: Callable[[Coroutine[Any, Any, None]], None]
     get_ticket: Callable[[Task, Worker], str]
     wake: Callable[[], None]
+    record_start: Callable[[StartProgress], None] = ignore_start
 
     def start(self, task: Task) -> None:
         """Sends the start of a task that was placed."""
@@ -107,14 +118,38 @@
         return is_current and task.phase is TaskPhase.STOPPING
 
     async def _start(self, task: Task, run: int) -> None:
+        progress = StartProgress(str(task.id), run, task.worker)
         session = self.sessions.get(task.worker)
+        is_answered = session is None or await self._send_start(
+            session, task, run, progress
+        )
+        progress.settled_at = self.monotonic()
+        is_current = task.run == run and task.phase in _STARTED
+        progress.is_superseded = not is_current
+        self.record_start(progress)
+        if session is not None and not is_answered:
+            await self._probe(session, progress.task, run)
+
+    async def _send_start(
+        self,
+        session: WorkerSession,
+        task: Task,
+        run: int,
+        progress: StartProgress,
+    ) -> bool:
+        """Sends copies of a start until it is answered or needless.
+
+        Returns:
+          Whether the worker needs no probe, as it has answered or nothing was
+          sent.
+        """
         is_due = task.phase is TaskPhase.STARTING and task.run == run
-        if session is None or not is_due:
-            return
+        if not is_due:
+            return True
         together = self._list_members(task)
         if any(self._may_overcommit(member) for member in together):
             self._withdraw(together, 'the worker may be too small by now')
-            return
+            return True
         command = self._make_start(session, task, run)
         session.add_unanswered_start(command.task, run)
         is_first = True
@@ -125,10 +160,12 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             sent_at = task.start_sent_at = self.monotonic()
+            progress.count_copy(sent_at)
             answer = await self._call(
                 session,
                 self.worker_client.start(session.worker.entry, command),
             )
+            progress.status = answer.status
             if is_first and answer.status is not CallStatus.UNKNOWN:
                 session.settle_start(command.task, run)
             if task.run != run or task.phase is not TaskPhase.STARTING:
@@ -136,18 +173,18 @@
             status = answer.status
             if status is CallStatus.DONE:
                 self.cluster.confirm_start(task, run, self.monotonic())
-                return
+                return True
             if status is CallStatus.FENCED:
                 self.listener.handle_lease_lost(
                     f'{task.worker} has seen a higher token'
                 )
-                return
+                return True
             if status is not CallStatus.UNKNOWN:
                 self._handle_rejection(task, run, status, not is_first)
-                return
+                return True
             is_first = False
             pause = await _back_off(pause)
-        await self._probe(session, command.task, run)
+        return False
 
     def _list_members(self, task: Task) -> list[Task]:
         """Lists the tasks that must start together with a task."""
--- a/tests/test_placement_log.py
+++ b/tests/test_placement_log.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 
 import attrs
@@ -15,11 +16,16 @@
 from lentilmount.control.placement_log import (
     TASKS_PER_LINE,
     PlacementLog,
+    StartProgress,
     log_restored,
 )
+from lentilmount.control.worker_commands import CommandSender
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.logflow import NonBlockingHandler
 from lentilmount.platform.workers import (
+    CallStatus,
+    CommandAnswer,
+    StartCommand,
     WorkerClient,
 )
 from lentilmount.resources import Room
@@ -27,11 +33,12 @@
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.history import ChangeKind, ChangeReason
 from lentilmount.scheduling.interference import InterferenceModel
-from lentilmount.scheduling.model import Task, Worker
+from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.placement import Placer
 from lentilmount.scheduling.reconciliation import Reconciler
-from lentilmount.scheduling.reports import EndKind, StaleRun
+from lentilmount.scheduling.reports import EndKind, StaleRun, WorkerEntry
 from lentilmount.upstream.http import HttpClient
+from stand_ins.virtual_time import run_virtual
 from tests.scheduling_fixtures import (
     add_worker,
     admit,
@@ -377,14 +384,135 @@
         assert sum(len(x.get('changes', ())) for x in own) == starts
 
 
-def test_freed_placements_are_counted() -> None:
+@attrs.define(eq=False)
+class ScriptedClient(WorkerClient):
+    """A client that answers starts as told, each after 0.2 s.
+
+    Attributes:
+      statuses: Outcomes of the copies of a start.
+      on_start: Called while a copy is on its way.
+    """
+
+    statuses: list[CallStatus] = attrs.Factory(list)
+    on_start: Callable[[], None] = lambda: None
+
+    async def start(
+        self, worker: WorkerEntry, command: StartCommand
+    ) -> CommandAnswer:
+        """See `WorkerClient`."""
+        await asyncio.sleep(0.2)
+        self.on_start()
+        return CommandAnswer(self.statuses.pop(0))
+
+    async def stop(
+        self, worker: WorkerEntry, task: str, run: int
+    ) -> CommandAnswer:
+        """See `WorkerClient`."""
+        return CommandAnswer(CallStatus.DONE)
+
+
+DONE, UNKNOWN = CallStatus.DONE, CallStatus.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ('statuses', 'expected'),
+    [
+        ([DONE], []),
+        ([UNKNOWN, DONE], [('done', 2)]),
+        ([CallStatus.REFUSED], [('refused, superseded', 1)]),
+        ([UNKNOWN, UNKNOWN, CallStatus.REFUSED], [('refused, superseded', 3)]),
+        ([CallStatus.FENCED], [('fenced', 1)]),
+    ],
+)
+def test_each_start_that_is_not_simply_accepted_is_logged(
+    statuses: list[CallStatus], expected: list[tuple[str, int]]
+) -> None:
+    """No log line told how often a start was sent and what answered it."""
+    progresses, _ = play_start(statuses)
+    logged = [p for p in progresses if not p.is_plain]
+    assert [(p.outcome, p.copies) for p in logged] == expected
+    assert len(progresses) == 1
+    if logged and logged[0].copies > 1:
+        assert logged[0].seconds >= 0.4
+
+
+def test_a_start_accepted_after_its_task_was_freed_is_logged() -> None:
+    """A worker took a start whose task had been placed elsewhere, unseen."""
+    [progress], _ = play_start([DONE], frees_task=True)
+    assert progress.outcome == 'done, superseded'
+    assert not progress.is_plain
+
+
+def test_a_start_that_is_not_due_any_more_is_logged() -> None:
+    """Of two senders of one start the second left no trace."""
+    [progress], _ = play_start([], is_due=False)
+    assert (progress.outcome, progress.copies) == ('not-sent, superseded', 0)
+
+
+def play_start(
+    statuses: list[CallStatus], *, frees_task: bool = False, is_due: bool = True
+) -> tuple[list[StartProgress], Task]:
+    """Sends a start until it is settled; returns its outcomes and the task."""
+    clock = ManualClock()
+    scene = make_scene()
+    client = ScriptedClient(HttpClient(''), 1, 1.0, statuses)
+    if frees_task:
+        client.on_start = lambda: scene.cluster.requeue(scene.task)
+    progresses: list[StartProgress] = []
+
+    async def work() -> None:
+        scene.cluster.place([scene.task], scene.first, clock.monotonic())
+        session = make_session(scene.cluster, scene.first, clock)
+        session.update_clock(1000)
+        # As if each report were requested after the newest copy.
+        session._report_asked_at = clock.monotonic() + 60.0
+        sent: list[Coroutine[Any, Any, None]] = []
+        commands = CommandSender(
+            scene.cluster,
+            client,
+            {'a': session},
+            IgnoringListener(),
+            clock.monotonic,
+            sent.append,
+            lambda task, worker: '',
+            lambda: None,
+            progresses.append,
+        )
+        commands.start(scene.task)
+        if not is_due:
+            scene.task.phase = TaskPhase.STOPPING
+        while sent:
+            await sent.pop(0)
+
+    run_virtual(work(), clock)
+    return progresses, scene.task
+
+
+def test_settled_starts_and_metrics_are_batched() -> None:
+    """A burst of unanswered starts would exceed the limit of its lines."""
+    cluster = ClusterState()
+    log = make_log(cluster)
+    count = 3 * TASKS_PER_LINE
+
+    def act() -> None:
+        for number in range(count):
+            progress = StartProgress(f'job.0.0.{number}', 1, 'w')
+            progress.count_copy(1.0)
+            progress.count_copy(2.0)
+            progress.settled_at, progress.status = 2.5, DONE
+            log.record_start(progress)
+
+    lines = log_lines(act)
+    assert [line['message'] for line in lines] == ['Starts settled.'] * 3
+    assert lines[0]['settled'][0] == ['job.0.0.0', 1, 'w', 'done', 2, 1.5]
     scene = make_scene()
     lose_worker(scene)
-    log = make_log(scene.cluster)
+    log.history = scene.cluster.history
     log_lines(log.flush)
     registry = log.metrics.registry
     freed = registry.get('lentilmount_placements_freed_total')
     assert freed.get({'reason': 'lease-expired'}) == 1
+    assert registry.get('lentilmount_start_copies_total').get({}) == 2 * count
 
 
 def test_reasons_cover_all_ends_of_runs() -> None:
