List the placements of a task in a trace, and why each ended

What callers saw: two runs of a task had to be looked for among lines of up to 100 starts, and a task's id also matched others: index 1 those of 10 to 19.

Cause: the trace showed lines by a part of their text, and knew nothing of runs.

Evidence: test_overlapping_placements_are_shown and three more; before, no such list.

Ruled out: a command of its own; the trace has read the same files already.

Change: below the lines of a task's id stand its placements in order: time, daemon, run, worker, how each came about, the outcome of its start, why it ended, and placements that had not ended by then. Below those of a job's id, the same for each task that had several. Lines that were left out are counted on stderr.

Why it works: placements are told apart by run and worker, so that one which a new owner restores is not a second one.

--- a/lentilmount/cli/definition.py
+++ b/lentilmount/cli/definition.py
@@ -233,7 +233,8 @@
     ),
     Command(
         'trace',
-        'show the log lines of many files that speak of an id, in order',
+        'show the log lines of many files that speak of an id, in order, and '
+        'the placements of a task',
         'lentilmount trace 5c0e7a21d94b36f8 host-1.log host-2.log',
         (
             _option('id', help='id of a job, a task or a worker'),
--- a/lentilmount/cli/traces.py
+++ b/lentilmount/cli/traces.py
@@ -4,12 +4,14 @@
 
 import json
 import pathlib
+import re
 import tomllib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import yaml
 
+from lentilmount.cli.placements import PlacementTracer, is_task_id
 from lentilmount.cli.session import Session
 from lentilmount.errors import FieldProblem, InvalidError, NotFoundError
 from lentilmount.platform.host_settings import decode_host_settings
@@ -17,28 +19,67 @@
 
 PREFIX_KEYS = ('time', 'level', 'part', 'message')
 
+_LEFT_OUT = re.compile(r'Left out (\d+) ')
+
 
 async def trace(session: Session) -> ExitStatus:
-    """Shows the log lines that contain an id, from all files by time."""
+    """Shows the log lines that contain an id, from all files by time.
+
+    After those of a task's id it shows the task's placements, and after those
+    of a job's id the placements of its tasks that were placed again.
+    """
     options = session.options
-    found = sorted(
-        (
-            (str(line.get('time', '')), name, line)
-            for name in options.files
-            for line in read_lines(name)
-            if _mentions(line, options.id)
-        ),
-        key=lambda entry: entry[:2],
-    )
+    matches = make_matcher(options.id)
+    found: list[tuple[str, str, dict[str, Any]]] = []
+    for name in options.files:
+        missing = 0
+        for line in read_lines(name):
+            missing += _count_missing(line)
+            if _mentions(line, matches):
+                found.append((str(line.get('time', '')), name, line))
+        if missing:
+            print(f'{name}: {missing} lines left out', file=session.env.stderr)
     if not found:
         raise NotFoundError(f'no line speaks of {options.id}')
+    found.sort(key=lambda entry: entry[:2])
+    tracer = PlacementTracer(options.id)
     for _, name, line in found:
-        filtered = _filter_lists(line, options.id)
-        text = _format(filtered, pathlib.Path(name).stem)
-        print(text, file=session.env.stdout)
+        filtered = _filter_lists(line, matches)
+        daemon = pathlib.Path(name).stem
+        print(_format(filtered, daemon), file=session.env.stdout)
+        tracer.add_line(line, daemon)
+    tasks = [options.id] if is_task_id(options.id) else tracer.list_replaced()
+    for task in tasks:
+        _show_placements(session, task, tracer)
     return ExitStatus.OK
 
 
+def _show_placements(
+    session: Session, task: str, tracer: PlacementTracer
+) -> None:
+    print(f'Placements of {task}:', file=session.env.stdout)
+    for placement in tracer.list_placements(task):
+        print(f'  {placement.format()}', file=session.env.stdout)
+
+
+def make_matcher(wanted_id: str) -> Callable[[str], bool]:
+    """Returns a function that tells whether a text contains an id.
+
+    The id of a task is also the beginning of others, as of index 1 and 10.
+    """
+    if not is_task_id(wanted_id):
+        return lambda text: wanted_id in text
+    pattern = re.compile(rf'(?<![\w.-]){re.escape(wanted_id)}(?![\w.-])')
+    return lambda text: pattern.search(text) is not None
+
+
+def _count_missing(line: dict[str, Any]) -> int:
+    """Returns how many lines a line reports as left out before it."""
+    count = int(line.get('dropped_before', 0))
+    match = _LEFT_OUT.match(str(line.get('message', '')))
+    return count + int(match[1]) if match else count
+
+
 def read_lines(name: str) -> Iterator[dict[str, Any]]:
     """Yields the JSON object of each log line in a file.
 
@@ -65,22 +106,24 @@
         raise InvalidError(f'{name} cannot be read: {error}') from error
 
 
-def _mentions(line: dict[str, Any], wanted_id: str) -> bool:
+def _mentions(line: dict[str, Any], matches: Callable[[str], bool]) -> bool:
     return any(
-        wanted_id in str(value)
+        matches(str(value))
         for name, value in line.items()
         if name not in PREFIX_KEYS
     )
 
 
-def _filter_lists(line: dict[str, Any], wanted_id: str) -> dict[str, Any]:
+def _filter_lists(
+    line: dict[str, Any], matches: Callable[[str], bool]
+) -> dict[str, Any]:
     """Drops the list entries that do not contain an id.
 
     One log line can list the starts of many jobs.
     """
     return {
-        key: [entry for entry in value if wanted_id in str(entry)]
-        if isinstance(value, list) and wanted_id in str(value)
+        key: [entry for entry in value if matches(str(entry))]
+        if isinstance(value, list) and matches(str(value))
         else value
         for key, value in line.items()
     }
--- a/tests/test_diagnostic_logs.py
+++ b/tests/test_diagnostic_logs.py
@@ -115,6 +115,138 @@
         assert out.count('w-') == 1
 
 
+def test_the_placements_of_a_task_are_listed(tmp_path: pathlib.Path) -> None:
+    """A trace did not tell why a task was placed again."""
+
+    async def scenario() -> None:
+        async with open_platform(tmp_path) as platform:
+            for worker in platform.fleet.workers:
+                worker.failing_payloads.add('bad')
+            daemon = await platform.start()
+            await platform.submit(daemon, JOB, 'bad')
+            await platform.wait_for_state(daemon, JOB, 'failed')
+            files = write_logs(tmp_path, daemon)
+            out = await trace(f'{JOB}.0.0.0', *files)
+            lines = out[out.index('Placements of') :].splitlines()[1:]
+            assert len(lines) == 2
+            for run_number, line in enumerate(lines, 1):
+                assert f' host-0 run {run_number} on i-' in line
+                assert 'ended' in line
+                assert 'failed' in line
+                assert 'had not ended' not in line
+            out = await trace(JOB, *files)
+            assert f'Placements of {JOB}.0.0.0:' in out
+
+    run(scenario())
+
+
+def write_lines(
+    path: pathlib.Path, *lines: tuple[str, dict[str, object]]
+) -> str:
+    """Writes log lines a second apart; returns the file's name."""
+    path.write_text(
+        '\n'.join(
+            json.dumps(
+                {
+                    'time': f'2026-01-01T00:00:{number:02}',
+                    'level': 'info',
+                    'part': 'owner',
+                    'message': message,
+                    **fields,
+                }
+            )
+            for number, (message, fields) in enumerate(lines)
+        ),
+        'utf-8',
+    )
+    return str(path)
+
+
+def list_placements(*args: str) -> list[str]:
+    """Runs the trace of a task; returns its placements as they are shown."""
+    status, out, _ = run_tool('trace', *args)
+    assert status is ExitStatus.OK
+    return out[out.index('Placements of') :].splitlines()[1:]
+
+
+def test_overlapping_placements_are_shown(tmp_path: pathlib.Path) -> None:
+    """Two runs of a task at once had to be found among thousands of starts."""
+    task, other = f'{JOB}.0.0.1', f'{JOB}.0.0.10'
+    name = write_lines(
+        tmp_path / 'host-1.log',
+        ('Starting.', {'starts': [[other, 1, 'w-9'], [task, 1, 'w-1']]}),
+        ('Starts settled.', {'settled': [[task, 1, 'w-1', 'done', 2, 0.4]]}),
+        ('Starting.', {'starts': [[task, 2, 'w-2']]}),
+        (
+            'Placements changed.',
+            {
+                'changes': [
+                    [task, 2, 'w-2', 'freed', 'done', 'running'],
+                    [other, 1, 'w-9', 'freed', 'done', 'running'],
+                    [task, 1, 'w-1', 'other-end', 'done', 'done'],
+                ]
+            },
+        ),
+    )
+    assert list_placements(task, name) == [
+        '  2026-01-01T00:00:00 host-1 run 1 on w-1: started; start done:'
+        ' 2 copies in 0.4 s; other-end: done (done); no end in these logs',
+        '  2026-01-01T00:00:02 host-1 run 2 on w-2: started;'
+        ' while run 1 on w-1 had not ended;'
+        ' ended 2026-01-01T00:00:03 freed: done (running)',
+    ]
+    assert 'w-9' not in run_tool('trace', task, name)[1]
+
+
+def test_placements_are_followed_to_the_next_owner(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A placement that a new owner had restored seemed to be a second one."""
+    task = f'{JOB}.0.0.0'
+    name = write_lines(
+        tmp_path / 'host-2.log',
+        ('Restored 1 placements.', {'restored': [[task, 3, 'w-1']]}),
+        (
+            'Its 1 tasks ended: it restarted.',
+            {'tasks': [task], 'worker': 'w-1'},
+        ),
+        (
+            'Placements changed.',
+            {
+                'changes': [
+                    [task, 3, 'w-1', 'freed', 'restarted', 'running'],
+                    [task, 4, 'w-2', 'adopted', 'listed', 'waiting'],
+                ]
+            },
+        ),
+        (
+            'Stopping: it stands still.',
+            {'task': task, 'run': 4, 'worker': 'w-2'},
+        ),
+    )
+    lines = list_placements(task, name)
+    assert 'run 3 on w-1: restored from its row; ended' in lines[0]
+    assert 'it restarted, freed: restarted (running)' in lines[0]
+    assert 'run 4 on w-2: adopted: listed (waiting)' in lines[1]
+    assert 'Stopping: it stands still; no end' in lines[1]
+    assert 'had not ended' not in ''.join(lines)
+
+
+def test_a_trace_tells_of_lines_that_were_left_out(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A line that was left out seemed to prove that nothing had happened."""
+    name = write_lines(
+        tmp_path / 'host-1.log',
+        ('Left out 7 lines.', {'of': 'owner: Starting.'}),
+        ('Starting.', {'starts': [[f'{JOB}.0.0.0', 1, 'w']]}),
+        ('Reached.', {'dropped_before': 5}),
+    )
+    status, _, errors = run_tool('trace', JOB, name)
+    assert status is ExitStatus.OK
+    assert errors == f'{name}: 12 lines left out\n'
+
+
 def test_a_failed_job_is_explained(tmp_path: pathlib.Path) -> None:
     async def scenario() -> None:
         async with open_platform(tmp_path) as platform:
