--- a/tests/test_diagnostic_logs.py
+++ b/tests/test_diagnostic_logs.py
@@ -232,6 +232,23 @@
     assert 'had not ended' not in ''.join(lines)
 
 
+def test_lines_of_earlier_versions_show_placements(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The logs of an incident are of the version that ran then."""
+    ids = {'task': f'{JOB}.0.0.0', 'worker': 'w-1'}
+    name = write_lines(
+        tmp_path / 'host-1.log',
+        ('Starting.', {**ids, 'run': 1}),
+        ('Ended: failed.', {**ids, 'run': 1}),
+        ('Starting.', {**ids, 'run': 2}),
+    )
+    lines = list_placements(ids['task'], name)
+    assert 'run 1 on w-1: started; ended' in lines[0]
+    assert lines[0].endswith('Ended: failed')
+    assert lines[1].endswith('run 2 on w-1: started; no end in these logs')
+
+
 def test_a_trace_tells_of_lines_that_were_left_out(
     tmp_path: pathlib.Path,
 ) -> None:
