Assume leases of late calls after a worker has restarted

What callers see: a task of their job runs on two workers at once.

Cause: a deadline is a time on the clock of one incarnation. A poll without an answer may be executed late by the next one, whose clock starts anew and which takes the deadline for the longest lease. The owner had dropped what it knew of earlier leases at the restart, so it placed the tasks of that worker elsewhere while they still ran there. A late start does the same, also one that the worker rejects as its run was stopped; for starts the owner assumed that no copy arrives later than the timeout of one call.

Ruled out: polls without a deadline to an unreachable worker. They are so already, but the first poll without an answer has one. A bound of one call's timeout: such calls may be executed seconds later.

Change: the calls without an answer that carry leases are kept in a module of their own. At a restart the longest lease is assumed from the last moment at which one of them may be executed, 30 s after it was sent, as for late starts.

A worker that restarts and answers is not waited for longer.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -10,6 +10,7 @@
 import attrs
 import logbook
 
+from lentilmount.control.late_calls import LateCalls
 from lentilmount.platform.workers import CallStatus, WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.crashes import PROOF_SECONDS
@@ -46,9 +47,6 @@
 EXPIRY_MARGIN_SECONDS = 0.1
 """Time for a worker to end its tasks once a lease has expired."""
 
-LATE_START_SECONDS = 30.0
-"""Time after which an unanswered start is assumed never to be executed."""
-
 FORGET_SECONDS = 1.0
 """Delay before the session of an unregistered worker without tasks ends; also
 the time for which a worker that refused a start, or had no room for it, gets no
@@ -129,11 +127,12 @@
     _clock_read_at: float = 0.0
     _last_expiry_ms: int = 0
     _inherited_expiry: float = attrs.field(init=False)
-    _unanswered_starts: dict[StaleRun, float] = attrs.Factory(dict)
+    _late_calls: LateCalls = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Stores when the previous owner's leases expire."""
         self._inherited_expiry = self.worker.leases_expire_at
+        self._late_calls = LateCalls(self.monotonic)
 
     async def run(self) -> None:
         """Polls the worker until it is unregistered and runs no tasks."""
@@ -149,12 +148,12 @@
 
     def _is_unused(self) -> bool:
         """Returns whether the worker is gone and will not start anything."""
-        self._forget_late_starts()
         worker = self.worker
         if self.monotonic() - worker.lost_at > PROOF_SECONDS:
             worker.suspects.clear()
         is_gone = not worker.is_registered and not worker.tasks
-        return is_gone and not self._unanswered_starts and not worker.suspects
+        may_start = bool(self._late_calls.list_starts())
+        return is_gone and not may_start and not worker.suspects
 
     async def _wait_for_expiry(self) -> None:
         self.worker.has_missed_poll = True
@@ -187,12 +186,15 @@
         )
         asked_at = self.monotonic()
         acknowledged_end = self._choose_acknowledgement()
+        renewal_expiry = self._choose_renewal_expiry()
         answer = await self.worker_client.poll(
             self.worker.entry,
             acknowledged_end,
-            self._choose_renewal_expiry(),
+            renewal_expiry,
             self._choose_poll_wait() if may_wait else 0.0,
         )
+        if answer is CallStatus.UNKNOWN and renewal_expiry is not None:
+            self._late_calls.add_renewal(asked_at)
         if not isinstance(answer, WorkerReport):
             await self._handle_failure(answer)
         elif self._is_outdated(answer):
@@ -333,21 +335,11 @@
 
     def add_unanswered_start(self, task: str, run: int) -> None:
         """Records that a start is about to be sent."""
-        self._forget_late_starts()
-        start = StaleRun(self.worker.id, task, run)
-        self._unanswered_starts[start] = self.monotonic()
-
-    def _forget_late_starts(self) -> None:
-        since = self.monotonic() - LATE_START_SECONDS
-        self._unanswered_starts = {
-            start: sent_at
-            for start, sent_at in self._unanswered_starts.items()
-            if sent_at >= since
-        }
+        self._late_calls.add_start(StaleRun(self.worker.id, task, run))
 
     def settle_start(self, task: str, run: int) -> None:
         """Records that no copy of a start can be executed later."""
-        self._unanswered_starts.pop(StaleRun(self.worker.id, task, run), None)
+        self._late_calls.settle_start(StaleRun(self.worker.id, task, run))
 
     def record_command(self, status: CallStatus) -> None:
         """Records whether the worker answered a command."""
@@ -460,7 +452,8 @@
         A start without an answer may still reach the new incarnation, which
         executes it: stops are forgotten, and on the new clock its deadline is
         far away. Its task is kept until the new incarnation has accepted a
-        stop of that run.
+        stop of that run. For as long as a call with a lease may be executed
+        there, the longest lease from then on is assumed.
 
         Args:
           why: How the restart was noticed.
@@ -476,10 +469,8 @@
         self._inherited_expiry = 0.0
         worker = self.worker
         self._reset_command_state()
-        self._forget_late_starts()
-        late_starts = list(self._unanswered_starts)
-        if late_starts:
-            self._bound_leases(self.worker_client.timeout)
+        late_starts = self._late_calls.list_starts()
+        self._bound_leases(self._late_calls.get_remaining_seconds())
         tasks = self.cluster.end_worker_tasks(
             worker, self.monotonic(), frozenset(late_starts), asked_at
         )
--- a/tests/restart_fixtures.py
+++ b/tests/restart_fixtures.py
@@ -207,15 +207,15 @@
             await asyncio.sleep(TIMEOUT_SECONDS)
             return CommandAnswer(CallStatus.UNKNOWN)
         answer = await super().start(worker, command)
-        if answer.status is CallStatus.DONE:
+        if answer.status in (CallStatus.DONE, CallStatus.STALE_RUN):
             self.renew(command.lease_until_ms)
         return answer
 
     def _execute(self, command: StartCommand) -> None:
         is_rejected = command.run <= self.highest.get(command.task, 0)
+        self.renew(command.lease_until_ms)
         if is_rejected or command.lease_until_ms < self.clock_ms:
             return
-        self.renew(command.lease_until_ms)
         self.running[command.task] = command.run
         self.executed.append((self.incarnation, command.task, command.run))
 
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -59,6 +59,8 @@
 )
 from tests.scheduling_fixtures import (
     SERVICE,
+    admit,
+    find_task,
     make_end,
     make_entry,
     make_job,
@@ -218,6 +220,56 @@
     play(scenario)
 
 
+def test_leases_include_a_late_start_that_is_rejected() -> None:
+    """A start by an old clock renewed the leases of the tasks beside it."""
+
+    async def scenario(scene: RestartScene) -> None:
+        client, cluster = scene.client, scene.cluster
+        admit(cluster, make_job('late'))
+        late = find_task(cluster, 'late')
+        cluster.place([late], scene.worker, asyncio.get_running_loop().time())
+        client.late_start_seconds = 1.5 * LATE_SECONDS
+        scene.commands.start(late)
+        await asyncio.sleep(0.1)
+        client.late_start_seconds = 0.0
+        client.restart()
+        await scene.wait_until(lambda: late.id in cluster.ready)
+        cluster.requeue(scene.task)
+        now = asyncio.get_running_loop().time()
+        cluster.place([scene.task], scene.worker, now)
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: scene.task.phase is TaskPhase.RUNNING)
+        client.silent = True
+        for _ in range(4000):
+            client.end_expired()
+            await scene.observe(CALL_SECONDS)
+        assert scene.task.worker == scene.other.id
+
+    play(scenario)
+
+
+def test_leases_after_a_restart_are_not_extended_without_a_late_call() -> None:
+    """Tasks of a lost worker would wait for calls that were all answered."""
+
+    async def scenario(scene: RestartScene) -> None:
+        scene.client.restart()
+        await scene.wait_until(lambda: scene.session.incarnation > 0)
+        if scene.task.id in scene.cluster.ready:
+            now = asyncio.get_running_loop().time()
+            scene.cluster.place([scene.task], scene.worker, now)
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: scene.task.phase is TaskPhase.RUNNING)
+        scene.client.silent = True
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LEASE_SECONDS + 3 * TIMEOUT_SECONDS
+        while loop.time() < end:
+            scene.client.end_expired()
+            await scene.observe(CALL_SECONDS)
+        assert scene.task.worker == scene.other.id
+
+    play(scenario)
+
+
 def test_leases_include_a_start_that_the_next_incarnation_answered() -> None:
     """A lease by an old clock lasted longer than the owner assumed."""
 
