Wait for workers that are not listed yet after an outage

What callers see: a task of their job runs on two workers at once.

Cause: while no daemon reaches the store, an owner goes on to start tasks that it cannot record. If it is lost, the next one must hear all workers before it starts inherited tasks. It counted only the workers that were listed. Entries that expired in the outage come back within about two seconds of the store's return; a task that ran on such a worker was started on a listed one meanwhile.

Ruled out: waiting for the leases of the previous owner (7.4 s) in any case, as entries are back sooner; a time counted from the takeover, as the part of the store with the list may come back later than that of the service.

Change: an owner that did not see a write since the store was last away takes the list for incomplete until one was requested 2.2 s after the first answer, as the list is treated after an outage already. Until then starts in no row may exist, at most until all leases of the previous owner have expired.

What waits longer: inherited tasks without a row of a start, for 2.2 to 2.6 s, where no renewal of the previous owner was seen; so also when the processes of all daemons are replaced at once, as a new process can't tell whether the store was away before.

The tests of UnrecordedStarts set the new attribute, and one checks that nothing starts without it. The test of a forgotten worker, which starts a task at once, has an owner that knows all starts, as it is about something else.

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -236,7 +236,7 @@
             self._resume()
             self._spawn(self._state_writer.run())
             self._spawn(self._job_loader.follow())
-            self._spawn(self._poll_workers())
+            self._spawn(self._poll_workers(unrecorded_starts))
             self._spawn(dispatcher.run())
             self._spawn(self._advice.run())
             self._spawn(self._run_periodic_checks())
@@ -295,13 +295,18 @@
 
     # Workers.
 
-    async def _poll_workers(self) -> None:
+    async def _poll_workers(self, unrecorded_starts: UnrecordedStarts) -> None:
+        def record_complete_list() -> None:
+            unrecorded_starts.are_all_listed = True
+
         await poll_workers(
             self._table,
             self._settings.service,
             self._register_worker,
             self._unregister_worker,
             self._clock.monotonic,
+            record_complete_list,
+            is_complete=self._are_all_recorded,
         )
 
     def _register_worker(self, entry: WorkerEntry) -> None:
--- a/lentilmount/control/registry.py
+++ b/lentilmount/control/registry.py
@@ -50,6 +50,8 @@
     on_entry: Callable[[WorkerEntry], None],
     on_missing: Callable[[str], None],
     monotonic: Callable[[], float] = time.monotonic,
+    on_complete: Callable[[], None] = lambda: None,
+    is_complete: bool = True,
 ) -> None:
     """Reports each worker's registration, and its disappearance.
 
@@ -59,10 +61,13 @@
       on_entry: Called with each entry of each read.
       on_missing: Called with the id of a worker whose entry is gone.
       monotonic: Clock for durations.
+      on_complete: Called after each read of a list that is certainly complete.
+      is_complete: Whether the list is complete at first. It may not be if the
+        store may have been unavailable until now.
     """
     known: set[str] = set()
     unreadable: set[str] = set()
-    complete_from = -math.inf
+    complete_from = -math.inf if is_complete else math.inf
     while True:
         sent_at = monotonic()
         try:
@@ -87,6 +92,7 @@
             for worker_id in known - seen:
                 on_missing(worker_id)
             known = seen
+            on_complete()
         else:
             known |= seen
         await asyncio.sleep(choose_pause(len(found.rows)))
--- a/lentilmount/scheduling/takeover.py
+++ b/lentilmount/scheduling/takeover.py
@@ -22,8 +22,9 @@
 
     So unless the new owner has observed a write since the outage, inherited
     tasks wait until all workers have answered or their leases have certainly
-    expired. Ordinary takeovers are not delayed, because renewals were observed
-    until the end.
+    expired. Workers whose registrations expired in the outage and are not back
+    yet count as well. Ordinary takeovers are not delayed, because renewals were
+    observed until the end.
 
     Attributes:
       cluster: Jobs and workers.
@@ -31,18 +32,21 @@
       expires_at: Monotonic time by which the previous owner's leases have
         expired.
       jobs: Ids of the inherited jobs.
+      are_all_listed: Whether a list of the workers was read that is certainly
+        complete.
     """
 
     cluster: ClusterState
     are_all_recorded: bool
     expires_at: float
     jobs: frozenset[str]
+    are_all_listed: bool = False
 
     def may_exist(self, now: float) -> bool:
         """Returns whether a worker may be running a task without a record."""
         if self.are_all_recorded or now > self.expires_at:
             return False
-        return any(
+        return not self.are_all_listed or any(
             not worker.has_answered for worker in self.cluster.workers.values()
         )
 
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -289,7 +289,7 @@
     unreachable = add_worker(cluster, 'cut')
     unreachable.has_answered = False
     unrecorded_starts = UnrecordedStarts(
-        cluster, False, 17.0, frozenset({'old'})
+        cluster, False, 17.0, frozenset({'old'}), are_all_listed=True
     )
     assert unrecorded_starts.may_exist(10.0)
     assert unrecorded_starts.affects(find_task(cluster, 'old'))
@@ -297,6 +297,9 @@
     assert not unrecorded_starts.may_exist(17.1)
     unreachable.has_answered = True
     assert not unrecorded_starts.may_exist(10.0)
+    unrecorded_starts.are_all_listed = False
+    assert unrecorded_starts.may_exist(10.0)
+    assert not unrecorded_starts.may_exist(17.1)
     unreachable.has_answered = False
     assert not UnrecordedStarts(cluster, True, 17.0, frozenset()).may_exist(
         10.0
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -6,11 +6,13 @@
 from typing import Any
 
 import orjson
+import pytest
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.keys import make_job_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import Owner, OwnerSettings
+from lentilmount.control.registry import POLL_SECONDS, RETURN_SECONDS
 from lentilmount.coordination.leases import LeaseKeeper
 from lentilmount.coordination.table import (
     ABSENT,
@@ -521,11 +523,18 @@
 
 
 async def make_owner(
-    clock: ManualClock, table: MemoryStore, client: RunningWorkers
+    clock: ManualClock,
+    table: MemoryStore,
+    client: RunningWorkers,
+    are_all_recorded: bool,
 ) -> Owner:
     """Returns a new owner of the service, which has one job to run.
 
-    It can't rely on the rows to contain all starts.
+    Args:
+      clock: The clock.
+      table: The store.
+      client: The client of its workers.
+      are_all_recorded: Whether it can rely on the rows to contain all starts.
     """
     spec = make_job(JOB)
     job_row = Put(make_job_key(SERVICE, JOB), encode_job_row(spec), 0)
@@ -541,7 +550,7 @@
         client,
         clock,
         lease_expiry_seconds=7.5,
-        are_all_recorded=False,
+        are_all_recorded=are_all_recorded,
         is_outage=lambda: False,
         advice=None,
         metrics=ControlMetrics(),
@@ -559,7 +568,7 @@
     async def work() -> None:
         table = MemoryStore(clock, {'listed': 1})
         client = RunningWorkers(clock, {'listed': {}, 'expired': {TASK: 1}})
-        owner = await make_owner(clock, table, client)
+        owner = await make_owner(clock, table, client, False)
         running = asyncio.create_task(owner.run())
         await asyncio.sleep(1.5)
         table.registered['expired'] = 1
@@ -571,6 +580,29 @@
     run_virtual(work(), clock)
 
 
+@pytest.mark.parametrize(
+    'are_all_recorded, seconds',
+    [(True, 0.2), (False, RETURN_SECONDS + 2 * POLL_SECONDS)],
+)
+def test_inherited_tasks_start_once_all_workers_are_listed(
+    are_all_recorded: bool, seconds: float
+) -> None:
+    """An ordinary takeover would wait for workers that nobody misses."""
+    clock = ManualClock()
+
+    async def work() -> None:
+        table = MemoryStore(clock, {'listed': 1})
+        client = RunningWorkers(clock, {'listed': {}})
+        owner = await make_owner(clock, table, client, are_all_recorded)
+        running = asyncio.create_task(owner.run())
+        await asyncio.sleep(seconds)
+        owner.stop()
+        await running
+        assert TASK in client.running['listed']
+
+    run_virtual(work(), clock)
+
+
 def test_a_late_start_is_stopped_on_a_worker_that_was_forgotten() -> None:
     """A worker registered again without memory of starts on their way."""
     clock = ManualClock()
@@ -579,7 +611,7 @@
         table = MemoryStore(clock, {'w': 1})
         client = RunningWorkers(clock, {'w': {}, 'other': {}})
         client.lost_starts.add('w')
-        owner = await make_owner(clock, table, client)
+        owner = await make_owner(clock, table, client, True)
         running = asyncio.create_task(owner.run())
         await asyncio.sleep(0.3)
         client.silent.add('w')
--- a/tests/test_killed_owners.py
+++ b/tests/test_killed_owners.py
@@ -200,7 +200,7 @@
     cluster, worker = make_cluster_with_task(False, 15.0)
     worker.has_answered = False
     unrecorded_starts = UnrecordedStarts(
-        cluster, False, 17.0, frozenset({'job'})
+        cluster, False, 17.0, frozenset({'job'}), are_all_listed=True
     )
     recorded = decode_lease_data(
         make_lease_data(cluster, unrecorded_starts, False, 12.0).encode(4), 4
