Show that a task placed during a write runs on two workers at once

What waits for a write is a list of tasks, not of placements.

* A task is placed on one worker; its write is slow, fails or conflicts.
The worker is lost and the task is placed on another.
As the first write completes the second placement's start is sent, while the row still names the first worker.
A next owner that cannot ask the second worker would start the task again.
* The next write sends the same run again.
The worker executes the first copy, whose answer is late, and refuses the second one (429).
The second sender believes that its copy is the only one and frees the task, which is placed on another worker while it runs: two runs at once.
* In an outage that begins during such a write both copies are sent at once.

--- a/tests/restart_fixtures.py
+++ b/tests/restart_fixtures.py
@@ -158,6 +158,9 @@
         executed; 0 for starts that are answered.
       late_poll_seconds: The same for polls while no poll is answered.
       lost_starts: Whether starts have no answer and no effect.
+      refuses_starts: Whether it refuses starts, which then have no effect.
+      start_answer_seconds: Time for which answers to starts are on their way.
+      received_starts: Number of the run of each start that has arrived.
       lost_commands: Number of stops and throttle commands that are lost next.
       refused_stops: Number of stops that the worker refuses next.
       stop_answer_seconds: Time for which answers to stops are on their way.
@@ -170,6 +173,9 @@
     late_start_seconds: float = 0.0
     late_poll_seconds: float = 0.0
     lost_starts: bool = False
+    refuses_starts: bool = False
+    start_answer_seconds: float = 0.0
+    received_starts: list[int] = attrs.Factory(list)
     lost_commands: int = 0
     refused_stops: int = 0
     stop_answer_seconds: float = 0.0
@@ -206,9 +212,14 @@
                 )
             await asyncio.sleep(TIMEOUT_SECONDS)
             return CommandAnswer(CallStatus.UNKNOWN)
+        self.received_starts.append(command.run)
+        if self.refuses_starts:
+            await asyncio.sleep(CALL_SECONDS)
+            return CommandAnswer(CallStatus.REFUSED)
         answer = await super().start(worker, command)
         if answer.status is CallStatus.DONE:
             self.renew(command.lease_until_ms)
+        await asyncio.sleep(self.start_answer_seconds)
         return answer
 
     def _execute(self, command: StartCommand) -> None:
