Send the start of a placement once, after the row that names its worker

Cause: starts waited for their write as tasks. A task that was placed anew during a slow, failing or conflicting write was sent when the first write was done, with its new run, and once more after the next write. Each of the two senders took a rejection of its first copy for proof that nothing runs.

Ruled out: sending the newest run with the first write if its row happens to name the worker; rows are encoded before the write, so it never does.

Change: what waits is a placed run. One that is no longer to be started is dropped, so each run is sent by the write that contains it. The command sender also refuses a second sender of a run, with a log line.

Why it works: a run number is given to one placement only, so a run that is current when its write is done was current when the row was encoded.

--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -31,7 +31,7 @@
 from lentilmount.coordination.transactions import make_token
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.interference import InterferenceModel
-from lentilmount.scheduling.model import Job, Task, TaskPhase
+from lentilmount.scheduling.model import Job, PlacedRun, Task
 from lentilmount.scheduling.rows import encode_state
 from lentilmount.scheduling.takeover import UnrecordedStarts
 from lentilmount.version_times import VersionTimes
@@ -132,8 +132,8 @@
     _pending_acks: collections.deque[_PendingAck] = attrs.Factory(
         collections.deque
     )
-    _pending_starts: list[Task] = attrs.Factory(list)
-    _starts_in_flight: list[Task] = attrs.Factory(list)
+    _pending_starts: list[PlacedRun] = attrs.Factory(list)
+    _starts_in_flight: list[PlacedRun] = attrs.Factory(list)
     _counts: dict[str, int] = attrs.Factory(dict)
     _counts_version: int = 0
     _counts_at: float = 0.0
@@ -152,7 +152,7 @@
         and would start a task elsewhere that runs there but is in no row.
         Writing first costs about 15 ms per start.
         """
-        self._pending_starts.append(task)
+        self._pending_starts.append(PlacedRun(task, task.run))
         self._write_requested.set()
 
     def send_unrecorded(self) -> None:
@@ -166,21 +166,24 @@
         self._has_sent_unrecorded |= bool(placed)
         self._send_starts(placed, set(self.cluster.jobs.values()))
 
-    def _send_starts(self, placed: list[Task], written: set[Job]) -> None:
+    def _send_starts(self, placed: list[PlacedRun], written: set[Job]) -> None:
         """Sends the starts of written jobs; the others wait for the next write.
 
+        A task may have been placed anew during the write. The row then names
+        the worker before, and the start of the new run waits for its own write.
+
         Args:
-          placed: Tasks placed before the rows were encoded. A task of a written
+          placed: Runs placed before the rows were encoded. A run of a written
             job that was placed later is not in the job's row.
           written: Jobs whose rows are written.
         """
-        for task in placed:
-            if task.phase is not TaskPhase.STARTING:
+        for placed_run in placed:
+            if not placed_run.is_due:
                 continue
-            if task.job in written:
-                self.send(task)
+            if placed_run.task.job in written:
+                self.send(placed_run.task)
             else:
-                self._pending_starts.append(task)
+                self._pending_starts.append(placed_run)
 
     async def run(self) -> None:
         """Writes until the lease is lost or `finish` is called."""
@@ -346,7 +349,7 @@
     def _select_jobs(self) -> list[Job]:
         """Selects the jobs to write, those with pending starts first."""
         with_starts = dict.fromkeys(
-            task.id.job for task in self._pending_starts
+            placed_run.task.id.job for placed_run in self._pending_starts
         )
         first = list(with_starts)[: COMMIT_ROWS - OLDEST_ROWS]
         oldest = [
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -21,7 +21,12 @@
     WorkerClient,
 )
 from lentilmount.scheduling.cluster import ClusterState
-from lentilmount.scheduling.model import Task, TaskPhase, Worker
+from lentilmount.scheduling.model import (
+    PlacedRun,
+    Task,
+    TaskPhase,
+    Worker,
+)
 from lentilmount.scheduling.reports import StaleRun
 
 log = logbook.Logger('links')
@@ -61,10 +66,11 @@
     start_task: Callable[[Coroutine[Any, Any, None]], None]
     get_ticket: Callable[[Task, Worker], str]
     wake: Callable[[], None]
+    _starts_in_progress: set[PlacedRun] = attrs.Factory(set)
 
     def start(self, task: Task) -> None:
         """Sends the start of a task that was placed."""
-        self.start_task(self._start(task, task.run))
+        self.start_task(self._start_once(PlacedRun(task, task.run)))
 
     def stop(self, task: Task) -> None:
         """Sends the stop of a task in phase STOPPING."""
@@ -105,6 +111,24 @@
         )
         return is_current and task.phase is TaskPhase.STOPPING
 
+    async def _start_once(self, placed_run: PlacedRun) -> None:
+        """Sends the start of a run unless it is being sent already.
+
+        A rejection of the first copy shows that nothing runs only if no other
+        sender has sent one.
+        """
+        if placed_run in self._starts_in_progress:
+            log.error(
+                'Not sent: the start is being sent already.',
+                extra={'task': str(placed_run.task.id), 'run': placed_run.run},
+            )
+            return
+        self._starts_in_progress.add(placed_run)
+        try:
+            await self._start(placed_run.task, placed_run.run)
+        finally:
+            self._starts_in_progress.discard(placed_run)
+
     async def _start(self, task: Task, run: int) -> None:
         session = self.sessions.get(task.worker)
         is_due = task.phase is TaskPhase.STARTING and task.run == run
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -122,6 +122,25 @@
         return len(self.failed_runs)
 
 
+@attrs.frozen
+class PlacedRun:
+    """A run of a task as it was placed on a worker.
+
+    Attributes:
+      task: The task, which may have been placed anew since.
+      run: Number of the run.
+    """
+
+    task: Task
+    run: int
+
+    @property
+    def is_due(self) -> bool:
+        """Whether the run is still the current one and to be started."""
+        is_current = self.task.run == self.run
+        return is_current and self.task.phase is TaskPhase.STARTING
+
+
 BUSY_USAGE = 1.0
 QUIET_USAGE = 0.67
 """Share of its cores that a best-effort task uses in its busy and quiet phases.
