Do not start a task again once an earlier run of it is done

Cause: a run that was thought to be lost ended as done while its task was placed on another worker. The end was ignored, as the task was not waiting, and acknowledged. When the later run was lost as well the task was placed once more.

Change: such a task is marked as done elsewhere; its current run is stopped, and once that has ended the task is done instead of waiting. Its row says that it is done from the next write on, before the end is acknowledged, so that the next owner knows. A job of which all tasks are done in its row ends when it is restored.

Ruled out: to mark the task as done at once. The worker of the later run would seem to have room that the run still uses, and the next step would start beside it.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -272,7 +272,7 @@
     def requeue(self, task: Task) -> None:
         """Releases a task's resources; requeues it unless its work is over.
 
-        That is if its job is over or its gang is done.
+        That is if its job is over, or it is done elsewhere, or its gang is.
         """
         worker = self.workers.get(task.worker)
         if worker is not None:
@@ -283,7 +283,9 @@
             task.phase = TaskPhase.GIVEN_UP
             return
         task.phase = TaskPhase.WAITING
-        if self._is_gang_done(task):
+        if task.is_done_elsewhere:
+            self._mark_done(task, task.last_ended_at)
+        elif self._is_gang_done(task):
             members = self.list_step_tasks(task)
             self._mark_done(task, max(m.last_ended_at for m in members))
         elif self.are_predecessors_done(task):
@@ -374,6 +376,22 @@
                 self._mark_done(member, now)
         return stopping
 
+    def complete_elsewhere(self, task: Task, now: float) -> list[Task]:
+        """Records that an earlier run of a placed task is done.
+
+        The current run, and those of the other members of a gang, are stopped.
+        The tasks are done once these have ended.
+
+        Returns:
+          Tasks that must be stopped because of it.
+        """
+        done = self.list_step_tasks(task) if task.spec.gang else [task]
+        for member in done:
+            member.is_done_elsewhere = True
+            member.last_ended_at = now
+        self.dirty[task.job.spec.id] = None
+        return self.complete_task(task, now)
+
     def _mark_done(self, task: Task, now: float) -> None:
         job = task.job
         task.phase = TaskPhase.DONE
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -58,6 +58,8 @@
       run: Number of the newest known run; 0 before the first.
       skipped: How many further run numbers a previous owner may have used.
       worker: Id of the worker where it is placed, or ''.
+      is_done_elsewhere: Whether an earlier run of it is done, so that it is not
+        placed again once the current run has ended.
       checkpoint: Newest checkpoint, or ''.
       failed_runs: Numbers of the failed runs that count against its job.
       failed_on: Ids of the workers on which it failed.
@@ -93,6 +95,7 @@
     run: int = 0
     skipped: int = 0
     worker: str = ''
+    is_done_elsewhere: bool = False
     checkpoint: str = ''
     failed_runs: set[int] = attrs.Factory(set)
     failed_on: set[str] = attrs.Factory(set)
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -162,8 +162,13 @@
                 self._cluster.record_failure(task, end.run, now), result
             )
             result.ended.append((task, end.kind))
-        elif end.kind is EndKind.DONE and task.phase is TaskPhase.WAITING:
-            self._add_stale_runs(self._cluster.complete_task(task, now), result)
+        elif end.kind is EndKind.DONE and task.phase is not TaskPhase.DONE:
+            complete = (
+                self._cluster.complete_elsewhere
+                if task.phase.is_placed
+                else self._cluster.complete_task
+            )
+            self._add_stale_runs(complete(task, now), result)
             result.ended.append((task, end.kind))
 
     def _apply_running(
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -44,7 +44,7 @@
     tasks: dict[str, Any] = {}
     done: dict[str, list[int]] = {}
     for task in job.tasks.values():
-        if task.phase is TaskPhase.DONE:
+        if task.phase is TaskPhase.DONE or task.is_done_elsewhere:
             step = f'{task.id.occurrence}.{task.id.step}'
             _append_to_ranges(done.setdefault(step, []), task.id.index)
         elif task.run:
@@ -121,11 +121,13 @@
     if state.is_final:
         job.is_end_logged = True
         cluster.finish_job(job, state, now)
-    else:
-        job.state = state
     has_started = state is not JobState.QUEUED
     job.has_started |= has_started
     job.was_placed |= has_started
+    if not state.is_final and job.state.is_final:
+        # All tasks were done, the last one while it was still placed.
+        return
+    job.state = state
     cluster.dirty.pop(job.spec.id, None)
     if not state.is_final:
         cluster.complete_restored_gangs(job, now)
