--- a/soak/definition.py
+++ b/soak/definition.py
@@ -5,6 +5,9 @@
 import argparse
 import pathlib
 
+from soak.plan import FaultKind
+from soak.work import WorkKind
+
 CODE = pathlib.Path(__file__).resolve().parent.parent
 """The checkout that this module belongs to."""
 
@@ -31,6 +34,15 @@
         default=10,
         help='number of workers (default: 10)',
     )
+    parser.add_argument(
+        '--omit',
+        choices=[kind.value for kind in (*FaultKind, *WorkKind)],
+        action='append',
+        default=[],
+        metavar='KIND',
+        help='leave out a kind of faults, or the jobs with a kind of work; '
+        'may be given several times',
+    )
     parser.add_argument(
         '--code',
         type=pathlib.Path,
--- a/soak/events.py
+++ b/soak/events.py
@@ -76,7 +76,8 @@
 
 def encode_event(event: Event) -> str:
     """Returns the line of an event, without fields that are not set."""
-    fields = {k: v for k, v in unstructure(event).items() if v}
+    fields = unstructure(event)
+    fields = {k: v for k, v in fields.items() if v or k == 'at'}
     return orjson.dumps(fields).decode()
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -5,7 +5,7 @@
 import enum
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import attrs
@@ -108,9 +108,11 @@
     @property
     def is_crashing(self) -> bool:
         """Whether a task of it crashes its workers."""
-        return any(
-            work.kind in CRASHING for step in self.steps for work in step
-        )
+        return self.has_work({kind.value for kind in CRASHING})
+
+    def has_work(self, kinds: Collection[str]) -> bool:
+        """Returns whether the work of a task is of one of some kinds."""
+        return any(w.kind.value in kinds for step in self.steps for w in step)
 
     def make_document(self) -> dict[str, Any]:
         """Returns the body of its submission."""
@@ -161,6 +163,14 @@
     jobs: tuple[Job, ...]
     faults: tuple[Fault, ...]
 
+    def omit(self, kinds: Collection[str]) -> Plan:
+        """Returns the plan without some kinds of faults and of work."""
+        return attrs.evolve(
+            self,
+            faults=tuple(f for f in self.faults if f.kind.value not in kinds),
+            jobs=tuple(j for j in self.jobs if not j.has_work(kinds)),
+        )
+
     def encode(self) -> str:
         """Returns the plan as lines of JSON."""
         head = {'seed': self.seed, 'size': unstructure(self.size)}
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,262 @@
+"""Soak: each check can fail, plans are repeatable, and a short play passes."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import math
+import pathlib
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from lentilmount.context import Environment
+from lentilmount.upstream.http import CURL_ERROR, HttpClient
+from soak import core
+from soak.checks import (
+    CANCEL_SECONDS,
+    Record,
+    Violation,
+    check,
+    count_copies,
+    find_cancelled_runs,
+    find_early_starts,
+    find_lost_jobs,
+    find_overlaps,
+    find_repeats,
+    find_unasked_runs,
+    make_record,
+)
+from soak.events import Event, EventKind, EventLog, read_events
+from soak.links import Link
+from soak.plan import Fault, FaultKind, Job, Size, make_plan
+from soak.work import Work, WorkKind
+from stand_ins.model_worker import START_PATH
+from tests.helpers import run
+
+WORK = Work(WorkKind.DONE, 1.0)
+JOB = Job(0.0, 'a', 0, ((WORK,), (WORK,)))
+FIRST, SECOND = 'a.0.0.0', 'a.0.1.0'
+SIZE = Size(20.0, 4, 10)
+
+
+def start(at: float, worker: str, task: str = FIRST, run: int = 1) -> Event:
+    return Event(at, EventKind.STARTED, worker, 1, task, run)
+
+
+def end(
+    at: float, worker: str, how: str = 'done', task: str = FIRST, run: int = 1
+) -> Event:
+    return Event(at, EventKind.ENDED, worker, 1, task, run, how)
+
+
+def acknowledge(at: float, worker: str) -> Event:
+    return Event(at, EventKind.ACKNOWLEDGED, worker, 1, FIRST, 1, 'done')
+
+
+def tell(at: float, kind: EventKind, detail: str = '') -> Event:
+    return Event(at, kind, task='a', detail=detail)
+
+
+CLEAN = [
+    tell(0.0, EventKind.ACCEPTED),
+    start(1.0, 'w1'),
+    end(2.0, 'w1'),
+    acknowledge(2.1, 'w1'),
+    start(2.2, 'w2', SECOND),
+    end(3.2, 'w2', 'done', SECOND),
+    tell(4.0, EventKind.STATE, 'completed'),
+]
+
+FAULTY: dict[str, tuple[Callable[[Record], list[Violation]], list[Event]]] = {
+    'two runs at once': (
+        find_overlaps,
+        [start(1.0, 'w1'), start(1.5, 'w2', run=2), end(2.0, 'w1')],
+    ),
+    'two runs at once, one on a suspended worker with a lease': (
+        find_overlaps,
+        [
+            start(1.0, 'w1'),
+            start(4.0, 'w2', run=2),
+            attrs.evolve(end(9.0, 'w1', 'lapsed'), until=5.0),
+        ],
+    ),
+    'a start after an acknowledged end': (
+        find_repeats,
+        [
+            start(1.0, 'w1'),
+            end(2.0, 'w1'),
+            start(3.0, 'w2', run=2),
+            acknowledge(4.0, 'w1'),
+        ],
+    ),
+    'a start while a task of the step before runs': (
+        find_early_starts,
+        [start(1.0, 'w1'), start(1.5, 'w2', SECOND), end(2.0, 'w1')],
+    ),
+    'a start after a task of the step before failed': (
+        find_early_starts,
+        [start(1.0, 'w1'), end(1.5, 'w1', 'failed'), start(2, 'w2', SECOND)],
+    ),
+    'a run of a rejected job': (
+        find_unasked_runs,
+        [tell(0.0, EventKind.REJECTED), start(1.0, 'w1')],
+    ),
+    'a run of an unknown job': (
+        find_unasked_runs,
+        [start(1.0, 'w1', 'b.0.0.0')],
+    ),
+    'a run that goes on after its cancellation': (
+        find_cancelled_runs,
+        [
+            start(1.0, 'w1'),
+            tell(2.0, EventKind.CANCELLED),
+            tell(3.0 + CANCEL_SECONDS, EventKind.FINISHED),
+        ],
+    ),
+    'a start long after the cancellation': (
+        find_cancelled_runs,
+        [
+            tell(2.0, EventKind.CANCELLED),
+            start(3.0 + CANCEL_SECONDS, 'w1'),
+            end(4.0 + CANCEL_SECONDS, 'w1'),
+        ],
+    ),
+    'a job that does not end': (
+        find_lost_jobs,
+        [tell(0.0, EventKind.ACCEPTED), tell(9.0, EventKind.STATE, 'running')],
+    ),
+    'a job that is shown as failed': (
+        find_lost_jobs,
+        [tell(0.0, EventKind.ACCEPTED), tell(9.0, EventKind.STATE, 'failed')],
+    ),
+    'a job of which nothing is known': (
+        find_lost_jobs,
+        [tell(0.0, EventKind.ACCEPTED)],
+    ),
+}
+
+
+def test_a_clean_record_has_no_violations() -> None:
+    """A check that always fails would hide what the others find."""
+    assert check(make_record(CLEAN, [JOB])) == []
+
+
+@pytest.mark.parametrize('name', FAULTY)
+def test_a_check_finds_a_broken_promise(name: str) -> None:
+    """A check that cannot fail would let a fault pass."""
+    find, events = FAULTY[name]
+    record = make_record(events, [JOB])
+    assert len(find(record)) == 1
+    assert find(record)[0] in check(record)
+
+
+def test_a_run_ends_with_its_worker_or_its_lease() -> None:
+    """A suspended worker tells of the end of a lease when it wakes up."""
+    lapsed = attrs.evolve(end(9.0, 'w1', 'lapsed'), until=3.0)
+    events = [
+        start(1.0, 'w1'),
+        start(4.0, 'w2', run=2),
+        Event(5.0, EventKind.KILLED, 'w2', 1),
+        start(6.0, 'w3', run=3),
+        lapsed,
+    ]
+    record = make_record(events, [JOB])
+    assert find_overlaps(record) == []
+    ends = [(found.end, found.how) for found in record.runs[FIRST]]
+    assert ends == [(3.0, 'lapsed'), (5.0, 'crashed'), (math.inf, '')]
+
+
+def test_a_start_for_an_earlier_incarnation_is_excused() -> None:
+    """No owner can prevent that a restarted worker carries out a late call."""
+    late = attrs.evolve(start(1.5, 'w2', run=2), is_late=True)
+    record = make_record([start(1.0, 'w1'), late], [JOB])
+    assert find_overlaps(record) == []
+
+
+def test_copies_of_a_start_are_counted() -> None:
+    """A call that a client sends again unasked shows at the worker only."""
+    received = Event(1.0, EventKind.RECEIVED, 'w1', 1, FIRST, 1, START_PATH)
+    assert count_copies(make_record([received] * 3, [JOB])) == 2
+
+
+def test_events_are_read_as_written(tmp_path: pathlib.Path) -> None:
+    """A checker that lost a field would judge another run."""
+    log = EventLog(tmp_path / 'a.jsonl')
+    event = Event(1.5, EventKind.ENDED, 'w', 7, FIRST, 2, 'lapsed', 1.25, True)
+    for written in (event, CLEAN[0]):
+        log.write(written)
+    log.close()
+    assert read_events([tmp_path / 'a.jsonl']) == [CLEAN[0], event]
+
+
+def test_a_seed_gives_the_same_plan_again() -> None:
+    """A failure could not be played again."""
+    plan = make_plan(5, SIZE)
+    assert plan.encode() == make_plan(5, SIZE).encode()
+    assert plan.encode() != make_plan(6, SIZE).encode()
+    kept = plan.omit([FaultKind.RESET.value])
+    assert {f.kind for f in kept.faults} == {f.kind for f in plan.faults} - {
+        FaultKind.RESET
+    }
+
+
+@pytest.mark.parametrize(
+    ('kind', 'event_kind'),
+    [
+        (FaultKind.RESET, EventKind.RESET),
+        (FaultKind.LOSE_ANSWER, EventKind.LOST),
+    ],
+)
+def test_a_link_delivers_a_call_that_it_leaves_unanswered(
+    kind: FaultKind, event_kind: EventKind, tmp_path: pathlib.Path
+) -> None:
+    """A call that does not arrive would show nothing about repeated calls."""
+    bodies: list[bytes] = []
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while head := await reader.readline():
+            while (line := await reader.readline()) != b'\r\n':
+                head += line
+            length = int(head.lower().split(b'content-length: ')[1].split()[0])
+            bodies.append(await reader.readexactly(length))
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}')
+        writer.close()
+
+    async def play() -> int:
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        log = EventLog(tmp_path / 'links.jsonl')
+        link = Link('worker-0', log, f'127.0.0.1:{port}')
+        await link.open()
+        client = HttpClient(f'http://{link.address}', 1.0)
+        body = b'{"task":"a.0.0.0","run":1}'
+        first = await client.call('POST', START_PATH, body)
+        assert first.status == 200
+        link.set_fault(Fault(0.0, kind, link.name, START_PATH))
+        # A client that does not repeat calls gets no answer to either.
+        link.set_fault(Fault(0.0, FaultKind.LOSE_ANSWER, link.name, START_PATH))
+        second = await client.call('POST', START_PATH, body)
+        client.close()
+        link.close()
+        server.close()
+        log.close()
+        return second.status
+
+    assert run(play()) == CURL_ERROR
+    assert len(bodies) >= 2
+    events = read_events([tmp_path / 'links.jsonl'])
+    assert events[0].kind is event_kind
+
+
+def test_a_short_play_keeps_all_promises() -> None:
+    """Daemons, workers and links that are disturbed must run each task once."""
+    output = io.StringIO()
+    arguments = ['--seed=14', '--seconds=8', '--daemons=2', '--workers=4']
+    arguments += ['--omit=reset', '--omit=crash-unanswered']
+    status = core.main(arguments, Environment(stdout=output))
+    assert status == 0, output.getvalue()
+    assert 'violations: 0' in output.getvalue()
