--- a/soak/core.py
+++ b/soak/core.py
@@ -38,7 +38,12 @@
 
 
 def _run(options: argparse.Namespace, env: Environment) -> ExitStatus:
-    size = Size(options.seconds, options.daemons, options.workers)
+    size = Size(
+        options.seconds,
+        options.daemons,
+        options.workers,
+        options.faults_per_second,
+    )
     plan = make_plan(options.seed, size).omit(options.omit)
     print(plan.encode(), file=env.stdout, flush=True)
     folder = options.folder or pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
--- a/soak/definition.py
+++ b/soak/definition.py
@@ -5,7 +5,7 @@
 import argparse
 import pathlib
 
-from soak.plan import FaultKind
+from soak.plan import DEFAULT_FAULTS_PER_SECOND, FaultKind
 from soak.work import WorkKind
 
 CODE = pathlib.Path(__file__).resolve().parent.parent
@@ -34,6 +34,12 @@
         default=10,
         help='number of workers (default: 10)',
     )
+    parser.add_argument(
+        '--faults-per-second',
+        type=float,
+        default=DEFAULT_FAULTS_PER_SECOND,
+        help='mean number of faults per second (default: 5)',
+    )
     parser.add_argument(
         '--omit',
         choices=[kind.value for kind in (*FaultKind, *WorkKind)],
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,7 +18,7 @@
 WRITE_PATH = '/rows-tx'
 
 JOBS_PER_SECOND = 3.0
-FAULTS_PER_SECOND = 5.0
+DEFAULT_FAULTS_PER_SECOND = 5.0
 CALM_SECONDS = 2.0
 """Time at the start without faults."""
 
@@ -140,11 +140,13 @@
       seconds: Time in seconds in which jobs are submitted and faults happen.
       daemons: Number of daemons.
       workers: Number of workers.
+      faults_per_second: Mean number of faults per second.
     """
 
     seconds: float
     daemons: int
     workers: int
+    faults_per_second: float = DEFAULT_FAULTS_PER_SECOND
 
 
 @attrs.frozen
@@ -191,7 +193,7 @@
     """Draws a plan; the same seed and size give the same plan."""
     rng = random.Random(seed)
     jobs = _make_times(rng, size, JOBS_PER_SECOND, 0.0)
-    faults = _make_times(rng, size, FAULTS_PER_SECOND, CALM_SECONDS)
+    faults = _make_times(rng, size, size.faults_per_second, CALM_SECONDS)
     return Plan(
         seed,
         size,
@@ -343,10 +345,14 @@
     return Fault(at, FaultKind.BURST, pick(rng, size))
 
 
-def _pause(rng: random.Random, at: float, size: Size) -> Fault:
-    pick = rng.choice((_pick_worker, _pick_host))
+def _pause_worker(rng: random.Random, at: float, size: Size) -> Fault:
     seconds = round(rng.uniform(0.3, 4.0), 3)
-    return Fault(at, FaultKind.PAUSE, pick(rng, size), seconds=seconds)
+    return Fault(at, FaultKind.PAUSE, _pick_worker(rng, size), seconds=seconds)
+
+
+def _pause_daemon(rng: random.Random, at: float, size: Size) -> Fault:
+    seconds = round(rng.uniform(0.3, 4.0), 3)
+    return Fault(at, FaultKind.PAUSE, _pick_host(rng, size), seconds=seconds)
 
 
 def _kill_worker(rng: random.Random, at: float, size: Size) -> Fault:
@@ -377,9 +383,10 @@
     (1.5, _cut),
     (2.0, _unhealthy),
     (1.5, _burst),
-    (1.5, _pause),
+    (1.5, _pause_worker),
     (2.0, _kill_worker),
-    (0.7, _end_daemon),
+    (2.0, _pause_daemon),
+    (2.0, _end_daemon),
 )
 """Weights of the faults and how they are drawn."""
 
