Play faults on the way from each daemon to each worker

Links from single hosts, as an owner alone can lose its way to a worker. The link to the table service gives each daemon the addresses of its own links. How faults are drawn is a table in place of a function for each kind.

--- a/soak/links.py
+++ b/soak/links.py
@@ -10,6 +10,7 @@
 import contextlib
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -62,6 +63,14 @@
         lines = (self.first, *self.headers, *more_headers)
         return b'\r\n'.join(lines) + HEAD_END + self.body
 
+    def replace_body(self, body: bytes) -> bytes:
+        """Returns its bytes with another body."""
+        headers = tuple(
+            b'Content-Length: %d' % len(body) if _is_length(line) else line
+            for line in self.headers
+        )
+        return _Message(self.first, headers, body).encode()
+
 
 class _ConnectionResetByFaultError(Exception):
     """The fault of a call resets its connection."""
@@ -83,6 +92,7 @@
       unhealthy_until: Time until which starts are answered with a status.
       unhealthy_status: That status.
       calls: Number of calls.
+      change_answer: Changes the body of each answer.
     """
 
     name: str
@@ -96,6 +106,7 @@
     unhealthy_until: float = 0.0
     unhealthy_status: int = 0
     calls: int = 0
+    change_answer: Callable[[bytes], bytes] = bytes
     _writers: set[asyncio.StreamWriter] = attrs.Factory(set)
     _tasks: set[asyncio.Task[Any]] = attrs.Factory(set)
 
@@ -219,7 +230,7 @@
             self._note(EventKind.LOST, request)
             await asyncio.sleep(ANSWER_SECONDS)
             raise _ConnectionResetByFaultError
-        writer.write(answer.encode())
+        writer.write(answer.replace_body(self.change_answer(answer.body)))
         await writer.drain()
 
     async def _hold(self, request: _Message, fault: Fault | None) -> None:
@@ -292,6 +303,10 @@
             self._writer.close()
 
 
+def _is_length(header: bytes) -> bool:
+    return header.lower().startswith(b'content-length:')
+
+
 def _make_answer(status: int, body: bytes) -> bytes:
     head = f'HTTP/1.1 {status} Unhealthy\r\nContent-Length: {len(body)}'
     return head.encode() + HEAD_END + body
@@ -314,8 +329,7 @@
     first, *headers = head.removesuffix(HEAD_END).split(b'\r\n')
     length = 0
     for line in headers:
-        name, _, value = line.partition(b':')
-        if name.lower() == b'content-length':
-            length = int(value)
+        if _is_length(line):
+            length = int(line.partition(b':')[2])
     body = await reader.readexactly(length)
     return _Message(first, tuple(headers), body)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -60,7 +60,7 @@
     Attributes:
       at: Time in seconds after the start of the plan.
       kind: Kind of the fault.
-      target: Name of the worker's position, the host or the link.
+      target: Name of the workers' position, of the host or of the link.
       path: Path of the calls that it concerns; '' for all.
       count: Number of calls that it concerns.
       seconds: Delay of a call, or duration, in seconds.
@@ -252,146 +252,125 @@
     return (*first, (Work(kind, 1.0), *last[1:]))
 
 
-_Maker = Callable[[random.Random, float, Size], Fault]
+_Pick = Callable[[random.Random, Size], str]
 
 
-def _pick_worker(rng: random.Random, size: Size) -> str:
-    return f'worker-{rng.randrange(size.workers)}'
+def make_link_name(host: str, position: str) -> str:
+    """Returns the name of the link from a host to a position of workers."""
+    return f'{host}/{position}'
 
 
-def _pick_store_link(rng: random.Random, size: Size) -> str:
-    return f'store-{rng.randrange(size.daemons)}'
+def _pick_worker(rng: random.Random, size: Size) -> str:
+    return f'worker-{rng.randrange(size.workers)}'
 
 
 def _pick_host(rng: random.Random, size: Size) -> str:
     return f'host-{rng.randrange(size.daemons)}'
 
 
-def _reset_worker(rng: random.Random, at: float, size: Size) -> Fault:
-    path = rng.choice(
-        (START_PATH, START_PATH, START_PATH, STOP_PATH, POLL_PATH)
-    )
-    target = _pick_worker(rng, size)
-    count = rng.randint(1, 3)
-    return Fault(at, FaultKind.RESET, target, path, count)
-
-
-def _reset_unhealthy(rng: random.Random, at: float, size: Size) -> Fault:
-    return Fault(
-        at,
-        FaultKind.RESET,
-        _pick_worker(rng, size),
-        START_PATH,
-        status=rng.choice((429, 503, 409)),
-        unhealthy_seconds=round(rng.uniform(0.05, 0.3), 3),
-    )
-
-
-def _reset_store(rng: random.Random, at: float, size: Size) -> Fault:
-    target = _pick_store_link(rng, size)
-    return Fault(at, FaultKind.RESET, target, WRITE_PATH, rng.randint(1, 2))
-
-
-def _delay(rng: random.Random, at: float, size: Size) -> Fault:
-    kind = rng.choice((FaultKind.DELAY_CALL, FaultKind.DELAY_ANSWER))
-    path = rng.choice((START_PATH, START_PATH, STOP_PATH, POLL_PATH, ''))
-    return Fault(
-        at,
-        kind,
-        _pick_worker(rng, size),
-        path,
-        rng.randint(1, 3),
-        round(10 ** rng.uniform(-2.0, 0.3), 3),
-    )
-
-
-def _delay_store(rng: random.Random, at: float, size: Size) -> Fault:
-    kind = rng.choice((FaultKind.DELAY_CALL, FaultKind.DELAY_ANSWER))
-    target = _pick_store_link(rng, size)
-    seconds = round(10 ** rng.uniform(-2.0, 0.3), 3)
-    return Fault(at, kind, target, WRITE_PATH, rng.randint(1, 2), seconds)
-
+def _pick_worker_link(rng: random.Random, size: Size) -> str:
+    """Returns a position, for the links from all hosts, or one link to it."""
+    position = _pick_worker(rng, size)
+    if rng.random() < 0.7:
+        return position
+    return make_link_name(_pick_host(rng, size), position)
 
-def _lose_answer(rng: random.Random, at: float, size: Size) -> Fault:
-    path = rng.choice((START_PATH, START_PATH, STOP_PATH, POLL_PATH))
-    target = _pick_worker(rng, size)
-    return Fault(at, FaultKind.LOSE_ANSWER, target, path, rng.randint(1, 2))
 
-
-def _silence(rng: random.Random, at: float, size: Size) -> Fault:
-    pick = rng.choice((_pick_worker, _pick_worker, _pick_store_link))
-    seconds = round(rng.uniform(0.3, 3.0), 3)
-    return Fault(at, FaultKind.SILENCE, pick(rng, size), seconds=seconds)
-
-
-def _cut(rng: random.Random, at: float, size: Size) -> Fault:
-    kind = rng.choice((FaultKind.CUT_CALLS, FaultKind.CUT_ANSWERS))
-    seconds = round(rng.uniform(1.0, 8.0), 3)
-    return Fault(at, kind, _pick_worker(rng, size), seconds=seconds)
-
-
-def _unhealthy(rng: random.Random, at: float, size: Size) -> Fault:
-    return Fault(
-        at,
-        FaultKind.UNHEALTHY,
-        _pick_worker(rng, size),
-        status=rng.choice((429, 503, 409)),
-        unhealthy_seconds=round(rng.uniform(0.05, 0.5), 3),
-    )
-
-
-def _burst(rng: random.Random, at: float, size: Size) -> Fault:
-    pick = rng.choice((_pick_worker, _pick_store_link))
-    return Fault(at, FaultKind.BURST, pick(rng, size))
-
-
-def _pause_worker(rng: random.Random, at: float, size: Size) -> Fault:
-    seconds = round(rng.uniform(0.3, 4.0), 3)
-    return Fault(at, FaultKind.PAUSE, _pick_worker(rng, size), seconds=seconds)
+def _pick_store_link(rng: random.Random, size: Size) -> str:
+    return f'store-{rng.randrange(size.daemons)}'
 
 
-def _pause_daemon(rng: random.Random, at: float, size: Size) -> Fault:
-    seconds = round(rng.uniform(0.3, 4.0), 3)
-    return Fault(at, FaultKind.PAUSE, _pick_host(rng, size), seconds=seconds)
+@attrs.frozen
+class _Recipe:
+    """How faults of some kinds are drawn.
 
+    Attributes:
+      weight: Their share among all faults.
+      kinds: The kinds.
+      pick: Draws the target.
+      paths: Paths of calls.
+      max_count: Largest number of calls.
+      seconds: Bounds of the time in seconds, whose logarithm is drawn.
+      statuses: Statuses of an unhealthy worker.
+      unhealthy_seconds: Bounds of the time in seconds for which it is so.
+      new_ids: Whether a killed worker comes back under another id.
+    """
 
-def _kill_worker(rng: random.Random, at: float, size: Size) -> Fault:
-    seconds = rng.uniform(0.2, 1.0) if rng.random() < 0.8 else 5.0
-    return Fault(
-        at,
-        FaultKind.KILL,
-        _pick_worker(rng, size),
-        seconds=round(seconds, 3),
-        has_new_id=rng.random() < 0.3,
-    )
+    weight: float
+    kinds: tuple[FaultKind, ...]
+    pick: _Pick
+    paths: tuple[str, ...] = ('',)
+    max_count: int = 1
+    seconds: tuple[float, float] = (1.0, 1.0)
+    statuses: tuple[int, ...] = (0,)
+    unhealthy_seconds: tuple[float, float] = (0.05, 0.3)
+    new_ids: tuple[bool, ...] = (False,)
+
+    def draw(self, rng: random.Random, at: float, size: Size) -> Fault:
+        """Draws a fault."""
+        return Fault(
+            at,
+            rng.choice(self.kinds),
+            self.pick(rng, size),
+            rng.choice(self.paths),
+            rng.randint(1, self.max_count),
+            _draw_seconds(rng, self.seconds),
+            rng.choice(self.statuses),
+            _draw_seconds(rng, self.unhealthy_seconds),
+            rng.choice(self.new_ids),
+        )
 
 
-def _end_daemon(rng: random.Random, at: float, size: Size) -> Fault:
-    kind = rng.choice((FaultKind.KILL, FaultKind.STOP))
-    seconds = round(rng.uniform(0.2, 2.0), 3)
-    return Fault(at, kind, _pick_host(rng, size), seconds=seconds)
-
-
-_MAKERS: tuple[tuple[float, _Maker], ...] = (
-    (8.0, _reset_worker),
-    (8.0, _reset_unhealthy),
-    (3.0, _reset_store),
-    (5.0, _delay),
-    (2.0, _delay_store),
-    (4.0, _lose_answer),
-    (1.0, _silence),
-    (1.5, _cut),
-    (2.0, _unhealthy),
-    (1.5, _burst),
-    (1.5, _pause_worker),
-    (2.0, _kill_worker),
-    (2.0, _pause_daemon),
-    (2.0, _end_daemon),
+def _draw_seconds(rng: random.Random, bounds: tuple[float, float]) -> float:
+    low, high = bounds
+    return round(low * math.pow(high / low, rng.random()), 3)
+
+
+_WORKER_PATHS = (START_PATH, START_PATH, START_PATH, STOP_PATH, POLL_PATH)
+_DELAYS = (FaultKind.DELAY_CALL, FaultKind.DELAY_ANSWER)
+_CUTS = (FaultKind.CUT_CALLS, FaultKind.CUT_ANSWERS)
+_ENDS = (FaultKind.KILL, FaultKind.STOP)
+_REJECTIONS = (429, 503, 409)
+
+_RECIPES = (
+    _Recipe(8.0, (FaultKind.RESET,), _pick_worker_link, _WORKER_PATHS, 3),
+    _Recipe(
+        8.0,
+        (FaultKind.RESET,),
+        _pick_worker_link,
+        (START_PATH,),
+        statuses=_REJECTIONS,
+    ),
+    _Recipe(3.0, (FaultKind.RESET,), _pick_store_link, (WRITE_PATH,), 2),
+    _Recipe(5.0, _DELAYS, _pick_worker_link, _WORKER_PATHS, 3, (0.01, 2.0)),
+    _Recipe(2.0, _DELAYS, _pick_store_link, (WRITE_PATH,), 2, (0.01, 2.0)),
+    _Recipe(4.0, (FaultKind.LOSE_ANSWER,), _pick_worker_link, _WORKER_PATHS, 2),
+    _Recipe(1.0, (FaultKind.LOSE_ANSWER,), _pick_store_link, (WRITE_PATH,)),
+    _Recipe(1.0, (FaultKind.SILENCE,), _pick_worker_link, seconds=(0.3, 3.0)),
+    _Recipe(0.5, (FaultKind.SILENCE,), _pick_store_link, seconds=(0.3, 3.0)),
+    _Recipe(1.5, _CUTS, _pick_worker_link, seconds=(1.0, 8.0)),
+    _Recipe(
+        2.0,
+        (FaultKind.UNHEALTHY,),
+        _pick_worker_link,
+        statuses=_REJECTIONS,
+        unhealthy_seconds=(0.05, 0.5),
+    ),
+    _Recipe(1.0, (FaultKind.BURST,), _pick_worker_link),
+    _Recipe(0.5, (FaultKind.BURST,), _pick_store_link),
+    _Recipe(1.5, (FaultKind.PAUSE,), _pick_worker, seconds=(0.3, 4.0)),
+    _Recipe(
+        2.0,
+        (FaultKind.KILL,),
+        _pick_worker,
+        seconds=(0.2, 5.0),
+        new_ids=(False, False, True),
+    ),
+    _Recipe(2.0, (FaultKind.PAUSE,), _pick_host, seconds=(0.3, 4.0)),
+    _Recipe(2.0, _ENDS, _pick_host, seconds=(0.2, 2.0)),
 )
-"""Weights of the faults and how they are drawn."""
 
 
 def _make_fault(rng: random.Random, at: float, size: Size) -> Fault:
-    weights = [weight for weight, _ in _MAKERS]
-    (_, make) = rng.choices(_MAKERS, weights)[0]
-    return make(rng, at, size)
+    weights = [recipe.weight for recipe in _RECIPES]
+    return rng.choices(_RECIPES, weights)[0].draw(rng, at, size)
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -93,7 +93,7 @@
 
     Attributes:
       name: Name of the position.
-      link: The link through which daemons reach it.
+      links: The links through which daemons reach it.
       registrations: Where its workers are registered.
       log: Events of the soak.
       folder: Folder of the records.
@@ -104,7 +104,7 @@
     """
 
     name: str
-    link: Link
+    links: tuple[Link, ...]
     registrations: Registrations
     log: EventLog
     folder: pathlib.Path
@@ -123,7 +123,7 @@
             await self._start()
             assert self.process is not None
             await self.process.wait()
-            self.link.target = ''
+            self._set_target('')
             self.registrations.expire(self.id)
             self._has_new_id = self._has_new_id and bool(self._next_seconds)
             seconds = self._next_seconds or self.rng.uniform(*RESTART_SECONDS)
@@ -150,10 +150,15 @@
             # A fault killed it while it was starting.
             return
         self.born = registration['born']
-        self.link.target = registration['address']
-        registration['address'] = self.link.address
+        self._set_target(registration['address'])
+        # The link to the table service replaces it for each daemon.
+        registration['address'] = self.name
         self.registrations.add(self.id, registration)
 
+    def _set_target(self, address: str) -> None:
+        for link in self.links:
+            link.target = address
+
     def kill(self, seconds: float, has_new_id: bool) -> None:
         """Kills the worker; the next one comes after some seconds."""
         if self.process is None or self.process.returncode is not None:
--- a/soak/registrations.py
+++ b/soak/registrations.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import base64
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
 import orjson
 
+from lentilmount.platform.store import WORKERS_TABLE
 from lentilmount.upstream.http import HttpClient
 
 EXPIRY_SECONDS = 3.0
@@ -68,5 +70,24 @@
             task.cancel()
 
 
+def replace_addresses(addresses: Mapping[str, str], body: bytes) -> bytes:
+    """Replaces the addresses of workers in an answer of the table service.
+
+    Args:
+      addresses: New addresses by registered ones.
+      body: Body of the answer.
+    """
+    if WORKERS_TABLE.encode() not in body:
+        return body
+    document = orjson.loads(body)
+    for row in document.get('rows', ()):
+        if row['table'] != WORKERS_TABLE or 'value' not in row:
+            continue
+        registration = orjson.loads(base64.b64decode(row['value']))
+        registration['address'] = addresses[registration['address']]
+        row['value'] = base64.b64encode(orjson.dumps(registration)).decode()
+    return orjson.dumps(document)
+
+
 def _make_row(worker_id: str) -> dict[str, str]:
-    return {'table': 'servers', 'part': '', 'key': worker_id}
+    return {'table': WORKERS_TABLE, 'part': '', 'key': worker_id}
--- a/soak/site.py
+++ b/soak/site.py
@@ -17,7 +17,13 @@
 from soak.clients import Clients
 from soak.events import Event, EventKind, EventLog, get_time
 from soak.links import Link
-from soak.plan import PROCESS_FAULTS, Fault, FaultKind, Plan
+from soak.plan import (
+    PROCESS_FAULTS,
+    Fault,
+    FaultKind,
+    Plan,
+    make_link_name,
+)
 from soak.processes import (
     Host,
     WorkerPosition,
@@ -26,7 +32,7 @@
     read_line,
     start_process,
 )
-from soak.registrations import Registrations
+from soak.registrations import Registrations, replace_addresses
 
 RECOVERY_SECONDS = 30.0
 """Time after the last fault in which all jobs have to end."""
@@ -47,7 +53,7 @@
       folder: Folder of logs and records.
       stack: Closes all of it.
       log: Events of the soak.
-      links: Links by name; that to a worker has the name of its position.
+      links: Links by name.
       positions: Positions of workers by name.
       hosts: Hosts by name.
       tasks: Work in the background.
@@ -73,24 +79,32 @@
         self.stack.callback(client.close)
         registrations = Registrations(client)
         self.stack.callback(registrations.close)
+        for number in range(self.plan.size.daemons):
+            link = await self._open_link(f'store-{number}', store, link_log)
+            host = Host(f'host-{number}', link, self.code, self.folder)
+            self.hosts[host.name] = host
+            self.stack.push_async_callback(host.close)
         for number in range(self.plan.size.workers):
-            link = await self._open_link(f'worker-{number}', '', link_log)
+            name = f'worker-{number}'
             position = WorkerPosition(
-                link.name,
-                link,
+                name,
+                await self._open_worker_links(name, link_log),
                 registrations,
                 self.log,
                 self.folder,
                 random.Random(f'{self.plan.seed}/{number}'),
             )
-            self.positions[link.name] = position
+            self.positions[name] = position
             self.stack.push_async_callback(position.close)
             self.start_task(position.run())
-        for number in range(self.plan.size.daemons):
-            link = await self._open_link(f'store-{number}', store, link_log)
-            host = Host(f'host-{number}', link, self.code, self.folder)
-            self.hosts[host.name] = host
-            self.stack.push_async_callback(host.close)
+        for host in self.hosts.values():
+            addresses = {
+                name: self.links[make_link_name(host.name, name)].address
+                for name in self.positions
+            }
+            host.link.change_answer = functools.partial(
+                replace_addresses, addresses
+            )
         await asyncio.gather(*(host.start() for host in self.hosts.values()))
 
     async def _start_store(self) -> str:
@@ -101,6 +115,13 @@
         self.stack.push_async_callback(end_process, process)
         return str((await read_line(process))['address'])
 
+    async def _open_worker_links(
+        self, position: str, log: EventLog
+    ) -> tuple[Link, ...]:
+        """Opens the link from each host to a position of workers."""
+        names = [make_link_name(host, position) for host in self.hosts]
+        return tuple([await self._open_link(n, '', log) for n in names])
+
     async def _open_link(self, name: str, target: str, log: EventLog) -> Link:
         link = Link(name, log, target)
         await link.open()
@@ -154,12 +175,18 @@
             )
         )
         if fault.kind not in PROCESS_FAULTS:
-            self.links[fault.target].set_fault(fault)
+            for link in self._list_links(fault.target):
+                link.set_fault(fault)
         elif fault.target in self.positions:
             await self._disturb_worker(self.positions[fault.target], fault)
         else:
             await self._disturb_host(self.hosts[fault.target], fault)
 
+    def _list_links(self, target: str) -> tuple[Link, ...]:
+        """Returns the links to a position, or the one of that name."""
+        position = self.positions.get(target)
+        return position.links if position else (self.links[target],)
+
     async def _disturb_worker(
         self, position: WorkerPosition, fault: Fault
     ) -> None:
