Record the exits of the soak's workers; start each in a session of its own

Why it ended is only suspected: the kernel ends the suspended processes of a group whose leader has exited, and the play was in the background of a shell that exited in that second. Each process now has a session of its own, each exit is recorded and ends the runs of its worker, and the report counts exits that nothing in the plan explains.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,9 @@
 """Time after the answer to a cancellation in which runs may still start."""
 
 
+ENDS_OF_WORKERS = (EventKind.CRASHED, EventKind.KILLED, EventKind.EXITED)
+
+
 @attrs.define(eq=False)
 class Run:
     """A run of a task on one incarnation of a worker.
@@ -112,7 +115,7 @@
             _apply_end(current[key], event)
         elif event.kind is EventKind.ACKNOWLEDGED:
             current[key].is_acknowledged = True
-        elif event.kind in (EventKind.CRASHED, EventKind.KILLED):
+        elif event.kind in ENDS_OF_WORKERS:
             ends.setdefault((event.worker, event.born), event.at)
     for run in current.values():
         crashed_at = ends.get((run.worker, run.born), math.inf)
@@ -243,6 +246,19 @@
     return [violation for find in CHECKS for violation in find(record)]
 
 
+def count_unexplained_exits(record: Record) -> int:
+    """Counts the workers that ended although nothing in the plan ended them."""
+    explained = {
+        (event.worker, event.born)
+        for event in record.events
+        if event.kind in (EventKind.CRASHED, EventKind.KILLED)
+    }
+    return sum(
+        (event.worker, event.born) not in explained
+        for event in record.select(EventKind.EXITED)
+    )
+
+
 def count_copies(record: Record) -> int:
     """Counts the copies of starts, beyond the first, that workers received."""
     received = collections.Counter(
--- a/soak/events.py
+++ b/soak/events.py
@@ -33,6 +33,7 @@
     LOST = 'lost'
     HELD = 'held'
     KILLED = 'killed'
+    EXITED = 'exited'
     FAULT = 'fault'
     ACCEPTED = 'accepted'
     REJECTED = 'rejected'
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -53,6 +53,8 @@
         cwd=code,
         env={**os.environ, 'PYTHONPATH': str(code), **variables},
         preexec_fn=_end_with_parent,
+        # A suspended process of a group that loses its leader is ended.
+        start_new_session=True,
         **options,
     )
 
@@ -123,6 +125,9 @@
             await self._start()
             assert self.process is not None
             await self.process.wait()
+            if self._is_closing:
+                return
+            self._note(EventKind.EXITED, str(self.process.returncode))
             self._set_target('')
             self.registrations.expire(self.id)
             self._has_new_id = self._has_new_id and bool(self._next_seconds)
@@ -135,6 +140,7 @@
             self._ids += 1
             self.id = f'i-{self.name}-{self._ids}'
             self._has_new_id = False
+        self.born = 0
         path = self.folder / f'{self.name}.jsonl'
         with (self.folder / f'{self.name}.log').open('ab') as errors:
             self.process = await start_process(
@@ -155,6 +161,10 @@
         registration['address'] = self.name
         self.registrations.add(self.id, registration)
 
+    def _note(self, kind: EventKind, detail: str = '') -> None:
+        event = Event(get_time(), kind, self.id, self.born, detail=detail)
+        self.log.write(event)
+
     def _set_target(self, address: str) -> None:
         for link in self.links:
             link.target = address
@@ -164,7 +174,7 @@
         if self.process is None or self.process.returncode is not None:
             return
         self._next_seconds, self._has_new_id = seconds, has_new_id
-        self.log.write(Event(get_time(), EventKind.KILLED, self.id, self.born))
+        self._note(EventKind.KILLED)
         send_signal(self.process, signal.SIGKILL)
 
     async def close(self) -> None:
--- a/soak/report.py
+++ b/soak/report.py
@@ -5,7 +5,13 @@
 import collections
 import pathlib
 
-from soak.checks import CHECKS, Record, Violation, count_copies
+from soak.checks import (
+    CHECKS,
+    Record,
+    Violation,
+    count_copies,
+    count_unexplained_exits,
+)
 from soak.events import Event, EventKind, encode_event
 from soak.plan import Plan
 
@@ -34,7 +40,8 @@
         f'resets of delivered calls: {kinds[EventKind.RESET]}, answers lost: '
         f'{kinds[EventKind.LOST]}, calls held: {kinds[EventKind.HELD]}',
         f'crashes by tasks: {kinds[EventKind.CRASHED]}, by signals: '
-        f'{kinds[EventKind.KILLED]}',
+        f'{kinds[EventKind.KILLED]}, unexplained: '
+        f'{count_unexplained_exits(record)}',
         f'calls: {calls}, starts: {kinds[EventKind.STARTED]}, copies of starts '
         f'received: {count_copies(record)}, starts for an earlier '
         f'incarnation: {late}',
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
     Violation,
     check,
     count_copies,
+    count_unexplained_exits,
     find_cancelled_runs,
     find_early_starts,
     find_lost_jobs,
@@ -175,6 +176,20 @@
     assert find_overlaps(record) == []
 
 
+def test_a_worker_that_nothing_has_ended_is_told() -> None:
+    """Runs of a worker that had ended by itself were taken for going on."""
+    events = [
+        start(1.0, 'w1'),
+        Event(2.0, EventKind.EXITED, 'w1', 1, detail='-1'),
+        start(3.0, 'w2', run=2),
+        Event(4.0, EventKind.KILLED, 'w2', 1),
+        Event(4.1, EventKind.EXITED, 'w2', 1, detail='-9'),
+    ]
+    record = make_record(events, [JOB])
+    assert find_overlaps(record) == []
+    assert count_unexplained_exits(record) == 1
+
+
 def test_copies_of_a_start_are_counted() -> None:
     """A call that a client sends again unasked shows at the worker only."""
     received = Event(1.0, EventKind.RECEIVED, 'w1', 1, FIRST, 1, START_PATH)
