--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -240,6 +240,25 @@
     assert placed == [(task, steady)]
 
 
+def test_a_task_on_trial_avoids_tasks_that_were_just_started() -> None:
+    """A task was given up for the crash of a worker that had just begun others.
+
+    They may be the cause as well; a later start beside it is refused.
+    """
+    cluster = ClusterState()
+    admit(cluster, make_job('job'))
+    task = find_task(cluster, 'job')
+    crash_in_turn(cluster, task, TRIAL_CRASHES)
+    fresh, busy = add_worker(cluster, 'fresh'), add_worker(cluster, 'busy')
+    admit(cluster, make_job('other', make_step(count=3)))
+    others = [find_task(cluster, 'other', 0, index) for index in range(3)]
+    for other in others[:2]:
+        start_task(cluster, other, busy, 110.0)
+    start_task(cluster, others[2], fresh, 119.9)
+    placed = run_pass(Placer(cluster, InterferenceModel()), 120.0)
+    assert placed == [(task, busy)]
+
+
 def test_other_tasks_of_a_job_that_is_given_up_are_stopped(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
