--- a/tests/test_placement_log.py
+++ b/tests/test_placement_log.py
@@ -203,7 +203,13 @@
         ],
     ),
     (list_older_run, [(1, 'b', 'stale', 'listed', 'running')]),
-    (end_older_run, [(1, 'b', 'other-end', 'done', 'running')]),
+    (
+        end_older_run,
+        [
+            (1, 'b', 'other-end', 'done', 'running'),
+            (2, 'a', 'stale', 'superseded', 'stopping'),
+        ],
+    ),
     (list_unplaced_run, [(1, 'b', 'adopted', 'listed', 'waiting')]),
 ]
 
