Count crashes of workers before they answered a start

What callers see: a task that crashes each worker before it answers the start is started without an end; each time all other tasks on that worker are lost.

Cause: a start without an answer counts nothing, as it may have been sent to a worker that was already gone.

Ruled out: counting starts sent shortly after any answer of the worker, as a worker that runs many tasks has always just answered; a reset connection, as a cut or a machine that ends gives none; each start after a probe, as that is one call more for each of some 700 starts a second.

Change: a task whose start had no answer when its worker was lost is started after a probe (the stop of the run before) from then on, until it has run for half a second. Such a start is sent only once the worker has answered the probe. If it is not answered and the worker has certainly ended, it counts as a start that was answered does: the worker lived when it was sent, and did not answer anything later than half a second after it. The first loss counts nothing, so no job is given up on less than three counted crashes in a row.

Tests of the other side: four starts sent to workers that are gone count nothing; nor does a probed one whose worker is only cut off, or goes on to answer for a while; no start is sent while the probe has no answer.

Not bounded: a takeover forgets that a task is to be probed, which costs one worker more each time.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -123,6 +123,14 @@
             if not is_first and not self._may_repeat_start(session, sent_at):
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            if task.is_probed_before_start:
+                is_alive = await self._answers_probe(session, task, run)
+                if task.run != run or task.phase is not TaskPhase.STARTING:
+                    break
+                if not is_alive:
+                    pause = await _back_off(pause)
+                    continue
+                task.start_follows_answer = True
             sent_at = task.start_sent_at = self.monotonic()
             answer = await self._call(
                 session,
@@ -148,6 +156,13 @@
             pause = await _back_off(pause)
         await self._probe(session, command.task, run)
 
+    async def _answers_probe(
+        self, session: WorkerSession, task: Task, run: int
+    ) -> bool:
+        """Returns whether a worker answers a stop of the run before one."""
+        status = await self._send_stop(session, str(task.id), run - 1)
+        return status is not CallStatus.UNKNOWN
+
     def _list_members(self, task: Task) -> list[Task]:
         """Lists the tasks that must start together with a task."""
         if not task.spec.gang:
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -10,7 +10,10 @@
 import math
 from collections.abc import Iterable
 
-from lentilmount.scheduling.crashes import list_suspects
+from lentilmount.scheduling.crashes import (
+    list_suspects,
+    list_unanswered,
+)
 from lentilmount.scheduling.model import (
     EndedTask,
     Job,
@@ -221,6 +224,7 @@
         task.placed_at = now
         task.confirmed_at = math.inf
         task.start_sent_at = math.inf
+        task.start_follows_answer = False
         task.start_deadline_ms = 0
         task.start_expired_at = math.inf
         task.stopped_at = math.inf
@@ -347,6 +351,7 @@
     def clear_suspicion(self, task: Task) -> None:
         """Records that a task has run without crashing its worker."""
         task.cleared_run = task.run
+        task.is_probed_before_start = False
         if task.crashed_runs:
             task.crashed_runs.clear()
             self.dirty[task.job.spec.id] = None
@@ -467,6 +472,8 @@
             self._hold_waiting(late_start, worker)
         worker.lost_at = now
         worker.suspects |= {task: task.run for task in list_suspects(worker)}
+        for task in list_unanswered(worker):
+            task.is_probed_before_start = True
         for task in list(worker.tasks.values()):
             if StaleRun(worker.id, str(task.id), task.run) in late_starts:
                 self._stop_anew(task)
--- a/lentilmount/scheduling/crashes.py
+++ b/lentilmount/scheduling/crashes.py
@@ -6,6 +6,10 @@
 crashed as they started it, and before the last time it is put on trial: no
 other task starts beside it. A worker that was only cut off does not count: its
 crash is certain once it has restarted, or another instance has its address.
+
+A start that was not answered may have been sent to a worker that was already
+gone. So it counts only if the worker had answered a probe just before, and only
+tasks of which a start was lost without an answer are started after a probe.
 """
 
 from __future__ import annotations
@@ -38,7 +42,7 @@
 
 
 def _is_suspect(task: Task, worker: Worker) -> bool:
-    if math.isinf(task.confirmed_at):
+    if math.isinf(task.confirmed_at) and not task.start_follows_answer:
         # The worker may have been gone when the start was sent.
         return False
     if not worker.has_answered:
@@ -47,6 +51,15 @@
     return task.start_sent_at > worker.last_answer_at - STARTUP_SECONDS
 
 
+def list_unanswered(worker: Worker) -> list[Task]:
+    """Lists the tasks of a lost worker that had not answered their starts."""
+    return [
+        task
+        for task in worker.tasks.values()
+        if math.isinf(task.confirmed_at) and task.start_sent_at < math.inf
+    ]
+
+
 def is_cleared(task: Task, now: float) -> bool:
     """Returns whether a running task has run too long to crash its worker."""
     return now - task.confirmed_at >= STARTUP_SECONDS
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -67,6 +67,10 @@
       confirmed_at: Monotonic time by which its worker has certainly started it;
         infinity until then, 0 if it was restored from a row and not reported.
       cleared_run: Number of the newest run that did not crash its worker.
+      is_probed_before_start: Whether its worker must answer a probe just before
+        a start is sent, as another worker was lost before it answered a start.
+      start_follows_answer: Whether its worker had just answered such a probe
+        when its start was last sent.
       start_sent_at: Monotonic time at which its start was last sent; infinity
         if it was not, minus infinity if a previous owner may have sent it.
       start_deadline_ms: Deadline for the start in ms of the worker's clock; 0
@@ -98,6 +102,8 @@
     failed_on: set[str] = attrs.Factory(set)
     crashed_runs: set[int] = attrs.Factory(set)
     cleared_run: int = 0
+    is_probed_before_start: bool = False
+    start_follows_answer: bool = False
     placed_at: float = 0.0
     confirmed_at: float = 0.0
     start_sent_at: float = -math.inf
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import pathlib
 
 import pytest
@@ -132,6 +133,75 @@
     assert not task.crashed_runs
 
 
+@pytest.mark.parametrize(
+    'follows_answer, is_ended, seconds, crashed_runs',
+    [
+        (True, True, 0.0, {1}),
+        (True, True, STARTUP_SECONDS + 0.1, set()),
+        (True, False, 0.0, set()),
+        (False, True, 0.0, set()),
+    ],
+)
+def test_a_start_without_an_answer_counts_after_an_answered_probe(
+    follows_answer: bool,
+    is_ended: bool,
+    seconds: float,
+    crashed_runs: set[int],
+) -> None:
+    """A worker that was gone, cut off, or went on for a while would count."""
+    cluster = ClusterState()
+    admit(cluster, make_job('job'))
+    task = find_task(cluster, 'job')
+    worker = add_worker(cluster, 'w')
+    cluster.place([task], worker, 100.0)
+    task.start_sent_at = 100.0
+    task.start_follows_answer = follows_answer
+    worker.last_answer_at = 100.0 + seconds
+    cluster.end_worker_tasks(worker, 107.0)
+    if is_ended:
+        cluster.confirm_crash(worker)
+    assert task.crashed_runs == crashed_runs
+    assert task.is_probed_before_start
+
+
+def test_a_task_sent_to_workers_that_are_gone_is_not_given_up() -> None:
+    """A task met by chance as many lost workers as one that crashes them."""
+
+    async def scenario(scene: RestartScene) -> None:
+        client, task = scene.client, scene.task
+        loop = asyncio.get_running_loop()
+        for _ in range(MAX_CRASHES + 1):
+            client.silent = True
+            scene.commands.start(task)
+            await asyncio.sleep(3 * TIMEOUT_SECONDS)
+            client.restart()
+            client.silent = False
+            await scene.wait_until(lambda: task.id in scene.cluster.ready)
+            assert not task.crashed_runs
+            scene.cluster.place([task], scene.worker, loop.time())
+        scene.commands.start(task)
+        await scene.wait_until(lambda: task.phase is TaskPhase.RUNNING)
+        assert [run for _, _, run in client.executed] == [task.run]
+
+    play(scenario)
+
+
+def test_a_probed_start_whose_worker_does_not_answer_is_not_sent() -> None:
+    """A start would follow no answer, and tell nothing of its worker's end."""
+
+    async def scenario(scene: RestartScene) -> None:
+        client, task = scene.client, scene.task
+        task.is_probed_before_start = True
+        client.lost_commands = 1
+        scene.commands.start(task)
+        await asyncio.sleep(TIMEOUT_SECONDS)
+        assert task.start_sent_at == math.inf
+        await scene.wait_until(lambda: task.phase is TaskPhase.RUNNING)
+        assert task.start_follows_answer
+
+    play(scenario)
+
+
 @pytest.mark.parametrize('is_replaced', [True, False])
 def test_only_a_worker_that_has_ended_counts(is_replaced: bool) -> None:
     """A task on three workers that were cut off would be given up."""
