Wait until a stale run of a task has ended before it is placed again

The owner sent its stop and placed the task 44 ms later, while the stop takes 0.3 s.

Cause: a listed run that is older than the task's newest run number was stopped, but the waiting task stayed ready. Only runs that are not older were adopted.

Change: the waiting task is kept on that worker as one that is being stopped, until a report no longer lists a run of it. A placement elsewhere whose start has not been sent yet is taken back first, apart from members of gangs.

Why it works: a stop of the task's newest number also prevents all older runs there, and a task that is placed on a worker is freed only by its reports, its restart or the end of its leases.

Ruled out: to adopt the older run. The task's run number would go back, and workers reject a run that is not above one that ended there.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -501,10 +501,17 @@
         if task is None or task.phase is not TaskPhase.WAITING:
             return
         if task.run == late_start.run:
-            task.phase = TaskPhase.STOPPING
-            task.worker = worker.id
-            worker.add(task)
-            self.ready.pop(task.id, None)
+            self.hold(task, worker)
+
+    def hold(self, task: Task, worker: Worker) -> None:
+        """Keeps a task on a worker where an earlier start of it is stopped."""
+        task.phase = TaskPhase.STOPPING
+        task.worker = worker.id
+        task.stopped_at = math.inf
+        task.start_expired_at = math.inf
+        worker.add(task)
+        self.ready.pop(task.id, None)
+        self.dirty[task.job.spec.id] = None
 
     def confirm_crash(self, worker: Worker) -> list[Task]:
         """Counts the crash of a worker against the tasks that may be the cause.
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -72,12 +72,17 @@
         """
         result = ReconcileResult()
         listed: set[TaskId] = set()
+        stale_tasks: list[Task] = []
         for end in report.ended:
             self._apply_end(worker, end, result, now)
         for run_report in report.running:
             task = self._apply_running(worker, run_report, result, now)
-            if task is not None:
+            if task is None:
+                continue
+            if self._is_listed(task, worker, run_report):
                 listed.add(task.id)
+            else:
+                stale_tasks.append(task)
         for task in self._list_missing_tasks(worker, listed, requested_at):
             if task.phase is TaskPhase.STARTING:
                 self._cluster.requeue(task)
@@ -85,6 +90,7 @@
                 continue
             self._cluster.end_run(task, EndKind.LAPSED, now)
             result.ended.append((task, EndKind.LAPSED))
+        self._hold_stale_tasks(worker, stale_tasks, result)
         worker.runs_unknown_tasks = bool(result.unknown_tasks)
         worker.has_stale_runs = bool(result.stale_runs)
         worker.set_stale(result.stale)
@@ -192,8 +198,7 @@
             result.stale_runs.append(
                 StaleRun(worker.id, run_report.task, run_report.run)
             )
-            result.stale = result.stale.add(task.spec.reserved)
-            return None
+            return task
         if task.confirmed_at == 0.0:
             # Restored from a state row and reported for the first time.
             task.confirmed_at = now
@@ -201,6 +206,36 @@
         self._update(task, run_report, now)
         return task
 
+    def _is_listed(
+        self, task: Task, worker: Worker, run_report: RunReport
+    ) -> bool:
+        """Returns whether a worker lists a task as it is placed there.
+
+        A task that is being stopped there stays until no run of it is listed.
+        """
+        is_stopping = task.phase is TaskPhase.STOPPING
+        is_current = is_stopping or task.run == run_report.run
+        return task.worker == worker.id and is_current
+
+    def _hold_stale_tasks(
+        self, worker: Worker, tasks: list[Task], result: ReconcileResult
+    ) -> None:
+        """Keeps tasks from being started beside stale runs of them.
+
+        They stay on the worker until it no longer lists these runs. The start
+        of a gang's member that waits for its write is not taken back, as the
+        other members would wait for it.
+        """
+        for task in tasks:
+            is_unsent = task.start_sent_at == math.inf and not task.spec.gang
+            if task.phase is TaskPhase.STARTING and is_unsent:
+                self._cluster.requeue(task)
+            if task.phase is TaskPhase.WAITING:
+                self._cluster.hold(task, worker)
+                result.adopted.append(task)
+            else:
+                result.stale = result.stale.add(task.spec.reserved)
+
     def _drop_older_placement(self, task: Task, run: int) -> None:
         """Drops the placement of a task if a newer run of it is reported.
 
