--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -575,16 +575,18 @@
         if task is None or task.phase is not TaskPhase.WAITING:
             return
         if task.run == late_start.run:
-            self.record_change(
-                task,
-                ChangeKind.HELD,
-                ChangeReason.UNANSWERED,
-                worker=worker.id,
-            )
-            task.phase = TaskPhase.STOPPING
-            task.worker = worker.id
-            worker.add(task)
-            self.ready.pop(task.id, None)
+            self.hold(task, worker, ChangeReason.UNANSWERED)
+
+    def hold(self, task: Task, worker: Worker, reason: ChangeReason) -> None:
+        """Keeps a task on a worker where an earlier start of it is stopped."""
+        self.record_change(task, ChangeKind.HELD, reason, worker=worker.id)
+        task.phase = TaskPhase.STOPPING
+        task.worker = worker.id
+        task.stopped_at = math.inf
+        task.start_expired_at = math.inf
+        worker.add(task)
+        self.ready.pop(task.id, None)
+        self.dirty[task.job.spec.id] = None
 
     def confirm_crash(self, worker: Worker) -> list[Task]:
         """Counts the crash of a worker against the tasks that may be the cause.
