Accept reports that were requested after a registration was read

What callers see: tasks on a worker that restarted twice within a moment are treated as on one that cannot be reached, until its newest registration is read; in an outage of the store that is until it is over, and their leases run out.

Cause: a registration ends the incarnation that the session knew, and reports of that one are dropped. If the worker has restarted again and that was reported first, the registration is the older one, and the reports of the newest incarnation were dropped.

Ruled out: comparing start times, as a host's clock may be set back.

Change: only reports that were requested before the registration was read are dropped. All incarnations before the registered one have ended by then, so none of them answers a later request.

Evidence: test_a_late_registration_does_not_hide_a_newer_incarnation failed before and passes now.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -121,6 +121,7 @@
     end_written: asyncio.Event = attrs.field(factory=asyncio.Event)
     _started_ms: int | None = None
     _ended_incarnation_ms: int | None = None
+    _registered_at: float = -math.inf
     _acknowledged_end: int = 0
     _report_asked_at: float = -math.inf
     _clock_ms: int | None = None
@@ -197,7 +198,7 @@
             self._late_calls.add_renewal(asked_at)
         if not isinstance(answer, WorkerReport):
             await self._handle_failure(answer)
-        elif self._is_outdated(answer):
+        elif self._is_outdated(answer, asked_at):
             await self._handle_failure(CallStatus.OTHER_INSTANCE)
         else:
             self._acknowledged_end = max(
@@ -205,9 +206,15 @@
             )
             self._handle_report(answer, asked_at)
 
-    def _is_outdated(self, report: WorkerReport) -> bool:
+    def _is_outdated(self, report: WorkerReport, asked_at: float) -> bool:
+        """Returns whether a report is that of an incarnation that has ended.
+
+        One that was requested after a registration was read is not, as all
+        incarnations before the registered one had ended by then. It is newer
+        if the worker has restarted again.
+        """
         ended_ms = self._ended_incarnation_ms
-        return ended_ms is not None and report.started_ms == ended_ms
+        return report.started_ms == ended_ms and asked_at < self._registered_at
 
     def _choose_acknowledgement(self) -> int:
         """Returns the number of the last run end that the next poll confirms.
@@ -430,10 +437,11 @@
 
         It ends no runs, as this incarnation may have started some already;
         only its first report tells which. Reports of the earlier one that
-        arrive from now on are dropped.
+        were requested before and arrive from now on are dropped.
         """
         is_known = self._started_ms == started_ms
         self._ended_incarnation_ms = None if is_known else self._started_ms
+        self._registered_at = self.monotonic()
 
     def acknowledge(self, incarnation: int, number: int) -> None:
         """Acknowledges run ends up to a number, for one incarnation.
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -13,6 +13,7 @@
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import Owner, OwnerSettings
 from lentilmount.control.registry import POLL_SECONDS, RETURN_SECONDS
+from lentilmount.control.worker_session import RETRY_SECONDS
 from lentilmount.coordination.leases import LeaseKeeper
 from lentilmount.coordination.table import (
     ABSENT,
@@ -378,6 +379,24 @@
     play(scenario)
 
 
+def test_a_late_registration_does_not_hide_a_newer_incarnation() -> None:
+    """A worker that restarted twice was unreachable until it was registered."""
+
+    async def scenario(scene: RestartScene) -> None:
+        client, session = scene.client, scene.session
+        for _ in range(2):
+            client.restart()
+            await scene.wait_until(
+                lambda: scene.worker.incarnation_ms == client.incarnation
+            )
+        session.handle_registration(client.incarnation - 1)
+        await asyncio.sleep(2 * RETRY_SECONDS)
+        assert scene.worker.reachable
+        assert not scene.worker.has_crashed
+
+    play(scenario)
+
+
 class MemoryStore(PlatformTable):
     """The store in memory, with a list of workers that a test sets.
 
