Let the soak's workers themselves reject starts while they are unhealthy

The links answered in place of the worker, with a clock of 1 ms and without room also for a run that was there already. A worker answers 200 to a copy of a start that it has carried out, and its answers have its clock.

--- a/soak/links.py
+++ b/soak/links.py
@@ -18,7 +18,7 @@
 
 from soak.events import Event, EventKind, EventLog, get_time
 from soak.plan import Fault, FaultKind
-from soak.worker import RECEIVED_HEADER
+from soak.worker import RECEIVED_HEADER, REJECTION_HEADER
 from stand_ins.model_worker import START_PATH
 
 LOOPBACK = '127.0.0.1'
@@ -31,13 +31,6 @@
 
 _NO_LINGER = struct.pack('ii', 1, 0)
 
-_UNHEALTHY = {
-    409: b'{"clockMs":1,"reason":"room"}',
-    429: b'{}',
-    503: b'{}',
-}
-"""Bodies of the answers of an unhealthy worker, by status."""
-
 
 @attrs.frozen
 class _Message:
@@ -206,14 +199,11 @@
         fault = self._take_fault(request.path, is_reused)
         kind = fault.kind if fault else None
         await self._hold(request, fault)
+        headers = [f'{RECEIVED_HEADER}: {received}'.encode()]
         if request.path == START_PATH and get_time() < self.unhealthy_until:
             status = self.unhealthy_status
-            self._note(EventKind.REFUSED, request, str(status))
-            body = _UNHEALTHY[status]
-            writer.write(_make_answer(status, body))
-            return
-        header = f'{RECEIVED_HEADER}: {received}'.encode()
-        await connection.send(request.encode(header))
+            headers.append(f'{REJECTION_HEADER}: {status}'.encode())
+        await connection.send(request.encode(*headers))
         if fault is not None and kind is FaultKind.RESET:
             self._note(EventKind.RESET, request)
             if fault.status:
@@ -307,11 +297,6 @@
     return header.lower().startswith(b'content-length:')
 
 
-def _make_answer(status: int, body: bytes) -> bytes:
-    head = f'HTTP/1.1 {status} Unhealthy\r\nContent-Length: {len(body)}'
-    return head.encode() + HEAD_END + body
-
-
 def _reset(writer: asyncio.StreamWriter) -> None:
     with contextlib.suppress(OSError):
         writer.get_extra_info('socket').setsockopt(
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -31,6 +31,11 @@
 RECEIVED_HEADER = 'X-Soak-Received'
 """Header with the time at which a link received the call."""
 
+REJECTION_HEADER = 'X-Soak-Rejection'
+"""Header with the status with which a start is rejected, if it is."""
+
+_NO_ROOM = 409
+
 _STOPPED_BY_WORK = 70
 """Exit status of a worker that a task has crashed."""
 
--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -93,6 +93,7 @@
       ended: Runs whose end no poll has acknowledged, oldest first.
       highest: Highest run that ended or was stopped, by task.
       lapsed: Number of the newest end before a lease expired.
+      has_room: Whether it has room for further runs.
       choose_work: Returns what a run does, by task, run and payload.
       on_change: Called when a run has started, ended or been acknowledged.
     """
@@ -109,6 +110,7 @@
     ended: list[Execution] = attrs.Factory(list)
     highest: dict[str, int] = attrs.Factory(dict)
     lapsed: int = 0
+    has_room: bool = True
     choose_work: Callable[[str, int, str], tuple[float, str]] = choose_work
     on_change: Callable[[Execution], None] = _ignore
     _numbers: int = 0
@@ -192,6 +194,8 @@
         self._renew(deadline_ms)
         if run <= self.highest.get(task, 0):
             return 'old'
+        if not self.has_room:
+            return 'room'
         execution = Execution(
             self.id,
             self.incarnation,
