Try a task away from workers that have just started others

Cause: a task that was on two crashed workers is tried where fewest tasks run, and nothing is started there beside it. It could go beside tasks that had started milliseconds before, which may be the cause of the third crash as well.

Ruled out: to wait until there is a worker without such tasks, as a busy deployment may have none for long.

--- a/lentilmount/scheduling/crashes.py
+++ b/lentilmount/scheduling/crashes.py
@@ -75,11 +75,15 @@
     return len(task.crashed_runs) >= MAX_CRASHES
 
 
-def measure_trial_risk(worker: Worker, now: float) -> tuple[bool, int]:
+def measure_trial_risk(worker: Worker, now: float) -> tuple[bool, bool, int]:
     """Returns how little a worker suits a trial; the smallest is chosen.
 
-    A worker that may be lost for another reason proves nothing, and a task on
-    trial may end all others on its worker.
+    A worker that may be lost for another reason proves nothing, also if that
+    reason is a task that it has just started. A task on trial may end all
+    others on its worker.
     """
     is_unsteady = now - worker.reached_at < STEADY_SECONDS
-    return is_unsteady, len(worker.tasks)
+    has_suspects = any(
+        now - task.placed_at < STARTUP_SECONDS for task in worker.tasks.values()
+    )
+    return is_unsteady, has_suspects, len(worker.tasks)
