Wait for the stop of a late start of an older run as well

What callers saw: two runs of a task at once, in virtual time.

Cause: after a restart of a worker a task was kept there only if its newest run was the one whose start may arrive late. One that had been placed again since was placed a third time before the stop of its older start was accepted.

Evidence: the two new tests in tests/test_session_schedules.py failed before (stops that are lost or refused, the late start is executed meanwhile); both pass.

Change: late starts of all runs up to the newest one keep the task on the worker. The task's own stop, which is repeated, includes its older runs.

Ruled out: to wait only for the late start's own stop. It would not tell when the task may be placed again.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -105,11 +105,10 @@
                 self.start_task(self._stop_late_start(late_start))
 
     def _is_stopping(self, task: Task, stale_run: StaleRun) -> bool:
-        is_current = (task.worker, task.run) == (
-            stale_run.worker,
-            stale_run.run,
-        )
-        return is_current and task.phase is TaskPhase.STOPPING
+        """Returns whether the stop of a task also stops an older run of it."""
+        is_there = task.worker == stale_run.worker
+        is_included = is_there and task.run >= stale_run.run
+        return is_included and task.phase is TaskPhase.STOPPING
 
     async def _start_once(self, placed_run: PlacedRun) -> None:
         """Sends the start of a run unless it is being sent already.
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -483,6 +483,7 @@
         ended = []
         for late_start in late_starts:
             self._hold_waiting(late_start, worker)
+        held = {late_start.task for late_start in late_starts}
         worker.lost_at = now
         worker.suspects |= {task: task.run for task in list_suspects(worker)}
         for task in list(worker.tasks.values()):
@@ -491,6 +492,10 @@
                 continue
             if asked_at <= task.confirmed_at < math.inf:
                 continue
+            if str(task.id) in held:
+                # The start of an older run is late.
+                self._stop_anew(task)
+                continue
             self.end_run(task, EndKind.LAPSED, now)
             ended.append(task)
         return ended
@@ -500,7 +505,7 @@
         task = self.find_task(late_start.task)
         if task is None or task.phase is not TaskPhase.WAITING:
             return
-        if task.run == late_start.run:
+        if task.run >= late_start.run:
             self.hold(task, worker)
 
     def hold(self, task: Task, worker: Worker) -> None:
--- a/tests/test_session_schedules.py
+++ b/tests/test_session_schedules.py
@@ -111,3 +111,53 @@
         assert scene.client.late_starts
 
     play(scenario)
+
+
+def test_a_waiting_task_is_kept_until_an_older_late_start_is_stopped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Only late starts of the newest run were waited for; the task ran twice.
+
+    It ran elsewhere after the start had expired, and was lost there.
+    """
+
+    async def lose(*arguments: object) -> CommandAnswer:
+        await asyncio.sleep(TIMEOUT_SECONDS)
+        return CommandAnswer(CallStatus.UNKNOWN)
+
+    async def scenario(scene: RestartScene) -> None:
+        loop = asyncio.get_running_loop()
+        scene.client.start_seconds = START_TIMEOUT_SECONDS + DELAY_SECONDS
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: scene.task.id in scene.cluster.ready)
+        scene.cluster.place([scene.task], scene.other, loop.time())
+        scene.cluster.end_worker_tasks(scene.other, loop.time())
+        assert (scene.task.run, scene.task.worker) == (2, '')
+        monkeypatch.setattr(RestartingWorker, 'stop', lose)
+        scene.client.restart()
+        await scene.wait_until(lambda: scene.session.incarnation == 1)
+        await scene.observe(3.0)
+        assert scene.client.late_starts
+
+    play(scenario)
+
+
+def test_a_lost_task_is_kept_until_an_older_late_start_is_stopped() -> None:
+    """The run that a restart ended was newer than the start still to come."""
+
+    async def scenario(scene: RestartScene) -> None:
+        loop = asyncio.get_running_loop()
+        scene.client.start_seconds = START_TIMEOUT_SECONDS + DELAY_SECONDS
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: scene.task.id in scene.cluster.ready)
+        scene.cluster.place([scene.task], scene.worker, loop.time())
+        scene.cluster.confirm_start(scene.task, 2, loop.time())
+        scene.client.running[str(scene.task.id)] = 2
+        await asyncio.sleep(DELAY_SECONDS / 4)
+        scene.client.refused_stops = 8
+        scene.client.restart()
+        await scene.wait_until(lambda: scene.session.incarnation == 1)
+        await scene.observe(3.0)
+        assert scene.client.late_starts
+
+    play(scenario)
