Repeat the stop of a run that its task waits for

What callers would see: a job that does not end, as a task of it is done and its other run goes on although it should be stopped; the same for members of a gang that is done.

Cause: the stop of a run that the worker must not run is sent once, as a later report shows the run again. A task that is placed there, and being stopped, is what the report expects.

Evidence: the new test failed before (one lost stop, the run goes on) and passes.

Change: where the task is being stopped on that worker its own stop is sent, which is repeated until the worker accepts it.

Ruled out: listing such runs as stale with each report, as their resources would count twice.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -99,8 +99,15 @@
         self.start_task(self._throttle(task, task.run, cpu_percent))
 
     def stop_stale_run(self, stale_run: StaleRun) -> None:
-        """Sends the stop of a run that the worker must not run."""
-        self.start_task(self._stop_stale_run(stale_run))
+        """Sends the stop of a run that the worker must not run.
+
+        It is repeated if the task is kept until that run has ended.
+        """
+        task = self.cluster.find_task(stale_run.task)
+        if task is not None and self._is_stopping(task, stale_run):
+            self.stop(task)
+        else:
+            self.start_task(self._stop_stale_run(stale_run))
 
     def stop_late_starts(self, late_starts: list[StaleRun]) -> None:
         """Stops runs that a restarted worker may still start."""
--- a/tests/test_done_elsewhere.py
+++ b/tests/test_done_elsewhere.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import JobState, Task, TaskPhase
 from lentilmount.scheduling.reconciliation import Reconciler, ReconcileResult
 from lentilmount.scheduling.reports import EndKind, StaleRun
+from tests.restart_fixtures import TIMEOUT_SECONDS, RestartScene, play
 from tests.scheduling_fixtures import (
     add_worker,
     admit,
@@ -121,3 +124,22 @@
     new = hand_over(cluster)
     assert new.jobs['a'].state is JobState.COMPLETED
     assert 'a' in new.dirty
+
+
+def test_a_lost_stop_of_a_task_that_is_done_elsewhere_is_repeated() -> None:
+    """A run that never ends by itself kept its job from being completed."""
+
+    async def scenario(scene: RestartScene) -> None:
+        loop = asyncio.get_running_loop()
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: scene.task.phase is TaskPhase.RUNNING)
+        scene.client.lost_commands = 1
+        for task in scene.cluster.complete_elsewhere(scene.task, loop.time()):
+            scene.commands.stop_stale_run(
+                StaleRun(task.worker, str(task.id), task.run)
+            )
+        await asyncio.sleep(4 * TIMEOUT_SECONDS)
+        assert not scene.client.running
+        assert scene.task.phase is TaskPhase.DONE
+
+    play(scenario)
