Send each call that may change something once

What callers see: a delivered call is executed, and the answer is that to a copy. A start that runs is answered 429, 503 or 409 and its task placed elsewhere; a transaction that was applied is answered as a conflict.

Cause: libcurl sends a request again on another connection if a reused one is closed before any byte of a response. It also takes other idle ones: with four of them a delivered call was sent five times in all. It has no option against it.

Change: a callback before each sending permits one, for all methods but GET and HEAD. A second one fails the call without a response, which callers already take for "may have been executed". Where libcurl's byte count shows that nothing was sent (the idle connection had been reset), the call is sent on a new connection. Not a byte of a request changes.

What is lost: a connection that was idle for less than 1 s and closed in order by its service is not noticed by libcurl before it sends, so such a call has no response now; before, libcurl recovered. From 1 s on it checks.

The server of the tests resets connections with SO_LINGER; it closed them before.

--- a/lentilmount/upstream/http.py
+++ b/lentilmount/upstream/http.py
@@ -27,6 +27,13 @@
 they took 91 of the 289 bytes of a poll of a worker. An owner of 245 workers
 makes up to 2,200 calls per second: 1.6 Mbit/s that no service here reads."""
 
+PERMIT: int = pycurl.PREREQFUNC_OK
+ABORT: int = pycurl.PREREQFUNC_ABORT
+
+REPEATABLE_METHODS = frozenset({'GET', 'HEAD'})
+"""Methods of requests that libcurl may send again by itself. A copy changes
+nothing, and its answer is as good as that to the first one."""
+
 
 @attrs.frozen
 class HttpResponse:
@@ -53,13 +60,30 @@
 
 
 class _Request(HTTPRequest):
-    """A request, and whether to parse the headers of its response.
+    """A request, and what its transfer needs to know beside it.
 
     Attributes:
-      reads_headers: Whether to parse them.
+      reads_headers: Whether to parse the headers of its response.
+      was_permitted: Whether libcurl was permitted to send it.
     """
 
     reads_headers = True
+    was_permitted = False
+
+    def permit_once(self, *_addresses: object) -> int:
+        """Permits libcurl to send the request, unless it did so before.
+
+        libcurl sends a request again on another connection if a reused one is
+        closed before any byte of the response. The first copy may have been
+        executed, and the answer to the second one would hide that.
+        """
+        answer = ABORT if self.was_permitted else PERMIT
+        self.was_permitted = True
+        return answer
+
+    def permit_again(self) -> None:
+        """Permits libcurl to send the request once more."""
+        self.was_permitted = False
 
 
 class _Client(CurlAsyncHTTPClient):
@@ -103,9 +127,12 @@
         Raises:
           ValueError: A header contains a line break.
         """
+        own_request = cast(_Request, request)
         curl.setopt(pycurl.URL, request.url)
         curl.setopt(pycurl.HTTPHEADER, _encode_headers(request.headers))
-        if cast(_Request, request).reads_headers:
+        if request.method not in REPEATABLE_METHODS:
+            curl.setopt(pycurl.PREREQFUNCTION, own_request.permit_once)
+        if own_request.reads_headers:
             curl.setopt(
                 pycurl.HEADERFUNCTION,
                 functools.partial(self._curl_header_callback, headers, None),
@@ -130,6 +157,27 @@
         if request.prepare_curl_callback is not None:
             request.prepare_curl_callback(curl)
 
+    def _finish(
+        self,
+        curl: pycurl.Curl,
+        curl_error: int | None = None,
+        curl_message: str | None = None,
+    ) -> None:
+        """See `CurlAsyncHTTPClient`; sends again what was never sent."""
+        if curl_error == pycurl.E_ABORTED_BY_CALLBACK:
+            # The byte count includes the connection that failed.
+            if not curl.getinfo(pycurl.REQUEST_SIZE):
+                self._send_on_new_connection(curl)
+                return
+            curl_message = 'connection closed without a response'
+        super()._finish(curl, curl_error, curl_message)
+
+    def _send_on_new_connection(self, curl: pycurl.Curl) -> None:
+        self._multi.remove_handle(curl)
+        curl.info['request'].permit_again()
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        self._multi.add_handle(curl)
+
     def end_transfer(self, curl: pycurl.Curl, reason: str) -> None:
         """Fails a transfer as if it had timed out."""
         self._finish(curl, pycurl.E_OPERATION_TIMEDOUT, reason)
@@ -223,6 +271,9 @@
     ) -> HttpResponse:
         """Sends one request; never raises for a status or a failure.
 
+        A request that may change something is sent once at most. Without a
+        response it may have been executed.
+
         Args:
           method: HTTP method.
           path: Path and query.
--- a/tests/socket_fixtures.py
+++ b/tests/socket_fixtures.py
@@ -3,12 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import re
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
 import attrs
 
+RESETTING = struct.pack('ii', 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
+
+
+class Ending(enum.Enum):
+    """How a connection goes on after a response."""
+
+    KEEP = 'keep'
+    CLOSE = 'close'
+    RESET = 'reset'
+
 
 @attrs.frozen
 class Request:
@@ -34,18 +48,21 @@
     """A response to a request.
 
     Attributes:
-      status: HTTP status.
+      status: HTTP status, or None to send nothing.
       body: The body.
-      closes: Whether the server closes the connection afterwards.
+      ending: How the connection goes on afterwards.
     """
 
-    status: int = 200
+    status: int | None = 200
     body: bytes = b'{}'
-    closes: bool = False
+    ending: Ending = Ending.KEEP
 
 
-Handle = Callable[[Request], Awaitable[Response | None]]
-"""Returns the response to a request, or None to reset its connection."""
+DELIVERED_AND_RESET = Response(None, ending=Ending.RESET)
+
+
+Handle = Callable[[Request], Awaitable[Response]]
+"""Returns the response to a request."""
 
 
 @attrs.define(eq=False)
@@ -64,7 +81,6 @@
     connections: int = 0
     address: str = ''
     _tasks: set[asyncio.Task[None]] = attrs.Factory(set)
-    _writers: set[asyncio.StreamWriter] = attrs.Factory(set)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -73,17 +89,17 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
-        self._writers.add(writer)
         connection = self.connections
         self.connections += 1
         try:
             await self._serve_requests(reader, writer, connection)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass  # The client has closed the connection.
+        except asyncio.CancelledError:
+            pass  # The server is being stopped.
         finally:
             writer.close()
             self._tasks.discard(task)
-            self._writers.discard(writer)
 
     async def _serve_requests(
         self,
@@ -99,26 +115,29 @@
             request = Request(method, path, body, connection, head + body)
             self.requests.append(request)
             response = await self.handle(request)
-            if response is None:
+            if response.status is not None:
+                body = b'' if method == 'HEAD' else response.body
+                writer.write(
+                    f'HTTP/1.1 {response.status} Status\r\n'
+                    f'Content-Length: {len(response.body)}\r\n\r\n'.encode()
+                    + body
+                )
+                await writer.drain()
+            if response.ending is Ending.RESET:
+                connection_socket = writer.get_extra_info('socket')
+                connection_socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESETTING
+                )
                 writer.transport.abort()
-                return
-            length = len(response.body)
-            writer.write(
-                f'HTTP/1.1 {response.status} Status\r\n'
-                f'Content-Length: {length}\r\n\r\n'.encode()
-                + (b'' if method == 'HEAD' else response.body)
-            )
-            await writer.drain()
-            if response.closes:
+            if response.ending is not Ending.KEEP:
                 return
 
     async def stop(self) -> None:
-        """Resets all connections and waits until they are closed."""
-        for writer in tuple(self._writers):
-            writer.transport.abort()
-        for task in tuple(self._tasks):
+        """Closes all connections."""
+        tasks = tuple(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks)
 
 
 @asynccontextmanager
--- a/tests/test_delivered_calls.py
+++ b/tests/test_delivered_calls.py
@@ -26,7 +26,12 @@
     make_entry,
     make_job,
 )
-from tests.socket_fixtures import Request, Response, open_server
+from tests.socket_fixtures import (
+    DELIVERED_AND_RESET,
+    Request,
+    Response,
+    open_server,
+)
 from tests.test_worker_session import LEASE_SECONDS
 
 TIMEOUT_SECONDS = 0.8
@@ -62,14 +67,14 @@
     running: dict[str, int] = attrs.Factory(dict)
     copies: int = 0
 
-    async def handle(self, request: Request) -> Response | None:
+    async def handle(self, request: Request) -> Response:
         """Answers a call."""
         document = orjson.loads(request.body)
         if request.path == '/run-start':
             self.copies += 1
             if self.copies == 1:
                 self.running[document['task']] = document['run']
-                return None
+                return DELIVERED_AND_RESET
             return self._answer(self.status, **REJECTIONS[self.status])
         if request.path == '/run-stop':
             if self.running.get(document['task'], 0) == document['run']:
