--- a/soak/processes.py
+++ b/soak/processes.py
@@ -14,13 +14,12 @@
 
 import attrs
 import orjson
-import yaml
 
 from soak.definition import CODE
 from soak.events import Event, EventKind, EventLog, get_time
 from soak.links import Link
 from soak.registrations import Registrations
-from stand_ins.entry_hosts import make_settings
+from stand_ins.entry_hosts import write_settings
 
 _PARENT_DEATH_SIGNAL = 1
 """The option of prctl(2) that sets the signal for the death of the parent."""
@@ -205,9 +204,7 @@
 
     async def start(self) -> None:
         """Starts the daemon and waits until it listens."""
-        settings = self.folder / f'{self.name}.yaml'
-        document = make_settings(self.link.address, nodeName=self.name)
-        settings.write_text(yaml.safe_dump(document), 'utf-8')
+        variables = write_settings(self.folder, self.link.address, self.name)
         path = self.folder / f'{self.name}.log'
         with path.open('ab') as log:
             start = log.tell()
@@ -216,10 +213,7 @@
                 code=self.code,
                 stdout=log,
                 stderr=log,
-                variables={
-                    'LENTILMOUNT_BOOT': str(settings),
-                    'LENTILMOUNT_METRICS_PORT': '0',
-                },
+                variables=variables,
             )
         async with asyncio.timeout(START_SECONDS):
             while self.process.returncode is None and not self.frontend:
--- a/stand_ins/entry_hosts.py
+++ b/stand_ins/entry_hosts.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import contextlib
+import pathlib
 from typing import Any
 
 import orjson
+import yaml
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
@@ -62,6 +64,23 @@
     return {**document, **fields}
 
 
+def write_settings(
+    folder: pathlib.Path, store: str, name: str, **fields: Any
+) -> dict[str, str]:
+    """Writes the settings file of a daemon; returns its variables.
+
+    Args:
+      folder: Folder of the file.
+      store: Address of the table service.
+      name: Name of the host.
+      **fields: Settings that differ from the defaults.
+    """
+    document = make_settings(store, nodeName=name, **fields)
+    path = folder / f'{name}.yaml'
+    path.write_text(yaml.safe_dump(document), 'utf-8')
+    return {'LENTILMOUNT_BOOT': str(path), 'LENTILMOUNT_METRICS_PORT': '0'}
+
+
 def serve(app: Application) -> tuple[HTTPServer, str]:
     """Serves an application on a free port; returns the address, too."""
     sockets = bind_sockets(0, '127.0.0.1')
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -14,7 +14,6 @@
 
 import attrs
 import orjson
-import yaml
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
 from lentilmount.clock import ManualClock, SystemClock
@@ -37,6 +36,7 @@
     listen,
     make_configuration,
     make_settings,
+    write_settings,
 )
 from stand_ins.fleet import Fleet
 from stand_ins.rowstore import RowStore, StoreListener, make_row_service
@@ -114,19 +114,15 @@
           store: Address of the store, if not the default one.
           **fields: Settings that differ from the defaults.
         """
-        document = make_settings(store or self.address, nodeName=name, **fields)
-        path = self.folder / f'{name}.yaml'
-        path.write_text(yaml.safe_dump(document), 'utf-8')
+        variables = write_settings(
+            self.folder, store or self.address, name, **fields
+        )
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
             'lentilmount.control',
             stdout=asyncio.subprocess.PIPE,
-            env={
-                **os.environ,
-                'LENTILMOUNT_BOOT': str(path),
-                'LENTILMOUNT_METRICS_PORT': '0',
-            },
+            env={**os.environ, **variables},
         )
         daemon = Daemon(process)
         reader = asyncio.create_task(daemon.read_log())
