Register the soak's workers up to a second after their start

A worker that is back under its id takes calls before its registration is read, as on the platform; with 0.1 s this was rare.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -29,7 +29,9 @@
 RESTART_SECONDS = (0.2, 1.0)
 """Time after which a worker that a task crashed comes back, in seconds."""
 
-REGISTRATION_SECONDS = 0.1
+REGISTRATION_SECONDS = (0.05, 1.0)
+"""Time from the start of a worker until it is registered, in seconds."""
+
 START_SECONDS = 20.0
 POLL_SECONDS = 0.05
 GRACE_SECONDS = 4.5
@@ -158,7 +160,8 @@
         self._set_target(registration['address'])
         # The link to the table service replaces it for each daemon.
         registration['address'] = self.name
-        self.registrations.add(self.id, registration)
+        seconds = self.rng.uniform(*REGISTRATION_SECONDS)
+        self.registrations.add(self.id, registration, seconds)
 
     def _note(self, kind: EventKind, detail: str = '') -> None:
         event = Event(get_time(), kind, self.id, self.born, detail=detail)
--- a/soak/registrations.py
+++ b/soak/registrations.py
@@ -16,9 +16,6 @@
 EXPIRY_SECONDS = 3.0
 """Time after which the registration of a silent worker is removed."""
 
-DELAY_SECONDS = 0.1
-"""Time after its start at which a worker is registered."""
-
 
 @attrs.define(eq=False)
 class Registrations:
@@ -32,12 +29,14 @@
     _newest: dict[str, object] = attrs.Factory(dict)
     _tasks: set[asyncio.Task[None]] = attrs.Factory(set)
 
-    def add(self, worker_id: str, registration: dict[str, Any]) -> None:
-        """Registers a worker soon."""
+    def add(
+        self, worker_id: str, registration: dict[str, Any], seconds: float
+    ) -> None:
+        """Registers a worker after some seconds."""
         self._newest[worker_id] = registration
         value = base64.b64encode(orjson.dumps(registration)).decode()
         row = {**_make_row(worker_id), 'value': value}
-        self._schedule(worker_id, DELAY_SECONDS, {'writes': [row]})
+        self._schedule(worker_id, seconds, {'writes': [row]})
 
     def expire(self, worker_id: str) -> None:
         """Removes a registration in some time, unless the worker is back."""
