--- a/soak/processes.py
+++ b/soak/processes.py
@@ -14,13 +14,12 @@
 
 import attrs
 import orjson
-import yaml
 
 from soak.definition import CODE
 from soak.events import Event, EventKind, EventLog, get_time
 from soak.links import Link
 from soak.registrations import Registrations
-from stand_ins.entry_hosts import make_settings
+from stand_ins.entry_hosts import write_settings
 
 _PARENT_DEATH_SIGNAL = 1
 """The option of prctl(2) that sets the signal for the death of the parent."""
@@ -30,7 +29,9 @@
 RESTART_SECONDS = (0.2, 1.0)
 """Time after which a worker that a task crashed comes back, in seconds."""
 
-REGISTRATION_SECONDS = 0.1
+REGISTRATION_SECONDS = (0.05, 1.0)
+"""Time from the start of a worker until it is registered, in seconds."""
+
 START_SECONDS = 20.0
 POLL_SECONDS = 0.05
 GRACE_SECONDS = 4.5
@@ -159,7 +160,8 @@
         self._set_target(registration['address'])
         # The link to the table service replaces it for each daemon.
         registration['address'] = self.name
-        self.registrations.add(self.id, registration)
+        seconds = self.rng.uniform(*REGISTRATION_SECONDS)
+        self.registrations.add(self.id, registration, seconds)
 
     def _note(self, kind: EventKind, detail: str = '') -> None:
         event = Event(get_time(), kind, self.id, self.born, detail=detail)
@@ -205,9 +207,7 @@
 
     async def start(self) -> None:
         """Starts the daemon and waits until it listens."""
-        settings = self.folder / f'{self.name}.yaml'
-        document = make_settings(self.link.address, nodeName=self.name)
-        settings.write_text(yaml.safe_dump(document), 'utf-8')
+        variables = write_settings(self.folder, self.link.address, self.name)
         path = self.folder / f'{self.name}.log'
         with path.open('ab') as log:
             start = log.tell()
@@ -216,10 +216,7 @@
                 code=self.code,
                 stdout=log,
                 stderr=log,
-                variables={
-                    'LENTILMOUNT_BOOT': str(settings),
-                    'LENTILMOUNT_METRICS_PORT': '0',
-                },
+                variables=variables,
             )
         async with asyncio.timeout(START_SECONDS):
             while self.process.returncode is None and not self.frontend:
