--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -30,9 +31,15 @@
     'longer': (3.0, 'done'),
     'failing': (0.3, 'failed'),
     'lasting': (math.inf, ''),
+    'crashing': (0.4, 'done'),
+    'crashing-at-once': (0.4, 'done'),
 }
 """Duration of a task in seconds and how it ends, by its payload."""
 
+CRASHING_PAYLOADS = {'crashing': 0.001, 'crashing-at-once': 0.0}
+"""Time in seconds after its start at which a task of a payload crashes its
+worker, at the first start; 0 for before the answer. It is short after that."""
+
 
 @attrs.define(eq=False)
 class Execution:
@@ -45,6 +52,7 @@
       task: Name of the task.
       run: Number of the run.
       is_late: Whether its start was sent before that incarnation began.
+      sent_at: Time in seconds at which its start was sent.
       started_at: Time in seconds at which it began.
       ended_at: Time in seconds at which it ended; infinity until then.
       kind: How it ended, 'crashed' if its worker did; '' until then.
@@ -59,6 +67,7 @@
     task: str
     run: int
     is_late: bool
+    sent_at: float
     started_at: float
     ended_at: float = math.inf
     kind: str = ''
@@ -83,6 +92,9 @@
       ended: Runs whose end no poll has acknowledged, oldest first.
       highest: Highest run that ended or was stopped, by task.
       lapsed: Number of the newest end before a lease expired.
+      clock_rate: Rate of its clock.
+      has_room: Whether it has room for another run.
+      handle_crash: Called instead of `crash` when a task crashes it.
     """
 
     id: str
@@ -97,13 +109,16 @@
     ended: list[Execution] = attrs.Factory(list)
     highest: dict[str, int] = attrs.Factory(dict)
     lapsed: int = 0
+    clock_rate: float = CLOCK_RATE
+    has_room: bool = True
+    handle_crash: Callable[[], None] | None = None
     _numbers: int = 0
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
     def clock_ms(self) -> int:
         """Its clock, which starts anew with each incarnation."""
-        return int(1000 * CLOCK_RATE * (_now() - self.booted_at)) + 1
+        return int(1000 * self.clock_rate * (_now() - self.booted_at)) + 1
 
     def boot(self) -> None:
         """Starts a new incarnation, which knows nothing."""
@@ -136,7 +151,11 @@
         return orjson.dumps(document)
 
     def receive(
-        self, path: str, body: dict[str, Any], is_late: bool
+        self,
+        path: str,
+        body: dict[str, Any],
+        is_late: bool,
+        sent_at: float | None = None,
     ) -> tuple[int, dict[str, Any]]:
         """Carries out a call.
 
@@ -144,6 +163,7 @@
           path: Path of the call.
           body: Its body.
           is_late: Whether it was sent before this incarnation began.
+          sent_at: Time in seconds at which it was sent; None for now.
 
         Returns:
           The status and the body of the answer.
@@ -152,7 +172,8 @@
             return self._reject('fence')
         self.token = body['fencingToken']
         if path == START_PATH:
-            reason = self._start(body, is_late)
+            sent_at = _now() if sent_at is None else sent_at
+            reason = self._start(body, is_late, sent_at)
             return self._reject(reason) if reason else (200, self._answer())
         if path == STOP_PATH:
             self._stop(body['task'], body['run'])
@@ -167,7 +188,9 @@
     def _reject(self, reason: str) -> tuple[int, dict[str, Any]]:
         return 409, {**self._answer(), 'reason': reason}
 
-    def _start(self, body: dict[str, Any], is_late: bool) -> str:
+    def _start(
+        self, body: dict[str, Any], is_late: bool, sent_at: float
+    ) -> str:
         """Starts a run; returns why it is rejected, or ''."""
         task, run, deadline_ms = body['task'], body['run'], body['deadlineMs']
         if (task, run) in self.running:
@@ -177,6 +200,9 @@
         self._renew(deadline_ms)
         if run <= self.highest.get(task, 0):
             return 'old'
+        if not self.has_room:
+            return 'room'
+        is_first = all(e.task != task for e in self.record)
         execution = Execution(
             self.id,
             self.incarnation,
@@ -184,6 +210,7 @@
             task,
             run,
             is_late,
+            sent_at,
             _now(),
         )
         self.record.append(execution)
@@ -191,8 +218,17 @@
         seconds, kind = PAYLOADS[body['spec']]
         if kind:
             self._call_later(seconds, self._end, execution, kind)
+        if is_first and body['spec'] in CRASHING_PAYLOADS:
+            self._crash_later(CRASHING_PAYLOADS[body['spec']])
         return ''
 
+    def _crash_later(self, seconds: float) -> None:
+        crash = self.handle_crash or self.crash
+        if seconds:
+            self._call_later(seconds, crash)
+        else:
+            crash()
+
     def _stop(self, task: str, run: int) -> None:
         """Stops the runs of a task up to a number, also those still to come."""
         self.highest[task] = max(run, self.highest.get(task, 0))
@@ -216,7 +252,7 @@
         if until_ms <= self.lease_until_ms:
             return
         self.lease_until_ms = until_ms
-        seconds = (until_ms - self.clock_ms) / 1000 / CLOCK_RATE
+        seconds = (until_ms - self.clock_ms) / 1000 / self.clock_rate
         self._call_later(seconds + 0.002, self._expire)
 
     def _expire(self) -> None:
