Repeat the stops of tasks whose job has failed until they are accepted

What callers saw: a task of a failed job, a member of a done gang, or one that is done elsewhere ran on until its leases were no longer renewed, if its first stop was lost.

Cause: these stops were sent like those of stale runs, once, as a stale run is listed again by the next report. But such a task is the current one on its worker, so no report asked for its stop again.

Evidence: the new test in tests/test_refused_stops.py failed before (two stops are lost, the run goes on) and passes.

Change: the current run of a task in phase STOPPING is stopped like any other task, repeated until accepted.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -92,8 +92,17 @@
         self.start_task(self._throttle(task, task.run, cpu_percent))
 
     def stop_stale_run(self, stale_run: StaleRun) -> None:
-        """Sends the stop of a run that the worker must not run."""
-        self.start_task(self._stop_stale_run(stale_run))
+        """Sends the stop of a run that the worker must not run.
+
+        It is sent once, as each report that lists the run asks for it again,
+        or until it is accepted if it is the current run of its task.
+        """
+        task = self.cluster.find_task(stale_run.task)
+        is_stopping = task is not None and self._is_stopping(task, stale_run)
+        if task is not None and is_stopping and task.run == stale_run.run:
+            self.stop(task)
+        else:
+            self.start_task(self._stop_stale_run(stale_run))
 
     def stop_late_starts(self, late_starts: list[StaleRun]) -> None:
         """Stops runs that a restarted worker may still start."""
--- a/tests/test_refused_stops.py
+++ b/tests/test_refused_stops.py
@@ -14,9 +14,10 @@
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import CallStatus, CommandAnswer, WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
-from lentilmount.scheduling.reports import WorkerEntry
+from lentilmount.scheduling.reports import StaleRun, WorkerEntry
 from lentilmount.upstream.http import HttpClient
 from tests.helpers import run
+from tests.restart_fixtures import TIMEOUT_SECONDS, RestartScene, play
 from tests.scheduling_fixtures import (
     add_worker,
     admit,
@@ -97,3 +98,24 @@
 
     run(scenario())
     assert client.statuses == []
+
+
+def test_the_stop_of_a_task_whose_job_has_failed_is_sent_again() -> None:
+    """A task of a failed job ran on, as its stop was lost and sent once.
+
+    The same holds for the other members of a gang, and for a task that is done
+    elsewhere.
+    """
+
+    async def scenario(scene: RestartScene) -> None:
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: bool(scene.client.running))
+        scene.cluster.begin_stop(scene.task)
+        scene.client.lost_commands = 2
+        scene.commands.stop_stale_run(
+            StaleRun(scene.worker.id, str(scene.task.id), scene.task.run)
+        )
+        await asyncio.sleep(4 * TIMEOUT_SECONDS)
+        assert not scene.client.running
+
+    play(scenario)
