Do not take a task for lost while its worker may have more ends to list

What callers would see: a task that is done runs again.

Cause: a worker lists at most 500 run ends at a time, and goes on with the next ones once these are acknowledged. A task that neither runs there nor is among the listed ends was taken for lost, also where its end was still to be listed, as after an outage of the table with many short tasks.

Evidence: two new tests in tests/test_done_elsewhere.py failed before and pass.

Change: a report with the most ends that a worker lists ends no run that it does not mention.

--- a/lentilmount/platform/documents.py
+++ b/lentilmount/platform/documents.py
@@ -20,6 +20,9 @@
 )
 from lentilmount.scheduling.specs import JobSpec, QueuePolicy, StepSpec
 
+MAX_LISTED_ENDS = 500
+"""Number of run ends that a worker lists at a time."""
+
 MAX_TASKS = 10_000
 """Largest number of tasks of an accepted job, to bound its memory."""
 
@@ -266,6 +269,7 @@
     document = orjson.loads(body)
     try:
         started_ms = document.get('born')
+        ended = document.get('ended') or ()
         return WorkerReport(
             started_ms=None if started_ms is None else int(started_ms),
             clock_ms=int(document['clockMs']),
@@ -274,9 +278,9 @@
                 EndReport(
                     int(n), task, int(run), EndKind(kind), checkpoint or ''
                 )
-                for n, task, run, kind, checkpoint in document.get('ended')
-                or ()
+                for n, task, run, kind, checkpoint in ended
             ),
+            has_all_ends=len(ended) < MAX_LISTED_ENDS,
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"worker's report is malformed: {error!r}") from error
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -83,7 +83,13 @@
                 listed.add(task.id)
             else:
                 stale_tasks.append(task)
-        for task in self._list_missing_tasks(worker, listed, requested_at):
+        # A task that is missing may be done, with an end that is not listed.
+        missing = (
+            self._list_missing_tasks(worker, listed, requested_at)
+            if report.has_all_ends
+            else ()
+        )
+        for task in missing:
             if task.phase is TaskPhase.STARTING:
                 self._cluster.requeue(task)
                 result.expired.append(task)
--- a/lentilmount/scheduling/reports.py
+++ b/lentilmount/scheduling/reports.py
@@ -107,12 +107,14 @@
       clock_ms: Monotonic clock of the worker in ms.
       running: Runs in progress.
       ended: Run ends that are not acknowledged yet, oldest first.
+      has_all_ends: Whether there are certainly no more of these ends.
     """
 
     started_ms: int | None
     clock_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    has_all_ends: bool = True
 
 
 @attrs.frozen
--- a/tests/test_done_elsewhere.py
+++ b/tests/test_done_elsewhere.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import attrs
+import orjson
 import pytest
 
+from lentilmount.platform.documents import decode_worker_report
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import JobState, Task, TaskPhase
 from lentilmount.scheduling.reconciliation import Reconciler, ReconcileResult
@@ -121,3 +124,26 @@
     new = hand_over(cluster)
     assert new.jobs['a'].state is JobState.COMPLETED
     assert 'a' in new.dirty
+
+
+def test_a_task_whose_end_is_not_listed_yet_is_not_placed_again() -> None:
+    """A task that was done ran again, as its worker listed only older ends."""
+    cluster = ClusterState()
+    admit(cluster, make_job('a'))
+    worker, task = add_worker(cluster, 'w'), find_task(cluster, 'a')
+    run_task(cluster, task, worker)
+    report = attrs.evolve(make_report(), has_all_ends=False)
+    Reconciler(cluster).reconcile(worker, report, 2.0, 2.0)
+    assert task.id not in cluster.ready
+    end = make_end(501, task, 1, EndKind.DONE)
+    Reconciler(cluster).reconcile(worker, make_report(ended=(end,)), 3.0, 3.0)
+    assert task.phase is TaskPhase.DONE
+
+
+def test_a_report_with_the_most_ends_may_lack_others() -> None:
+    """A worker lists 500 ends at a time."""
+    for count, has_all_ends in ((499, True), (500, False)):
+        ends = [[n + 1, f'a.0.0.{n}', 1, 'done', ''] for n in range(count)]
+        document = {'clockMs': 1, 'born': 1, 'running': [], 'ended': ends}
+        report = decode_worker_report(orjson.dumps(document))
+        assert report.has_all_ends == has_all_ends
