Tell the next owner of unrecorded starts at a release after an outage

What callers would see: a task runs on two workers at once after a takeover.

Cause: the data of the lease row are made anew with each write. Starts that were sent without a record during a write in flight were not in these data, and a release before the next write published them: the next owner took all starts for recorded, and would start a task again whose worker it cannot reach.

Evidence: the new test in tests/test_state_writer.py failed before and passes.

Change: the data are marked as soon as such starts are sent.

What remains: the write in flight itself was made before. If it is applied after the outage and the owner is killed before its next write, some 40 ms later, the next owner still takes all starts for recorded.

--- a/lentilmount/control/lease_data.py
+++ b/lentilmount/control/lease_data.py
@@ -33,6 +33,15 @@
     return bool(data.get(HAS_UNRECORDED_STARTS))
 
 
+def add_unrecorded_starts(data: Mapping[str, Any]) -> dict[str, Any]:
+    """Returns lease data that tells that tasks may run that are in no row.
+
+    For how long they may run is left out, as it is not known.
+    """
+    kept = {k: v for k, v in data.items() if k != UNRECORDED_SECONDS}
+    return {**kept, HAS_UNRECORDED_STARTS: True}
+
+
 @attrs.frozen
 class LeaseData:
     """Data that an owner stores in its lease row.
--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -15,7 +15,10 @@
     make_model_key,
     make_state_key,
 )
-from lentilmount.control.lease_data import make_lease_data
+from lentilmount.control.lease_data import (
+    add_unrecorded_starts,
+    make_lease_data,
+)
 from lentilmount.control.retention import Retention
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.coordination.leases import Lease, LeaseKeeper, LeaseLostError
@@ -159,11 +162,15 @@
         """Sends all pending starts at once, without waiting for a write.
 
         Nobody can take over in an outage for all daemons. This includes the
-        starts of a write in flight, which may take as long as the outage.
+        starts of a write in flight, which may take as long as the outage. If
+        the service is released before the next write, the next owner learns
+        from the release that there are such starts.
         """
         placed = [*self._starts_in_flight, *self._pending_starts]
         self._starts_in_flight, self._pending_starts = [], []
-        self._has_sent_unrecorded |= bool(placed)
+        if placed:
+            self._has_sent_unrecorded = True
+            self.lease.data = add_unrecorded_starts(self.lease.data)
         self._send_starts(placed, set(self.cluster.jobs.values()))
 
     def _send_starts(self, placed: list[PlacedRun], written: set[Job]) -> None:
--- a/tests/test_state_writer.py
+++ b/tests/test_state_writer.py
@@ -312,3 +312,41 @@
         assert sent == [first]
 
     run(play())
+
+
+def test_a_release_after_an_outage_tells_of_starts_in_no_row() -> None:
+    """The next owner started a task again that ran on a worker cut off.
+
+    The write in flight was from before the outage, and the service was
+    released before another one.
+    """
+
+    async def play() -> bool:
+        table = cast(PlatformTable, _SlowTable())
+        slow = cast(_SlowTable, table)
+        keeper = LeaseKeeper(table, 'a', 2.0, ManualClock().monotonic)
+        key = Key('owners/desk', 'owner')
+        lease = await keeper.try_acquire(key)
+        assert lease is not None
+        cluster = ClusterState()
+        worker = add_worker(cluster, 'w')
+        state_writer = _make_state_writer(
+            table, keeper, lease, cluster, {}, print
+        )
+        slow.gate.clear()
+        slow.write_started.clear()
+        running = asyncio.create_task(state_writer.run())
+        state_writer.request_write()
+        await slow.write_started.wait()
+        admit(cluster, make_job('a'))
+        task = find_task(cluster, 'a')
+        cluster.place([task], worker, 1.0)
+        state_writer.add_start(task)
+        state_writer.send_unrecorded()
+        slow.gate.set()
+        await state_writer.finish()
+        await running
+        assert await keeper.release(lease)
+        return has_unrecorded_starts(slow.bodies[key]['data'])
+
+    assert run(play())
