--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -298,7 +298,8 @@
         link = self.network.links[f'{late.worker}:1']
         if other.sent_at >= late.booted_at:
             noticed_at = other.sent_at - NOTICE_SECONDS
-            return link.is_cut_during(late.booted_at, noticed_at)
+            is_cut = link.is_cut_during(late.booted_at, noticed_at)
+            return is_cut or self._is_address_unknown(late, noticed_at)
         reachable_at = max(
             late.booted_at,
             self._learned_at[''],
@@ -308,6 +309,16 @@
         is_disturbed = link.is_cut or link.disturbed_at >= late.booted_at
         return is_early or is_disturbed or self.cluster is None
 
+    def _is_address_unknown(self, late: Execution, at: float) -> bool:
+        """Returns whether the owner could not know the worker's address.
+
+        That is a later one than the owner that sent the start, while the worker
+        is not registered.
+        """
+        is_other_owner = self._learned_at[''] > late.sent_at
+        registered_at = self._registered_at.get(late.worker, math.inf)
+        return is_other_owner and registered_at > at
+
     def _check_cancelled(self, execution: Execution) -> None:
         learned_at = self._learned_at.get(execution.task.partition('.')[0])
         if learned_at is not None and self._is_overdue(execution, learned_at):
