Hold a task for an older run by what is known of that run only

What callers would see: two runs of a task at once, or a task that is never placed again.

Cause: a task that is kept on a worker because of an older run was freed once the deadline of its newest start had passed there, a time by another worker's clock. And a worker that answers polls but accepts no stops kept such a task for ever. It could also be blamed for a crash of that worker, on which its newest run never was.

Evidence: the extended case in tests/test_session_schedules.py runs the task twice before; the three new cases in tests/test_stale_runs.py kept it for ever before.

Change: a task that is held for an older run has no start deadline. It is freed once its stop was accepted or, for a listed run, once that is no longer listed; for a late start, after 30 s, after which no call is assumed to arrive. Suspects of a crash are collected before tasks are held.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -35,6 +35,10 @@
 rejects a run whose number is not above that of a run that ended there."""
 
 
+HOLD_SECONDS = 30.0
+"""Time after which a late start of an older run is assumed never to be executed
+on a restarted worker, even if the worker has accepted no stop of it."""
+
 MAX_AGE_SECONDS = 3600.0
 """Age by the clocks of hosts beyond which they cannot be right."""
 
@@ -481,11 +485,11 @@
           The tasks whose runs have ended.
         """
         ended = []
-        for late_start in late_starts:
-            self._hold_waiting(late_start, worker)
-        held = {late_start.task for late_start in late_starts}
         worker.lost_at = now
         worker.suspects |= {task: task.run for task in list_suspects(worker)}
+        for late_start in late_starts:
+            self._hold_waiting(late_start, worker, now)
+        held = {late_start.task for late_start in late_starts}
         for task in list(worker.tasks.values()):
             if StaleRun(worker.id, str(task.id), task.run) in late_starts:
                 self._stop_anew(task)
@@ -493,27 +497,41 @@
             if asked_at <= task.confirmed_at < math.inf:
                 continue
             if str(task.id) in held:
-                # The start of an older run is late.
-                self._stop_anew(task)
+                self.hold(task, worker, now + HOLD_SECONDS)
                 continue
             self.end_run(task, EndKind.LAPSED, now)
             ended.append(task)
         return ended
 
-    def _hold_waiting(self, late_start: StaleRun, worker: Worker) -> None:
-        """Keeps a waiting task on a worker that may still start it."""
+    def _hold_waiting(
+        self, late_start: StaleRun, worker: Worker, now: float
+    ) -> None:
+        """Keeps a waiting task on a worker that may still start a run of it."""
         task = self.find_task(late_start.task)
         if task is None or task.phase is not TaskPhase.WAITING:
             return
-        if task.run >= late_start.run:
-            self.hold(task, worker)
+        if task.run == late_start.run:
+            deadline_ms = task.start_deadline_ms
+            self.hold(task, worker, math.inf)
+            task.start_deadline_ms = deadline_ms
+        elif task.run > late_start.run:
+            self.hold(task, worker, now + HOLD_SECONDS)
 
-    def hold(self, task: Task, worker: Worker) -> None:
-        """Keeps a task on a worker where an earlier start of it is stopped."""
+    def hold(self, task: Task, worker: Worker, stopped_at: float) -> None:
+        """Keeps a task on a worker where an older run of it is stopped.
+
+        Args:
+          task: The task. What is known of its newest run and of the deadline of
+            that run's start does not apply to the older one.
+          worker: The worker.
+          stopped_at: Monotonic time by which the older run is certainly being
+            stopped, unless a stop is accepted before.
+        """
         task.phase = TaskPhase.STOPPING
         task.worker = worker.id
-        task.stopped_at = math.inf
+        task.stopped_at = stopped_at
         task.start_expired_at = math.inf
+        task.start_deadline_ms = 0
         worker.add(task)
         self.ready.pop(task.id, None)
         self.dirty[task.job.spec.id] = None
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -96,7 +96,7 @@
                 continue
             self._cluster.end_run(task, EndKind.LAPSED, now)
             result.ended.append((task, EndKind.LAPSED))
-        self._hold_stale_tasks(worker, stale_tasks, result)
+        self._hold_stale_tasks(worker, stale_tasks, result, now)
         worker.runs_unknown_tasks = bool(result.unknown_tasks)
         worker.has_stale_runs = bool(result.stale_runs)
         worker.set_stale(result.stale)
@@ -224,11 +224,16 @@
         return task.worker == worker.id and is_current
 
     def _hold_stale_tasks(
-        self, worker: Worker, tasks: list[Task], result: ReconcileResult
+        self,
+        worker: Worker,
+        tasks: list[Task],
+        result: ReconcileResult,
+        now: float,
     ) -> None:
         """Keeps tasks from being started beside stale runs of them.
 
-        They stay on the worker until it no longer lists these runs. The start
+        They stay on the worker until it no longer lists these runs. That also
+        shows that they have ended where it accepts no stops. The start
         of a gang's member that waits for its write is not taken back, as the
         other members would wait for it.
         """
@@ -237,7 +242,7 @@
             if task.phase is TaskPhase.STARTING and is_unsent:
                 self._cluster.requeue(task)
             if task.phase is TaskPhase.WAITING:
-                self._cluster.hold(task, worker)
+                self._cluster.hold(task, worker, now)
                 result.adopted.append(task)
             else:
                 result.stale = result.stale.add(task.spec.reserved)
--- a/tests/test_session_schedules.py
+++ b/tests/test_session_schedules.py
@@ -131,6 +131,8 @@
         scene.commands.start(scene.task)
         await scene.wait_until(lambda: scene.task.id in scene.cluster.ready)
         scene.cluster.place([scene.task], scene.other, loop.time())
+        # By the other worker's clock, which tells nothing of this one.
+        scene.task.start_deadline_ms = 1
         scene.cluster.end_worker_tasks(scene.other, loop.time())
         assert (scene.task.run, scene.task.worker) == (2, '')
         monkeypatch.setattr(RestartingWorker, 'stop', lose)
--- a/tests/test_stale_runs.py
+++ b/tests/test_stale_runs.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.cluster import HOLD_SECONDS, ClusterState
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reconciliation import Reconciler, ReconcileResult
 from lentilmount.scheduling.reports import EndKind, StaleRun
@@ -95,3 +95,31 @@
     list_first_run(new, restored, 5.0)
     assert not new.ready
     assert restored.phase is TaskPhase.STOPPING
+
+
+def test_a_task_waits_for_no_stop_of_an_older_run_that_has_lapsed() -> None:
+    """Held on a worker that answers polls only, a task never ran again."""
+    cluster, task, worker = lose_twice()
+    list_first_run(cluster, task, 3.0)
+    end = make_end(1, task, 1, EndKind.LAPSED)
+    Reconciler(cluster).reconcile(worker, make_report(ended=(end,)), 9.0, 9.0)
+    assert list(cluster.ready) == [task.id]
+
+
+@pytest.mark.parametrize('run', [1, 2])
+def test_a_task_does_not_wait_for_an_older_late_start_for_ever(
+    run: int,
+) -> None:
+    """A worker that accepts no stop after its restart kept the task."""
+    cluster, task, worker = lose_twice()
+    late_starts = frozenset({StaleRun('w', str(task.id), 1)})
+    if run == 2:
+        cluster.place([task], worker, 3.0)
+        cluster.confirm_start(task, task.run, 3.0)
+    cluster.end_worker_tasks(worker, 4.0, late_starts, asked_at=4.0)
+    assert task.worker == 'w'
+    at = 4.0 + HOLD_SECONDS
+    Reconciler(cluster).reconcile(worker, make_report(), at - 0.1, at - 0.1)
+    assert not cluster.ready
+    Reconciler(cluster).reconcile(worker, make_report(), at + 0.1, at + 0.1)
+    assert list(cluster.ready) == [task.id]
