--- a/tests/test_session_schedules.py
+++ b/tests/test_session_schedules.py
@@ -22,6 +22,9 @@
 )
 from tests.test_session_state_machine import make_spec
 
+REFUSED_STOPS = 60
+"""Number of stops, one for each report, that are refused for over a second."""
+
 LATE_SECONDS = 12.0
 DOWN_SECONDS = 8.0
 """Longer than a lease, so that the task has run elsewhere, and than it takes
@@ -163,3 +166,27 @@
         assert scene.client.late_starts
 
     play(scenario)
+
+
+def test_a_task_is_kept_until_a_listed_older_run_has_ended() -> None:
+    """A task was placed while an older run of it was being stopped.
+
+    That run was thought to be lost with its worker, and the later one was.
+    """
+
+    async def scenario(scene: RestartScene) -> None:
+        loop = asyncio.get_running_loop()
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: bool(scene.client.running))
+        scene.client.refused_stops = REFUSED_STOPS
+        for lost in (scene.worker, scene.other):
+            scene.cluster.end_worker_tasks(lost, loop.time())
+            if lost is scene.worker:
+                scene.cluster.place([scene.task], scene.other, loop.time())
+        assert (scene.task.run, scene.task.worker) == (2, '')
+        await asyncio.sleep(DELAY_SECONDS)
+        assert scene.client.refused_stops
+        await scene.observe(3.0)
+        assert scene.task.worker == scene.other.id
+
+    play(scenario)
