--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -271,7 +271,6 @@
     """Daemons, workers and links that are disturbed must run each task once."""
     output = io.StringIO()
     arguments = ['--seed=16', '--seconds=8', '--daemons=2', '--workers=4']
-    arguments += ['--omit=reset', '--omit=crash-unanswered']
     status = core.main(arguments, Environment(stdout=output))
     assert status == 0, output.getvalue()
     assert 'violations: 0' in output.getvalue()
