Test that a delivered transaction is not reported as rejected

What callers saw: a job that was stored was refused ("never runs"), as the store answered 429 or 503 to the copy of its transaction that libcurl sent after a reset; or 412, a conflict with the caller's own write.

Now all three raise UnavailableError that is no RefusedError, and the store gets one copy.

--- a/tests/test_delivered_calls.py
+++ b/tests/test_delivered_calls.py
@@ -11,8 +11,11 @@
 import orjson
 import pytest
 
+from lentilmount.control.keys import make_job_key
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.control.worker_session import WorkerSession
+from lentilmount.coordination.table import ABSENT, Put, UnavailableError
+from lentilmount.platform.store import PlatformTable, RefusedError
 from lentilmount.platform.workers import WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import TaskPhase
@@ -153,3 +156,34 @@
     worker = ResettingWorker(status)
     run(_start_on(worker))
     assert worker.running
+
+
+@pytest.mark.parametrize('status', [429, 503, 412])
+def test_a_delivered_transaction_is_not_known_to_be_rejected(
+    status: int,
+) -> None:
+    """The answer to a copy said that an applied write was not applied."""
+
+    async def play() -> None:
+        transactions: list[bytes] = []
+
+        async def handle(request: Request) -> Response:
+            if request.method == 'GET':
+                return Response(body=b'{"rows":[],"ver":1,"nowMs":1}')
+            transactions.append(request.body)
+            if len(transactions) == 1:
+                return DELIVERED_AND_RESET
+            return Response(status, b'{"rows":[],"ver":2,"nowMs":2}')
+
+        async with open_server(handle) as server:
+            http_client = HttpClient(f'http://{server.address}')
+            table = PlatformTable(http_client, TIMEOUT_SECONDS)
+            key = make_job_key('desk', 'job')
+            assert not await table.read([key])
+            with pytest.raises(UnavailableError) as raised:
+                await table.transact('token', [Put(key, {}, ABSENT)])
+            assert not isinstance(raised.value, RefusedError)
+            assert len(transactions) == 1
+            http_client.close()
+
+    run(play())
