Forget the deadline of another start when a task is kept on a worker

What callers see: a task of their job runs on two workers at once.

Cause: a task that is kept on a restarted worker, until the stop of a late start is accepted there, still had the deadline of its newest start. That one was by the clock of another worker, or of the next incarnation. Once the worker's young clock passed it, the late start was taken for expired and the task was placed elsewhere; the late start has a deadline of its own, which was far ahead, and was executed.

Evidence: both new tests failed before (stops refused after the restart, late start executed 12 s after it was sent) and pass.

Change: the deadline is cleared where a task is kept for a start that is not its newest one. A late start of the newest run keeps its deadline, as the new incarnation compares the same number with its clock.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -567,7 +567,8 @@
             if asked_at <= task.confirmed_at < math.inf:
                 continue
             if str(task.id) in held:
-                # The start of an older run is late.
+                # The start of an older run is late, with a deadline of its own.
+                task.start_deadline_ms = 0
                 self._stop_anew(task)
                 continue
             self.end_run(task, EndKind.LAPSED, now, reason)
@@ -588,6 +589,8 @@
         task.phase = TaskPhase.STOPPING
         task.worker = worker.id
         task.stopped_at = math.inf
+        # The deadline is that of another start.
+        task.start_deadline_ms = 0
         task.start_expired_at = math.inf
         worker.add(task)
         self.ready.pop(task.id, None)
--- /dev/null
+++ b/tests/test_other_placements.py
@@ -0,0 +1,68 @@
+"""Answers and deadlines of one placement of a task, applied to another."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.restart_fixtures import (
+    RestartScene,
+    play,
+)
+
+UPTIME_SECONDS = 100.0
+"""Uptime of a worker whose deadlines are late by the clock of the next one."""
+
+LATE_SECONDS = 12.0
+"""Time after which a start without an answer is executed."""
+
+
+async def leave_late_start(scene: RestartScene) -> None:
+    """Leaves a start on its way to the worker; its task waits again."""
+    scene.client.booted_at -= UPTIME_SECONDS
+    await asyncio.sleep(0.1)
+    scene.client.late_start_seconds = LATE_SECONDS
+    scene.commands.start(scene.task)
+    await scene.wait_until(lambda: scene.task.id in scene.cluster.ready)
+    scene.client.late_start_seconds = 0.0
+    now = asyncio.get_running_loop().time()
+    scene.cluster.place([scene.task], scene.other, now)
+
+
+async def restart_refusing_stops(scene: RestartScene) -> None:
+    """Restarts the worker, which refuses stops from then on."""
+    scene.client.refused_stops = 100
+    scene.client.restart()
+    await scene.wait_until(lambda: scene.session.incarnation == 1)
+
+
+def test_a_held_task_does_not_expire_by_a_deadline_on_another_worker() -> None:
+    """It was freed before the stop of its late start, and ran twice."""
+
+    async def scenario(scene: RestartScene) -> None:
+        loop = asyncio.get_running_loop()
+        await leave_late_start(scene)
+        scene.task.start_sent_at = loop.time()
+        scene.task.start_deadline_ms = 2000
+        scene.cluster.end_worker_tasks(scene.other, loop.time())
+        await restart_refusing_stops(scene)
+        await scene.observe(LATE_SECONDS)
+        assert scene.client.executed
+
+    play(scenario)
+
+
+def test_a_held_task_does_not_expire_by_a_deadline_of_its_newer_run() -> None:
+    """The newer run had started on the next incarnation, by a younger clock."""
+
+    async def scenario(scene: RestartScene) -> None:
+        loop = asyncio.get_running_loop()
+        await leave_late_start(scene)
+        scene.cluster.end_worker_tasks(scene.other, loop.time())
+        scene.cluster.place([scene.task], scene.worker, loop.time())
+        scene.task.start_sent_at = loop.time()
+        scene.task.start_deadline_ms = 2000
+        await restart_refusing_stops(scene)
+        await scene.observe(LATE_SECONDS)
+        assert scene.client.executed
+
+    play(scenario)
