Take an accepted stop only for the worker that accepted it

What callers see: a task of their job runs on two workers at once.

Cause: a task that is kept on a worker for an earlier start keeps its newest run number. If the stop of that run on another worker was still being sent, and was accepted there once the task was kept here, the stop here counted as accepted. The next report did not list the late start, so the task was freed before it was executed.

Evidence: the new test failed before and passes now.

Change: a stop is repeated, and its answer applied, only while the task is kept on the worker that it is sent to.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -356,7 +356,7 @@
             return
         pause = RETRY_SECONDS
         name = str(task.id)
-        while task.phase is TaskPhase.STOPPING and task.run == run:
+        while _awaits_stop(session, task, run):
             sent_at = self.monotonic()
             incarnation = session.incarnation
             status = await self._send_stop(session, name, run)
@@ -367,7 +367,7 @@
                 continue
             session.record_stop(_is_accepted(status), sent_at)
             if _is_accepted(status):
-                if task.run == run:
+                if _awaits_stop(session, task, run):
                     task.stopped_at = min(task.stopped_at, self.monotonic())
                 return
             pause = await _back_off(pause)
@@ -461,6 +461,15 @@
         return is_current and task.phase.is_placed
 
 
+def _awaits_stop(session: WorkerSession, task: Task, run: int) -> bool:
+    """Returns whether a task is kept on a worker until a run is stopped.
+
+    It may have been freed since, and be kept on another one by that number.
+    """
+    is_there = task.worker == session.worker.id and task.run == run
+    return is_there and task.phase is TaskPhase.STOPPING
+
+
 def _is_accepted(status: CallStatus) -> bool:
     return status not in (CallStatus.UNKNOWN, CallStatus.REFUSED)
 
--- a/tests/test_other_placements.py
+++ b/tests/test_other_placements.py
@@ -4,10 +4,19 @@
 
 import asyncio
 
+import pytest
+
+from lentilmount.control.worker_session import WorkerSession
+from lentilmount.platform.workers import CallStatus, CommandAnswer
+from lentilmount.scheduling.reports import WorkerEntry
 from tests.restart_fixtures import (
+    CALL_SECONDS,
+    TIMEOUT_SECONDS,
+    LateWorker,
     RestartScene,
     play,
 )
+from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
 
 UPTIME_SECONDS = 100.0
 """Uptime of a worker whose deadlines are late by the clock of the next one."""
@@ -66,3 +75,41 @@
         assert scene.client.executed
 
     play(scenario)
+
+
+def test_a_stop_that_another_worker_accepts_frees_no_held_task(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The answer came once the task was kept elsewhere; it ran twice."""
+    stop_of_worker = LateWorker.stop
+
+    async def stop(
+        client: LateWorker, worker: WorkerEntry, task: str, run: int
+    ) -> CommandAnswer:
+        if worker.id == 'w':
+            return await stop_of_worker(client, worker, task, run)
+        await asyncio.sleep(TIMEOUT_SECONDS)
+        return CommandAnswer(CallStatus.DONE)
+
+    async def scenario(scene: RestartScene) -> None:
+        loop = asyncio.get_running_loop()
+        await leave_late_start(scene)
+        scene.cluster.begin_stop(scene.task)
+        scene.commands.sessions['other'] = WorkerSession(
+            scene.other,
+            scene.cluster,
+            scene.client,
+            IgnoringListener(),
+            LEASE_SECONDS,
+            loop.time,
+        )
+        scene.commands.stop(scene.task)
+        await asyncio.sleep(CALL_SECONDS)
+        scene.cluster.end_worker_tasks(scene.other, loop.time())
+        await restart_refusing_stops(scene)
+        assert scene.task.worker == scene.worker.id
+        await scene.observe(LATE_SECONDS)
+        assert scene.client.executed
+
+    monkeypatch.setattr(LateWorker, 'stop', stop)
+    play(scenario)
