Keep the session of a lost worker while a late call may arrive

Cause: a session ended some seconds after its worker was lost and unregistered, and with it what was known of polls without an answer. If the worker started again under its id, a new session did not assume the leases that such a poll may still renew there.

Ruled out: keeping the calls in the owner, beside the sessions; a session that goes on does the same for late starts already.

Change: a session ends only when no call with a lease may be executed any more.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -148,13 +148,13 @@
             await self._poll()
 
     def _is_unused(self) -> bool:
-        """Returns whether the worker is gone and will not start anything."""
+        """Returns whether the worker is gone and no call may arrive there."""
         worker = self.worker
         if self.monotonic() - worker.lost_at > PROOF_SECONDS:
             worker.suspects.clear()
         is_gone = not worker.is_registered and not worker.tasks
-        may_start = bool(self._late_calls.list_starts())
-        return is_gone and not may_start and not worker.suspects
+        may_be_called = self._late_calls.get_remaining_seconds() > 0
+        return is_gone and not may_be_called and not worker.suspects
 
     async def _wait_for_expiry(self) -> None:
         self.worker.has_missed_poll = True
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -10,10 +10,11 @@
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.keys import make_job_key, make_owner_key
+from lentilmount.control.late_calls import LATE_CALL_SECONDS
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import Owner, OwnerSettings
 from lentilmount.control.registry import POLL_SECONDS, RETURN_SECONDS
-from lentilmount.control.worker_session import RETRY_SECONDS
+from lentilmount.control.worker_session import RETRY_SECONDS, WorkerSession
 from lentilmount.coordination.leases import LeaseKeeper
 from lentilmount.coordination.table import (
     ABSENT,
@@ -39,6 +40,7 @@
     WorkerClient,
 )
 from lentilmount.resources import Room
+from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import TaskPhase
 from lentilmount.scheduling.placement import Placer
@@ -57,11 +59,13 @@
 from tests.restart_fixtures import (
     CALL_SECONDS,
     TIMEOUT_SECONDS,
+    LateWorker,
     RestartScene,
     play,
 )
 from tests.scheduling_fixtures import (
     SERVICE,
+    add_worker,
     admit,
     find_task,
     make_end,
@@ -70,7 +74,7 @@
     run_pass,
 )
 from tests.test_submissions import JOB
-from tests.test_worker_session import LEASE_SECONDS
+from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
 
 LATE_SECONDS = 4.0
 """Time after which a call without an answer is executed."""
@@ -273,6 +277,35 @@
     play(scenario)
 
 
+def test_late_polls_are_remembered_after_their_worker_is_gone() -> None:
+    """A worker that was registered again held leases that nobody knew of."""
+    clock = ManualClock()
+
+    async def work() -> None:
+        cluster = ClusterState()
+        worker = add_worker(cluster, 'w')
+        client = LateWorker(HttpClient(''), 1, TIMEOUT_SECONDS)
+        session = WorkerSession(
+            worker,
+            cluster,
+            client,
+            IgnoringListener(),
+            LEASE_SECONDS,
+            clock.monotonic,
+        )
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(0.1)
+        client.silent = True
+        await asyncio.sleep(1.0)
+        worker.is_registered = False
+        await asyncio.sleep(LATE_CALL_SECONDS - 2.0)
+        assert not running.done()
+        async with asyncio.timeout(5.0):
+            await running
+
+    run_virtual(work(), clock)
+
+
 def test_leases_include_a_start_that_the_next_incarnation_answered() -> None:
     """A lease by an old clock lasted longer than the owner assumed."""
 
