--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -9,6 +9,7 @@
 import attrs
 import logbook
 
+from lentilmount.control.placement_log import StartProgress
 from lentilmount.control.worker_session import (
     FORGET_SECONDS,
     SessionListener,
@@ -21,7 +22,8 @@
     WorkerClient,
 )
 from lentilmount.scheduling.cluster import ClusterState
-from lentilmount.scheduling.model import Task, TaskPhase, Worker
+from lentilmount.scheduling.history import ChangeReason
+from lentilmount.scheduling.model import PlacedRun, Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import StaleRun
 
 log = logbook.Logger('links')
@@ -38,6 +40,14 @@
 may have shrunk, which its registration shows only later."""
 
 
+_STARTED = frozenset({TaskPhase.STARTING, TaskPhase.RUNNING, TaskPhase.DONE})
+"""Phases in which the outcome of a task's start is still of use."""
+
+
+def ignore_start(progress: StartProgress) -> None:
+    """Records nothing about a start."""
+
+
 @attrs.define(eq=False)
 class CommandSender:
     """Sends start, stop and throttle commands until their outcome is known.
@@ -51,6 +61,7 @@
       start_task: Runs a coroutine in the background.
       get_ticket: Returns the advice service's ticket for a task on a worker.
       wake: Called when a task may be placed again.
+      record_start: Called when no further copy of a start is to be sent.
     """
 
     cluster: ClusterState
@@ -61,10 +72,12 @@
     start_task: Callable[[Coroutine[Any, Any, None]], None]
     get_ticket: Callable[[Task, Worker], str]
     wake: Callable[[], None]
+    record_start: Callable[[StartProgress], None] = ignore_start
+    _starts_in_progress: set[PlacedRun] = attrs.Factory(set)
 
     def start(self, task: Task) -> None:
         """Sends the start of a task that was placed."""
-        self.start_task(self._start(task, task.run))
+        self.start_task(self._start_once(PlacedRun(task, task.run)))
 
     def stop(self, task: Task) -> None:
         """Sends the stop of a task in phase STOPPING."""
@@ -86,8 +99,17 @@
         self.start_task(self._throttle(task, task.run, cpu_percent))
 
     def stop_stale_run(self, stale_run: StaleRun) -> None:
-        """Sends the stop of a run that the worker must not run."""
-        self.start_task(self._stop_stale_run(stale_run))
+        """Sends the stop of a run that the worker must not run.
+
+        It is sent once, as each report that lists the run asks for it again,
+        or until it is accepted if it is the current run of its task.
+        """
+        task = self.cluster.find_task(stale_run.task)
+        is_stopping = task is not None and self._is_stopping(task, stale_run)
+        if task is not None and is_stopping and task.run == stale_run.run:
+            self.stop(task)
+        else:
+            self.start_task(self._stop_stale_run(stale_run))
 
     def stop_late_starts(self, late_starts: list[StaleRun]) -> None:
         """Stops runs that a restarted worker may still start."""
@@ -99,21 +121,62 @@
                 self.start_task(self._stop_late_start(late_start))
 
     def _is_stopping(self, task: Task, stale_run: StaleRun) -> bool:
-        is_current = (task.worker, task.run) == (
-            stale_run.worker,
-            stale_run.run,
-        )
-        return is_current and task.phase is TaskPhase.STOPPING
+        """Returns whether the stop of a task also stops an older run of it."""
+        is_there = task.worker == stale_run.worker
+        is_included = is_there and task.run >= stale_run.run
+        return is_included and task.phase is TaskPhase.STOPPING
+
+    async def _start_once(self, placed_run: PlacedRun) -> None:
+        """Sends the start of a run unless it is being sent already.
+
+        A rejection of the first copy shows that nothing runs only if no other
+        sender has sent one.
+        """
+        if placed_run in self._starts_in_progress:
+            log.error(
+                'Not sent: the start is being sent already.',
+                extra={'task': str(placed_run.task.id), 'run': placed_run.run},
+            )
+            return
+        self._starts_in_progress.add(placed_run)
+        try:
+            await self._start(placed_run.task, placed_run.run)
+        finally:
+            self._starts_in_progress.discard(placed_run)
 
     async def _start(self, task: Task, run: int) -> None:
+        progress = StartProgress(str(task.id), run, task.worker)
         session = self.sessions.get(task.worker)
+        is_answered = session is None or await self._send_start(
+            session, task, run, progress
+        )
+        progress.settled_at = self.monotonic()
+        is_current = task.run == run and task.phase in _STARTED
+        progress.is_superseded = not is_current
+        self.record_start(progress)
+        if session is not None and not is_answered:
+            await self._probe(session, progress.task, run)
+
+    async def _send_start(
+        self,
+        session: WorkerSession,
+        task: Task,
+        run: int,
+        progress: StartProgress,
+    ) -> bool:
+        """Sends copies of a start until it is answered or needless.
+
+        Returns:
+          Whether the worker needs no probe, as it has answered or nothing was
+          sent.
+        """
         is_due = task.phase is TaskPhase.STARTING and task.run == run
-        if session is None or not is_due:
-            return
+        if not is_due:
+            return True
         together = self._list_members(task)
         if any(self._may_overcommit(member) for member in together):
             self._withdraw(together, 'the worker may be too small by now')
-            return
+            return True
         command = self._make_start(session, task, run)
         session.add_unanswered_start(command.task, run)
         is_first = True
@@ -132,10 +195,12 @@
                     continue
                 task.start_follows_answer = True
             sent_at = task.start_sent_at = self.monotonic()
+            progress.count_copy(sent_at)
             answer = await self._call(
                 session,
                 self.worker_client.start(session.worker.entry, command),
             )
+            progress.status = answer.status
             if is_first and answer.status is not CallStatus.UNKNOWN:
                 session.settle_start(command.task, run)
             if task.run != run or task.phase is not TaskPhase.STARTING:
@@ -143,18 +208,18 @@
             status = answer.status
             if status is CallStatus.DONE:
                 self.cluster.confirm_start(task, run, self.monotonic())
-                return
+                return True
             if status is CallStatus.FENCED:
                 self.listener.handle_lease_lost(
                     f'{task.worker} has seen a higher token'
                 )
-                return
+                return True
             if status is not CallStatus.UNKNOWN:
                 self._handle_rejection(task, run, status, not is_first)
-                return
+                return True
             is_first = False
             pause = await _back_off(pause)
-        await self._probe(session, command.task, run)
+        return False
 
     async def _answers_probe(
         self, session: WorkerSession, task: Task, run: int
@@ -197,8 +262,19 @@
                         'worker': task.worker,
                     },
                 )
-                self.cluster.reject_start(task, task.run)
+                self.cluster.reject_start(
+                    task, task.run, ChangeReason.NEVER_SENT
+                )
             elif task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
+                log.info(
+                    'Stopping: {}.',
+                    reason,
+                    extra={
+                        'task': str(task.id),
+                        'run': task.run,
+                        'worker': task.worker,
+                    },
+                )
                 self.cluster.begin_stop(task)
                 self.stop(task)
         self.wake()
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -10,9 +10,12 @@
 import math
 from collections.abc import Iterable
 
-from lentilmount.scheduling.crashes import (
-    list_suspects,
-    list_unanswered,
+from lentilmount.scheduling.crashes import list_suspects, list_unanswered
+from lentilmount.scheduling.history import (
+    ChangeKind,
+    ChangeReason,
+    PlacementChange,
+    PlacementHistory,
 )
 from lentilmount.scheduling.model import (
     EndedTask,
@@ -68,6 +71,7 @@
       workers: All workers that run or may run tasks, by id.
       ready: Tasks that may be placed now, by id.
       dirty: Ids of the jobs whose state row must be written; values are unused.
+      history: Changes of placements, to be logged.
     """
 
     def __init__(self) -> None:
@@ -75,6 +79,7 @@
         self.workers: dict[str, Worker] = {}
         self.ready: dict[TaskId, Task] = {}
         self.dirty: dict[str, None] = {}
+        self.history = PlacementHistory()
 
     # Jobs.
 
@@ -260,24 +265,72 @@
             task.confirmed_at = now
             self.mark_started(task.job)
 
-    def reject_start(self, task: Task, run: int) -> None:
-        """Records that a worker has certainly not started a run."""
+    def reject_start(
+        self,
+        task: Task,
+        run: int,
+        reason: ChangeReason | None = ChangeReason.REJECTED,
+    ) -> None:
+        """Records that a worker has certainly not started a run.
+
+        Args:
+          task: The task.
+          run: The run.
+          reason: See `requeue`.
+        """
         if task.run == run and task.phase in (
             TaskPhase.STARTING,
             TaskPhase.STOPPING,
         ):
-            self.requeue(task)
+            self.requeue(task, reason)
 
     def begin_stop(self, task: Task) -> None:
         """Marks a placed task as being stopped."""
         if task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
             task.phase = TaskPhase.STOPPING
 
-    def requeue(self, task: Task) -> None:
+    def record_change(
+        self,
+        task: Task,
+        kind: ChangeKind,
+        reason: ChangeReason,
+        run: int | None = None,
+        worker: str | None = None,
+    ) -> None:
+        """Records a change of a placement, before it is made.
+
+        Args:
+          task: The task.
+          kind: What happens.
+          reason: Why.
+          run: The run, if it is not that of the task's placement.
+          worker: Id of the worker, if it is not that of the placement.
+        """
+        self.history.add(
+            PlacementChange(
+                task.id,
+                task.run if run is None else run,
+                task.worker if worker is None else worker,
+                kind,
+                reason,
+                task.phase.value,
+            )
+        )
+
+    def requeue(
+        self, task: Task, reason: ChangeReason | None = ChangeReason.WITHDRAWN
+    ) -> None:
         """Releases a task's resources; requeues it unless its work is over.
 
-        That is if its job is over or its gang is done.
+        That is if its job is over, or it is done elsewhere, or its gang is.
+
+        Args:
+          task: The task.
+          reason: Why its placement is over; None if the placement is undone in
+            the pass that made it, so that nothing has recorded it.
         """
+        if reason is not None and task.phase.is_placed:
+            self.record_change(task, ChangeKind.FREED, reason)
         worker = self.workers.get(task.worker)
         if worker is not None:
             worker.remove(task)
@@ -287,7 +340,9 @@
             task.phase = TaskPhase.GIVEN_UP
             return
         task.phase = TaskPhase.WAITING
-        if self._is_gang_done(task):
+        if task.is_done_elsewhere:
+            self._mark_done(task, task.last_ended_at)
+        elif self._is_gang_done(task):
             members = self.list_step_tasks(task)
             self._mark_done(task, max(m.last_ended_at for m in members))
         elif self.are_predecessors_done(task):
@@ -299,9 +354,21 @@
         is_any_done = task.job.remaining[step_key] < task.spec.count
         return task.spec.gang and is_any_done
 
-    def end_run(self, task: Task, kind: EndKind, now: float) -> list[Task]:
+    def end_run(
+        self,
+        task: Task,
+        kind: EndKind,
+        now: float,
+        reason: ChangeReason | None = None,
+    ) -> list[Task]:
         """Records how the run of a placed task ended.
 
+        Args:
+          task: The task.
+          kind: How it ended.
+          now: Monotonic time.
+          reason: How that is known; None if its worker has reported it.
+
         Returns:
           Tasks that must be stopped because of it.
         """
@@ -311,7 +378,7 @@
             share = measure_intensity(task) * task.cpu_percent / 100
             ended = EndedTask(task.spec.image, share, now)
             self.workers[worker].record_ended_task(ended)
-        self.requeue(task)
+        self.requeue(task, reason or ChangeReason(kind.value))
         if task.job.state.is_final:
             return []
         if kind is EndKind.DONE and not task.spec.lasting:
@@ -379,6 +446,22 @@
                 self._mark_done(member, now)
         return stopping
 
+    def complete_elsewhere(self, task: Task, now: float) -> list[Task]:
+        """Records that an earlier run of a placed task is done.
+
+        The current run, and those of the other members of a gang, are stopped.
+        The tasks are done once these have ended.
+
+        Returns:
+          Tasks that must be stopped because of it.
+        """
+        done = self.list_step_tasks(task) if task.spec.gang else [task]
+        for member in done:
+            member.is_done_elsewhere = True
+            member.last_ended_at = now
+        self.dirty[task.job.spec.id] = None
+        return self.complete_task(task, now)
+
     def _mark_done(self, task: Task, now: float) -> None:
         job = task.job
         task.phase = TaskPhase.DONE
@@ -451,6 +534,7 @@
         now: float,
         late_starts: frozenset[StaleRun] = frozenset(),
         asked_at: float = math.inf,
+        reason: ChangeReason = ChangeReason.LEASE_EXPIRED,
     ) -> list[Task]:
         """Ends all runs on a worker whose leases expired or that restarted.
 
@@ -463,6 +547,7 @@
             tasks must be stopped there instead.
           asked_at: Monotonic time since which a restarted worker may have
             started the runs that it has confirmed. They are kept.
+          reason: How it is known that the runs have ended.
 
         Returns:
           The tasks whose runs have ended.
@@ -470,6 +555,7 @@
         ended = []
         for late_start in late_starts:
             self._hold_waiting(late_start, worker)
+        held = {late_start.task for late_start in late_starts}
         worker.lost_at = now
         worker.suspects |= {task: task.run for task in list_suspects(worker)}
         for task in list_unanswered(worker):
@@ -480,7 +566,11 @@
                 continue
             if asked_at <= task.confirmed_at < math.inf:
                 continue
-            self.end_run(task, EndKind.LAPSED, now)
+            if str(task.id) in held:
+                # The start of an older run is late.
+                self._stop_anew(task)
+                continue
+            self.end_run(task, EndKind.LAPSED, now, reason)
             ended.append(task)
         return ended
 
@@ -489,11 +579,19 @@
         task = self.find_task(late_start.task)
         if task is None or task.phase is not TaskPhase.WAITING:
             return
-        if task.run == late_start.run:
-            task.phase = TaskPhase.STOPPING
-            task.worker = worker.id
-            worker.add(task)
-            self.ready.pop(task.id, None)
+        if task.run >= late_start.run:
+            self.hold(task, worker, ChangeReason.UNANSWERED)
+
+    def hold(self, task: Task, worker: Worker, reason: ChangeReason) -> None:
+        """Keeps a task on a worker where an earlier start of it is stopped."""
+        self.record_change(task, ChangeKind.HELD, reason, worker=worker.id)
+        task.phase = TaskPhase.STOPPING
+        task.worker = worker.id
+        task.stopped_at = math.inf
+        task.start_expired_at = math.inf
+        worker.add(task)
+        self.ready.pop(task.id, None)
+        self.dirty[task.job.spec.id] = None
 
     def confirm_crash(self, worker: Worker) -> list[Task]:
         """Counts the crash of a worker against the tasks that may be the cause.
@@ -514,6 +612,9 @@
 
     def _stop_anew(self, task: Task) -> None:
         """Marks a task as being stopped; earlier stops have no effect."""
+        self.record_change(
+            task, ChangeKind.STOPPED_ANEW, ChangeReason.UNANSWERED
+        )
         self.begin_stop(task)
         task.stopped_at = math.inf
         task.start_expired_at = math.inf
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -58,6 +58,8 @@
       run: Number of the newest known run; 0 before the first.
       skipped: How many further run numbers a previous owner may have used.
       worker: Id of the worker where it is placed, or ''.
+      is_done_elsewhere: Whether an earlier run of it is done, so that it is not
+        placed again once the current run has ended.
       checkpoint: Newest checkpoint, or ''.
       failed_runs: Numbers of the failed runs that count against its job.
       failed_on: Ids of the workers on which it failed.
@@ -97,6 +99,7 @@
     run: int = 0
     skipped: int = 0
     worker: str = ''
+    is_done_elsewhere: bool = False
     checkpoint: str = ''
     failed_runs: set[int] = attrs.Factory(set)
     failed_on: set[str] = attrs.Factory(set)
@@ -128,6 +131,25 @@
         return len(self.failed_runs)
 
 
+@attrs.frozen
+class PlacedRun:
+    """A run of a task as it was placed on a worker.
+
+    Attributes:
+      task: The task, which may have been placed anew since.
+      run: Number of the run.
+    """
+
+    task: Task
+    run: int
+
+    @property
+    def is_due(self) -> bool:
+        """Whether the run is still the current one and to be started."""
+        is_current = self.task.run == self.run
+        return is_current and self.task.phase is TaskPhase.STARTING
+
+
 BUSY_USAGE = 1.0
 QUIET_USAGE = 0.67
 """Share of its cores that a best-effort task uses in its busy and quiet phases.
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -10,6 +10,7 @@
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.crashes import is_cleared
+from lentilmount.scheduling.history import ChangeKind, ChangeReason
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import (
     EndKind,
@@ -72,19 +73,33 @@
         """
         result = ReconcileResult()
         listed: set[TaskId] = set()
+        stale_tasks: list[Task] = []
         for end in report.ended:
             self._apply_end(worker, end, result, now)
         for run_report in report.running:
             task = self._apply_running(worker, run_report, result, now)
-            if task is not None:
+            if task is None:
+                continue
+            if self._is_listed(task, worker, run_report):
                 listed.add(task.id)
-        for task in self._list_missing_tasks(worker, listed, requested_at):
+            else:
+                stale_tasks.append(task)
+        # A task that is missing may be done, with an end that is not listed.
+        missing = (
+            self._list_missing_tasks(worker, listed, requested_at)
+            if report.has_all_ends
+            else ()
+        )
+        for task in missing:
             if task.phase is TaskPhase.STARTING:
-                self._cluster.requeue(task)
+                self._cluster.requeue(task, ChangeReason.START_EXPIRED)
                 result.expired.append(task)
                 continue
-            self._cluster.end_run(task, EndKind.LAPSED, now)
+            self._cluster.end_run(
+                task, EndKind.LAPSED, now, ChangeReason.ABSENT
+            )
             result.ended.append((task, EndKind.LAPSED))
+        self._hold_stale_tasks(worker, stale_tasks, result)
         worker.runs_unknown_tasks = bool(result.unknown_tasks)
         worker.has_stale_runs = bool(result.stale_runs)
         worker.set_stale(result.stale)
@@ -122,6 +137,13 @@
         self._cluster.mark_started(task.job)
         is_current_run = task.worker == worker.id and task.run == end.run
         if not is_current_run:
+            self._cluster.record_change(
+                task,
+                ChangeKind.OTHER_END,
+                ChangeReason(end.kind.value),
+                end.run,
+                worker.id,
+            )
             self._apply_unexpected_end(task, end, result, now)
             return
         if end.checkpoint:
@@ -133,6 +155,9 @@
         self, tasks: list[Task], result: ReconcileResult
     ) -> None:
         for task in tasks:
+            self._cluster.record_change(
+                task, ChangeKind.STALE, ChangeReason.SUPERSEDED
+            )
             result.stale_runs.append(
                 StaleRun(task.worker, str(task.id), task.run)
             )
@@ -162,8 +187,13 @@
                 self._cluster.record_failure(task, end.run, now), result
             )
             result.ended.append((task, end.kind))
-        elif end.kind is EndKind.DONE and task.phase is TaskPhase.WAITING:
-            self._add_stale_runs(self._cluster.complete_task(task, now), result)
+        elif end.kind is EndKind.DONE and task.phase is not TaskPhase.DONE:
+            complete = (
+                self._cluster.complete_elsewhere
+                if task.phase.is_placed
+                else self._cluster.complete_task
+            )
+            self._add_stale_runs(complete(task, now), result)
             result.ended.append((task, end.kind))
 
     def _apply_running(
@@ -181,21 +211,67 @@
         self._drop_older_placement(task, run_report.run)
         is_unplaced = task.phase in (TaskPhase.WAITING, TaskPhase.GIVEN_UP)
         if is_unplaced and run_report.run >= task.run:
+            self._cluster.record_change(
+                task,
+                ChangeKind.ADOPTED,
+                ChangeReason.LISTED,
+                run_report.run,
+                worker.id,
+            )
             self._adopt(task, worker, run_report, now)
             result.adopted.append(task)
         if task.worker != worker.id or task.run != run_report.run:
+            self._cluster.record_change(
+                task,
+                ChangeKind.STALE,
+                ChangeReason.LISTED,
+                run_report.run,
+                worker.id,
+            )
             result.stale_runs.append(
                 StaleRun(worker.id, run_report.task, run_report.run)
             )
-            result.stale = result.stale.add(task.spec.reserved)
-            return None
+            return task
         if task.confirmed_at == 0.0:
             # Restored from a state row and reported for the first time.
+            self._cluster.record_change(
+                task, ChangeKind.CONFIRMED, ChangeReason.LISTED
+            )
             task.confirmed_at = now
             result.adopted.append(task)
         self._update(task, run_report, now)
         return task
 
+    def _is_listed(
+        self, task: Task, worker: Worker, run_report: RunReport
+    ) -> bool:
+        """Returns whether a worker lists a task as it is placed there.
+
+        A task that is being stopped there stays until no run of it is listed.
+        """
+        is_stopping = task.phase is TaskPhase.STOPPING
+        is_current = is_stopping or task.run == run_report.run
+        return task.worker == worker.id and is_current
+
+    def _hold_stale_tasks(
+        self, worker: Worker, tasks: list[Task], result: ReconcileResult
+    ) -> None:
+        """Keeps tasks from being started beside stale runs of them.
+
+        They stay on the worker until it no longer lists these runs. The start
+        of a gang's member that waits for its write is not taken back, as the
+        other members would wait for it.
+        """
+        for task in tasks:
+            is_unsent = task.start_sent_at == math.inf and not task.spec.gang
+            if task.phase is TaskPhase.STARTING and is_unsent:
+                self._cluster.requeue(task, ChangeReason.NEVER_SENT)
+            if task.phase is TaskPhase.WAITING:
+                self._cluster.hold(task, worker, ChangeReason.LISTED)
+                result.adopted.append(task)
+            else:
+                result.stale = result.stale.add(task.spec.reserved)
+
     def _drop_older_placement(self, task: Task, run: int) -> None:
         """Drops the placement of a task if a newer run of it is reported.
 
@@ -205,7 +281,7 @@
         missed and the task run again.
         """
         if task.phase.is_placed and run > task.run:
-            self._cluster.requeue(task)
+            self._cluster.requeue(task, ChangeReason.NEWER_RUN)
 
     def _adopt(
         self, task: Task, worker: Worker, run_report: RunReport, now: float
