Send no probed start to an incarnation that has not reported

What callers see: a task of their job runs twice on one worker for a moment.

Cause: a start that follows a probe waits for its answer. The worker may restart meanwhile; the probe is then answered by the next incarnation, and the start was sent there before any report showed the restart, beside a late start of an older run. Without a probe the start had been sent before the restart.

Ruled out: comparing the start time, which the answer to a stop does not have.

Change: after a probe without an answer, the next one waits for a report that was requested since, as a copy of a start does. An answer by a clock that is behind counts as none.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -180,17 +181,19 @@
         command = self._make_start(session, task, run)
         session.add_unanswered_start(command.task, run)
         is_first = True
-        sent_at = 0.0
+        unanswered_at = -math.inf
         pause = RETRY_SECONDS
         while task.phase is TaskPhase.STARTING and task.run == run:
-            if not is_first and not self._may_repeat_start(session, sent_at):
+            if not self._may_repeat_start(session, unanswered_at):
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             if task.is_probed_before_start:
+                probed_at = self.monotonic()
                 is_alive = await self._answers_probe(session, task, run)
                 if task.run != run or task.phase is not TaskPhase.STARTING:
                     break
                 if not is_alive:
+                    unanswered_at = probed_at
                     pause = await _back_off(pause)
                     continue
                 task.start_follows_answer = True
@@ -218,15 +221,22 @@
                 self._handle_rejection(task, run, status, not is_first)
                 return True
             is_first = False
+            unanswered_at = sent_at
             pause = await _back_off(pause)
         return False
 
     async def _answers_probe(
         self, session: WorkerSession, task: Task, run: int
     ) -> bool:
-        """Returns whether a worker answers a stop of the run before one."""
+        """Returns whether a worker answers a stop of the run before one.
+
+        An answer that shows a clock that is behind may be that of the next
+        incarnation, of which no report has arrived yet.
+        """
+        sent_at = self.monotonic()
         status = await self._send_stop(session, str(task.id), run - 1)
-        return status is not CallStatus.UNKNOWN
+        is_behind = session.clock_behind_at >= sent_at
+        return status is not CallStatus.UNKNOWN and not is_behind
 
     def _list_members(self, task: Task) -> list[Task]:
         """Lists the tasks that must start together with a task."""
@@ -294,7 +304,7 @@
         )
 
     def _may_repeat_start(self, session: WorkerSession, sent_at: float) -> bool:
-        """Returns whether an unanswered start may be sent again.
+        """Returns whether a start may be sent after an unanswered call.
 
         The worker may have crashed, and its next incarnation would execute the
         start as well. An overcommitted worker may have missed the earlier
@@ -302,8 +312,11 @@
 
         Args:
           session: Session of the worker.
-          sent_at: Monotonic time at which the last copy was sent.
+          sent_at: Monotonic time at which the last copy, or the last probe
+            before it, was sent without an answer; minus infinity if none was.
         """
+        if math.isinf(sent_at):
+            return True
         return session.is_asked_since(
             sent_at
         ) and not session.worker.may_be_overcommitted(self.monotonic())
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -105,6 +105,8 @@
       written_end: Number of the last run end whose effects are recorded.
       incarnation: Number of restarts of the worker seen by this session; run
         ends are numbered anew after each.
+      clock_behind_at: Monotonic time at which an answer last showed a clock
+        that was behind, perhaps that of a new incarnation.
       is_probed: Whether the worker is being probed after an unanswered command.
       end_written: Set when run ends were acknowledged.
     """
@@ -118,6 +120,7 @@
     received_end: int = 0
     written_end: int = 0
     incarnation: int = 0
+    clock_behind_at: float = -math.inf
     is_probed: bool = False
     end_written: asyncio.Event = attrs.field(factory=asyncio.Event)
     _started_ms: int | None = None
@@ -313,6 +316,7 @@
         if self._is_behind(clock_ms):
             # Perhaps a new incarnation, which takes a deadline by the clock of
             # the earlier one for the longest lease.
+            self.clock_behind_at = self.monotonic()
             self._bound_leases(0.0)
         if clock_ms < (self._clock_ms or 0):
             return
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -202,6 +202,28 @@
     play(scenario)
 
 
+@pytest.mark.parametrize('lost_probes', [0, 1])
+def test_a_probed_start_is_not_sent_to_the_next_incarnation(
+    lost_probes: int,
+) -> None:
+    """A probe answered after a restart let a start follow the earlier one."""
+
+    async def scenario(scene: RestartScene) -> None:
+        client, task = scene.client, scene.task
+        task.is_probed_before_start = True
+        client.silent_polls = True
+        client.lost_commands = lost_probes
+        await asyncio.sleep(0.1)
+        client.restart()
+        scene.commands.start(task)
+        await asyncio.sleep(3 * TIMEOUT_SECONDS)
+        assert not client.executed
+        client.silent_polls = False
+        await scene.wait_until(lambda: task.id in scene.cluster.ready)
+
+    play(scenario)
+
+
 @pytest.mark.parametrize('is_replaced', [True, False])
 def test_only_a_worker_that_has_ended_counts(is_replaced: bool) -> None:
     """A task on three workers that were cut off would be given up."""
