Take back an unsent placement when an earlier start of the task may be late

What callers see: a task of their job may run on two workers at once.

Cause: when a worker restarts, only a waiting task was kept there for a start that may still arrive. One that had been placed elsewhere, and whose start was still waiting for its write, was sent beside it. For a worker that lists an older run the placement is taken back already.

Evidence: the new test failed before and passes now (a start that was sent is not taken back, before and after). Found by reading, not in a play.

Change: both cases use one function. Members of gangs are not taken back, as before.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -578,11 +578,22 @@
     def _hold_waiting(self, late_start: StaleRun, worker: Worker) -> None:
         """Keeps a waiting task on a worker that may still start it."""
         task = self.find_task(late_start.task)
-        if task is None or task.phase is not TaskPhase.WAITING:
+        if task is None:
             return
-        if task.run >= late_start.run:
+        if task.worker != worker.id:
+            self.take_back_unsent(task)
+        if task.phase is TaskPhase.WAITING and task.run >= late_start.run:
             self.hold(task, worker, ChangeReason.UNANSWERED)
 
+    def take_back_unsent(self, task: Task) -> None:
+        """Requeues a placed task of which no copy of the start was sent.
+
+        A member of a gang is not taken back, as the others would wait for it.
+        """
+        is_unsent = task.start_sent_at == math.inf and not task.spec.gang
+        if task.phase is TaskPhase.STARTING and is_unsent:
+            self.requeue(task, ChangeReason.NEVER_SENT)
+
     def hold(self, task: Task, worker: Worker, reason: ChangeReason) -> None:
         """Keeps a task on a worker where an earlier start of it is stopped."""
         self.record_change(task, ChangeKind.HELD, reason, worker=worker.id)
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -252,14 +252,10 @@
     ) -> None:
         """Keeps tasks from being started beside stale runs of them.
 
-        They stay on the worker until it no longer lists these runs. The start
-        of a gang's member that waits for its write is not taken back, as the
-        other members would wait for it.
+        They stay on the worker until it no longer lists these runs.
         """
         for task in tasks:
-            is_unsent = task.start_sent_at == math.inf and not task.spec.gang
-            if task.phase is TaskPhase.STARTING and is_unsent:
-                self._cluster.requeue(task, ChangeReason.NEVER_SENT)
+            self._cluster.take_back_unsent(task)
             if task.phase is TaskPhase.WAITING:
                 self._cluster.hold(task, worker, ChangeReason.LISTED)
                 result.adopted.append(task)
--- a/tests/test_other_placements.py
+++ b/tests/test_other_placements.py
@@ -8,7 +8,8 @@
 
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import CallStatus, CommandAnswer
-from lentilmount.scheduling.reports import WorkerEntry
+from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.reports import StaleRun, WorkerEntry
 from tests.restart_fixtures import (
     CALL_SECONDS,
     TIMEOUT_SECONDS,
@@ -16,6 +17,12 @@
     RestartScene,
     play,
 )
+from tests.scheduling_fixtures import (
+    add_worker,
+    admit,
+    find_task,
+    make_job,
+)
 from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
 
 UPTIME_SECONDS = 100.0
@@ -113,3 +120,23 @@
 
     monkeypatch.setattr(LateWorker, 'stop', stop)
     play(scenario)
+
+
+@pytest.mark.parametrize('is_sent', [True, False])
+def test_a_placement_is_taken_back_for_a_late_start_until_it_is_sent(
+    is_sent: bool,
+) -> None:
+    """A start that waited for its write was sent beside a late start."""
+    cluster = ClusterState()
+    admit(cluster, make_job('a'))
+    task = find_task(cluster, 'a')
+    worker, other = (add_worker(cluster, name) for name in ('w', 'other'))
+    cluster.place([task], worker, 1.0)
+    cluster.requeue(task)
+    cluster.place([task], other, 2.0)
+    if is_sent:
+        task.start_sent_at = 2.1
+    late_start = StaleRun('w', str(task.id), 1)
+    cluster.end_worker_tasks(worker, 3.0, frozenset({late_start}))
+    assert task.worker == ('other' if is_sent else 'w')
+    assert (task.id in other.tasks) == is_sent
