Do not blame a worker's restart on a task that ran elsewhere

What callers see: a job is shown as failed though its task has not crashed the workers that count against it.

Cause: a task that is kept on a restarted worker for a late start had the times of its newest start, on another worker. If that was confirmed and was newer than the last answer of the restarted worker, the task was a suspect of its crash. Three such crashes in a row give up its job.

Evidence: the new test failed before (run 2, which ran on the other worker, was counted) and passes now.

Change: a task that is kept on a worker has neither sent nor confirmed a start there.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -600,7 +600,9 @@
         task.phase = TaskPhase.STOPPING
         task.worker = worker.id
         task.stopped_at = math.inf
-        # The deadline is that of another start.
+        # What is known of its newest start is of another placement.
+        task.start_sent_at = task.confirmed_at = math.inf
+        task.start_follows_answer = False
         task.start_deadline_ms = 0
         task.start_expired_at = math.inf
         worker.add(task)
--- a/tests/test_other_placements.py
+++ b/tests/test_other_placements.py
@@ -22,6 +22,7 @@
     admit,
     find_task,
     make_job,
+    run_task,
 )
 from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
 
@@ -140,3 +141,22 @@
     cluster.end_worker_tasks(worker, 3.0, frozenset({late_start}))
     assert task.worker == ('other' if is_sent else 'w')
     assert (task.id in other.tasks) == is_sent
+
+
+def test_a_task_that_ran_elsewhere_is_no_suspect_where_it_is_held() -> None:
+    """A job failed for crashes of workers that had not run its task."""
+    cluster = ClusterState()
+    admit(cluster, make_job('a'))
+    task = find_task(cluster, 'a')
+    worker, other = (add_worker(cluster, name) for name in ('w', 'other'))
+    worker.last_answer_at = 1.0
+    cluster.place([task], worker, 1.0)
+    cluster.requeue(task)
+    run_task(cluster, task, other, 2.0)
+    task.start_sent_at = 2.0
+    cluster.end_worker_tasks(other, 2.4)
+    late_start = StaleRun('w', str(task.id), 1)
+    cluster.end_worker_tasks(worker, 3.0, frozenset({late_start}))
+    assert task.worker == 'w'
+    cluster.confirm_crash(worker)
+    assert not task.crashed_runs
