Take back a gang that is not started yet for an older run of a member

What callers see: a member of a gang runs on two workers at once.

Cause: a placement that waits for its write is taken back if a worker lists an older run of the task, or may still start one, but not that of a gang's member, as the others would have waited for it. Its start was sent beside that run.

Evidence: the new test failed before and passes now.

Change: the gang is taken back as a whole if no start of a member was sent. A gang is placed once all its members wait, so it stays off until the older run has ended. Once one start was sent, it goes on as before.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -63,6 +63,12 @@
     return tuple(path_seconds)
 
 
+def _is_unsent(task: Task) -> bool:
+    """Returns whether a task is placed and its start was not sent yet."""
+    is_sent = task.start_sent_at < math.inf
+    return task.phase is TaskPhase.STARTING and not is_sent
+
+
 class ClusterState:
     """State of the jobs, tasks and workers of one service.
 
@@ -588,11 +594,13 @@
     def take_back_unsent(self, task: Task) -> None:
         """Requeues a placed task of which no copy of the start was sent.
 
-        A member of a gang is not taken back, as the others would wait for it.
+        A gang is taken back as a whole, or not at all once the start of a
+        member was sent, as its members wait for each other.
         """
-        is_unsent = task.start_sent_at == math.inf and not task.spec.gang
-        if task.phase is TaskPhase.STARTING and is_unsent:
-            self.requeue(task, ChangeReason.NEVER_SENT)
+        members = self.list_step_tasks(task) if task.spec.gang else [task]
+        if all(_is_unsent(member) for member in members):
+            for member in members:
+                self.requeue(member, ChangeReason.NEVER_SENT)
 
     def hold(self, task: Task, worker: Worker, reason: ChangeReason) -> None:
         """Keeps a task on a worker where an earlier start of it is stopped."""
--- a/tests/test_other_placements.py
+++ b/tests/test_other_placements.py
@@ -9,6 +9,7 @@
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import CallStatus, CommandAnswer
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import StaleRun, WorkerEntry
 from tests.restart_fixtures import (
     CALL_SECONDS,
@@ -22,6 +23,9 @@
     admit,
     find_task,
     make_job,
+    make_report,
+    make_running,
+    make_step,
     run_task,
 )
 from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
@@ -160,3 +164,24 @@
     assert task.worker == 'w'
     cluster.confirm_crash(worker)
     assert not task.crashed_runs
+
+
+@pytest.mark.parametrize('is_sent', [True, False])
+def test_a_gang_is_taken_back_for_an_older_run_until_a_start_is_sent(
+    is_sent: bool,
+) -> None:
+    """A member whose start waited for its write ran beside its older run."""
+    cluster = ClusterState()
+    admit(cluster, make_job('a', make_step(count=2, gang=True)))
+    members = [find_task(cluster, 'a', index=index) for index in range(2)]
+    first, second = (add_worker(cluster, n) for n in ('first', 'second'))
+    cluster.place(members, first, 1.0)
+    cluster.end_worker_tasks(first, 2.0)
+    cluster.place(members, second, 3.0)
+    if is_sent:
+        members[1].start_sent_at = 3.1
+    report = make_report(running=(make_running(members[0], 1),))
+    Reconciler(cluster).reconcile(first, report, 4.0, 4.0)
+    workers = [member.worker for member in members]
+    assert workers == (['second', 'second'] if is_sent else ['first', ''])
+    assert list(cluster.ready) == ([] if is_sent else [members[1].id])
