--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -67,6 +67,12 @@
     return tuple(path_seconds)
 
 
+def _is_unsent(task: Task) -> bool:
+    """Returns whether a task is placed and its start was not sent yet."""
+    is_sent = task.start_sent_at < math.inf
+    return task.phase is TaskPhase.STARTING and not is_sent
+
+
 class ClusterState:
     """State of the jobs, tasks and workers of one service.
 
@@ -584,7 +590,11 @@
     ) -> None:
         """Keeps a waiting task on a worker that may still start a run of it."""
         task = self.find_task(late_start.task)
-        if task is None or task.phase is not TaskPhase.WAITING:
+        if task is None:
+            return
+        if task.worker != worker.id:
+            self.take_back_unsent(task)
+        if task.phase is not TaskPhase.WAITING:
             return
         if task.run == late_start.run:
             deadline_ms = task.start_deadline_ms
@@ -593,6 +603,17 @@
         elif task.run > late_start.run:
             self.hold(task, worker, now + HOLD_SECONDS, ChangeReason.UNANSWERED)
 
+    def take_back_unsent(self, task: Task) -> None:
+        """Requeues a placed task of which no copy of the start was sent.
+
+        A gang is taken back as a whole, or not at all once the start of a
+        member was sent, as its members wait for each other.
+        """
+        members = self.list_step_tasks(task) if task.spec.gang else [task]
+        if all(_is_unsent(member) for member in members):
+            for member in members:
+                self.requeue(member, ChangeReason.NEVER_SENT)
+
     def hold(
         self,
         task: Task,
@@ -614,6 +635,9 @@
         task.phase = TaskPhase.STOPPING
         task.worker = worker.id
         task.stopped_at = stopped_at
+        # What is known of its newest start is of another placement.
+        task.start_sent_at = task.confirmed_at = math.inf
+        task.start_follows_answer = False
         task.start_expired_at = math.inf
         task.start_deadline_ms = 0
         worker.add(task)
--- a/tests/test_other_placements.py
+++ b/tests/test_other_placements.py
@@ -8,7 +8,9 @@
 
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import CallStatus, CommandAnswer
-from lentilmount.scheduling.reports import WorkerEntry
+from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.reconciliation import Reconciler
+from lentilmount.scheduling.reports import StaleRun, WorkerEntry
 from tests.restart_fixtures import (
     CALL_SECONDS,
     TIMEOUT_SECONDS,
@@ -16,6 +18,16 @@
     RestartScene,
     play,
 )
+from tests.scheduling_fixtures import (
+    add_worker,
+    admit,
+    find_task,
+    make_job,
+    make_report,
+    make_running,
+    make_step,
+    run_task,
+)
 from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
 
 UPTIME_SECONDS = 100.0
@@ -113,3 +125,63 @@
 
     monkeypatch.setattr(LateWorker, 'stop', stop)
     play(scenario)
+
+
+@pytest.mark.parametrize('is_sent', [True, False])
+def test_a_placement_is_taken_back_for_a_late_start_until_it_is_sent(
+    is_sent: bool,
+) -> None:
+    """A start that waited for its write was sent beside a late start."""
+    cluster = ClusterState()
+    admit(cluster, make_job('a'))
+    task = find_task(cluster, 'a')
+    worker, other = (add_worker(cluster, name) for name in ('w', 'other'))
+    cluster.place([task], worker, 1.0)
+    cluster.requeue(task)
+    cluster.place([task], other, 2.0)
+    if is_sent:
+        task.start_sent_at = 2.1
+    late_start = StaleRun('w', str(task.id), 1)
+    cluster.end_worker_tasks(worker, 3.0, frozenset({late_start}))
+    assert task.worker == ('other' if is_sent else 'w')
+    assert (task.id in other.tasks) == is_sent
+
+
+def test_a_task_that_ran_elsewhere_is_no_suspect_where_it_is_held() -> None:
+    """A job failed for crashes of workers that had not run its task."""
+    cluster = ClusterState()
+    admit(cluster, make_job('a'))
+    task = find_task(cluster, 'a')
+    worker, other = (add_worker(cluster, name) for name in ('w', 'other'))
+    worker.last_answer_at = 1.0
+    cluster.place([task], worker, 1.0)
+    cluster.requeue(task)
+    run_task(cluster, task, other, 2.0)
+    task.start_sent_at = 2.0
+    cluster.end_worker_tasks(other, 2.4)
+    late_start = StaleRun('w', str(task.id), 1)
+    cluster.end_worker_tasks(worker, 3.0, frozenset({late_start}))
+    assert task.worker == 'w'
+    cluster.confirm_crash(worker)
+    assert not task.crashed_runs
+
+
+@pytest.mark.parametrize('is_sent', [True, False])
+def test_a_gang_is_taken_back_for_an_older_run_until_a_start_is_sent(
+    is_sent: bool,
+) -> None:
+    """A member whose start waited for its write ran beside its older run."""
+    cluster = ClusterState()
+    admit(cluster, make_job('a', make_step(count=2, gang=True)))
+    members = [find_task(cluster, 'a', index=index) for index in range(2)]
+    first, second = (add_worker(cluster, n) for n in ('first', 'second'))
+    cluster.place(members, first, 1.0)
+    cluster.end_worker_tasks(first, 2.0)
+    cluster.place(members, second, 3.0)
+    if is_sent:
+        members[1].start_sent_at = 3.1
+    report = make_report(running=(make_running(members[0], 1),))
+    Reconciler(cluster).reconcile(first, report, 4.0, 4.0)
+    workers = [member.worker for member in members]
+    assert workers == (['second', 'second'] if is_sent else ['first', ''])
+    assert list(cluster.ready) == ([] if is_sent else [members[1].id])
