Count the time of a late start from its newest copy

What callers see: a task of their job may run on two workers at once.

Cause: a start may be executed for up to 30 s after it was sent. This was counted from its first copy, while copies are sent until the start expires. A worker that restarted at the end of that time was thought to be free of it.

Change: each copy that is sent counts.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -176,7 +176,6 @@
             self._withdraw(together, 'the worker may be too small by now')
             return True
         command = self._make_start(session, task, run)
-        session.add_unanswered_start(command.task, run)
         is_first = True
         sent_at = 0.0
         pause = RETRY_SECONDS
@@ -192,6 +191,7 @@
                     pause = await _back_off(pause)
                     continue
                 task.start_follows_answer = True
+            session.add_unanswered_start(command.task, run)
             sent_at = task.start_sent_at = self.monotonic()
             progress.count_copy(sent_at)
             answer = await self._call(
