--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -179,7 +179,6 @@
             self._withdraw(together, 'the worker may be too small by now')
             return True
         command = self._make_start(session, task, run)
-        session.add_unanswered_start(command.task, run)
         is_first = True
         unanswered_at = -math.inf
         pause = RETRY_SECONDS
@@ -197,6 +196,7 @@
                     pause = await _back_off(pause)
                     continue
                 task.start_follows_answer = True
+            session.add_unanswered_start(command.task, run)
             sent_at = task.start_sent_at = self.monotonic()
             progress.count_copy(sent_at)
             answer = await self._call(
