Let the soak's workers carry out the rejections that links announce

Since links announced them and workers ignored them, so no start was answered 429, 503 or 409 without room: plays from then on did not cover copies of starts that are rejected. A test now plays a link and a worker.

--- a/soak/worker.py
+++ b/soak/worker.py
@@ -121,6 +121,12 @@
         received = float(self.request.headers.get(RECEIVED_HEADER, 'inf'))
         if path != POLL_PATH:
             self._note(EventKind.RECEIVED, body, path)
+        rejection = int(self.request.headers.get(REJECTION_HEADER, '0'))
+        if rejection not in (0, _NO_ROOM):
+            self._note(EventKind.REFUSED, body, f'{path} {rejection}')
+            self.set_status(rejection)
+            return
+        model.has_room = rejection != _NO_ROOM
         status, document = model.receive(path, body, received < model.booted_at)
         if path != POLL_PATH and status != 200:
             detail = f'{path} {status} {document["reason"]}'
@@ -144,16 +150,20 @@
         self.finish(orjson.dumps(document))
 
 
+def make_service(worker: ServedWorker) -> Application:
+    """Builds the HTTP application of a worker."""
+    return Application(
+        [('.*', _CallHandler, {'worker': worker})],
+        log_function=lambda handler: None,
+    )
+
+
 async def _serve(worker_id: str, path: str) -> None:
     log = EventLog(pathlib.Path(path))
     model = ModelWorker(worker_id, '', [])
     worker = ServedWorker(model, log)
     worker.open()
-    application = Application(
-        [('.*', _CallHandler, {'worker': worker})],
-        log_function=lambda handler: None,
-    )
-    _, model.address = serve(application)
+    _, model.address = serve(make_service(worker))
     registration = orjson.loads(model.describe(SERVICE))
     print(orjson.dumps(registration).decode(), flush=True)
     await asyncio.Event().wait()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 import attrs
+import orjson
 import pytest
 
 from lentilmount.context import Environment
@@ -32,8 +33,10 @@
 from soak.events import Event, EventKind, EventLog, read_events
 from soak.links import Link
 from soak.plan import Fault, FaultKind, Job, Size, make_plan
-from soak.work import Work, WorkKind
-from stand_ins.model_worker import START_PATH
+from soak.work import Work, WorkKind, encode_payload
+from soak.worker import ServedWorker, make_service
+from stand_ins.entry_hosts import serve
+from stand_ins.model_worker import START_PATH, ModelWorker
 from tests.helpers import run
 
 WORK = Work(WorkKind.DONE, 1.0)
@@ -267,6 +270,58 @@
     assert events[0].kind is event_kind
 
 
+@pytest.mark.parametrize(
+    ('status', 'copy_status'), [(429, 429), (503, 503), (409, 200)]
+)
+def test_an_unhealthy_worker_rejects_starts(
+    status: int, copy_status: int, tmp_path: pathlib.Path
+) -> None:
+    """Links announced rejections that the workers did not carry out.
+
+    A start without room is answered as usual if its run is there already.
+    """
+
+    async def play() -> list[int]:
+        log = EventLog(tmp_path / 'a.jsonl')
+        worker = ServedWorker(ModelWorker('w', '', []), log)
+        worker.open()
+        server, address = serve(make_service(worker))
+        link = Link('host-0/worker-0', log, address)
+        await link.open()
+        client = HttpClient(f'http://{link.address}')
+        unhealthy = Fault(
+            0.0,
+            FaultKind.UNHEALTHY,
+            link.name,
+            status=status,
+            unhealthy_seconds=60.0,
+        )
+        statuses = []
+        for task in (FIRST, FIRST, SECOND):
+            document = {
+                'task': task,
+                'run': 1,
+                'spec': encode_payload(JOB.steps),
+                'deadlineMs': worker.model.clock_ms + 1000,
+                'fencingToken': 1,
+            }
+            answer = await client.call(
+                'POST', START_PATH, orjson.dumps(document)
+            )
+            statuses.append(answer.status)
+            link.set_fault(unhealthy)
+        client.close()
+        link.close()
+        server.stop()
+        log.close()
+        return statuses
+
+    assert run(play()) == [200, copy_status, status]
+    events = read_events([tmp_path / 'a.jsonl'])
+    started = [e.task for e in events if e.kind is EventKind.STARTED]
+    assert started == [FIRST]
+
+
 def test_a_short_play_keeps_all_promises() -> None:
     """Daemons, workers and links that are disturbed must run each task once."""
     output = io.StringIO()
