Assume late renewals of leases for 12 s instead of 30

What callers see: a task whose worker restarts and is lost a moment later runs nowhere for up to 36 s.

Cause: since late calls count as leases after a restart, the tasks of a worker that is lost within 30 s after one wait for the last of them and a lease. Nearly each crash leaves a poll without an answer, so this is not as rare as assumed.

Ruled out: the bound of before, one call's timeout, as calls may be executed seconds later; counting no calls whose connection was reset, as they had no answer either.

Change: the time for which a call may renew leases late has a constant of its own, 12 s, as long as the longest delay in the search for schedules. Late starts are stopped for 30 s, as before.

A call that renews leases more than 12 s late, at a worker that restarted and is then lost, can still make a task run twice. Tokens that rise with each restart would rule that out without a wait; not built.

--- a/lentilmount/control/late_calls.py
+++ b/lentilmount/control/late_calls.py
@@ -9,8 +9,12 @@
 
 from lentilmount.scheduling.reports import StaleRun
 
-LATE_CALL_SECONDS = 30.0
-"""Time after which a call without an answer is assumed never to be executed."""
+LATE_START_SECONDS = 30.0
+"""Time after which an unanswered start is assumed never to be executed."""
+
+LATE_LEASE_SECONDS = 12.0
+"""Time after which an unanswered call is assumed to renew no leases. Shorter,
+as the tasks of a worker that is lost after a restart wait for it."""
 
 
 @attrs.define(eq=False)
@@ -44,7 +48,7 @@
         return list(self._starts)
 
     def _forget_starts(self) -> None:
-        since = self.monotonic() - LATE_CALL_SECONDS
+        since = self.monotonic() - LATE_START_SECONDS
         self._starts = {
             start: sent_at
             for start, sent_at in self._starts.items()
@@ -59,12 +63,12 @@
         """
         self._renewal_sent_at = max(self._renewal_sent_at, sent_at)
 
-    def get_remaining_seconds(self) -> float:
-        """Returns for how long a call with a lease may still be executed.
+    def get_lease_delay(self) -> float:
+        """Returns for how long a call may still renew leases.
 
         Returns:
           Seconds, 0 if there is no such call.
         """
         newest = max(self._starts.values(), default=-math.inf)
-        until = max(newest, self._renewal_sent_at) + LATE_CALL_SECONDS
+        until = max(newest, self._renewal_sent_at) + LATE_LEASE_SECONDS
         return max(0.0, until - self.monotonic())
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -157,8 +157,11 @@
         if self.monotonic() - worker.lost_at > PROOF_SECONDS:
             worker.suspects.clear()
         is_gone = not worker.is_registered and not worker.tasks
-        may_be_called = self._late_calls.get_remaining_seconds() > 0
-        return is_gone and not may_be_called and not worker.suspects
+        has_late_calls = (
+            bool(self._late_calls.list_starts())
+            or self._late_calls.get_lease_delay() > 0
+        )
+        return is_gone and not has_late_calls and not worker.suspects
 
     async def _wait_for_expiry(self) -> None:
         self.worker.has_missed_poll = True
@@ -483,7 +486,7 @@
         worker = self.worker
         self._reset_command_state()
         late_starts = self._late_calls.list_starts()
-        self._bound_leases(self._late_calls.get_remaining_seconds())
+        self._bound_leases(self._late_calls.get_lease_delay())
         tasks = self.cluster.end_worker_tasks(
             worker,
             self.monotonic(),
