--- a/tests/test_late_calls.py
+++ b/tests/test_late_calls.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from lentilmount.control.late_calls import LATE_CALL_SECONDS
+from lentilmount.control.late_calls import LATE_START_SECONDS
 from tests.restart_fixtures import (
     RestartScene,
     play,
@@ -25,7 +25,7 @@
         sent_at = scene.task.start_sent_at
         await scene.wait_until(lambda: scene.task.id in scene.cluster.ready)
         sent_at = max(sent_at, scene.task.start_sent_at)
-        await asyncio.sleep(sent_at + LATE_CALL_SECONDS - 0.1 - loop.time())
+        await asyncio.sleep(sent_at + LATE_START_SECONDS - 0.1 - loop.time())
         scene.client.refused_stops = 100
         scene.client.restart()
         await asyncio.sleep(0.05)
