Count the first report of a restarted worker in the search's check

The check of two runs assumed that an owner knows of a restart at once. A late start is now unavoidable if the other start was sent before any report of that incarnation arrived, within the 2 s in which a worker has to be noticed.

--- a/stand_ins/model_network.py
+++ b/stand_ins/model_network.py
@@ -97,6 +97,8 @@
       faults: Faults of the next calls, by path.
       disturbed_at: Time in seconds of the newest fault.
       cuts: Times in seconds at which it was cut off and healed.
+      reported_at: Time in seconds at which the first report of an incarnation
+        arrived, by the number of the incarnation.
       refuses_until: Time in seconds until which the worker refuses starts, as
         it is unhealthy.
     """
@@ -107,6 +109,7 @@
     faults: dict[str, list[CallFault]] = attrs.Factory(dict)
     disturbed_at: float = -math.inf
     cuts: list[tuple[float, float]] = attrs.Factory(list)
+    reported_at: dict[int, float] = attrs.Factory(dict)
     refuses_until: float = -math.inf
 
     def cut(self, loses_calls: bool, loses_answers: bool, now: float) -> None:
@@ -199,16 +202,19 @@
         if response is None:
             return NO_ANSWER
         status, document = response
+        incarnation = 0
         if path == POLL_PATH and status == 200:
             wait_ms = orjson.loads(body).get('waitMs', 0)
             report = await link.worker.report(wait_ms)
             if report is None:
                 return NO_ANSWER
             document = report
+            incarnation = link.worker.incarnation
         await asyncio.sleep(delay)
         if link.loses_answers:
             link.disturbed_at = _now()
             await asyncio.sleep(NEVER)
+        link.reported_at.setdefault(incarnation, _now())
         return HttpResponse(status, orjson.dumps(document), {})
 
     def _deliver(
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -298,6 +298,9 @@
         link = self.network.links[f'{late.worker}:1']
         if other.sent_at >= late.booted_at:
             noticed_at = other.sent_at - NOTICE_SECONDS
+            reported_at = link.reported_at.get(late.incarnation, math.inf)
+            if noticed_at < late.booted_at and other.sent_at < reported_at:
+                return True
             is_cut = link.is_cut_during(late.booted_at, noticed_at)
             return is_cut or self._is_address_unknown(late, noticed_at)
         reachable_at = max(
