Keep the session of a worker while a late poll may renew its leases

What callers see: a task of their job runs on two workers at once.

Cause: the session of a worker without a registration and tasks ended after 1 s unless a start might be executed late. A poll without an answer may be as well, and renews the leases of the next incarnation, by a deadline of the clock before. The session that the worker got with its next registration knew nothing of it, and freed the tasks before their leases had ended.

Change: the session ends once neither a late start nor a late renewal is possible. Meanwhile a worker without a registration and tasks is polled once per second; that held 10 times per second before for late starts.

What costs more: a worker that leaves without answering its last poll is polled for 30 s, once per second, and its tasks wait up to 36 s if it comes back and is lost again in that time, as they do where its session did not end.

--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -139,7 +139,7 @@
     async def run(self) -> None:
         """Polls the worker until it is unregistered and runs no tasks."""
         while True:
-            if self._is_unused():
+            if self._is_gone():
                 await asyncio.sleep(FORGET_SECONDS)
                 if self._is_unused():
                     return
@@ -148,14 +148,21 @@
                 continue
             await self._poll()
 
+    def _is_gone(self) -> bool:
+        """Returns whether the worker has neither a registration nor tasks."""
+        return not self.worker.is_registered and not self.worker.tasks
+
     def _is_unused(self) -> bool:
-        """Returns whether the worker is gone and will not start anything."""
+        """Returns whether the worker is gone and executes no late call.
+
+        A late start would run there, and a late poll would renew the leases of
+        its next incarnation.
+        """
         worker = self.worker
         if self.monotonic() - worker.lost_at > PROOF_SECONDS:
             worker.suspects.clear()
-        is_gone = not worker.is_registered and not worker.tasks
-        may_start = bool(self._late_calls.list_starts())
-        return is_gone and not may_start and not worker.suspects
+        may_execute = self._late_calls.get_remaining_seconds() > 0
+        return self._is_gone() and not may_execute and not worker.suspects
 
     async def _wait_for_expiry(self) -> None:
         self.worker.has_missed_poll = True
--- a/tests/restart_fixtures.py
+++ b/tests/restart_fixtures.py
@@ -304,7 +304,11 @@
 
 @attrs.define(eq=False)
 class RestartScene:
-    """A worker with one session, and a task that was just placed on it."""
+    """A worker with one session, and a task that was just placed on it.
+
+    Attributes:
+      polling: Ends with the session.
+    """
 
     cluster: ClusterState
     worker: Worker
@@ -313,6 +317,7 @@
     session: WorkerSession
     client: LateWorker
     commands: CommandSender
+    polling: asyncio.Task[None]
 
     async def wait_until(self, check: Callable[[], bool]) -> None:
         """Waits until a check holds."""
@@ -379,7 +384,8 @@
                 lambda task, worker: '',
                 lambda: None,
             )
-            started.append(group.create_task(session.run()))
+            polling = group.create_task(session.run())
+            started.append(polling)
             scene = RestartScene(
                 cluster=cluster,
                 worker=worker,
@@ -388,6 +394,7 @@
                 session=session,
                 client=client,
                 commands=commands,
+                polling=polling,
             )
             if not is_new:
                 await scene.wait_until(lambda: worker.reachable)
