Repeat the stop of a run by one sender at a time

What callers see: nothing yet. A worker that refuses stops gets more of them with each of its reports, through the owner's link and beside its other calls.

Cause: since a stop of a run that its task waits for is repeated until it is accepted, each report that lists the run added one more sender of it.

Change: a stop that is being repeated to the same incarnation of the worker is not sent by a second sender. After a restart a new sender begins at once, as the first one may still wait for its answer.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -48,6 +48,21 @@
     """Records nothing about a start."""
 
 
+@attrs.frozen
+class _Stop:
+    """The stop of a run, which one sender repeats.
+
+    Attributes:
+      placed_run: The task and its run.
+      session: Session of the worker.
+      incarnation: Incarnation of the worker to which it was first sent.
+    """
+
+    placed_run: PlacedRun
+    session: WorkerSession
+    incarnation: int
+
+
 @attrs.define(eq=False)
 class CommandSender:
     """Sends start, stop and throttle commands until their outcome is known.
@@ -74,6 +89,7 @@
     wake: Callable[[], None]
     record_start: Callable[[StartProgress], None] = ignore_start
     _starts_in_progress: set[PlacedRun] = attrs.Factory(set)
+    _stops_in_progress: set[_Stop] = attrs.Factory(set)
 
     def start(self, task: Task) -> None:
         """Sends the start of a task that was placed."""
@@ -354,14 +370,28 @@
         session = self.sessions.get(task.worker)
         if session is None:
             return
+        stop = _Stop(PlacedRun(task, run), session, session.incarnation)
+        if stop in self._stops_in_progress:
+            return
+        self._stops_in_progress.add(stop)
+        try:
+            is_settled = await self._repeat_stop(session, task, run)
+        finally:
+            self._stops_in_progress.discard(stop)
+        if not is_settled:
+            await self._probe(session, str(task.id), run)
+
+    async def _repeat_stop(
+        self, session: WorkerSession, task: Task, run: int
+    ) -> bool:
+        """Sends a stop until it is accepted or needless; returns which."""
         pause = RETRY_SECONDS
-        name = str(task.id)
         while _awaits_stop(session, task, run):
             sent_at = self.monotonic()
             incarnation = session.incarnation
-            status = await self._send_stop(session, name, run)
+            status = await self._send_stop(session, str(task.id), run)
             if status is CallStatus.FENCED:
-                return
+                return True
             if session.incarnation != incarnation:
                 # The worker has forgotten the stop if it accepted it before.
                 continue
@@ -369,9 +399,9 @@
             if _is_accepted(status):
                 if _awaits_stop(session, task, run):
                     task.stopped_at = min(task.stopped_at, self.monotonic())
-                return
+                return True
             pause = await _back_off(pause)
-        await self._probe(session, name, run)
+        return False
 
     async def _send_stop(
         self, session: WorkerSession, name: str, run: int
--- a/tests/test_other_placements.py
+++ b/tests/test_other_placements.py
@@ -9,6 +9,7 @@
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import CallStatus, CommandAnswer
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.model import TaskPhase
 from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import StaleRun, WorkerEntry
 from tests.restart_fixtures import (
@@ -36,6 +37,11 @@
 LATE_SECONDS = 12.0
 """Time after which a start without an answer is executed."""
 
+MANY_STOPS = 1000
+REPORTS = 20
+REPEATED_SECONDS = 2.0
+"""Time in which a stop that is refused is repeated a few times."""
+
 
 async def leave_late_start(scene: RestartScene) -> None:
     """Leaves a start on its way to the worker; its task waits again."""
@@ -185,3 +191,20 @@
     workers = [member.worker for member in members]
     assert workers == (['second', 'second'] if is_sent else ['first', ''])
     assert list(cluster.ready) == ([] if is_sent else [members[1].id])
+
+
+def test_reports_do_not_add_stops_to_one_that_is_repeated() -> None:
+    """Each report of a run added a sender that repeated the same stop."""
+
+    async def scenario(scene: RestartScene) -> None:
+        scene.commands.start(scene.task)
+        await scene.wait_until(lambda: scene.task.phase is TaskPhase.RUNNING)
+        scene.cluster.begin_stop(scene.task)
+        scene.client.refused_stops = MANY_STOPS
+        stale_run = StaleRun('w', str(scene.task.id), scene.task.run)
+        for _ in range(REPORTS):
+            scene.commands.stop_stale_run(stale_run)
+        await asyncio.sleep(REPEATED_SECONDS)
+        assert 1 < MANY_STOPS - scene.client.refused_stops < REPORTS
+
+    play(scenario)
