Bound the starts under way by the time that answers take

Cause: an owner placed every task that fits and sent all starts at once. A start carries the payload of its job, 1.4 kB in the mean, once for each of some 40 tasks of a step; a link of 2 Mbit/s carries 180 of them a second. Once its queue was longer than the timeout of a call (0.8 s), starts and polls ran into it, workers were taken for silent, starts were sent again, the write that renews the lease waited behind them, and the next owner began with more work than the one before.

Now starts are decided only as answers come in: a window of bytes that begins with what the link carries in a quarter of a second, shrinks while the mean answer takes over 0.25 s, and grows while it binds and answers are fast. A quarter of it is for urgent tasks. What waits, waits in the order of the queue, so that an urgent task no longer waits behind a wide step. A pass that takes long is followed by a longer pause, so that calls get four fifths of a slow processor.

The tests play a link of 2 Mbit/s without a network at 0.5, 1 and 2 times what it carries. Placers without a window fail them (before this commit the module does not exist, and every start is decided at once).

--- a/lentilmount/control/dispatcher.py
+++ b/lentilmount/control/dispatcher.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import attrs
+import logbook
 
 from lentilmount.control.advice import Advice
 from lentilmount.control.metrics import ControlMetrics
@@ -18,6 +20,8 @@
 from lentilmount.scheduling.takeover import UnrecordedStarts
 from lentilmount.waiting import wait_with_timeout
 
+log = logbook.Logger('owner')
+
 PASS_SECONDS = 0.1
 """Longest interval between placement passes without an event: quarantines end
 and gathered steps become due by time alone."""
@@ -28,10 +32,20 @@
 
 FIRST_POLL_CHECK_SECONDS = 0.01
 
+FULL_PASS_SECONDS = 0.03
+"""The same while tasks wait for answers to the starts under way."""
+
 PASS_PAUSE_SECONDS = 0.008
 """Pause between passes, so that several run ends and arrivals share one pass. A
 pass costs a few ms while tasks are waiting."""
 
+WINDOW_LOG_SECONDS = 1.0
+"""Interval between log lines while the starts under way are limited."""
+
+MAX_PASS_SHARE = 0.2
+"""Largest share of time spent in passes. On a slow host with a thousand waiting
+tasks each takes tens of ms, and calls to workers wait meanwhile."""
+
 
 @attrs.define(eq=False)
 class Dispatcher:
@@ -64,6 +78,7 @@
     wake: asyncio.Event
     stop: Callable[[Task, str], None]
     log_starts: Callable[[list[Start]], None] = log_starts
+    _window_logged_at: float = -math.inf
 
     @property
     def may_start(self) -> bool:
@@ -75,13 +90,20 @@
         """Runs placement passes until it is cancelled."""
         await self._wait_for_first_polls()
         while True:
-            await wait_with_timeout(self.wake, PASS_SECONDS)
+            is_full = self.placer.window.is_binding
+            await wait_with_timeout(
+                self.wake, FULL_PASS_SECONDS if is_full else PASS_SECONDS
+            )
             self.wake.clear()
+            began_at = self.monotonic()
             if self.may_start:
                 self._place()
                 if self.placer.is_incomplete:
                     self.wake.set()
-            await asyncio.sleep(PASS_PAUSE_SECONDS)
+            took = self.monotonic() - began_at
+            await asyncio.sleep(
+                max(PASS_PAUSE_SECONDS, took * (1 / MAX_PASS_SHARE - 1))
+            )
 
     async def _wait_for_first_polls(self) -> None:
         """Waits for all workers to list their tasks, with a timeout.
@@ -112,6 +134,7 @@
                 newly_started.add(task.job)
             starts.append((str(task.id), task.run, worker.id))
         self.log_starts(starts)
+        self._log_window(now)
         if not self.unrecorded_starts.may_exist(now) and not self.is_outage():
             for task in self.placer.choose_moves(now):
                 self.stop(task, 'it serves better elsewhere')
@@ -120,6 +143,23 @@
         if self.is_outage():
             self.state_writer.send_unrecorded()
 
+    def _log_window(self, now: float) -> None:
+        """Logs that tasks wait for answers to starts, once in a while."""
+        window = self.placer.window
+        is_due = now - self._window_logged_at >= WINDOW_LOG_SECONDS
+        if window.is_binding and is_due:
+            self._window_logged_at = now
+            log.info(
+                'The starts under way are limited.',
+                extra={
+                    'limit_bytes': round(window.limit),
+                    'in_flight_bytes': window.in_flight,
+                    'answer_seconds': round(window.mean_answer_seconds, 3),
+                    'unanswered': window.unanswered,
+                    'waiting': len(self.cluster.ready),
+                },
+            )
+
     def _can_start_new(self, task: Task, worker: Worker) -> bool:
         if self.unrecorded_starts.affects(task):
             return False
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -354,7 +354,12 @@
 
     def _make_election(self, service: str) -> ServiceElection:
         times = self._settings.times
-        settings = OwnerSettings(service, times.lease, times.status)
+        settings = OwnerSettings(
+            service,
+            times.lease,
+            times.status,
+            self._settings.capacity.link_bytes_per_second,
+        )
         return ServiceElection(
             settings,
             self.table,
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -39,6 +40,7 @@
     WorkerEntry,
     WorkerState,
 )
+from lentilmount.scheduling.start_window import make_start_window
 from lentilmount.scheduling.takeover import (
     InheritedLeases,
     UnrecordedStarts,
@@ -67,11 +69,13 @@
       service: Name of the service, which has its own pool of workers.
       lease_seconds: Longest lease that a worker grants.
       status_seconds: How long the state of a finished job is kept.
+      link_bytes_per_second: Rate of the host's network link.
     """
 
     service: str
     lease_seconds: float
     status_seconds: float
+    link_bytes_per_second: float = math.inf
 
 
 class Owner:
@@ -214,7 +218,11 @@
         self._state_writer.unrecorded_starts = unrecorded_starts
         dispatcher = Dispatcher(
             self.cluster,
-            Placer(self.cluster, self._interference_model),
+            Placer(
+                self.cluster,
+                self._interference_model,
+                make_start_window(self._settings.link_bytes_per_second),
+            ),
             self._state_writer,
             self._advice,
             unrecorded_starts,
--- a/lentilmount/platform/host_settings.py
+++ b/lentilmount/platform/host_settings.py
@@ -45,6 +45,9 @@
     apply: float
 
 
+BYTES_PER_SECOND_PER_MBPS = 125_000
+
+
 @attrs.frozen
 class Capacity:
     """Capacity of a host, shared by all processes on it.
@@ -58,6 +61,11 @@
     cores: float
     link_mbps: float
 
+    @property
+    def link_bytes_per_second(self) -> float:
+        """Bandwidth of the network link in bytes per second."""
+        return self.link_mbps * BYTES_PER_SECOND_PER_MBPS
+
 
 @attrs.frozen
 class HostSettings:
--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -31,6 +31,7 @@
 )
 from lentilmount.scheduling.reservations import WorkerReservations
 from lentilmount.scheduling.specs import StepSpec
+from lentilmount.scheduling.start_window import StartWindow
 from lentilmount.scheduling.views import WorkerView, WorkerViews
 
 MAX_FAILED_STEPS = 40
@@ -66,12 +67,14 @@
     Attributes:
       cluster: Jobs, tasks and workers.
       interference_model: Learned interference between images.
+      window: Bounds the starts that are decided and not answered.
       is_incomplete: Whether the last pass left tasks to the next one, although
         they may fit.
     """
 
     cluster: ClusterState
     interference_model: InterferenceModel
+    window: StartWindow = attrs.Factory(StartWindow)
     _views: WorkerViews = attrs.field(init=False)
     _consolidator: Consolidator = attrs.field(init=False)
     _headroom: Headroom = attrs.field(init=False)
@@ -103,6 +106,7 @@
             cluster state.
         """
         self.is_incomplete = False
+        self.window.update(now)
         if not self.cluster.ready:
             return []
         views = self._views.list_open(now)
@@ -113,6 +117,7 @@
             self.interference_model,
             self._headroom,
             self._reservations,
+            self.window,
             views,
             now,
             is_allowed,
@@ -131,6 +136,7 @@
         interference_model: InterferenceModel,
         headroom: Headroom,
         reservations: WorkerReservations,
+        window: StartWindow,
         views: list[WorkerView],
         now: float,
         is_allowed: IsAllowed,
@@ -139,6 +145,7 @@
         self._interference_model = interference_model
         self._headroom = headroom
         self._reservations = reservations
+        self._window = window
         self._costs = CostModel(cluster, interference_model)
         self._now = now
         self._is_allowed = is_allowed
@@ -162,6 +169,9 @@
         for step in steps:
             if is_coalescing(step, newest, self._now):
                 continue
+            if not self._window.admits(step[0]):
+                # Those that follow are no more urgent.
+                break
             kind = get_kind(step[0].spec)
             if failed[kind] <= MAX_FAILED_STEPS and self._should_try(
                 step, kind
@@ -199,11 +209,15 @@
         for task in step:
             if task.phase is not TaskPhase.WAITING:
                 continue
+            if not self._window.admits(task):
+                return placed, True
             if task.spec.lasting and not self._long_running_left:
                 self.is_incomplete = True
                 return placed, True
             if task.spec.gang:
                 members = self._place_gang(task)
+                for member, _ in members:
+                    self._window.add(member)
                 placed += members
                 if not members:
                     return placed, False
@@ -215,6 +229,7 @@
             if view is None:
                 return placed, False
             self._cluster.place([task], view.worker, self._now)
+            self._window.add(task)
             view.refresh(self._interference_model)
             self._headroom.refresh(view)
             if candidates is not None:
