Count calls and bytes by kind, and log when an owner's calls are slow as a whole

The owner's log named up to 70 of 72 workers as silent, and nothing told that its own link was full: bytes and calls in flight were in no metric.

Change: HttpClient has an observer, and callers name what a call is for; the platform adapter does so for calls to workers and to the table. CallMonitor counts calls, answers, bytes and what is in flight in plain numbers, which are copied into metrics only when these are read, as an owner makes 2,200 calls a second. A line `Calls are slow as a whole.` comes once a second at most, while answers take over 0.25 s in the mean or over a quarter of the calls get none. Cancelled calls count as neither.

Nothing that decides is changed.

--- a/lentilmount/control/configuration_relay.py
+++ b/lentilmount/control/configuration_relay.py
@@ -27,7 +27,7 @@
     READ_SECONDS,
     RawRow,
 )
-from lentilmount.upstream.http import HttpClient, HttpResponse
+from lentilmount.upstream.http import CallKind, HttpClient, HttpResponse
 
 log = logbook.Logger('configuration')
 
@@ -184,6 +184,7 @@
             timeout=wait + ANSWER_TIMEOUT_SECONDS,
             total_timeout=READ_SECONDS,
             base=f'http://{address}',
+            kind=CallKind.PEER,
         )
         try:
             return _decode(answer, sent_at)
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -12,6 +12,7 @@
 from tornado.web import Application
 
 from lentilmount.clock import SystemClock
+from lentilmount.control.call_monitor import CallMonitor
 from lentilmount.control.candidates import (
     Candidates,
     make_announcement,
@@ -116,11 +117,17 @@
         self._settings = settings
         self._clock = SystemClock()
         self.traffic = Traffic()
+        self.metrics = ControlMetrics()
+        self.calls = CallMonitor(self._clock.monotonic)
         self.store = HttpClient(
-            f'http://{settings.store}', STORE_TIMEOUT_SECONDS, MAX_STORE_CALLS
+            f'http://{settings.store}',
+            STORE_TIMEOUT_SECONDS,
+            MAX_STORE_CALLS,
+            observer=self.calls,
+        )
+        self.workers = HttpClient(
+            '', WORKER_TIMEOUT_SECONDS, MAX_WORKER_CALLS, observer=self.calls
         )
-        self.workers = HttpClient('', WORKER_TIMEOUT_SECONDS, MAX_WORKER_CALLS)
-        self.metrics = ControlMetrics()
         relay = PeerRelay(
             self.workers, self.find_outage_detector, self._clock.monotonic
         )
@@ -153,7 +160,9 @@
         self.advice: AdviceClient | None = None
         if settings.advice is not None:
             caller = HttpClient(
-                f'http://{settings.advice}', ADVICE_TIMEOUT_SECONDS
+                f'http://{settings.advice}',
+                ADVICE_TIMEOUT_SECONDS,
+                observer=self.calls,
             )
             self.advice = AdviceClient(caller, ADVICE_TIMEOUT_SECONDS)
         self.routes = RouteTable(
@@ -195,6 +204,7 @@
         self.metrics.set_gauge(
             'lentilmount_configuration_age_seconds', {'': self.routes.age}, ''
         )
+        self.calls.refresh_metrics(self.metrics)
         for election in self.elections.values():
             if election.owner is not None:
                 election.owner.refresh_metrics()
--- a/lentilmount/control/metrics.py
+++ b/lentilmount/control/metrics.py
@@ -67,6 +67,22 @@
             'lentilmount_paces_total',
             'Changes of pace of filling tasks, by direction.',
         )
+        self._call_totals = {
+            name: self._make_counter(f'lentilmount_{name}_total', text)
+            for name, text in (
+                ('calls', 'Calls that are over, by what they are for.'),
+                ('calls_unanswered', 'Calls without an answer, by kind.'),
+                ('call_sent_bytes', 'Estimated bytes of requests, by kind.'),
+                (
+                    'call_received_bytes',
+                    'Estimated bytes of responses, by kind.',
+                ),
+                (
+                    'call_seconds',
+                    'Time of calls that were answered, in seconds, by kind.',
+                ),
+            )
+        }
         self._lag = self._make_histogram(
             'lentilmount_loop_lag_seconds',
             'How late timers of the event loop fire, in seconds.',
@@ -80,6 +96,11 @@
                     'Since when a newer configuration may have been written.',
                 ),
                 ('lentilmount_waiting_tasks', 'Tasks ready, by priority.'),
+                ('lentilmount_calls_in_flight', 'Calls in flight, by kind.'),
+                (
+                    'lentilmount_call_bytes_in_flight',
+                    'Estimated bytes of requests in flight, by kind.',
+                ),
                 ('lentilmount_running_tasks', 'Tasks placed on workers.'),
                 ('lentilmount_workers', 'Workers, by whether they answer.'),
                 (
@@ -138,6 +159,11 @@
         """Counts a change of a task's CPU share."""
         self._throttlings.inc({'direction': 'down' if is_slower else 'up'})
 
+    def set_call_totals(self, kind: str, totals: Mapping[str, float]) -> None:
+        """Sets the totals of the calls of one kind, by name of the metric."""
+        for name, value in totals.items():
+            self._call_totals[name].set({'kind': kind}, value)
+
     def set_gauge(
         self, name: str, values: Mapping[str, float], label: str
     ) -> None:
--- a/lentilmount/control/store_health.py
+++ b/lentilmount/control/store_health.py
@@ -22,7 +22,7 @@
     ConfirmedOutage,
     PeerReports,
 )
-from lentilmount.upstream.http import HttpClient
+from lentilmount.upstream.http import CallKind, HttpClient
 
 log = logbook.Logger('store')
 
@@ -249,6 +249,7 @@
             f'/store?{query}',
             timeout=timeout,
             base=f'http://{address}',
+            kind=CallKind.PEER,
         )
         if answer.status != 200:
             return {}
--- a/lentilmount/control/store_relay.py
+++ b/lentilmount/control/store_relay.py
@@ -20,7 +20,12 @@
     REFUSED_STATUSES,
     StoreCall,
 )
-from lentilmount.upstream.http import CURL_ERROR, HttpClient, HttpResponse
+from lentilmount.upstream.http import (
+    CURL_ERROR,
+    CallKind,
+    HttpClient,
+    HttpResponse,
+)
 
 log = logbook.Logger('detour')
 
@@ -86,6 +91,7 @@
             timeout=call.timeout + hop_seconds,
             total_timeout=call.total_timeout,
             base=f'http://{peer}',
+            kind=CallKind.PEER,
         )
         self._log_use(call.part, peer, answer.status)
         if answer.status in (*ANSWERED_STATUSES, *REFUSED_STATUSES):
--- a/lentilmount/platform/advice.py
+++ b/lentilmount/platform/advice.py
@@ -5,7 +5,7 @@
 import attrs
 import orjson
 
-from lentilmount.upstream.http import HttpClient
+from lentilmount.upstream.http import CallKind, HttpClient
 
 
 @attrs.frozen
@@ -47,6 +47,7 @@
             body,
             {'Content-Type': 'application/json'},
             timeout=self.timeout,
+            kind=CallKind.ADVICE,
         )
         if answer.status != 200:
             return None
--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -30,7 +30,7 @@
     StoreCall,
     StoreRelay,
 )
-from lentilmount.upstream.http import HttpClient, HttpResponse
+from lentilmount.upstream.http import CallKind, HttpClient, HttpResponse
 from lentilmount.version_times import VersionTimes
 
 CONFIGURATION_TABLE = 'op'
@@ -58,6 +58,12 @@
 row, a configuration of a thousand routes, takes half a second on the smallest
 link (5 Mbit/s) if idle, and several times that beside other traffic."""
 
+_KINDS = {
+    '/rows-get': CallKind.TABLE_READ,
+    '/rows-tx': CallKind.TABLE_WRITE,
+    '/rows-feed': CallKind.TABLE_FEED,
+}
+
 CallObserver = Callable[[str, int, bool, float], None]
 """Called after each direct call with the part that it addressed ('' for a whole
 table), the HTTP status, whether a working service answered, and the duration in
@@ -322,6 +328,7 @@
             {'Content-Type': 'application/json'},
             timeout=call.timeout,
             total_timeout=call.total_timeout,
+            kind=_KINDS.get(call.path.partition('?')[0], CallKind.OTHER),
         )
         is_answered = answer.status in ANSWERED_STATUSES
         took = clock.time() - sent_at
--- a/lentilmount/platform/workers.py
+++ b/lentilmount/platform/workers.py
@@ -10,7 +10,7 @@
 
 from lentilmount.platform.documents import decode_worker_report
 from lentilmount.scheduling.reports import WorkerEntry, WorkerReport
-from lentilmount.upstream.http import HttpClient, HttpResponse
+from lentilmount.upstream.http import CallKind, HttpClient, HttpResponse
 
 EXPECTED_INSTANCE = 'X-Expected-Instance'
 
@@ -105,21 +105,27 @@
             body['checkpoint'] = command.checkpoint
         if command.ticket:
             body['ticket'] = command.ticket
-        return await self._send_command(worker, '/run-start', body)
+        return await self._send_command(
+            worker, '/run-start', body, CallKind.START
+        )
 
     async def stop(
         self, worker: WorkerEntry, task: str, run: int
     ) -> CommandAnswer:
         """Stops a run; a start of it that arrives later is rejected."""
         body = {'task': task, 'run': run}
-        return await self._send_command(worker, '/run-stop', body)
+        return await self._send_command(
+            worker, '/run-stop', body, CallKind.STOP
+        )
 
     async def throttle(
         self, worker: WorkerEntry, task: str, run: int, percent: int
     ) -> CommandAnswer:
         """Limits a run to a share of its CPU time, in percent."""
         body = {'task': task, 'run': run, 'percent': percent}
-        return await self._send_command(worker, '/pace', body)
+        return await self._send_command(
+            worker, '/pace', body, CallKind.THROTTLE
+        )
 
     async def poll(
         self,
@@ -151,7 +157,9 @@
         if wait > 0:
             body['waitMs'] = int(wait * 1000)
         # '/hold' renews leases and returns the report; it holds no task back.
-        answer = await self._post(worker, '/hold', body, self.timeout + wait)
+        answer = await self._post(
+            worker, '/hold', body, self.timeout + wait, CallKind.POLL
+        )
         if answer.status != 200:
             return _decode_answer(answer).status
         try:
@@ -160,10 +168,14 @@
             return CallStatus.UNKNOWN
 
     async def _send_command(
-        self, worker: WorkerEntry, path: str, body: dict[str, Any]
+        self,
+        worker: WorkerEntry,
+        path: str,
+        body: dict[str, Any],
+        kind: CallKind,
     ) -> CommandAnswer:
         body['fencingToken'] = self.token
-        answer = await self._post(worker, path, body, self.timeout)
+        answer = await self._post(worker, path, body, self.timeout, kind)
         return _decode_answer(answer)
 
     async def _post(
@@ -172,6 +184,7 @@
         path: str,
         body: dict[str, Any],
         timeout: float,
+        kind: CallKind,
     ) -> HttpResponse:
         return await self.http_client.call(
             'POST',
@@ -184,6 +197,7 @@
             timeout=timeout,
             base=f'http://{worker.address}',
             reads_headers=False,
+            kind=kind,
         )
 
 
--- a/lentilmount/upstream/http.py
+++ b/lentilmount/upstream/http.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import functools
 import io
 from collections.abc import Callable, Mapping
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 import attrs
 import pycurl
@@ -17,6 +18,10 @@
 CONNECT_SECONDS = 1.0
 CURL_ERROR = 599
 
+HEAD_BYTES = 100
+"""Estimate of the bytes of a request or response beside its path, its body and
+the headers that a caller gives."""
+
 SUPPRESSED_HEADERS = {
     'User-Agent': '',
     'Accept': '',
@@ -44,6 +49,75 @@
     headers: Mapping[str, str]
 
 
+class CallKind(enum.Enum):
+    """What a call is for."""
+
+    POLL = 'poll'
+    START = 'start'
+    STOP = 'stop'
+    THROTTLE = 'throttle'
+    TABLE_READ = 'table-read'
+    TABLE_WRITE = 'table-write'
+    TABLE_FEED = 'table-feed'
+    PEER = 'peer'
+    ADVICE = 'advice'
+    OTHER = 'other'
+
+    @property
+    def waits(self) -> bool:
+        """Whether the service may wait for an event before it answers."""
+        return self in (CallKind.POLL, CallKind.TABLE_FEED)
+
+
+class CallObserver(Protocol):
+    """Observes the calls of HTTP clients; sizes are estimates in bytes."""
+
+    def handle_begin(self, kind: CallKind, sent: int) -> None:
+        """Called before a request is handed over to be sent."""
+
+    def handle_end(
+        self, kind: CallKind, sent: int, received: int | None, seconds: float
+    ) -> None:
+        """Called when a call is over.
+
+        Args:
+          kind: What it was for.
+          sent: Size of its request, as given to `handle_begin`.
+          received: Size of the response; 0 if there was none, None if the
+            call was cancelled.
+          seconds: Duration of the call.
+        """
+
+
+class NoObserver:
+    """A `CallObserver` that ignores all calls."""
+
+    def handle_begin(self, kind: CallKind, sent: int) -> None:
+        """See `CallObserver`."""
+
+    def handle_end(
+        self, kind: CallKind, sent: int, received: int | None, seconds: float
+    ) -> None:
+        """See `CallObserver`."""
+
+
+def measure_request(
+    path: str, body: bytes | None, headers: Mapping[str, str] | None
+) -> int:
+    """Returns the estimated size of a request in bytes."""
+    size = HEAD_BYTES + len(path) + len(body or b'')
+    for name, value in (headers or {}).items():
+        size += len(name) + len(value) + 4
+    return size
+
+
+def measure_response(response: HttpResponse) -> int:
+    """Returns the estimated size of a response in bytes; 0 if it is none."""
+    if response.status == CURL_ERROR:
+        return 0
+    return HEAD_BYTES + len(response.body)
+
+
 def _encode_headers(headers: Mapping[str, str]) -> list[bytes]:
     """Returns header lines; curl leaves out those without a value.
 
@@ -238,22 +312,33 @@
 class HttpClient:
     """Sends requests to one base address.
 
+    Attributes:
+      base: The base address.
+      timeout: Timeout of a call, in seconds.
+      observer: Observes the calls.
+
     Args:
       base: Scheme, host and port, such as http://127.0.0.1:7001.
       timeout: Timeout of a call, in seconds.
       clients: Maximum concurrent calls.
       ca_file: PEM file of the certificate authority to trust; the system's
         authorities if empty.
+      observer: Observes the calls, if given.
     """
 
+    observer: CallObserver = NoObserver()
+
     def __init__(
         self,
         base: str,
         timeout: float = 5.0,
         clients: int = 32,
         ca_file: str = '',
+        observer: CallObserver | None = None,
     ):
         self.base = base
+        if observer is not None:
+            self.observer = observer
         self._ca_file = ca_file or None
         self.timeout = timeout
         self._client = _Client(force_instance=True, max_clients=clients)
@@ -268,6 +353,7 @@
         base: str | None = None,
         total_timeout: float | None = None,
         reads_headers: bool = True,
+        kind: CallKind = CallKind.OTHER,
     ) -> HttpResponse:
         """Sends one request; never raises for a status or a failure.
 
@@ -286,7 +372,42 @@
             `timeout` bounds only the time without received bytes.
           reads_headers: Whether to parse the response headers, which takes a
             seventh of the time of a call.
+          kind: What the call is for.
         """
+        sent = measure_request(path, body, headers)
+        received: int | None = None
+        clock = asyncio.get_running_loop()
+        began_at = clock.time()
+        self.observer.handle_begin(kind, sent)
+        try:
+            response = await self._send(
+                method,
+                path,
+                body,
+                headers,
+                timeout,
+                base,
+                total_timeout,
+                reads_headers,
+            )
+            received = measure_response(response)
+            return response
+        finally:
+            took = clock.time() - began_at
+            self.observer.handle_end(kind, sent, received, took)
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str] | None,
+        timeout: float | None,
+        base: str | None,
+        total_timeout: float | None,
+        reads_headers: bool,
+    ) -> HttpResponse:
+        """Sends one request; see `call`."""
         call_timeout = timeout or self.timeout
         stall_detector = (
             None
--- a/stand_ins/model_network.py
+++ b/stand_ins/model_network.py
@@ -156,16 +156,16 @@
     late_calls: int = 0
     repeats_reset_calls: bool = False
 
-    async def call(
+    async def _send(
         self,
         method: str,
         path: str,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-        timeout: float | None = None,
-        base: str | None = None,
-        total_timeout: float | None = None,
-        reads_headers: bool = True,
+        body: bytes | None,
+        headers: dict[str, str] | None,
+        timeout: float | None,
+        base: str | None,
+        total_timeout: float | None,
+        reads_headers: bool,
     ) -> HttpResponse:
         """See `HttpClient`."""
         link = self.links.get(str(base).removeprefix('http://'))
