Model the link and processor of an owner's host in the tests without a network

What callers saw: an owner on a link of 2 Mbit/s hands starts over faster than the link carries them, and collapses. No test without a network could show it, as calls took the same time however many there were.

Change: HostLink is a queue each way in bytes per second, first come first served, and optionally a processor with a time per call. Calls to model workers and, by StoreCalls, to the store share it. A request that has entered the queue is delivered even if its sender no longer waits. StoreCalls is an HTTP client, so sizes, timeouts and retries are those of the product's own table client. The feed of the row store looks only at newer changes, and its length can be set.

--- a/stand_ins/model_network.py
+++ b/stand_ins/model_network.py
@@ -26,7 +26,14 @@
     RawRow,
     decode_row,
 )
-from lentilmount.upstream.http import CURL_ERROR, HttpClient, HttpResponse
+from lentilmount.upstream.http import (
+    CURL_ERROR,
+    HEAD_BYTES,
+    HttpClient,
+    HttpResponse,
+    measure_request,
+)
+from stand_ins.host_link import HostLink
 from stand_ins.model_worker import POLL_PATH, START_PATH, ModelWorker
 from stand_ins.rowstore import Address, Change, RowStore
 
@@ -150,11 +157,13 @@
       repeats_reset_calls: Whether a call whose connection is reset is sent
         again unasked, and the answer to the copy is taken for its answer, as
         libcurl does on a reused connection.
+      host_link: The link of the host that sends the calls.
     """
 
     links: dict[str, Link] = attrs.Factory(dict)
     late_calls: int = 0
     repeats_reset_calls: bool = False
+    host_link: HostLink = attrs.Factory(HostLink)
 
     async def _send(
         self,
@@ -174,13 +183,15 @@
             return NO_ANSWER
         try:
             async with asyncio.timeout(timeout):
-                return await self._exchange(link, path, body or b'')
+                size = measure_request(path, body, headers)
+                return await self._exchange(link, path, body or b'', size)
         except TimeoutError:
             return NO_ANSWER
 
     async def _exchange(
-        self, link: Link, path: str, body: bytes
+        self, link: Link, path: str, body: bytes, size: int
     ) -> HttpResponse:
+        passing = self.host_link.send(size)
         fault = link.take_fault(path)
         if fault.fault is not Fault.NONE:
             link.disturbed_at = _now()
@@ -189,7 +200,7 @@
         delay = CALL_SECONDS
         if fault.fault in (Fault.LATE, Fault.SLOW):
             delay = fault.seconds
-        arrival = self._deliver(link, path, body, delay)
+        arrival = self._deliver(link, path, body, passing + delay)
         if fault.fault is Fault.RESET:
             await arrival
             link.refuses_until = _now() + fault.seconds
@@ -210,12 +221,14 @@
                 return NO_ANSWER
             document = report
             incarnation = link.worker.incarnation
-        await asyncio.sleep(delay)
+        answer = orjson.dumps(document)
+        passing = self.host_link.receive(HEAD_BYTES + len(answer))
+        await asyncio.sleep(delay + passing)
         if link.loses_answers:
             link.disturbed_at = _now()
             await asyncio.sleep(NEVER)
         link.reported_at.setdefault(incarnation, _now())
-        return HttpResponse(status, orjson.dumps(document), {})
+        return HttpResponse(status, answer, {})
 
     def _deliver(
         self, link: Link, path: str, body: bytes, delay: float
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -20,18 +20,26 @@
 from lentilmount.control.owner import OwnerSettings
 from lentilmount.platform.documents import encode_job_row
 from lentilmount.platform.host_settings import Capacity
-from lentilmount.platform.store import WORKERS_TABLE
+from lentilmount.platform.store import WORKERS_TABLE, PlatformTable
 from lentilmount.platform.workers import WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import JobState, TaskPhase
 from lentilmount.scheduling.specs import JobSpec, TaskId
+from lentilmount.version_times import VersionTimes
+from stand_ins.host_link import HostLink, StoreCalls
 from stand_ins.model_network import Link, MemoryTable, Network, TableFault
-from stand_ins.model_worker import Execution, ModelWorker
+from stand_ins.model_worker import (
+    ChooseWork,
+    Execution,
+    ModelWorker,
+    choose_work,
+)
 from stand_ins.rowstore import RowStore
 
 SERVICE = 'desk'
 LEASE_SECONDS = 6.0
 TIMEOUT_SECONDS = 0.8
+STORE_TIMEOUT_SECONDS = 0.6
 REGISTRATION_SECONDS = 0.2
 """Time from the first start of a worker until it is registered."""
 
@@ -73,6 +81,9 @@
       violations: What was found wrong.
       write_faults: Faults of the next writes of the owner.
       election: The election that runs the owner; None while it is killed.
+      host_link: The link of the owner's host, which all its calls share; None
+        if there is no need to model it.
+      choose_work: See `ModelWorker`.
     """
 
     clock: ManualClock
@@ -85,6 +96,8 @@
     violations: list[str] = attrs.Factory(list)
     write_faults: list[TableFault] = attrs.Factory(list)
     election: ServiceElection | None = None
+    host_link: HostLink | None = None
+    choose_work: ChooseWork = choose_work
     _process: asyncio.Task[None] | None = None
     _owner: object = None
     _learned_at: dict[str, float] = attrs.Factory(lambda: {'': 0.0})
@@ -102,7 +115,10 @@
     def _make_worker(self) -> ModelWorker:
         self._count += 1
         worker = ModelWorker(
-            f'w{self._count}', f'w{self._count}:1', self.record
+            f'w{self._count}',
+            f'w{self._count}:1',
+            self.record,
+            choose_work=self.choose_work,
         )
         worker.handle_crash = lambda: self._handle_crash(worker)
         self.network.links[worker.address] = Link(worker)
@@ -198,7 +214,7 @@
         candidates = Candidates(Capacity(2.0, 200.0), True, 'host-1')
         self.election = ServiceElection(
             OwnerSettings(SERVICE, LEASE_SECONDS, 120.0),
-            MemoryTable(self.store, self.write_faults),
+            self._make_table(),
             make_name('host-1'),
             self.clock,
             lambda epoch: WorkerClient(self.network, epoch, TIMEOUT_SECONDS),
@@ -210,6 +226,17 @@
         )
         self._process = asyncio.create_task(self.election.run())
 
+    def _make_table(self) -> PlatformTable:
+        if self.host_link is None:
+            return MemoryTable(self.store, self.write_faults)
+        self.network.host_link = self.host_link
+        calls = StoreCalls(self.store, self.host_link)
+        return PlatformTable(
+            calls,
+            STORE_TIMEOUT_SECONDS,
+            version_times=VersionTimes(self.clock.monotonic),
+        )
+
     async def kill_owner(self) -> None:
         """Kills the process; all that it knows is gone."""
         if self._process is not None:
--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -75,6 +75,10 @@
     is_acknowledged: bool = False
 
 
+ChooseWork = Callable[[str, int, str], tuple[float, str]]
+"""Returns what a run does, by task, run and payload."""
+
+
 def choose_work(task: str, run: int, payload: str) -> tuple[float, str]:
     """Returns the duration of a run in seconds and how it ends."""
     return PAYLOADS[payload]
@@ -104,7 +108,7 @@
       clock_rate: Rate of its clock.
       handle_crash: Called instead of `crash` when a task crashes it.
       has_room: Whether it has room for further runs.
-      choose_work: Returns what a run does, by task, run and payload.
+      choose_work: See `ChooseWork`.
       on_change: Called when a run has started, ended or been acknowledged.
     """
 
@@ -123,7 +127,7 @@
     clock_rate: float = CLOCK_RATE
     handle_crash: Callable[[], None] | None = None
     has_room: bool = True
-    choose_work: Callable[[str, int, str], tuple[float, str]] = choose_work
+    choose_work: ChooseWork = choose_work
     on_change: Callable[[Execution], None] = _ignore
     _numbers: int = 0
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
--- a/stand_ins/rowstore.py
+++ b/stand_ins/rowstore.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import enum
+import itertools
 import time
 from typing import Any, cast
 
@@ -72,6 +73,7 @@
       changes: Changes that the feed can still return, oldest first.
       trimmed_version: Newest version that was dropped from the feed.
       fault: Fault of the calls to every address.
+      max_changes: Maximum number of changes that the feed keeps.
     """
 
     version: int = 0
@@ -79,6 +81,7 @@
     changes: list[Change] = attrs.Factory(list)
     trimmed_version: int = 0
     fault: Fault = Fault.NONE
+    max_changes: int = MAX_CHANGES
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def write(self, address: Address, value: bytes | None) -> None:
@@ -121,7 +124,7 @@
         else:
             self.rows[address] = change
         self.changes.append(change)
-        if len(self.changes) > MAX_CHANGES:
+        if len(self.changes) > self.max_changes:
             self.trimmed_version = self.changes.pop(0).version
 
     def _wake(self) -> None:
@@ -173,14 +176,14 @@
         return found
 
     def _list_changes(self, table: str, after: int) -> list[Change]:
-        return [
-            change
-            for change in self.changes
-            if change.address[0] == table and change.version > after
-        ]
+        newer = itertools.takewhile(
+            lambda change: change.version > after, reversed(self.changes)
+        )
+        return [change for change in newer if change.address[0] == table][::-1]
 
 
-def _encode(change: Change) -> dict[str, Any]:
+def encode_change(change: Change) -> dict[str, Any]:
+    """Returns a row as the service lists it."""
     table, part, key = change.address
     row: dict[str, Any] = {
         'table': table,
@@ -195,7 +198,7 @@
     return row
 
 
-def _limit_bytes(rows: list[Change]) -> list[Change]:
+def limit_bytes(rows: list[Change]) -> list[Change]:
     """Returns the leading rows that fit into one answer."""
     total = 0
     for number, change in enumerate(rows):
@@ -205,7 +208,8 @@
     return rows
 
 
-def _read_address(row: dict[str, Any]) -> Address:
+def read_address(row: dict[str, Any]) -> Address:
+    """Returns the address of a row in a call."""
     return row['table'], row['part'], row['key']
 
 
@@ -245,13 +249,13 @@
     def post(self) -> None:
         body = orjson.loads(self.request.body)
         conditions = {
-            _read_address(row): row['ver'] for row in body['precondition']
+            read_address(row): row['ver'] for row in body['precondition']
         }
         writes: dict[Address, bytes | None] = {
-            _read_address(row): base64.b64decode(row['value'])
+            read_address(row): base64.b64decode(row['value'])
             for row in body['writes']
         }
-        writes |= {_read_address(row): None for row in body['removals']}
+        writes |= {read_address(row): None for row in body['removals']}
         entries = len(conditions) + len(writes)
         parts = {address[1] for address in (*conditions, *writes)}
         if entries > 100 or len(parts) > 1:
@@ -263,7 +267,7 @@
             self.respond({'ver': self.store.version}, table=table)
             return
         rows = [
-            _encode(self.store.rows[address])
+            encode_change(self.store.rows[address])
             for address in current
             if address in self.store.rows
         ]
@@ -280,10 +284,10 @@
             self.get_query_argument('to', '', strip=False),
             min(limit, 500),
         )
-        fitting = _limit_bytes(rows)
+        fitting = limit_bytes(rows)
         self.respond(
             {
-                'rows': [_encode(change) for change in fitting],
+                'rows': [encode_change(change) for change in fitting],
                 'hasMore': len(rows) == limit or len(fitting) < len(rows),
                 'ver': self.store.version,
             }
@@ -300,7 +304,7 @@
         if found is None:
             self.respond({}, 410)
             return
-        rows = [_encode(change) for change in found]
+        rows = [encode_change(change) for change in found]
         self.respond({'rows': rows, 'ver': self.store.version})
 
 
