--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -213,7 +213,7 @@
         """Starts the process that competes for the service."""
         candidates = Candidates(Capacity(2.0, 200.0), True, 'host-1')
         self.election = ServiceElection(
-            OwnerSettings(SERVICE, LEASE_SECONDS, 120.0),
+            self._make_settings(),
             self._make_table(),
             make_name('host-1'),
             self.clock,
@@ -226,6 +226,10 @@
         )
         self._process = asyncio.create_task(self.election.run())
 
+    def _make_settings(self) -> OwnerSettings:
+        rate = self.host_link.bytes_per_second if self.host_link else math.inf
+        return OwnerSettings(SERVICE, LEASE_SECONDS, 120.0, rate)
+
     def _make_table(self) -> PlatformTable:
         if self.host_link is None:
             return MemoryTable(self.store, self.write_faults)
