Send the starts of a busy owner through other daemons, many in one message

Cause: each start carries the payload of its job. 6,700 tasks of 1.4 kB are 9.4 MB, all of them from one link of 0.25 MB/s, and each is a call that the owner's processor makes.

Now the starts of one job that are due at the same time, three or more, go to another daemon in one message with the payload once, while the owner is busy: its starts take over a quarter of its link, or its event loop is late by 20 ms in the mean. That daemon makes the calls and returns the answers it has after half a second. At most four daemons are used at a time, the ones with the most capacity; one that fails is left out for 3 s.

Why it is safe: a relayed start is sent once, with the owner's token and a deadline on the worker's clock, like a direct one. If the message certainly did not arrive (no connection, or the daemon shuts down) the starts are sent directly at once; otherwise they count as unanswered, and the worker's report tells. A lost message is no evidence against a worker: such answers do not mark it as deaf.

--- a/lentilmount/control/candidates.py
+++ b/lentilmount/control/candidates.py
@@ -106,6 +106,20 @@
         ]
         return sorted(larger, key=lambda address: -sizes[address])
 
+    def list_largest(self) -> list[str]:
+        """Lists the addresses of the other hosts, the largest first.
+
+        Hosts of one size come in another order on each host, so that owners of
+        several services use different ones.
+        """
+        return sorted(
+            self._others,
+            key=lambda address: (
+                -measure_size(self._others[address]),
+                _rank(self.host, address),
+            ),
+        )
+
     def find_address(self, host: str) -> str:
         """Returns the internal address of another host, or ''."""
         return self._addresses.get(host, '')
--- a/lentilmount/control/election.py
+++ b/lentilmount/control/election.py
@@ -254,6 +254,7 @@
             self.advice,
             self.metrics,
             self._inherited,
+            self.candidates.list_largest,
         )
         self.owner = owner
         handover = asyncio.create_task(self._hand_over(owner, lease))
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -275,6 +275,7 @@
                     self.table,
                     self.routes,
                     lambda: self.traffic.is_closing,
+                    self._make_worker_client,
                 ),
                 settings.internal,
             ),
@@ -362,6 +363,9 @@
                     self.elections[service] = election
                     group.create_task(election.run())
 
+    def _make_worker_client(self, token: int) -> WorkerClient:
+        return WorkerClient(self.workers, token, WORKER_TIMEOUT_SECONDS)
+
     def _make_election(self, service: str) -> ServiceElection:
         times = self._settings.times
         settings = OwnerSettings(
@@ -375,9 +379,7 @@
             self.table,
             self.name,
             self._clock,
-            lambda epoch: WorkerClient(
-                self.workers, epoch, WORKER_TIMEOUT_SECONDS
-            ),
+            self._make_worker_client,
             self.find_outage_detector(service).is_general,
             self.advice,
             self.metrics,
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import attrs
@@ -16,9 +16,11 @@
 from lentilmount.control.gauges import refresh_gauges
 from lentilmount.control.job_loader import JobLoader
 from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.owner_load import OwnerLoad
 from lentilmount.control.placement_log import PlacementLog, log_restored
 from lentilmount.control.registry import poll_workers
 from lentilmount.control.retention import Retention
+from lentilmount.control.start_relay import RelayPool, StartRelay
 from lentilmount.control.state_writer import StateWriter
 from lentilmount.control.takeover import take_over
 from lentilmount.control.task_control import TaskController
@@ -96,6 +98,8 @@
       advice: Client for the advice service, or None where there is none.
       metrics: Metrics of the daemon.
       inherited: Worker leases as the previous owner recorded them.
+      list_relays: Lists the daemons that may send starts for this one, those
+        with the most capacity first.
     """
 
     def __init__(
@@ -112,6 +116,7 @@
         advice: AdviceClient | None,
         metrics: ControlMetrics,
         inherited: InheritedLeases,
+        list_relays: Callable[[], Sequence[str]] = tuple,
     ):
         self.cluster = ClusterState()
         self.sessions: dict[str, WorkerSession] = {}
@@ -148,6 +153,12 @@
             self._advice.get_ticket,
             self._wake.set,
             self._placement_log.record_start,
+            StartRelay(
+                worker_client,
+                RelayPool(list_relays, clock.monotonic),
+                OwnerLoad(settings.link_bytes_per_second, clock.monotonic),
+                self._spawn,
+            ),
         )
         self._task_controller = TaskController(
             self.cluster,
--- a/lentilmount/control/peer_api.py
+++ b/lentilmount/control/peer_api.py
@@ -13,6 +13,11 @@
 )
 from lentilmount.control.peer_handler import PeerHandler
 from lentilmount.control.routes import RouteTable
+from lentilmount.control.start_relay import (
+    STARTS_PATH,
+    MakeWorkerClient,
+    StartsHandler,
+)
 from lentilmount.control.store_health import FindOutageDetector
 from lentilmount.control.store_relay import (
     PART_HEADER,
@@ -82,6 +87,7 @@
     table: PlatformTable,
     routes: RouteTable,
     is_closing: Callable[[], bool] = lambda: False,
+    make_worker_client: MakeWorkerClient | None = None,
 ) -> Application:
     """Returns the application that serves the other daemons.
 
@@ -90,9 +96,17 @@
       table: Sends the relayed calls to the store.
       routes: The configuration to serve.
       is_closing: Returns whether this daemon is shutting down.
+      make_worker_client: Returns the client that sends starts for owners on
+        other hosts; None if this daemon sends none.
     """
+    starts_handler = (
+        STARTS_PATH,
+        StartsHandler,
+        {'make_worker_client': make_worker_client, 'is_closing': is_closing},
+    )
     return Application(
         [
+            *([starts_handler] if make_worker_client else []),
             (
                 '/store',
                 StoreHandler,
--- /dev/null
+++ b/lentilmount/control/start_relay.py
@@ -0,0 +1,319 @@
+"""Sends the starts of a busy owner through other daemons, many in one message.
+
+Load pattern: steps of tens of tasks, hundreds of starts a second. A start
+carries the payload of its job, so an owner with a small link or a slow
+processor sends the same kilobyte for each task of a step. Another daemon gets
+it once, and makes the calls to the workers.
+
+A relayed start is a start like any other: it carries the owner's fencing token
+and a deadline on the worker's clock, it may be executed without an answer, and
+the owner learns from the worker's reports whether it was.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, Protocol
+
+import attrs
+import logbook
+import orjson
+
+from lentilmount.control.owner_load import OwnerLoad
+from lentilmount.control.peer_handler import NOT_READY, PeerHandler
+from lentilmount.platform.workers import (
+    CallStatus,
+    CommandAnswer,
+    StartCommand,
+    WorkerClient,
+    measure_start,
+)
+from lentilmount.resources import Room
+from lentilmount.scheduling.reports import WorkerEntry, WorkerState
+from lentilmount.upstream.http import CallKind, HttpResponse
+
+log = logbook.Logger('relay')
+
+STARTS_PATH = '/starts'
+
+GATHER_SECONDS = 0.002
+"""Time for which starts are gathered; those of a written step come at once."""
+
+MIN_STARTS = 3
+"""Fewest starts of one job that are worth a message."""
+
+RELAYS = 4
+"""Number of daemons used at a time. Each opens connections of its own to the
+workers, which accept 64."""
+
+SKIP_FAILED_SECONDS = 3.0
+"""Time for which a daemon that failed is not used."""
+
+CONNECT_SECONDS = 0.2
+"""Timeout for a connection to another daemon: if it is gone, the starts are
+sent directly while they are still of use."""
+
+ANSWER_SECONDS = 0.5
+"""Time after which the answers that have arrived are returned; one worker that
+does not answer must not hold up those of the others."""
+
+HOP_SECONDS = 0.3
+"""Added to that time for the way to the other daemon and back."""
+
+
+MakeWorkerClient = Callable[[int], WorkerClient]
+"""Returns the client for workers that uses a fencing token."""
+
+
+class StartSender(Protocol):
+    """Sends starts to workers."""
+
+    async def start(
+        self, worker: WorkerEntry, command: StartCommand
+    ) -> CommandAnswer:
+        """Starts a run; see `WorkerClient.start`."""
+
+
+@attrs.frozen
+class _PendingStart:
+    """A start that waits for others of its job.
+
+    Attributes:
+      worker: The worker.
+      command: The start.
+      answer: Gets the answer.
+    """
+
+    worker: WorkerEntry
+    command: StartCommand
+    answer: asyncio.Future[CommandAnswer]
+
+    def encode(self) -> list[Any]:
+        """Returns the row of the message; the payload is sent once for all."""
+        return [
+            self.worker.id,
+            self.worker.address,
+            self.command.task,
+            self.command.run,
+            self.command.lease_until_ms,
+            self.command.checkpoint,
+            self.command.ticket,
+        ]
+
+    def settle(self, answer: CommandAnswer) -> None:
+        """Passes the answer on, unless the sender was cancelled."""
+        if not self.answer.done():
+            self.answer.set_result(answer)
+
+
+@attrs.define
+class RelayPool:
+    """Chooses the daemons through which starts are sent.
+
+    Attributes:
+      list_daemons: Lists the internal addresses of other daemons, those with
+        the most capacity first.
+      monotonic: Returns monotonic time in seconds.
+    """
+
+    list_daemons: Callable[[], Sequence[str]]
+    monotonic: Callable[[], float]
+    _failed_at: dict[str, float] = attrs.Factory(dict)
+    _starts_under_way: collections.Counter[str] = attrs.Factory(
+        collections.Counter
+    )
+
+    def choose(self) -> str:
+        """Returns the daemon with the fewest starts under way, or ''."""
+        usable = [a for a in self.list_daemons() if not self._has_failed(a)]
+        return min(
+            usable[:RELAYS],
+            key=lambda address: self._starts_under_way[address],
+            default='',
+        )
+
+    def _has_failed(self, address: str) -> bool:
+        failed_at = self._failed_at.get(address)
+        if failed_at is None:
+            return False
+        return self.monotonic() - failed_at < SKIP_FAILED_SECONDS
+
+    def begin(self, address: str, starts: int) -> None:
+        """Records that starts are sent through a daemon."""
+        self._starts_under_way[address] += starts
+
+    def end(self, address: str, starts: int, has_failed: bool) -> None:
+        """Records whether a daemon has failed to send starts."""
+        self._starts_under_way[address] -= starts
+        if has_failed:
+            self._failed_at[address] = self.monotonic()
+        else:
+            self._failed_at.pop(address, None)
+
+
+@attrs.define(eq=False)
+class StartRelay:
+    """A `StartSender` that uses other daemons while this one is busy.
+
+    Attributes:
+      worker_client: Sends starts directly.
+      pool: The other daemons.
+      load: Load of this host.
+      start_task: Runs a coroutine in the background.
+    """
+
+    worker_client: WorkerClient
+    pool: RelayPool
+    load: OwnerLoad
+    start_task: Callable[[Coroutine[Any, Any, None]], None]
+    _pending: dict[str, list[_PendingStart]] = attrs.Factory(dict)
+
+    async def start(
+        self, worker: WorkerEntry, command: StartCommand
+    ) -> CommandAnswer:
+        """See `StartSender`."""
+        loop = asyncio.get_running_loop()
+        pending = _PendingStart(worker, command, loop.create_future())
+        if not self._pending:
+            due = loop.time() + GATHER_SECONDS
+            loop.call_at(due, self._send_pending, due)
+        self._pending.setdefault(command.payload, []).append(pending)
+        return await pending.answer
+
+    def _send_pending(self, due: float) -> None:
+        lag = max(0.0, asyncio.get_running_loop().time() - due)
+        batches, self._pending = list(self._pending.values()), {}
+        total = sum(
+            measure_start(start.command)
+            for starts in batches
+            for start in starts
+        )
+        self.load.record(total, lag)
+        for starts in batches:
+            self.start_task(self._send(starts))
+
+    async def _send(self, starts: list[_PendingStart]) -> None:
+        relay = ''
+        if len(starts) >= MIN_STARTS and self.load.is_busy:
+            relay = self.pool.choose()
+
+        if not relay or not await self._send_through(relay, starts):
+            await asyncio.gather(*map(self._send_directly, starts))
+
+    async def _send_directly(self, start: _PendingStart) -> None:
+        answer = await self.worker_client.start(start.worker, start.command)
+        start.settle(answer)
+
+    async def _send_through(
+        self, relay: str, starts: list[_PendingStart]
+    ) -> bool:
+        """Sends starts through a daemon; returns False if it was not asked."""
+        message = {
+            'token': self.worker_client.token,
+            'payload': starts[0].command.payload,
+            'starts': [start.encode() for start in starts],
+        }
+        self.pool.begin(relay, len(starts))
+        response = await self.worker_client.http_client.call(
+            'POST',
+            STARTS_PATH,
+            orjson.dumps(message),
+            timeout=ANSWER_SECONDS + HOP_SECONDS,
+            base=f'http://{relay}',
+            reads_headers=False,
+            connect_timeout=CONNECT_SECONDS,
+            kind=CallKind.START,
+        )
+        answers = _decode_answers(response, len(starts))
+        self.pool.end(relay, len(starts), has_failed=answers is None)
+        if answers is None:
+            log.warning(
+                'Cannot send starts through another daemon.',
+                extra={
+                    'daemon': relay,
+                    'status': response.status,
+                    'starts': len(starts),
+                    'is_sent': response.was_sent,
+                },
+            )
+            if response.status == NOT_READY or not response.was_sent:
+                return False
+            answers = [_NO_NEWS] * len(starts)
+        for start, answer in zip(starts, answers, strict=True):
+            start.settle(answer)
+        return True
+
+
+_NO_NEWS = CommandAnswer(CallStatus.UNKNOWN, was_asked=False)
+"""Answer where the other daemon does not tell whether it called the worker."""
+
+
+def _decode_answers(
+    response: HttpResponse, count: int
+) -> list[CommandAnswer] | None:
+    """Decodes an answer of `StartsHandler`; None if it is not valid."""
+    try:
+        rows = orjson.loads(response.body) if response.status == 200 else []
+        answers = [
+            _NO_NEWS
+            if row is None
+            else CommandAnswer(CallStatus(row[0]), row[1])
+            for row in rows
+        ]
+    except (ValueError, TypeError, IndexError):
+        return None
+    return answers if len(answers) == count else None
+
+
+class StartsHandler(PeerHandler):
+    """Sends starts to workers for the owner of their service."""
+
+    def initialize(
+        self,
+        make_worker_client: MakeWorkerClient,
+        is_closing: Callable[[], bool],
+    ) -> None:
+        """Receives the handler's arguments; see `make_peer_api`."""
+        self.is_closing = is_closing
+        self._make_worker_client = make_worker_client
+
+    async def post(self) -> None:
+        """Answers with a row for each start; null if it has no answer yet."""
+        message = orjson.loads(self.request.body)
+        client = self._make_worker_client(message['token'])
+        calls = [
+            asyncio.create_task(_start(client, row, message['payload']))
+            for row in message['starts']
+        ]
+        await asyncio.wait(calls, timeout=ANSWER_SECONDS)
+        self.finish(
+            orjson.dumps(
+                [call.result() if call.done() else None for call in calls]
+            )
+        )
+
+
+async def _start(
+    client: WorkerClient, row: list[Any], payload: str
+) -> tuple[str, int | None]:
+    worker_id, address, task, run, lease_until_ms, checkpoint, ticket = row
+    answer = await client.start(
+        _make_entry(worker_id, address),
+        StartCommand(task, run, payload, lease_until_ms, checkpoint, ticket),
+    )
+    return answer.status.value, answer.clock_ms
+
+
+def _make_entry(worker_id: str, address: str) -> WorkerEntry:
+    """Returns what a call to a worker needs of its registration."""
+    return WorkerEntry(
+        id=worker_id,
+        started_ms=0,
+        address=address,
+        service='',
+        zone='',
+        state=WorkerState.READY,
+        capacity=Room(),
+    )
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -11,6 +11,7 @@
 import logbook
 
 from lentilmount.control.placement_log import StartProgress
+from lentilmount.control.start_relay import StartSender
 from lentilmount.control.worker_session import (
     FORGET_SECONDS,
     SessionListener,
@@ -78,6 +79,7 @@
       get_ticket: Returns the advice service's ticket for a task on a worker.
       wake: Called when a task may be placed again.
       record_start: Called when no further copy of a start is to be sent.
+      start_sender: Sends starts to workers; `worker_client` by default.
     """
 
     cluster: ClusterState
@@ -89,6 +91,9 @@
     get_ticket: Callable[[Task, Worker], str]
     wake: Callable[[], None]
     record_start: Callable[[StartProgress], None] = ignore_start
+    start_sender: StartSender = attrs.Factory(
+        lambda self: self.worker_client, takes_self=True
+    )
     _starts_in_progress: set[PlacedRun] = attrs.Factory(set)
     _stops_in_progress: set[_Stop] = attrs.Factory(set)
 
@@ -217,7 +222,7 @@
             progress.count_copy(sent_at)
             answer = await self._call(
                 session,
-                self.worker_client.start(session.worker.entry, command),
+                self.start_sender.start(session.worker.entry, command),
             )
             progress.status = answer.status
             if is_first and answer.status is not CallStatus.UNKNOWN:
@@ -347,7 +352,8 @@
         """
         incarnation = session.incarnation
         answer = await call
-        session.record_command(answer.status)
+        if answer.was_asked:
+            session.record_command(answer.status)
         is_other = answer.status is CallStatus.OTHER_INSTANCE
         if session.incarnation == incarnation and not is_other:
             session.update_clock(answer.clock_ms)
--- a/lentilmount/platform/workers.py
+++ b/lentilmount/platform/workers.py
@@ -49,10 +49,18 @@
 
 @attrs.frozen
 class CommandAnswer:
-    """Outcome of a command, and the worker's clock if the answer has it."""
+    """Outcome of a command.
+
+    Attributes:
+      status: The outcome.
+      clock_ms: The worker's clock if the answer has it.
+      was_asked: Whether the worker is known to have been called. If not, a
+        missing answer tells nothing about it.
+    """
 
     status: CallStatus
     clock_ms: int | None = None
+    was_asked: bool = True
 
 
 @attrs.frozen
@@ -77,6 +85,15 @@
     ticket: str = ''
 
 
+START_OVERHEAD_BYTES = 450
+"""Bytes of a start beside its payload: headers, other fields and answer."""
+
+
+def measure_start(command: StartCommand) -> int:
+    """Returns about how many bytes a start takes on the network."""
+    return START_OVERHEAD_BYTES + len(command.payload)
+
+
 @attrs.define
 class WorkerClient:
     """Sends calls to workers, with the fencing token of an owner.
--- a/lentilmount/upstream/http.py
+++ b/lentilmount/upstream/http.py
@@ -42,11 +42,19 @@
 
 @attrs.frozen
 class HttpResponse:
-    """An HTTP response; its status is 599 if there was none."""
+    """An HTTP response; its status is 599 if there was none.
+
+    Attributes:
+      status: The HTTP status.
+      body: The body; the error if there was no response.
+      headers: The headers.
+      was_sent: Whether the request may have been sent.
+    """
 
     status: int
     body: bytes
     headers: Mapping[str, str]
+    was_sent: bool = True
 
 
 class CallKind(enum.Enum):
@@ -353,6 +361,7 @@
         base: str | None = None,
         total_timeout: float | None = None,
         reads_headers: bool = True,
+        connect_timeout: float = CONNECT_SECONDS,
         kind: CallKind = CallKind.OTHER,
     ) -> HttpResponse:
         """Sends one request; never raises for a status or a failure.
@@ -372,6 +381,7 @@
             `timeout` bounds only the time without received bytes.
           reads_headers: Whether to parse the response headers, which takes a
             seventh of the time of a call.
+          connect_timeout: Timeout for a connection, in seconds.
           kind: What the call is for.
         """
         sent = measure_request(path, body, headers)
@@ -389,6 +399,7 @@
                 base,
                 total_timeout,
                 reads_headers,
+                connect_timeout,
             )
             received = measure_response(response)
             return response
@@ -406,6 +417,7 @@
         base: str | None,
         total_timeout: float | None,
         reads_headers: bool,
+        connect_timeout: float,
     ) -> HttpResponse:
         """Sends one request; see `call`."""
         call_timeout = timeout or self.timeout
@@ -419,7 +431,7 @@
             method=method,
             body=body,
             headers={**SUPPRESSED_HEADERS, **(headers or {})},
-            connect_timeout=CONNECT_SECONDS,
+            connect_timeout=connect_timeout,
             request_timeout=call_timeout
             if total_timeout is None
             else total_timeout,
@@ -437,7 +449,8 @@
                 request, raise_error=False
             )
         except (CurlError, ValueError) as error:
-            return HttpResponse(CURL_ERROR, str(error).encode(), {})
+            was_sent = method in REPEATABLE_METHODS or request.was_permitted
+            return HttpResponse(CURL_ERROR, str(error).encode(), {}, was_sent)
         finally:
             if stall_detector is not None:
                 stall_detector.end()
--- a/stand_ins/host_link.py
+++ b/stand_ins/host_link.py
@@ -97,6 +97,7 @@
         base: str | None,
         total_timeout: float | None,
         reads_headers: bool,
+        connect_timeout: float,
     ) -> HttpResponse:
         """See `HttpClient`."""
         # A long answer is bounded as a whole, since it arrives continuously.
--- a/stand_ins/model_network.py
+++ b/stand_ins/model_network.py
@@ -175,6 +175,7 @@
         base: str | None,
         total_timeout: float | None,
         reads_headers: bool,
+        connect_timeout: float,
     ) -> HttpResponse:
         """See `HttpClient`."""
         link = self.links.get(str(base).removeprefix('http://'))
