Choose no moves while starts wait, and keep a window of 40 starts

While the window binds, no moves are chosen.

A limit of 20 kB left the owner with 15 starts under way, fewer than a pass places, as calls take 0.2 s there however few there are.

--- a/lentilmount/control/dispatcher.py
+++ b/lentilmount/control/dispatcher.py
@@ -135,7 +135,7 @@
             starts.append((str(task.id), task.run, worker.id))
         self.log_starts(starts)
         self._log_window(now)
-        if not self.unrecorded_starts.may_exist(now) and not self.is_outage():
+        if self._may_move(now):
             for task in self.placer.choose_moves(now):
                 self.stop(task, 'it serves better elsewhere')
         for job in newly_started:
@@ -143,6 +143,16 @@
         if self.is_outage():
             self.state_writer.send_unrecorded()
 
+    def _may_move(self, now: float) -> bool:
+        """Returns whether tasks may be stopped to run elsewhere.
+
+        While starts wait for answers, each move would add to what waits, and
+        choosing them takes as long as a pass.
+        """
+        if self.placer.window.is_binding or self.is_outage():
+            return False
+        return not self.unrecorded_starts.may_exist(now)
+
     def _log_window(self, now: float) -> None:
         """Logs that tasks wait for answers to starts, once in a while."""
         window = self.placer.window
--- a/lentilmount/scheduling/start_window.py
+++ b/lentilmount/scheduling/start_window.py
@@ -27,7 +27,7 @@
 """Time that the starts of a full window take on an otherwise idle link, until
 answers have been measured."""
 
-TARGET_ANSWER_SECONDS = 0.25
+TARGET_ANSWER_SECONDS = 0.3
 """Mean time from sending a start until its answer above which starts queue up.
 Workers answer within a few milliseconds, and calls time out after 0.8 s."""
 
@@ -49,9 +49,9 @@
 """Factors of the limit per interval: while it binds and answers come in time,
 and while they do not."""
 
-MIN_LIMIT_BYTES = 20_000
-"""Smallest limit, about 15 starts: fewer would not show when calls are fast
-again."""
+MIN_LIMIT_BYTES = 60_000
+"""Smallest limit, about 40 starts: a pass places as many at once, and on a host
+with a tenth of a core a call takes long however few there are."""
 
 URGENT_SHARE = 0.25
 """Share of the limit that only urgent tasks use."""
