Look for steps that need tickets only where a job needs any

The search went through all waiting tasks eight times a second: 0.35 s of 8.3 in a profile of an owner with 2,000 of them, on a deployment without advised queues. It now looks at the jobs first.

--- a/lentilmount/control/advice.py
+++ b/lentilmount/control/advice.py
@@ -93,12 +93,20 @@
     async def run(self) -> None:
         """Requests the tickets that are needed until it is cancelled."""
         while True:
-            task = self._find_step()
+            task = self._find_step() if self._is_used() else None
             pause = PAUSE_SECONDS
             if task is not None and not await self._ask(task):
                 pause = RETRY_SECONDS
             await asyncio.sleep(pause)
 
+    def _is_used(self) -> bool:
+        """Returns whether any job needs tickets.
+
+        There are far fewer jobs than waiting tasks.
+        """
+        jobs = self.cluster.jobs.values()
+        return any(job.spec.queue.advised for job in jobs)
+
     def _find_step(self) -> Task | None:
         """Returns a task of the most urgent step without a ticket, or None."""
         now = self.monotonic()
