Tell of a task that runs on after its job is over

What callers see: a task whose cancellation was acknowledged runs on, and nothing in logs or metrics tells that, or how far its stop came.

Cause: a stop to a worker without a session returned without a line; nothing told that an accepted stop had no effect; a cancellation of a job that the owner did not know, or that was over, was dropped without a line.

Change: a line where a stop is not sent for want of a session; a line and a counter where a run is listed 1.2 s after its stop was accepted; a gauge of listed runs of jobs that are over, and one line for each of them after 3 s; a line for the cancellations of one read that change nothing.

Why it works: all is derived from what reports list, so it holds whatever the owner believes of its own commands. Only a report that was requested after the acceptance counts, as an older one may be late. Decisions are unchanged.

--- a/lentilmount/control/gauges.py
+++ b/lentilmount/control/gauges.py
@@ -15,10 +15,11 @@
         waiting[str(task.job.spec.queue.priority)] += 1
     workers: collections.Counter[str] = collections.Counter()
     tails: dict[str, float] = {}
-    running = 0
+    running = finished_runs = 0
     for worker in cluster.workers.values():
         workers['yes' if worker.reachable else 'no'] += 1
         running += len(worker.tasks)
+        finished_runs += len(worker.finished_runs)
         for task in worker.tasks.values():
             if task.is_serving and task.usage is not None:
                 image = task.spec.image
@@ -28,6 +29,7 @@
         ('lentilmount_waiting_tasks', waiting, 'priority'),
         ('lentilmount_workers', workers, 'answers'),
         ('lentilmount_running_tasks', {'': running}, ''),
+        ('lentilmount_finished_runs', {'': finished_runs}, ''),
         ('lentilmount_tail_ratio', tails, 'image'),
     ):
         metrics.set_gauge(name, values, label)
--- a/lentilmount/control/job_loader.py
+++ b/lentilmount/control/job_loader.py
@@ -25,12 +25,16 @@
     make_partition,
 )
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.model import JobState
 from lentilmount.scheduling.rows import restore_state
 
 log = logbook.Logger('intake')
 
 FEED_SECONDS = 1.0
 
+LOGGED_JOBS = 5
+"""Number of jobs that a log line on cancellations names at most."""
+
 
 @attrs.define(eq=False)
 class JobLoader:
@@ -88,6 +92,7 @@
                 restore_state(
                     self.cluster, job, row.body, leases_expire_at, now
                 )
+        self._log_without_effect(cancelled)
         for job_id in cancelled:
             self.cluster.cancel(job_id, now)
         self._feed.position = jobs.version
@@ -109,6 +114,35 @@
                 self._admit(row)
         return cancelled
 
+    def _log_without_effect(self, cancelled: list[str]) -> None:
+        """Logs the cancellations that change nothing, many to a line."""
+        unknown = []
+        over = {}
+        for job_id in cancelled:
+            job = self.cluster.jobs.get(job_id)
+            if job is None:
+                unknown.append(job_id)
+            elif job.state.is_final and job.state is not JobState.CANCELLED:
+                over[job_id] = job.state.value
+        if unknown:
+            log.warning(
+                'Not cancelled: {} jobs are not known here.',
+                len(unknown),
+                extra={
+                    'service': self.service,
+                    'jobs': unknown[:LOGGED_JOBS],
+                },
+            )
+        if over:
+            log.info(
+                'Not cancelled: {} jobs are over already.',
+                len(over),
+                extra={
+                    'service': self.service,
+                    'jobs': list(over.items())[:LOGGED_JOBS],
+                },
+            )
+
     def _admit(self, row: RawRow) -> None:
         key = Key(make_partition(JOBS_TABLE, self.service), row.key)
         try:
@@ -128,7 +162,9 @@
         """Applies new jobs and cancellations until it is cancelled."""
         while True:
             rows = await self._feed.read()
-            for job_id in self._apply_rows(rows):
+            cancelled = self._apply_rows(rows)
+            self._log_without_effect(cancelled)
+            for job_id in cancelled:
                 self.cancel(job_id)
             if rows:
                 self.wake()
--- a/lentilmount/control/metrics.py
+++ b/lentilmount/control/metrics.py
@@ -56,6 +56,10 @@
             'lentilmount_start_copies_total',
             'Copies of starts sent to workers, repeated ones included.',
         )
+        self._stops_without_effect = self._make_counter(
+            'lentilmount_stops_without_effect_total',
+            'Accepted stops after which the worker went on listing the run.',
+        )
         self._takeovers = self._make_counter(
             'lentilmount_takeovers_total', 'Leases on services taken.'
         )
@@ -81,6 +85,10 @@
                 ),
                 ('lentilmount_waiting_tasks', 'Tasks ready, by priority.'),
                 ('lentilmount_running_tasks', 'Tasks placed on workers.'),
+                (
+                    'lentilmount_finished_runs',
+                    'Runs that workers list although their jobs are over.',
+                ),
                 ('lentilmount_workers', 'Workers, by whether they answer.'),
                 (
                     'lentilmount_tail_ratio',
@@ -126,6 +134,10 @@
         """Counts the copies of a start that were sent."""
         self._start_copies.add({}, copies)
 
+    def count_stop_without_effect(self) -> None:
+        """Counts an accepted stop whose run the worker went on listing."""
+        self._stops_without_effect.inc({})
+
     def count_takeover(self, service: str) -> None:
         """Counts an acquired lease of a service."""
         self._takeovers.inc({'service': service})
--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -40,6 +40,10 @@
 stalled; at 100 all such tasks would interfere at once before the loads are
 known."""
 
+RUNS_ON_SECONDS = 3.0
+"""Time in seconds for which a worker may list a run of a job that is over until
+a log line tells of it: a stop, and two polls."""
+
 LOGGED_ENDS = (EndKind.FAILED, EndKind.LAPSED, EndKind.BROKEN, EndKind.ALONE)
 
 
@@ -75,6 +79,9 @@
             self.commands.stop_stale_run(stale_run)
         for task in result.adopted:
             self._resume(task)
+        for task in result.overdue_stops:
+            self._handle_overdue_stop(task, now)
+        self._log_finished_runs(worker, now)
         if result.unknown_tasks:
             log.warning(
                 'Runs tasks of jobs that are not known here yet.',
@@ -82,6 +89,41 @@
             )
         self._throttle(worker, now)
 
+    def _handle_overdue_stop(self, task: Task, now: float) -> None:
+        self.metrics.count_stop_without_effect()
+        log.warning(
+            'Still listed: the run goes on after its stop was accepted.',
+            extra={
+                'task': str(task.id),
+                'run': task.run,
+                'worker': task.worker,
+                'accepted': _measure_since(task.stop_accepted_at, now),
+            },
+        )
+
+    def _log_finished_runs(self, worker: Worker, now: float) -> None:
+        """Logs each run once that goes on long after its job has ended."""
+        for (_, run), finished in worker.finished_runs.items():
+            task = finished.task
+            is_due = now - finished.listed_at > RUNS_ON_SECONDS
+            if finished.is_logged or not is_due:
+                continue
+            finished.is_logged = True
+            is_placed = task.worker == worker.id and task.run == run
+            accepted_at = task.stop_accepted_at if is_placed else math.inf
+            log.warning(
+                'Runs on: its job is {}.',
+                task.job.state.value,
+                extra={
+                    'task': str(task.id),
+                    'run': run,
+                    'worker': worker.id,
+                    'ended': round(now - task.job.ended_at, 3),
+                    'phase': task.phase.value,
+                    'accepted': _measure_since(accepted_at, now),
+                },
+            )
+
     def _record_end(
         self, worker: Worker, task: Task, kind: EndKind, now: float
     ) -> None:
@@ -247,3 +289,8 @@
                 self.health.quarantine(worker, now)
             for task in hanging:
                 self.stop(task, 'it stands still')
+
+
+def _measure_since(at: float, now: float) -> float | None:
+    """Returns the seconds since a time, None if that is infinity."""
+    return None if math.isinf(at) else round(now - at, 3)
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -384,6 +384,14 @@
     async def _stop(self, task: Task, run: int) -> None:
         session = self.sessions.get(task.worker)
         if session is None:
+            log.warning(
+                'Not stopped: the worker has no session.',
+                extra={
+                    'task': str(task.id),
+                    'run': run,
+                    'worker': task.worker,
+                },
+            )
             return
         stop = _Stop(PlacedRun(task, run), session, session.incarnation)
         if stop in self._stops_in_progress:
@@ -413,7 +421,7 @@
             session.record_stop(_is_accepted(status), sent_at)
             if _is_accepted(status):
                 if _awaits_stop(session, task, run):
-                    task.stopped_at = min(task.stopped_at, self.monotonic())
+                    self.cluster.accept_stop(task, self.monotonic())
                 return True
             pause = await _back_off(pause)
         return False
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -298,6 +298,17 @@
         """Marks a placed task as being stopped."""
         if task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
             task.phase = TaskPhase.STOPPING
+            self._forget_stop(task)
+
+    def accept_stop(self, task: Task, now: float) -> None:
+        """Records that the worker of a task has accepted its stop."""
+        task.stopped_at = min(task.stopped_at, now)
+        task.stop_accepted_at = now
+        task.is_stop_overdue = False
+
+    def _forget_stop(self, task: Task) -> None:
+        task.stop_accepted_at = math.inf
+        task.is_stop_overdue = False
 
     def record_change(
         self,
@@ -564,6 +575,7 @@
         """
         ended = []
         worker.lost_at = now
+        worker.finished_runs.clear()
         worker.suspects |= {task: task.run for task in list_suspects(worker)}
         for task in list_unanswered(worker):
             task.is_probed_before_start = True
@@ -635,6 +647,7 @@
         task.phase = TaskPhase.STOPPING
         task.worker = worker.id
         task.stopped_at = stopped_at
+        self._forget_stop(task)
         # What is known of its newest start is of another placement.
         task.start_sent_at = task.confirmed_at = math.inf
         task.start_follows_answer = False
@@ -668,4 +681,5 @@
         )
         self.begin_stop(task)
         task.stopped_at = math.inf
+        self._forget_stop(task)
         task.start_expired_at = math.inf
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -81,6 +81,9 @@
         passed.
       stopped_at: Monotonic time by which its worker has certainly begun to stop
         it.
+      stop_accepted_at: Monotonic time at which its worker last accepted its
+        stop in phase STOPPING; infinity if it has not.
+      is_stop_overdue: Whether its worker listed it too long after that.
       cpu_percent: Share of time in percent for which it may use the processor.
       previous_cpu_percent: That share before the last change.
       throttled_at: Monotonic time of that change in seconds.
@@ -113,6 +116,8 @@
     start_deadline_ms: int = 0
     start_expired_at: float = math.inf
     stopped_at: float = math.inf
+    stop_accepted_at: float = math.inf
+    is_stop_overdue: bool = False
     cpu_percent: int = 100
     previous_cpu_percent: int = 100
     throttled_at: float = 0.0
@@ -220,6 +225,21 @@
     is_end_logged: bool = False
 
 
+@attrs.define
+class FinishedRun:
+    """A run that a worker lists although its job is over.
+
+    Attributes:
+      task: The task.
+      listed_at: Monotonic time at which a report first listed it so.
+      is_logged: Whether a log line tells that it runs on.
+    """
+
+    task: Task
+    listed_at: float
+    is_logged: bool = False
+
+
 @attrs.frozen
 class EndedTask:
     """A best-effort task that has ended on a worker.
@@ -271,6 +291,8 @@
       runs_unknown_tasks: Whether it runs tasks of jobs that this owner does not
         know.
       has_stale_runs: Whether it runs tasks that must be stopped.
+      finished_runs: Runs of jobs that are over, as listed in its last report,
+        by id of the task and number of the run.
       leases_expire_at: Monotonic time by which all its leases have expired; 0
         if there are none known.
       quarantined_until: Monotonic time until which it gets no new tasks.
@@ -297,6 +319,7 @@
     is_registered: bool = True
     runs_unknown_tasks: bool = False
     has_stale_runs: bool = False
+    finished_runs: dict[tuple[TaskId, int], FinishedRun] = attrs.Factory(dict)
     leases_expire_at: float = 0.0
     quarantined_until: float = 0.0
     on_probation: bool = False
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -11,7 +11,7 @@
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.crashes import is_cleared
 from lentilmount.scheduling.history import ChangeKind, ChangeReason
-from lentilmount.scheduling.model import Task, TaskPhase, Worker
+from lentilmount.scheduling.model import FinishedRun, Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import (
     EndKind,
     EndReport,
@@ -24,6 +24,10 @@
 IDLE_CPU_SHARE = 0.02
 """Share of its allowed CPU usage below which a task counts as idle."""
 
+STOP_EFFECT_SECONDS = 1.2
+"""Time in seconds from the acceptance of a stop until no report lists its run:
+0.9 s for the longest stop of the platform, and 0.3 s for the report."""
+
 
 @attrs.define
 class ReconcileResult:
@@ -35,6 +39,8 @@
       expired: Tasks whose start was not carried out before its deadline.
       stale_runs: Runs to be stopped.
       stale: Resources of those among them that the worker lists.
+      overdue_stops: Tasks that the worker lists although it has accepted their
+        stop, if that is found for the first time since.
       unknown_tasks: Formatted ids of running tasks whose job is unknown to this
         owner.
       last_end_number: Number of the newest end in the report. Ends up to it may
@@ -46,6 +52,7 @@
     expired: list[Task] = attrs.Factory(list)
     stale_runs: list[StaleRun] = attrs.Factory(list)
     stale: Room = attrs.Factory(Room)
+    overdue_stops: list[Task] = attrs.Factory(list)
     unknown_tasks: list[str] = attrs.Factory(list)
     last_end_number: int = 0
 
@@ -74,12 +81,19 @@
         result = ReconcileResult()
         listed: set[TaskId] = set()
         stale_tasks: list[Task] = []
+        finished_runs: dict[tuple[TaskId, int], FinishedRun] = {}
         for end in report.ended:
             self._apply_end(worker, end, result, now)
         for run_report in report.running:
             task = self._apply_running(worker, run_report, result, now)
             if task is None:
                 continue
+            self._check_stop(task, worker, requested_at, result, now)
+            if task.job.state.is_final:
+                key = (task.id, run_report.run)
+                finished_runs[key] = worker.finished_runs.get(
+                    key, FinishedRun(task, now)
+                )
             if self._is_listed(task, worker, run_report):
                 listed.add(task.id)
             else:
@@ -102,6 +116,7 @@
         self._hold_stale_tasks(worker, stale_tasks, result, now)
         worker.runs_unknown_tasks = bool(result.unknown_tasks)
         worker.has_stale_runs = bool(result.stale_runs)
+        worker.finished_runs = finished_runs
         worker.set_stale(result.stale)
         return result
 
@@ -242,6 +257,25 @@
         self._update(task, run_report, now)
         return task
 
+    def _check_stop(
+        self,
+        task: Task,
+        worker: Worker,
+        requested_at: float,
+        result: ReconcileResult,
+        now: float,
+    ) -> None:
+        """Notes if a stop that was accepted should have ended a listed run."""
+        is_stopping = task.phase is TaskPhase.STOPPING
+        # An older report may be late, by a slow link.
+        is_newer = requested_at > task.stop_accepted_at
+        is_due = now - task.stop_accepted_at > STOP_EFFECT_SECONDS
+        if not (is_stopping and is_newer and is_due):
+            return
+        if task.worker == worker.id and not task.is_stop_overdue:
+            task.is_stop_overdue = True
+            result.overdue_stops.append(task)
+
     def _is_listed(
         self, task: Task, worker: Worker, run_report: RunReport
     ) -> bool:
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -73,6 +73,7 @@
       violations: What was found wrong.
       write_faults: Faults of the next writes of the owner.
       election: The election that runs the owner; None while it is killed.
+      metrics: Metrics of all owners.
     """
 
     clock: ManualClock
@@ -85,6 +86,7 @@
     violations: list[str] = attrs.Factory(list)
     write_faults: list[TableFault] = attrs.Factory(list)
     election: ServiceElection | None = None
+    metrics: ControlMetrics = attrs.Factory(ControlMetrics)
     _process: asyncio.Task[None] | None = None
     _owner: object = None
     _learned_at: dict[str, float] = attrs.Factory(lambda: {'': 0.0})
@@ -204,7 +206,7 @@
             lambda epoch: WorkerClient(self.network, epoch, TIMEOUT_SECONDS),
             lambda: False,
             None,
-            ControlMetrics(),
+            self.metrics,
             candidates,
             _may_own,
         )
--- a/tests/test_refused_stops.py
+++ b/tests/test_refused_stops.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import logbook
 import pytest
 
 from lentilmount.clock import ManualClock
@@ -119,3 +120,21 @@
         assert not scene.client.running
 
     play(scenario)
+
+
+def test_a_stop_to_a_worker_without_a_session_is_logged() -> None:
+    """A stop that was not sent left no line."""
+    records: list[logbook.LogRecord] = []
+
+    async def scenario(scene: RestartScene) -> None:
+        scene.cluster.begin_stop(scene.task)
+        scene.commands.sessions.clear()
+        with logbook.TestHandler() as handler:
+            scene.commands.stop(scene.task)
+            await asyncio.sleep(TIMEOUT_SECONDS)
+            records.extend(handler.records)
+
+    play(scenario)
+    assert [(r.message, r.extra['run']) for r in records] == [
+        ('Not stopped: the worker has no session.', 1)
+    ]
