Send a stop again whose run is still listed after it was accepted

What callers see: a task whose cancellation was acknowledged runs on for good.

Cause: a stop is repeated until it is accepted, once. A worker that accepts it without effect is never asked again: any run that it lists of a task being stopped counts as kept there, and each poll renews its lease.

Change: a report that was requested after the acceptance, and arrives over 1.2 s (STOP_EFFECT_SECONDS) after it with the run still listed, lets the stop be sent again.

Why it works: the report is the evidence, so it ends when no report lists the run, and a worker that stops in time gets no further stop. Each acceptance starts the 1.2 s anew, and a run has one sender, so there is at most one stop each 1.2 s. A worker that accepts every stop and never ends the run keeps it: to let its leases expire would end all that it runs.

--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -90,6 +90,7 @@
         self._throttle(worker, now)
 
     def _handle_overdue_stop(self, task: Task, now: float) -> None:
+        """Sends the stop of a run again that goes on after it was accepted."""
         self.metrics.count_stop_without_effect()
         log.warning(
             'Still listed: the run goes on after its stop was accepted.',
@@ -100,6 +101,7 @@
                 'accepted': _measure_since(task.stop_accepted_at, now),
             },
         )
+        self.commands.stop(task)
 
     def _log_finished_runs(self, worker: Worker, now: float) -> None:
         """Logs each run once that goes on long after its job has ended."""
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -39,8 +39,8 @@
       expired: Tasks whose start was not carried out before its deadline.
       stale_runs: Runs to be stopped.
       stale: Resources of those among them that the worker lists.
-      overdue_stops: Tasks that the worker lists although it has accepted their
-        stop, if that is found for the first time since.
+      overdue_stops: Tasks to be stopped again: the worker lists them although
+        it has accepted their stop.
       unknown_tasks: Formatted ids of running tasks whose job is unknown to this
         owner.
       last_end_number: Number of the newest end in the report. Ends up to it may
