Take no answer for an accepted stop that shows nothing of the run

What callers see: a task whose cancellation was acknowledged runs on; or one that was started late runs beside another.

Cause: each answer to a stop but none and a refusal counted as acceptance, also 421, by which another instance at the address has answered, and 400, by which the worker has done nothing. The stop was not sent again, and the next report without the run freed the task although a late start was still to come.

Change: these answers are no acceptance; the stop is sent again with the usual delays, 1 s at most, while the task is kept there.

Why it works: where the instance is really gone, polls fail as well and the task is freed when its leases have run out, which ends the stops. Where a worker answers polls and each stop so, its leases are no longer renewed after 3 s, as for one that answers no stops.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -41,6 +41,17 @@
 may have shrunk, which its registration shows only later."""
 
 
+_WITHOUT_EFFECT = frozenset(
+    {
+        CallStatus.UNKNOWN,
+        CallStatus.REFUSED,
+        CallStatus.OTHER_INSTANCE,
+        CallStatus.INVALID,
+    }
+)
+"""Answers that do not show that a worker has carried out a stop."""
+
+
 _STARTED = frozenset({TaskPhase.STARTING, TaskPhase.RUNNING, TaskPhase.DONE})
 """Phases in which the outcome of a task's start is still of use."""
 
@@ -524,7 +535,7 @@
 
 
 def _is_accepted(status: CallStatus) -> bool:
-    return status not in (CallStatus.UNKNOWN, CallStatus.REFUSED)
+    return status not in _WITHOUT_EFFECT
 
 
 async def _back_off(pause: float) -> float:
