Apply a cancellation that is read before its job

What callers see: a job runs although its cancellation was acknowledged.

Cause: the owner dropped a cancellation of a job that it did not know. The rows come in the order of their versions, so that happens only where the row of the job could not be decoded, or is written again after its cancellation.

Evidence: the two tests failed before and pass now; a third form, with failed reads in between, fails without the reset of `is_listed` in `TableFeed.read`. A test that a cancellation does not outlive its row where the store has dropped the history fails without the line that forgets them.

Change: the owner keeps such a cancellation until the job is admitted, its row is removed, or all rows are listed anew without it.

Why it works: what is kept is exactly what the table holds, so a later job under that id is cancelled only if its cancellation is still there.

--- a/lentilmount/control/job_loader.py
+++ b/lentilmount/control/job_loader.py
@@ -56,6 +56,7 @@
     cancel: Callable[[str], None]
     wake: Callable[[], None]
     _feed: TableFeed = attrs.field(init=False)
+    _early_cancellations: dict[str, int] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Creates the feed of the jobs table."""
@@ -98,20 +99,33 @@
         self._feed.position = jobs.version
 
     def _apply_rows(self, rows: tuple[RawRow, ...]) -> list[str]:
-        """Admits jobs; returns the ids of those that were cancelled."""
+        """Admits jobs; returns the ids of those that were cancelled.
+
+        A cancellation may be read before its job, or while the row of the job
+        cannot be decoded. It is kept until the job is admitted.
+        """
         cancelled = []
         for row in rows:
             # The feed contains the jobs of all services. A job of another
             # service would run on workers of this one, and twice.
-            if row.removed or row.part != self.service:
+            if row.part != self.service:
                 continue
-            if row.key.endswith(CANCEL_SUFFIX):
-                job_id = row.key.removesuffix(CANCEL_SUFFIX)
-                cancelled.append(job_id)
-                if job_id in self.cluster.jobs:
-                    self.cluster.jobs[job_id].cancel_version = row.version
+            job_id = row.key.removesuffix(CANCEL_SUFFIX)
+            is_cancellation = job_id != row.key
+            if row.removed:
+                if is_cancellation:
+                    self._early_cancellations.pop(job_id, None)
+                continue
+            if is_cancellation:
+                self._early_cancellations[job_id] = row.version
             else:
                 self._admit(row)
+            if job_id not in self._early_cancellations:
+                continue
+            cancelled.append(job_id)
+            if job_id in self.cluster.jobs:
+                version = self._early_cancellations.pop(job_id)
+                self.cluster.jobs[job_id].cancel_version = version
         return cancelled
 
     def _log_without_effect(self, cancelled: list[str]) -> None:
@@ -162,6 +176,9 @@
         """Applies new jobs and cancellations until it is cancelled."""
         while True:
             rows = await self._feed.read()
+            if self._feed.is_listed:
+                # Those that were removed meanwhile are in no answer.
+                self._early_cancellations.clear()
             cancelled = self._apply_rows(rows)
             self._log_without_effect(cancelled)
             for job_id in cancelled:
--- a/lentilmount/control/table_feed.py
+++ b/lentilmount/control/table_feed.py
@@ -47,6 +47,8 @@
       monotonic: Returns monotonic time in seconds.
       as_of: Monotonic time at which the last successful call was sent. Later
         changes may be missing.
+      is_listed: Whether the last call returned all rows. Rows that were removed
+        before it are in no answer.
     """
 
     table: PlatformTable
@@ -57,10 +59,12 @@
     failures: int = 0
     monotonic: Callable[[], float] = time.monotonic
     as_of: float = -math.inf
+    is_listed: bool = False
 
     async def read(self) -> tuple[RawRow, ...]:
         """Returns all rows or the changed ones; none after a failure."""
         sent_at = self.monotonic()
+        self.is_listed = False
         try:
             found = await self._read()
         except HistoryLostError:
@@ -92,7 +96,9 @@
 
     async def _read(self) -> Changes:
         if self.position is None or self._is_list_due():
-            return await self.table.read_all(self.name, self.part)
+            found = await self.table.read_all(self.name, self.part)
+            self.is_listed = True
+            return found
         return await self.table.follow(
             self.name, self.position, self.wait_seconds
         )
--- a/tests/test_repeated_stops.py
+++ b/tests/test_repeated_stops.py
@@ -18,7 +18,7 @@
 )
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.coordination.table import UnavailableError
-from lentilmount.platform.store import Changes
+from lentilmount.platform.store import Changes, HistoryLostError
 from lentilmount.platform.workers import CallStatus, CommandAnswer, WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import JobState
@@ -219,14 +219,30 @@
     play_site(scenario)
 
 
-@pytest.mark.parametrize('is_unreadable', [False, True])
+@pytest.mark.parametrize('fault', ['none', 'unreadable', 'unavailable'])
 def test_a_cancellation_that_comes_before_its_job_is_applied(
-    is_unreadable: bool,
+    monkeypatch: pytest.MonkeyPatch, fault: str
 ) -> None:
     """A cancellation read before the row of its job was dropped."""
+    follow = MemoryTable.follow
+    failures = 3 if fault == 'unavailable' else 0
+
+    async def fail_to_follow(
+        table: MemoryTable, name: str, after: int, wait: float
+    ) -> Changes:
+        nonlocal failures
+        if failures and JOB.id in cancelled and name == JOBS_TABLE:
+            failures -= 1
+            raise UnavailableError('fault')
+        return await follow(table, name, after, wait)
+
+    cancelled: set[str] = set()
+    monkeypatch.setattr(MemoryTable, 'follow', fail_to_follow)
 
     async def scenario(site: ModelSite) -> None:
-        if is_unreadable:
+        nonlocal cancelled
+        cancelled = site.cancelled
+        if fault == 'unreadable':
             site.store.write((JOBS_TABLE, SERVICE, JOB.id), b'["t", {}]')
         await asyncio.sleep(2.0)
         site.cancel(JOB.id)
@@ -240,6 +256,38 @@
     play_site(scenario)
 
 
+def test_a_cancellation_that_was_removed_does_not_cancel_a_later_job(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A kept cancellation must not outlive its row where history is lost."""
+    follow = MemoryTable.follow
+    is_lost = False
+
+    async def lose_history(
+        table: MemoryTable, name: str, after: int, wait: float
+    ) -> Changes:
+        if is_lost:
+            raise HistoryLostError(name)
+        return await follow(table, name, after, wait)
+
+    monkeypatch.setattr(MemoryTable, 'follow', lose_history)
+
+    async def scenario(site: ModelSite) -> None:
+        nonlocal is_lost
+        site.cancel(JOB.id)
+        await asyncio.sleep(2.0)
+        is_lost = True
+        await asyncio.sleep(2.0)
+        remove_rows(site)
+        await asyncio.sleep(2.0)
+        is_lost = False
+        await asyncio.sleep(2.0)
+        worker = await begin_task(site)
+        assert list_running(site) == [(worker.id, TASK, 1)]
+
+    play_site(scenario)
+
+
 def remove_rows(site: ModelSite) -> None:
     """Removes all rows of the job, as if its retention time had passed."""
     addresses = [
