Stop runs of which no row holds the job, and those of jobs that are over

What callers see: a task runs on after its job was cancelled and deleted, or after a takeover; its worker gets no other tasks.

Cause: a run whose task the owner does not know was only logged, at each report, and each poll renewed its lease. So it was for a run of a job that is over, of an occurrence that this owner has not created: it creates none once the job is over.

Change: such a run is stopped, at each report that lists it, if its job is over here, or if the jobs were read, by a call sent after the run was first listed, and no row holds the job. The feed of the jobs uses the owner's clock.

Why it works: the row of a job is written before any task of it is started, and the store's answers are linearizable; a row that a later reading lacks has been deleted, which is done to finished jobs only. A worker's life belongs to one service, so the job cannot be another service's.

--- a/lentilmount/control/job_loader.py
+++ b/lentilmount/control/job_loader.py
@@ -61,7 +61,11 @@
     def __attrs_post_init__(self) -> None:
         """Creates the feed of the jobs table."""
         self._feed = TableFeed(
-            self.table, JOBS_TABLE, FEED_SECONDS, self.service
+            self.table,
+            JOBS_TABLE,
+            FEED_SECONDS,
+            self.service,
+            monotonic=self.clock.monotonic,
         )
 
     async def load(self, lease_expiry_seconds: float) -> None:
@@ -115,6 +119,8 @@
             if row.removed:
                 if is_cancellation:
                     self._early_cancellations.pop(job_id, None)
+                else:
+                    self.cluster.unreadable_jobs.discard(job_id)
                 continue
             if is_cancellation:
                 self._early_cancellations[job_id] = row.version
@@ -163,7 +169,9 @@
             spec = decode_job_row(decode_row(key, row).body)
         except (ValueError, TypeError, KeyError) as error:
             log.error('Job {} cannot be read: {!r}', row.key, error)
+            self.cluster.unreadable_jobs.add(row.key)
             return
+        self.cluster.unreadable_jobs.discard(row.key)
         job = self.cluster.admit(
             spec,
             self.clock.monotonic(),
@@ -180,6 +188,7 @@
                 # Those that were removed meanwhile are in no answer.
                 self._early_cancellations.clear()
             cancelled = self._apply_rows(rows)
+            self.cluster.jobs_as_of = self._feed.as_of
             self._log_without_effect(cancelled)
             for job_id in cancelled:
                 self.cancel(job_id)
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -81,6 +81,8 @@
       workers: All workers that run or may run tasks, by id.
       ready: Tasks that may be placed now, by id.
       dirty: Ids of the jobs whose state row must be written; values are unused.
+      unreadable_jobs: Ids of jobs whose rows cannot be decoded.
+      jobs_as_of: Monotonic time up to which all rows of jobs are known.
       history: Changes of placements, to be logged.
     """
 
@@ -89,6 +91,8 @@
         self.workers: dict[str, Worker] = {}
         self.ready: dict[TaskId, Task] = {}
         self.dirty: dict[str, None] = {}
+        self.unreadable_jobs: set[str] = set()
+        self.jobs_as_of = -math.inf
         self.history = PlacementHistory()
 
     # Jobs.
@@ -171,6 +175,25 @@
         job = self.jobs.get(task_id.job)
         return job.tasks.get(task_id) if job is not None else None
 
+    def is_needless(self, name: str, listed_at: float) -> bool:
+        """Returns whether the run of an unknown task must certainly be stopped.
+
+        That is if its job is over, or no row held the job when the run was
+        there already: the row of a job is written before any of its tasks is
+        started.
+
+        Args:
+          name: Formatted id of the task.
+          listed_at: Monotonic time at which a report first listed the run.
+        """
+        task_id = TaskId.parse(name)
+        if task_id is None or task_id.job in self.unreadable_jobs:
+            return False
+        job = self.jobs.get(task_id.job)
+        if job is not None:
+            return job.state.is_final
+        return listed_at < self.jobs_as_of
+
     def are_predecessors_done(self, task: Task) -> bool:
         """Returns whether all steps that a task depends on are done."""
         return all(
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -290,6 +290,8 @@
       is_registered: Whether it is currently registered.
       runs_unknown_tasks: Whether it runs tasks of jobs that this owner does not
         know.
+      unknown_runs: Monotonic time at which a report first listed each of these
+        runs, by formatted id of the task and number of the run.
       has_stale_runs: Whether it runs tasks that must be stopped.
       finished_runs: Runs of jobs that are over, as listed in its last report,
         by id of the task and number of the run.
@@ -318,6 +320,7 @@
     renews_leases: bool = True
     is_registered: bool = True
     runs_unknown_tasks: bool = False
+    unknown_runs: dict[tuple[str, int], float] = attrs.Factory(dict)
     has_stale_runs: bool = False
     finished_runs: dict[tuple[TaskId, int], FinishedRun] = attrs.Factory(dict)
     leases_expire_at: float = 0.0
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -82,11 +82,15 @@
         listed: set[TaskId] = set()
         stale_tasks: list[Task] = []
         finished_runs: dict[tuple[TaskId, int], FinishedRun] = {}
+        unknown_runs: dict[tuple[str, int], float] = {}
         for end in report.ended:
             self._apply_end(worker, end, result, now)
         for run_report in report.running:
             task = self._apply_running(worker, run_report, result, now)
             if task is None:
+                run = (run_report.task, run_report.run)
+                unknown_runs[run] = worker.unknown_runs.get(run, now)
+                self._check_unknown(worker, run, unknown_runs[run], result)
                 continue
             self._check_stop(task, worker, requested_at, result, now)
             if task.job.state.is_final:
@@ -115,6 +119,7 @@
             result.ended.append((task, EndKind.LAPSED))
         self._hold_stale_tasks(worker, stale_tasks, result, now)
         worker.runs_unknown_tasks = bool(result.unknown_tasks)
+        worker.unknown_runs = unknown_runs
         worker.has_stale_runs = bool(result.stale_runs)
         worker.finished_runs = finished_runs
         worker.set_stale(result.stale)
@@ -220,7 +225,6 @@
     ) -> Task | None:
         task = self._cluster.find_task(run_report.task)
         if task is None:
-            result.unknown_tasks.append(run_report.task)
             return None
         self._cluster.mark_started(task.job)
         self._drop_older_placement(task, run_report.run)
@@ -257,6 +261,19 @@
         self._update(task, run_report, now)
         return task
 
+    def _check_unknown(
+        self,
+        worker: Worker,
+        run: tuple[str, int],
+        listed_at: float,
+        result: ReconcileResult,
+    ) -> None:
+        """Has the run of an unknown task stopped if that is certainly right."""
+        name, number = run
+        result.unknown_tasks.append(name)
+        if self._cluster.is_needless(name, listed_at):
+            result.stale_runs.append(StaleRun(worker.id, name, number))
+
     def _check_stop(
         self,
         task: Task,
--- a/tests/test_repeated_stops.py
+++ b/tests/test_repeated_stops.py
@@ -377,6 +377,8 @@
     cluster.cancel('job', 2.0)
     result = Reconciler(cluster).reconcile(worker, listed, 3.0, 3.0)
     assert result.stale_runs == [StaleRun('w', 'job.1.0.0', 1)]
+    assert worker.runs_unknown_tasks
+    Reconciler(cluster).reconcile(worker, make_report(), 4.0, 4.0)
     assert not worker.runs_unknown_tasks
 
 
