Send a throttle command again that a worker has refused

What callers see: a best-effort task goes on at full speed beside a serving task, which is over its target, though it counts as throttled.

Cause: any answer to a throttle command ended its sending, also 429 and 503, by which an unhealthy worker has done nothing. The CPU share that was asked for is taken for the one in force, so nothing asks again until another one is due.

Evidence: the new test failed before and passes now. A second one, that a refused share does not replace a later one, passes before and after, and fails if the command is repeated whatever is due.

Change: a refused throttle command is repeated like one without an answer, while that share is still due. 400 and 421 end it as before: the one would be repeated for good where a worker does not know the command, and after the other the run has ended.

--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -51,6 +51,9 @@
 )
 """Answers that do not show that a worker has carried out a stop."""
 
+_REPEATED = frozenset({CallStatus.UNKNOWN, CallStatus.REFUSED})
+"""Answers after which a throttle command is sent again."""
+
 
 _STARTED = frozenset({TaskPhase.STARTING, TaskPhase.RUNNING, TaskPhase.DONE})
 """Phases in which the outcome of a task's start is still of use."""
@@ -514,7 +517,7 @@
                     session.worker.entry, str(task.id), run, cpu_percent
                 ),
             )
-            if answer.status is not CallStatus.UNKNOWN:
+            if answer.status not in _REPEATED:
                 return
             pause = await _back_off(pause)
         await self._probe(session, str(task.id), run)
--- a/tests/restart_fixtures.py
+++ b/tests/restart_fixtures.py
@@ -163,6 +163,8 @@
       received_starts: Number of the run of each start that has arrived.
       lost_commands: Number of stops and throttle commands that are lost next.
       refused_stops: Number of stops that the worker refuses next.
+      refused_throttles: Number of throttle commands that it refuses next.
+      cpu_percents: Newest CPU share in percent of each task.
       stop_answer_seconds: Time for which answers to stops are on their way.
       poll_seconds: Time for which polls are on their way.
       poll_answer_seconds: Time for which answers to polls are on their way.
@@ -178,6 +180,8 @@
     received_starts: list[int] = attrs.Factory(list)
     lost_commands: int = 0
     refused_stops: int = 0
+    refused_throttles: int = 0
+    cpu_percents: dict[str, int] = attrs.Factory(dict)
     stop_answer_seconds: float = 0.0
     poll_seconds: float = 0.0
     poll_answer_seconds: float = 0.0
@@ -252,6 +256,10 @@
         if self.lost_commands:
             return await self._lose_command()
         await asyncio.sleep(CALL_SECONDS)
+        if self.refused_throttles:
+            self.refused_throttles -= 1
+            return CommandAnswer(CallStatus.REFUSED)
+        self.cpu_percents[task] = percent
         return CommandAnswer(CallStatus.DONE, self.clock_ms)
 
     async def _lose_command(self) -> CommandAnswer:
