--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -332,9 +332,10 @@
     def _is_overdue(self, execution: Execution, since: float) -> bool:
         """Returns whether a run should have been stopped by now.
 
-        That is so 3.9 s after the time from which the owner could stop it, and
-        3 s later if calls were lost or late since; each fault of the link after
-        that postpones it again.
+        That is so 3.9 s after the time from which the owner could stop it, or
+        after a stop that its worker accepted without effect, and 3 s later if
+        calls were lost or late since; each fault of the link after that
+        postpones it again.
         """
         if math.isfinite(execution.ended_at) or self.cluster is None:
             return False
@@ -343,7 +344,7 @@
         if registered_at is None or link.is_cut:
             return False
         since = max(since, execution.started_at, registered_at)
-        since = max(since, self._learned_at[''])
+        since = max(since, self._learned_at[''], link.worker.ineffective_at)
         limit = since + STOP_LIMIT_SECONDS
         if link.disturbed_at >= since:
             limit = max(
@@ -380,6 +381,7 @@
             link.refuses_until = -math.inf
         self.write_faults.clear()
         for worker in self.workers:
+            worker.ineffective_stops = 0
             self.set_registered(worker, True)
         if self.election is None:
             self.start_owner()
--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -104,7 +104,9 @@
       clock_rate: Rate of its clock.
       handle_crash: Called instead of `crash` when a task crashes it.
       has_room: Whether it has room for further runs.
-      ineffective_stops: Number of stops that it accepts next without effect.
+      ineffective_stops: Number of stops that it accepts next without effect on
+        what runs.
+      ineffective_at: Time in seconds at which it last accepted such a stop.
       stops: Time in seconds, task and run of each stop that it has accepted.
       choose_work: Returns what a run does, by task, run and payload.
       on_change: Called when a run has started, ended or been acknowledged.
@@ -126,6 +128,7 @@
     handle_crash: Callable[[], None] | None = None
     has_room: bool = True
     ineffective_stops: int = 0
+    ineffective_at: float = -math.inf
     stops: list[tuple[float, str, int]] = attrs.Factory(list)
     choose_work: Callable[[str, int, str], tuple[float, str]] = choose_work
     on_change: Callable[[Execution], None] = _ignore
@@ -251,10 +254,11 @@
     def _stop(self, task: str, run: int) -> None:
         """Stops the runs of a task up to a number, also those still to come."""
         self.stops.append((_now(), task, run))
+        self.highest[task] = max(run, self.highest.get(task, 0))
         if self.ineffective_stops:
             self.ineffective_stops -= 1
+            self.ineffective_at = _now()
             return
-        self.highest[task] = max(run, self.highest.get(task, 0))
         for execution in self.running.values():
             if execution.task == task and execution.run <= run:
                 self._call_later(STOP_SECONDS, self._end, execution, 'stopped')
