--- a/lentilmount/control/job_loader.py
+++ b/lentilmount/control/job_loader.py
@@ -25,12 +25,16 @@
     make_partition,
 )
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.model import JobState
 from lentilmount.scheduling.rows import restore_state
 
 log = logbook.Logger('intake')
 
 FEED_SECONDS = 1.0
 
+LOGGED_JOBS = 5
+"""Number of jobs that a log line on cancellations names at most."""
+
 
 @attrs.define(eq=False)
 class JobLoader:
@@ -52,11 +56,16 @@
     cancel: Callable[[str], None]
     wake: Callable[[], None]
     _feed: TableFeed = attrs.field(init=False)
+    _early_cancellations: dict[str, int] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Creates the feed of the jobs table."""
         self._feed = TableFeed(
-            self.table, JOBS_TABLE, FEED_SECONDS, self.service
+            self.table,
+            JOBS_TABLE,
+            FEED_SECONDS,
+            self.service,
+            monotonic=self.clock.monotonic,
         )
 
     async def load(self, lease_expiry_seconds: float) -> None:
@@ -88,34 +97,81 @@
                 restore_state(
                     self.cluster, job, row.body, leases_expire_at, now
                 )
+        self._log_without_effect(cancelled)
         for job_id in cancelled:
             self.cluster.cancel(job_id, now)
         self._feed.position = jobs.version
 
     def _apply_rows(self, rows: tuple[RawRow, ...]) -> list[str]:
-        """Admits jobs; returns the ids of those that were cancelled."""
+        """Admits jobs; returns the ids of those that were cancelled.
+
+        A cancellation may be read before its job, or while the row of the job
+        cannot be decoded. It is kept until the job is admitted.
+        """
         cancelled = []
         for row in rows:
             # The feed contains the jobs of all services. A job of another
             # service would run on workers of this one, and twice.
-            if row.removed or row.part != self.service:
+            if row.part != self.service:
+                continue
+            job_id = row.key.removesuffix(CANCEL_SUFFIX)
+            is_cancellation = job_id != row.key
+            if row.removed:
+                if is_cancellation:
+                    self._early_cancellations.pop(job_id, None)
+                else:
+                    self.cluster.unreadable_jobs.discard(job_id)
                 continue
-            if row.key.endswith(CANCEL_SUFFIX):
-                job_id = row.key.removesuffix(CANCEL_SUFFIX)
-                cancelled.append(job_id)
-                if job_id in self.cluster.jobs:
-                    self.cluster.jobs[job_id].cancel_version = row.version
+            if is_cancellation:
+                self._early_cancellations[job_id] = row.version
             else:
                 self._admit(row)
+            if job_id not in self._early_cancellations:
+                continue
+            cancelled.append(job_id)
+            if job_id in self.cluster.jobs:
+                version = self._early_cancellations.pop(job_id)
+                self.cluster.jobs[job_id].cancel_version = version
         return cancelled
 
+    def _log_without_effect(self, cancelled: list[str]) -> None:
+        """Logs the cancellations that change nothing, many to a line."""
+        unknown = []
+        over = {}
+        for job_id in cancelled:
+            job = self.cluster.jobs.get(job_id)
+            if job is None:
+                unknown.append(job_id)
+            elif job.state.is_final and job.state is not JobState.CANCELLED:
+                over[job_id] = job.state.value
+        if unknown:
+            log.warning(
+                'Not cancelled: {} jobs are not known here.',
+                len(unknown),
+                extra={
+                    'service': self.service,
+                    'jobs': unknown[:LOGGED_JOBS],
+                },
+            )
+        if over:
+            log.info(
+                'Not cancelled: {} jobs are over already.',
+                len(over),
+                extra={
+                    'service': self.service,
+                    'jobs': list(over.items())[:LOGGED_JOBS],
+                },
+            )
+
     def _admit(self, row: RawRow) -> None:
         key = Key(make_partition(JOBS_TABLE, self.service), row.key)
         try:
             spec = decode_job_row(decode_row(key, row).body)
         except (ValueError, TypeError, KeyError) as error:
             log.error('Job {} cannot be read: {!r}', row.key, error)
+            self.cluster.unreadable_jobs.add(row.key)
             return
+        self.cluster.unreadable_jobs.discard(row.key)
         job = self.cluster.admit(
             spec,
             self.clock.monotonic(),
@@ -128,7 +184,13 @@
         """Applies new jobs and cancellations until it is cancelled."""
         while True:
             rows = await self._feed.read()
-            for job_id in self._apply_rows(rows):
+            if self._feed.is_listed:
+                # Those that were removed meanwhile are in no answer.
+                self._early_cancellations.clear()
+            cancelled = self._apply_rows(rows)
+            self.cluster.jobs_as_of = self._feed.as_of
+            self._log_without_effect(cancelled)
+            for job_id in cancelled:
                 self.cancel(job_id)
             if rows:
                 self.wake()
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -42,6 +42,20 @@
 may have shrunk, which its registration shows only later."""
 
 
+_WITHOUT_EFFECT = frozenset(
+    {
+        CallStatus.UNKNOWN,
+        CallStatus.REFUSED,
+        CallStatus.OTHER_INSTANCE,
+        CallStatus.INVALID,
+    }
+)
+"""Answers that do not show that a worker has carried out a stop."""
+
+_REPEATED = frozenset({CallStatus.UNKNOWN, CallStatus.REFUSED})
+"""Answers after which a throttle command is sent again."""
+
+
 _STARTED = frozenset({TaskPhase.STARTING, TaskPhase.RUNNING, TaskPhase.DONE})
 """Phases in which the outcome of a task's start is still of use."""
 
@@ -390,6 +404,14 @@
     async def _stop(self, task: Task, run: int) -> None:
         session = self.sessions.get(task.worker)
         if session is None:
+            log.warning(
+                'Not stopped: the worker has no session.',
+                extra={
+                    'task': str(task.id),
+                    'run': run,
+                    'worker': task.worker,
+                },
+            )
             return
         stop = _Stop(PlacedRun(task, run), session, session.incarnation)
         if stop in self._stops_in_progress:
@@ -419,7 +441,7 @@
             session.record_stop(_is_accepted(status), sent_at)
             if _is_accepted(status):
                 if _awaits_stop(session, task, run):
-                    task.stopped_at = min(task.stopped_at, self.monotonic())
+                    self.cluster.accept_stop(task, self.monotonic())
                 return True
             pause = await _back_off(pause)
         return False
@@ -501,7 +523,7 @@
                     session.worker.entry, str(task.id), run, cpu_percent
                 ),
             )
-            if answer.status is not CallStatus.UNKNOWN:
+            if answer.status not in _REPEATED:
                 return
             pause = await _back_off(pause)
         await self._probe(session, str(task.id), run)
@@ -522,7 +544,7 @@
 
 
 def _is_accepted(status: CallStatus) -> bool:
-    return status not in (CallStatus.UNKNOWN, CallStatus.REFUSED)
+    return status not in _WITHOUT_EFFECT
 
 
 async def _back_off(pause: float) -> float:
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -11,7 +11,7 @@
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.crashes import is_cleared
 from lentilmount.scheduling.history import ChangeKind, ChangeReason
-from lentilmount.scheduling.model import Task, TaskPhase, Worker
+from lentilmount.scheduling.model import FinishedRun, Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import (
     EndKind,
     EndReport,
@@ -24,6 +24,10 @@
 IDLE_CPU_SHARE = 0.02
 """Share of its allowed CPU usage below which a task counts as idle."""
 
+STOP_EFFECT_SECONDS = 1.2
+"""Time in seconds from the acceptance of a stop until no report lists its run:
+0.9 s for the longest stop of the platform, and 0.3 s for the report."""
+
 
 @attrs.define
 class ReconcileResult:
@@ -35,6 +39,8 @@
       expired: Tasks whose start was not carried out before its deadline.
       stale_runs: Runs to be stopped.
       stale: Resources of those among them that the worker lists.
+      overdue_stops: Tasks to be stopped again: the worker lists them although
+        it has accepted their stop.
       unknown_tasks: Formatted ids of running tasks whose job is unknown to this
         owner.
       last_end_number: Number of the newest end in the report. Ends up to it may
@@ -46,6 +52,7 @@
     expired: list[Task] = attrs.Factory(list)
     stale_runs: list[StaleRun] = attrs.Factory(list)
     stale: Room = attrs.Factory(Room)
+    overdue_stops: list[Task] = attrs.Factory(list)
     unknown_tasks: list[str] = attrs.Factory(list)
     last_end_number: int = 0
 
@@ -74,12 +81,23 @@
         result = ReconcileResult()
         listed: set[TaskId] = set()
         stale_tasks: list[Task] = []
+        finished_runs: dict[tuple[TaskId, int], FinishedRun] = {}
+        unknown_runs: dict[tuple[str, int], float] = {}
         for end in report.ended:
             self._apply_end(worker, end, result, now)
         for run_report in report.running:
             task = self._apply_running(worker, run_report, result, now)
             if task is None:
+                run = (run_report.task, run_report.run)
+                unknown_runs[run] = worker.unknown_runs.get(run, now)
+                self._check_unknown(worker, run, unknown_runs[run], result)
                 continue
+            self._check_stop(task, worker, requested_at, result, now)
+            if task.job.state.is_final:
+                key = (task.id, run_report.run)
+                finished_runs[key] = worker.finished_runs.get(
+                    key, FinishedRun(task, now)
+                )
             if self._is_listed(task, worker, run_report):
                 listed.add(task.id)
             else:
@@ -101,7 +119,9 @@
             result.ended.append((task, EndKind.LAPSED))
         self._hold_stale_tasks(worker, stale_tasks, result, now)
         worker.runs_unknown_tasks = bool(result.unknown_tasks)
+        worker.unknown_runs = unknown_runs
         worker.has_stale_runs = bool(result.stale_runs)
+        worker.finished_runs = finished_runs
         worker.set_stale(result.stale)
         return result
 
@@ -205,7 +225,6 @@
     ) -> Task | None:
         task = self._cluster.find_task(run_report.task)
         if task is None:
-            result.unknown_tasks.append(run_report.task)
             return None
         self._cluster.mark_started(task.job)
         self._drop_older_placement(task, run_report.run)
@@ -242,6 +261,38 @@
         self._update(task, run_report, now)
         return task
 
+    def _check_unknown(
+        self,
+        worker: Worker,
+        run: tuple[str, int],
+        listed_at: float,
+        result: ReconcileResult,
+    ) -> None:
+        """Has the run of an unknown task stopped if that is certainly right."""
+        name, number = run
+        result.unknown_tasks.append(name)
+        if self._cluster.is_needless(name, listed_at):
+            result.stale_runs.append(StaleRun(worker.id, name, number))
+
+    def _check_stop(
+        self,
+        task: Task,
+        worker: Worker,
+        requested_at: float,
+        result: ReconcileResult,
+        now: float,
+    ) -> None:
+        """Notes if a stop that was accepted should have ended a listed run."""
+        is_stopping = task.phase is TaskPhase.STOPPING
+        # An older report may be late, by a slow link.
+        is_newer = requested_at > task.stop_accepted_at
+        is_due = now - task.stop_accepted_at > STOP_EFFECT_SECONDS
+        if not (is_stopping and is_newer and is_due):
+            return
+        if task.worker == worker.id and not task.is_stop_overdue:
+            task.is_stop_overdue = True
+            result.overdue_stops.append(task)
+
     def _is_listed(
         self, task: Task, worker: Worker, run_report: RunReport
     ) -> bool:
