Let the list of workers and the size of a write follow the owner's link

Beside starts, an owner on a link of 2 Mbit/s received 63 kB a second of it for the list of 72 workers, and one write held the rows of up to 45 jobs of 2 to 3 kB, half a second of that link with a timeout of 0.6 s; the lease is renewed with it.

A write holds what the link carries in 0.1 s, three quarters of it for jobs with starts, so that ends of other jobs are acknowledged meanwhile.

New tests: a long write (fails before, 45 jobs), jobs without starts, repeated decoding (fails before).

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -181,6 +181,7 @@
             Retention(settings.service, self.cluster, settings.status_seconds),
             self._forget_jobs,
             table.version_times,
+            settings.link_bytes_per_second,
         )
         self._job_loader = JobLoader(
             settings.service,
@@ -333,6 +334,7 @@
             self._clock.monotonic,
             record_complete_list,
             is_complete=self._are_all_recorded,
+            link_bytes_per_second=self._settings.link_bytes_per_second,
         )
 
     def _register_worker(self, entry: WorkerEntry) -> None:
--- a/lentilmount/control/registry.py
+++ b/lentilmount/control/registry.py
@@ -5,14 +5,14 @@
 import asyncio
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import logbook
 
 from lentilmount.coordination.table import UnavailableError
 from lentilmount.platform.documents import decode_registration
-from lentilmount.platform.store import WORKERS_TABLE, PlatformTable
+from lentilmount.platform.store import WORKERS_TABLE, PlatformTable, RawRow
 from lentilmount.scheduling.reports import WorkerEntry
 
 log = logbook.Logger('registry')
@@ -32,18 +32,49 @@
 300 workers every 0.4 s took 2.5 Mbit/s, more than all commands on a quiet
 day."""
 
+ENTRY_BYTES = 430
+"""Bytes of an entry in an answer."""
+
+MAX_LINK_SHARE = 0.15
+"""Share of the host's link above which reads become less frequent: the answers
+to calls to workers need the rest."""
+
 RETURN_SECONDS = 2.2
 """Time after an outage of the store during which the list may be incomplete.
 Entries that expired in the outage are written again within about 2 s; a list
 requested earlier may lack them."""
 
 
-def choose_pause(entries: int) -> float:
+def choose_pause(
+    entries: int, link_bytes_per_second: float = math.inf
+) -> float:
     """Returns the seconds until a list of that many entries is read again."""
-    pause = entries / ROWS_PER_SECOND
+    on_link = entries * ENTRY_BYTES / (MAX_LINK_SHARE * link_bytes_per_second)
+    pause = max(entries / ROWS_PER_SECOND, on_link)
     return min(max(POLL_SECONDS, pause), MAX_POLL_SECONDS)
 
 
+@attrs.define
+class _Decoder:
+    """Decodes registrations, each version once.
+
+    A worker writes its registration each second or so, and the list is read
+    more often than that.
+    """
+
+    _known: dict[str, tuple[int, WorkerEntry | None]] = attrs.Factory(dict)
+
+    def decode(self, rows: Iterable[RawRow]) -> dict[str, WorkerEntry | None]:
+        """Returns the entries by key; None for malformed ones."""
+        known, self._known = self._known, {}
+        for row in rows:
+            found = known.get(row.key)
+            if found is None or found[0] != row.version:
+                found = (row.version, decode_registration(row.key, row.value))
+            self._known[row.key] = found
+        return {key: entry for key, (_, entry) in self._known.items()}
+
+
 async def poll_workers(
     table: PlatformTable,
     service: str,
@@ -52,6 +83,7 @@
     monotonic: Callable[[], float] = time.monotonic,
     on_complete: Callable[[], None] = lambda: None,
     is_complete: bool = True,
+    link_bytes_per_second: float = math.inf,
 ) -> None:
     """Reports each worker's registration, and its disappearance.
 
@@ -64,7 +96,9 @@
       on_complete: Called after each read of a list that is certainly complete.
       is_complete: Whether the list is complete at first. It may not be if the
         store may have been unavailable until now.
+      link_bytes_per_second: Rate of the host's network link.
     """
+    decoder = _Decoder()
     known: set[str] = set()
     unreadable: set[str] = set()
     complete_from = -math.inf if is_complete else math.inf
@@ -79,12 +113,11 @@
             continue
         complete_from = min(complete_from, monotonic() + RETURN_SECONDS)
         seen = set()
-        for row in found.rows:
-            entry = decode_registration(row.key, row.value)
+        for key, entry in decoder.decode(found.rows).items():
             if entry is None:
-                if row.key not in unreadable:
-                    log.warning('Entry {} describes no valid worker.', row.key)
-                unreadable.add(row.key)
+                if key not in unreadable:
+                    log.warning('Entry {} describes no valid worker.', key)
+                unreadable.add(key)
             elif entry.service == service:
                 seen.add(entry.id)
                 on_entry(attrs.evolve(entry, read_at=sent_at))
@@ -95,4 +128,6 @@
             on_complete()
         else:
             known |= seen
-        await asyncio.sleep(choose_pause(len(found.rows)))
+        await asyncio.sleep(
+            choose_pause(len(found.rows), link_bytes_per_second)
+        )
--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -57,6 +58,13 @@
 """Maximum number of jobs in a write. A transaction takes 100 entries, and each
 row uses two, one for its condition; the lease and two more rows use six."""
 
+MAX_WRITE_SECONDS = 0.1
+"""Longest time that a write takes on an otherwise idle link. The lease is
+renewed with each write, and a call to the store times out after 0.6 s."""
+
+TASK_BYTES = 50
+"""Upper bound of the bytes of a task in an encoded state row."""
+
 MODEL_SECONDS = 3.0
 """Interval between writes of the interference model: a few KB. Estimates lost
 in a takeover are learned again within about the same time."""
@@ -78,6 +86,10 @@
 flow of starts would keep run ends of other jobs from being acknowledged."""
 
 
+STARTS_SHARE = 0.75
+"""The same in bytes, where these limit a write."""
+
+
 @attrs.define
 class _PendingAck:
     """Run ends that can be acknowledged once certain jobs are written.
@@ -111,6 +123,7 @@
       retention: Selects jobs whose rows can be deleted.
       forget: Called with the jobs whose rows were deleted.
       version_times: Times of versions of the store, for the next owner.
+      link_bytes_per_second: Rate of the host's network link.
       unrecorded_starts: Starts by the previous owner that may be in no row.
     """
 
@@ -127,6 +140,7 @@
     retention: Retention
     forget: Callable[[list[Job]], None]
     version_times: VersionTimes
+    link_bytes_per_second: float = math.inf
     unrecorded_starts: UnrecordedStarts | None = None
     _write_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_closing: bool = False
@@ -358,17 +372,31 @@
         with_starts = dict.fromkeys(
             placed_run.task.id.job for placed_run in self._pending_starts
         )
-        first = list(with_starts)[: COMMIT_ROWS - OLDEST_ROWS]
+        max_bytes = MAX_WRITE_SECONDS * self.link_bytes_per_second
+        first = self._limit_size(
+            list(with_starts)[: COMMIT_ROWS - OLDEST_ROWS],
+            STARTS_SHARE * max_bytes,
+        )
         oldest = [
             job_id for job_id in self.cluster.dirty if job_id not in with_starts
         ]
-        chosen = [*first, *oldest, *list(with_starts)[len(first) :]][
-            :COMMIT_ROWS
-        ]
+        chosen = self._limit_size(
+            [*first, *oldest, *list(with_starts)[len(first) :]][:COMMIT_ROWS],
+            max_bytes,
+        )
         for job_id in chosen:
             self.cluster.dirty.pop(job_id, None)
         return [self.cluster.jobs[job_id] for job_id in chosen]
 
+    def _limit_size(self, job_ids: list[str], max_bytes: float) -> list[str]:
+        """Returns the first jobs whose rows have that size, at least one."""
+        size = 0
+        for number, job_id in enumerate(job_ids):
+            size += TASK_BYTES * len(self.cluster.jobs[job_id].tasks)
+            if number and size > max_bytes:
+                return job_ids[:number]
+        return job_ids
+
     def _make_counts(self, jobs: list[Job]) -> list[Operation]:
         """Builds the write of the counts of pending jobs if they are due.
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -12,7 +12,9 @@
 from lentilmount.control import registry
 from lentilmount.control.registry import choose_pause, poll_workers
 from lentilmount.coordination.table import UnavailableError
+from lentilmount.platform.documents import decode_registration
 from lentilmount.platform.store import Changes, PlatformTable, RawRow
+from lentilmount.scheduling.reports import WorkerEntry
 from tests.helpers import run
 
 ENTRY_BYTES = 430
@@ -116,3 +118,29 @@
 ) -> None:
     answers = [(0.1, 'ab'), (0.6, None), (0.1, 'a'), (2.5, 'a'), (0.1, 'a')]
     assert _list_unregistered(monkeypatch, answers) == ['b']
+
+
+@pytest.mark.parametrize('workers', [30, 72, 200])
+def test_the_list_leaves_most_of_a_small_link_to_other_calls(
+    workers: int,
+) -> None:
+    """Reading 72 workers took a quarter of a link of 2 Mbit/s."""
+    link = 250_000
+    pause = choose_pause(workers, link)
+    is_slowest = pause == registry.MAX_POLL_SECONDS
+    assert is_slowest or workers * ENTRY_BYTES / pause <= 0.16 * link
+
+
+def test_a_registration_is_decoded_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Decoding unchanged entries took a tenth of a slow processor."""
+    decoded: list[str] = []
+
+    def record(key: str, value: bytes) -> WorkerEntry | None:
+        decoded.append(key)
+        return decode_registration(key, value)
+
+    monkeypatch.setattr(registry, 'decode_registration', record)
+    _list_unregistered(monkeypatch, [(0.1, 'ab'), (0.1, 'ab'), (0.1, 'abc')])
+    assert decoded == ['a', 'b', 'c']
--- a/tests/test_state_writer.py
+++ b/tests/test_state_writer.py
@@ -13,7 +13,11 @@
 from lentilmount.control import state_writer as state_writer_module
 from lentilmount.control.lease_data import has_unrecorded_starts
 from lentilmount.control.retention import Retention
-from lentilmount.control.state_writer import COMMIT_ROWS, StateWriter
+from lentilmount.control.state_writer import (
+    COMMIT_ROWS,
+    TASK_BYTES,
+    StateWriter,
+)
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.coordination.leases import Lease, LeaseKeeper
 from lentilmount.coordination.table import Key, Operation, Put
@@ -350,3 +354,58 @@
         return has_unrecorded_starts(slow.bodies[key]['data'])
 
     assert run(play())
+
+
+def _list_written(
+    link_bytes_per_second: float, with_starts: int, others: int
+) -> list[set[str]]:
+    """Writes wide jobs until all are written; returns the jobs of each."""
+
+    async def play() -> list[set[str]]:
+        table = cast(PlatformTable, _SlowTable())
+        keeper = LeaseKeeper(table, 'a', 2.0, ManualClock().monotonic)
+        lease = await keeper.try_acquire(Key('owners/desk', 'owner'))
+        assert lease is not None
+        cluster = ClusterState()
+        worker = add_worker(cluster, 'w-1')
+        state_writer = _make_state_writer(
+            table, keeper, lease, cluster, {}, lambda task: None
+        )
+        state_writer.link_bytes_per_second = link_bytes_per_second
+        for number in range(with_starts + others):
+            job = admit(cluster, make_job(f'{number}', make_step(count=40)))
+            cluster.dirty[job.spec.id] = None
+            if number < with_starts:
+                task = find_task(cluster, job.spec.id)
+                cluster.place([task], worker, 1.0)
+                state_writer.add_start(task)
+        writes = []
+        while cluster.dirty:
+            left = set(cluster.dirty)
+            await state_writer._write_changes()
+            writes.append(left - set(cluster.dirty))
+        return writes
+
+    return run(play())
+
+
+def test_a_write_does_not_take_long_on_a_small_link() -> None:
+    """The lease of an owner ran out as its renewal was part of a long write."""
+    link = 250_000.0
+    writes = _list_written(link, with_starts=20, others=20)
+    row_bytes = 40 * TASK_BYTES
+    assert max(len(jobs) for jobs in writes) * row_bytes <= 0.1 * link
+    assert len(set().union(*writes)) == 40
+
+
+def test_a_short_write_leaves_room_for_jobs_without_starts() -> None:
+    """Run ends were not acknowledged while starts filled each write."""
+    writes = _list_written(250_000.0, with_starts=30, others=30)
+    assert any(int(job) >= 30 for job in writes[0])
+    assert any(int(job) < 30 for job in writes[0])
+
+
+def test_a_write_on_a_wide_link_holds_as_many_jobs_as_the_store_takes() -> None:
+    """Jobs waited for several writes although the link was idle."""
+    writes = _list_written(125e6, with_starts=30, others=30)
+    assert len(writes[0]) == COMMIT_ROWS
