--- a/tests/test_state_writer.py
+++ b/tests/test_state_writer.py
@@ -409,3 +409,36 @@
     """Jobs waited for several writes although the link was idle."""
     writes = _list_written(125e6, with_starts=30, others=30)
     assert len(writes[0]) == COMMIT_ROWS
+
+
+def test_a_job_wider_than_a_write_leaves_room_for_jobs_without_starts() -> None:
+    """Run ends of others were in no write while a very wide job went on.
+
+    Its row alone is more than a short write may hold, and it has new starts in
+    each.
+    """
+
+    async def play() -> int:
+        table = cast(PlatformTable, _SlowTable())
+        keeper = LeaseKeeper(table, 'a', 2.0, ManualClock().monotonic)
+        lease = await keeper.try_acquire(Key('owners/desk', 'owner'))
+        assert lease is not None
+        cluster = ClusterState()
+        worker = add_worker(cluster, 'w-1')
+        state_writer = _make_state_writer(
+            table, keeper, lease, cluster, {}, lambda task: None
+        )
+        state_writer.link_bytes_per_second = 250_000.0
+        admit(cluster, make_job('wide', make_step(count=600)))
+        admit(cluster, make_job('other'))
+        cluster.dirty['other'] = None
+        writes = 0
+        while 'other' in cluster.dirty and writes < 20:
+            task = find_task(cluster, 'wide', 0, writes)
+            cluster.place([task], worker, 1.0)
+            state_writer.add_start(task)
+            await state_writer._write_changes()
+            writes += 1
+        return writes
+
+    assert run(play()) <= 4
