--- a/lentilmount/control/start_relay.py
+++ b/lentilmount/control/start_relay.py
@@ -262,7 +262,7 @@
             else CommandAnswer(CallStatus(row[0]), row[1])
             for row in rows
         ]
-    except (ValueError, TypeError, IndexError):
+    except (ValueError, TypeError, LookupError):
         return None
     return answers if len(answers) == count else None
 
