--- a/tests/test_http_calls.py
+++ b/tests/test_http_calls.py
@@ -10,7 +10,7 @@
 from lentilmount.platform.workers import WorkerClient
 from lentilmount.resources import Room
 from lentilmount.scheduling.reports import WorkerEntry, WorkerState
-from lentilmount.upstream.http import HttpClient
+from lentilmount.upstream.http import CURL_ERROR, HttpClient
 from tests.helpers import run
 
 MAX_POLL_BYTES = 210
@@ -105,3 +105,56 @@
         return response.status
 
     assert run(play()) == 599
+
+
+async def _serve(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answers: int
+) -> None:
+    """Answers some requests of one connection and closes it at the next."""
+    for number in range(answers + 1):
+        await reader.readuntil(b'body')
+        if number < answers:
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+    writer.close()
+
+
+@pytest.mark.parametrize('answers', [0, 1])
+def test_a_request_that_was_read_counts_as_sent(answers: int) -> None:
+    """A start was sent directly after another daemon had got it."""
+
+    async def scenario() -> bool:
+        server = await asyncio.start_server(
+            lambda reader, writer: _serve(reader, writer, answers),
+            '127.0.0.1',
+            0,
+        )
+        port = server.sockets[0].getsockname()[1]
+        caller = HttpClient(f'http://127.0.0.1:{port}')
+        for _ in range(answers):
+            assert (await caller.call('POST', '/', b'body')).status == 200
+        response = await caller.call('POST', '/', b'body')
+        caller.close()
+        server.close()
+        assert response.status == CURL_ERROR
+        return response.was_sent
+
+    assert run(scenario())
+
+
+def test_a_request_without_a_connection_was_not_sent() -> None:
+    """Starts waited for reports although a daemon was known to be gone."""
+
+    async def scenario() -> bool:
+        server = await asyncio.start_server(
+            lambda reader, writer: None, '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        caller = HttpClient(f'http://127.0.0.1:{port}')
+        response = await caller.call('POST', '/', b'body')
+        caller.close()
+        assert response.status == CURL_ERROR
+        return response.was_sent
+
+    assert not run(scenario())
