Send starts directly where another daemon does not know the call

While daemons are replaced, those of the version before answer 404. That was taken for a start that may have been executed: each waited for a poll and a second copy.

--- a/lentilmount/control/start_relay.py
+++ b/lentilmount/control/start_relay.py
@@ -238,7 +238,7 @@
                     'is_sent': response.was_sent,
                 },
             )
-            if response.status == NOT_READY or not response.was_sent:
+            if response.status in _NOT_EXECUTED or not response.was_sent:
                 return False
             answers = [_NO_NEWS] * len(starts)
         for start, answer in zip(starts, answers, strict=True):
@@ -246,6 +246,10 @@
         return True
 
 
+_NOT_EXECUTED = frozenset({NOT_READY, 404})
+"""HTTP statuses of a daemon that has sent no start: one that shuts down, and one
+of a version without this call."""
+
 _NO_NEWS = CommandAnswer(CallStatus.UNKNOWN, was_asked=False)
 """Answer where the other daemon does not tell whether it called the worker."""
 
