--- a/lentilmount/control/start_relay.py
+++ b/lentilmount/control/start_relay.py
@@ -247,7 +247,7 @@
 
 
 _NOT_EXECUTED = frozenset({NOT_READY, 404})
-"""HTTP statuses of a daemon that has sent no start: one that shuts down, and one
+"""HTTP statuses of a daemon that has sent no start: one that shuts down, or one
 of a version without this call."""
 
 _NO_NEWS = CommandAnswer(CallStatus.UNKNOWN, was_asked=False)
--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -58,7 +58,7 @@
         200, orjson.dumps([['unknown', None]] * STARTS), {}
     )
     sender.daemons.response[RELAY] = unreachable
-    answer = play(sender, sender.send())[0]
+    answer: CommandAnswer = play(sender, sender.send())[0]
     assert answer.status is CallStatus.UNKNOWN
     assert sender.daemons.direct == []
 
