--- a/lentilmount/control/start_relay.py
+++ b/lentilmount/control/start_relay.py
@@ -67,6 +67,11 @@
 """Returns the client for workers that uses a fencing token."""
 
 
+MIN_ANSWERED_SHARE = 0.5
+"""Share of the workers that must have answered another daemon for it to be used
+again; it may be cut off from them."""
+
+
 class StartSender(Protocol):
     """Sends starts to workers."""
 
@@ -126,12 +131,19 @@
     )
 
     def choose(self) -> str:
-        """Returns the daemon with the fewest starts under way, or ''."""
-        usable = [a for a in self.list_daemons() if not self._has_failed(a)]
+        """Returns the daemon with the fewest starts under way, or ''.
+
+        If all have failed, the cause may be here. Sent directly, the starts
+        would take many times the bytes, so the one that failed first is tried
+        again.
+        """
+        known = self.list_daemons()
+        usable = [address for address in known if not self._has_failed(address)]
+        if not usable:
+            return min(known, key=self._failed_at.__getitem__, default='')
         return min(
             usable[:RELAYS],
             key=lambda address: self._starts_under_way[address],
-            default='',
         )
 
     def _has_failed(self, address: str) -> bool:
@@ -227,8 +239,9 @@
             kind=CallKind.START,
         )
         answers = _decode_answers(response, len(starts))
-        self.pool.end(relay, len(starts), has_failed=answers is None)
-        if answers is None:
+        has_failed = not _has_news(answers)
+        self.pool.end(relay, len(starts), has_failed)
+        if has_failed:
             log.warning(
                 'Cannot send starts through another daemon.',
                 extra={
@@ -238,9 +251,8 @@
                     'is_sent': response.was_sent,
                 },
             )
-            if response.status in _NOT_EXECUTED or not response.was_sent:
-                return False
-            answers = [_NO_NEWS] * len(starts)
+        if response.status in _NOT_EXECUTED or not response.was_sent:
+            return False
         for start, answer in zip(starts, answers, strict=True):
             start.settle(answer)
         return True
@@ -254,21 +266,36 @@
 """Answer where the other daemon does not tell whether it called the worker."""
 
 
-def _decode_answers(
-    response: HttpResponse, count: int
-) -> list[CommandAnswer] | None:
-    """Decodes an answer of `StartsHandler`; None if it is not valid."""
+def _decode_answers(response: HttpResponse, count: int) -> list[CommandAnswer]:
+    """Decodes an answer of `StartsHandler`, no news if it is not valid."""
+    nothing = [_NO_NEWS] * count
+    if response.status != 200:
+        return nothing
     try:
-        rows = orjson.loads(response.body) if response.status == 200 else []
-        answers = [
-            _NO_NEWS
-            if row is None
-            else CommandAnswer(CallStatus(row[0]), row[1])
-            for row in rows
-        ]
-    except (ValueError, TypeError, LookupError):
-        return None
-    return answers if len(answers) == count else None
+        answers = [_decode_status(row) for row in orjson.loads(response.body)]
+    except (ValueError, TypeError):
+        return nothing
+    return answers if len(answers) == count else nothing
+
+
+def _decode_status(status: str | None) -> CommandAnswer:
+    """Decodes the status of a start; null if the worker has not answered.
+
+    A worker that does not answer another daemon may answer this one. Its clock
+    is left out, as the answer was held for a while.
+
+    Raises:
+      ValueError: There is no such status.
+    """
+    if status is None or CallStatus(status) is CallStatus.UNKNOWN:
+        return _NO_NEWS
+    return CommandAnswer(CallStatus(status))
+
+
+def _has_news(answers: list[CommandAnswer]) -> bool:
+    """Returns whether a daemon has reached most of the workers."""
+    answered = sum(answer.was_asked for answer in answers)
+    return answered > MIN_ANSWERED_SHARE * len(answers)
 
 
 class StartsHandler(PeerHandler):
@@ -284,7 +311,7 @@
         self._make_worker_client = make_worker_client
 
     async def post(self) -> None:
-        """Answers with a row for each start; null if it has no answer yet."""
+        """Answers with the status of each start; null if it has none yet."""
         message = orjson.loads(self.request.body)
         client = self._make_worker_client(message['token'])
         calls = [
@@ -299,15 +326,13 @@
         )
 
 
-async def _start(
-    client: WorkerClient, row: list[Any], payload: str
-) -> tuple[str, int | None]:
+async def _start(client: WorkerClient, row: list[Any], payload: str) -> str:
     worker_id, address, task, run, lease_until_ms, checkpoint, ticket = row
     answer = await client.start(
         _make_entry(worker_id, address),
         StartCommand(task, run, payload, lease_until_ms, checkpoint, ticket),
     )
-    return answer.status.value, answer.clock_ms
+    return answer.status.value
 
 
 def _make_entry(worker_id: str, address: str) -> WorkerEntry:
--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -384,6 +384,8 @@
             [*first, *oldest, *list(with_starts)[len(first) :]][:COMMIT_ROWS],
             max_bytes,
         )
+        if oldest and oldest[0] not in chosen:
+            chosen.append(oldest[0])
         for job_id in chosen:
             self.cluster.dirty.pop(job_id, None)
         return [self.cluster.jobs[job_id] for job_id in chosen]
--- a/lentilmount/scheduling/health.py
+++ b/lentilmount/scheduling/health.py
@@ -127,7 +127,7 @@
         estimate = task.spec.estimated_seconds
         if task.spec.fills or not estimate or not task.placed_at:
             return
-        slowdown = (now - task.placed_at) / estimate
+        slowdown = (now - _get_begin(task)) / estimate
         slowdown = min(MAX_SLOWDOWN, max(1.0, slowdown))
         worker.slowdown += SLOWDOWN_WEIGHT * (slowdown - worker.slowdown)
 
@@ -161,8 +161,18 @@
     ]
 
 
+def _get_begin(task: Task) -> float:
+    """Returns the monotonic time from which a task may have been running.
+
+    Its start may have waited at the owner since it was placed.
+    """
+    if math.isinf(task.start_sent_at):
+        return task.placed_at
+    return task.start_sent_at
+
+
 def _is_overdue(task: Task, now: float) -> bool:
     if task.spec.lasting or task.spec.fills or not task.placed_at:
         return False
     limit = OVERDUE_FACTOR * task.spec.estimated_seconds + OVERDUE_SECONDS
-    return now - task.placed_at > limit
+    return now - _get_begin(task) > limit
--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -169,9 +169,8 @@
         for step in steps:
             if is_coalescing(step, newest, self._now):
                 continue
-            if not self._window.admits(step[0]):
-                # Those that follow are no more urgent.
-                break
+            if not self._window.admits(step[0], self._now):
+                continue
             kind = get_kind(step[0].spec)
             if failed[kind] <= MAX_FAILED_STEPS and self._should_try(
                 step, kind
@@ -209,7 +208,7 @@
         for task in step:
             if task.phase is not TaskPhase.WAITING:
                 continue
-            if not self._window.admits(task):
+            if not self._window.admits(task, self._now):
                 return placed, True
             if task.spec.lasting and not self._long_running_left:
                 self.is_incomplete = True
--- a/lentilmount/scheduling/start_window.py
+++ b/lentilmount/scheduling/start_window.py
@@ -18,7 +18,7 @@
 import attrs
 
 from lentilmount.scheduling.model import PlacedRun, Task
-from lentilmount.scheduling.ranking import is_urgent
+from lentilmount.scheduling.ranking import is_restart_overdue, is_urgent
 
 START_OVERHEAD_BYTES = 500
 """Bytes of a start beside its payload: headers, task, deadline and answer."""
@@ -49,12 +49,13 @@
 """Factors of the limit per interval: while it binds and answers come in time,
 and while they do not."""
 
-MIN_LIMIT_BYTES = 60_000
-"""Smallest limit, about 40 starts: a pass places as many at once, and on a host
+MIN_LIMIT_BYTES = 90_000
+"""Smallest limit, about 60 starts: a pass places as many at once, and on a host
 with a tenth of a core a call takes long however few there are."""
 
 URGENT_SHARE = 0.25
-"""Share of the limit that only urgent tasks use."""
+"""Share of the limit for urgent tasks, and for long-running ones that must run
+again."""
 
 
 @attrs.define
@@ -132,6 +133,9 @@
     def _is_settled(self, placed_run: PlacedRun, now: float) -> bool:
         """Returns whether a start needs no more of the window; measures it."""
         task = placed_run.task
+        if placed_run.is_due and math.isinf(task.start_sent_at):
+            # Its worker may stay silent until its leases have expired.
+            return task.is_probed_before_start
         if placed_run.is_due:
             is_late = now - task.start_sent_at > UNANSWERED_SECONDS
             self._interval.unanswered += is_late
@@ -144,6 +148,8 @@
     def _adjust(self, now: float) -> None:
         interval = self._interval
         if interval.samples < MIN_SAMPLES:
+            # Whatever it was may be over, without any start being answered.
+            interval.was_binding = False
             return
         self.mean_answer_seconds = interval.mean_answer_seconds
         self.unanswered = interval.unanswered
@@ -154,10 +160,10 @@
             self.limit *= GROWTH
         self._interval = _Interval(now, max_in_flight=self.in_flight)
 
-    def admits(self, task: Task) -> bool:
+    def admits(self, task: Task, now: float) -> bool:
         """Returns whether the start of a task may be decided now."""
         limit = self.limit
-        if not is_urgent(task):
+        if not is_urgent(task) and not is_restart_overdue(task, now):
             limit *= 1 - URGENT_SHARE
         is_admitted = self.in_flight < limit
         self._interval.was_binding |= not is_admitted
