Move a task that is found on a worker that drains already

What callers see: a long-running task stays on a worker that is leaving, and is away from when the worker ends until it runs elsewhere.

Cause: the tasks of a worker are moved once, when its registration first says that it drains. A run that a report lists later, as after a takeover without a row of it, was adopted and left there.

Evidence: the new test failed before and passes now.

Change: an adopted task on a draining worker is stopped like those that were there, if it is long-running or saves checkpoints.

--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -21,7 +21,7 @@
     Worker,
 )
 from lentilmount.scheduling.reconciliation import ReconcileResult
-from lentilmount.scheduling.reports import EndKind
+from lentilmount.scheduling.reports import EndKind, WorkerState
 from lentilmount.scheduling.throttling import Throttler, runs_unthrottled
 
 log = logbook.Logger('steering')
@@ -192,8 +192,14 @@
             self.commands.stop(other)
 
     def _resume(self, task: Task) -> None:
+        worker = self.cluster.workers.get(task.worker)
+        is_draining = (
+            worker is not None and worker.entry.state is WorkerState.DRAINING
+        )
         if task.phase is TaskPhase.STOPPING:
             self.commands.stop(task)
+        elif is_draining and _may_be_moved(task):
+            self.stop(task, 'the worker is leaving')
         elif task.spec.fills and not runs_unthrottled(task):
             self.commands.throttle(task, INHERITED_CPU_PERCENT)
 
@@ -245,7 +251,7 @@
     def drain(self, worker: Worker) -> None:
         """Stops the tasks on a draining worker that can run elsewhere."""
         for task in list(worker.tasks.values()):
-            if task.spec.lasting or task.spec.checkpointing:
+            if _may_be_moved(task):
                 self.stop(task, 'the worker is leaving')
 
     def check(self, now: float) -> None:
@@ -293,6 +299,11 @@
                 self.stop(task, 'it stands still')
 
 
+def _may_be_moved(task: Task) -> bool:
+    """Returns whether a task loses little if it is stopped on a worker."""
+    return task.spec.lasting or task.spec.checkpointing
+
+
 def _measure_since(at: float, now: float) -> float | None:
     """Returns the seconds since a time, None if that is infinity."""
     return None if math.isinf(at) else round(now - at, 3)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -19,6 +19,7 @@
 from lentilmount.platform.store import Changes, PlatformTable
 from lentilmount.platform.workers import WorkerClient
 from lentilmount.scheduling.model import TaskPhase
+from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import WorkerState
 from lentilmount.scheduling.rows import make_unregistered_worker
 from lentilmount.scheduling.takeover import InheritedLeases
@@ -31,6 +32,8 @@
     find_task,
     make_entry,
     make_job,
+    make_report,
+    make_running,
     make_step,
 )
 
@@ -216,3 +219,29 @@
             assert task.phase is TaskPhase.STOPPING
 
     run(play())
+
+
+def test_a_task_found_on_a_draining_worker_is_moved() -> None:
+    """Tasks were moved only at the moment at which their worker drained."""
+
+    async def play() -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            _, table, keeper = _open_table(stack)
+            lease = await keeper.try_acquire(make_owner_key(SERVICE))
+            assert lease is not None
+            owner = _make_owner(table, keeper, lease)
+            cluster = owner.cluster
+            admit(cluster, make_job('a', make_step(lasting=True)))
+            admit(cluster, make_job('b'))
+            lasting, short = (find_task(cluster, name) for name in 'ab')
+            owner._register_worker(make_entry('w', state=WorkerState.DRAINING))
+            worker = cluster.workers['w']
+            report = make_report(
+                (make_running(lasting, 1), make_running(short, 1))
+            )
+            result = Reconciler(cluster).reconcile(worker, report, 1.0, 1.0)
+            owner.handle_poll_result(worker, result)
+            assert lasting.phase is TaskPhase.STOPPING
+            assert short.phase is TaskPhase.RUNNING
+
+    run(play())
