--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import math
+from unittest import mock
 
 import orjson
 import pytest
 
+from lentilmount.control.candidates import Candidates
 from lentilmount.control.start_relay import (
     ANSWER_SECONDS,
     RELAYS,
@@ -22,10 +24,13 @@
 )
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.upstream.http import CURL_ERROR, HttpClient, HttpResponse
+from stand_ins.virtual_time import run_virtual
 from tests.helpers import run
 from tests.scheduling_fixtures import add_worker
 from tests.test_placement_log import make_session
 from tests.test_refused_stops import make_command_sender
+from tests.test_relay_schedules import RelayFault, RelayNetwork
+from tests.test_small_links import HOSTS, MANY
 from tests.test_start_relay import (
     OTHER_RELAY,
     PAYLOAD,
@@ -35,6 +40,8 @@
     play,
 )
 
+CUT_SECONDS = 6.0
+
 
 def test_a_daemon_that_reaches_no_worker_is_left_out_for_a_while() -> None:
     """Starts went on through a daemon that was cut off from the workers."""
@@ -195,3 +202,20 @@
 
     deadline_ms, now_ms = play(sender, scenario())
     assert deadline_ms >= now_ms + 1000 * START_TIMEOUT_SECONDS - 50
+
+
+def test_an_owner_goes_on_while_other_daemons_reach_no_worker() -> None:
+    """No start of a busy owner arrived as another daemon was cut off.
+
+    The owner itself reached all workers.
+    """
+    scene = HOSTS['small-link'].make_scene(2.0)
+    network = RelayNetwork()
+    network.message_faults = [(RelayFault.CUT_OFF, 0.0)] * MANY
+    scene.site.network = network
+    with mock.patch.object(Candidates, 'list_largest', lambda self: [RELAY]):
+        run_virtual(scene.play(CUT_SECONDS), scene.clock)
+    assert network.messages
+    half = 0.5 * HOSTS['small-link'].starts_per_second
+    done = scene.count_done(scene.steady_at, scene.ended_at)
+    assert done / CUT_SECONDS > 0.5 * half
