Send starts directly if no other daemon reaches the workers

What callers would see: no start at all from a busy owner while every daemon that it uses answers and reaches no worker, and the owner itself does.

Cause: a daemon that answers without any worker's answer counted like one that does not answer, and if all have failed the one that failed first was tried again, for the sake of the owner's link.

Now a daemon that has answered so is not among those tried again; if there is no other, the starts are sent directly.

--- a/lentilmount/control/start_relay.py
+++ b/lentilmount/control/start_relay.py
@@ -126,6 +126,7 @@
     list_daemons: Callable[[], Sequence[str]]
     monotonic: Callable[[], float]
     _failed_at: dict[str, float] = attrs.Factory(dict)
+    _cut_off: set[str] = attrs.Factory(set)
     _starts_under_way: collections.Counter[str] = attrs.Factory(
         collections.Counter
     )
@@ -135,16 +136,17 @@
 
         If all have failed, the cause may be here. Sent directly, the starts
         would take many times the bytes, so the one that failed first is tried
-        again.
+        again, but none that answers and reaches no worker.
         """
         known = self.list_daemons()
         usable = [address for address in known if not self._has_failed(address)]
-        if not usable:
-            return min(known, key=self._failed_at.__getitem__, default='')
-        return min(
-            usable[:RELAYS],
-            key=lambda address: self._starts_under_way[address],
-        )
+        if usable:
+            return min(
+                usable[:RELAYS],
+                key=lambda address: self._starts_under_way[address],
+            )
+        silent = [address for address in known if address not in self._cut_off]
+        return min(silent, key=self._failed_at.__getitem__, default='')
 
     def _has_failed(self, address: str) -> bool:
         failed_at = self._failed_at.get(address)
@@ -156,13 +158,26 @@
         """Records that starts are sent through a daemon."""
         self._starts_under_way[address] += starts
 
-    def end(self, address: str, starts: int, has_failed: bool) -> None:
-        """Records whether a daemon has failed to send starts."""
+    def end(
+        self, address: str, starts: int, has_failed: bool, has_answered: bool
+    ) -> None:
+        """Records what became of starts sent through a daemon.
+
+        Args:
+          address: The daemon.
+          starts: Number of starts.
+          has_failed: Whether it has not reached most of the workers.
+          has_answered: Whether it has answered nevertheless.
+        """
         self._starts_under_way[address] -= starts
         if has_failed:
             self._failed_at[address] = self.monotonic()
         else:
             self._failed_at.pop(address, None)
+        if has_failed and has_answered:
+            self._cut_off.add(address)
+        else:
+            self._cut_off.discard(address)
 
 
 @attrs.define(eq=False)
@@ -240,7 +255,7 @@
         )
         answers = _decode_answers(response, len(starts))
         has_failed = not _has_news(answers)
-        self.pool.end(relay, len(starts), has_failed)
+        self.pool.end(relay, len(starts), has_failed, response.status == 200)
         if has_failed:
             log.warning(
                 'Cannot send starts through another daemon.',
