Guard lasting tasks that are due again against a flow of urgent starts

It passes now, and fails if a full window only skips a step instead of ending the pass, which alone would make the tests of urgent starts pass.

--- a/tests/test_window_order.py
+++ b/tests/test_window_order.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from lentilmount.scheduling.model import TaskPhase
+from lentilmount.resources import Room
+from lentilmount.scheduling.model import Task, TaskPhase
 from lentilmount.scheduling.ranking import RESTART_OVERDUE_SECONDS
 from lentilmount.scheduling.reports import EndKind
 from lentilmount.scheduling.start_window import MIN_LIMIT_BYTES, StartWindow
@@ -113,3 +114,34 @@
         cluster.confirm_start(task, task.run, 1.1)
     admit(cluster, make_batch('later'))
     assert place(placer, 1.5)
+
+
+def test_a_lasting_task_that_is_due_again_is_not_kept_by_urgent_ones() -> None:
+    """A steady flow of urgent starts kept a lasting task from running again.
+
+    It goes before them, but they alone may use the last quarter of the window.
+    """
+    cluster = make_cluster()
+    lasting = make_step(lasting=True)
+    admit(cluster, make_job('watch', lasting, policy=make_policy(priority=1)))
+    watch = find_task(cluster, 'watch')
+    run_task(cluster, watch, cluster.workers['w-0'], 1.0)
+    placer = make_placer(cluster, StartWindow(MIN_LIMIT_BYTES))
+    under_way: list[Task] = []
+    now = 2.0
+    while watch.run == 1 and now < 2.0 + 2 * RESTART_OVERDUE_SECONDS:
+        wide = make_step(count=40, demand=Room(1.0, 100))
+        spec = make_job(f'{now:.1f}', wide, policy=make_policy(priority=0))
+        cluster.admit(attrs.evolve(spec, payload=PAYLOAD), now, now)
+        placed = place(placer, now)
+        for task in placed:
+            task.start_sent_at = now
+        under_way += placed
+        if not watch.last_ended_at:
+            cluster.end_run(watch, EndKind.FAILED, now)
+        now += 0.1
+        for task in under_way[:5]:
+            cluster.confirm_start(task, task.run, now)
+            cluster.end_run(task, EndKind.DONE, now)
+        del under_way[:5]
+    assert watch.run == 2
