--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -62,8 +62,8 @@
 """Longest time that a write takes on an otherwise idle link. The lease is
 renewed with each write, and a call to the store times out after 0.6 s."""
 
-TASK_BYTES = 50
-"""Upper bound of the bytes of a task in an encoded state row."""
+TASK_BYTES = 60
+"""Bytes of a task in an encoded state row, without its checkpoint."""
 
 MODEL_SECONDS = 3.0
 """Interval between writes of the interference model: a few KB. Estimates lost
