--- a/lentilmount/control/start_relay.py
+++ b/lentilmount/control/start_relay.py
@@ -28,10 +28,10 @@
     CommandAnswer,
     StartCommand,
     WorkerClient,
-    measure_start,
 )
 from lentilmount.resources import Room
 from lentilmount.scheduling.reports import WorkerEntry, WorkerState
+from lentilmount.scheduling.start_window import measure_start
 from lentilmount.upstream.http import CallKind, HttpResponse
 
 log = logbook.Logger('relay')
@@ -211,7 +211,7 @@
     def _send_pending(self) -> None:
         batches, self._pending = list(self._pending.values()), {}
         total = sum(
-            measure_start(start.command)
+            measure_start(start.command.payload)
             for starts in batches
             for start in starts
         )
--- a/lentilmount/platform/workers.py
+++ b/lentilmount/platform/workers.py
@@ -85,15 +85,6 @@
     ticket: str = ''
 
 
-START_OVERHEAD_BYTES = 450
-"""Bytes of a start beside its payload: headers, other fields and answer."""
-
-
-def measure_start(command: StartCommand) -> int:
-    """Returns about how many bytes a start takes on the network."""
-    return START_OVERHEAD_BYTES + len(command.payload)
-
-
 @attrs.define
 class WorkerClient:
     """Sends calls to workers, with the fencing token of an owner.
--- a/lentilmount/scheduling/start_window.py
+++ b/lentilmount/scheduling/start_window.py
@@ -58,6 +58,11 @@
 again."""
 
 
+def measure_start(payload: str) -> int:
+    """Returns about how many bytes a start takes on the network."""
+    return START_OVERHEAD_BYTES + len(payload)
+
+
 @attrs.define
 class _Interval:
     """What was measured since the last change of the limit.
@@ -171,7 +176,7 @@
 
     def add(self, task: Task) -> None:
         """Records that the start of a placed task was decided."""
-        size = START_OVERHEAD_BYTES + len(task.job.spec.payload)
+        size = measure_start(task.job.spec.payload)
         self._under_way[PlacedRun(task, task.run)] = size
         self.in_flight += size
         self._interval.max_in_flight = max(
