--- a/lentilmount/control/start_relay.py
+++ b/lentilmount/control/start_relay.py
@@ -223,7 +223,6 @@
         relay = ''
         if len(starts) >= MIN_STARTS and self.load.is_busy:
             relay = self.pool.choose()
-
         if not relay or not await self._send_through(relay, starts):
             await asyncio.gather(*map(self._send_directly, starts))
 
