Say what two limits are, beside the ones they belong to

FULL_PASS_SECONDS spoke of "the same" behind a constant that it has nothing to do with, and the comment of STARTS_SHARE told of the other share. Only the place of one constant and one comment change.

--- a/lentilmount/control/dispatcher.py
+++ b/lentilmount/control/dispatcher.py
@@ -26,15 +26,15 @@
 """Longest interval between placement passes without an event: quarantines end
 and gathered steps become due by time alone."""
 
+FULL_PASS_SECONDS = 0.03
+"""The same while tasks wait for answers to the starts under way."""
+
 FIRST_POLL_TIMEOUT_SECONDS = 0.7
 """Timeout for the first answers of workers before a new owner places anything.
 Workers that answer at all do so within a few ms."""
 
 FIRST_POLL_CHECK_SECONDS = 0.01
 
-FULL_PASS_SECONDS = 0.03
-"""The same while tasks wait for answers to the starts under way."""
-
 PASS_PAUSE_SECONDS = 0.008
 """Pause between passes, so that several run ends and arrivals share one pass. A
 pass costs a few ms while tasks are waiting."""
--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -87,7 +87,8 @@
 
 
 STARTS_SHARE = 0.75
-"""The same in bytes, where these limit a write."""
+"""Share of the bytes of a write for jobs with pending starts, where bytes limit
+it; the jobs that have waited longest take the rest."""
 
 
 @attrs.define
