Judge room and crashes at each start in the model site

Callers saw workers over their capacity and tasks that went on crashing workers; nothing of the project could show either. Model workers had no capacity, crashed at a task's first start only, and one that replaced another had an address of its own, so that its crash could never be proved.

They now have amounts that shrink and grow and are registered later, tasks that crash them at every start, and successors at the same address, which answer 421 to calls for the one before. The site checks at each start that it fits (the largest capacity of the last 4.1 s: 3 s and one interval of registrations), that a task is started at most twice after its third crash, and that a job is given up only if a task of it has failed too often or two workers have crashed under it. All three bounds are those of the users' rules.

--- a/stand_ins/model_network.py
+++ b/stand_ins/model_network.py
@@ -40,6 +40,8 @@
 CALL_SECONDS = 0.004
 NEVER = 3600.0
 REFUSED_STATUS = 503
+OTHER_INSTANCE_STATUS = 421
+EXPECTED_INSTANCE = 'X-Expected-Instance'
 STATES_PREFIX = 'states/'
 """Start of the partitions with the state rows of jobs."""
 
@@ -95,10 +97,11 @@
 
 @attrs.define(eq=False)
 class Link:
-    """The way to one worker.
+    """The way to the worker at one address.
 
     Attributes:
-      worker: The worker.
+      worker: The worker, which may replace one that has crashed. The numbers of
+        their incarnations go on.
       loses_calls: Whether no call arrives.
       loses_answers: Whether no answer arrives.
       faults: Faults of the next calls, by path.
@@ -185,12 +188,15 @@
         try:
             async with asyncio.timeout(timeout):
                 size = measure_request(path, body, headers)
-                return await self._exchange(link, path, body or b'', size)
+                expected = (headers or {}).get(EXPECTED_INSTANCE, '')
+                return await self._exchange(
+                    link, path, body or b'', size, expected
+                )
         except TimeoutError:
             return NO_ANSWER
 
     async def _exchange(
-        self, link: Link, path: str, body: bytes, size: int
+        self, link: Link, path: str, body: bytes, size: int, expected: str
     ) -> HttpResponse:
         passing = self.host_link.send(size)
         fault = link.take_fault(path)
@@ -201,13 +207,13 @@
         delay = CALL_SECONDS
         if fault.fault in (Fault.LATE, Fault.SLOW):
             delay = fault.seconds
-        arrival = self._deliver(link, path, body, passing + delay)
+        arrival = self._deliver(link, path, body, passing + delay, expected)
         if fault.fault is Fault.RESET:
             await arrival
             link.refuses_until = _now() + fault.seconds
             if not self.repeats_reset_calls:
                 return NO_ANSWER
-            arrival = self._deliver(link, path, body, delay)
+            arrival = self._deliver(link, path, body, delay, expected)
         if fault.fault in (Fault.LATE, Fault.UNANSWERED):
             await asyncio.sleep(NEVER)
         response = await arrival
@@ -232,7 +238,7 @@
         return HttpResponse(status, answer, {})
 
     def _deliver(
-        self, link: Link, path: str, body: bytes, delay: float
+        self, link: Link, path: str, body: bytes, delay: float, expected: str
     ) -> asyncio.Future[tuple[int, dict[str, object]] | None]:
         """Carries out a call after a delay, whether its sender waits or not."""
         loop = asyncio.get_running_loop()
@@ -247,7 +253,9 @@
             response = None
             if link.worker.is_up:
                 is_late = sent_to != link.worker.incarnation
-                response = _carry_out(link, path, body, is_late, sent_at)
+                response = _carry_out(
+                    link, path, body, is_late, sent_at, expected
+                )
             if not arrival.done():
                 arrival.set_result(response)
 
@@ -256,9 +264,16 @@
 
 
 def _carry_out(
-    link: Link, path: str, body: bytes, is_late: bool, sent_at: float
+    link: Link,
+    path: str,
+    body: bytes,
+    is_late: bool,
+    sent_at: float,
+    expected: str,
 ) -> tuple[int, dict[str, object]] | None:
     """Carries out a call; returns its answer, None if its worker crashes."""
+    if expected != link.worker.id:
+        return OTHER_INSTANCE_STATUS, {'clockMs': link.worker.clock_ms}
     if path == START_PATH and _now() < link.refuses_until:
         return REFUSED_STATUS, {}
     response = link.worker.receive(path, orjson.loads(body), is_late, sent_at)
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import math
 
 import attrs
@@ -29,6 +30,8 @@
 from stand_ins.host_link import HostLink, StoreCalls
 from stand_ins.model_network import Link, MemoryTable, Network, TableFault
 from stand_ins.model_worker import (
+    ALWAYS_CRASHING_PAYLOADS,
+    FULL_CORES,
     ChooseWork,
     Execution,
     ModelWorker,
@@ -49,6 +52,17 @@
 EXPIRY_SECONDS = 3.0
 """Time after which the registration of a silent worker is removed."""
 
+SHRINK_SECONDS = 4.1
+"""Time after which a capacity that has shrunk binds: 3 s, and an interval of
+1.1 s between two registrations."""
+
+MAX_CRASHES = 3
+MAX_LATER_STARTS = 2
+"""Number of starts allowed after that many crashes under a task."""
+
+MIN_CRASHES = 2
+"""Number of crashes under a task from which it may be given up."""
+
 STOP_LIMIT_SECONDS = 3.9
 """Time within which a run that must not go on has to end."""
 
@@ -85,6 +99,8 @@
         if there is no need to model it.
       choose_work: See `ModelWorker`.
       metrics: Metrics of all owners.
+      keeps_ids: Whether a worker that a task has crashed is back under its id;
+        if not, another one has its address.
     """
 
     clock: ManualClock
@@ -100,6 +116,10 @@
     host_link: HostLink | None = None
     choose_work: ChooseWork = choose_work
     metrics: ControlMetrics = attrs.Factory(ControlMetrics)
+    keeps_ids: bool = True
+    _all_workers: dict[str, ModelWorker] = attrs.Factory(dict)
+    _final_states: dict[str, JobState] = attrs.Factory(dict)
+    _checked: int = 0
     _process: asyncio.Task[None] | None = None
     _owner: object = None
     _learned_at: dict[str, float] = attrs.Factory(lambda: {'': 0.0})
@@ -111,25 +131,43 @@
 
     def add_worker(self) -> None:
         """Starts a worker with a new id."""
-        self.workers.append(self._make_worker())
-        self._boot(self.workers[-1])
+        worker = self._make_worker()
+        self.workers.append(worker)
+        self.network.links[worker.address] = Link(worker)
+        self._boot(worker)
 
-    def _make_worker(self) -> ModelWorker:
+    def _make_worker(self, replaced: ModelWorker | None = None) -> ModelWorker:
+        """Creates a worker, at the address of one that it replaces."""
         self._count += 1
+        name = f'w{self._count}'
         worker = ModelWorker(
-            f'w{self._count}',
-            f'w{self._count}:1',
+            name,
+            replaced.address if replaced else f'{name}:1',
             self.record,
+            incarnation=replaced.incarnation if replaced else 0,
             choose_work=self.choose_work,
         )
         worker.handle_crash = lambda: self._handle_crash(worker)
-        self.network.links[worker.address] = Link(worker)
+        self._all_workers[name] = worker
         return worker
 
     def _handle_crash(self, worker: ModelWorker) -> None:
-        """Crashes a worker because of a task; it comes back under its id."""
+        """Crashes a worker because of a task; it comes back soon."""
         position = self.workers.index(worker)
-        self.crash(position, CRASH_SECONDS, REGISTRATION_SECONDS, True)
+        self.crash(
+            position, CRASH_SECONDS, REGISTRATION_SECONDS, self.keeps_ids
+        )
+
+    def resize(self, worker: ModelWorker, cores: float, seconds: float) -> None:
+        """Changes the cores of a worker, which registers them later.
+
+        Args:
+          worker: The worker.
+          cores: Its number of cores from now on.
+          seconds: Time until it registers them.
+        """
+        worker.resize(cores)
+        _call_later(seconds, lambda: self.register(worker))
 
     def set_room(self, worker: ModelWorker, seconds: float) -> None:
         """Lets a worker have no room for further runs for a while."""
@@ -144,10 +182,14 @@
         """Returns the link to a worker."""
         return self.network.links[worker.address]
 
+    def _find_link(self, worker_id: str) -> Link:
+        return self.get_link(self._all_workers[worker_id])
+
     def _boot(
         self, worker: ModelWorker, seconds: float = REGISTRATION_SECONDS
     ) -> None:
         worker.boot()
+        self.get_link(worker).worker = worker
         incarnation = worker.incarnation
 
         def register() -> None:
@@ -206,7 +248,7 @@
 
         _call_later(EXPIRY_SECONDS, expire)
         if not has_same_id:
-            worker = self.workers[position] = self._make_worker()
+            worker = self.workers[position] = self._make_worker(crashed)
         _call_later(seconds, lambda: self._boot(worker, registration_seconds))
 
     # The owner.
@@ -293,6 +335,7 @@
         if self._process is not None and self._process.done():
             self._add(f'the process ended: {self._process}')
         self._note_cancellations()
+        self._note_final_states()
         by_task: dict[str, list[Execution]] = {}
         for execution in self.record:
             by_task.setdefault(execution.task, []).append(execution)
@@ -300,10 +343,47 @@
             for number, later in enumerate(executions):
                 for earlier in executions[:number]:
                     self._check_pair(earlier, later)
+            self._check_crashes(executions)
+        for number in range(self._checked, len(self.record)):
+            self._check_room(number)
+        self._checked = len(self.record)
         for execution in self.record:
             if math.isinf(execution.ended_at):
                 self._check_cancelled(execution)
 
+    def _check_crashes(self, executions: list[Execution]) -> None:
+        """Checks how often a task was started that crashes its workers."""
+        spec = self.jobs.get(executions[0].task.partition('.')[0])
+        if spec is None or spec.payload not in ALWAYS_CRASHING_PAYLOADS:
+            return
+        crashed = sorted(e.ended_at for e in executions if e.kind == 'crashed')
+        if len(crashed) < MAX_CRASHES:
+            return
+        crashed_at = crashed[MAX_CRASHES - 1]
+        later = [e for e in executions if e.started_at > crashed_at]
+        if len(later) > MAX_LATER_STARTS:
+            first = later[MAX_LATER_STARTS]
+            self._add('started again after its crashes', first)
+
+    def _check_room(self, number: int) -> None:
+        """Checks that a run fitted on its worker when it began."""
+        begun = self.record[number]
+        now = begun.started_at
+        beside = [
+            e
+            for e in self.record[:number]
+            if (e.worker, e.incarnation) == (begun.worker, begun.incarnation)
+            and e.ended_at > now
+        ]
+        used = sum(self._get_cores(e.task) for e in [*beside, begun])
+        worker = self._all_workers[begun.worker]
+        if used > worker.get_largest_capacity(now - SHRINK_SECONDS, now):
+            self._add('started beyond the capacity', begun, *beside)
+
+    def _get_cores(self, task: str) -> float:
+        job, _, step, _ = task.split('.')
+        return self.jobs[job].steps[int(step)].reserved.cores
+
     def _check_pair(self, earlier: Execution, later: Execution) -> None:
         is_beside = earlier.ended_at > later.started_at
         is_after_done = earlier.kind == 'done' and earlier.is_acknowledged
@@ -328,7 +408,7 @@
         late, other = (later, earlier) if later.is_late else (earlier, later)
         if not late.is_late:
             return False
-        link = self.network.links[f'{late.worker}:1']
+        link = self._find_link(late.worker)
         if other.sent_at >= late.booted_at:
             noticed_at = other.sent_at - NOTICE_SECONDS
             reported_at = link.reported_at.get(late.incarnation, math.inf)
@@ -370,7 +450,7 @@
         """
         if math.isfinite(execution.ended_at) or self.cluster is None:
             return False
-        link = self.network.links[f'{execution.worker}:1']
+        link = self._find_link(execution.worker)
         registered_at = self._registered_at.get(execution.worker)
         if registered_at is None or link.is_cut:
             return False
@@ -397,6 +477,13 @@
             if link.is_cut:
                 link.disturbed_at = self.clock.now
 
+    def _note_final_states(self) -> None:
+        """Remembers how jobs have ended, which owners forget later."""
+        jobs = self.cluster.jobs if self.cluster is not None else {}
+        for job in jobs.values():
+            if job.state.is_final:
+                self._final_states[job.spec.id] = job.state
+
     def _add(self, problem: str, *executions: Execution) -> None:
         found = f'{problem}: ' + ', '.join(map(_format, executions))
         if found not in self.violations:
@@ -404,8 +491,12 @@
 
     # The end.
 
-    async def finish(self) -> None:
-        """Removes all faults, waits, and checks that all jobs have ended."""
+    async def finish(self, seconds: float = FINISH_SECONDS) -> None:
+        """Removes all faults, waits, and checks that all jobs have ended.
+
+        Args:
+          seconds: Longest time to wait.
+        """
         for link in self.network.links.values():
             link.cut(False, False, self.clock.now)
             link.faults.clear()
@@ -413,12 +504,15 @@
         self.write_faults.clear()
         for worker in self.workers:
             worker.ineffective_stops = 0
+            worker.resize(FULL_CORES)
             self.set_registered(worker, True)
         if self.election is None:
             self.start_owner()
-        end = self.clock.now + FINISH_SECONDS
+        end = self.clock.now + seconds
+        self.check()
         while self.clock.now < end and self._list_unfinished():
             await asyncio.sleep(0.5)
+            self.check()
         for problem in self._list_unfinished():
             if problem:
                 self.violations.append(problem)
@@ -430,8 +524,12 @@
         found = [] if self.network.late_calls == 0 else ['']
         for job_id in self.jobs:
             job = cluster.jobs.get(job_id)
+            state = self._final_states.get(job_id)
+            if state is JobState.FAILED and not self._may_fail(job_id):
+                found.append(f'{job_id} was given up without a cause')
             if job is None:
-                found.append(f'{job_id} is not known')
+                if state is None:
+                    found.append(f'{job_id} is not known')
                 continue
             for task in job.tasks.values():
                 problem = self._find_problem(job.state, str(task.id))
@@ -446,6 +544,22 @@
                     found.append(f'{task.id} of a {job.state} job {problem}')
         return found
 
+    def _may_fail(self, job_id: str) -> bool:
+        """Returns whether a task has failed, or crashed workers, too often."""
+        ends = collections.Counter(
+            (e.task, e.kind)
+            for e in self.record
+            if e.task.partition('.')[0] == job_id
+        )
+        limits = {
+            'failed': self.jobs[job_id].queue.max_attempts,
+            'crashed': MIN_CRASHES,
+        }
+        return any(
+            count >= limits.get(kind, math.inf)
+            for (_, kind), count in ends.items()
+        )
+
     def _count_running(self, task: str) -> int:
         return sum(
             e.task == task and math.isinf(e.ended_at) for e in self.record
--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -33,6 +33,8 @@
     'lasting': (math.inf, ''),
     'crashing': (0.4, 'done'),
     'crashing-at-once': (0.4, 'done'),
+    'always-crashing': (0.4, 'done'),
+    'always-crashing-at-once': (0.4, 'done'),
 }
 """Duration of a task in seconds and how it ends, by its payload."""
 
@@ -40,6 +42,15 @@
 """Time in seconds after its start at which a task of a payload crashes its
 worker, at the first start; 0 for before the answer. It is short after that."""
 
+ALWAYS_CRASHING_PAYLOADS = {
+    'always-crashing': 0.001,
+    'always-crashing-at-once': 0.0,
+}
+"""The same of tasks that crash the worker at every start."""
+
+FULL_CORES = 16.0
+"""Cores of a worker that has not shrunk."""
+
 
 @attrs.define(eq=False)
 class Execution:
@@ -108,6 +119,8 @@
       clock_rate: Rate of its clock.
       handle_crash: Called instead of `crash` when a task crashes it.
       has_room: Whether it has room for further runs.
+      capacities: Its cores, which it does not guard, and the times in seconds
+        since which it has them, in the order of these times.
       ineffective_stops: Number of stops that it accepts next without effect on
         what runs.
       ineffective_at: Time in seconds at which it last accepted such a stop.
@@ -131,6 +144,9 @@
     clock_rate: float = CLOCK_RATE
     handle_crash: Callable[[], None] | None = None
     has_room: bool = True
+    capacities: list[tuple[float, float]] = attrs.Factory(
+        lambda: [(-math.inf, FULL_CORES)]
+    )
     ineffective_stops: int = 0
     ineffective_at: float = -math.inf
     stops: list[tuple[float, str, int]] = attrs.Factory(list)
@@ -161,6 +177,19 @@
         self.running = {}
         self._notify()
 
+    def resize(self, cores: float) -> None:
+        """Changes the number of its cores, which its registration tells."""
+        self.capacities.append((_now(), cores))
+
+    def get_largest_capacity(self, since: float, until: float) -> float:
+        """Returns the most cores that it had between two times in seconds."""
+        ends = [at for at, _ in self.capacities[1:]] + [math.inf]
+        return max(
+            cores
+            for (at, cores), end in zip(self.capacities, ends, strict=True)
+            if at <= until and end > since
+        )
+
     def describe(self, service: str) -> bytes:
         """Returns its registration."""
         document = {
@@ -169,7 +198,11 @@
             'zone': 'north',
             'state': 'ready',
             'born': int(1000 * self.booted_at),
-            'capacity': {'cpu': 16000, 'memMb': 32000, 'gpu': 0},
+            'capacity': {
+                'cpu': int(1000 * self.capacities[-1][1]),
+                'memMb': 32000,
+                'gpu': 0,
+            },
             'labels': ['a', 'r1'],
         }
         return orjson.dumps(document)
@@ -244,8 +277,11 @@
         seconds, kind = self.choose_work(task, run, body['spec'])
         if kind:
             self._call_later(seconds, self._end, execution, kind)
-        if is_first and body['spec'] in CRASHING_PAYLOADS:
-            self._crash_later(CRASHING_PAYLOADS[body['spec']])
+        crashing = dict(ALWAYS_CRASHING_PAYLOADS)
+        if is_first:
+            crashing |= CRASHING_PAYLOADS
+        if body['spec'] in crashing:
+            self._crash_later(crashing[body['spec']])
         return ''
 
     def _crash_later(self, seconds: float) -> None:
--- /dev/null
+++ b/tests/test_random_schedules.py
@@ -0,0 +1,184 @@
+"""Random schedules, longer than those of the state machine tests.
+
+Tasks crash workers whose capacity shrinks and grows, beside owners that are
+replaced. `python -m tests.test_random_schedules FIRST_SEED COUNT` plays more.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections.abc import Callable
+
+import pytest
+
+from stand_ins.model_network import CallFault, Fault, TableFault, WriteFault
+from stand_ins.model_worker import FULL_CORES, POLL_PATH, START_PATH, STOP_PATH
+from tests.test_session_state_machine import ESTIMATES, SessionMachine
+
+SEEDS = range(1, 13)
+MORE_WORKERS = (0, 1, 2, 3)
+"""Numbers of workers beside the two that each site has."""
+
+PAUSES = (0.0, 0.03, 0.1, 0.3, 0.6, 1.0, 2.0)
+FINISH_SECONDS = 100.0
+"""Time in seconds after a schedule within which all jobs have to end."""
+
+ACTIONS = (20, 45)
+"""Smallest and largest number of actions of a schedule."""
+
+CRASHING_SHARE = 0.4
+"""Share of the jobs whose task crashes each worker that starts it."""
+
+BATCHES = (1, 1, 4)
+"""Numbers of jobs submitted at once."""
+
+CALL_FAULTS = (
+    CallFault(Fault.LOST),
+    CallFault(Fault.UNANSWERED),
+    CallFault(Fault.RESET),
+    CallFault(Fault.RESET, 0.3),
+    CallFault(Fault.SLOW, 0.35),
+    CallFault(Fault.SLOW, 0.7),
+    CallFault(Fault.LATE, 0.5),
+    CallFault(Fault.LATE, 2.0),
+    CallFault(Fault.LATE, 8.0),
+)
+WRITE_FAULTS = (
+    TableFault(),
+    TableFault(WriteFault.UNAVAILABLE),
+    TableFault(WriteFault.UNANSWERED),
+    TableFault(WriteFault.CONFLICTING),
+    TableFault(WriteFault.SLOW, 0.7),
+)
+
+
+class _Schedule:
+    """One random schedule on a site.
+
+    Args:
+      seed: Seed from which it is drawn.
+    """
+
+    def __init__(self, seed: int):
+        self._random = random.Random(seed)
+        self._machine = SessionMachine()
+        self._actions: dict[Callable[[], None], int] = {
+            self._submit: 5,
+            self._cancel: 1,
+            self._disturb: 2,
+            self._disturb_writes: 1,
+            self._cut: 1,
+            self._crash: 1,
+            self._replace_owner: 2,
+            self._register: 1,
+            self._resize: 2,
+            self._choose_ids: 1,
+            self._wait: 1,
+        }
+
+    def play(self) -> list[str]:
+        """Plays the schedule; returns the violations."""
+        machine = self._machine
+        try:
+            machine.begin()
+            for _ in range(self._random.choice(MORE_WORKERS)):
+                machine.act(machine.site.add_worker, 0.0)
+            kinds, weights = zip(*self._actions.items(), strict=True)
+            count = self._random.randint(*ACTIONS)
+            for action in self._random.choices(kinds, weights, k=count):
+                action()
+            machine.run_coroutine(machine.site.finish(FINISH_SECONDS))
+            return machine.site.violations
+        finally:
+            machine.close()
+
+    def _pause(self) -> float:
+        return self._random.choice(PAUSES)
+
+    def _position(self) -> int:
+        return self._random.randrange(len(self._machine.site.workers))
+
+    def _flip(self) -> bool:
+        return self._random.random() < 0.5
+
+    def _submit(self) -> None:
+        is_crashing = self._random.random() < CRASHING_SHARE
+        names = [n for n in ESTIMATES if n.startswith('always') == is_crashing]
+        payload = self._random.choice(names)
+        for _ in range(self._random.choice(BATCHES)):
+            has_two_steps = self._random.random() < 0.2
+            self._machine.submit(payload, has_two_steps, 0.0)
+        self._machine.wait(self._pause())
+
+    def _cancel(self) -> None:
+        self._machine.cancel(self._random.randint(0, 9), self._pause())
+
+    def _disturb(self) -> None:
+        path = self._random.choice([START_PATH, STOP_PATH, POLL_PATH])
+        faults = self._random.choices(CALL_FAULTS, k=self._random.randint(1, 4))
+        self._machine.disturb(self._position(), path, faults)
+
+    def _disturb_writes(self) -> None:
+        count = self._random.randint(1, 6)
+        faults = self._random.choices(WRITE_FAULTS, k=count)
+        self._machine.disturb_writes(faults, self._pause())
+
+    def _cut(self) -> None:
+        calls, answers = self._flip(), self._flip()
+        self._machine.cut(self._position(), calls, answers, self._pause())
+
+    def _crash(self) -> None:
+        self._machine.crash(
+            self._position(),
+            self._random.choice([0.2, 0.5, 1.0, 3.0, 8.0]),
+            self._random.choice([0.2, 2.0]),
+            self._flip(),
+            self._pause(),
+        )
+
+    def _replace_owner(self) -> None:
+        down_seconds = self._random.choice([0.0, 0.5, 3.0])
+        self._machine.replace_owner(down_seconds, self._pause())
+
+    def _register(self) -> None:
+        position, is_registered = self._position(), self._flip()
+        self._machine.register(position, is_registered, self._pause())
+
+    def _resize(self) -> None:
+        cores = self._random.choice([0.5, 2.5, 4.5, FULL_CORES])
+        registration_seconds = self._random.random()
+        self._machine.resize(
+            self._position(), cores, registration_seconds, self._pause()
+        )
+
+    def _choose_ids(self) -> None:
+        self._machine.choose_ids(self._flip())
+
+    def _wait(self) -> None:
+        self._machine.wait(self._random.choice([0.5, 2.0, 6.0, 10.0]))
+
+
+def play(seed: int) -> list[str]:
+    """Plays the schedule of a seed; returns the violations."""
+    return _Schedule(seed).play()
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_random_schedules(seed: int) -> None:
+    """A task beside takeovers crashed one worker after the other, unbounded."""
+    assert play(seed) == []
+
+
+def _play_range(first: int, count: int) -> None:
+    found = 0
+    for seed in range(first, first + count):
+        violations = play(seed)
+        found += bool(violations)
+        for violation in violations:
+            print(seed, violation, flush=True)
+    print(f'{count} schedules from {first}, {found} with violations.')
+
+
+if __name__ == '__main__':
+    _play_range(*map(int, sys.argv[1:]))
--- a/tests/test_relay_schedules.py
+++ b/tests/test_relay_schedules.py
@@ -133,12 +133,12 @@
         return HttpResponse(200, orjson.dumps(answers), {})
 
     def _deliver(
-        self, link: Link, path: str, body: bytes, delay: float
+        self, link: Link, path: str, body: bytes, delay: float, expected: str
     ) -> asyncio.Future[tuple[int, dict[str, object]] | None]:
         """Carries out a call; a relayed one is as old as its message."""
         origin = _origin.get()
         if origin is None:
-            return super()._deliver(link, path, body, delay)
+            return super()._deliver(link, path, body, delay, expected)
         incarnations, sent_at = origin
         sent_to = incarnations.get(link.worker.address, 0)
         loop = asyncio.get_running_loop()
@@ -152,7 +152,7 @@
             if link.worker.is_up:
                 is_late = sent_to != link.worker.incarnation
                 response = model_network._carry_out(
-                    link, path, body, is_late, sent_at
+                    link, path, body, is_late, sent_at, expected
                 )
             if not arrival.done():
                 arrival.set_result(response)
--- a/tests/test_session_state_machine.py
+++ b/tests/test_session_state_machine.py
@@ -27,7 +27,12 @@
     WriteFault,
 )
 from stand_ins.model_site import ModelSite
-from stand_ins.model_worker import POLL_PATH, START_PATH, STOP_PATH
+from stand_ins.model_worker import (
+    FULL_CORES,
+    POLL_PATH,
+    START_PATH,
+    STOP_PATH,
+)
 from stand_ins.virtual_time import VirtualLoop
 from tests.scheduling_fixtures import make_job, make_step
 
@@ -70,6 +75,7 @@
     ),
 )
 WRITE_FAULT_LISTS = strategies.lists(WRITE_FAULTS, min_size=1, max_size=6)
+CAPACITIES = strategies.sampled_from([1.0, 2.5, 4.5, FULL_CORES])
 REFUSE_SECONDS = strategies.sampled_from([0.05, 0.3, 1.0, 3.0])
 ESTIMATES = {
     'short': 0.4,
@@ -78,6 +84,8 @@
     'lasting': 1.0,
     'crashing': 0.4,
     'crashing-at-once': 0.4,
+    'always-crashing': 0.4,
+    'always-crashing-at-once': 0.4,
 }
 PAYLOADS = strategies.sampled_from(list(ESTIMATES))
 
@@ -225,6 +233,31 @@
         worker = self.site.workers[position]
         self.act(lambda: self.site.set_room(worker, duration), seconds)
 
+    @rule(
+        position=POSITIONS,
+        cores=CAPACITIES,
+        registration_seconds=strategies.sampled_from([0.0, 0.3, 1.0]),
+        seconds=PAUSES,
+    )
+    def resize(
+        self,
+        position: int,
+        cores: float,
+        registration_seconds: float,
+        seconds: float,
+    ) -> None:
+        """Lets a worker shrink or grow."""
+        worker = self.site.workers[position]
+        self.act(
+            lambda: self.site.resize(worker, cores, registration_seconds),
+            seconds,
+        )
+
+    @rule(keeps_ids=SWITCH)
+    def choose_ids(self, keeps_ids: bool) -> None:
+        """Lets workers that a task crashes keep their ids, or not."""
+        self.site.keeps_ids = keeps_ids
+
     @rule(faults=WRITE_FAULT_LISTS, seconds=PAUSES)
     def disturb_writes(self, faults: list[TableFault], seconds: float) -> None:
         """Sets the faults of the owner's next writes."""
@@ -301,9 +334,13 @@
                 self.run_coroutine(self.site.finish())
                 self.check_runs()
         finally:
-            if self.watch is not None:
-                self.run_coroutine(self._end())
-            self.runner.close()
+            self.close()
+
+    def close(self) -> None:
+        """Ends all that runs."""
+        if self.watch is not None:
+            self.run_coroutine(self._end())
+        self.runner.close()
 
     async def _end(self) -> None:
         assert self.watch is not None
