Watch the starts of tasks that may have crashed a worker

Others saw jobs given up under which fewer than two workers had crashed.

Cause: a crash was counted in the owner's memory until it was proved. The row of the task names only its newest placement, so an owner that was replaced between a loss and its proof left no trace; that the first start of a task had no answer, so that the next one has to follow a probe, was in no row; and a lost worker's address, where alone its end can be proved, was unknown once its registration was gone. Conversely, starts sent together after one probe each were all blamed for the crash of the first one, and an answer of another instance (421) counted as an answer to the probe.

Change: a task is watched once a worker was lost that may not have survived its start, be that in the owner's time or before. The row holds each watched start with its worker's address and incarnation, from the write before it is sent until it is known whether that worker crashed. A new owner asks at that address, or sees from the first report that the worker has restarted since. Only the first start, not watched yet, can go uncounted. A task that would be given up if all lost workers turned out to have crashed waits for the proof, 15 s at most. No other start is sent to a worker that has not answered a watched one, and a task is cleared by the time at which a report was requested, not at which it arrived. Members of one gang are exempt from being alone, as a gang with fewer workers than members would never start. Runs that a restarted worker has confirmed are no suspects of its crash any more.

Logs: the suspects of each loss, those restored from rows, and "Has not crashed" where a worker answers again.

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -436,7 +436,11 @@
             'Its {} tasks ended: {}.',
             len(tasks),
             reason,
-            extra={'worker': worker.id, 'tasks': [str(t.id) for t in tasks]},
+            extra={
+                'worker': worker.id,
+                'tasks': [str(t.id) for t in tasks],
+                'suspects': [str(t.id) for t in worker.suspects],
+            },
         )
         for task in tasks:
             self._task_controller.forget(task)
--- a/lentilmount/control/placement_log.py
+++ b/lentilmount/control/placement_log.py
@@ -55,7 +55,12 @@
         for task in worker.tasks.values()
     ]
     waiting = [(str(t.id), t.run) for t in cluster.ready.values() if t.run]
-    if restored or waiting:
+    suspects = [
+        (str(task.id), run, worker.id)
+        for worker in cluster.workers.values()
+        for task, run in worker.suspects.items()
+    ]
+    if restored or waiting or suspects:
         log.info(
             'Restored {} placements.',
             len(restored),
@@ -64,6 +69,7 @@
                 'restored': restored[:TASKS_PER_LINE],
                 'waiting_count': len(waiting),
                 'waiting': waiting[:TASKS_PER_LINE],
+                'suspects': suspects[:TASKS_PER_LINE],
             },
         )
 
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -52,6 +52,9 @@
 )
 """Answers that do not show that a worker has carried out a stop."""
 
+_OF_NO_INSTANCE = frozenset({CallStatus.UNKNOWN, CallStatus.OTHER_INSTANCE})
+"""Outcomes that do not show that the worker called is there."""
+
 _REPEATED = frozenset({CallStatus.UNKNOWN, CallStatus.REFUSED})
 """Answers after which a throttle command is sent again."""
 
@@ -221,7 +224,7 @@
             if not self._may_repeat_start(session, unanswered_at):
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            if task.is_probed_before_start:
+            if task.is_watched:
                 probed_at = self.monotonic()
                 is_alive = await self._answers_probe(session, task, run)
                 if task.run != run or task.phase is not TaskPhase.STARTING:
@@ -271,7 +274,7 @@
         sent_at = self.monotonic()
         status = await self._send_stop(session, str(task.id), run - 1)
         is_behind = session.clock_behind_at >= sent_at
-        return status is not CallStatus.UNKNOWN and not is_behind
+        return status not in _OF_NO_INSTANCE and not is_behind
 
     def _list_members(self, task: Task) -> list[Task]:
         """Lists the tasks that must start together with a task."""
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -175,7 +175,7 @@
         """
         worker = self.worker
         if self.monotonic() - worker.lost_at > PROOF_SECONDS:
-            worker.suspects.clear()
+            self.cluster.clear_suspects(worker, worker.suspects)
         has_late_calls = (
             bool(self._late_calls.list_starts())
             or self._late_calls.get_lease_delay() > 0
@@ -198,6 +198,19 @@
         if self.worker.has_crashed:
             self._confirm_crash()
 
+    def _clear_suspects(self) -> None:
+        """Clears the suspects of a worker that has answered again."""
+        worker = self.worker
+        if worker.suspects:
+            log.info(
+                'Has not crashed: it is the incarnation of before.',
+                extra={
+                    'worker': worker.id,
+                    'tasks': [str(task.id) for task in worker.suspects],
+                },
+            )
+            self.cluster.clear_suspects(worker, worker.suspects)
+
     def _confirm_crash(self) -> None:
         suspects = self.cluster.confirm_crash(self.worker)
         if suspects:
@@ -432,9 +445,13 @@
         self._report_asked_at = asked_at
         self._reported_at = self.monotonic()
         worker.has_crashed = False
-        worker.suspects.clear()
         if not worker.has_answered:
             self._bound_inherited_leases()
+            self.cluster.suspect_inherited(
+                worker, report.started_ms, self.monotonic()
+            )
+            self._confirm_crash()
+        self._clear_suspects()
         if not worker.has_answered or not worker.reachable:
             log.info('Reached.', extra={'worker': worker.id})
             worker.reached_at = self.monotonic()
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -10,7 +10,12 @@
 import math
 from collections.abc import Iterable
 
-from lentilmount.scheduling.crashes import list_suspects, list_unanswered
+from lentilmount.scheduling.crashes import (
+    find_watched_start,
+    list_doubtful,
+    list_suspects,
+    record_start,
+)
 from lentilmount.scheduling.history import (
     ChangeKind,
     ChangeReason,
@@ -23,7 +28,9 @@
     JobState,
     Task,
     TaskPhase,
+    WatchedStart,
     Worker,
+    make_unregistered_worker,
     measure_intensity,
 )
 from lentilmount.scheduling.reports import (
@@ -269,6 +276,8 @@
         task.cpu_percent = task.previous_cpu_percent = 100
         task.usage = None
         task.idle_since = math.inf
+        if task.is_watched:
+            record_start(task, worker)
         worker.add(task)
         self.ready.pop(task.id, None)
         if not task.job.was_placed:
@@ -297,6 +306,8 @@
             task.phase = TaskPhase.RUNNING
             task.confirmed_at = now
             self.mark_started(task.job)
+            if task.is_watched and task.worker in self.workers:
+                self.workers[task.worker].change_count += 1
 
     def reject_start(
         self,
@@ -379,6 +390,9 @@
         if worker is not None:
             worker.remove(task)
         task.worker = ''
+        start = task.watched_starts.get(task.run)
+        if start is not None and math.isinf(start.lost_at):
+            del task.watched_starts[task.run]
         self.dirty[task.job.spec.id] = None
         if task.job.state.is_final:
             task.phase = TaskPhase.GIVEN_UP
@@ -462,9 +476,10 @@
     def clear_suspicion(self, task: Task) -> None:
         """Records that a task has run without crashing its worker."""
         task.cleared_run = task.run
-        task.is_probed_before_start = False
-        if task.crashed_runs:
+        if task.is_watched:
+            task.is_watched = False
             task.crashed_runs.clear()
+            task.watched_starts.clear()
             self.dirty[task.job.spec.id] = None
 
     def list_step_tasks(self, task: Task) -> list[Task]:
@@ -599,9 +614,15 @@
         ended = []
         worker.lost_at = now
         worker.finished_runs.clear()
-        worker.suspects |= {task: task.run for task in list_suspects(worker)}
-        for task in list_unanswered(worker):
-            task.is_probed_before_start = True
+        lost = [
+            task
+            for task in worker.tasks.values()
+            if not asked_at <= task.confirmed_at < math.inf
+        ]
+        doubtful = list_doubtful(worker, lost)
+        self._add_suspects(worker, list_suspects(worker, lost), now)
+        for task in doubtful:
+            task.is_watched = True
         for late_start in late_starts:
             self._hold_waiting(late_start, worker, now)
         held = {late_start.task for late_start in late_starts}
@@ -620,6 +641,75 @@
             ended.append(task)
         return ended
 
+    def _add_suspects(
+        self, worker: Worker, tasks: list[Task], now: float
+    ) -> None:
+        """Notes which tasks may have crashed a worker that was lost."""
+        for task in tasks:
+            if find_watched_start(task, worker) is None:
+                record_start(task, worker)
+            task.watched_starts[task.run].lost_at = now
+            if worker.suspects.get(task, task.run) != task.run:
+                self.clear_suspects(worker, [task])
+            worker.suspects[task] = task.run
+
+    def restore_watched_start(
+        self, task: Task, run: int, start: WatchedStart, now: float
+    ) -> None:
+        """Restores a watched start from a state row.
+
+        Args:
+          task: The task, whose placement is restored.
+          run: Run of the start.
+          start: The start.
+          now: Monotonic time.
+        """
+        task.watched_starts[run] = start
+        if task.run == run and task.worker == start.worker:
+            return
+        worker = self.workers.get(start.worker)
+        if worker is None:
+            worker = make_unregistered_worker(start.worker, start.address)
+            self.workers[worker.id] = worker
+        start.lost_at = worker.lost_at = now
+        worker.suspects[task] = run
+
+    def suspect_inherited(
+        self, worker: Worker, started_ms: int | None, now: float
+    ) -> None:
+        """Finds the suspects of a worker by the first report to this owner.
+
+        Suspects that were started on the incarnation that has reported have not
+        crashed it.
+
+        Args:
+          worker: The worker.
+          started_ms: Start time of that incarnation; None if it is not known.
+          now: Monotonic time.
+        """
+        if started_ms is None:
+            return
+        unchanged = (0, started_ms)
+        crashed = []
+        for task in worker.tasks.values():
+            start = find_watched_start(task, worker)
+            if start is not None and start.started_ms not in unchanged:
+                crashed.append(task)
+        cleared = []
+        for task, run in worker.suspects.items():
+            start = task.watched_starts.get(run)
+            if start is None or start.started_ms in unchanged:
+                cleared.append(task)
+        self.clear_suspects(worker, cleared)
+        self._add_suspects(worker, crashed, now)
+
+    def clear_suspects(self, worker: Worker, tasks: Iterable[Task]) -> None:
+        """Records that tasks have not crashed a worker, or nobody can tell."""
+        for task in list(tasks):
+            task.watched_starts.pop(worker.suspects.pop(task), None)
+            if task.job.spec.id in self.jobs:
+                self.dirty[task.job.spec.id] = None
+
     def _hold_waiting(
         self, late_start: StaleRun, worker: Worker, now: float
     ) -> None:
@@ -693,8 +783,7 @@
         ]
         for task in suspects:
             task.crashed_runs.add(worker.suspects[task])
-            self.dirty[task.job.spec.id] = None
-        worker.suspects.clear()
+        self.clear_suspects(worker, worker.suspects)
         return suspects
 
     def _stop_anew(self, task: Task) -> None:
--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -18,7 +18,11 @@
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.consolidation import Consolidator
 from lentilmount.scheduling.costs import CostModel
-from lentilmount.scheduling.crashes import is_on_trial, measure_trial_risk
+from lentilmount.scheduling.crashes import (
+    awaits_proof,
+    is_on_trial,
+    measure_trial_risk,
+)
 from lentilmount.scheduling.demand import BestEffortDemand
 from lentilmount.scheduling.headroom import Headroom
 from lentilmount.scheduling.interference import InterferenceModel
@@ -193,8 +197,7 @@
 
     def _reserve_worker(self, step: list[Task]) -> None:
         """Reserves a worker for the first task of a step that still waits."""
-        waiting = (t for t in step if t.phase is TaskPhase.WAITING)
-        task = next(waiting, None)
+        task = next(filter(self._may_place, step), None)
         if task is None:
             return
         view = self._reservations.reserve(task, self._views, self._now)
@@ -206,7 +209,7 @@
         placed: list[Placement] = []
         candidates: StepCandidates | None = None
         for task in step:
-            if task.phase is not TaskPhase.WAITING:
+            if not self._may_place(task):
                 continue
             if not self._window.admits(task, self._now):
                 return placed, True
@@ -237,6 +240,12 @@
             self._long_running_left -= task.spec.lasting
         return placed, True
 
+    def _may_place(self, task: Task) -> bool:
+        """Returns whether a task waits for nothing but a worker."""
+        if task.phase is not TaskPhase.WAITING:
+            return False
+        return not (task.is_watched and awaits_proof(task, self._now))
+
     def _find_candidates(self, task: Task) -> StepCandidates:
         """Evaluates all workers for the step that a task represents."""
         candidates = StepCandidates(
@@ -258,7 +267,7 @@
     def _place_gang(self, task: Task) -> list[Placement]:
         """Places all members of a gang or none: they only work together."""
         members = self._cluster.list_step_tasks(task)
-        if any(t.phase is not TaskPhase.WAITING for t in members):
+        if not all(map(self._may_place, members)):
             return []
         newest = max((t.checkpoint for t in members), default='')
         previous = [(t, t.run, t.skipped) for t in members]
@@ -339,8 +348,8 @@
         """Records that steps like a task's, and larger ones, will not fit.
 
         Free resources only shrink during a pass. Gangs, steps with a limit per
-        worker and tasks that failed on some worker are left out, because they
-        can fail to fit for other reasons than size.
+        worker, watched tasks and those that failed on some worker are left out,
+        because they can fail to fit for other reasons than size.
 
         Args:
           task: The task.
@@ -348,7 +357,7 @@
         """
         spec = task.spec
         has_other_limits = spec.gang or spec.most_per_worker or task.failed_on
-        if has_other_limits:
+        if has_other_limits or task.is_watched:
             return
         infeasible = (
             self._infeasible_for_new if by_headroom else self._infeasible
@@ -373,9 +382,9 @@
     """Returns whether the costs of a task equal those of its step.
 
     The cost of a long-running task depends on where the others are, a task that
-    has failed on a worker avoids it, and one on trial avoids other tasks.
+    has failed on a worker avoids it, and a watched one avoids other tasks.
     """
-    has_own_costs = task.failed_on or is_on_trial(task)
+    has_own_costs = task.failed_on or task.is_watched
     return not task.spec.lasting and not has_own_costs
 
 
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -9,7 +9,7 @@
 
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
-from lentilmount.scheduling.crashes import is_cleared
+from lentilmount.scheduling.crashes import is_cleared, record_start
 from lentilmount.scheduling.history import ChangeKind, ChangeReason
 from lentilmount.scheduling.model import FinishedRun, Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import (
@@ -86,7 +86,9 @@
         for end in report.ended:
             self._apply_end(worker, end, result, now)
         for run_report in report.running:
-            task = self._apply_running(worker, run_report, result, now)
+            task = self._apply_running(
+                worker, run_report, requested_at, result, now
+            )
             if task is None:
                 run = (run_report.task, run_report.run)
                 unknown_runs[run] = worker.unknown_runs.get(run, now)
@@ -113,6 +115,9 @@
                 self._cluster.requeue(task, ChangeReason.START_EXPIRED)
                 result.expired.append(task)
                 continue
+            if task.confirmed_at == 0.0:
+                # Inherited; the worker may have crashed since.
+                task.is_watched = True
             self._cluster.end_run(
                 task, EndKind.LAPSED, now, ChangeReason.ABSENT
             )
@@ -220,6 +225,7 @@
         self,
         worker: Worker,
         run_report: RunReport,
+        requested_at: float,
         result: ReconcileResult,
         now: float,
     ) -> Task | None:
@@ -258,7 +264,7 @@
             )
             task.confirmed_at = now
             result.adopted.append(task)
-        self._update(task, run_report, now)
+        self._update(task, run_report, requested_at, now)
         return task
 
     def _check_unknown(
@@ -345,15 +351,23 @@
         task.confirmed_at = now
         task.start_sent_at = -math.inf
         task.stopped_at = math.inf
+        if task.is_watched:
+            record_start(task, worker)
         worker.add(task)
         self._cluster.ready.pop(task.id, None)
         self._cluster.mark_placed(task.job)
         if task.job.state.is_final:
             self._cluster.begin_stop(task)
 
-    def _update(self, task: Task, run_report: RunReport, now: float) -> None:
+    def _update(
+        self,
+        task: Task,
+        run_report: RunReport,
+        requested_at: float,
+        now: float,
+    ) -> None:
         self._cluster.confirm_start(task, run_report.run, now)
-        if is_cleared(task, now):
+        if is_cleared(task, requested_at):
             self._cluster.clear_suspicion(task)
         if run_report.checkpoint:
             task.checkpoint = run_report.checkpoint
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -8,10 +8,15 @@
 from collections.abc import Iterator
 from typing import Any
 
-from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import RUN_NUMBER_MARGIN, ClusterState
-from lentilmount.scheduling.model import Job, JobState, Task, TaskPhase, Worker
-from lentilmount.scheduling.reports import WorkerEntry, WorkerState
+from lentilmount.scheduling.model import (
+    Job,
+    JobState,
+    Task,
+    TaskPhase,
+    WatchedStart,
+    make_unregistered_worker,
+)
 from lentilmount.scheduling.specs import TaskId
 
 DONE = 'done'
@@ -24,9 +29,10 @@
 REQUIRED_FIELDS = 2
 """Number of fields that each task entry has: run and worker."""
 
-DEFAULT_FIELDS: tuple[Any, ...] = (0, '', (), '', ())
-"""Defaults of the fields of a task entry: run, worker, failed runs, checkpoint
-and runs that may have crashed their workers."""
+DEFAULT_FIELDS: tuple[Any, ...] = (0, '', (), '', (), 0, ())
+"""Defaults of the fields of a task entry: run, worker, failed runs, checkpoint,
+runs that have crashed their workers, 1 if the task is watched, and the watched
+starts, each with its run, worker, address and start of the incarnation."""
 
 
 def encode_state(job: Job) -> dict[str, Any]:
@@ -70,6 +76,11 @@
         sorted(task.failed_runs),
         task.checkpoint,
         sorted(task.crashed_runs),
+        int(task.is_watched),
+        [
+            (run, start.worker, start.address, start.started_ms)
+            for run, start in task.watched_starts.items()
+        ],
     ]
     while len(entry) > REQUIRED_FIELDS and not entry[-1]:
         entry.pop()
@@ -170,26 +181,30 @@
         cluster.restore_done(task, now)
         return
     fields = [*entry, *DEFAULT_FIELDS[len(entry) :]]
-    run, worker, failed_runs, checkpoint, crashed_runs = fields
+    run, worker, failed_runs, checkpoint, crashed_runs, watched, starts = fields
     task.failed_runs = set(failed_runs)
     task.checkpoint = checkpoint
     task.crashed_runs = set(crashed_runs)
+    task.is_watched = bool(watched or crashed_runs)
     task.job.has_started |= bool(failed_runs or checkpoint)
     task.run = run
     task.skipped = RUN_NUMBER_MARGIN
+    watched_starts = {
+        run: WatchedStart(*start_fields) for run, *start_fields in starts
+    }
+    if worker and task.is_watched:
+        watched_starts.setdefault(run, WatchedStart(worker))
     if worker:
+        start = watched_starts.get(run)
+        address = start.address if start and start.worker == worker else ''
         placed_on = cluster.workers.get(worker)
         if placed_on is None:
-            placed_on = make_unregistered_worker(worker)
+            placed_on = make_unregistered_worker(worker, address)
             cluster.workers[worker] = placed_on
         if not placed_on.has_answered:
             placed_on.leases_expire_at = max(
                 placed_on.leases_expire_at, leases_expire_at
             )
         cluster.restore_placed(task, placed_on)
-
-
-def make_unregistered_worker(worker: str) -> Worker:
-    """Creates a worker known only from a state row, until its leases expire."""
-    entry = WorkerEntry(worker, 0, '', '', '', WorkerState.DRAINING, Room(), ())
-    return Worker(entry, is_registered=False)
+    for number, start in watched_starts.items():
+        cluster.restore_watched_start(task, number, start, now)
--- a/lentilmount/scheduling/start_window.py
+++ b/lentilmount/scheduling/start_window.py
@@ -140,7 +140,7 @@
         task = placed_run.task
         if placed_run.is_due and math.isinf(task.start_sent_at):
             # Its worker may stay silent until its leases have expired.
-            return task.is_probed_before_start
+            return task.is_watched
         if placed_run.is_due:
             is_late = now - task.start_sent_at > UNANSWERED_SECONDS
             self._interval.unanswered += is_late
--- a/lentilmount/scheduling/takeover.py
+++ b/lentilmount/scheduling/takeover.py
@@ -47,7 +47,9 @@
         if self.are_all_recorded or now > self.expires_at:
             return False
         return not self.are_all_listed or any(
-            not worker.has_answered for worker in self.cluster.workers.values()
+            not worker.has_answered
+            for worker in self.cluster.workers.values()
+            if worker.is_registered or worker.tasks
         )
 
     def get_remaining_seconds(self, now: float) -> float | None:
--- a/lentilmount/scheduling/views.py
+++ b/lentilmount/scheduling/views.py
@@ -27,6 +27,9 @@
 """Share of its cores that a serving task is assumed to use: its mean plus part
 of the usual load increase."""
 
+StepKey = tuple[str, int, int]
+"""Job, occurrence and index of a step."""
+
 REFRESH_SECONDS = 0.25
 """How long a summary is valid while the worker does not change. New
 measurements of an image on other workers also change the expected utilisation;
@@ -47,7 +50,10 @@
       best_effort_cores: Cores requested by the best-effort tasks there.
       is_over_target: Whether a serving task there exceeds its latency target.
       utilisation: Highest expected utilisation by serving image.
-      has_trial: Whether a task there must be started alone.
+      lone_steps: Keys of the steps of tasks beside which no others are started,
+        except for those of a gang. These are tasks on trial, and watched tasks
+        whose starts the worker has not answered: if it crashed then, nobody
+        could tell which of the starts it had carried out.
       step_counts: Number of tasks by job, occurrence and step.
     """
 
@@ -57,7 +63,7 @@
     spare_cores: float = 0.0
     best_effort_cores: float = 0.0
     is_over_target: bool = False
-    has_trial: bool = False
+    lone_steps: set[StepKey] = attrs.Factory(set)
     utilisation: dict[str, float] = attrs.Factory(dict)
     step_counts: collections.Counter[tuple[str, int, int]] = attrs.Factory(
         collections.Counter
@@ -86,7 +92,11 @@
         self.is_over_target = any(
             map(interference_model.is_over_target, self.worker.tasks.values())
         )
-        self.has_trial = any(map(is_on_trial, self.worker.tasks.values()))
+        self.lone_steps = {
+            get_step_key(task)
+            for task in self.worker.tasks.values()
+            if task.is_watched and _must_be_alone(task)
+        }
         worker = self.worker
         self.free = worker.entry.capacity.subtract(worker.used)
         self.free_after_short_tasks = worker.entry.capacity
@@ -135,7 +145,12 @@
             return False
         if self.worker.on_probation and self.worker.is_being_tested:
             return False
-        if self.has_trial:
+        lone_steps = self.lone_steps
+        if spec.gang:
+            lone_steps = lone_steps - {get_step_key(task)}
+        elif task.is_watched and self.worker.awaits_starts:
+            return False
+        if lone_steps:
             return False
         most = spec.most_per_worker
         return not most or self.step_counts[get_step_key(task)] < most
@@ -199,6 +214,11 @@
     )
 
 
-def get_step_key(task: Task) -> tuple[str, int, int]:
+def _must_be_alone(task: Task) -> bool:
+    """Returns whether no other task may be started beside a watched one."""
+    return task.phase is TaskPhase.STARTING or is_on_trial(task)
+
+
+def get_step_key(task: Task) -> StepKey:
     """Returns the key of a task's step: job, occurrence and step index."""
     return task.id.job, task.id.occurrence, task.id.step
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -491,11 +491,11 @@
 
     # The end.
 
-    async def finish(self, seconds: float = FINISH_SECONDS) -> None:
+    async def finish(self) -> None:
         """Removes all faults, waits, and checks that all jobs have ended.
 
-        Args:
-          seconds: Longest time to wait.
+        Tasks that crash all workers in turn keep the others from running for up
+        to a lease each time.
         """
         for link in self.network.links.values():
             link.cut(False, False, self.clock.now)
@@ -508,6 +508,11 @@
             self.set_registered(worker, True)
         if self.election is None:
             self.start_owner()
+        crashing = sum(
+            spec.payload in ALWAYS_CRASHING_PAYLOADS
+            for spec in self.jobs.values()
+        )
+        seconds = FINISH_SECONDS + crashing * MAX_CRASHES * LEASE_SECONDS
         end = self.clock.now + seconds
         self.check()
         while self.clock.now < end and self._list_unfinished():
--- a/tests/restart_fixtures.py
+++ b/tests/restart_fixtures.py
@@ -120,6 +120,8 @@
             await asyncio.sleep(TIMEOUT_SECONDS)
             return CommandAnswer(CallStatus.UNKNOWN)
         await asyncio.sleep(CALL_SECONDS)
+        if self.is_replaced:
+            return CommandAnswer(CallStatus.OTHER_INSTANCE)
         self.highest[task] = max(run, self.highest.get(task, 0))
         if self.running.get(task, run + 1) <= run:
             del self.running[task]
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -18,10 +18,9 @@
 from lentilmount.coordination.table import UnavailableError
 from lentilmount.platform.store import Changes, PlatformTable
 from lentilmount.platform.workers import WorkerClient
-from lentilmount.scheduling.model import TaskPhase
+from lentilmount.scheduling.model import TaskPhase, make_unregistered_worker
 from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import WorkerState
-from lentilmount.scheduling.rows import make_unregistered_worker
 from lentilmount.scheduling.takeover import InheritedLeases
 from lentilmount.upstream.http import HttpClient
 from stand_ins.rowstore import RowStore
