Fill the workers of random schedules

A third of the random schedules now have workers with room for two tasks, and half have no tasks that always crash, so that starts compete for room that shrinks and grows. Jobs come up to eight at once.

A lease is the time that a crash keeps a task from running; the time allowed for anything else stays 30 s.

--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -31,6 +31,7 @@
 from stand_ins.model_network import Link, MemoryTable, Network, TableFault
 from stand_ins.model_worker import (
     ALWAYS_CRASHING_PAYLOADS,
+    CRASHING_PAYLOADS,
     FULL_CORES,
     ChooseWork,
     Execution,
@@ -509,7 +510,7 @@
         if self.election is None:
             self.start_owner()
         crashing = sum(
-            spec.payload in ALWAYS_CRASHING_PAYLOADS
+            spec.payload in {*CRASHING_PAYLOADS, *ALWAYS_CRASHING_PAYLOADS}
             for spec in self.jobs.values()
         )
         seconds = FINISH_SECONDS + crashing * MAX_CRASHES * LEASE_SECONDS
--- a/tests/test_random_schedules.py
+++ b/tests/test_random_schedules.py
@@ -24,12 +24,15 @@
 ACTIONS = (20, 45)
 """Smallest and largest number of actions of a schedule."""
 
-CRASHING_SHARE = 0.4
+CRASHING_SHARES = (0.0, 0.4)
 """Share of the jobs whose task crashes each worker that starts it."""
 
-BATCHES = (1, 1, 4)
+BATCHES = (1, 1, 4, 8)
 """Numbers of jobs submitted at once."""
 
+CORES = (4.5, 6.5, FULL_CORES)
+"""Cores of all workers at first; a task takes 2."""
+
 CALL_FAULTS = (
     CallFault(Fault.LOST),
     CallFault(Fault.UNANSWERED),
@@ -60,6 +63,8 @@
     def __init__(self, seed: int):
         self._random = random.Random(seed)
         self._machine = SessionMachine()
+        self._crashing_share = self._random.choice(CRASHING_SHARES)
+        self._cores = self._random.choice(CORES)
         self._actions: dict[Callable[[], None], int] = {
             self._submit: 5,
             self._cancel: 1,
@@ -81,6 +86,8 @@
             machine.begin()
             for _ in range(self._random.choice(MORE_WORKERS)):
                 machine.act(machine.site.add_worker, 0.0)
+            for position in range(len(machine.site.workers)):
+                machine.resize(position, self._cores, 0.0, 0.0)
             kinds, weights = zip(*self._actions.items(), strict=True)
             count = self._random.randint(*ACTIONS)
             for action in self._random.choices(kinds, weights, k=count):
@@ -100,7 +107,7 @@
         return self._random.random() < 0.5
 
     def _submit(self) -> None:
-        is_crashing = self._random.random() < CRASHING_SHARE
+        is_crashing = self._random.random() < self._crashing_share
         names = [n for n in ESTIMATES if n.startswith('always') == is_crashing]
         payload = self._random.choice(names)
         for _ in range(self._random.choice(BATCHES)):
@@ -143,7 +150,7 @@
         self._machine.register(position, is_registered, self._pause())
 
     def _resize(self) -> None:
-        cores = self._random.choice([0.5, 2.5, 4.5, FULL_CORES])
+        cores = self._random.choice([0.5, 2.5, 4.5, self._cores])
         registration_seconds = self._random.random()
         self._machine.resize(
             self._position(), cores, registration_seconds, self._pause()
