Check room and starts after crashes in the soak

Workers of the soak take what they are told and never changed their size, and no check counted starts under which workers had crashed, so that LIMIT and BUDGET could not show.

Workers now shrink and grow (RESIZE), which they register up to a second later. Two checks are new, with the bounds of the users' rules: no start on a worker without room, by the largest capacity of the last 4.1 s, and no task started three times or more after its third crash.

The check of lost jobs allowed any end as failed of a job with a crashing task, and none of another. The rule of the crashing tasks is that a task under which two workers have crashed may be given up.

Each check has a record that it fails on.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,12 +13,25 @@
 import attrs
 
 from soak.events import Event, EventKind
-from soak.plan import Job
+from soak.plan import TASK_CORES, Job
+from soak.work import CRASHING
+from stand_ins.model_worker import FULL_CORES
 
 CANCEL_SECONDS = 10.0
 """Time after the answer to a cancellation in which runs may still start."""
 
 
+SHRINK_SECONDS = 4.1
+"""Time after which a capacity that has shrunk binds: 3 s, and an interval of
+1.1 s between two registrations."""
+
+MAX_CRASHES = 3
+MAX_LATER_STARTS = 2
+"""Number of starts allowed after that many crashes under a task."""
+
+MIN_CRASHES = 2
+"""Number of crashes under a task from which its job may be shown as failed."""
+
 ENDS_OF_WORKERS = (EventKind.CRASHED, EventKind.KILLED, EventKind.EXITED)
 
 
@@ -220,7 +233,7 @@
         job = record.jobs[job_id]
         state = states.get(job_id, 'unknown')
         allowed = {'completed'}
-        if job.is_crashing:
+        if _may_fail(record, job_id):
             allowed |= {'failed'}
         if job.cancel_after:
             allowed |= {'cancelled'}
@@ -231,6 +244,77 @@
     return found
 
 
+def _may_fail(record: Record, job_id: str) -> bool:
+    """Returns whether enough workers have crashed under a task of a job."""
+    crashes = collections.Counter(
+        run.task
+        for run in record.list_runs()
+        if run.job == job_id and run.how == 'crashed'
+    )
+    return any(count >= MIN_CRASHES for count in crashes.values())
+
+
+def find_starts_after_crashes(record: Record) -> list[Violation]:
+    """Finds tasks that are started ever again although they crash workers."""
+    found = []
+    for task, runs in record.runs.items():
+        job_id, _, step, index = task.split('.')
+        job = record.jobs.get(job_id)
+        if job is None or job.steps[int(step)][int(index)].kind not in CRASHING:
+            continue
+        crashed = sorted(run.end for run in runs if run.how == 'crashed')
+        if len(crashed) < MAX_CRASHES:
+            continue
+        later = [r for r in runs if r.start > crashed[MAX_CRASHES - 1]]
+        if len(later) > MAX_LATER_STARTS:
+            detail = f'{len(later)} times after its crash {MAX_CRASHES}'
+            found.append(Violation('started after its crashes', task, detail))
+    return found
+
+
+def find_overcommitted_workers(record: Record) -> list[Violation]:
+    """Finds starts on workers without room for them.
+
+    Starts that were carried out by a later incarnation than the one to which
+    they were sent are left out, as no owner can prevent them.
+    """
+    capacities: dict[tuple[str, int], list[tuple[float, float]]] = {}
+    for event in record.select(EventKind.RESIZED):
+        resized = capacities.setdefault((event.worker, event.born), [])
+        resized.append((event.at, float(event.detail)))
+    by_worker: dict[tuple[str, int], list[Run]] = {}
+    for run in record.list_runs():
+        if not run.is_late:
+            by_worker.setdefault((run.worker, run.born), []).append(run)
+    found = []
+    for worker, resized in capacities.items():
+        for run in by_worker.get(worker, ()):
+            beside = sum(
+                other.start <= run.start < other.end
+                for other in by_worker[worker]
+                if other is not run
+            )
+            used = TASK_CORES * (beside + 1)
+            capacity = _get_largest_capacity(resized, run.start)
+            if used > capacity:
+                detail = f'{run.worker}: {used:g} of {capacity:g} cores in use'
+                found.append(Violation('beyond capacity', run.task, detail))
+    return found
+
+
+def _get_largest_capacity(
+    resized: list[tuple[float, float]], at: float
+) -> float:
+    """Returns the most cores that a worker had until a capacity binds."""
+    known = [(-math.inf, FULL_CORES), *resized]
+    ends = [changed_at for changed_at, _ in resized] + [math.inf]
+    return max(
+        cores
+        for (begin, cores), end in zip(known, ends, strict=True)
+        if begin <= at and end > at - SHRINK_SECONDS
+    )
+
+
 CHECKS: tuple[Callable[[Record], list[Violation]], ...] = (
     find_overlaps,
     find_repeats,
@@ -238,6 +322,8 @@
     find_unasked_runs,
     find_cancelled_runs,
     find_lost_jobs,
+    find_starts_after_crashes,
+    find_overcommitted_workers,
 )
 
 
--- a/soak/events.py
+++ b/soak/events.py
@@ -20,7 +20,8 @@
     """Kinds of events.
 
     A worker writes those from RECEIVED to CRASHED about itself, a link those
-    from RESET to HELD; the others come from the process that plays the plan.
+    from RESET to HELD; the process that plays the plan writes RESIZED and the
+    others.
     """
 
     RECEIVED = 'received'
@@ -28,6 +29,7 @@
     ENDED = 'ended'
     ACKNOWLEDGED = 'acknowledged'
     CRASHED = 'crashed'
+    RESIZED = 'resized'
     RESET = 'reset'
     REFUSED = 'refused'
     LOST = 'lost'
@@ -53,7 +55,8 @@
       born: Start of the worker's incarnation in milliseconds.
       task: Name of the task or id of the job.
       run: Number of the run.
-      detail: How a run ended, the path and status of a call, or a job's state.
+      detail: How a run ended, the path and status of a call, a job's state, or
+        a worker's number of cores.
       until: Time in seconds at which the lease of the run expired; 0 if it had
         not.
       is_late: Whether the start was sent to an earlier incarnation.
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -32,7 +32,8 @@
     RESET resets a reused connection once a call has been delivered, before any
     answer. UNHEALTHY lets a worker reject starts, having done nothing. BURST
     resets all connections of a link. PAUSE, KILL and STOP are signals to a
-    process (SIGSTOP and SIGCONT, SIGKILL, SIGTERM).
+    process (SIGSTOP and SIGCONT, SIGKILL, SIGTERM). RESIZE changes the cores of
+    a worker for a while, which registers them a little later.
     """
 
     RESET = 'reset'
@@ -47,11 +48,20 @@
     PAUSE = 'pause'
     KILL = 'kill'
     STOP = 'stop'
+    RESIZE = 'resize'
 
 
-PROCESS_FAULTS = {FaultKind.PAUSE, FaultKind.KILL, FaultKind.STOP}
+PROCESS_FAULTS = {
+    FaultKind.PAUSE,
+    FaultKind.KILL,
+    FaultKind.STOP,
+    FaultKind.RESIZE,
+}
 """Faults of processes; all others are faults of links."""
 
+TASK_CORES = 1.0
+"""Cores of each task."""
+
 
 @attrs.frozen
 class Fault:
@@ -67,6 +77,7 @@
       status: Status with which a worker then answers starts; 0 for none.
       unhealthy_seconds: Time for which it does so.
       has_new_id: Whether a killed worker comes back under another id.
+      cores: Cores of a worker that is resized.
     """
 
     at: float
@@ -78,6 +89,7 @@
     status: int = 0
     unhealthy_seconds: float = 0.0
     has_new_id: bool = False
+    cores: float = 0.0
 
 
 @attrs.frozen
@@ -120,7 +132,7 @@
         for number, step in enumerate(self.steps):
             document: dict[str, Any] = {
                 'count': len(step),
-                'cpu': 1000,
+                'cpu': int(1000 * TASK_CORES),
                 'memMb': 500,
                 'estimatedMs': 900,
             }
@@ -294,6 +306,7 @@
       statuses: Statuses of an unhealthy worker.
       unhealthy_seconds: Bounds of the time in seconds for which it is so.
       new_ids: Whether a killed worker comes back under another id.
+      cores: Cores of a worker that is resized.
     """
 
     weight: float
@@ -305,6 +318,7 @@
     statuses: tuple[int, ...] = (0,)
     unhealthy_seconds: tuple[float, float] = (0.05, 0.3)
     new_ids: tuple[bool, ...] = (False,)
+    cores: tuple[float, ...] = (0.0,)
 
     def draw(self, rng: random.Random, at: float, size: Size) -> Fault:
         """Draws a fault."""
@@ -318,6 +332,7 @@
             rng.choice(self.statuses),
             _draw_seconds(rng, self.unhealthy_seconds),
             rng.choice(self.new_ids),
+            rng.choice(self.cores),
         )
 
 
@@ -368,6 +383,13 @@
     ),
     _Recipe(2.0, (FaultKind.PAUSE,), _pick_host, seconds=(0.3, 4.0)),
     _Recipe(2.0, _ENDS, _pick_host, seconds=(0.2, 2.0)),
+    _Recipe(
+        3.0,
+        (FaultKind.RESIZE,),
+        _pick_worker,
+        seconds=(2.0, 10.0),
+        cores=(0.5, 1.5, 3.5, 6.5),
+    ),
 )
 
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -20,6 +20,7 @@
 from soak.links import Link
 from soak.registrations import Registrations
 from stand_ins.entry_hosts import write_settings
+from stand_ins.model_worker import FULL_CORES
 
 _PARENT_DEATH_SIGNAL = 1
 """The option of prctl(2) that sets the signal for the death of the parent."""
@@ -29,6 +30,9 @@
 RESTART_SECONDS = (0.2, 1.0)
 """Time after which a worker that a task crashed comes back, in seconds."""
 
+MAX_RESIZE_SECONDS = 1.0
+"""Longest time until a worker registers its new capacity: a heartbeat."""
+
 REGISTRATION_SECONDS = (0.05, 1.0)
 """Time from the start of a worker until it is registered, in seconds."""
 
@@ -104,6 +108,7 @@
       id: Id of the current worker.
       born: Start of its incarnation in milliseconds.
       process: Its process.
+      registration: What it registers.
     """
 
     name: str
@@ -115,6 +120,7 @@
     id: str = ''
     born: int = 0
     process: asyncio.subprocess.Process | None = None
+    registration: dict[str, Any] = attrs.Factory(dict)
     _ids: int = 0
     _next_seconds: float | None = None
     _has_new_id: bool = True
@@ -129,6 +135,7 @@
             if self._is_closing:
                 return
             self._note(EventKind.EXITED, str(self.process.returncode))
+            self.registration = {}
             self._set_target('')
             self.registrations.expire(self.id)
             self._has_new_id = self._has_new_id and bool(self._next_seconds)
@@ -160,6 +167,7 @@
         self._set_target(registration['address'])
         # The link to the table service replaces it for each daemon.
         registration['address'] = self.name
+        self.registration = registration
         seconds = self.rng.uniform(*REGISTRATION_SECONDS)
         self.registrations.add(self.id, registration, seconds)
 
@@ -171,6 +179,33 @@
         for link in self.links:
             link.target = address
 
+    async def shrink(self, cores: float, seconds: float) -> None:
+        """Changes the cores of the worker for some seconds.
+
+        It does not guard them, so that only its registrations tell of it.
+        """
+        if self.process is None or self.process.returncode is not None:
+            return
+        registration = self.registration
+        if not self.born or not registration:
+            return
+        self._resize(cores)
+        await asyncio.sleep(seconds)
+        if self.registration is registration:
+            self._resize(FULL_CORES)
+
+    def _resize(self, cores: float) -> None:
+        self._note(EventKind.RESIZED, str(cores))
+        capacity = {
+            **self.registration['capacity'],
+            'cpu': int(1000 * cores),
+        }
+        self.registrations.add(
+            self.id,
+            {**self.registration, 'capacity': capacity},
+            self.rng.uniform(0.0, MAX_RESIZE_SECONDS),
+        )
+
     def kill(self, seconds: float, has_new_id: bool) -> None:
         """Kills the worker; the next one comes after some seconds."""
         if self.process is None or self.process.returncode is not None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -192,6 +192,8 @@
     ) -> None:
         if fault.kind is FaultKind.PAUSE:
             await pause(position.process, fault.seconds)
+        elif fault.kind is FaultKind.RESIZE:
+            await position.shrink(fault.cores, fault.seconds)
         else:
             position.kill(fault.seconds, fault.has_new_id)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 from soak import core
 from soak.checks import (
     CANCEL_SECONDS,
+    SHRINK_SECONDS,
     Record,
     Violation,
     check,
@@ -25,8 +26,10 @@
     find_cancelled_runs,
     find_early_starts,
     find_lost_jobs,
+    find_overcommitted_workers,
     find_overlaps,
     find_repeats,
+    find_starts_after_crashes,
     find_unasked_runs,
     make_record,
 )
@@ -42,6 +45,8 @@
 WORK = Work(WorkKind.DONE, 1.0)
 JOB = Job(0.0, 'a', 0, ((WORK,), (WORK,)))
 FIRST, SECOND = 'a.0.0.0', 'a.0.1.0'
+CRASHING_JOB = Job(0.0, 'c', 0, ((Work(WorkKind.CRASH_ANSWERED, 1.0),),))
+CRASHING_TASK = 'c.0.0.0'
 SIZE = Size(20.0, 4, 10)
 
 
@@ -135,6 +140,43 @@
         find_lost_jobs,
         [tell(0.0, EventKind.ACCEPTED), tell(9.0, EventKind.STATE, 'failed')],
     ),
+    'a job that is shown as failed after one crash': (
+        find_lost_jobs,
+        [
+            tell(0.0, EventKind.ACCEPTED),
+            start(1.0, 'w1'),
+            Event(2.0, EventKind.KILLED, 'w1', 1),
+            tell(9.0, EventKind.STATE, 'failed'),
+        ],
+    ),
+    'a task that is started ever again after three crashes': (
+        find_starts_after_crashes,
+        [
+            event
+            for run in range(1, 7)
+            for event in (
+                start(run, f'w{run}', CRASHING_TASK, run),
+                Event(run + 0.1, EventKind.CRASHED, f'w{run}', 1),
+            )
+        ],
+    ),
+    'a start on a worker that shrank long ago': (
+        find_overcommitted_workers,
+        [
+            start(1.0, 'w1'),
+            Event(1.5, EventKind.RESIZED, 'w1', 1, detail='1.5'),
+            start(1.6 + SHRINK_SECONDS, 'w1', SECOND),
+        ],
+    ),
+    'a start on a worker that was never larger': (
+        find_overcommitted_workers,
+        [
+            Event(0.0, EventKind.RESIZED, 'w1', 1, detail='1.5'),
+            start(5.0, 'w1'),
+            Event(5.1, EventKind.RESIZED, 'w1', 1, detail='0.5'),
+            start(5.2, 'w1', SECOND),
+        ],
+    ),
     'a job of which nothing is known': (
         find_lost_jobs,
         [tell(0.0, EventKind.ACCEPTED)],
@@ -151,7 +193,7 @@
 def test_a_check_finds_a_broken_promise(name: str) -> None:
     """A check that cannot fail would let a fault pass."""
     find, events = FAULTY[name]
-    record = make_record(events, [JOB])
+    record = make_record(events, [JOB, CRASHING_JOB])
     assert len(find(record)) == 1
     assert find(record)[0] in check(record)
 
@@ -172,6 +214,29 @@
     assert ends == [(3.0, 'lapsed'), (5.0, 'crashed'), (math.inf, '')]
 
 
+def test_a_worker_that_has_just_shrunk_may_be_full() -> None:
+    """A start that no owner could know to be too much would be reported."""
+    events = [
+        start(1.0, 'w1'),
+        Event(1.5, EventKind.RESIZED, 'w1', 1, detail='1.5'),
+        start(1.4 + SHRINK_SECONDS, 'w1', SECOND),
+    ]
+    assert find_overcommitted_workers(make_record(events, [JOB])) == []
+
+
+def test_a_job_may_be_given_up_after_two_crashes() -> None:
+    """A job under which two workers had crashed was reported as lost."""
+    events = [
+        tell(0.0, EventKind.ACCEPTED),
+        start(1.0, 'w1'),
+        Event(2.0, EventKind.KILLED, 'w1', 1),
+        start(3.0, 'w2', run=2),
+        Event(4.0, EventKind.KILLED, 'w2', 1),
+        tell(9.0, EventKind.STATE, 'failed'),
+    ]
+    assert find_lost_jobs(make_record(events, [JOB])) == []
+
+
 def test_a_start_for_an_earlier_incarnation_is_excused() -> None:
     """No owner can prevent that a restarted worker carries out a late call."""
     late = attrs.evolve(start(1.5, 'w2', run=2), is_late=True)
