Model heartbeats, outages of the table and two processes at once

The model site had one process, and workers that registered once, so that neither two owners nor a registration older than believed could show.

Workers now register each 1.1 s while the table takes it. The table may be down for all, or for the processes that run already while another one takes over.

--- a/stand_ins/model_network.py
+++ b/stand_ins/model_network.py
@@ -39,6 +39,7 @@
 
 CALL_SECONDS = 0.004
 NEVER = 3600.0
+TABLE_TIMEOUT_SECONDS = 0.6
 REFUSED_STATUS = 503
 OTHER_INSTANCE_STATUS = 421
 EXPECTED_INSTANCE = 'X-Expected-Instance'
@@ -286,16 +287,31 @@
     Args:
       store: The store.
       faults: Faults of the next writes, taken from the front.
+
+    Attributes:
+      is_cut: Whether no call arrives.
     """
 
     def __init__(self, store: RowStore, faults: list[TableFault] | None = None):
         super().__init__(Network(), 1.0)
+        self.is_cut = False
         self._store = store
         self._faults = [] if faults is None else faults
 
+    async def _pass(self, seconds: float = CALL_SECONDS) -> None:
+        """Waits until a call has arrived.
+
+        Raises:
+          UnavailableError: It does not arrive.
+        """
+        if self.is_cut:
+            await asyncio.sleep(TABLE_TIMEOUT_SECONDS)
+            raise UnavailableError('cut off')
+        await asyncio.sleep(seconds)
+
     async def read(self, keys: list[Key]) -> dict[Key, Row]:
         """See `PlatformTable`."""
-        await asyncio.sleep(CALL_SECONDS)
+        await self._pass()
         found = {}
         for key in keys:
             change = self._store.rows.get(_make_address(key))
@@ -317,7 +333,7 @@
     async def transact(self, token: str, operations: list[Operation]) -> int:
         """See `PlatformTable`."""
         fault = self._faults.pop(0) if self._faults else TableFault()
-        await asyncio.sleep(CALL_SECONDS + fault.seconds)
+        await self._pass(CALL_SECONDS + fault.seconds)
         if fault.fault is WriteFault.UNAVAILABLE:
             raise UnavailableError('fault')
         states = [o.key for o in operations if _is_state(o.key)]
@@ -348,13 +364,13 @@
 
     async def read_all(self, table: str, part: str = '') -> Changes:
         """See `PlatformTable`."""
-        await asyncio.sleep(CALL_SECONDS)
+        await self._pass()
         rows = self._store.scan(table, part, '', '', 10_000)
         return Changes(tuple(map(_make_raw, rows)), self._store.version)
 
     async def follow(self, table: str, after: int, wait: float) -> Changes:
         """See `PlatformTable`."""
-        await asyncio.sleep(CALL_SECONDS)
+        await self._pass()
         changes = await self._store.follow(table, after, wait)
         if changes is None:
             raise HistoryLostError(table)
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import functools
 import math
 
 import attrs
@@ -50,12 +51,14 @@
 CRASH_SECONDS = 0.3
 """Time until a worker that a task has crashed is back."""
 
+HEARTBEAT_SECONDS = 1.1
+"""Interval between two registrations of a worker."""
+
 EXPIRY_SECONDS = 3.0
 """Time after which the registration of a silent worker is removed."""
 
-SHRINK_SECONDS = 4.1
-"""Time after which a capacity that has shrunk binds: 3 s, and an interval of
-1.1 s between two registrations."""
+SHRINK_SECONDS = 3.0 + HEARTBEAT_SECONDS
+"""Time after which a capacity that has shrunk binds."""
 
 MAX_CRASHES = 3
 MAX_LATER_STARTS = 2
@@ -81,9 +84,24 @@
     return True
 
 
+@attrs.frozen
+class _Process:
+    """A process that competes for the service.
+
+    Attributes:
+      election: Its election.
+      table: Its table client.
+      task: Runs the election.
+    """
+
+    election: ServiceElection
+    table: PlatformTable
+    task: asyncio.Task[None]
+
+
 @attrs.define(eq=False)
 class ModelSite:
-    """A table, workers, and the process that competes for their service.
+    """A table, workers, and the processes that compete for their service.
 
     Attributes:
       clock: The clock.
@@ -95,11 +113,13 @@
       cancelled: Ids of the cancelled jobs.
       violations: What was found wrong.
       write_faults: Faults of the next writes of the owner.
-      election: The election that runs the owner; None while it is killed.
+      election: The election of the newest process; None while all are killed.
       host_link: The link of the owner's host, which all its calls share; None
         if there is no need to model it.
       choose_work: See `ModelWorker`.
       metrics: Metrics of all owners.
+      processes: Processes that compete for the service, in the order of their
+        starts.
       keeps_ids: Whether a worker that a task has crashed is back under its id;
         if not, another one has its address.
     """
@@ -117,11 +137,12 @@
     host_link: HostLink | None = None
     choose_work: ChooseWork = choose_work
     metrics: ControlMetrics = attrs.Factory(ControlMetrics)
+    processes: list[_Process] = attrs.Factory(list)
     keeps_ids: bool = True
     _all_workers: dict[str, ModelWorker] = attrs.Factory(dict)
     _final_states: dict[str, JobState] = attrs.Factory(dict)
     _checked: int = 0
-    _process: asyncio.Task[None] | None = None
+    _store_down_until: float = -math.inf
     _owner: object = None
     _learned_at: dict[str, float] = attrs.Factory(lambda: {'': 0.0})
     _unregistered: set[str] = attrs.Factory(set)
@@ -196,11 +217,14 @@
         def register() -> None:
             if worker.is_up and worker.incarnation == incarnation:
                 self.register(worker)
+                _call_later(HEARTBEAT_SECONDS, register)
 
         _call_later(seconds, register)
 
     def register(self, worker: ModelWorker) -> None:
-        """Writes the registration of a worker that is up."""
+        """Writes the registration of a worker that is up, if it can."""
+        if self._is_store_down:
+            return
         if worker.is_up and worker.id not in self._unregistered:
             self._registered_at.setdefault(worker.id, self.clock.now)
             self.store.write(
@@ -256,11 +280,13 @@
 
     def start_owner(self) -> None:
         """Starts the process that competes for the service."""
-        candidates = Candidates(Capacity(2.0, 200.0), True, 'host-1')
+        name = f'host-{len(self.processes) + 1}'
+        candidates = Candidates(Capacity(2.0, 200.0), True, name)
+        table = self._make_table()
         self.election = ServiceElection(
             self._make_settings(),
-            self._make_table(),
-            make_name('host-1'),
+            table,
+            make_name(name),
             self.clock,
             lambda epoch: WorkerClient(self.network, epoch, TIMEOUT_SECONDS),
             lambda: False,
@@ -269,7 +295,11 @@
             candidates,
             _may_own,
         )
-        self._process = asyncio.create_task(self.election.run())
+        task = asyncio.create_task(self.election.run())
+        self.processes.append(_Process(self.election, table, task))
+        if self._is_store_down:
+            left = self._store_down_until - self.clock.now
+            self._cut_table(self.processes[-1], left)
 
     def _make_settings(self) -> OwnerSettings:
         rate = self.host_link.bytes_per_second if self.host_link else math.inf
@@ -287,17 +317,51 @@
         )
 
     async def kill_owner(self) -> None:
-        """Kills the process; all that it knows is gone."""
-        if self._process is not None:
-            self._process.cancel()
-            await asyncio.wait({self._process})
-        self._process = self.election = None
+        """Kills all processes; all that they know is gone."""
+        for process in self.processes:
+            process.task.cancel()
+            await asyncio.wait({process.task})
+        self.processes.clear()
+        self.election = None
+
+    def take_store_down(self, seconds: float) -> None:
+        """Lets no call arrive at the table for some seconds.
+
+        Registrations stay as they are.
+        """
+        self._store_down_until = self.clock.now + seconds
+        for process in self.processes:
+            self._cut_table(process, seconds)
+
+    @property
+    def _is_store_down(self) -> bool:
+        return self.clock.now < self._store_down_until
+
+    def _cut_table(self, process: _Process, seconds: float) -> None:
+        if isinstance(process.table, MemoryTable):
+            process.table.is_cut = True
+            _call_later(seconds, functools.partial(_heal, process.table))
+
+    def cut_off_owner(self, seconds: float) -> None:
+        """Cuts all processes off from the table, and starts another one.
+
+        It takes over while the owner still works for a while.
+
+        Args:
+          seconds: Time until they reach the table again.
+        """
+        for process in self.processes:
+            self._cut_table(process, seconds)
+        self.start_owner()
 
     @property
     def cluster(self) -> ClusterState | None:
-        """What the current owner knows; None if there is none."""
-        owner = self.election.owner if self.election is not None else None
-        return owner.cluster if owner and owner.loaded.is_set() else None
+        """What the newest owner knows; None if there is none."""
+        for process in reversed(self.processes):
+            owner = process.election.owner
+            if owner and owner.loaded.is_set() and not owner.lost_reason:
+                return owner.cluster
+        return None
 
     def find_worker(self, task: str) -> str:
         """Returns the id of the worker where the owner has a task, or ''."""
@@ -333,8 +397,9 @@
 
     def check(self) -> None:
         """Adds violations by what has run up to now."""
-        if self._process is not None and self._process.done():
-            self._add(f'the process ended: {self._process}')
+        for process in self.processes:
+            if process.task.done():
+                self._add(f'a process ended: {process.task}')
         self._note_cancellations()
         self._note_final_states()
         by_task: dict[str, list[Execution]] = {}
@@ -594,6 +659,10 @@
     )
 
 
+def _heal(table: MemoryTable) -> None:
+    table.is_cut = False
+
+
 def _call_later(seconds: float, call: object) -> None:
     assert callable(call)
     asyncio.get_running_loop().call_later(seconds, call)
--- a/tests/test_random_schedules.py
+++ b/tests/test_random_schedules.py
@@ -73,6 +73,8 @@
             self._cut: 1,
             self._crash: 1,
             self._replace_owner: 2,
+            self._cut_off_owner: 1,
+            self._take_store_down: 1,
             self._register: 1,
             self._resize: 2,
             self._choose_ids: 1,
@@ -145,6 +147,14 @@
         down_seconds = self._random.choice([0.0, 0.5, 3.0])
         self._machine.replace_owner(down_seconds, self._pause())
 
+    def _cut_off_owner(self) -> None:
+        cut_seconds = self._random.choice([1.0, 3.0, 8.0])
+        self._machine.cut_off_owner(cut_seconds, self._pause())
+
+    def _take_store_down(self) -> None:
+        down_seconds = self._random.choice([1.0, 3.0, 8.0])
+        self._machine.take_store_down(down_seconds, self._pause())
+
     def _register(self) -> None:
         position, is_registered = self._position(), self._flip()
         self._machine.register(position, is_registered, self._pause())
--- a/tests/test_session_state_machine.py
+++ b/tests/test_session_state_machine.py
@@ -38,6 +38,7 @@
 
 WORKERS = 2
 MAX_LASTING = 4
+MAX_PROCESSES = 3
 MAX_EXAMPLES = 100
 POSITIONS = strategies.integers(0, WORKERS - 1)
 SWITCH = strategies.booleans()
@@ -313,6 +314,17 @@
         self.act(lambda: None, down_seconds)
         self.act(self.site.start_owner, seconds)
 
+    @rule(down_seconds=strategies.sampled_from([1.0, 3.0, 8.0]), seconds=PAUSES)
+    def take_store_down(self, down_seconds: float, seconds: float) -> None:
+        """Lets no process reach the table for a while."""
+        self.act(lambda: self.site.take_store_down(down_seconds), seconds)
+
+    @rule(cut_seconds=strategies.sampled_from([1.0, 3.0, 8.0]), seconds=PAUSES)
+    def cut_off_owner(self, cut_seconds: float, seconds: float) -> None:
+        """Cuts the owner off from the table and starts another process."""
+        if len(self.site.processes) < MAX_PROCESSES:
+            self.act(lambda: self.site.cut_off_owner(cut_seconds), seconds)
+
     @rule(
         seconds=strategies.sampled_from([0.05, 0.2, 0.5, 1.0, 2.0, 4.0, 10.0])
     )
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -40,6 +40,7 @@
 from lentilmount.scheduling.specs import StepSpec
 from lentilmount.scheduling.views import WorkerViews
 from lentilmount.upstream.http import HttpClient
+from stand_ins.model_site import HEARTBEAT_SECONDS, ModelSite
 from stand_ins.virtual_time import run_virtual
 from tests.helpers import run
 from tests.scheduling_fixtures import (
@@ -57,11 +58,13 @@
     run_task,
 )
 from tests.test_registry import ScriptedTable
+from tests.test_session_state_machine import make_spec
 from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
 
 CLOCK_MS = 1000
 PASS_SECONDS = 0.1
 READ_AT = 10.0
+OUTAGE_SECONDS = 6.0
 
 REPEATING_SECONDS = 2.5
 """Time in which an unanswered start is repeated several times."""
@@ -646,3 +649,29 @@
     max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
 )
 TestShrinkingMachine = ShrinkingMachine.TestCase
+
+
+@pytest.mark.parametrize('replaces_owner', [True, False])
+def test_no_task_is_started_by_a_registration_of_before_an_outage(
+    replaces_owner: bool,
+) -> None:
+    """A worker that shrank in an outage of the store was taken for large."""
+    clock = ManualClock()
+    site = ModelSite(clock)
+
+    async def scenario() -> None:
+        site.add_worker()
+        site.start_owner()
+        await asyncio.sleep(2.0)
+        site.take_store_down(OUTAGE_SECONDS)
+        site.resize(site.workers[0], 1.0, OUTAGE_SECONDS + HEARTBEAT_SECONDS)
+        if replaces_owner:
+            await site.kill_owner()
+            site.start_owner()
+        site.submit(make_spec(0, 'short', False))
+        await asyncio.sleep(2 * OUTAGE_SECONDS)
+        site.check()
+        await site.kill_owner()
+
+    run_virtual(scenario(), clock)
+    assert site.violations == []
