Count the age of a registration from when it was written

A worker that shrinks in an outage of the store cannot tell it. Once the store is back, its entry of before is read again and counted as new, until the worker has written another one up to 1.1 s later; starts in that time went by the old capacity. The same holds for a worker that reaches its owner and not the store.

Evidence: the record shows the capacity of 6 s before and no change of owner. Ruled out: two owners at once (360 schedules, none), lists that were requested long ago (that age was counted from the request already), and starts that were carried out late (the starts of the findings took 4 ms).

Class: the age of data taken from when it was read. The same was looked for elsewhere: counts of pending jobs and peers' reports carry ages of their own, the configuration has a version and a bound, drains come with the same entries.

Change: the versions of the store and its steady clock, which every answer tells and which bound the ages of jobs already, bound the age of each entry. It may be used until 0.6 s before a smaller capacity could bind, which the settings give (contactMs + heartbeatMs) instead of a fixed 2.5 s after reading. Entries of before all that a process has seen count from the least age that is known. A log line tells which registrations are too old. Stand-ins and the soak now register at each heartbeat, as the platform's workers do.

--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -373,6 +373,7 @@
             times.lease,
             times.status,
             self._settings.capacity.link_bytes_per_second,
+            times.capacity,
         )
         return ServiceElection(
             settings,
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -76,12 +76,15 @@
       lease_seconds: Longest lease that a worker grants.
       status_seconds: How long the state of a finished job is kept.
       link_bytes_per_second: Rate of the host's network link.
+      capacity_seconds: Time after which a worker's capacity that has shrunk
+        binds.
     """
 
     service: str
     lease_seconds: float
     status_seconds: float
     link_bytes_per_second: float = math.inf
+    capacity_seconds: float = math.inf
 
 
 class Owner:
@@ -343,6 +346,7 @@
             record_complete_list,
             is_complete=self._are_all_recorded,
             link_bytes_per_second=self._settings.link_bytes_per_second,
+            capacity_seconds=self._settings.capacity_seconds,
         )
 
     def _register_worker(self, entry: WorkerEntry) -> None:
--- a/lentilmount/control/registry.py
+++ b/lentilmount/control/registry.py
@@ -39,6 +39,13 @@
 """Share of the host's link above which reads become less frequent: the answers
 to calls to workers need the rest."""
 
+LOGGED_WORKERS = 10
+"""Number of workers that a log line names at most."""
+
+START_SECONDS = 0.6
+"""Time from the last look at a registration until the start that follows from
+it has arrived at the worker."""
+
 RETURN_SECONDS = 2.2
 """Time after an outage of the store during which the list may be incomplete.
 Entries that expired in the outage are written again within about 2 s; a list
@@ -84,6 +91,7 @@
     on_complete: Callable[[], None] = lambda: None,
     is_complete: bool = True,
     link_bytes_per_second: float = math.inf,
+    capacity_seconds: float = math.inf,
 ) -> None:
     """Reports each worker's registration, and its disappearance.
 
@@ -97,10 +105,12 @@
       is_complete: Whether the list is complete at first. It may not be if the
         store may have been unavailable until now.
       link_bytes_per_second: Rate of the host's network link.
+      capacity_seconds: Time after which a capacity that has shrunk binds.
     """
     decoder = _Decoder()
     known: set[str] = set()
     unreadable: set[str] = set()
+    outdated: set[str] = set()
     complete_from = -math.inf if is_complete else math.inf
     while True:
         sent_at = monotonic()
@@ -113,6 +123,9 @@
             continue
         complete_from = min(complete_from, monotonic() + RETURN_SECONDS)
         seen = set()
+        previously_outdated, outdated = outdated, set()
+        now = monotonic()
+        written_at = _find_write_times(table, found.rows, sent_at, now)
         for key, entry in decoder.decode(found.rows).items():
             if entry is None:
                 if key not in unreadable:
@@ -120,7 +133,12 @@
                 unreadable.add(key)
             elif entry.service == service:
                 seen.add(entry.id)
-                on_entry(attrs.evolve(entry, read_at=sent_at))
+                binds_at = written_at[key] + capacity_seconds
+                usable_until = binds_at - START_SECONDS
+                if now > usable_until:
+                    outdated.add(entry.id)
+                on_entry(attrs.evolve(entry, usable_until=usable_until))
+        _log_outdated(previously_outdated, outdated, service)
         if sent_at >= complete_from:
             for worker_id in known - seen:
                 on_missing(worker_id)
@@ -131,3 +149,41 @@
         await asyncio.sleep(
             choose_pause(len(found.rows), link_bytes_per_second)
         )
+
+
+def _log_outdated(before: set[str], outdated: set[str], service: str) -> None:
+    """Logs which workers get no starts as their registrations are too old."""
+    if outdated == before:
+        return
+    log.info(
+        '{} registrations are too old to start tasks by.',
+        len(outdated),
+        extra={
+            'service': service,
+            'workers': sorted(outdated)[:LOGGED_WORKERS],
+        },
+    )
+
+
+def _find_write_times(
+    table: PlatformTable, rows: Iterable[RawRow], sent_at: float, now: float
+) -> dict[str, float]:
+    """Returns when each row may have been written at the earliest, by key.
+
+    A row that is read again is no newer for that: in an outage of the store no
+    worker writes. Of rows older than all that this process has seen, only the
+    least age is known.
+
+    Args:
+      table: Table that was read.
+      rows: The rows.
+      sent_at: Monotonic time at which they were requested.
+      now: Monotonic time.
+    """
+    ages = table.version_times.bound_ages({row.version for row in rows})
+    found = {}
+    for row in rows:
+        age = ages[row.version]
+        most = age.most if age.most < math.inf else age.least
+        found[row.key] = min(sent_at, now - most)
+    return found
--- a/lentilmount/platform/host_settings.py
+++ b/lentilmount/platform/host_settings.py
@@ -37,12 +37,14 @@
       lease: Longest lease that a worker accepts.
       status: Time for which the state of a finished job is kept.
       apply: Time within which a configuration change must be in force.
+      capacity: Time after which a worker's capacity that has shrunk binds.
     """
 
     grace: float
     lease: float
     status: float
     apply: float
+    capacity: float
 
 
 BYTES_PER_SECOND_PER_MBPS = 125_000
@@ -152,6 +154,13 @@
             lease=fields.get_number('bounds.maxHoldMs') / 1000,
             status=fields.get_number('bounds.status_s'),
             apply=fields.get_number('bounds.configApplyMs') / 1000,
+            # Workers register each 'heartbeatMs', and are known 'contactMs'
+            # later.
+            capacity=(
+                fields.get_number('bounds.contactMs')
+                + fields.get_number('heartbeatMs')
+            )
+            / 1000,
         ),
     )
     if fields.problems:
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -277,11 +277,6 @@
     at: float
 
 
-MAX_REGISTRATION_AGE_SECONDS = 2.5
-"""Longest time in seconds for which a registration is used to start tasks. A
-capacity that has shrunk binds starts from 3 s after it was registered."""
-
-
 @attrs.define(eq=False)
 class Worker:
     """State of a worker as known to the owner.
@@ -386,8 +381,8 @@
         return self._used
 
     def is_registration_outdated(self, now: float) -> bool:
-        """Returns whether its capacity may have shrunk since it was read."""
-        return now - self.entry.read_at > MAX_REGISTRATION_AGE_SECONDS
+        """Returns whether its capacity may have shrunk too long ago."""
+        return now > self.entry.usable_until
 
     def may_be_overcommitted(self, now: float) -> bool:
         """Returns whether its tasks may reserve more than its capacity."""
--- a/lentilmount/scheduling/reports.py
+++ b/lentilmount/scheduling/reports.py
@@ -32,8 +32,8 @@
       labels: Kind and rack of the worker.
       drain_seconds: Minimum time in seconds that a draining worker remains, or
         None.
-      read_at: Monotonic time at which it was requested from the store; infinity
-        if it is not from there.
+      usable_until: Monotonic time until which tasks may be started by it, as
+        the worker may have shrunk since it was written.
     """
 
     id: str
@@ -45,7 +45,7 @@
     capacity: Room
     labels: tuple[str, ...] = ()
     drain_seconds: float | None = None
-    read_at: float = math.inf
+    usable_until: float = math.inf
 
 
 @attrs.frozen
--- a/lentilmount/version_times.py
+++ b/lentilmount/version_times.py
@@ -14,7 +14,7 @@
 import collections
 import itertools
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -81,19 +81,15 @@
 
     def bound_age(self, version: int) -> AgeBounds:
         """Returns what is known about the age of a row with a version."""
+        return self.bound_ages([version])[version]
+
+    def bound_ages(self, versions: Iterable[int]) -> dict[int, AgeBounds]:
+        """Returns what is known about the ages of rows with some versions."""
         if math.isnan(self._clock_offset):
-            return AgeBounds()
+            return dict.fromkeys(versions, AgeBounds())
         now = self.monotonic() + self._clock_offset
         samples = [*self._samples, self._newest]
-        # A row with the version of a sample is as old as the sample, or older.
-        position = bisect.bisect_left(samples, (version, -math.inf))
-        least = 0.0
-        if position < len(samples):
-            least = max(0.0, now - samples[position][1])
-        most = math.inf
-        if position:
-            most = max(least, now - samples[position - 1][1])
-        return AgeBounds(least, most)
+        return {v: _bound_age(v, samples, now) for v in versions}
 
     def export(self) -> list[Sample]:
         """Returns some of the samples, for a process that has seen none."""
@@ -117,3 +113,17 @@
         self._samples = collections.deque(
             itertools.chain(sorted(older), own), maxlen=MAX_SAMPLES
         )
+
+
+def _bound_age(
+    version: int, samples: Sequence[Sample], now: float
+) -> AgeBounds:
+    # A row with the version of a sample is as old as the sample, or older.
+    position = bisect.bisect_left(samples, (version, -math.inf))
+    least = 0.0
+    if position < len(samples):
+        least = max(0.0, now - samples[position][1])
+    most = math.inf
+    if position:
+        most = max(least, now - samples[position - 1][1])
+    return AgeBounds(least, most)
--- a/soak/registrations.py
+++ b/soak/registrations.py
@@ -13,6 +13,9 @@
 from lentilmount.platform.store import WORKERS_TABLE
 from lentilmount.upstream.http import HttpClient
 
+HEARTBEAT_SECONDS = 1.1
+"""Interval between two registrations of a worker."""
+
 EXPIRY_SECONDS = 3.0
 """Time after which the registration of a silent worker is removed."""
 
@@ -32,11 +35,11 @@
     def add(
         self, worker_id: str, registration: dict[str, Any], seconds: float
     ) -> None:
-        """Registers a worker after some seconds."""
+        """Registers a worker after some seconds, and at each heartbeat."""
         self._newest[worker_id] = registration
         value = base64.b64encode(orjson.dumps(registration)).decode()
         row = {**_make_row(worker_id), 'value': value}
-        self._schedule(worker_id, seconds, {'writes': [row]})
+        self._schedule(worker_id, seconds, {'writes': [row]}, repeats=True)
 
     def expire(self, worker_id: str) -> None:
         """Removes a registration in some time, unless the worker is back."""
@@ -45,23 +48,35 @@
         self._schedule(worker_id, EXPIRY_SECONDS, change)
 
     def _schedule(
-        self, worker_id: str, seconds: float, change: dict[str, Any]
+        self,
+        worker_id: str,
+        seconds: float,
+        change: dict[str, Any],
+        repeats: bool = False,
     ) -> None:
-        work = self._write(worker_id, seconds, change)
+        work = self._write(worker_id, seconds, change, repeats)
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _write(
-        self, worker_id: str, seconds: float, change: dict[str, Any]
+        self,
+        worker_id: str,
+        seconds: float,
+        change: dict[str, Any],
+        repeats: bool,
     ) -> None:
         newest = self._newest[worker_id]
+        body = orjson.dumps(
+            {'precondition': [], 'writes': [], 'removals': [], **change}
+        )
         await asyncio.sleep(seconds)
-        if self._newest[worker_id] is not newest:
-            return
-        body = {'precondition': [], 'writes': [], 'removals': [], **change}
-        answer = await self.client.call('POST', '/rows-tx', orjson.dumps(body))
-        assert answer.status == 200, answer
+        while self._newest[worker_id] is newest:
+            answer = await self.client.call('POST', '/rows-tx', body)
+            assert answer.status == 200, answer
+            if not repeats:
+                return
+            await asyncio.sleep(HEARTBEAT_SECONDS)
 
     def close(self) -> None:
         """Drops what has not been written yet."""
--- a/stand_ins/entry_hosts.py
+++ b/stand_ins/entry_hosts.py
@@ -51,9 +51,11 @@
             'readiness': '127.0.0.1:0',
         },
         'internalPorts': [0, 0],
+        'heartbeatMs': 1100,
         'platform': {'address': store},
         'limits': {'cpuShare': 0.5, 'cores': 2, 'linkMbps': 1000},
         'bounds': {
+            'contactMs': 3000,
             'graceS': 4,
             'maxHoldMs': 6000,
             'status_s': 120,
--- a/stand_ins/fleet.py
+++ b/stand_ins/fleet.py
@@ -22,6 +22,7 @@
 from stand_ins.rowstore import RowStore
 
 STEP_SECONDS = 0.02
+HEARTBEAT_SECONDS = 1.0
 MAX_LEASE_MS = 6000
 POLL_PATH = '/hold'
 START_PATH = '/run-start'
@@ -67,6 +68,7 @@
       answers_crashing: Whether the start that crashes it is answered.
       crashes: Number of crashes.
       register: Writes its registration.
+      is_registered: Whether it does so at each heartbeat.
       silent: Whether it answers no call.
       unanswered: Paths of the calls that it does not answer.
       failing: Paths of the calls that it answers with status 500.
@@ -95,6 +97,7 @@
     answers_crashing: bool = True
     crashes: int = 0
     register: Callable[[], None] = lambda: None
+    is_registered: bool = True
     silent: bool = False
     unanswered: set[str] = attrs.Factory(set)
     failing: set[str] = attrs.Factory(set)
@@ -296,6 +299,7 @@
         self._store = store
         self._servers: list[HTTPServer] = []
         self._addresses: dict[str, str] = {}
+        self._timer: asyncio.TimerHandle | None = None
 
     def open(self) -> None:
         """Starts to listen and registers every worker."""
@@ -311,7 +315,15 @@
             port = sockets[0].getsockname()[1]
             self._addresses[worker.id] = f'127.0.0.1:{port}'
             worker.register = functools.partial(self.register, worker)
-            worker.register()
+        self._beat()
+
+    def _beat(self) -> None:
+        """Registers all workers that are up again and again."""
+        for worker in self.workers:
+            if not worker.is_down and worker.is_registered:
+                worker.register()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(HEARTBEAT_SECONDS, self._beat)
 
     def register(self, worker: FleetWorker) -> None:
         """Writes a worker's registration."""
@@ -320,6 +332,8 @@
 
     def close(self) -> None:
         """Stops listening."""
+        if self._timer is not None:
+            self._timer.cancel()
         for server in self._servers:
             server.stop()
 
--- a/stand_ins/model_network.py
+++ b/stand_ins/model_network.py
@@ -33,6 +33,7 @@
     HttpResponse,
     measure_request,
 )
+from lentilmount.version_times import VersionTimes
 from stand_ins.host_link import HostLink
 from stand_ins.model_worker import POLL_PATH, START_PATH, ModelWorker
 from stand_ins.rowstore import Address, Change, RowStore
@@ -293,13 +294,13 @@
     """
 
     def __init__(self, store: RowStore, faults: list[TableFault] | None = None):
-        super().__init__(Network(), 1.0)
+        super().__init__(Network(), 1.0, version_times=VersionTimes(_now))
         self.is_cut = False
         self._store = store
         self._faults = [] if faults is None else faults
 
     async def _pass(self, seconds: float = CALL_SECONDS) -> None:
-        """Waits until a call has arrived.
+        """Waits until a call has arrived, whose answer tells the version.
 
         Raises:
           UnavailableError: It does not arrive.
@@ -308,6 +309,7 @@
             await asyncio.sleep(TABLE_TIMEOUT_SECONDS)
             raise UnavailableError('cut off')
         await asyncio.sleep(seconds)
+        self.version_times.record(self._store.version, _now())
 
     async def read(self, keys: list[Key]) -> dict[Key, Row]:
         """See `PlatformTable`."""
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -15,6 +15,7 @@
 from lentilmount.platform.documents import decode_registration
 from lentilmount.platform.store import Changes, PlatformTable, RawRow
 from lentilmount.scheduling.reports import WorkerEntry
+from lentilmount.version_times import VersionTimes
 from tests.helpers import run
 
 ENTRY_BYTES = 430
@@ -62,6 +63,9 @@
 
     clock: ManualClock
     answers: list[tuple[float, str | None]]
+    version_times: VersionTimes = attrs.Factory(
+        lambda self: VersionTimes(self.clock.monotonic), takes_self=True
+    )
 
     async def read_all(self, table: str, part: str = '') -> Changes:
         if not self.answers:
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -28,7 +28,6 @@
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import (
-    MAX_REGISTRATION_AGE_SECONDS,
     Task,
     TaskPhase,
     Worker,
@@ -63,7 +62,8 @@
 
 CLOCK_MS = 1000
 PASS_SECONDS = 0.1
-READ_AT = 10.0
+OUTDATED_AT = 10.0
+CAPACITY_SECONDS = 4.0
 OUTAGE_SECONDS = 6.0
 
 REPEATING_SECONDS = 2.5
@@ -313,27 +313,27 @@
 def test_no_task_is_placed_by_an_outdated_registration() -> None:
     """Tasks were placed while nothing could tell that a worker had shrunk."""
     cluster = ClusterState()
-    worker = add_worker(cluster, 'w', read_at=READ_AT)
+    worker = add_worker(cluster, 'w', usable_until=OUTDATED_AT)
     admit(cluster, make_job('job', make_step(count=2)))
     first, second = (find_task(cluster, 'job', 0, n) for n in range(2))
     placer = Placer(cluster, InterferenceModel())
-    outdated_at = READ_AT + MAX_REGISTRATION_AGE_SECONDS
     cluster.ready.pop(second.id)
-    assert run_pass(placer, outdated_at) == [(first, worker)]
+    assert run_pass(placer, OUTDATED_AT) == [(first, worker)]
     cluster.ready[second.id] = second
-    assert run_pass(placer, outdated_at + PASS_SECONDS) == []
-    cluster.register_worker(make_entry('w', read_at=outdated_at))
-    assert run_pass(placer, outdated_at + PASS_SECONDS) == [(second, worker)]
+    later = OUTDATED_AT + PASS_SECONDS
+    assert run_pass(placer, later) == []
+    cluster.register_worker(make_entry('w', usable_until=later))
+    assert run_pass(placer, later) == [(second, worker)]
 
 
 def test_placed_starts_are_not_sent_by_an_outdated_registration() -> None:
     """Starts were sent after an outage before the registrations were read."""
     scene = CommandScene()
     worker = scene.add_worker('w')
-    now = scene.clock.monotonic()
-    scene.cluster.register_worker(make_entry('w', read_at=now))
+    usable_until = scene.clock.monotonic() + OUTAGE_SECONDS
+    scene.cluster.register_worker(make_entry('w', usable_until=usable_until))
     tasks = [scene.place(f'job-{number}', worker) for number in range(2)]
-    scene.clock.advance(MAX_REGISTRATION_AGE_SECONDS)
+    scene.clock.advance(OUTAGE_SECONDS)
     scene.commands.start(tasks[0])
     scene.run()
     scene.clock.advance(PASS_SECONDS)
@@ -360,11 +360,14 @@
             entries.append,
             lambda worker_id: None,
             clock.monotonic,
+            capacity_seconds=CAPACITY_SECONDS,
         )
 
     with pytest.raises(asyncio.CancelledError):
         run(play())
-    assert [entry.read_at - first for entry in entries] == [0.0, 4.5]
+    usable_seconds = [entry.usable_until - first for entry in entries]
+    limit = CAPACITY_SECONDS - registry.START_SECONDS
+    assert usable_seconds == pytest.approx([limit, 4.5 + limit])
 
 
 @pytest.mark.parametrize(
