Take an unregistered worker for ready until it tells otherwise

Found by reading, no run shows it: a new owner now polls a worker that is known from a watched start only, by the address in the row. Such a worker was taken for draining, so tasks that may move would have been stopped there although it had merely no registration at that moment. No task is placed on it in either state, as it is not registered.

--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -449,6 +449,6 @@
       address: Its address, '' if that is not known.
     """
     entry = WorkerEntry(
-        worker, 0, address, '', '', WorkerState.DRAINING, Room(), ()
+        worker, 0, address, '', '', WorkerState.READY, Room(), ()
     )
     return Worker(entry, is_registered=False)
