Go by no list of workers that is over 2.5 s old

Where the settings allow capacities to be older than that (4.5 s on hosts with contactMs 4000), a list that could not be read for so long would have started tasks on workers that had begun to drain meanwhile.

--- a/lentilmount/control/registry.py
+++ b/lentilmount/control/registry.py
@@ -46,6 +46,10 @@
 """Time from the last look at a registration until the start that follows from
 it has arrived at the worker."""
 
+MAX_LIST_SECONDS = 2.5
+"""Longest time after the request of a list for which starts go by it: it may
+lack that a worker drains, however new the entry is."""
+
 RETURN_SECONDS = 2.2
 """Time after an outage of the store during which the list may be incomplete.
 Entries that expired in the outage are written again within about 2 s; a list
@@ -133,8 +137,10 @@
                 unreadable.add(key)
             elif entry.service == service:
                 seen.add(entry.id)
-                binds_at = written_at[key] + capacity_seconds
-                usable_until = binds_at - START_SECONDS
+                usable_until = min(
+                    written_at[key] + capacity_seconds - START_SECONDS,
+                    sent_at + MAX_LIST_SECONDS,
+                )
                 if now > usable_until:
                     outdated.add(entry.id)
                 on_entry(attrs.evolve(entry, usable_until=usable_until))
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -366,7 +366,7 @@
     with pytest.raises(asyncio.CancelledError):
         run(play())
     usable_seconds = [entry.usable_until - first for entry in entries]
-    limit = CAPACITY_SECONDS - registry.START_SECONDS
+    limit = registry.MAX_LIST_SECONDS
     assert usable_seconds == pytest.approx([limit, 4.5 + limit])
 
 
