--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,23 +15,19 @@
 from soak.events import Event, EventKind
 from soak.plan import TASK_CORES, Job
 from soak.work import CRASHING
-from stand_ins.model_worker import FULL_CORES
+from stand_ins.limits import (
+    FULL_CORES,
+    MAX_CRASHES,
+    MAX_LATER_STARTS,
+    MIN_CRASHES,
+    count_starts_after_crashes,
+    get_binding_capacity,
+)
 
 CANCEL_SECONDS = 10.0
 """Time after the answer to a cancellation in which runs may still start."""
 
 
-SHRINK_SECONDS = 4.1
-"""Time after which a capacity that has shrunk binds: 3 s, and an interval of
-1.1 s between two registrations."""
-
-MAX_CRASHES = 3
-MAX_LATER_STARTS = 2
-"""Number of starts allowed after that many crashes under a task."""
-
-MIN_CRASHES = 2
-"""Number of crashes under a task from which its job may be shown as failed."""
-
 ENDS_OF_WORKERS = (EventKind.CRASHED, EventKind.KILLED, EventKind.EXITED)
 
 
@@ -262,12 +258,12 @@
         job = record.jobs.get(job_id)
         if job is None or job.steps[int(step)][int(index)].kind not in CRASHING:
             continue
-        crashed = sorted(run.end for run in runs if run.how == 'crashed')
-        if len(crashed) < MAX_CRASHES:
-            continue
-        later = [r for r in runs if r.start > crashed[MAX_CRASHES - 1]]
-        if len(later) > MAX_LATER_STARTS:
-            detail = f'{len(later)} times after its crash {MAX_CRASHES}'
+        later = count_starts_after_crashes(
+            [run.start for run in runs],
+            [run.end for run in runs if run.how == 'crashed'],
+        )
+        if later > MAX_LATER_STARTS:
+            detail = f'{later} times after its crash {MAX_CRASHES}'
             found.append(Violation('started after its crashes', task, detail))
     return found
 
@@ -280,7 +276,9 @@
     """
     capacities: dict[tuple[str, int], list[tuple[float, float]]] = {}
     for event in record.select(EventKind.RESIZED):
-        resized = capacities.setdefault((event.worker, event.born), [])
+        resized = capacities.setdefault(
+            (event.worker, event.born), [(-math.inf, FULL_CORES)]
+        )
         resized.append((event.at, float(event.detail)))
     by_worker: dict[tuple[str, int], list[Run]] = {}
     for run in record.list_runs():
@@ -295,26 +293,13 @@
                 if other is not run
             )
             used = TASK_CORES * (beside + 1)
-            capacity = _get_largest_capacity(resized, run.start)
+            capacity = get_binding_capacity(resized, run.start)
             if used > capacity:
                 detail = f'{run.worker}: {used:g} of {capacity:g} cores in use'
                 found.append(Violation('beyond capacity', run.task, detail))
     return found
 
 
-def _get_largest_capacity(
-    resized: list[tuple[float, float]], at: float
-) -> float:
-    """Returns the most cores that a worker had until a capacity binds."""
-    known = [(-math.inf, FULL_CORES), *resized]
-    ends = [changed_at for changed_at, _ in resized] + [math.inf]
-    return max(
-        cores
-        for (begin, cores), end in zip(known, ends, strict=True)
-        if begin <= at and end > at - SHRINK_SECONDS
-    )
-
-
 CHECKS: tuple[Callable[[Record], list[Violation]], ...] = (
     find_overlaps,
     find_repeats,
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -20,7 +20,7 @@
 from soak.links import Link
 from soak.registrations import Registrations
 from stand_ins.entry_hosts import write_settings
-from stand_ins.model_worker import FULL_CORES
+from stand_ins.limits import FULL_CORES
 
 _PARENT_DEATH_SIGNAL = 1
 """The option of prctl(2) that sets the signal for the death of the parent."""
--- a/soak/registrations.py
+++ b/soak/registrations.py
@@ -12,9 +12,7 @@
 
 from lentilmount.platform.store import WORKERS_TABLE
 from lentilmount.upstream.http import HttpClient
-
-HEARTBEAT_SECONDS = 1.1
-"""Interval between two registrations of a worker."""
+from stand_ins.limits import HEARTBEAT_SECONDS
 
 EXPIRY_SECONDS = 3.0
 """Time after which the registration of a silent worker is removed."""
--- a/stand_ins/fleet.py
+++ b/stand_ins/fleet.py
@@ -19,10 +19,10 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from stand_ins.limits import HEARTBEAT_SECONDS
 from stand_ins.rowstore import RowStore
 
 STEP_SECONDS = 0.02
-HEARTBEAT_SECONDS = 1.0
 MAX_LEASE_MS = 6000
 POLL_PATH = '/hold'
 START_PATH = '/run-start'
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -29,11 +29,20 @@
 from lentilmount.scheduling.specs import JobSpec, TaskId
 from lentilmount.version_times import VersionTimes
 from stand_ins.host_link import HostLink, StoreCalls
+from stand_ins.limits import (
+    FULL_CORES,
+    HEARTBEAT_SECONDS,
+    MAX_CRASHES,
+    MAX_LATER_STARTS,
+    MIN_CRASHES,
+    SHRINK_SECONDS,
+    count_starts_after_crashes,
+    get_binding_capacity,
+)
 from stand_ins.model_network import Link, MemoryTable, Network, TableFault
 from stand_ins.model_worker import (
     ALWAYS_CRASHING_PAYLOADS,
     CRASHING_PAYLOADS,
-    FULL_CORES,
     ChooseWork,
     Execution,
     ModelWorker,
@@ -51,22 +60,9 @@
 CRASH_SECONDS = 0.3
 """Time until a worker that a task has crashed is back."""
 
-HEARTBEAT_SECONDS = 1.1
-"""Interval between two registrations of a worker."""
-
 EXPIRY_SECONDS = 3.0
 """Time after which the registration of a silent worker is removed."""
 
-SHRINK_SECONDS = 3.0 + HEARTBEAT_SECONDS
-"""Time after which a capacity that has shrunk binds."""
-
-MAX_CRASHES = 3
-MAX_LATER_STARTS = 2
-"""Number of starts allowed after that many crashes under a task."""
-
-MIN_CRASHES = 2
-"""Number of crashes under a task from which it may be given up."""
-
 STOP_LIMIT_SECONDS = 3.9
 """Time within which a run that must not go on has to end."""
 
@@ -424,14 +420,12 @@
         spec = self.jobs.get(executions[0].task.partition('.')[0])
         if spec is None or spec.payload not in ALWAYS_CRASHING_PAYLOADS:
             return
-        crashed = sorted(e.ended_at for e in executions if e.kind == 'crashed')
-        if len(crashed) < MAX_CRASHES:
-            return
-        crashed_at = crashed[MAX_CRASHES - 1]
-        later = [e for e in executions if e.started_at > crashed_at]
-        if len(later) > MAX_LATER_STARTS:
-            first = later[MAX_LATER_STARTS]
-            self._add('started again after its crashes', first)
+        later = count_starts_after_crashes(
+            [e.started_at for e in executions],
+            [e.ended_at for e in executions if e.kind == 'crashed'],
+        )
+        if later > MAX_LATER_STARTS:
+            self._add('started again after its crashes', executions[-1])
 
     def _check_room(self, number: int) -> None:
         """Checks that a run fitted on its worker when it began."""
@@ -445,7 +439,7 @@
         ]
         used = sum(self._get_cores(e.task) for e in [*beside, begun])
         worker = self._all_workers[begun.worker]
-        if used > worker.get_largest_capacity(now - SHRINK_SECONDS, now):
+        if used > get_binding_capacity(worker.capacities, now):
             self._add('started beyond the capacity', begun, *beside)
 
     def _get_cores(self, task: str) -> float:
--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -15,6 +15,8 @@
 import attrs
 import orjson
 
+from stand_ins.limits import FULL_CORES
+
 MAX_LEASE_MS = 6000
 STOP_SECONDS = 0.3
 """Time that a run takes to end once it is stopped."""
@@ -48,9 +50,6 @@
 }
 """The same of tasks that crash the worker at every start."""
 
-FULL_CORES = 16.0
-"""Cores of a worker that has not shrunk."""
-
 
 @attrs.define(eq=False)
 class Execution:
@@ -181,15 +180,6 @@
         """Changes the number of its cores, which its registration tells."""
         self.capacities.append((_now(), cores))
 
-    def get_largest_capacity(self, since: float, until: float) -> float:
-        """Returns the most cores that it had between two times in seconds."""
-        ends = [at for at, _ in self.capacities[1:]] + [math.inf]
-        return max(
-            cores
-            for (at, cores), end in zip(self.capacities, ends, strict=True)
-            if at <= until and end > since
-        )
-
     def describe(self, service: str) -> bytes:
         """Returns its registration."""
         document = {
--- a/tests/test_crashes_and_takeovers.py
+++ b/tests/test_crashes_and_takeovers.py
@@ -13,7 +13,8 @@
 from lentilmount.scheduling.model import JobState, Task, Worker
 from lentilmount.scheduling.placement import Placer
 from lentilmount.scheduling.takeover import UnrecordedStarts
-from stand_ins.model_site import MAX_CRASHES, MAX_LATER_STARTS, ModelSite
+from stand_ins.limits import MAX_CRASHES, MAX_LATER_STARTS
+from stand_ins.model_site import ModelSite
 from stand_ins.model_worker import ALWAYS_CRASHING_PAYLOADS
 from stand_ins.virtual_time import run_virtual
 from tests.restart_fixtures import RestartScene, play
--- a/tests/test_random_schedules.py
+++ b/tests/test_random_schedules.py
@@ -12,8 +12,9 @@
 
 import pytest
 
+from stand_ins.limits import FULL_CORES
 from stand_ins.model_network import CallFault, Fault, TableFault, WriteFault
-from stand_ins.model_worker import FULL_CORES, POLL_PATH, START_PATH, STOP_PATH
+from stand_ins.model_worker import POLL_PATH, START_PATH, STOP_PATH
 from tests.test_session_state_machine import ESTIMATES, SessionMachine
 
 SEEDS = range(1, 13)
--- a/tests/test_session_state_machine.py
+++ b/tests/test_session_state_machine.py
@@ -20,6 +20,7 @@
 
 from lentilmount.clock import ManualClock
 from lentilmount.scheduling.specs import JobSpec, StepSpec
+from stand_ins.limits import FULL_CORES
 from stand_ins.model_network import (
     CallFault,
     Fault,
@@ -28,7 +29,6 @@
 )
 from stand_ins.model_site import ModelSite
 from stand_ins.model_worker import (
-    FULL_CORES,
     POLL_PATH,
     START_PATH,
     STOP_PATH,
--- a/tests/test_shrinking_capacity.py
+++ b/tests/test_shrinking_capacity.py
@@ -39,7 +39,8 @@
 from lentilmount.scheduling.specs import StepSpec
 from lentilmount.scheduling.views import WorkerViews
 from lentilmount.upstream.http import HttpClient
-from stand_ins.model_site import HEARTBEAT_SECONDS, ModelSite
+from stand_ins.limits import HEARTBEAT_SECONDS
+from stand_ins.model_site import ModelSite
 from stand_ins.virtual_time import run_virtual
 from tests.helpers import run
 from tests.scheduling_fixtures import (
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,6 @@
 from soak import core
 from soak.checks import (
     CANCEL_SECONDS,
-    SHRINK_SECONDS,
     Record,
     Violation,
     check,
@@ -39,6 +38,7 @@
 from soak.work import Work, WorkKind, encode_payload
 from soak.worker import ServedWorker, make_service
 from stand_ins.entry_hosts import serve
+from stand_ins.limits import SHRINK_SECONDS
 from stand_ins.model_worker import START_PATH, ModelWorker
 from tests.helpers import run
 
