Drop a switch and a condition of stand-ins that nothing uses

No test ever set FleetWorker.is_registered, and a worker's position in the soak has a registration only while it has a start of its incarnation.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -187,7 +187,7 @@
         if self.process is None or self.process.returncode is not None:
             return
         registration = self.registration
-        if not self.born or not registration:
+        if not registration:
             return
         self._resize(cores)
         await asyncio.sleep(seconds)
--- a/stand_ins/fleet.py
+++ b/stand_ins/fleet.py
@@ -68,7 +68,6 @@
       answers_crashing: Whether the start that crashes it is answered.
       crashes: Number of crashes.
       register: Writes its registration.
-      is_registered: Whether it does so at each heartbeat.
       silent: Whether it answers no call.
       unanswered: Paths of the calls that it does not answer.
       failing: Paths of the calls that it answers with status 500.
@@ -97,7 +96,6 @@
     answers_crashing: bool = True
     crashes: int = 0
     register: Callable[[], None] = lambda: None
-    is_registered: bool = True
     silent: bool = False
     unanswered: set[str] = attrs.Factory(set)
     failing: set[str] = attrs.Factory(set)
@@ -320,7 +318,7 @@
     def _beat(self) -> None:
         """Registers all workers that are up again and again."""
         for worker in self.workers:
-            if not worker.is_down and worker.is_registered:
+            if not worker.is_down:
                 worker.register()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(HEARTBEAT_SECONDS, self._beat)
