Check in the model site that a cordoned zone gets no start

An operator can request that the workers of a zone get no new work, by a row `evacuate/ZONE` beside the configuration.

The model site writes such rows, and judges each start by them, 5 s after a row was written.

--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -36,6 +36,9 @@
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
 WORKERS_TABLE = 'servers'
+CORDON_PREFIX = 'evacuate/'
+"""Start of the keys that cordon a zone, followed by its name, in the table of
+the configuration."""
 
 SEPARATOR = '/'
 """Separates table and part in the partition of a `Key`."""
--- a/stand_ins/limits.py
+++ b/stand_ins/limits.py
@@ -14,6 +14,9 @@
 SHRINK_SECONDS = 3.0 + HEARTBEAT_SECONDS
 """Time after which a capacity that has shrunk binds."""
 
+CORDON_SECONDS = 5.0
+"""Time after which no start may begin in a zone that was cordoned."""
+
 MAX_CRASHES = 3
 MAX_LATER_STARTS = 2
 """Number of starts allowed after that many crashes under a task."""
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -22,7 +22,12 @@
 from lentilmount.control.owner import OwnerSettings
 from lentilmount.platform.documents import encode_job_row
 from lentilmount.platform.host_settings import Capacity
-from lentilmount.platform.store import WORKERS_TABLE, PlatformTable
+from lentilmount.platform.store import (
+    CONFIGURATION_TABLE,
+    CORDON_PREFIX,
+    WORKERS_TABLE,
+    PlatformTable,
+)
 from lentilmount.platform.workers import WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import JobState, TaskPhase
@@ -30,6 +35,7 @@
 from lentilmount.version_times import VersionTimes
 from stand_ins.host_link import HostLink, StoreCalls
 from stand_ins.limits import (
+    CORDON_SECONDS,
     FULL_CORES,
     HEARTBEAT_SECONDS,
     MAX_CRASHES,
@@ -48,7 +54,7 @@
     ModelWorker,
     choose_work,
 )
-from stand_ins.rowstore import RowStore
+from stand_ins.rowstore import Address, RowStore
 
 SERVICE = 'desk'
 LEASE_SECONDS = 6.0
@@ -75,6 +81,10 @@
 
 FINISH_SECONDS = 30.0
 
+LATE_SECONDS = 1.0
+"""Time from sending a start after which it was carried out late; no owner can
+take it back."""
+
 
 async def _may_own(address: str) -> bool:
     return True
@@ -95,6 +105,25 @@
     task: asyncio.Task[None]
 
 
+@attrs.define
+class Cordon:
+    """A time during which a zone gets no new work.
+
+    Attributes:
+      zone: Name of the availability zone.
+      since: Time in seconds at which the operator cordoned it.
+      until: Time in seconds at which that was undone; infinity until then.
+    """
+
+    zone: str
+    since: float
+    until: float = math.inf
+
+    def forbids(self, at: float) -> bool:
+        """Returns whether a start may not begin at a time."""
+        return self.since + CORDON_SECONDS < at < self.until
+
+
 @attrs.define(eq=False)
 class ModelSite:
     """A table, workers, and the processes that compete for their service.
@@ -107,6 +136,7 @@
       workers: Workers that run or will run again, by position.
       jobs: Submitted jobs by id.
       cancelled: Ids of the cancelled jobs.
+      cordons: Cordons of zones, in the order of their times.
       violations: What was found wrong.
       write_faults: Faults of the next writes of the owner.
       election: The election of the newest process; None while all are killed.
@@ -127,6 +157,7 @@
     workers: list[ModelWorker] = attrs.Factory(list)
     jobs: dict[str, JobSpec] = attrs.Factory(dict)
     cancelled: set[str] = attrs.Factory(set)
+    cordons: list[Cordon] = attrs.Factory(list)
     violations: list[str] = attrs.Factory(list)
     write_faults: list[TableFault] = attrs.Factory(list)
     election: ServiceElection | None = None
@@ -147,9 +178,10 @@
 
     # Workers.
 
-    def add_worker(self) -> None:
+    def add_worker(self, zone: str = 'north') -> None:
         """Starts a worker with a new id."""
         worker = self._make_worker()
+        worker.zone = zone
         self.workers.append(worker)
         self.network.links[worker.address] = Link(worker)
         self._boot(worker)
@@ -165,6 +197,8 @@
             incarnation=replaced.incarnation if replaced else 0,
             choose_work=self.choose_work,
         )
+        if replaced is not None:
+            worker.zone = replaced.zone
         worker.handle_crash = lambda: self._handle_crash(worker)
         self._all_workers[name] = worker
         return worker
@@ -272,6 +306,22 @@
             worker = self.workers[position] = self._make_worker(crashed)
         _call_later(seconds, lambda: self._boot(worker, registration_seconds))
 
+    # The operator.
+
+    def cordon(self, zone: str) -> None:
+        """Writes that a zone gets no new work."""
+        if any(c.zone == zone and math.isinf(c.until) for c in self.cordons):
+            return
+        self.cordons.append(Cordon(zone, self.clock.now))
+        self.store.write(_make_cordon_address(zone), b'{}')
+
+    def uncordon(self, zone: str) -> None:
+        """Removes the row by which a zone gets no new work."""
+        for cordon in self.cordons:
+            if cordon.zone == zone and math.isinf(cordon.until):
+                cordon.until = self.clock.now
+                self.store.write(_make_cordon_address(zone), None)
+
     # The owner.
 
     def start_owner(self) -> None:
@@ -410,6 +460,7 @@
             self._check_crashes(executions)
         for number in range(self._checked, len(self.record)):
             self._check_room(number)
+            self._check_cordon(self.record[number])
         self._checked = len(self.record)
         for execution in self.record:
             if math.isinf(execution.ended_at):
@@ -442,6 +493,14 @@
         if used > get_binding_capacity(worker.capacities, now):
             self._add('started beyond the capacity', begun, *beside)
 
+    def _check_cordon(self, begun: Execution) -> None:
+        """Checks that a run did not begin in a cordoned zone."""
+        zone = self._all_workers[begun.worker].zone
+        is_late = begun.started_at - begun.sent_at > LATE_SECONDS
+        at = begun.sent_at if is_late else begun.started_at
+        if any(c.zone == zone and c.forbids(at) for c in self.cordons):
+            self._add('started in a cordoned zone', begun)
+
     def _get_cores(self, task: str) -> float:
         job, _, step, _ = task.split('.')
         return self.jobs[job].steps[int(step)].reserved.cores
@@ -564,6 +623,8 @@
             link.faults.clear()
             link.refuses_until = -math.inf
         self.write_faults.clear()
+        for cordon in self.cordons:
+            self.uncordon(cordon.zone)
         for worker in self.workers:
             worker.ineffective_stops = 0
             worker.resize(FULL_CORES)
@@ -655,6 +716,10 @@
     )
 
 
+def _make_cordon_address(zone: str) -> Address:
+    return CONFIGURATION_TABLE, '', CORDON_PREFIX + zone
+
+
 def _heal(table: MemoryTable) -> None:
     table.is_cut = False
 
--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -106,6 +106,7 @@
       id: Its id.
       address: Its address, which it shares with no other worker.
       record: All runs of all workers, in the order of their starts.
+      zone: Its availability zone.
       is_up: Whether it is running.
       incarnation: Number of the incarnation.
       booted_at: Time in seconds at which the incarnation began.
@@ -131,6 +132,7 @@
     id: str
     address: str
     record: list[Execution]
+    zone: str = 'north'
     is_up: bool = False
     incarnation: int = 0
     booted_at: float = 0.0
@@ -185,7 +187,7 @@
         document = {
             'service': service,
             'address': self.address,
-            'zone': 'north',
+            'zone': self.zone,
             'state': 'ready',
             'born': int(1000 * self.booted_at),
             'capacity': {
