End the background work of an owner with the owner

Cause: the timer for which the relay gathers starts, 2 ms, fires after an owner was cancelled, and asks its task group for work. Nothing else asks for it that late.

No start is lost by that: the rows of these placements are written, and the next owner places a task again that its worker does not list.

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
@@ -270,7 +271,10 @@
         )
         log_restored(self.cluster, self._settings.service)
         self.loaded.set()
-        async with asyncio.TaskGroup() as group:
+        async with contextlib.AsyncExitStack() as stack:
+            # Timers and callbacks may ask for background work after its end.
+            stack.callback(self._end_background)
+            group = await stack.enter_async_context(asyncio.TaskGroup())
             self._group = group
             self._resume()
             self._spawn(self._state_writer.run())
@@ -307,6 +311,9 @@
         """Makes `run` return."""
         self._stopping.set()
 
+    def _end_background(self) -> None:
+        self._group = None
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         if self._group is None or self._stopping.is_set():
             work.close()
