Poll idle workers of a large service rarely

What callers saw: with 301 hosts and 3,000 workers almost nothing was served.

Cause: the owner polls each worker all the time, with up to 1.5 s of waiting there. 3,000 such polls exceed its 2,000 concurrent calls, so all others, and the pages of the list of workers, queue behind them (2,100 to 2,200 in flight, 0.6 s to an answer). The list then is older than the 2.5 s for which starts go by it: 364 starts were placed and taken back ("the worker may be too small by now").

Change: a worker without tasks is polled at most every number of workers / 300 seconds, 5 s at most, unless a start may be executed there late; sending a start ends the pause at once. Up to 450 workers nothing changes. New owners poll at most 500 workers for the first time at once. The list takes pages of 400 rows, and summaries of idle workers are not made anew four times a second.

Also: the log tells the cordoned zones by name.

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -38,6 +38,7 @@
 from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
 from lentilmount.scheduling.placement import Placer
 from lentilmount.scheduling.poll_intervals import (
+    choose_idle_pause,
     choose_pause,
     choose_poll_seconds,
 )
@@ -64,6 +65,10 @@
 workers that it cannot reach have expired: each second added here is added to
 that wait."""
 
+MAX_FIRST_POLLS = 500
+"""Number of workers that are polled for the first time at once. A new owner of
+thousands would otherwise be busy with these calls for longer than its lease."""
+
 CHECK_SECONDS = 0.1
 """Interval between checks for due occurrences and stalled tasks."""
 
@@ -143,6 +148,7 @@
         self._metrics = metrics
         self._lag = LoopLag(clock.monotonic)
         self._wake = asyncio.Event()
+        self._first_polls = asyncio.Semaphore(MAX_FIRST_POLLS)
         self._stopping = asyncio.Event()
         self._lost_reason = ''
         self._group: asyncio.TaskGroup | None = None
@@ -403,12 +409,20 @@
             self,
             self._settings.lease_seconds,
             self._clock.monotonic,
-            lambda worker: choose_pause(worker, self._lag.seconds),
+            self._choose_pause,
         )
         self.sessions[worker.id] = session
         self._spawn(self._run_session(session))
 
+    def _choose_pause(self, worker: Worker) -> float:
+        pause = choose_pause(worker, self._lag.seconds)
+        if worker.tasks:
+            return pause
+        return max(pause, choose_idle_pause(len(self.cluster.workers)))
+
     async def _run_session(self, session: WorkerSession) -> None:
+        async with self._first_polls:
+            await session.poll_first()
         await session.run()
         worker = session.worker
         if self.sessions.get(worker.id) is session:
--- a/lentilmount/control/registry.py
+++ b/lentilmount/control/registry.py
@@ -203,8 +203,8 @@
       service: Name of the service.
     """
     log.info(
-        '{} zones are cordoned.',
-        len(workers),
+        'Cordoned zones: {}.',
+        ', '.join(sorted(workers)) or 'none',
         extra={
             'service': service,
             'workers': dict(workers),
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -18,6 +18,7 @@
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.scheduling.poll_intervals import (
     DEFAULT_SECONDS,
+    MAX_PAUSE_SECONDS,
     MIN_POLL_SECONDS,
 )
 from lentilmount.scheduling.reconciliation import Reconciler, ReconcileResult
@@ -134,6 +135,7 @@
     clock_behind_at: float = -math.inf
     is_probed: bool = False
     end_written: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _start_sent: asyncio.Event = attrs.field(factory=asyncio.Event)
     _started_ms: int | None = None
     _ended_incarnation_ms: int | None = None
     _registered_at: float = -math.inf
@@ -151,6 +153,11 @@
         self._inherited_expiry = self.worker.leases_expire_at
         self._late_calls = LateCalls(self.monotonic)
 
+    async def poll_first(self) -> None:
+        """Polls the worker once, before `run`, if its address is known."""
+        if self.worker.entry.address and not self._is_gone():
+            await self._poll()
+
     async def run(self) -> None:
         """Polls the worker until it is unregistered and runs no tasks."""
         while True:
@@ -251,11 +258,18 @@
         worker = self.worker
         if not worker.reachable or not worker.answers_commands:
             return 0.0
-        ends_at = self._reported_at + self.choose_pause(worker)
-        pause = max(0.0, ends_at - self.monotonic())
-        if pause:
+        began_at = self.monotonic()
+        pause = self._reported_at + self.choose_pause(worker) - began_at
+        if pause <= 0:
+            return 0.0
+        if pause <= MAX_PAUSE_SECONDS:
             await asyncio.sleep(pause)
-        return pause
+            return pause
+        if self._late_calls.list_starts():
+            return 0.0
+        self._start_sent.clear()
+        await wait_with_timeout(self._start_sent, pause)
+        return self.monotonic() - began_at
 
     def _is_outdated(self, report: WorkerReport, asked_at: float) -> bool:
         """Returns whether a report is that of an incarnation that has ended.
@@ -395,7 +409,8 @@
         return self._report_asked_at > at
 
     def add_unanswered_start(self, task: str, run: int) -> None:
-        """Records that a start is about to be sent."""
+        """Records that a start is about to be sent; ends a pause of polls."""
+        self._start_sent.set()
         self._late_calls.add_start(StaleRun(self.worker.id, task, run))
 
     def settle_start(self, task: str, run: int) -> None:
--- a/lentilmount/platform/store.py
+++ b/lentilmount/platform/store.py
@@ -53,6 +53,10 @@
 0.27 s on a link of 5 Mbit/s. With fewer rows, a new owner would need more calls
 to a slow store."""
 
+WORKER_PAGE_ROWS = 400
+"""The same for registrations of workers, of about 430 bytes. The list is only
+as new as the request of its first page."""
+
 PROBE_KEY = '~'
 """Sorts after all keys in use, so that the answer to a probe has no rows. The
 configuration's row would exceed the timeout of a probe on a small link."""
@@ -258,7 +262,8 @@
         version = 0
         while len(rows) < limit:
             start = after + '\0' if after else ''
-            page_rows = int(min(PAGE_ROWS, limit - len(rows)))
+            most = WORKER_PAGE_ROWS if table == WORKERS_TABLE else PAGE_ROWS
+            page_rows = int(min(most, limit - len(rows)))
             page = await self._get(table, part, start, end, page_rows)
             rows.extend(page.rows)
             version = version or page.version
--- a/lentilmount/scheduling/poll_intervals.py
+++ b/lentilmount/scheduling/poll_intervals.py
@@ -7,6 +7,9 @@
 Runs of best-effort tasks end all the time, about two a second on each worker,
 and each end answers a poll. So an owner that is busy pauses before it polls a
 worker again, and ends of some hundred milliseconds share a report.
+
+An owner of thousands of workers has most of them idle at times. Nothing ends
+there and no lease runs, and their registrations tell whether they are alive.
 """
 
 from __future__ import annotations
@@ -51,6 +54,28 @@
 """Shortest wait of a poll after a pause."""
 
 
+IDLE_POLLS_PER_SECOND = 300.0
+"""Polls of idle workers that an owner makes at most, unless they would be rarer
+than allowed: about a tenth of a core."""
+
+MAX_IDLE_SECONDS = 5.0
+"""Longest time between polls of an idle worker. It may execute a late start of
+an earlier owner, which only a report shows."""
+
+
+def choose_idle_pause(workers: int) -> float:
+    """Returns the time from a report to the next poll of an idle worker.
+
+    Args:
+      workers: Number of workers of the service.
+
+    Returns:
+      The time in seconds; 0 if polls that wait at the worker are rare enough.
+    """
+    seconds = min(workers / IDLE_POLLS_PER_SECOND, MAX_IDLE_SECONDS)
+    return seconds if seconds > DEFAULT_SECONDS else 0.0
+
+
 def choose_pause(worker: Worker, lag: float) -> float:
     """Returns the time in seconds from a report to the next poll of a worker.
 
--- a/lentilmount/scheduling/views.py
+++ b/lentilmount/scheduling/views.py
@@ -21,7 +21,7 @@
     count_best_effort,
 )
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
-from lentilmount.scheduling.reports import WorkerEntry, WorkerState
+from lentilmount.scheduling.reports import WorkerState
 
 SERVING_CPU_SHARE = 0.6
 """Share of its cores that a serving task is assumed to use: its mean plus part
@@ -68,7 +68,7 @@
     step_counts: collections.Counter[tuple[str, int, int]] = attrs.Factory(
         collections.Counter
     )
-    _entry: WorkerEntry | None = None
+    _capacity: Room | None = None
     _change_count: int = -1
 
     @property
@@ -82,13 +82,13 @@
         worker = self.worker
         return (
             self._change_count != worker.change_count
-            or self._entry is not worker.entry
+            or self._capacity != worker.entry.capacity
         )
 
     def refresh(self, interference_model: InterferenceModel) -> None:
         """Recomputes the summary from the worker's tasks."""
         self._change_count = self.worker.change_count
-        self._entry = self.worker.entry
+        self._capacity = self.worker.entry.capacity
         self.is_over_target = any(
             map(interference_model.is_over_target, self.worker.tasks.values())
         )
@@ -193,7 +193,7 @@
             view = self._views.get(worker.id)
             if view is None or view.worker is not worker:
                 view = self._views[worker.id] = WorkerView(worker)
-            if is_due or view.is_outdated:
+            if view.is_outdated or (is_due and worker.tasks):
                 view.refresh(self.interference_model)
             found.append(view)
         return found
