Let the owner write submissions while the table is slow

Cause, from its logs: the part of a service carries out its transactions one after the other, a third of a second each then. The submissions of 34 daemons and the owner's writes share it, it refuses all that would wait for over a second, and the owner's renewals are refused like all others. Ruled out: the outage detector (it told "Does not answer" twice for 0.2 s), takeovers (all daemons were refused the lease as well).

Change: where calls about a service take over 0.1 s on average, a daemon sends its submissions to the owner, which writes up to 20 of them along with its own rows. An owner that is not there, or of a version before, has written nothing; then the daemon writes by itself as always. One that has too many waiting refuses at once; an answer that is lost leaves the outcome unknown, as before.

Weighed and not taken: jobs in a part of their own, which earlier versions would not read.

--- a/lentilmount/control/election.py
+++ b/lentilmount/control/election.py
@@ -113,6 +113,8 @@
       candidates: Hosts that may own the service.
       may_own: Asks the daemon at an address whether it could own the service.
       owner: The owner running in this process, or None.
+      owner_host: Name of the host of another process that holds the lease, or
+        ''.
     """
 
     settings: OwnerSettings
@@ -126,6 +128,7 @@
     candidates: Candidates
     may_own: Callable[[str], Awaitable[bool]]
     owner: Owner | None = None
+    owner_host: str = ''
     _stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
     _are_all_recorded: bool = True
     _is_early: bool = False
@@ -165,7 +168,9 @@
             except UnavailableError as error:
                 log.warning('Cannot read the lease: {}', error)
                 lease = None
-            self._watch.watch('' if lease else keeper.get_holder(key))
+            holder = '' if lease else keeper.get_holder(key)
+            self.owner_host = get_host(holder)
+            self._watch.watch(holder)
             if lease is not None and self._stopping.is_set():
                 # Stopped while the lease was being acquired. If it were kept,
                 # the service would have no owner until it expires.
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -27,7 +27,7 @@
 from lentilmount.control.frontend import Traffic, make_frontend, make_readiness
 from lentilmount.control.keys import make_daemon_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics, make_metrics
-from lentilmount.control.owner import OwnerSettings
+from lentilmount.control.owner import Owner, OwnerSettings
 from lentilmount.control.peer_api import make_peer_api
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.store_health import (
@@ -38,6 +38,7 @@
     probe_store,
 )
 from lentilmount.control.store_relay import PeerRelay
+from lentilmount.control.submission_relay import SubmissionRelay
 from lentilmount.control.submissions import Submissions
 from lentilmount.coordination.table import (
     ABSENT,
@@ -254,11 +255,18 @@
 
     def _start_servers(self) -> list[HTTPServer]:
         settings = self._settings
+        submission_relay = SubmissionRelay(
+            self.workers,
+            self._find_owner,
+            self._find_owner_address,
+            lambda service: self.find_outage_detector(service).health.is_slow,
+        )
         submissions = Submissions(
             self._jobs_table,
             self.routes,
             self._clock,
             self.find_outage_detector,
+            submission_relay.submit,
         )
         frontend = make_frontend(
             submissions, self.routes, self.traffic, self.metrics
@@ -276,6 +284,7 @@
                     self.routes,
                     lambda: self.traffic.is_closing,
                     self._make_worker_client,
+                    self._find_owner,
                 ),
                 settings.internal,
             ),
@@ -297,6 +306,19 @@
         )
         return [listener.server for listener in listeners.values()]
 
+    def _find_owner(self, service: str) -> Owner | None:
+        """Returns the owner of a service in this process, if it works."""
+        election = self.elections.get(service)
+        owner = election.owner if election is not None else None
+        if owner is None or not owner.loaded.is_set() or owner.lost_reason:
+            return None
+        return owner
+
+    def _find_owner_address(self, service: str) -> str:
+        election = self.elections.get(service)
+        host = election.owner_host if election is not None else ''
+        return self._candidates.find_address(host)
+
     async def _drain(self) -> None:
         """Serves until no new connections come and no request is in flight.
 
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -15,6 +15,11 @@
 from lentilmount.control.advice import Advice
 from lentilmount.control.dispatcher import Dispatcher
 from lentilmount.control.gauges import refresh_gauges
+from lentilmount.control.grouped_submissions import (
+    GroupedSubmissions,
+    Outcome,
+    Submission,
+)
 from lentilmount.control.job_loader import JobLoader
 from lentilmount.control.loop_lag import LoopLag
 from lentilmount.control.metrics import ControlMetrics
@@ -55,6 +60,7 @@
     apply_lease_seconds,
     list_lease_seconds,
 )
+from lentilmount.version_times import AgeBounds
 
 log = logbook.Logger('owner')
 
@@ -186,6 +192,12 @@
             self._commands,
             metrics,
         )
+        self._submissions = GroupedSubmissions(
+            settings.service,
+            clock.monotonic,
+            self.cluster.jobs.__contains__,
+            self._request_write,
+        )
         self._state_writer = StateWriter(
             settings.service,
             table,
@@ -200,6 +212,8 @@
             Retention(settings.service, self.cluster, settings.status_seconds),
             self._forget_jobs,
             table.version_times,
+            self._submissions,
+            self._admit_submission,
             settings.link_bytes_per_second,
         )
         self._job_loader = JobLoader(
@@ -319,6 +333,23 @@
 
     def _end_background(self) -> None:
         self._group = None
+        self._submissions.close()
+
+    async def submit(self, job_id: str, body: dict[str, Any]) -> Outcome:
+        """Accepts a job; see `GroupedSubmissions.submit`."""
+        return await self._submissions.submit(job_id, body)
+
+    def _request_write(self) -> None:
+        self._state_writer.request_write()
+
+    def _admit_submission(self, submission: Submission) -> None:
+        now = self._clock.monotonic()
+        age_bounds = AgeBounds(most=now - submission.at)
+        job = self.cluster.admit(
+            submission.spec, now, self._clock.wall(), age_bounds
+        )
+        job.row_version = self._lease.version
+        self._wake.set()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         if self._group is None or self._stopping.is_set():
--- a/lentilmount/control/peer_api.py
+++ b/lentilmount/control/peer_api.py
@@ -24,6 +24,11 @@
     RELAY_PREFIX,
     TIMEOUT_HEADER,
 )
+from lentilmount.control.submission_relay import (
+    SUBMISSIONS_PATH,
+    FindOwner,
+    SubmissionsHandler,
+)
 from lentilmount.platform.calls import StoreCall
 from lentilmount.platform.store import READ_SECONDS, PlatformTable
 from lentilmount.upstream.http import CURL_ERROR
@@ -88,6 +93,7 @@
     routes: RouteTable,
     is_closing: Callable[[], bool] = lambda: False,
     make_worker_client: MakeWorkerClient | None = None,
+    find_owner: FindOwner = lambda service: None,
 ) -> Application:
     """Returns the application that serves the other daemons.
 
@@ -98,6 +104,7 @@
       is_closing: Returns whether this daemon is shutting down.
       make_worker_client: Returns the client that sends starts for owners on
         other hosts; None if this daemon sends none.
+      find_owner: Returns the owner of a service in this process.
     """
     starts_handler = (
         STARTS_PATH,
@@ -117,6 +124,11 @@
                 RelayHandler,
                 {'table': table, 'is_closing': is_closing},
             ),
+            (
+                SUBMISSIONS_PATH,
+                SubmissionsHandler,
+                {'find_owner': find_owner, 'is_closing': is_closing},
+            ),
             (
                 CONFIGURATION_PATH,
                 ConfigurationHandler,
--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -11,6 +11,10 @@
 import logbook
 
 from lentilmount.clock import Clock
+from lentilmount.control.grouped_submissions import (
+    GroupedSubmissions,
+    Submission,
+)
 from lentilmount.control.keys import (
     make_counts_key,
     make_model_key,
@@ -124,6 +128,8 @@
       retention: Selects jobs whose rows can be deleted.
       forget: Called with the jobs whose rows were deleted.
       version_times: Times of versions of the store, for the next owner.
+      submissions: Jobs to be accepted with the next writes.
+      admit: Called with each job that was accepted so.
       link_bytes_per_second: Rate of the host's network link.
       unrecorded_starts: Starts by the previous owner that may be in no row.
     """
@@ -141,6 +147,8 @@
     retention: Retention
     forget: Callable[[list[Job]], None]
     version_times: VersionTimes
+    submissions: GroupedSubmissions
+    admit: Callable[[Submission], None]
     link_bytes_per_second: float = math.inf
     unrecorded_starts: UnrecordedStarts | None = None
     _write_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -248,17 +256,20 @@
             (session, session.incarnation, session.received_end)
             for session in self.sessions.values()
         ]
-        jobs = self._select_jobs()
+        submitted = self.submissions.begin_write(self._max_bytes)
+        jobs = self._select_jobs(COMMIT_ROWS - len(submitted))
         self._starts_in_flight, self._pending_starts = self._pending_starts, []
         pending = _PendingAck(last_ends, set(self.cluster.dirty))
         counts = self._make_counts(jobs)
         model = self._make_model()
         states = [self._make_state(job) for job in jobs]
         expired_jobs = (
-            [] if jobs else self.retention.list_expired(self.clock.monotonic())
+            []
+            if jobs or submitted
+            else self.retention.list_expired(self.clock.monotonic())
         )
         removals = self.retention.make_removals(expired_jobs)
-        operations = [*states, *counts, *model, *removals]
+        operations = [*states, *counts, *model, *removals, *submitted]
         unreachable = self._update_lease_data(bool(pending.unwritten_jobs))
         is_written = await self._write(operations, [*jobs, *expired_jobs])
         placed, self._starts_in_flight = self._starts_in_flight, []
@@ -267,6 +278,8 @@
             return
         for worker in self.cluster.workers.values():
             worker.is_reported_unreachable = worker.id in unreachable
+        for submission in self.submissions.end_write():
+            self.admit(submission)
         self.retention.forget(expired_jobs)
         self.forget(expired_jobs)
         for job in jobs:
@@ -277,9 +290,9 @@
             self._model_version = self.lease.version
         self._log_ended(jobs)
         self._send_starts(placed, set(jobs))
-        if self.cluster.dirty:
+        if self.cluster.dirty or self.submissions.is_waiting:
             self._write_requested.set()
-        else:
+        if not self.cluster.dirty:
             self._has_sent_unrecorded = False
         self._acknowledge_ends(pending, {job.spec.id for job in jobs})
 
@@ -354,8 +367,9 @@
                 self.handle_lease_lost('another daemon took the lease')
                 return False
             except ConflictError as error:
-                log.error('A row of this service was changed: {}', error)
-                await self.read_versions(jobs)
+                if not self.submissions.abandon_write(error.keys):
+                    log.error('A row of this service was changed: {}', error)
+                    await self.read_versions(jobs)
                 for job in jobs:
                     self.cluster.dirty[job.spec.id] = None
                 self._write_requested.set()
@@ -368,21 +382,30 @@
         key = make_state_key(self.service, job.spec.id)
         return Put(key, encode_state(job), job.version)
 
-    def _select_jobs(self) -> list[Job]:
-        """Selects the jobs to write, those with pending starts first."""
+    @property
+    def _max_bytes(self) -> float:
+        """Bytes that a write may have."""
+        return MAX_WRITE_SECONDS * self.link_bytes_per_second
+
+    def _select_jobs(self, most: int = COMMIT_ROWS) -> list[Job]:
+        """Selects the jobs to write, those with pending starts first.
+
+        Args:
+          most: Number of jobs that the write may hold.
+        """
         with_starts = dict.fromkeys(
             placed_run.task.id.job for placed_run in self._pending_starts
         )
-        max_bytes = MAX_WRITE_SECONDS * self.link_bytes_per_second
+        max_bytes = self._max_bytes
         first = self._limit_size(
-            list(with_starts)[: COMMIT_ROWS - OLDEST_ROWS],
+            list(with_starts)[: most - OLDEST_ROWS],
             STARTS_SHARE * max_bytes,
         )
         oldest = [
             job_id for job_id in self.cluster.dirty if job_id not in with_starts
         ]
         chosen = self._limit_size(
-            [*first, *oldest, *list(with_starts)[len(first) :]][:COMMIT_ROWS],
+            [*first, *oldest, *list(with_starts)[len(first) :]][:most],
             max_bytes,
         )
         if oldest and oldest[0] not in chosen:
--- a/lentilmount/control/store_health.py
+++ b/lentilmount/control/store_health.py
@@ -34,6 +34,13 @@
 """Time without calls about a part of the store after which it is probed.
 Otherwise an idle daemon would tell its peers that there is no outage."""
 
+SLOW_SECONDS = 0.1
+"""Mean duration of calls above which the store is slow. It takes a few
+milliseconds, and some tens over a small link."""
+
+SAMPLE_WEIGHT = 0.3
+"""Weight of a call in that mean."""
+
 MAX_AGE = 1e9
 """Age reported when the store has never answered; JSON has no infinity."""
 
@@ -63,6 +70,7 @@
     _has_failed: bool = False
     _is_down: bool = False
     _called_at: float = -math.inf
+    _mean_seconds: float = 0.0
 
     def record(self, is_answered: bool, took: float = 0.0) -> None:
         """Records the outcome of a call.
@@ -79,6 +87,7 @@
         if not is_answered and now - took < self._answered_at:
             return
         if is_answered:
+            self._mean_seconds += SAMPLE_WEIGHT * (took - self._mean_seconds)
             self._answered_at = now
             self._has_failed = False
             if self._is_down:
@@ -100,6 +109,11 @@
             return 0.0
         return self.monotonic() - self._answered_at
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether the store answers, but takes long."""
+        return self._mean_seconds > SLOW_SECONDS
+
     @property
     def is_idle(self) -> bool:
         """Whether no call was made for `IDLE_SECONDS`."""
--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -5,11 +5,13 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
 
 import attrs
 import logbook
 
 from lentilmount.clock import Clock
+from lentilmount.control.grouped_submissions import Outcome
 from lentilmount.control.keys import (
     make_cancel_key,
     make_counts_key,
@@ -18,6 +20,7 @@
 )
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.store_health import FindOutageDetector
+from lentilmount.control.submission_relay import Submit
 from lentilmount.coordination.table import (
     ABSENT,
     ConflictError,
@@ -61,6 +64,12 @@
 NO_ANSWER = 'the table does not answer'
 
 
+async def submit_to_nobody(
+    service: str, job_id: str, body: dict[str, Any]
+) -> None:
+    """Asks no owner to accept a job."""
+
+
 @attrs.frozen
 class _Outcome:
     """Outcome of calls about a job's rows in several services.
@@ -111,12 +120,14 @@
       clock: Wall and monotonic clocks.
       find_outage_detector: Returns the outage detector of the table for a
         service.
+      submit_to_owner: Submits a job through the owner of its service.
     """
 
     table: Table
     routes: RouteTable
     clock: Clock
     find_outage_detector: FindOutageDetector
+    submit_to_owner: Submit = submit_to_nobody
     _counts: dict[str, tuple[float, dict[str, int]]] = attrs.Factory(dict)
 
     def is_cut_off(self, route: Route) -> bool:
@@ -165,7 +176,8 @@
                 if await self._is_held_elsewhere(route, job_id):
                     _log_known(job_id)
                     return
-                await self._write(put)
+                if not await self._accept_by_owner(policy.service, put):
+                    await self._write(put)
         except ConflictError:
             # An earlier copy of this request has created the row.
             _log_known(job_id)
@@ -179,6 +191,20 @@
             },
         )
 
+    async def _accept_by_owner(self, service: str, put: Put) -> bool:
+        """Submits a job to its owner; returns False if it was not asked.
+
+        Raises:
+          RefusedError: Nothing was written.
+          UnavailableError: The row may be written, also later.
+        """
+        outcome = await self.submit_to_owner(service, put.key.sort, put.body)
+        if outcome is Outcome.REFUSED:
+            raise RefusedError('the owner has too many submissions')
+        if outcome is Outcome.UNKNOWN:
+            raise UnavailableError('the owner does not answer')
+        return outcome is not None
+
     async def _is_held_elsewhere(self, route: Route, job_id: str) -> bool:
         """Returns whether another service than the queue's own holds a job.
 
--- a/stand_ins/model_network.py
+++ b/stand_ins/model_network.py
@@ -24,6 +24,7 @@
     HistoryLostError,
     PlatformTable,
     RawRow,
+    RefusedError,
     decode_row,
 )
 from lentilmount.upstream.http import (
@@ -335,7 +336,10 @@
     async def transact(self, token: str, operations: list[Operation]) -> int:
         """See `PlatformTable`."""
         fault = self._faults.pop(0) if self._faults else TableFault()
-        await self._pass(CALL_SECONDS + fault.seconds)
+        queued = self._store.queue_transaction(_now())
+        if queued is None:
+            raise RefusedError('too many transactions are waiting')
+        await self._pass(CALL_SECONDS + fault.seconds + queued)
         if fault.fault is WriteFault.UNAVAILABLE:
             raise UnavailableError('fault')
         states = [o.key for o in operations if _is_state(o.key)]
--- a/stand_ins/rowstore.py
+++ b/stand_ins/rowstore.py
@@ -10,6 +10,7 @@
 import base64
 import enum
 import itertools
+import math
 import time
 from typing import Any, cast
 
@@ -20,6 +21,9 @@
 MAX_CHANGES = 2000
 """Maximum number of changes that the feed keeps."""
 
+MAX_QUEUE_SECONDS = 1.0
+"""Time of waiting transactions above which further ones are refused."""
+
 MAX_ANSWER_BYTES = 1_000_000
 """Maximum size of the encoded values in an answer that lists rows."""
 
@@ -74,6 +78,8 @@
       trimmed_version: Newest version that was dropped from the feed.
       fault: Fault of the calls to every address.
       max_changes: Maximum number of changes that the feed keeps.
+      transaction_seconds: Time that a transaction takes. They are carried out
+        one after another.
     """
 
     version: int = 0
@@ -82,8 +88,25 @@
     trimmed_version: int = 0
     fault: Fault = Fault.NONE
     max_changes: int = MAX_CHANGES
+    transaction_seconds: float = 0.0
+    _free_at: float = -math.inf
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    def queue_transaction(self, now: float) -> float | None:
+        """Returns the seconds until a transaction is carried out.
+
+        Args:
+          now: Time in seconds.
+
+        Returns:
+          The seconds; None if it is refused, as too many others are waiting.
+        """
+        begin = max(now, self._free_at)
+        if begin - now > MAX_QUEUE_SECONDS:
+            return None
+        self._free_at = begin + self.transaction_seconds
+        return self._free_at - now
+
     def write(self, address: Address, value: bytes | None) -> None:
         """Writes one row without a condition, as other programs do."""
         self.version += 1
--- a/tests/scheduling_fixtures.py
+++ b/tests/scheduling_fixtures.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from lentilmount.clock import ManualClock
+from lentilmount.control.grouped_submissions import GroupedSubmissions
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import Job, Task, Worker
@@ -148,3 +150,10 @@
 
     monkeypatch.setattr(WorkerView, name, record)
     return checks
+
+
+def make_submissions(service: str) -> GroupedSubmissions:
+    """Returns submissions to an owner that knows no jobs yet."""
+    return GroupedSubmissions(
+        service, ManualClock().monotonic, lambda job_id: False, lambda: None
+    )
--- a/tests/test_start_placements.py
+++ b/tests/test_start_placements.py
@@ -26,7 +26,7 @@
 from lentilmount.scheduling.model import Task
 from lentilmount.version_times import VersionTimes
 from tests.restart_fixtures import RestartScene, play
-from tests.scheduling_fixtures import SERVICE
+from tests.scheduling_fixtures import SERVICE, make_submissions
 
 STATE_KEY = Key(f'states/{SERVICE}', 'job')
 WRITE_SECONDS = 0.2
@@ -113,6 +113,8 @@
         Retention(SERVICE, cluster, 120.0),
         lambda jobs: None,
         VersionTimes(clock.monotonic),
+        make_submissions(SERVICE),
+        print,
     )
     scene = WriterScene(table, writer)
     return scene
--- a/tests/test_state_writer.py
+++ b/tests/test_state_writer.py
@@ -36,6 +36,7 @@
     find_task,
     make_job,
     make_step,
+    make_submissions,
 )
 from tests.test_worker_session import IgnoringListener
 
@@ -88,6 +89,8 @@
         Retention('desk', cluster, 120.0),
         lambda jobs: None,
         VersionTimes(ManualClock().monotonic),
+        make_submissions('desk'),
+        print,
     )
 
 
