Cordon zones in the soak, and tell operators of cordons

The soak's workers stand in two zones in turn, which its plans cordon for 3 to 12 s. Each start is checked against the times that the table answered.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,7 @@
 from soak.plan import TASK_CORES, Job
 from soak.work import CRASHING
 from stand_ins.limits import (
+    CORDON_SECONDS,
     FULL_CORES,
     MAX_CRASHES,
     MAX_LATER_STARTS,
@@ -28,6 +29,9 @@
 """Time after the answer to a cancellation in which runs may still start."""
 
 
+CALL_SECONDS = 2.0
+"""Time that a start may take where a link delays it."""
+
 ENDS_OF_WORKERS = (EventKind.CRASHED, EventKind.KILLED, EventKind.EXITED)
 
 
@@ -300,6 +304,34 @@
     return found
 
 
+def find_starts_in_cordoned_zones(record: Record) -> list[Violation]:
+    """Finds starts in a zone that was cordoned long enough before.
+
+    Calls that a link has held, and those that were carried out by a later
+    incarnation, are left out.
+    """
+    zones = {
+        (event.worker, event.born): event.detail
+        for event in record.select(EventKind.REGISTERED)
+    }
+    cordons: dict[str, list[tuple[float, float]]] = {}
+    for event in record.events:
+        if event.kind is EventKind.CORDONED:
+            cordons.setdefault(event.worker, []).append((event.at, math.inf))
+        elif event.kind is EventKind.UNCORDONED:
+            begin, _ = cordons[event.worker].pop()
+            cordons[event.worker].append((begin, event.at))
+    held = {(event.task, event.run) for event in record.select(EventKind.HELD)}
+    return [
+        Violation('in a cordoned zone', run.task, f'{run.worker} in {zone}')
+        for run in record.list_runs()
+        if not run.is_late and (run.task, run.run) not in held
+        for zone in [zones.get((run.worker, run.born), '')]
+        for begin, end in cordons.get(zone, ())
+        if begin + CORDON_SECONDS + CALL_SECONDS < run.start < end
+    ]
+
+
 CHECKS: tuple[Callable[[Record], list[Violation]], ...] = (
     find_overlaps,
     find_repeats,
@@ -309,6 +341,7 @@
     find_lost_jobs,
     find_starts_after_crashes,
     find_overcommitted_workers,
+    find_starts_in_cordoned_zones,
 )
 
 
--- a/soak/events.py
+++ b/soak/events.py
@@ -20,8 +20,9 @@
     """Kinds of events.
 
     A worker writes those from RECEIVED to CRASHED about itself, a link those
-    from RESET to HELD; the process that plays the plan writes RESIZED and the
-    others.
+    from RESET to HELD; the process that plays the plan writes REGISTERED,
+    RESIZED and the others. CORDONED and UNCORDONED name a zone, once the table
+    has answered.
     """
 
     RECEIVED = 'received'
@@ -29,7 +30,10 @@
     ENDED = 'ended'
     ACKNOWLEDGED = 'acknowledged'
     CRASHED = 'crashed'
+    REGISTERED = 'registered'
     RESIZED = 'resized'
+    CORDONED = 'cordoned'
+    UNCORDONED = 'uncordoned'
     RESET = 'reset'
     REFUSED = 'refused'
     LOST = 'lost'
@@ -51,12 +55,12 @@
     Attributes:
       at: Time in seconds of CLOCK_MONOTONIC.
       kind: Kind of the event.
-      worker: Id of the worker, or name of the link or host.
+      worker: Id of the worker, or name of the link, host or zone.
       born: Start of the worker's incarnation in milliseconds.
       task: Name of the task or id of the job.
       run: Number of the run.
-      detail: How a run ended, the path and status of a call, a job's state, or
-        a worker's number of cores.
+      detail: How a run ended, the path and status of a call, a job's state, a
+        worker's number of cores, or its zone.
       until: Time in seconds at which the lease of the run expired; 0 if it had
         not.
       is_late: Whether the start was sent to an earlier incarnation.
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -33,7 +33,8 @@
     answer. UNHEALTHY lets a worker reject starts, having done nothing. BURST
     resets all connections of a link. PAUSE, KILL and STOP are signals to a
     process (SIGSTOP and SIGCONT, SIGKILL, SIGTERM). RESIZE changes the cores of
-    a worker for a while, which registers them a little later.
+    a worker for a while, which registers them a little later. CORDON keeps new
+    work from a zone for a while.
     """
 
     RESET = 'reset'
@@ -49,6 +50,7 @@
     KILL = 'kill'
     STOP = 'stop'
     RESIZE = 'resize'
+    CORDON = 'cordon'
 
 
 PROCESS_FAULTS = {
@@ -59,6 +61,9 @@
 }
 """Faults of processes; all others are faults of links."""
 
+ZONES = ('north', 'south')
+"""Zones of the workers, in turn."""
+
 TASK_CORES = 1.0
 """Cores of each task."""
 
@@ -272,6 +277,10 @@
     return f'{host}/{position}'
 
 
+def _pick_zone(rng: random.Random, size: Size) -> str:
+    return rng.choice(ZONES)
+
+
 def _pick_worker(rng: random.Random, size: Size) -> str:
     return f'worker-{rng.randrange(size.workers)}'
 
@@ -390,6 +399,7 @@
         seconds=(2.0, 10.0),
         cores=(0.5, 1.5, 3.5, 6.5),
     ),
+    _Recipe(1.0, (FaultKind.CORDON,), _pick_zone, seconds=(3.0, 12.0)),
 )
 
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -105,6 +105,7 @@
       log: Events of the soak.
       folder: Folder of the records.
       rng: Draws the times of restarts after crashes.
+      zone: Availability zone of its workers.
       id: Id of the current worker.
       born: Start of its incarnation in milliseconds.
       process: Its process.
@@ -117,6 +118,7 @@
     log: EventLog
     folder: pathlib.Path
     rng: random.Random
+    zone: str
     id: str = ''
     born: int = 0
     process: asyncio.subprocess.Process | None = None
@@ -167,6 +169,8 @@
         self._set_target(registration['address'])
         # The link to the table service replaces it for each daemon.
         registration['address'] = self.name
+        registration['zone'] = self.zone
+        self._note(EventKind.REGISTERED, self.zone)
         self.registration = registration
         seconds = self.rng.uniform(*REGISTRATION_SECONDS)
         self.registrations.add(self.id, registration, seconds)
--- a/soak/registrations.py
+++ b/soak/registrations.py
@@ -1,4 +1,4 @@
-"""Registrations of workers in the table service."""
+"""Registrations of workers, and cordons of zones, in the table service."""
 
 from __future__ import annotations
 
@@ -10,7 +10,11 @@
 import attrs
 import orjson
 
-from lentilmount.platform.store import WORKERS_TABLE
+from lentilmount.platform.store import (
+    CONFIGURATION_TABLE,
+    CORDON_PREFIX,
+    WORKERS_TABLE,
+)
 from lentilmount.upstream.http import HttpClient
 from stand_ins.limits import HEARTBEAT_SECONDS
 
@@ -45,6 +49,26 @@
         change = {'removals': [_make_row(worker_id)]}
         self._schedule(worker_id, EXPIRY_SECONDS, change)
 
+    async def set_cordoned(self, zone: str, is_cordoned: bool) -> None:
+        """Writes or removes the row that keeps new work from a zone."""
+        row = {
+            'table': CONFIGURATION_TABLE,
+            'part': '',
+            'key': CORDON_PREFIX + zone,
+        }
+        value = base64.b64encode(b'{}').decode()
+        change = (
+            {'writes': [{**row, 'value': value}]}
+            if is_cordoned
+            else {'removals': [row]}
+        )
+        await self._send(change)
+
+    async def _send(self, change: dict[str, Any]) -> None:
+        body = {'precondition': [], 'writes': [], 'removals': [], **change}
+        answer = await self.client.call('POST', '/rows-tx', orjson.dumps(body))
+        assert answer.status == 200, answer
+
     def _schedule(
         self,
         worker_id: str,
@@ -65,13 +89,9 @@
         repeats: bool,
     ) -> None:
         newest = self._newest[worker_id]
-        body = orjson.dumps(
-            {'precondition': [], 'writes': [], 'removals': [], **change}
-        )
         await asyncio.sleep(seconds)
         while self._newest[worker_id] is newest:
-            answer = await self.client.call('POST', '/rows-tx', body)
-            assert answer.status == 200, answer
+            await self._send(change)
             if not repeats:
                 return
             await asyncio.sleep(HEARTBEAT_SECONDS)
--- a/soak/site.py
+++ b/soak/site.py
@@ -19,6 +19,7 @@
 from soak.links import Link
 from soak.plan import (
     PROCESS_FAULTS,
+    ZONES,
     Fault,
     FaultKind,
     Plan,
@@ -56,6 +57,7 @@
       links: Links by name.
       positions: Positions of workers by name.
       hosts: Hosts by name.
+      registrations: Writes the rows of workers and operators.
       tasks: Work in the background.
     """
 
@@ -67,7 +69,9 @@
     links: dict[str, Link] = attrs.Factory(dict)
     positions: dict[str, WorkerPosition] = attrs.Factory(dict)
     hosts: dict[str, Host] = attrs.Factory(dict)
+    registrations: Registrations = attrs.field(init=False)
     tasks: set[asyncio.Task[None]] = attrs.Factory(set)
+    _cordoned_until: dict[str, float] = attrs.Factory(dict)
 
     async def open(self) -> None:
         """Starts all processes."""
@@ -77,7 +81,7 @@
         store = await self._start_store()
         client = HttpClient(f'http://{store}')
         self.stack.callback(client.close)
-        registrations = Registrations(client)
+        registrations = self.registrations = Registrations(client)
         self.stack.callback(registrations.close)
         for number in range(self.plan.size.daemons):
             link = await self._open_link(f'store-{number}', store, link_log)
@@ -93,6 +97,7 @@
                 self.log,
                 self.folder,
                 random.Random(f'{self.plan.seed}/{number}'),
+                ZONES[number % len(ZONES)],
             )
             self.positions[name] = position
             self.stack.push_async_callback(position.close)
@@ -174,7 +179,9 @@
                 detail=f'{fault.kind.value} {fault.path}'.strip(),
             )
         )
-        if fault.kind not in PROCESS_FAULTS:
+        if fault.kind is FaultKind.CORDON:
+            await self._cordon(fault.target, fault.seconds)
+        elif fault.kind not in PROCESS_FAULTS:
             for link in self._list_links(fault.target):
                 link.set_fault(fault)
         elif fault.target in self.positions:
@@ -182,6 +189,23 @@
         else:
             await self._disturb_host(self.hosts[fault.target], fault)
 
+    async def _cordon(self, zone: str, seconds: float) -> None:
+        """Keeps new work from a zone for some seconds, and longer if asked."""
+        end = get_time() + seconds
+        is_longer = self._cordoned_until.get(zone, 0.0) >= get_time()
+        self._cordoned_until[zone] = max(
+            end, self._cordoned_until.get(zone, 0.0)
+        )
+        if is_longer:
+            return
+        await self.registrations.set_cordoned(zone, True)
+        self.log.write(Event(get_time(), EventKind.CORDONED, zone))
+        while self._cordoned_until[zone] > get_time():
+            await asyncio.sleep(self._cordoned_until[zone] - get_time())
+        # Before the row goes, as starts may follow at once.
+        self.log.write(Event(get_time(), EventKind.UNCORDONED, zone))
+        await self.registrations.set_cordoned(zone, False)
+
     def _list_links(self, target: str) -> tuple[Link, ...]:
         """Returns the links to a position, or the one of that name."""
         position = self.positions.get(target)
--- a/stand_ins/entry_hosts.py
+++ b/stand_ins/entry_hosts.py
@@ -60,6 +60,7 @@
             'maxHoldMs': 6000,
             'status_s': 120,
             'configApplyMs': 2000,
+            'evacuateMs': 5000,
         },
         'somethingNew': True,
     }
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 from lentilmount.upstream.http import CURL_ERROR, HttpClient
 from soak import core
 from soak.checks import (
+    CALL_SECONDS,
     CANCEL_SECONDS,
     Record,
     Violation,
@@ -29,6 +30,7 @@
     find_overlaps,
     find_repeats,
     find_starts_after_crashes,
+    find_starts_in_cordoned_zones,
     find_unasked_runs,
     make_record,
 )
@@ -38,7 +40,7 @@
 from soak.work import Work, WorkKind, encode_payload
 from soak.worker import ServedWorker, make_service
 from stand_ins.entry_hosts import serve
-from stand_ins.limits import SHRINK_SECONDS
+from stand_ins.limits import CORDON_SECONDS, SHRINK_SECONDS
 from stand_ins.model_worker import START_PATH, ModelWorker
 from tests.helpers import run
 
@@ -177,6 +179,26 @@
             start(5.2, 'w1', SECOND),
         ],
     ),
+    'a start in a zone that was cordoned long ago': (
+        find_starts_in_cordoned_zones,
+        [
+            Event(0.0, EventKind.REGISTERED, 'w1', 1, detail='north'),
+            Event(1.0, EventKind.CORDONED, 'south'),
+            Event(2.0, EventKind.CORDONED, 'north'),
+            start(2.1 + CORDON_SECONDS + CALL_SECONDS, 'w1'),
+        ],
+    ),
+    'a start in a zone that was cordoned again': (
+        find_starts_in_cordoned_zones,
+        [
+            Event(0.0, EventKind.REGISTERED, 'w1', 1, detail='north'),
+            Event(1.0, EventKind.CORDONED, 'north'),
+            Event(9.0, EventKind.UNCORDONED, 'north'),
+            start(9.5, 'w1'),
+            Event(10.0, EventKind.CORDONED, 'north'),
+            start(20.0, 'w1', SECOND),
+        ],
+    ),
     'a job of which nothing is known': (
         find_lost_jobs,
         [tell(0.0, EventKind.ACCEPTED)],
