--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -182,7 +182,7 @@
         """
         worker = self.worker
         if self.monotonic() - worker.lost_at > PROOF_SECONDS:
-            self.cluster.clear_suspects(worker, worker.suspects)
+            self.cluster.suspects.clear(worker, worker.suspects)
         has_late_calls = (
             bool(self._late_calls.list_starts())
             or self._late_calls.get_lease_delay() > 0
@@ -216,10 +216,10 @@
                     'tasks': [str(task.id) for task in worker.suspects],
                 },
             )
-            self.cluster.clear_suspects(worker, worker.suspects)
+            self.cluster.suspects.clear(worker, worker.suspects)
 
     def _confirm_crash(self) -> None:
-        suspects = self.cluster.confirm_crash(self.worker)
+        suspects = self.cluster.suspects.confirm_crash(self.worker)
         if suspects:
             self.listener.handle_crash(self.worker, suspects)
 
@@ -462,7 +462,7 @@
         worker.has_crashed = False
         if not worker.has_answered:
             self._bound_inherited_leases()
-            self.cluster.suspect_inherited(
+            self.cluster.suspects.add_inherited(
                 worker, report.started_ms, self.monotonic()
             )
             self._confirm_crash()
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterable
 
 from lentilmount.scheduling.crashes import (
-    find_watched_start,
     list_doubtful,
     list_suspects,
     record_start,
@@ -28,9 +27,7 @@
     JobState,
     Task,
     TaskPhase,
-    WatchedStart,
     Worker,
-    make_unregistered_worker,
     measure_intensity,
 )
 from lentilmount.scheduling.reports import (
@@ -39,6 +36,7 @@
     WorkerEntry,
 )
 from lentilmount.scheduling.specs import JobSpec, TaskId
+from lentilmount.scheduling.suspects import CrashSuspects
 from lentilmount.version_times import AgeBounds
 
 RUN_NUMBER_MARGIN = 8
@@ -91,6 +89,7 @@
       unreadable_jobs: Ids of jobs whose rows cannot be decoded.
       jobs_as_of: Monotonic time up to which all rows of jobs are known.
       history: Changes of placements, to be logged.
+      suspects: Tasks that may have crashed workers.
     """
 
     def __init__(self) -> None:
@@ -101,6 +100,7 @@
         self.unreadable_jobs: set[str] = set()
         self.jobs_as_of = -math.inf
         self.history = PlacementHistory()
+        self.suspects = CrashSuspects(self.jobs, self.workers, self.dirty)
 
     # Jobs.
 
@@ -473,15 +473,6 @@
             failures = sum(t.failures for t in self.list_step_tasks(task))
         return failures >= task.job.spec.queue.max_attempts
 
-    def clear_suspicion(self, task: Task) -> None:
-        """Records that a task has run without crashing its worker."""
-        task.cleared_run = task.run
-        if task.is_watched:
-            task.is_watched = False
-            task.crashed_runs.clear()
-            task.watched_starts.clear()
-            self.dirty[task.job.spec.id] = None
-
     def list_step_tasks(self, task: Task) -> list[Task]:
         """Lists all tasks in the same step and occurrence as a task."""
         job, occurrence, step = task.id.job, task.id.occurrence, task.id.step
@@ -597,7 +588,7 @@
     ) -> list[Task]:
         """Ends all runs on a worker whose leases expired or that restarted.
 
-        Notes which of them may have crashed it, for `confirm_crash`.
+        Notes which of them may have crashed it; see `CrashSuspects`.
 
         Args:
           worker: The worker.
@@ -620,7 +611,7 @@
             if not asked_at <= task.confirmed_at < math.inf
         ]
         doubtful = list_doubtful(worker, lost)
-        self._add_suspects(worker, list_suspects(worker, lost), now)
+        self.suspects.add(worker, list_suspects(worker, lost), now)
         for task in doubtful:
             task.is_watched = True
         for late_start in late_starts:
@@ -641,75 +632,6 @@
             ended.append(task)
         return ended
 
-    def _add_suspects(
-        self, worker: Worker, tasks: list[Task], now: float
-    ) -> None:
-        """Notes which tasks may have crashed a worker that was lost."""
-        for task in tasks:
-            if find_watched_start(task, worker) is None:
-                record_start(task, worker)
-            task.watched_starts[task.run].lost_at = now
-            if worker.suspects.get(task, task.run) != task.run:
-                self.clear_suspects(worker, [task])
-            worker.suspects[task] = task.run
-
-    def restore_watched_start(
-        self, task: Task, run: int, start: WatchedStart, now: float
-    ) -> None:
-        """Restores a watched start from a state row.
-
-        Args:
-          task: The task, whose placement is restored.
-          run: Run of the start.
-          start: The start.
-          now: Monotonic time.
-        """
-        task.watched_starts[run] = start
-        if task.run == run and task.worker == start.worker:
-            return
-        worker = self.workers.get(start.worker)
-        if worker is None:
-            worker = make_unregistered_worker(start.worker, start.address)
-            self.workers[worker.id] = worker
-        start.lost_at = worker.lost_at = now
-        worker.suspects[task] = run
-
-    def suspect_inherited(
-        self, worker: Worker, started_ms: int | None, now: float
-    ) -> None:
-        """Finds the suspects of a worker by the first report to this owner.
-
-        Suspects that were started on the incarnation that has reported have not
-        crashed it.
-
-        Args:
-          worker: The worker.
-          started_ms: Start time of that incarnation; None if it is not known.
-          now: Monotonic time.
-        """
-        if started_ms is None:
-            return
-        unchanged = (0, started_ms)
-        crashed = []
-        for task in worker.tasks.values():
-            start = find_watched_start(task, worker)
-            if start is not None and start.started_ms not in unchanged:
-                crashed.append(task)
-        cleared = []
-        for task, run in worker.suspects.items():
-            start = task.watched_starts.get(run)
-            if start is None or start.started_ms in unchanged:
-                cleared.append(task)
-        self.clear_suspects(worker, cleared)
-        self._add_suspects(worker, crashed, now)
-
-    def clear_suspects(self, worker: Worker, tasks: Iterable[Task]) -> None:
-        """Records that tasks have not crashed a worker, or nobody can tell."""
-        for task in list(tasks):
-            task.watched_starts.pop(worker.suspects.pop(task), None)
-            if task.job.spec.id in self.jobs:
-                self.dirty[task.job.spec.id] = None
-
     def _hold_waiting(
         self, late_start: StaleRun, worker: Worker, now: float
     ) -> None:
@@ -770,22 +692,6 @@
         self.ready.pop(task.id, None)
         self.dirty[task.job.spec.id] = None
 
-    def confirm_crash(self, worker: Worker) -> list[Task]:
-        """Counts the crash of a worker against the tasks that may be the cause.
-
-        Returns:
-          These tasks.
-        """
-        suspects = [
-            task
-            for task, run in worker.suspects.items()
-            if task.phase is not TaskPhase.DONE and run > task.cleared_run
-        ]
-        for task in suspects:
-            task.crashed_runs.add(worker.suspects[task])
-        self.clear_suspects(worker, worker.suspects)
-        return suspects
-
     def _stop_anew(self, task: Task) -> None:
         """Marks a task as being stopped; earlier stops have no effect."""
         self.record_change(
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -368,7 +368,7 @@
     ) -> None:
         self._cluster.confirm_start(task, run_report.run, now)
         if is_cleared(task, requested_at):
-            self._cluster.clear_suspicion(task)
+            self._cluster.suspects.clear_task(task)
         if run_report.checkpoint:
             task.checkpoint = run_report.checkpoint
         task.usage = run_report.usage
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -207,4 +207,4 @@
             )
         cluster.restore_placed(task, placed_on)
     for number, start in watched_starts.items():
-        cluster.restore_watched_start(task, number, start, now)
+        cluster.suspects.restore_start(task, number, start, now)
--- a/tests/test_crashes_and_takeovers.py
+++ b/tests/test_crashes_and_takeovers.py
@@ -104,8 +104,8 @@
     start_watched(cluster, add_worker(cluster, 'w'))
     successor = hand_over(cluster)
     worker = successor.workers['w']
-    successor.suspect_inherited(worker, started_ms, 105.0)
-    successor.confirm_crash(worker)
+    successor.suspects.add_inherited(worker, started_ms, 105.0)
+    successor.suspects.confirm_crash(worker)
     assert find_task(successor, 'job').crashed_runs == crashed_runs
 
 
@@ -121,7 +121,7 @@
     lost = successor.workers['w']
     assert lost.entry.address == worker.entry.address
     assert lost.suspects == {inherited: 1}
-    successor.confirm_crash(lost)
+    successor.suspects.confirm_crash(lost)
     assert inherited.crashed_runs == {1}
 
 
@@ -134,10 +134,10 @@
     successor = hand_over(cluster)
     inherited = find_task(successor, 'job')
     run_task(successor, inherited, add_worker(successor, 'other'), 107.0)
-    successor.clear_suspicion(inherited)
+    successor.suspects.clear_task(inherited)
     lost = successor.workers['w']
-    successor.suspect_inherited(lost, 2, 108.0)
-    successor.confirm_crash(lost)
+    successor.suspects.add_inherited(lost, 2, 108.0)
+    successor.suspects.confirm_crash(lost)
     assert not inherited.crashed_runs
     assert not lost.suspects
     assert task.is_watched
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -90,7 +90,7 @@
 def crash(cluster: ClusterState, worker: Worker, now: float) -> None:
     """Ends the tasks of a worker that has certainly crashed."""
     cluster.end_worker_tasks(worker, now + LEASE_SECONDS)
-    cluster.confirm_crash(worker)
+    cluster.suspects.confirm_crash(worker)
 
 
 def crash_in_turn(
@@ -160,7 +160,7 @@
     worker.last_answer_at = 100.0 + seconds
     cluster.end_worker_tasks(worker, 107.0)
     if is_ended:
-        cluster.confirm_crash(worker)
+        cluster.suspects.confirm_crash(worker)
     assert task.crashed_runs == crashed_runs
     assert task.is_watched
 
--- a/tests/test_other_placements.py
+++ b/tests/test_other_placements.py
@@ -168,7 +168,7 @@
     late_start = StaleRun('w', str(task.id), 1)
     cluster.end_worker_tasks(worker, 3.0, frozenset({late_start}))
     assert task.worker == 'w'
-    cluster.confirm_crash(worker)
+    cluster.suspects.confirm_crash(worker)
     assert not task.crashed_runs
 
 
