Pass over fields of rows that only later versions write

A new owner ended at the first row with a field that it does not know, so a rolling upgrade stopped at a takeover by a daemon of the version before, as with the rows of watched tasks. Objects of job rows, entries of state rows and their watched starts may have more fields from now on.

--- a/lentilmount/platform/documents.py
+++ b/lentilmount/platform/documents.py
@@ -202,19 +202,30 @@
 
 
 def decode_job_row(body: Mapping[str, Any]) -> JobSpec:
-    """Decodes the body of a job's row."""
+    """Decodes the body of a job's row.
+
+    Fields that only later versions write are passed over.
+    """
     steps = tuple(
         StepSpec(
             **{
-                **step,
-                'demand': Room(**step['demand']),
+                **_select_fields(StepSpec, step),
+                'demand': Room(**_select_fields(Room, step['demand'])),
                 'after': tuple(step.get('after', ())),
             }
         )
         for step in body['steps']
     )
-    queue = QueuePolicy(**body['queue'])
-    return JobSpec(**{**body, 'steps': steps, 'queue': queue})
+    queue = QueuePolicy(**_select_fields(QueuePolicy, body['queue']))
+    fields = _select_fields(JobSpec, body)
+    return JobSpec(**{**fields, 'steps': steps, 'queue': queue})
+
+
+def _select_fields(
+    cls: type[attrs.AttrsInstance], document: Mapping[str, Any]
+) -> dict[str, Any]:
+    known = attrs.fields_dict(cls)
+    return {name: v for name, v in document.items() if name in known}
 
 
 def decode_registration(worker_id: str, value: bytes) -> WorkerEntry | None:
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -34,6 +34,9 @@
 runs that have crashed their workers, 1 if the task is watched, and the watched
 starts, each with its run, worker, address and start of the incarnation."""
 
+WATCHED_START_FIELDS = 3
+"""Number of fields of a watched start in a row, beside its run."""
+
 
 def encode_state(job: Job) -> dict[str, Any]:
     """Builds the body of a job's state row.
@@ -180,7 +183,9 @@
     if entry == DONE:
         cluster.restore_done(task, now)
         return
-    fields = [*entry, *DEFAULT_FIELDS[len(entry) :]]
+    # Later versions may append fields.
+    known = entry[: len(DEFAULT_FIELDS)]
+    fields = [*known, *DEFAULT_FIELDS[len(known) :]]
     run, worker, failed_runs, checkpoint, crashed_runs, watched, starts = fields
     task.failed_runs = set(failed_runs)
     task.checkpoint = checkpoint
@@ -190,7 +195,8 @@
     task.run = run
     task.skipped = RUN_NUMBER_MARGIN
     watched_starts = {
-        run: WatchedStart(*start_fields) for run, *start_fields in starts
+        run: WatchedStart(*start_fields[:WATCHED_START_FIELDS])
+        for run, *start_fields in starts
     }
     if worker and task.is_watched:
         watched_starts.setdefault(run, WatchedStart(worker))
