Submit jobs through the owner in the random schedules

The model site has an owner accept jobs as daemons do while the table is slow, with their timeout; a job whose outcome is unknown may be there or not.

--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -17,9 +17,11 @@
 from lentilmount.clock import ManualClock
 from lentilmount.control.candidates import Candidates
 from lentilmount.control.election import ServiceElection, make_name
+from lentilmount.control.grouped_submissions import Outcome
 from lentilmount.control.keys import CANCEL_SUFFIX, JOBS_TABLE
 from lentilmount.control.metrics import ControlMetrics
-from lentilmount.control.owner import OwnerSettings
+from lentilmount.control.owner import Owner, OwnerSettings
+from lentilmount.control.submission_relay import SUBMIT_SECONDS
 from lentilmount.platform.documents import encode_job_row
 from lentilmount.platform.host_settings import Capacity
 from lentilmount.platform.store import (
@@ -136,6 +138,8 @@
       workers: Workers that run or will run again, by position.
       jobs: Submitted jobs by id.
       cancelled: Ids of the cancelled jobs.
+      uncertain: Ids of the jobs of which is not known whether they were
+        accepted.
       cordons: Cordons of zones, in the order of their times.
       violations: What was found wrong.
       write_faults: Faults of the next writes of the owner.
@@ -157,6 +161,7 @@
     workers: list[ModelWorker] = attrs.Factory(list)
     jobs: dict[str, JobSpec] = attrs.Factory(dict)
     cancelled: set[str] = attrs.Factory(set)
+    uncertain: set[str] = attrs.Factory(set)
     cordons: list[Cordon] = attrs.Factory(list)
     violations: list[str] = attrs.Factory(list)
     write_faults: list[TableFault] = attrs.Factory(list)
@@ -410,11 +415,8 @@
     @property
     def cluster(self) -> ClusterState | None:
         """What the newest owner knows; None if there is none."""
-        for process in reversed(self.processes):
-            owner = process.election.owner
-            if owner and owner.loaded.is_set() and not owner.lost_reason:
-                return owner.cluster
-        return None
+        owner = self.find_owner()
+        return owner.cluster if owner else None
 
     def find_worker(self, task: str) -> str:
         """Returns the id of the worker where the owner has a task, or ''."""
@@ -431,6 +433,31 @@
         self.jobs[spec.id] = spec
         self._write_job(spec.id, encode_job_row(spec))
 
+    def find_owner(self) -> Owner | None:
+        """Returns the newest owner that has loaded all rows."""
+        for process in reversed(self.processes):
+            owner = process.election.owner
+            if owner and owner.loaded.is_set() and not owner.lost_reason:
+                return owner
+        return None
+
+    async def submit_to_owner(self, spec: JobSpec) -> Outcome:
+        """Lets the owner write a job, as daemons do; it may run then."""
+        owner = self.find_owner()
+        if owner is None:
+            return Outcome.REFUSED
+        body = orjson.loads(orjson.dumps(encode_job_row(spec)))
+        try:
+            async with asyncio.timeout(SUBMIT_SECONDS):
+                outcome = await owner.submit(spec.id, body)
+        except TimeoutError:
+            outcome = Outcome.UNKNOWN
+        if outcome is not Outcome.REFUSED:
+            self.jobs[spec.id] = spec
+        if outcome is Outcome.UNKNOWN:
+            self.uncertain.add(spec.id)
+        return outcome
+
     def cancel(self, job_id: str) -> None:
         """Writes the row that cancels a job."""
         self.cancelled.add(job_id)
@@ -661,7 +688,7 @@
             if state is JobState.FAILED and not self._may_fail(job_id):
                 found.append(f'{job_id} was given up without a cause')
             if job is None:
-                if state is None:
+                if state is None and job_id not in self.uncertain:
                     found.append(f'{job_id} is not known')
                 continue
             for task in job.tasks.values():
--- a/tests/test_random_schedules.py
+++ b/tests/test_random_schedules.py
@@ -29,6 +29,9 @@
 CRASHING_SHARES = (0.0, 0.4)
 """Share of the jobs whose task crashes each worker that starts it."""
 
+OWNER_SHARE = 0.2
+"""Share of the jobs that the owner accepts."""
+
 BATCHES = (1, 1, 4, 8)
 """Numbers of jobs submitted at once."""
 
@@ -120,7 +123,10 @@
         payload = self._random.choice(names)
         for _ in range(self._random.choice(BATCHES)):
             has_two_steps = self._random.random() < 0.2
-            self._machine.submit(payload, has_two_steps, 0.0)
+            if self._random.random() < OWNER_SHARE:
+                self._machine.submit_to_owner(payload, has_two_steps, 0.0)
+            else:
+                self._machine.submit(payload, has_two_steps, 0.0)
         self._machine.wait(self._pause())
 
     def _cancel(self) -> None:
--- a/tests/test_session_state_machine.py
+++ b/tests/test_session_state_machine.py
@@ -206,6 +206,16 @@
             self.act(lambda: None, down_seconds)
             self.act(lambda: self.submit_job(payload, False), later_seconds)
 
+    @rule(payload=PAYLOADS, has_two_steps=SWITCH, seconds=PAUSES)
+    def submit_to_owner(
+        self, payload: str, has_two_steps: bool, seconds: float
+    ) -> None:
+        """Lets the owner accept a job, as while the table is slow."""
+        spec = make_spec(len(self.site.jobs), payload, has_two_steps)
+        if payload != 'lasting':
+            self.run_coroutine(self.site.submit_to_owner(spec))
+            self.act(lambda: None, seconds)
+
     @rule(number=strategies.integers(0, 9), seconds=PAUSES)
     def cancel(self, number: int, seconds: float) -> None:
         """Cancels a job that was not cancelled before."""
