--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -22,7 +22,7 @@
 from lentilmount.platform.workers import CallStatus
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.interference import InterferenceModel
-from lentilmount.scheduling.model import TaskPhase
+from lentilmount.scheduling.model import Task, TaskPhase
 from lentilmount.scheduling.placement import Placer
 from lentilmount.scheduling.reports import WorkerEntry
 from stand_ins.limits import CORDON_SECONDS
@@ -326,8 +326,12 @@
     assert task.phase is TaskPhase.WAITING
 
 
-def test_an_unanswered_start_is_stopped_once_its_zone_is_cordoned() -> None:
-    """Copies of a start were sent to a cordoned zone until one was answered."""
+def cordon_beside_a_start(is_running: bool) -> tuple[CommandScene, Task]:
+    """Cordons the zone of a worker that leaves a start unanswered.
+
+    Args:
+      is_running: Whether a report shows that it has begun the run.
+    """
     scene = CommandScene()
     worker = scene.add_worker('w')
     scene.client.start_status = CallStatus.UNKNOWN
@@ -336,6 +340,9 @@
     async def cordon() -> None:
         await asyncio.sleep(0.05)
         scene.cluster.register_worker(make_entry('w', is_cordoned=True))
+        if is_running:
+            now = scene.clock.monotonic()
+            scene.cluster.confirm_start(task, task.run, now)
         scene.sessions['w']._report_asked_at = scene.clock.monotonic()
         await asyncio.sleep(CORDON_SECONDS)
         if task.phase is TaskPhase.STARTING:
@@ -345,6 +352,12 @@
     scene.commands.start(task)
     scene.sent.append(cordon())
     scene.run()
+    return scene, task
+
+
+def test_an_unanswered_start_is_stopped_once_its_zone_is_cordoned() -> None:
+    """Copies of a start were sent to a cordoned zone until one was answered."""
+    scene, task = cordon_beside_a_start(is_running=False)
     assert scene.client.starts == [str(task.id)]
     assert scene.client.stops[0] == str(task.id)
     assert task.phase is TaskPhase.STOPPING
@@ -352,20 +365,7 @@
 
 def test_an_unanswered_start_that_runs_goes_on() -> None:
     """A run that was begun before the cordon is left alone."""
-    scene = CommandScene()
-    worker = scene.add_worker('w')
-    scene.client.start_status = CallStatus.UNKNOWN
-    task = scene.place('job', worker)
-
-    async def cordon() -> None:
-        await asyncio.sleep(0.05)
-        scene.cluster.register_worker(make_entry('w', is_cordoned=True))
-        scene.cluster.confirm_start(task, task.run, scene.clock.monotonic())
-        scene.sessions['w']._report_asked_at = scene.clock.monotonic()
-
-    scene.commands.start(task)
-    scene.sent.append(cordon())
-    scene.run()
+    _, task = cordon_beside_a_start(is_running=True)
     assert task.phase is TaskPhase.RUNNING
 
 
--- a/tests/test_grouped_submissions.py
+++ b/tests/test_grouped_submissions.py
@@ -163,6 +163,18 @@
     run(work())
 
 
+async def begin_submissions(
+    submissions: GroupedSubmissions, count: int
+) -> list[asyncio.Task[Outcome]]:
+    """Submits different jobs; returns the calls, which wait for a write."""
+    calls = [
+        asyncio.create_task(submissions.submit(f'{n:016x}', make_body(n)))
+        for n in range(count)
+    ]
+    await asyncio.sleep(0)
+    return calls
+
+
 def test_copies_of_a_submission_are_written_once() -> None:
     async def play(submissions: GroupedSubmissions) -> None:
         first = asyncio.create_task(submissions.submit(JOB, make_body()))
@@ -200,11 +212,7 @@
     """A copy of an accepted request made each write of the owner fail."""
 
     async def play(submissions: GroupedSubmissions) -> None:
-        calls = [
-            asyncio.create_task(submissions.submit(f'{n:016x}', make_body(n)))
-            for n in range(2)
-        ]
-        await asyncio.sleep(0)
+        calls = await begin_submissions(submissions, 2)
         submissions.begin_write()
         conflict = make_job_key(SERVICE, f'{0:016x}')
         assert submissions.abandon_write({conflict})
@@ -235,11 +243,7 @@
     """A job in a write that was not answered was reported as refused."""
 
     async def play(submissions: GroupedSubmissions) -> None:
-        calls = [
-            asyncio.create_task(submissions.submit(f'{n:016x}', make_body(n)))
-            for n in range(MAX_ROWS + 1)
-        ]
-        await asyncio.sleep(0)
+        calls = await begin_submissions(submissions, MAX_ROWS + 1)
         submissions.begin_write()
         submissions.close()
         *in_write, waiting = await asyncio.gather(*calls)
@@ -252,11 +256,7 @@
 
 def test_too_many_submissions_are_refused_at_once() -> None:
     async def play(submissions: GroupedSubmissions) -> None:
-        calls = [
-            asyncio.create_task(submissions.submit(f'{n:016x}', make_body(n)))
-            for n in range(MAX_WAITING)
-        ]
-        await asyncio.sleep(0)
+        calls = await begin_submissions(submissions, MAX_WAITING)
         outcome = await submissions.submit('f' * 16, make_body(MAX_WAITING))
         assert outcome is Outcome.REFUSED
         submissions.close()
@@ -267,11 +267,7 @@
 
 def test_a_small_link_limits_the_submissions_of_a_write() -> None:
     async def play(submissions: GroupedSubmissions) -> None:
-        calls = [
-            asyncio.create_task(submissions.submit(f'{n:016x}', make_body(n)))
-            for n in range(MAX_ROWS)
-        ]
-        await asyncio.sleep(0)
+        calls = await begin_submissions(submissions, MAX_ROWS)
         size = len(orjson.dumps(make_body()))
         assert len(submissions.begin_write(8.5 * size)) == 4
         submissions.end_write()
