Share the scene of two cordons behind a cut

A cordon in an outage of the table and one beside an owner that is cut off alone differed only in what keeps the owner from the table.

--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -110,24 +110,29 @@
     await keep_submitting(site, 6.0)
 
 
-async def cordon_in_an_outage(site: ModelSite) -> None:
-    """Cordons a zone while no process reaches the table."""
+async def cordon_behind_a_cut(site: ModelSite, cut: Callable[[], None]) -> None:
+    """Cordons a zone once the owner is kept from the table, with tasks waiting.
+
+    Args:
+      site: The site.
+      cut: Keeps the owner from the table for some seconds.
+    """
     submit(site, 'longer', 40)
     await asyncio.sleep(0.5)
-    site.take_store_down(8.0)
+    cut()
     await asyncio.sleep(0.5)
     site.cordon('north')
     await asyncio.sleep(CORDON_SECONDS + 6.0)
 
 
+async def cordon_in_an_outage(site: ModelSite) -> None:
+    """Cordons a zone while no process reaches the table."""
+    await cordon_behind_a_cut(site, lambda: site.take_store_down(8.0))
+
+
 async def cordon_an_owner_that_is_cut_off(site: ModelSite) -> None:
     """Cordons a zone while the owner alone is cut off from the table."""
-    submit(site, 'longer', 40)
-    await asyncio.sleep(0.5)
-    site.cut_off_owner(8.0)
-    await asyncio.sleep(0.5)
-    site.cordon('north')
-    await asyncio.sleep(CORDON_SECONDS + 6.0)
+    await cordon_behind_a_cut(site, lambda: site.cut_off_owner(8.0))
 
 
 async def cordon_all_zones(site: ModelSite) -> None:
