Read optional policies of owners from a file

What is missing: parts that only some customers ask for had no switch. The settings of a host are the platform's, so operators had no place of their own.

Change: `--policies FILE` of the daemon on the platform names a file of JSON with comments; `lentilmount/policies.py` holds the types (admission, copies), `policyfile.py` reads them. Without the file all are off. Nothing reads them yet: they are the interface for the parts that follow.

Ruled out: environment variables (no comments, no lists by queue), and the platform's settings file (not ours).

--- a/lentilmount/control/__main__.py
+++ b/lentilmount/control/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
 import signal
@@ -18,6 +19,7 @@
     read_host_settings,
     read_path,
 )
+from lentilmount.policies import Policies
 from lentilmount.status import ExitStatus
 
 log = logbook.Logger('daemon')
@@ -28,14 +30,20 @@
 second, against 1 to 2 % with these."""
 
 
-async def run(settings: HostSettings, path: str) -> None:
-    """Runs a daemon until SIGTERM or SIGINT."""
+async def run(settings: HostSettings, path: str, policies: Policies) -> None:
+    """Runs a daemon until SIGTERM or SIGINT.
+
+    Args:
+      settings: Settings of the host.
+      path: File that they were read from.
+      policies: Optional policies of owners.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, settings, path)
-    await Daemon(settings).run(stop)
+    await Daemon(settings, policies).run(stop)
     log.info('Stopped.')
 
 
@@ -56,10 +64,33 @@
     )
 
 
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog='lentilmount.control', description=__doc__
+    )
+    parser.add_argument(
+        '--policies',
+        metavar='FILE',
+        help='optional policies of owners (JSON with comments)',
+    )
+    return parser.parse_args()
+
+
+def _read_policies(path: str | None) -> Policies:
+    if path is None:
+        return Policies()
+    # Most daemons have no such file, and the parser takes memory.
+    from lentilmount.policyfile import read_policies  # noqa: PLC0415
+
+    return read_policies(path)
+
+
 def main() -> int:
     """Reads the settings and runs the daemon; returns the exit status."""
+    options = _parse_arguments()
     handler = NonBlockingHandler(sys.stdout.fileno(), 'info')
     try:
+        policies = _read_policies(options.policies)
         path = read_path()
         settings = read_host_settings(path)
         with handler, capture_libraries():
@@ -67,7 +98,7 @@
             # from visiting them.
             gc.freeze()
             gc.set_threshold(*GC_THRESHOLDS)
-            asyncio.run(run(settings, path))
+            asyncio.run(run(settings, path, policies))
     except LentilmountError as error:
         print(f'lentilmount: {error.detail}', file=sys.stderr)
         return error.answer.exit_status
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -57,6 +57,7 @@
     make_partition,
 )
 from lentilmount.platform.workers import WorkerClient
+from lentilmount.policies import Policies
 from lentilmount.upstream.http import HttpClient
 from lentilmount.version_times import VersionTimes
 
@@ -112,10 +113,18 @@
 
 
 class Daemon:
-    """One daemon: its HTTP servers, and an election for each service."""
+    """One daemon: its HTTP servers, and an election for each service.
 
-    def __init__(self, settings: HostSettings):
+    Args:
+      settings: Settings of the host.
+      policies: Optional policies of owners.
+    """
+
+    def __init__(
+        self, settings: HostSettings, policies: Policies | None = None
+    ):
         self._settings = settings
+        self._policies = policies or Policies()
         self._clock = SystemClock()
         self.traffic = Traffic()
         self.metrics = ControlMetrics()
@@ -397,6 +406,7 @@
             self._settings.capacity.link_bytes_per_second,
             times.capacity,
             times.cordon,
+            self._policies,
         )
         return ServiceElection(
             settings,
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -37,6 +37,7 @@
 from lentilmount.platform.advice import AdviceClient
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerClient
+from lentilmount.policies import Policies
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.health import WorkerHealth
 from lentilmount.scheduling.interference import InterferenceModel
@@ -91,6 +92,7 @@
       capacity_seconds: Time after which a worker's capacity that has shrunk
         binds.
       cordon_seconds: Time after which the cordon of a zone binds.
+      policies: Optional policies.
     """
 
     service: str
@@ -99,6 +101,7 @@
     link_bytes_per_second: float = math.inf
     capacity_seconds: float = math.inf
     cordon_seconds: float = math.inf
+    policies: Policies = attrs.Factory(Policies)
 
 
 class Owner:
--- a/lentilmount/settingsfile.py
+++ b/lentilmount/settingsfile.py
@@ -44,7 +44,7 @@
 
 def parse_settings(text: str, path: str = 'settings') -> Settings:
     """Parses and checks the text of a settings file; see `read_settings`."""
-    value = _parse(text, path)
+    value = parse_document(text, path)
     problems: list[FieldProblem] = []
     try:
         settings = structure(value, Settings)
@@ -56,11 +56,16 @@
         problems += _check_times(value)
         problems += _check_bodies(value)
     if problems:
-        raise _make_error(text, path, problems)
+        raise make_settings_error(text, path, problems)
     return settings
 
 
-def _parse(text: str, path: str) -> Any:
+def parse_document(text: str, path: str) -> Any:
+    """Parses JSON with comments.
+
+    Raises:
+      SettingsError: The text cannot be parsed, or gives a name twice.
+    """
     try:
         return json5.loads(text, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
@@ -74,9 +79,10 @@
         raise SettingsError(f'{path}: {problem}') from error
 
 
-def _make_error(
+def make_settings_error(
     text: str, path: str, problems: list[FieldProblem]
 ) -> SettingsError:
+    """Returns the error that lists the invalid fields of a file by line."""
     lines = find_lines(text)
     fields = [
         attrs.evolve(problem, line=find_line(lines, problem.field))
