Log the size of accepted jobs, and queue and zone of refused requests

What callers saw: after an overload nobody can tell from the logs which callers paid for it. `Refused` names no queue, no line names the zone of the daemon that a caller reached, and a job's size is in its row only.

Change: `Accepted.` has `core_seconds`, the declared work of all occurrences; `Refused` has `queue`; all lines that a client's request causes have `zone`, bound in the task of the request. Three short fields, no further line.

Ruled out: the size in `Refused`, as most refusals come before the body is decoded; and a constructor argument of `Submissions` for the zone, which other lines of the request would lack.

--- a/lentilmount/control/frontend.py
+++ b/lentilmount/control/frontend.py
@@ -22,6 +22,7 @@
     NotFoundError,
     make_problem,
 )
+from lentilmount.logs import bind
 from lentilmount.platform.documents import Route
 
 log = logbook.Logger('frontend')
@@ -53,15 +54,19 @@
         routes: RouteTable,
         traffic: Traffic,
         metrics: ControlMetrics,
+        zone: str,
     ) -> None:
         """Receives the handler's arguments; see `make_frontend`."""
         self._submissions = submissions
         self._routes = routes
         self._traffic = traffic
         self._metrics = metrics
+        self._zone = zone
+        self._queue = ''
 
     def prepare(self) -> None:
         """Counts the request as in flight."""
+        bind(zone=self._zone)
         self._traffic.in_flight += 1
 
     def on_finish(self) -> None:
@@ -92,6 +97,7 @@
             self.set_header('Connection', 'close')
         try:
             route, rest = self._find_route()
+            self._queue = route.policy.name
             if self._submissions.is_cut_off(route):
                 # So that the client's next connection goes to a daemon that can
                 # reach the store.
@@ -151,6 +157,7 @@
                 'path': self.request.path,
                 'method': self.request.method,
                 'kind': error.kind.value,
+                'queue': self._queue,
             },
         )
         self.set_status(error.answer.http)
@@ -182,13 +189,23 @@
     routes: RouteTable,
     traffic: Traffic,
     metrics: ControlMetrics,
+    zone: str = '',
 ) -> Application:
-    """Returns the application that serves clients."""
+    """Returns the application that serves clients.
+
+    Args:
+      submissions: Reads and writes the rows of jobs.
+      routes: The configuration in force.
+      traffic: State of the connections.
+      metrics: Metrics of the daemon.
+      zone: Availability zone of the daemon, for the log lines of requests.
+    """
     arguments = {
         'submissions': submissions,
         'routes': routes,
         'traffic': traffic,
         'metrics': metrics,
+        'zone': zone,
     }
     return Application(
         [('.*', JobHandler, arguments)], log_function=_skip_access_log
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -278,7 +278,11 @@
             submission_relay.submit,
         )
         frontend = make_frontend(
-            submissions, self.routes, self.traffic, self.metrics
+            submissions,
+            self.routes,
+            self.traffic,
+            self.metrics,
+            settings.zone,
         )
         readiness = make_readiness(self.is_ready)
         metrics = make_metrics(self.metrics, self._refresh_metrics)
--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -188,6 +188,7 @@
                 'job': job_id,
                 'queue': policy.name,
                 'steps': len(spec.steps),
+                'core_seconds': round(spec.core_seconds, 3),
             },
         )
 
--- a/lentilmount/scheduling/specs.py
+++ b/lentilmount/scheduling/specs.py
@@ -117,6 +117,15 @@
     first: float = 0.0
     interval: float = 0.0
 
+    @property
+    def core_seconds(self) -> float:
+        """Declared work of all its occurrences; 0 if no run time is."""
+        once = sum(
+            step.count * step.demand.cores * step.estimated_seconds
+            for step in self.steps
+        )
+        return once * max(1, self.occurrences)
+
     def get_due(self, occurrence: int) -> float:
         """Returns the Unix time in seconds at which an occurrence may start."""
         if not self.occurrences:
