Report who waits, is refused and is late by queue, size and zone

What callers saw: `lentilmount report` gave one row a queue. A queue of which only the large jobs are late, or only the callers of one zone are refused, looked well served, and a late job's time was not divided.

Change: `--by queue|size|zone`, `--since` and `--until`. New columns: jobs that were refused and never accepted, kinds of refusals, and of late jobs the time before the first start, between runs, at work, and in runs that were lost. Lines that daemons left out are told. Logs of the version before are read: their zones come from the line `Started.` of a file, their sizes from the tasks that were started.

Ruled out: groups by client account, as no line names one; an estimate of what a refused job would have been, as its body is not read; charging a late job with each lost run, as shares would then exceed its time (the sum is in the JSON).

--- a/lentilmount/cli/definition.py
+++ b/lentilmount/cli/definition.py
@@ -96,6 +96,9 @@
     help='longest wait (default: 300)',
 )
 
+SINCE = _option('--since', default='', help='such as 30s, 10m, 2h, or a time')
+UNTIL = _option('--until', default='', help='such as 30s, 10m, 2h, or a time')
+
 COMMANDS = (
     Command(
         'apply',
@@ -212,12 +215,8 @@
         (
             _option('--resource', default='', help='kind, kind/team or more'),
             _option('--request', default='', help='id of a request'),
-            _option(
-                '--since', default='', help='such as 30s, 10m, 2h, or a time'
-            ),
-            _option(
-                '--until', default='', help='such as 30s, 10m, 2h, or a time'
-            ),
+            SINCE,
+            UNTIL,
             _option(
                 '--limit',
                 type=int,
@@ -243,10 +242,18 @@
     ),
     Command(
         'report',
-        'show what became of the jobs of each queue, by log lines',
-        'lentilmount report host-1.log host-2.log --output json',
+        'show who waited, was refused and was late, by log lines',
+        'lentilmount report host-1.log host-2.log --by size --since 1h',
         (
             _option('files', nargs='+', metavar='FILE', help='log files'),
+            _option(
+                '--by',
+                choices=('queue', 'size', 'zone'),
+                default='queue',
+                help='how the jobs are grouped (default: queue)',
+            ),
+            SINCE,
+            UNTIL,
             OUTPUT,
         ),
     ),
--- a/lentilmount/cli/report.py
+++ b/lentilmount/cli/report.py
@@ -1,34 +1,44 @@
-"""Summarizes the jobs of each queue from the log lines of daemons.
+"""Summarizes from log lines who waits, who is refused and who pays.
 
-After an incident, the on-call engineer needs to find out which queue was
-affected and why: refused requests, a long wait for the first start, runs that
-ended early, or late jobs.
+After an incident, the on-call engineer needs to find out which queue, jobs of
+which size or callers of which availability zone were affected, and why: refused
+requests, a long wait for the first start, runs that ended early, or late jobs.
 """
 
 from __future__ import annotations
 
 import collections
-import datetime
+import math
 import statistics
 from collections.abc import Iterable, Iterator
 from typing import Any
 
 import attrs
 
+from lentilmount.cli.follow import read_time
+from lentilmount.cli.job_accounts import (
+    AccountReader,
+    JobAccount,
+    Line,
+    Refusal,
+    TimeShares,
+    is_relevant,
+    parse_time,
+)
 from lentilmount.cli.output import write_items
 from lentilmount.cli.session import Session
-from lentilmount.cli.traces import read_lines
+from lentilmount.cli.size_classes import SizeClasses
+from lentilmount.cli.traces import count_missing, read_lines
 from lentilmount.errors import NotFoundError
 from lentilmount.status import ExitStatus
 
-UNKNOWN_QUEUE = '-'
-"""Used for refusals, whose log lines name no queue, and for jobs accepted
-before the logs begin."""
+UNKNOWN = '-'
+"""Stands for a queue, a zone or a size that no log line names."""
 
-HEADER = (
-    'QUEUE',
+COUNTS_HEADER = (
     'ACCEPTED',
     'REFUSED',
+    'REFUSED-JOBS',
     'FIRST-P50',
     'FIRST-P95',
     'IN-TIME',
@@ -38,42 +48,78 @@
     'OPEN',
     'STOPPED',
     'ENDED-BAD',
+    'LATE-FIRST',
+    'LATE-BETWEEN',
+    'LATE-RUNNING',
+    'LATE-LOST',
+    'REFUSALS',
 )
 
-FAILED_RUN_ENDS = ('failed', 'lapsed', 'broken', 'alone')
-"""Results of runs that ended unfinished without a stop command."""
-
 
 @attrs.define
-class QueueReport:
-    """Summary of the jobs of one queue.
+class GroupReport:
+    """Summary of a group of jobs.
 
     Attributes:
-      queue: Name of the queue.
+      labels: What the jobs have in common, such as the name of their queue, by
+        name of the property.
       accepted: Number of accepted jobs.
       refused: Number of refused requests, by kind of error.
+      refused_jobs: Ids of the jobs that were refused and never accepted.
       first_starts: Time from acceptance to the first start of each job, in
         seconds.
       ended: Number of ended jobs, by final state; `late` counts those of the
         completed jobs that missed their objective.
+      open: Number of accepted jobs whose end is not in the logs.
       stopped: Number of runs stopped by a command, by its reason.
       ended_badly: Number of runs that ended unfinished without a stop
         command, by result.
+      late_shares: Where the time of the late jobs went, one entry a job.
+      lost_run_seconds: Sum of the time of all runs that did not finish their
+        task.
     """
 
-    queue: str
+    labels: dict[str, str]
     accepted: int = 0
     refused: collections.Counter[str] = attrs.Factory(collections.Counter)
+    refused_jobs: set[str] = attrs.Factory(set)
     first_starts: list[float] = attrs.Factory(list)
     ended: collections.Counter[str] = attrs.Factory(collections.Counter)
+    open: int = 0
     stopped: collections.Counter[str] = attrs.Factory(collections.Counter)
     ended_badly: collections.Counter[str] = attrs.Factory(collections.Counter)
+    late_shares: list[TimeShares] = attrs.Factory(list)
+    lost_run_seconds: float = 0.0
+
+    def add_account(self, account: JobAccount) -> None:
+        """Adds what is known of a job."""
+        if account.accepted_at is not None:
+            self.accepted += 1
+            self.open += not account.state
+        if account.first_wait is not None:
+            self.first_starts.append(account.first_wait)
+        if account.state:
+            self.ended[account.state] += 1
+        if account.is_late:
+            self.ended['late'] += 1
+            shares = account.measure_shares()
+            if shares is not None:
+                self.late_shares.append(shares)
+        self.stopped += account.stopped
+        self.ended_badly += account.ended_badly
+        if math.isfinite(account.lost_run_seconds):
+            self.lost_run_seconds += account.lost_run_seconds
+
+    def add_refusal(self, refusal: Refusal, is_job_lost: bool) -> None:
+        """Adds a refused request.
 
-    @property
-    def open(self) -> int:
-        """Number of accepted jobs whose end is not in the logs."""
-        ended = self.ended.total() - self.ended['late']
-        return max(0, self.accepted - ended)
+        Args:
+          refusal: The request.
+          is_job_lost: Whether its job was never accepted.
+        """
+        self.refused[refusal.kind] += 1
+        if is_job_lost:
+            self.refused_jobs.add(refusal.job)
 
     def find_quantile(self, twentieth: int) -> float | None:
         """Returns a quantile of the time to the first start, in seconds.
@@ -92,24 +138,35 @@
         )
         return round(twentieths[twentieth - 1], 3)
 
+    def average_late_shares(self) -> dict[str, float] | None:
+        """Returns mean seconds of a late job by share; None without any."""
+        if not self.late_shares:
+            return None
+        shares = [attrs.asdict(entry) for entry in self.late_shares]
+        return {
+            name: round(statistics.fmean(entry[name] for entry in shares), 3)
+            for name in shares[0]
+        }
+
     def make_document(self) -> dict[str, Any]:
         """Returns the summary as a JSON object."""
         return {
-            'queue': self.queue,
+            **self.labels,
             'accepted': self.accepted,
             'refused': dict(self.refused),
+            'refused_jobs': len(self.refused_jobs),
             'first_start_p50': self.find_quantile(10),
             'first_start_p95': self.find_quantile(19),
             'ended': dict(self.ended),
             'open': self.open,
             'stopped': dict(self.stopped),
             'ended_badly': dict(self.ended_badly),
+            'late_time': self.average_late_shares(),
+            'lost_run_seconds': round(self.lost_run_seconds, 3),
         }
 
     def make_row(self) -> tuple[str, ...]:
-        """Returns the table row; unknown quantiles are empty."""
-        quantiles = (self.find_quantile(10), self.find_quantile(19))
-        first_cells = ('' if q is None else f'{q:.3f}' for q in quantiles)
+        """Returns the table row; what is not known is empty."""
         in_time = self.ended['completed'] - self.ended['late']
         counts = (
             in_time,
@@ -120,149 +177,197 @@
             self.stopped.total(),
             self.ended_badly.total(),
         )
+        late_time = self.average_late_shares() or {}
+        share_names = [field.name for field in attrs.fields(TimeShares)]
+        refusals = (f'{kind} {n}' for kind, n in sorted(self.refused.items()))
         return (
-            self.queue,
+            *self.labels.values(),
             str(self.accepted),
             str(self.refused.total()),
-            *first_cells,
+            str(len(self.refused_jobs)),
+            _format_seconds(self.find_quantile(10)),
+            _format_seconds(self.find_quantile(19)),
             *map(str, counts),
+            *(_format_seconds(late_time.get(name)) for name in share_names),
+            ', '.join(refusals),
         )
 
 
-class ReportBuilder:
-    """Builds the reports from log lines, added in order of their times."""
-
-    def __init__(self) -> None:
-        self._reports: dict[str, QueueReport] = {}
-        self._queue_by_job: dict[str, str] = {}
-        self._accepted_at: dict[str, datetime.datetime] = {}
-        self._started_jobs: set[str] = set()
-        self._ended_jobs: set[str] = set()
-
-    def _get_report(self, queue: str) -> QueueReport:
-        return self._reports.setdefault(queue, QueueReport(queue))
-
-    def _get_job_report(self, job: str) -> QueueReport:
-        return self._get_report(self._queue_by_job.get(job, UNKNOWN_QUEUE))
-
-    def add_line(self, line: dict[str, Any]) -> None:
-        """Updates the reports from a log line; ignores unrelated lines."""
-        message = str(line.get('message', ''))
-        handle = _HANDLERS.get(message.partition(' ')[0].rstrip(':.'))
-        if handle is not None:
-            handle(self, line, message)
-
-    def _handle_accepted(self, line: dict[str, Any], _: str) -> None:
-        job, queue = line.get('job'), line.get('queue')
-        if not job or not queue or job in self._queue_by_job:
-            return
-        self._queue_by_job[job] = queue
-        self._accepted_at[job] = _parse_time(line)
-        self._get_report(queue).accepted += 1
-
-    def _handle_refused(self, line: dict[str, Any], _: str) -> None:
-        kind = str(line.get('kind', ''))
-        self._get_report(UNKNOWN_QUEUE).refused[kind] += 1
-
-    def _handle_starts(self, line: dict[str, Any], _: str) -> None:
-        tasks = [start[0] for start in line.get('starts', ())]
-        # Daemons of earlier versions log each start in a line of its own.
-        for task in tasks or [line.get('task', '')]:
-            self._record_start(line, str(task).partition('.')[0])
-
-    def _record_start(self, line: dict[str, Any], job: str) -> None:
-        if job in self._started_jobs or job not in self._accepted_at:
-            return
-        self._started_jobs.add(job)
-        waited = _parse_time(line) - self._accepted_at[job]
-        # The clocks of two hosts may differ by more than the time to a start.
-        seconds = max(0.0, waited.total_seconds())
-        self._get_job_report(job).first_starts.append(seconds)
-
-    def _handle_stop(self, line: dict[str, Any], message: str) -> None:
-        if 'task' in line:
-            reason = message.partition(': ')[2].rstrip('.')
-            self._get_job_report(_get_job_name(line)).stopped[reason] += 1
-
-    def _handle_run_end(self, line: dict[str, Any], message: str) -> None:
-        result = message.partition(': ')[2].rstrip('.')
-        if result in FAILED_RUN_ENDS:
-            self._get_job_report(_get_job_name(line)).ended_badly[result] += 1
-
-    def _handle_job_end(self, line: dict[str, Any], message: str) -> None:
-        job, took = line.get('job', ''), line.get('took')
-        if took is None or job in self._ended_jobs:
-            return
-        # The end may be logged twice: by an owner that is replaced before it
-        # has written the row, and by its successor.
-        self._ended_jobs.add(job)
-        state = message.rpartition(' ')[2].rstrip('.')
-        report = self._get_report(line.get('queue', UNKNOWN_QUEUE))
-        report.ended[state] += 1
-        objective = line.get('objective')
-        is_late = objective is not None and took > objective
-        if state == 'completed' and is_late:
-            report.ended['late'] += 1
-
-    def list_reports(self) -> list[QueueReport]:
-        """Returns the reports, sorted by queue."""
-        return [self._reports[name] for name in sorted(self._reports)]
-
-
-_HANDLERS = {
-    'Accepted': ReportBuilder._handle_accepted,
-    'Refused': ReportBuilder._handle_refused,
-    'Starting': ReportBuilder._handle_starts,
-    'Stopping': ReportBuilder._handle_stop,
-    'Ended': ReportBuilder._handle_run_end,
-    'Job': ReportBuilder._handle_job_end,
+def _format_seconds(seconds: float | None) -> str:
+    return '' if seconds is None else f'{seconds:.3f}'
+
+
+@attrs.frozen
+class JobProperties:
+    """The properties by which jobs and refused requests are grouped.
+
+    Attributes:
+      queue: Name of the queue.
+      zone: Availability zone of the daemon that the caller reached.
+      size: Name of the size class within the queue.
+    """
+
+    queue: str
+    zone: str
+    size: str
+
+
+GROUPINGS: dict[str, tuple[str, ...]] = {
+    'queue': ('queue',),
+    'size': ('queue', 'size'),
+    'zone': ('zone', 'queue'),
 }
-"""Handlers of log lines, by the first word of the message."""
+"""Properties that identify a group, by value of the option `--by`."""
 
+DEFAULT_GROUPING = 'queue'
 
-def _get_job_name(line: dict[str, Any]) -> str:
-    return str(line.get('task', '')).partition('.')[0]
 
+@attrs.define
+class GroupedReports:
+    """Reports of the groups of jobs.
 
-def _parse_time(line: dict[str, Any]) -> datetime.datetime:
-    return datetime.datetime.fromisoformat(str(line['time']))
+    Attributes:
+      names: Properties that identify a group.
+    """
 
+    names: tuple[str, ...]
+    _reports: dict[tuple[str, ...], GroupReport] = attrs.Factory(dict)
 
-def _has_time(line: dict[str, Any]) -> bool:
-    try:
-        _parse_time(line)
-    except (KeyError, ValueError):
-        return False
-    return True
+    def get(self, properties: JobProperties) -> GroupReport:
+        """Returns the report of the group with these properties."""
+        labels = {name: getattr(properties, name) for name in self.names}
+        return self._reports.setdefault(
+            tuple(labels.values()), GroupReport(labels)
+        )
+
+    def list_sorted(self) -> list[GroupReport]:
+        """Returns the reports, sorted by their labels."""
+        return [self._reports[key] for key in sorted(self._reports)]
 
 
-def build_reports(lines: Iterable[dict[str, Any]]) -> list[QueueReport]:
+def build_reports(
+    lines: Iterable[Line],
+    grouping: str = DEFAULT_GROUPING,
+    since: float = -math.inf,
+    until: float = math.inf,
+) -> list[GroupReport]:
     """Builds the reports from the log lines of any number of daemons.
 
     Lines without a valid time are ignored.
+
+    Args:
+      lines: The log lines.
+      grouping: Key of `GROUPINGS`.
+      since: Unix time in seconds; only jobs and requests that arrived since
+        then count.
+      until: The same, for those that arrived before then.
     """
-    builder = ReportBuilder()
-    timed = (line for line in lines if _has_time(line))
-    for line in sorted(timed, key=lambda line: str(line['time'])):
-        builder.add_line(line)
-    return builder.list_reports()
+    reader = AccountReader()
+    relevant = (line for line in lines if is_relevant(line))
+    for line in sorted(relevant, key=parse_time):
+        reader.add_line(line)
+    accounts = [
+        account
+        for account in reader.accounts.values()
+        if _is_counted(account, since, until)
+    ]
+    sizes = SizeClasses(accounts)
+    reports = GroupedReports(GROUPINGS[grouping])
+    for account in accounts:
+        properties = JobProperties(
+            account.queue or UNKNOWN,
+            account.zone or UNKNOWN,
+            sizes.find(account) or UNKNOWN,
+        )
+        reports.get(properties).add_account(account)
+    for refusal in reader.refusals:
+        if since <= refusal.time < until:
+            known = reader.accounts.get(refusal.job, JobAccount(refusal.job))
+            _add_refusal(reports, refusal, known, sizes)
+    return reports.list_sorted()
 
 
-def _read_all(names: Iterable[str]) -> Iterator[dict[str, Any]]:
-    for name in names:
-        yield from read_lines(name)
+def _is_counted(account: JobAccount, since: float, until: float) -> bool:
+    """Returns whether a job arrived in a span and has anything to report.
+
+    A job that arrived before the logs begin counts without a beginning only.
+    """
+    if account.accepted_at is not None:
+        return since <= account.accepted_at < until
+    has_events = account.state or account.stopped or account.ended_badly
+    return since == -math.inf and bool(has_events)
+
+
+def _add_refusal(
+    reports: GroupedReports,
+    refusal: Refusal,
+    account: JobAccount,
+    sizes: SizeClasses,
+) -> None:
+    properties = JobProperties(
+        refusal.queue or account.queue or UNKNOWN,
+        refusal.zone or UNKNOWN,
+        sizes.find(account) or UNKNOWN,
+    )
+    is_submission = bool(refusal.job) and refusal.method in ('POST', '')
+    # A job without a line of its acceptance may be older than the logs.
+    is_known = account.accepted_at is not None or bool(account.runs)
+    is_job_lost = is_submission and not is_known
+    reports.get(properties).add_refusal(refusal, is_job_lost)
+
+
+def add_zones(lines: list[Line]) -> None:
+    """Adds the zone of the daemon to the lines of a file that lack it.
+
+    Daemons of earlier versions name their zone only when they start. Lines of
+    daemons of several zones in one file stay as they are.
+    """
+    started = (line for line in lines if line.get('message') == 'Started.')
+    zones = {str(line['zone']) for line in started if 'zone' in line}
+    if len(zones) != 1:
+        return
+    zone = zones.pop()
+    for line in lines:
+        line.setdefault('zone', zone)
+
+
+def _read_all(session: Session) -> Iterator[Line]:
+    for name in session.options.files:
+        missing = 0
+        lines = []
+        for line in read_lines(name):
+            missing += count_missing(line)
+            if is_relevant(line) or line.get('message') == 'Started.':
+                lines.append(line)
+        if missing:
+            print(f'{name}: {missing} lines left out', file=session.env.stderr)
+        add_zones(lines)
+        yield from lines
+
+
+def _read_bound(option: str, text: str, default: float) -> float:
+    """Parses an option that holds a time; returns Unix time in seconds."""
+    milliseconds = read_time(option, text)
+    return milliseconds / 1000 if milliseconds else default
 
 
 async def report(session: Session) -> ExitStatus:
-    """Shows a summary of the jobs of each queue."""
-    reports = build_reports(_read_all(session.options.files))
+    """Shows a summary of the jobs of each group."""
+    options = session.options
+    reports = build_reports(
+        _read_all(session),
+        options.by,
+        _read_bound('--since', options.since, -math.inf),
+        _read_bound('--until', options.until, math.inf),
+    )
     if not reports:
         raise NotFoundError('no line tells of a job or a request')
+    names = (name.upper() for name in GROUPINGS[options.by])
     write_items(
         [found.make_document() for found in reports],
-        HEADER,
+        (*names, *COUNTS_HEADER),
         [found.make_row() for found in reports],
-        session.options.output,
+        options.output,
         session.env,
     )
     return ExitStatus.OK
--- a/lentilmount/cli/traces.py
+++ b/lentilmount/cli/traces.py
@@ -34,7 +34,7 @@
     for name in options.files:
         missing = 0
         for line in read_lines(name):
-            missing += _count_missing(line)
+            missing += count_missing(line)
             if _mentions(line, matches):
                 found.append((str(line.get('time', '')), name, line))
         if missing:
@@ -73,7 +73,7 @@
     return lambda text: pattern.search(text) is not None
 
 
-def _count_missing(line: dict[str, Any]) -> int:
+def count_missing(line: dict[str, Any]) -> int:
     """Returns how many lines a line reports as left out before it."""
     count = int(line.get('dropped_before', 0))
     match = _LEFT_OUT.match(str(line.get('message', '')))
