Tell waits within a step from the work of late jobs in the report

What callers saw: a late job whose step starts by degrees showed all that time as running, so that a shortage of places looked like slow work.

Change: LATE-PARTLY is the time in which runs of a late job were at work while other tasks of their step waited. The shares are in `cli/time_shares.py`; they still add up to the job's time. `lost_run_seconds` counts completed jobs only, as runs of cancelled and long-running jobs end with their job.

--- a/lentilmount/cli/job_accounts.py
+++ b/lentilmount/cli/job_accounts.py
@@ -6,11 +6,17 @@
 import datetime
 import math
 import re
-from collections.abc import Iterable
 from typing import Any
 
 import attrs
 
+from lentilmount.cli.time_shares import (
+    RunKey,
+    RunSpan,
+    TimeShares,
+    measure_shares,
+)
+
 Line = dict[str, Any]
 
 FAILED_RUN_ENDS = ('failed', 'lapsed', 'broken', 'alone')
@@ -19,39 +25,6 @@
 _JOB_ID_AT_END = re.compile(r'/([0-9a-f]{16})$')
 
 
-@attrs.define
-class RunSpan:
-    """Time that one run of a task took.
-
-    Attributes:
-      started_at: Unix time of its start in seconds.
-      ended_at: Unix time of its end; infinity if that is not in the logs.
-      is_lost: Whether it ended without having finished the task.
-    """
-
-    started_at: float
-    ended_at: float = math.inf
-    is_lost: bool = False
-
-
-@attrs.frozen
-class TimeShares:
-    """Where the time of a job went, in seconds that add up to its duration.
-
-    Attributes:
-      first_wait: Time before its first run started.
-      later_wait: Time after that in which nothing of it ran, as between the
-        steps, the occurrences or the runs of a task.
-      running: Time in which a run was at work that finished its task.
-      lost: Time in which only runs were at work that did not.
-    """
-
-    first_wait: float = 0.0
-    later_wait: float = 0.0
-    running: float = 0.0
-    lost: float = 0.0
-
-
 @attrs.define
 class JobAccount:
     """What the log lines tell of a job.
@@ -85,7 +58,7 @@
     objective: float = math.inf
     stopped: collections.Counter[str] = attrs.Factory(collections.Counter)
     ended_badly: collections.Counter[str] = attrs.Factory(collections.Counter)
-    runs: dict[tuple[str, int], RunSpan] = attrs.Factory(dict)
+    runs: dict[RunKey, RunSpan] = attrs.Factory(dict)
 
     @property
     def is_late(self) -> bool:
@@ -108,7 +81,12 @@
 
     @property
     def lost_run_seconds(self) -> float:
-        """Sum of the time of all runs that did not finish their task."""
+        """Sum of the time of all runs that did not finish their task.
+
+        It is 0 unless the job was completed: other jobs end with their runs.
+        """
+        if self.state != 'completed':
+            return 0.0
         spans = (run for run in self.runs.values() if run.is_lost)
         return sum(max(0.0, run.ended_at - run.started_at) for run in spans)
 
@@ -116,33 +94,12 @@
         """Returns where its time went; None if its times are not known."""
         if self.took is None or self.accepted_at is None:
             return None
-        begin = self.accepted_at
-        end = begin + self.took
         first_wait = self.took if self.first_wait is None else self.first_wait
-        first_wait = min(first_wait, self.took)
-        useful = [run for run in self.runs.values() if not run.is_lost]
-        useful_seconds = _measure_union(useful, begin, end)
-        busy_seconds = _measure_union(self.runs.values(), begin, end)
-        return TimeShares(
-            first_wait=first_wait,
-            later_wait=max(0.0, self.took - first_wait - busy_seconds),
-            running=useful_seconds,
-            lost=busy_seconds - useful_seconds,
+        return measure_shares(
+            self.runs, self.accepted_at, self.took, first_wait
         )
 
 
-def _measure_union(runs: Iterable[RunSpan], begin: float, end: float) -> float:
-    """Returns the seconds of a span in which at least one run was at work."""
-    total, covered_until = 0.0, begin
-    for run in sorted(runs, key=lambda run: run.started_at):
-        first = max(run.started_at, covered_until)
-        last = min(run.ended_at, end)
-        if last > first:
-            total += last - first
-            covered_until = last
-    return total
-
-
 @attrs.frozen
 class Refusal:
     """A request that was refused.
--- a/lentilmount/cli/report.py
+++ b/lentilmount/cli/report.py
@@ -21,13 +21,13 @@
     JobAccount,
     Line,
     Refusal,
-    TimeShares,
     is_relevant,
     parse_time,
 )
 from lentilmount.cli.output import write_items
 from lentilmount.cli.session import Session
 from lentilmount.cli.size_classes import SizeClasses
+from lentilmount.cli.time_shares import TimeShares
 from lentilmount.cli.traces import count_missing, read_lines
 from lentilmount.errors import NotFoundError
 from lentilmount.status import ExitStatus
@@ -50,6 +50,7 @@
     'ENDED-BAD',
     'LATE-FIRST',
     'LATE-BETWEEN',
+    'LATE-PARTLY',
     'LATE-RUNNING',
     'LATE-LOST',
     'REFUSALS',
@@ -75,8 +76,8 @@
       ended_badly: Number of runs that ended unfinished without a stop
         command, by result.
       late_shares: Where the time of the late jobs went, one entry a job.
-      lost_run_seconds: Sum of the time of all runs that did not finish their
-        task.
+      lost_run_seconds: Sum of the time of all runs of completed jobs that did
+        not finish their task.
     """
 
     labels: dict[str, str]
@@ -107,8 +108,7 @@
                 self.late_shares.append(shares)
         self.stopped += account.stopped
         self.ended_badly += account.ended_badly
-        if math.isfinite(account.lost_run_seconds):
-            self.lost_run_seconds += account.lost_run_seconds
+        self.lost_run_seconds += account.lost_run_seconds
 
     def add_refusal(self, refusal: Refusal, is_job_lost: bool) -> None:
         """Adds a refused request.
