Count refused submissions apart from other refused requests

What callers saw: REFUSED counts each question for a job's state that is refused, too, and clients repeat those.

Change: SUBMITS counts refused submissions, and REFUSALS gives their kinds. The JSON key `refused` keeps its meaning; `refused_submissions` is new.

--- a/lentilmount/cli/job_accounts.py
+++ b/lentilmount/cli/job_accounts.py
@@ -120,6 +120,11 @@
     queue: str = ''
     zone: str = ''
 
+    @property
+    def is_submission(self) -> bool:
+        """Whether it submits a job; the others read or cancel one."""
+        return bool(self.job) and self.method in ('POST', '')
+
 
 class AccountReader:
     """Builds the accounts of jobs from log lines, added in order of time.
--- a/lentilmount/cli/report.py
+++ b/lentilmount/cli/report.py
@@ -38,6 +38,7 @@
 COUNTS_HEADER = (
     'ACCEPTED',
     'REFUSED',
+    'SUBMITS',
     'REFUSED-JOBS',
     'FIRST-P50',
     'FIRST-P95',
@@ -66,6 +67,7 @@
         name of the property.
       accepted: Number of accepted jobs.
       refused: Number of refused requests, by kind of error.
+      refused_submissions: Number of those that submit a job, by kind of error.
       refused_jobs: Ids of the jobs that were refused and never accepted.
       first_starts: Time from acceptance to the first start of each job, in
         seconds.
@@ -83,6 +85,9 @@
     labels: dict[str, str]
     accepted: int = 0
     refused: collections.Counter[str] = attrs.Factory(collections.Counter)
+    refused_submissions: collections.Counter[str] = attrs.Factory(
+        collections.Counter
+    )
     refused_jobs: set[str] = attrs.Factory(set)
     first_starts: list[float] = attrs.Factory(list)
     ended: collections.Counter[str] = attrs.Factory(collections.Counter)
@@ -118,6 +123,7 @@
           is_job_lost: Whether its job was never accepted.
         """
         self.refused[refusal.kind] += 1
+        self.refused_submissions[refusal.kind] += refusal.is_submission
         if is_job_lost:
             self.refused_jobs.add(refusal.job)
 
@@ -154,6 +160,7 @@
             **self.labels,
             'accepted': self.accepted,
             'refused': dict(self.refused),
+            'refused_submissions': dict(+self.refused_submissions),
             'refused_jobs': len(self.refused_jobs),
             'first_start_p50': self.find_quantile(10),
             'first_start_p95': self.find_quantile(19),
@@ -179,17 +186,18 @@
         )
         late_time = self.average_late_shares() or {}
         share_names = [field.name for field in attrs.fields(TimeShares)]
-        refusals = (f'{kind} {n}' for kind, n in sorted(self.refused.items()))
+        refusals = sorted((+self.refused_submissions).items())
         return (
             *self.labels.values(),
             str(self.accepted),
             str(self.refused.total()),
+            str(self.refused_submissions.total()),
             str(len(self.refused_jobs)),
             _format_seconds(self.find_quantile(10)),
             _format_seconds(self.find_quantile(19)),
             *map(str, counts),
             *(_format_seconds(late_time.get(name)) for name in share_names),
-            ', '.join(refusals),
+            ', '.join(f'{kind} {count}' for kind, count in refusals),
         )
 
 
@@ -309,10 +317,9 @@
         refusal.zone or UNKNOWN,
         sizes.find(account) or UNKNOWN,
     )
-    is_submission = bool(refusal.job) and refusal.method in ('POST', '')
     # A job without a line of its acceptance may be older than the logs.
     is_known = account.accepted_at is not None or bool(account.runs)
-    is_job_lost = is_submission and not is_known
+    is_job_lost = refusal.is_submission and not is_known
     reports.get(properties).add_refusal(refusal, is_job_lost)
 
 
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -190,15 +190,31 @@
     )
     (checks,) = build_reports(lines)
     assert checks.refused == {'full': 4}
+    assert checks.make_document()['refused_submissions'] == {'full': 4}
+    assert checks.make_row()[-1] == 'full 4'
     assert checks.refused_jobs == {LATE}
     assert checks.accepted == 1
 
 
 def test_a_refused_question_loses_no_job() -> None:
+    """Guards against taking repeated questions for refused jobs."""
     lines = parse(refuse(1, OPEN, queue='checks'), refuse(1, LATE))
     lines[0]['method'] = 'GET'
     checks = by_labels(build_reports(lines))['checks',]
     assert (checks.refused.total(), checks.refused_jobs) == (1, set())
+    document = checks.make_document()
+    assert document['refused'] == {'full': 1}
+    assert document['refused_submissions'] == {}
+    assert checks.make_row()[-1] == ''
+
+
+def test_a_refusal_without_a_job_is_no_submission() -> None:
+    """Guards against a lost job without an id."""
+    line = make_line(1, 'Refused: no queue.', kind='not-found', path='/x')
+    (unknown,) = build_reports(parse(line))
+    assert unknown.refused == {'not-found': 1}
+    assert unknown.refused_submissions.total() == 0
+    assert unknown.refused_jobs == set()
 
 
 def test_zones_are_those_of_the_daemons_that_callers_reached() -> None:
