Let clients of the soak return when they are refused

What callers saw: clients of the soak gave up at the first refusal, so that nothing was played of callers who come back, and a run of a job between its refusal and its acceptance would have passed unseen.

Change: a client that is refused with a Retry-After comes back then, up to three times (event `returned`). The check of unasked runs finds each run that starts before the submission which was not refused; a refusal says that none does.

The case 'a run of a rejected job' and the other cases of the check are as before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -201,12 +201,22 @@
 
 
 def find_unasked_runs(record: Record) -> list[Violation]:
-    """Finds runs of jobs that were rejected or never submitted."""
-    rejected = {event.task for event in record.select(EventKind.REJECTED)}
+    """Finds runs of jobs that were never submitted, or only refused by then.
+
+    A refusal says that the job has not run and never will by the requests until
+    then. It may be submitted again.
+    """
+    asked_at: dict[str, float] = {}
+    for event in record.events:
+        if event.kind is EventKind.REJECTED:
+            asked_at[event.task] = math.inf
+        elif event.kind is EventKind.RETURNED:
+            asked_at[event.task] = event.at
     return [
         Violation('not accepted', run.task, f'run {run.run} on {run.worker}')
         for run in record.list_runs()
-        if run.job in rejected or run.job not in record.jobs
+        if run.start < asked_at.get(run.job, -math.inf)
+        or run.job not in record.jobs
     ]
 
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 import orjson
@@ -22,6 +22,9 @@
 RESEND_SECONDS = 1.5
 """Time after which an accepted job is sent once more."""
 
+MAX_RETURNS = 3
+"""Number of times that a client submits a refused job again."""
+
 STATE_SECONDS = 0.5
 """Interval between two looks at the states of jobs."""
 
@@ -37,12 +40,14 @@
       client: Sends the requests over connections that are kept.
       list_addresses: Returns each daemon's address, '' for one that is down.
       log: Events of the soak.
+      sleep: Waits for some seconds before a refused job is submitted again.
       open_jobs: Accepted jobs that have not ended.
     """
 
     client: HttpClient
     list_addresses: Callable[[], list[str]]
     log: EventLog
+    sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
     open_jobs: dict[str, Job] = attrs.Factory(dict)
 
     def _note(self, kind: EventKind, job: Job, detail: str = '') -> None:
@@ -63,17 +68,29 @@
             await self._call('POST', job, job.host + 1)
 
     async def _submit(self, job: Job) -> bool:
-        """Submits a job until it is answered; returns whether it is stored."""
-        answer = await self._repeat(
-            'POST', job, lambda status: status in REJECTIONS
-        )
-        if answer is None:
-            return False
-        kind = EventKind.ACCEPTED
-        if answer.status >= 300:
-            kind = EventKind.REJECTED
-        self._note(kind, job, str(answer.status))
-        return kind is EventKind.ACCEPTED
+        """Submits a job until it is accepted or refused for good.
+
+        A refused client submits it again after the time that the answer names.
+
+        Returns:
+          Whether the job is stored.
+        """
+        for returns_left in reversed(range(MAX_RETURNS + 1)):
+            answer = await self._repeat(
+                'POST', job, lambda status: status in REJECTIONS
+            )
+            if answer is None:
+                return False
+            if answer.status < 300:
+                self._note(EventKind.ACCEPTED, job, str(answer.status))
+                return True
+            self._note(EventKind.REJECTED, job, str(answer.status))
+            retry_after = answer.headers.get('Retry-After')
+            if retry_after is None or not returns_left:
+                return False
+            await self.sleep(float(retry_after))
+            self._note(EventKind.RETURNED, job, retry_after)
+        return False
 
     async def _repeat(
         self, method: str, job: Job, is_rejection: Callable[[int], bool]
--- a/soak/events.py
+++ b/soak/events.py
@@ -22,7 +22,7 @@
     A worker writes those from RECEIVED to CRASHED about itself, a link those
     from RESET to HELD; the process that plays the plan writes REGISTERED,
     RESIZED and the others. CORDONED and UNCORDONED name a zone, once the table
-    has answered.
+    has answered. RETURNED tells that a client submits a rejected job again.
     """
 
     RECEIVED = 'received'
@@ -43,6 +43,7 @@
     FAULT = 'fault'
     ACCEPTED = 'accepted'
     REJECTED = 'rejected'
+    RETURNED = 'returned'
     CANCELLED = 'cancelled'
     STATE = 'state'
     FINISHED = 'finished'
@@ -60,7 +61,7 @@
       task: Name of the task or id of the job.
       run: Number of the run.
       detail: How a run ended, the path and status of a call, a job's state, a
-        worker's number of cores, or its zone.
+        worker's number of cores, its zone, or the seconds of a Retry-After.
       until: Time in seconds at which the lease of the run expired; 0 if it had
         not.
       is_late: Whether the start was sent to an earlier incarnation.
--- a/soak/report.py
+++ b/soak/report.py
@@ -46,7 +46,8 @@
         f'received: {count_copies(record)}, starts for an earlier '
         f'incarnation: {late}',
         f'jobs accepted: {kinds[EventKind.ACCEPTED]}, rejected: '
-        f'{kinds[EventKind.REJECTED]}, cancelled: '
+        f'{kinds[EventKind.REJECTED]}, returned: '
+        f'{kinds[EventKind.RETURNED]}, cancelled: '
         f'{kinds[EventKind.CANCELLED]}; states: {_format_counts(states)}',
         f'checks: {len(CHECKS)}, violations: {len(violations)}',
     ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 import attrs
 import orjson
 import pytest
+from tornado.web import Application, RequestHandler
 
 from lentilmount.context import Environment
 from lentilmount.upstream.http import CURL_ERROR, HttpClient
@@ -34,6 +35,7 @@
     find_unasked_runs,
     make_record,
 )
+from soak.clients import MAX_RETURNS, Clients
 from soak.events import Event, EventKind, EventLog, read_events
 from soak.links import Link
 from soak.plan import Fault, FaultKind, Job, Size, make_plan
@@ -114,6 +116,35 @@
         find_unasked_runs,
         [tell(0.0, EventKind.REJECTED), start(1.0, 'w1')],
     ),
+    'a run of a job between its rejection and the return of its client': (
+        find_unasked_runs,
+        [
+            tell(0.0, EventKind.REJECTED),
+            start(1.0, 'w1'),
+            tell(2.0, EventKind.RETURNED),
+            tell(2.1, EventKind.ACCEPTED),
+            tell(9.0, EventKind.STATE, 'completed'),
+        ],
+    ),
+    'a run of a job before it is rejected': (
+        find_unasked_runs,
+        [
+            start(1.0, 'w1'),
+            tell(1.1, EventKind.REJECTED),
+            tell(2.0, EventKind.RETURNED),
+            tell(2.1, EventKind.ACCEPTED),
+            tell(9.0, EventKind.STATE, 'completed'),
+        ],
+    ),
+    'a run of a job that is rejected once more': (
+        find_unasked_runs,
+        [
+            tell(0.0, EventKind.REJECTED),
+            tell(1.0, EventKind.RETURNED),
+            tell(1.1, EventKind.REJECTED),
+            start(1.2, 'w1'),
+        ],
+    ),
     'a run of an unknown job': (
         find_unasked_runs,
         [start(1.0, 'w1', 'b.0.0.0')],
@@ -259,6 +290,72 @@
     assert find_lost_jobs(make_record(events, [JOB])) == []
 
 
+def test_a_refused_job_may_run_once_it_is_submitted_again() -> None:
+    """A job that was accepted at the second try was reported as unasked."""
+    events = [
+        tell(0.0, EventKind.REJECTED),
+        tell(0.5, EventKind.RETURNED),
+        *(attrs.evolve(event, at=event.at + 1) for event in CLEAN),
+    ]
+    assert check(make_record(events, [JOB])) == []
+
+
+class RefusingHandler(RequestHandler):
+    """Refuses a number of submissions, then accepts one."""
+
+    def initialize(self, retry_after: list[str | None]) -> None:
+        """Receives the header of each refusal; None for one without."""
+        self._retry_after = retry_after
+
+    def post(self) -> None:
+        """Answers a submission."""
+        if not self._retry_after:
+            return
+        self.set_status(503)
+        seconds = self._retry_after.pop(0)
+        if seconds is not None:
+            self.set_header('Retry-After', seconds)
+
+
+@pytest.mark.parametrize(
+    ('retry_after', 'waits', 'last'),
+    [
+        ([], [], EventKind.ACCEPTED),
+        (['2', '7'], [2.0, 7.0], EventKind.ACCEPTED),
+        ([None], [], EventKind.REJECTED),
+        (['1'] * 9, [1.0] * MAX_RETURNS, EventKind.REJECTED),
+    ],
+)
+def test_a_refused_client_returns_when_it_is_told_to(
+    retry_after: list[str | None],
+    waits: list[float],
+    last: EventKind,
+    tmp_path: pathlib.Path,
+) -> None:
+    """Clients that never return, or at once, would not show an overload."""
+    slept: list[float] = []
+
+    async def sleep(seconds: float) -> None:
+        slept.append(seconds)
+
+    async def play() -> None:
+        log = EventLog(tmp_path / 'soak.jsonl')
+        handler = ('.*', RefusingHandler, {'retry_after': retry_after})
+        server, address = serve(Application([handler]))
+        client = HttpClient('')
+        await Clients(client, lambda: [address], log, sleep).play(JOB)
+        client.close()
+        server.stop()
+        log.close()
+
+    run(play())
+    events = read_events([tmp_path / 'soak.jsonl'])
+    assert slept == waits
+    assert events[-1].kind is last
+    returns = [e.detail for e in events if e.kind is EventKind.RETURNED]
+    assert list(map(float, returns)) == waits
+
+
 def test_a_start_for_an_earlier_incarnation_is_excused() -> None:
     """No owner can prevent that a restarted worker carries out a late call."""
     late = attrs.evolve(start(1.5, 'w2', run=2), is_late=True)
