Load the modules of an owner when a daemon may soon own a service

Callers saw nothing; operators paid for it: each daemon loaded the owner, its state and its decisions at the start, though one of dozens uses them.

Cause: the election, the life cycle and the API between daemons import the owner for its settings and one handler.

Change: the settings of an owner and the handler of relayed starts are modules of their own (moved unchanged), and `owner_modules` loads the rest. A standby of the owner loads it as soon as it knows whose standby it is, any other host once a held lease lacks one second of being free for it, and whoever takes a lease otherwise before its write. An outage of the store loads nothing: a failed read is no sign that the owner has ended.

Tests: `test_start_relay`, `test_relay_failures`, `test_relay_schedules`, `test_takeover`, `test_worker_session` and `test_incarnations` import the moved names from their new modules; nothing else of them changed.

--- a/lentilmount/control/election.py
+++ b/lentilmount/control/election.py
@@ -8,7 +8,7 @@
 import random
 import uuid
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import logbook
@@ -16,11 +16,10 @@
 from lentilmount.clock import Clock
 from lentilmount.control.candidates import Candidates
 from lentilmount.control.keys import make_owner_key
-from lentilmount.control.lease_data import LeaseData, decode_lease_data
 from lentilmount.control.metrics import ControlMetrics
-from lentilmount.control.owner import (
+from lentilmount.control.owner_modules import is_owner_loaded, load_owner
+from lentilmount.control.owner_settings import (
     RENEW_WITHOUT_STORE_SECONDS,
-    Owner,
     OwnerSettings,
 )
 from lentilmount.control.owner_watch import (
@@ -38,9 +37,12 @@
 from lentilmount.platform.advice import AdviceClient
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerClient
-from lentilmount.scheduling.takeover import InheritedLeases
 from lentilmount.waiting import wait_with_timeout
 
+if TYPE_CHECKING:
+    from lentilmount.control.owner import Owner
+    from lentilmount.scheduling.takeover import InheritedLeases
+
 log = logbook.Logger('campaign')
 
 LEASE_SECONDS = 2.0
@@ -78,6 +80,11 @@
 failed handover costs over 2 s without an owner, so the time doubles after each,
 until the cost is one part in thirty."""
 
+LOAD_AHEAD_SECONDS = 1.0
+"""Time before a lease may be taken at which the modules of an owner are loaded:
+a lease of 2 s that is renewed each half second has then missed two renewals,
+and two checks follow before it ends."""
+
 FIRST_POLL_SECONDS = 0.1
 """Interval between checks of a lease until the other hosts are known, which
 takes a few ms after a restart; a restarted owner should resume at once."""
@@ -132,7 +139,7 @@
     _stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
     _are_all_recorded: bool = True
     _is_early: bool = False
-    _inherited: InheritedLeases = attrs.Factory(InheritedLeases)
+    _inherited: InheritedLeases | None = None
     _tenure: float = 0.0
     _watch: OwnerWatch = attrs.field(init=False)
     _handover_epoch: int = 0
@@ -159,11 +166,10 @@
         )
         key = make_owner_key(self.settings.service)
         while not self._stopping.is_set():
+            delay = self._choose_delay(keeper.get_holder(key))
             try:
                 lease = await keeper.try_acquire(
-                    key,
-                    functools.partial(self._update_data, keeper),
-                    self._choose_delay(keeper.get_holder(key)),
+                    key, functools.partial(self._update_data, keeper), delay
                 )
             except UnavailableError as error:
                 log.warning('Cannot read the lease: {}', error)
@@ -177,6 +183,8 @@
                 await keeper.release(lease)
             elif lease is not None:
                 await self._run_owner(keeper, lease)
+            if self._may_own_soon(keeper, delay):
+                load_owner()
             is_complete = self.candidates.is_complete
             pause = POLL_SECONDS if is_complete else FIRST_POLL_SECONDS
             await wait_with_timeout(
@@ -185,6 +193,24 @@
             )
             self._watch.has_ended.clear()
 
+    def _may_own_soon(self, keeper: LeaseKeeper, delay: float) -> bool:
+        """Returns whether this host may take the lease within a second or so.
+
+        That is so for the standbys of the owner, which take it when its process
+        has ended, and for each host that has seen no renewal for a while.
+
+        Args:
+          keeper: Has just read the lease.
+          delay: Seconds for which this host leaves a free lease to others.
+        """
+        if is_owner_loaded():
+            return False
+        if self.owner_host and self.candidates.is_standby(self.owner_host):
+            return True
+        key = make_owner_key(self.settings.service)
+        wait = delay + (LEASE_SECONDS if keeper.get_holder(key) else 0.0)
+        return keeper.get_unchanged_seconds(key) > wait - LOAD_AHEAD_SECONDS
+
     def _has_ended(self, holder: str) -> bool:
         """Returns whether the process of a holder is known to have ended.
 
@@ -204,6 +230,15 @@
         row: while it lists them, they cannot be renewed, and it would do so
         until the next write.
         """
+        load_owner()
+        from lentilmount.control.lease_data import (  # noqa: PLC0415
+            LeaseData,
+            decode_lease_data,
+        )
+        from lentilmount.scheduling.takeover import (  # noqa: PLC0415
+            InheritedLeases,
+        )
+
         data = decode_lease_data(record.data, record.epoch)
         is_held = record.holder != ''
         is_observed = keeper.has_observed_last_write(
@@ -245,6 +280,12 @@
         log.info(
             'Taken: {}.', self.settings.service, extra={'epoch': lease.epoch}
         )
+        from lentilmount.control.lease_data import (  # noqa: PLC0415
+            decode_lease_data,
+        )
+        from lentilmount.control.owner import Owner  # noqa: PLC0415
+
+        assert self._inherited is not None
         self.metrics.count_takeover(self.settings.service)
         owner = Owner(
             self.settings,
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+from typing import TYPE_CHECKING
 
 import attrs
 import logbook
@@ -27,7 +28,7 @@
 from lentilmount.control.frontend import Traffic, make_frontend, make_readiness
 from lentilmount.control.keys import make_daemon_key, make_owner_key
 from lentilmount.control.metrics import ControlMetrics, make_metrics
-from lentilmount.control.owner import Owner, OwnerSettings
+from lentilmount.control.owner_settings import OwnerSettings
 from lentilmount.control.peer_api import make_peer_api
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.store_health import (
@@ -61,6 +62,9 @@
 from lentilmount.upstream.http import HttpClient
 from lentilmount.version_times import VersionTimes
 
+if TYPE_CHECKING:
+    from lentilmount.control.owner import Owner
+
 log = logbook.Logger('daemon')
 
 STORE_TIMEOUT_SECONDS = 0.6
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import contextlib
-import math
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
-import attrs
 import logbook
 
 from lentilmount.clock import Clock
@@ -24,6 +22,10 @@
 from lentilmount.control.loop_lag import LoopLag
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner_load import OwnerLoad
+from lentilmount.control.owner_settings import (
+    RENEW_WITHOUT_STORE_SECONDS,
+    OwnerSettings,
+)
 from lentilmount.control.placement_log import PlacementLog, log_restored
 from lentilmount.control.registry import poll_workers
 from lentilmount.control.retention import Retention
@@ -37,7 +39,6 @@
 from lentilmount.platform.advice import AdviceClient
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerClient
-from lentilmount.policies import Policies
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.health import WorkerHealth
 from lentilmount.scheduling.interference import InterferenceModel
@@ -65,13 +66,6 @@
 
 log = logbook.Logger('owner')
 
-RENEW_WITHOUT_STORE_SECONDS = 3.0
-"""Time after the last lease write during which worker leases are still renewed,
-unless the store is unavailable to all daemons. An owner that alone cannot reach
-the store is replaced after 2 s, and its successor waits until the leases on
-workers that it cannot reach have expired: each second added here is added to
-that wait."""
-
 MAX_FIRST_POLLS = 500
 """Number of workers that are polled for the first time at once. A new owner of
 thousands would otherwise be busy with these calls for longer than its lease."""
@@ -80,30 +74,6 @@
 """Interval between checks for due occurrences and stalled tasks."""
 
 
-@attrs.frozen
-class OwnerSettings:
-    """Settings of the owner of one service.
-
-    Attributes:
-      service: Name of the service, which has its own pool of workers.
-      lease_seconds: Longest lease that a worker grants.
-      status_seconds: How long the state of a finished job is kept.
-      link_bytes_per_second: Rate of the host's network link.
-      capacity_seconds: Time after which a worker's capacity that has shrunk
-        binds.
-      cordon_seconds: Time after which the cordon of a zone binds.
-      policies: Optional policies.
-    """
-
-    service: str
-    lease_seconds: float
-    status_seconds: float
-    link_bytes_per_second: float = math.inf
-    capacity_seconds: float = math.inf
-    cordon_seconds: float = math.inf
-    policies: Policies = attrs.Factory(Policies)
-
-
 class Owner:
     """Schedules the tasks of one service and tracks them on its workers.
 
--- /dev/null
+++ b/lentilmount/control/owner_modules.py
@@ -0,0 +1,35 @@
+"""Loads the modules of an owner, which a daemon that owns nothing does without.
+
+Load pattern: dozens of daemons and one owner. The modules of an owner take a
+tenth of the memory of a daemon; all but a few daemons never need them.
+"""
+
+from __future__ import annotations
+
+import gc
+import importlib
+import sys
+import time
+
+import logbook
+
+log = logbook.Logger('daemon')
+
+OWNER_MODULE = 'lentilmount.control.owner'
+
+
+def is_owner_loaded() -> bool:
+    """Returns whether the modules of an owner are loaded."""
+    return OWNER_MODULE in sys.modules
+
+
+def load_owner() -> None:
+    """Loads the modules of an owner, if they are not loaded yet."""
+    if is_owner_loaded():
+        return
+    began_at = time.monotonic()
+    importlib.import_module(OWNER_MODULE)
+    # As at the start of the daemon: full collections need not visit them.
+    gc.freeze()
+    took = time.monotonic() - began_at
+    log.info('Loaded the owner.', extra={'took': round(took, 3)})
--- a/lentilmount/control/peer_api.py
+++ b/lentilmount/control/peer_api.py
@@ -13,7 +13,7 @@
 )
 from lentilmount.control.peer_handler import PeerHandler
 from lentilmount.control.routes import RouteTable
-from lentilmount.control.start_relay import (
+from lentilmount.control.starts_handler import (
     STARTS_PATH,
     MakeWorkerClient,
     StartsHandler,
--- a/lentilmount/control/start_relay.py
+++ b/lentilmount/control/start_relay.py
@@ -22,22 +22,20 @@
 import orjson
 
 from lentilmount.control.owner_load import OwnerLoad
-from lentilmount.control.peer_handler import NOT_READY, PeerHandler
+from lentilmount.control.peer_handler import NOT_READY
+from lentilmount.control.starts_handler import ANSWER_SECONDS, STARTS_PATH
 from lentilmount.platform.workers import (
     CallStatus,
     CommandAnswer,
     StartCommand,
     WorkerClient,
 )
-from lentilmount.resources import Room
-from lentilmount.scheduling.reports import WorkerEntry, WorkerState
+from lentilmount.scheduling.reports import WorkerEntry
 from lentilmount.scheduling.start_window import measure_start
 from lentilmount.upstream.http import CallKind, HttpResponse
 
 log = logbook.Logger('relay')
 
-STARTS_PATH = '/starts'
-
 GATHER_SECONDS = 0.002
 """Time for which starts are gathered; those of a written step come at once."""
 
@@ -55,18 +53,10 @@
 """Timeout for a connection to another daemon: if it is gone, the starts are
 sent directly while they are still of use."""
 
-ANSWER_SECONDS = 0.5
-"""Time after which the answers that have arrived are returned; one worker that
-does not answer must not hold up those of the others."""
-
 HOP_SECONDS = 0.3
 """Added to that time for the way to the other daemon and back."""
 
 
-MakeWorkerClient = Callable[[int], WorkerClient]
-"""Returns the client for workers that uses a fencing token."""
-
-
 MIN_ANSWERED_SHARE = 0.5
 """Share of the workers that must have answered another daemon for it to be used
 again; it may be cut off from them."""
@@ -308,53 +298,3 @@
     """Returns whether a daemon has reached most of the workers."""
     answered = sum(answer.was_asked for answer in answers)
     return answered > MIN_ANSWERED_SHARE * len(answers)
-
-
-class StartsHandler(PeerHandler):
-    """Sends starts to workers for the owner of their service."""
-
-    def initialize(
-        self,
-        make_worker_client: MakeWorkerClient,
-        is_closing: Callable[[], bool],
-    ) -> None:
-        """Receives the handler's arguments; see `make_peer_api`."""
-        self.is_closing = is_closing
-        self._make_worker_client = make_worker_client
-
-    async def post(self) -> None:
-        """Answers with the status of each start; null if it has none yet."""
-        message = orjson.loads(self.request.body)
-        client = self._make_worker_client(message['token'])
-        calls = [
-            asyncio.create_task(_start(client, row, message['payload']))
-            for row in message['starts']
-        ]
-        await asyncio.wait(calls, timeout=ANSWER_SECONDS)
-        self.finish(
-            orjson.dumps(
-                [call.result() if call.done() else None for call in calls]
-            )
-        )
-
-
-async def _start(client: WorkerClient, row: list[Any], payload: str) -> str:
-    worker_id, address, task, run, lease_until_ms, checkpoint, ticket = row
-    answer = await client.start(
-        _make_entry(worker_id, address),
-        StartCommand(task, run, payload, lease_until_ms, checkpoint, ticket),
-    )
-    return answer.status.value
-
-
-def _make_entry(worker_id: str, address: str) -> WorkerEntry:
-    """Returns what a call to a worker needs of its registration."""
-    return WorkerEntry(
-        id=worker_id,
-        started_ms=0,
-        address=address,
-        service='',
-        zone='',
-        state=WorkerState.READY,
-        capacity=Room(),
-    )
--- a/lentilmount/coordination/leases.py
+++ b/lentilmount/coordination/leases.py
@@ -220,6 +220,14 @@
         """Returns the holder that the newest read found, or ''."""
         return self._holders.get(key, '')
 
+    def get_unchanged_seconds(self, key: Key) -> float:
+        """Returns the seconds for which a lease's row was seen unchanged.
+
+        It is 0 if the newest read failed or found another version.
+        """
+        known = self._observed.get(key)
+        return 0.0 if known is None else self._monotonic() - known[1]
+
     def has_observed_last_write(self, key: Key) -> bool:
         """Returns whether the last holder's writes were observed to the end.
 
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -20,7 +20,8 @@
 from lentilmount.control.grouped_submissions import Outcome
 from lentilmount.control.keys import CANCEL_SUFFIX, JOBS_TABLE
 from lentilmount.control.metrics import ControlMetrics
-from lentilmount.control.owner import Owner, OwnerSettings
+from lentilmount.control.owner import Owner
+from lentilmount.control.owner_settings import OwnerSettings
 from lentilmount.control.submission_relay import SUBMIT_SECONDS
 from lentilmount.platform.documents import encode_job_row
 from lentilmount.platform.host_settings import Capacity
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -20,7 +20,7 @@
 from lentilmount.control.candidates import Candidates
 from lentilmount.control.election import ServiceElection
 from lentilmount.control.metrics import ControlMetrics
-from lentilmount.control.owner import OwnerSettings
+from lentilmount.control.owner_settings import OwnerSettings
 from lentilmount.control.store_health import (
     OutageDetector,
     PeerList,
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -12,7 +12,8 @@
 from lentilmount.control.keys import make_job_key, make_owner_key
 from lentilmount.control.late_calls import LATE_LEASE_SECONDS
 from lentilmount.control.metrics import ControlMetrics
-from lentilmount.control.owner import Owner, OwnerSettings
+from lentilmount.control.owner import Owner
+from lentilmount.control.owner_settings import OwnerSettings
 from lentilmount.control.registry import POLL_SECONDS, RETURN_SECONDS
 from lentilmount.control.worker_session import RETRY_SECONDS, WorkerSession
 from lentilmount.coordination.leases import LeaseKeeper
--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -10,11 +10,8 @@
 import pytest
 
 from lentilmount.control.candidates import Candidates
-from lentilmount.control.start_relay import (
-    ANSWER_SECONDS,
-    RELAYS,
-    SKIP_FAILED_SECONDS,
-)
+from lentilmount.control.start_relay import RELAYS, SKIP_FAILED_SECONDS
+from lentilmount.control.starts_handler import ANSWER_SECONDS
 from lentilmount.control.worker_session import START_TIMEOUT_SECONDS
 from lentilmount.platform.workers import (
     CallStatus,
--- a/tests/test_relay_schedules.py
+++ b/tests/test_relay_schedules.py
@@ -17,7 +17,7 @@
 from hypothesis import Phase, settings, strategies
 from hypothesis.stateful import rule
 
-from lentilmount.control import start_relay
+from lentilmount.control import start_relay, starts_handler
 from lentilmount.control.candidates import Candidates
 from lentilmount.control.owner_load import OwnerLoad
 from lentilmount.control.peer_handler import NOT_READY
@@ -80,7 +80,7 @@
     async def _send(self, *arguments: Any) -> HttpResponse:
         """See `HttpClient`."""
         _, path, body, _, timeout = arguments[:5]
-        if path != start_relay.STARTS_PATH:
+        if path != starts_handler.STARTS_PATH:
             return await super()._send(*arguments)
         self.messages += 1
         faults = self.message_faults
@@ -114,16 +114,16 @@
             message = orjson.loads(body)
             rows = message['starts']
             if fault is RelayFault.CUT_OFF:
-                await asyncio.sleep(start_relay.ANSWER_SECONDS)
+                await asyncio.sleep(starts_handler.ANSWER_SECONDS)
                 return HttpResponse(200, orjson.dumps([None for _ in rows]), {})
             client = WorkerClient(self, message['token'], TIMEOUT_SECONDS)
             calls = [
                 asyncio.create_task(
-                    start_relay._start(client, row, message['payload'])
+                    starts_handler._start(client, row, message['payload'])
                 )
                 for row in rows
             ]
-            await asyncio.wait(calls, timeout=start_relay.ANSWER_SECONDS)
+            await asyncio.wait(calls, timeout=starts_handler.ANSWER_SECONDS)
         finally:
             self.late_calls -= 1
         if fault in (RelayFault.UNANSWERED, RelayFault.LATE):
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -20,11 +20,10 @@
 from lentilmount.control.start_relay import (
     MIN_STARTS,
     SKIP_FAILED_SECONDS,
-    STARTS_PATH,
     RelayPool,
     StartRelay,
-    StartsHandler,
 )
+from lentilmount.control.starts_handler import STARTS_PATH, StartsHandler
 from lentilmount.platform.workers import (
     CallStatus,
     CommandAnswer,
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -13,7 +13,8 @@
 from lentilmount.control import state_writer, takeover
 from lentilmount.control.keys import make_owner_key
 from lentilmount.control.metrics import ControlMetrics
-from lentilmount.control.owner import Owner, OwnerSettings
+from lentilmount.control.owner import Owner
+from lentilmount.control.owner_settings import OwnerSettings
 from lentilmount.coordination.leases import Lease, LeaseKeeper
 from lentilmount.coordination.table import UnavailableError
 from lentilmount.platform.store import Changes, PlatformTable
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -10,7 +10,7 @@
 import attrs
 
 from lentilmount.clock import ManualClock
-from lentilmount.control.owner import RENEW_WITHOUT_STORE_SECONDS
+from lentilmount.control.owner_settings import RENEW_WITHOUT_STORE_SECONDS
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import (
