--- a/lentilmount/control/__main__.py
+++ b/lentilmount/control/__main__.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import gc
+import linecache
 import signal
 import sys
+from collections.abc import Sequence
 
 import logbook
 
@@ -24,11 +25,6 @@
 
 log = logbook.Logger('daemon')
 
-GC_THRESHOLDS = (10_000, 10, 10)
-"""Thresholds of Python's garbage collector. With its defaults (700, 10, 10) an
-owner of 40,000 tasks spent 7 to 11 % of its time on a full collection every
-second, against 1 to 2 % with these."""
-
 
 async def run(settings: HostSettings, path: str, policies: Policies) -> None:
     """Runs a daemon until SIGTERM or SIGINT.
@@ -64,7 +60,13 @@
     )
 
 
-def _parse_arguments() -> argparse.Namespace:
+def _find_policies_path(arguments: Sequence[str]) -> str | None:
+    """Returns the path of the file with the policies, or None."""
+    if not arguments:
+        return None
+    # Most daemons have no arguments, and the parser takes memory.
+    import argparse  # noqa: PLC0415
+
     parser = argparse.ArgumentParser(
         prog='lentilmount.control', description=__doc__
     )
@@ -73,7 +75,8 @@
         metavar='FILE',
         help='optional policies of owners (JSON with comments)',
     )
-    return parser.parse_args()
+    path: str | None = parser.parse_args(arguments).policies
+    return path
 
 
 def _read_policies(path: str | None) -> Policies:
@@ -87,17 +90,18 @@
 
 def main() -> int:
     """Reads the settings and runs the daemon; returns the exit status."""
-    options = _parse_arguments()
+    policies_path = _find_policies_path(sys.argv[1:])
     handler = NonBlockingHandler(sys.stdout.fileno(), 'info')
     try:
-        policies = _read_policies(options.policies)
+        policies = _read_policies(policies_path)
         path = read_path()
         settings = read_host_settings(path)
         with handler, capture_libraries():
+            # Sources of generated methods, which only tracebacks show.
+            linecache.clearcache()
             # Objects imported so far are permanent; this keeps full collections
             # from visiting them.
             gc.freeze()
-            gc.set_threshold(*GC_THRESHOLDS)
             asyncio.run(run(settings, path, policies))
     except LentilmountError as error:
         print(f'lentilmount: {error.detail}', file=sys.stderr)
