Send starts and stops of the platform's workers from modules of their own

No behaviour changes.

Change: command_channel.py makes single calls, records their answers and probes (`CommandChannel`, `Backoff`), start_commands.py sends starts (`StartCommands`), stop_commands.py sends stops (`StopCommands`). `CommandSender` has the interface that it had, and sends throttles itself. Log lines are as before.

Tests: three patched the retry delay in worker_commands, four called `CommandSender._call`, one mutant replaced `_is_cordoned_since`; they now name the place where each of these went. All else is as it was.

--- a/tests/test_cordon_mutations.py
+++ b/tests/test_cordon_mutations.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lentilmount.control.cordons import Cordons
-from lentilmount.control.worker_commands import CommandSender
+from lentilmount.control.start_commands import StartCommands
 from lentilmount.scheduling import views
 from lentilmount.scheduling.model import Worker
 from stand_ins.model_site import ModelSite
@@ -57,7 +57,7 @@
 
 
 def _repeat_starts(patch: Patch) -> None:
-    patch.setattr(CommandSender, '_is_cordoned_since', lambda *arguments: False)
+    patch.setattr(StartCommands, '_is_cordoned_since', lambda *arguments: False)
 
 
 def _play(scene: Play) -> Check:
--- a/tests/test_refused_stops.py
+++ b/tests/test_refused_stops.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lentilmount.clock import ManualClock
-from lentilmount.control import worker_commands
+from lentilmount.control import command_channel
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import CallStatus, CommandAnswer, WorkerClient
@@ -73,7 +73,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A start executed late ran after its task had ended elsewhere."""
-    monkeypatch.setattr(worker_commands, 'RETRY_SECONDS', 0.0)
+    monkeypatch.setattr(command_channel, 'RETRY_SECONDS', 0.0)
     clock = ManualClock()
     cluster = ClusterState()
     worker = add_worker(cluster, 'w')
--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -79,7 +79,7 @@
     async def call() -> CommandAnswer:
         return answer
 
-    run(commands._call(session, call()))
+    run(commands._channel.call(session, call()))
     assert worker.answers_commands
 
 
@@ -158,7 +158,7 @@
         first = sender.relay.start(
             worker.entry, StartCommand('t', 1, PAYLOAD, 99_999)
         )
-        call = asyncio.create_task(commands._call(session, first))
+        call = asyncio.create_task(commands._channel.call(session, first))
         others = asyncio.create_task(sender.send(STARTS - 1))
         await asyncio.sleep(0.4)
         session.update_clock(started_ms + 400)
@@ -192,7 +192,7 @@
         first = sender.relay.start(
             worker.entry, StartCommand('t', 1, PAYLOAD, 99_999)
         )
-        call = asyncio.create_task(commands._call(session, first))
+        call = asyncio.create_task(commands._channel.call(session, first))
         others = asyncio.create_task(sender.send(STARTS - 1))
         await call
         await others
--- a/tests/test_repeated_stops.py
+++ b/tests/test_repeated_stops.py
@@ -11,7 +11,7 @@
 import pytest
 
 from lentilmount.clock import ManualClock
-from lentilmount.control import worker_commands
+from lentilmount.control import command_channel
 from lentilmount.control.keys import (
     JOBS_TABLE,
     STATES_TABLE,
@@ -128,7 +128,7 @@
     monkeypatch: pytest.MonkeyPatch, status: CallStatus, is_late_start: bool
 ) -> None:
     """An answer that proves nothing about the run counted as acceptance."""
-    monkeypatch.setattr(worker_commands, 'RETRY_SECONDS', 0.0)
+    monkeypatch.setattr(command_channel, 'RETRY_SECONDS', 0.0)
     cluster = ClusterState()
     worker = add_worker(cluster, 'w')
     admit(cluster, make_job('job'))
--- a/tests/test_start_relay.py
+++ b/tests/test_start_relay.py
@@ -341,5 +341,5 @@
     async def call() -> CommandAnswer:
         return lost
 
-    run(sender._call(session, call()))
+    run(sender._channel.call(session, call()))
     assert worker.answers_commands
--- a/tests/test_unanswered_commands.py
+++ b/tests/test_unanswered_commands.py
@@ -11,7 +11,7 @@
 import pytest
 
 from lentilmount.clock import ManualClock
-from lentilmount.control import worker_commands
+from lentilmount.control import command_channel
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import CallStatus, CommandAnswer, WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
@@ -266,7 +266,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A task was recorded as throttled, but ran on without a limit."""
-    monkeypatch.setattr(worker_commands, 'RETRY_SECONDS', 0.0)
+    monkeypatch.setattr(command_channel, 'RETRY_SECONDS', 0.0)
     cluster = ClusterState()
     worker = add_worker(cluster, 'w')
     admit(cluster, make_job('job', make_step(fills=True)))
