Keep the leases of a worker apart from the session that polls it

Which leases hold on a worker is decided by its clock alone, whether it answers commands by the commands alone. No behaviour changes.

Change: worker_leases.py has the clock, leases and start deadlines of one worker, session_listener.py the callbacks to the owner, poll_waits.py how long a poll may wait, command_state.py whether a worker answers commands. The session's interface is as before, but that `record_command` and `record_stop` are functions of command_state.py.

Tests: only the module from which START_TIMEOUT_SECONDS is imported.

--- a/lentilmount/control/command_channel.py
+++ b/lentilmount/control/command_channel.py
@@ -7,7 +7,9 @@
 
 import attrs
 
-from lentilmount.control.worker_session import SessionListener, WorkerSession
+from lentilmount.control.command_state import record_command
+from lentilmount.control.session_listener import SessionListener
+from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import (
     CallStatus,
     CommandAnswer,
@@ -68,7 +70,7 @@
         incarnation = session.incarnation
         answer = await call
         if answer.was_asked:
-            session.record_command(answer.status)
+            record_command(session.worker, answer.status)
         is_other = answer.status is CallStatus.OTHER_INSTANCE
         if session.incarnation == incarnation and not is_other:
             session.update_clock(answer.clock_ms)
--- a/lentilmount/control/stop_commands.py
+++ b/lentilmount/control/stop_commands.py
@@ -12,6 +12,7 @@
     CommandChannel,
     is_accepted,
 )
+from lentilmount.control.command_state import record_stop
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import CallStatus
 from lentilmount.scheduling.cluster import ClusterState
@@ -89,7 +90,7 @@
             if session.incarnation != incarnation:
                 # The worker has forgotten the stop if it accepted it before.
                 continue
-            session.record_stop(is_accepted(status), sent_at)
+            record_stop(session.worker, is_accepted(status), sent_at)
             if is_accepted(status):
                 if _awaits_stop(session, task, run):
                     self.cluster.accept_stop(task, self.monotonic())
@@ -105,7 +106,7 @@
             status = await self.channel.send_stop(
                 session, stale_run.task, stale_run.run
             )
-            session.record_stop(is_accepted(status), sent_at)
+            record_stop(session.worker, is_accepted(status), sent_at)
             await self.channel.probe(session, stale_run.task, stale_run.run)
 
     async def stop_late_start(self, late_start: StaleRun) -> None:
--- a/lentilmount/control/worker_commands.py
+++ b/lentilmount/control/worker_commands.py
@@ -9,10 +9,11 @@
 
 from lentilmount.control.command_channel import Backoff, CommandChannel
 from lentilmount.control.placement_log import StartProgress
+from lentilmount.control.session_listener import SessionListener
 from lentilmount.control.start_commands import StartCommands
 from lentilmount.control.start_relay import StartSender
 from lentilmount.control.stop_commands import StopCommands
-from lentilmount.control.worker_session import SessionListener, WorkerSession
+from lentilmount.control.worker_session import WorkerSession
 from lentilmount.platform.workers import CallStatus, WorkerClient
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import PlacedRun, Task, TaskPhase, Worker
--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -15,7 +15,7 @@
     RELAYS,
     SKIP_FAILED_SECONDS,
 )
-from lentilmount.control.worker_session import START_TIMEOUT_SECONDS
+from lentilmount.control.worker_leases import START_TIMEOUT_SECONDS
 from lentilmount.platform.workers import (
     CallStatus,
     CommandAnswer,
--- a/tests/test_session_schedules.py
+++ b/tests/test_session_schedules.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lentilmount.clock import ManualClock
-from lentilmount.control.worker_session import START_TIMEOUT_SECONDS
+from lentilmount.control.worker_leases import START_TIMEOUT_SECONDS
 from lentilmount.platform.workers import CallStatus, CommandAnswer
 from stand_ins.model_network import CallFault, Fault
 from stand_ins.model_site import ModelSite
