Keep the checks and the owners of the model site in modules of their own

What is checked, and the processes that own the service, need little of what workers, jobs and cordons do. No behaviour changes.

Change: model_checks.py judges what has run (`SiteChecks`, which reads a site through a Protocol), model_owners.py has the table and the processes (`OwnerSite`, on which `ModelSite` is built).

Tests: only the modules from which constants are imported.

--- a/tests/test_grouped_submissions.py
+++ b/tests/test_grouped_submissions.py
@@ -48,7 +48,8 @@
 from lentilmount.scheduling.model import JobState
 from lentilmount.upstream.http import CURL_ERROR, HttpClient, HttpResponse
 from stand_ins.model_network import TableFault, WriteFault
-from stand_ins.model_site import SERVICE, ModelSite
+from stand_ins.model_owners import SERVICE
+from stand_ins.model_site import ModelSite
 from stand_ins.virtual_time import run_virtual
 from tests.helpers import run
 from tests.platform_fixtures import listen
--- a/tests/test_relay_schedules.py
+++ b/tests/test_relay_schedules.py
@@ -25,7 +25,7 @@
 from lentilmount.upstream.http import CURL_ERROR, HttpResponse
 from stand_ins import model_network
 from stand_ins.model_network import CALL_SECONDS, NEVER, Link, Network
-from stand_ins.model_site import TIMEOUT_SECONDS
+from stand_ins.model_owners import TIMEOUT_SECONDS
 from tests.test_session_state_machine import (
     DELAYS,
     PAUSES,
--- a/tests/test_repeated_stops.py
+++ b/tests/test_repeated_stops.py
@@ -28,13 +28,10 @@
 )
 from lentilmount.scheduling.reports import RunReport, StaleRun, WorkerEntry
 from lentilmount.upstream.http import HttpClient
+from stand_ins.model_checks import DISTURBED_LIMIT_SECONDS, STOP_LIMIT_SECONDS
 from stand_ins.model_network import CallFault, Fault, MemoryTable
-from stand_ins.model_site import (
-    DISTURBED_LIMIT_SECONDS,
-    SERVICE,
-    STOP_LIMIT_SECONDS,
-    ModelSite,
-)
+from stand_ins.model_owners import SERVICE
+from stand_ins.model_site import ModelSite
 from stand_ins.model_worker import START_PATH, STOP_PATH, ModelWorker
 from tests.helpers import run
 from tests.scheduling_fixtures import (
--- a/tests/test_rolling_upgrade.py
+++ b/tests/test_rolling_upgrade.py
@@ -10,7 +10,8 @@
 
 from lentilmount.clock import ManualClock
 from lentilmount.control.keys import COUNTS_TABLE, JOBS_TABLE, STATES_TABLE
-from stand_ins.model_site import SERVICE, ModelSite
+from stand_ins.model_owners import SERVICE
+from stand_ins.model_site import ModelSite
 from stand_ins.virtual_time import run_virtual
 from tests.test_session_state_machine import make_spec
 
--- a/tests/test_small_links.py
+++ b/tests/test_small_links.py
@@ -25,7 +25,8 @@
 from lentilmount.scheduling.specs import JobSpec
 from stand_ins.host_link import HostLink
 from stand_ins.model_network import CallFault, Fault
-from stand_ins.model_site import SERVICE, ModelSite
+from stand_ins.model_owners import SERVICE
+from stand_ins.model_site import ModelSite
 from stand_ins.model_worker import START_PATH, STOP_PATH, ModelWorker
 from stand_ins.virtual_time import run_virtual
 from tests.scheduling_fixtures import make_job, make_step
