Name capacity, retirement and validity by the terms of the field

The modules of worker sessions and the model workers used "room", "gone", "hold", "silent" and "tell" as metaphors. No behaviour changes.

Change: `_is_gone` of a session is `_is_retired`, `has_room` and `set_room` of the model workers are `has_capacity` and `reject_starts`, `_check_room` is `_check_capacity`; comments and docstrings alike. The reason `room` on the wire, `NO_ROOM` and the type `Room` stay.

Tests: one rule of the session state machine calls the method by its new name, and its docstring says capacity.

--- a/lentilmount/control/start_commands.py
+++ b/lentilmount/control/start_commands.py
@@ -25,8 +25,8 @@
 log = logbook.Logger('links')
 
 _PAUSING = frozenset({CallStatus.REFUSED, CallStatus.NO_ROOM})
-"""Rejections after which a worker gets no tasks for a while. One without room
-may have shrunk, which its registration shows only later."""
+"""Rejections after which a worker gets no tasks for a while. One without the
+capacity may have shrunk, which its registration shows only later."""
 
 _OF_NO_INSTANCE = frozenset({CallStatus.UNKNOWN, CallStatus.OTHER_INSTANCE})
 """Outcomes that do not show that the worker called is there."""
--- a/lentilmount/control/worker_leases.py
+++ b/lentilmount/control/worker_leases.py
@@ -101,7 +101,7 @@
     def _update_lease_expiry(self) -> None:
         if self._clock_ms is None or not self._last_expiry_ms:
             # This owner has granted no lease yet. Those of the previous owner
-            # may still hold, and its tasks would run twice if freed early.
+            # may still be valid, and its tasks would run twice if freed early.
             return
         remaining = (self._last_expiry_ms - self._clock_ms) / 1000
         expires_at = (
--- a/lentilmount/control/worker_session.py
+++ b/lentilmount/control/worker_session.py
@@ -31,8 +31,8 @@
 
 FORGET_SECONDS = 1.0
 """Delay before the session of an unregistered worker without tasks ends; also
-the time for which a worker that refused a start, or had no room for it, gets no
-tasks."""
+the time for which a worker that refused a start, or lacked the capacity for it,
+gets no tasks."""
 
 
 def choose_no_pause(worker: Worker) -> float:
@@ -95,13 +95,13 @@
 
     async def poll_first(self) -> None:
         """Polls the worker once, before `run`, if its address is known."""
-        if self.worker.entry.address and not self._is_gone():
+        if self.worker.entry.address and not self._is_retired():
             await self._poll()
 
     async def run(self) -> None:
         """Polls the worker until it is unregistered and runs no tasks."""
         while True:
-            if self._is_gone():
+            if self._is_retired():
                 await asyncio.sleep(FORGET_SECONDS)
                 if self._is_unused():
                     return
@@ -110,12 +110,12 @@
                 continue
             await self._poll()
 
-    def _is_gone(self) -> bool:
+    def _is_retired(self) -> bool:
         """Returns whether the worker has neither a registration nor tasks."""
         return not self.worker.is_registered and not self.worker.tasks
 
     def _is_unused(self) -> bool:
-        """Returns whether the worker is gone and executes no late call.
+        """Returns whether the worker is retired and executes no late call.
 
         A late start would run there, and a late poll would renew the leases of
         its next incarnation.
@@ -127,7 +127,7 @@
             bool(self._late_calls.list_starts())
             or self._late_calls.get_lease_delay() > 0
         )
-        return self._is_gone() and not has_late_calls and not worker.suspects
+        return self._is_retired() and not has_late_calls and not worker.suspects
 
     async def _wait_for_expiry(self) -> None:
         self.worker.has_missed_poll = True
@@ -304,7 +304,7 @@
         """Handles the registration of an incarnation of the worker.
 
         It ends no runs, as this incarnation may have started some already;
-        only its first report tells which. Reports of the earlier one that
+        only its first report shows which. Reports of the earlier one that
         were requested before and arrive from now on are dropped.
         """
         is_known = self._started_ms == started_ms
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -126,7 +126,7 @@
             self._note(EventKind.REFUSED, body, f'{path} {rejection}')
             self.set_status(rejection)
             return
-        model.has_room = rejection != _NO_ROOM
+        model.has_capacity = rejection != _NO_ROOM
         status, document = model.receive(path, body, received < model.booted_at)
         if path != POLL_PATH and status != 200:
             detail = f'{path} {status} {document["reason"]}'
--- a/stand_ins/model_checks.py
+++ b/stand_ins/model_checks.py
@@ -114,7 +114,7 @@
                     self._check_pair(earlier, later)
             self._check_crashes(executions)
         for number in range(self._checked, len(self.site.record)):
-            self._check_room(number)
+            self._check_capacity(number)
             self._check_cordon(self.site.record[number])
         self._checked = len(self.site.record)
         for execution in self.site.record:
@@ -133,7 +133,7 @@
         if later > MAX_LATER_STARTS:
             self._add('started again after its crashes', executions[-1])
 
-    def _check_room(self, number: int) -> None:
+    def _check_capacity(self, number: int) -> None:
         """Checks that a run fitted on its worker when it began."""
         begun = self.site.record[number]
         now = begun.started_at
--- a/stand_ins/model_network.py
+++ b/stand_ins/model_network.py
@@ -301,7 +301,7 @@
         self._faults = [] if faults is None else faults
 
     async def _pass(self, seconds: float = CALL_SECONDS) -> None:
-        """Waits until a call has arrived, whose answer tells the version.
+        """Waits until a call has arrived, whose answer carries the version.
 
         Raises:
           UnavailableError: It does not arrive.
--- a/stand_ins/model_owners.py
+++ b/stand_ins/model_owners.py
@@ -122,7 +122,7 @@
         )
 
     async def kill_owner(self) -> None:
-        """Kills all processes; all that they know is gone."""
+        """Kills all processes; their state is lost."""
         for process in self.processes:
             process.task.cancel()
             await asyncio.wait({process.task})
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -48,7 +48,8 @@
 """Time until a worker that a task has crashed is back."""
 
 EXPIRY_SECONDS = 3.0
-"""Time after which the registration of a silent worker is removed."""
+"""Time after which the registration of a worker that sends no heartbeats is
+removed."""
 
 FINISH_SECONDS = 30.0
 
@@ -137,12 +138,12 @@
         worker.resize(cores)
         call_later(seconds, lambda: self.register(worker))
 
-    def set_room(self, worker: ModelWorker, seconds: float) -> None:
-        """Lets a worker have no room for further runs for a while."""
-        worker.has_room = False
+    def reject_starts(self, worker: ModelWorker, seconds: float) -> None:
+        """Lets a worker reject starts, for lack of capacity, for a while."""
+        worker.has_capacity = False
 
         def end() -> None:
-            worker.has_room = True
+            worker.has_capacity = True
 
         call_later(seconds, end)
 
--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -118,7 +118,7 @@
       lapsed: Number of the newest end before a lease expired.
       clock_rate: Rate of its clock.
       handle_crash: Called instead of `crash` when a task crashes it.
-      has_room: Whether it has room for further runs.
+      has_capacity: Whether it has capacity for further runs.
       capacities: Its cores, which it does not guard, and the times in seconds
         since which it has them, in the order of these times.
       ineffective_stops: Number of stops that it accepts next without effect on
@@ -144,7 +144,7 @@
     lapsed: int = 0
     clock_rate: float = CLOCK_RATE
     handle_crash: Callable[[], None] | None = None
-    has_room: bool = True
+    has_capacity: bool = True
     capacities: list[tuple[float, float]] = attrs.Factory(
         lambda: [(-math.inf, FULL_CORES)]
     )
@@ -179,7 +179,7 @@
         self._notify()
 
     def resize(self, cores: float) -> None:
-        """Changes the number of its cores, which its registration tells."""
+        """Changes the number of its cores, which its registration shows."""
         self.capacities.append((_now(), cores))
 
     def describe(self, service: str) -> bytes:
@@ -250,7 +250,7 @@
         self._renew(deadline_ms)
         if run <= self.highest.get(task, 0):
             return 'old'
-        if not self.has_room:
+        if not self.has_capacity:
             return 'room'
         is_first = all(e.task != task for e in self.record)
         execution = Execution(
--- a/tests/test_session_state_machine.py
+++ b/tests/test_session_state_machine.py
@@ -241,9 +241,9 @@
 
     @rule(position=POSITIONS, duration=REFUSE_SECONDS, seconds=PAUSES)
     def fill(self, position: int, duration: float, seconds: float) -> None:
-        """Lets a worker have no room for a while."""
+        """Lets a worker lack capacity for a while."""
         worker = self.site.workers[position]
-        self.act(lambda: self.site.set_room(worker, duration), seconds)
+        self.act(lambda: self.site.reject_starts(worker, duration), seconds)
 
     @rule(
         position=POSITIONS,
