--- a/lentilmount/daemon/gossip.py
+++ b/lentilmount/daemon/gossip.py
@@ -35,6 +35,7 @@
                 source=report.source,
                 service=report.service,
                 counts=report.counts,
+                age_millis=round(1000 * report.age_seconds),
             )
 
     def read(self, message: peer_pb2.Heartbeat) -> None:
@@ -44,6 +45,11 @@
             self._pools.mark_leaving(mark, message.sender.name)
         if message.loads:
             self._pools.update_peer_loads(
-                LoadReport(load.source, load.service, load.counts)
+                LoadReport(
+                    load.source,
+                    load.service,
+                    load.counts,
+                    load.age_millis / 1000,
+                )
                 for load in message.loads
             )
