--- a/tests/test_relay_failures.py
+++ b/tests/test_relay_failures.py
@@ -12,7 +12,7 @@
 from lentilmount.control.candidates import Candidates
 from lentilmount.control.start_relay import RELAYS, SKIP_FAILED_SECONDS
 from lentilmount.control.starts_handler import ANSWER_SECONDS
-from lentilmount.control.worker_session import START_TIMEOUT_SECONDS
+from lentilmount.control.worker_leases import START_TIMEOUT_SECONDS
 from lentilmount.platform.workers import (
     CallStatus,
     CommandAnswer,
@@ -76,7 +76,7 @@
     async def call() -> CommandAnswer:
         return answer
 
-    run(commands._call(session, call()))
+    run(commands._channel.call(session, call()))
     assert worker.answers_commands
 
 
@@ -155,7 +155,7 @@
         first = sender.relay.start(
             worker.entry, StartCommand('t', 1, PAYLOAD, 99_999)
         )
-        call = asyncio.create_task(commands._call(session, first))
+        call = asyncio.create_task(commands._channel.call(session, first))
         others = asyncio.create_task(sender.send(STARTS - 1))
         await asyncio.sleep(0.4)
         session.update_clock(started_ms + 400)
@@ -189,7 +189,7 @@
         first = sender.relay.start(
             worker.entry, StartCommand('t', 1, PAYLOAD, 99_999)
         )
-        call = asyncio.create_task(commands._call(session, first))
+        call = asyncio.create_task(commands._channel.call(session, first))
         others = asyncio.create_task(sender.send(STARTS - 1))
         await call
         await others
