Decide on copies of slow tasks, and keep both runs of a copied task

What callers see: a job waits for its longest task. Steps declare that their tasks are identical, yet some of them take several times as long, on a slow worker or for a long input.

`copies` keeps the older run of a copied task as a `Task` of its own among those of its worker, so that its room, polls, leases, stops and loss are those of any other run. If the newer run ends without being done, the older one is the placement again.

Off unless `Copies.is_enabled` is set, which nothing does yet. Without it no path of `cluster` or `reconciliation` is another than before.

Ruled out: the copy beside the placement instead of the first run. Starts, their retries, deadlines and rows belong to the placement; they would all be needed twice.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Iterable
 
+from lentilmount.scheduling.copies import Copies, find_ended
 from lentilmount.scheduling.crashes import (
     list_doubtful,
     list_suspects,
@@ -90,6 +91,7 @@
       jobs_as_of: Monotonic time up to which all rows of jobs are known.
       history: Changes of placements, to be logged.
       suspects: Tasks that may have crashed workers.
+      copies: Second runs of tasks.
     """
 
     def __init__(self) -> None:
@@ -101,6 +103,7 @@
         self.jobs_as_of = -math.inf
         self.history = PlacementHistory()
         self.suspects = CrashSuspects(self.jobs, self.workers, self.dirty)
+        self.copies = Copies(self.workers)
 
     # Jobs.
 
@@ -228,6 +231,7 @@
             elif task.phase in (TaskPhase.STARTING, TaskPhase.RUNNING):
                 self.begin_stop(task)
                 stopping.append(task)
+            self._stop_older(task)
         return stopping
 
     def count_pending(self) -> dict[str, int]:
@@ -253,6 +257,12 @@
         for task in members:
             self.place_with_run_number(task, worker, now)
 
+    def start_copy(self, task: Task, worker: Worker, now: float) -> None:
+        """Places the next run of a running task beside that run."""
+        self.copies.split(task)
+        task.is_copied = True
+        self.place([task], worker, now)
+
     def assign_run_number(self, members: list[Task]) -> None:
         """Assigns the next run number to tasks that start together."""
         run = max(task.run + task.skipped for task in members) + 1
@@ -334,6 +344,17 @@
             task.phase = TaskPhase.STOPPING
             self._forget_stop(task)
 
+    def _stop_older(self, task: Task) -> None:
+        """Stops the older run of a task, which is over or to be stopped."""
+        older = task.older
+        if older is None:
+            return
+        if _is_unsent(older):
+            self.requeue(older, ChangeReason.NEVER_SENT)
+            return
+        self.begin_stop(older)
+        self.copies.request_stop(older)
+
     def accept_stop(self, task: Task, now: float) -> None:
         """Records that the worker of a task has accepted its stop."""
         task.stopped_at = min(task.stopped_at, now)
@@ -390,6 +411,9 @@
         if worker is not None:
             worker.remove(task)
         task.worker = ''
+        if task.newer is not None:
+            self.copies.end_older(task)
+            return
         start = task.watched_starts.get(task.run)
         if start is not None and math.isinf(start.lost_at):
             del task.watched_starts[task.run]
@@ -398,7 +422,9 @@
             task.phase = TaskPhase.GIVEN_UP
             return
         task.phase = TaskPhase.WAITING
-        if task.is_done_elsewhere:
+        if task.older is not None and not task.is_done_elsewhere:
+            self.copies.end_older(self.copies.exchange(task))
+        elif task.is_done_elsewhere:
             self._mark_done(task, task.last_ended_at)
         elif self._is_gang_done(task):
             members = self.list_step_tasks(task)
@@ -430,8 +456,14 @@
         Returns:
           Tasks that must be stopped because of it.
         """
+        if task.newer is not None:
+            return self._end_older(task, task.newer, kind, now, reason)
         worker = task.worker
+        run = task.run
         task.last_ended_at = now
+        if kind is EndKind.DONE and not task.job.state.is_final:
+            self.copies.record_done(task, now)
+            task.is_done_elsewhere |= task.older is not None
         if task.spec.fills and worker in self.workers:
             share = measure_intensity(task) * task.cpu_percent / 100
             ended = EndedTask(task.spec.image, share, now)
@@ -443,9 +475,29 @@
             return self.complete_task(task, now)
         if kind is EndKind.FAILED:
             task.failed_on.add(worker)
-            return self.record_failure(task, task.run, now)
+            return self.record_failure(task, run, now)
         return []
 
+    def _end_older(
+        self,
+        older: Task,
+        task: Task,
+        kind: EndKind,
+        now: float,
+        reason: ChangeReason | None,
+    ) -> list[Task]:
+        """Records how the older run of a task ended; see `end_run`."""
+        is_over = not task.phase.is_placed or task.job.state.is_final
+        if kind is EndKind.DONE and not is_over and not task.is_done_elsewhere:
+            self.copies.exchange(task)
+            return self.end_run(task, kind, now, reason)
+        worker, run = older.worker, older.run
+        self.requeue(older, reason or ChangeReason(kind.value))
+        if kind is not EndKind.FAILED or is_over:
+            return []
+        task.failed_on.add(worker)
+        return self.record_failure(task, run, now)
+
     def record_failure(self, task: Task, run: int, now: float) -> list[Task]:
         """Counts a failed run once, however often it is reported.
 
@@ -494,6 +546,7 @@
                 stopping.append(member)
             if member.phase is TaskPhase.WAITING:
                 self._mark_done(member, now)
+            self._stop_older(member)
         return stopping
 
     def complete_elsewhere(self, task: Task, now: float) -> list[Task]:
@@ -518,6 +571,7 @@
         task.last_ended_at = now
         task.checkpoint = ''
         self.ready.pop(task.id, None)
+        self._stop_older(task)
         step_key = (task.id.occurrence, task.id.step)
         job.remaining[step_key] -= 1
         self.dirty[job.spec.id] = None
@@ -609,6 +663,7 @@
             task
             for task in worker.tasks.values()
             if not asked_at <= task.confirmed_at < math.inf
+            and task.newer is None
         ]
         doubtful = list_doubtful(worker, lost)
         self.suspects.add(worker, list_suspects(worker, lost), now)
@@ -628,8 +683,9 @@
                     task, worker, now + HOLD_SECONDS, ChangeReason.UNANSWERED
                 )
                 continue
+            other, run = task.older or task.newer, task.run
             self.end_run(task, EndKind.LAPSED, now, reason)
-            ended.append(task)
+            ended.append(find_ended(task, other, run))
         return ended
 
     def _hold_waiting(
@@ -689,6 +745,9 @@
         task.start_expired_at = math.inf
         task.start_deadline_ms = 0
         worker.add(task)
+        if task.newer is not None:
+            self.copies.request_stop(task)
+            return
         self.ready.pop(task.id, None)
         self.dirty[task.job.spec.id] = None
 
@@ -701,3 +760,5 @@
         task.stopped_at = math.inf
         self._forget_stop(task)
         task.start_expired_at = math.inf
+        if task.newer is not None:
+            self.copies.request_stop(task)
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -114,6 +114,9 @@
         infinity if it is not idle.
       last_ended_at: Monotonic time at which its last run ended. A long-running
         task must run again soon after.
+      older: An older run of it that goes on beside this one; see `copies`.
+      newer: The task whose older run this is; None unless it is one.
+      is_copied: Whether a copy of it was started by this owner.
     """
 
     id: TaskId
@@ -146,6 +149,9 @@
     usage: float | None = None
     idle_since: float = math.inf
     last_ended_at: float = 0.0
+    older: Task | None = None
+    newer: Task | None = None
+    is_copied: bool = False
 
     @property
     def is_serving(self) -> bool:
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -9,6 +9,7 @@
 
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.copies import find_ended, find_run
 from lentilmount.scheduling.crashes import is_cleared, record_start
 from lentilmount.scheduling.history import ChangeKind, ChangeReason
 from lentilmount.scheduling.model import FinishedRun, Task, TaskPhase, Worker
@@ -111,9 +112,10 @@
             else ()
         )
         for task in missing:
+            other, number = task.older or task.newer, task.run
             if task.phase is TaskPhase.STARTING:
                 self._cluster.requeue(task, ChangeReason.START_EXPIRED)
-                result.expired.append(task)
+                result.expired.append(find_ended(task, other, number))
                 continue
             if task.confirmed_at == 0.0:
                 # Inherited; the worker may have crashed since.
@@ -121,7 +123,8 @@
             self._cluster.end_run(
                 task, EndKind.LAPSED, now, ChangeReason.ABSENT
             )
-            result.ended.append((task, EndKind.LAPSED))
+            ended = find_ended(task, other, number)
+            result.ended.append((ended, EndKind.LAPSED))
         self._hold_stale_tasks(worker, stale_tasks, result, now)
         worker.runs_unknown_tasks = bool(result.unknown_tasks)
         worker.unknown_runs = unknown_runs
@@ -159,6 +162,7 @@
         task = self._cluster.find_task(end.task)
         if task is None:
             return
+        task = find_run(task, worker.id, end.run)
         self._cluster.mark_started(task.job)
         is_current_run = task.worker == worker.id and task.run == end.run
         if not is_current_run:
@@ -169,12 +173,13 @@
                 end.run,
                 worker.id,
             )
-            self._apply_unexpected_end(task, end, result, now)
+            self._apply_unexpected_end(task.newer or task, end, result, now)
             return
         if end.checkpoint:
             task.checkpoint = end.checkpoint
+        other = task.older or task.newer
         self._add_stale_runs(self._cluster.end_run(task, end.kind, now), result)
-        result.ended.append((task, end.kind))
+        result.ended.append((find_ended(task, other, end.run), end.kind))
 
     def _add_stale_runs(
         self, tasks: list[Task], result: ReconcileResult
@@ -195,7 +200,10 @@
         The end may be older than the current state: a worker repeats it until
         it is acknowledged, and reports of workers arrive in any order.
         """
-        self._drop_older_placement(task, end.run)
+        if task.phase.is_placed and self._cluster.copies.allows(task):
+            task.skipped = max(task.skipped, end.run - task.run)
+        else:
+            self._drop_older_placement(task, end.run)
         if task.phase is TaskPhase.WAITING and end.run > task.run:
             task.run = end.run
             if end.checkpoint:
@@ -233,6 +241,7 @@
         if task is None:
             return None
         self._cluster.mark_started(task.job)
+        task = find_run(task, worker.id, run_report.run)
         self._drop_older_placement(task, run_report.run)
         is_unplaced = task.phase in (TaskPhase.WAITING, TaskPhase.GIVEN_UP)
         if is_unplaced and run_report.run >= task.run:
@@ -337,8 +346,15 @@
         ended, but its last rows may still contain the older one. With that
         placement kept, the newer run would be stopped, or its end would be
         missed and the task run again.
+
+        A task that may be copied may still run there: that run is kept.
         """
-        if task.phase.is_placed and run > task.run:
+        copies = self._cluster.copies
+        while task.phase.is_placed and run > task.run:
+            is_running = task.phase is TaskPhase.RUNNING
+            if is_running and task.older is None and copies.allows(task):
+                copies.split(task)
+                return
             self._cluster.requeue(task, ChangeReason.NEWER_RUN)
 
     def _adopt(
