Start copies of slow tasks where operators ask for it

`Policies.copies` switches them on. The start of a copy is written to its job's row before it is sent, as all. The run that loses is stopped as soon as the report of the winner is handled.

Log lines `Copied: ...` tell of the copy and of which run was done first; `lentilmount trace` shows both at the run. `lentilmount_copies_total` counts.

The checkers of `stand_ins` know that two runs may go on where the step and the owner's policy allow copies, and only there, and that none may begin over a second after the end that was acknowledged.

--- a/lentilmount/cli/placements.py
+++ b/lentilmount/cli/placements.py
@@ -196,6 +196,7 @@
     'Restored': PlacementTracer._handle_restored,
     'Placements': PlacementTracer._handle_changes,
     'Starts': PlacementTracer._handle_settled,
+    'Copied': PlacementTracer._handle_task,
     'Stopping': PlacementTracer._handle_task,
     'Not': PlacementTracer._handle_task,
     'Ended': PlacementTracer._handle_task,
--- a/lentilmount/control/dispatcher.py
+++ b/lentilmount/control/dispatcher.py
@@ -10,6 +10,7 @@
 import logbook
 
 from lentilmount.control.advice import Advice
+from lentilmount.control.copier import Copier, log_copy
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.placement_log import Start, log_starts
 from lentilmount.control.state_writer import StateWriter
@@ -71,6 +72,7 @@
       wake: Set when there may be tasks to place.
       stop: Stops a task for a given reason, to be placed again.
       log_starts: Logs the starts of a pass.
+      copier: Starts copies of slow tasks; None if there are to be none.
     """
 
     cluster: ClusterState
@@ -85,6 +87,7 @@
     wake: asyncio.Event
     stop: Callable[[Task, str], None]
     log_starts: Callable[[list[Start]], None] = log_starts
+    copier: Copier | None = None
     _window_logged_at: float = -math.inf
 
     @property
@@ -141,6 +144,7 @@
                 newly_started.add(task.job)
             starts.append((str(task.id), task.run, worker.id))
         self.log_starts(starts)
+        self._start_copies(now)
         self._log_window(now)
         if self._may_move(now):
             for task in self.placer.choose_moves(now):
@@ -151,6 +155,18 @@
         if self.is_outage():
             self.state_writer.send_unrecorded()
 
+    def _start_copies(self, now: float) -> None:
+        if self.copier is None or not self._may_move(now):
+            return
+        for copy in self.copier.start(
+            now, self.advice.allows, self.placer.window
+        ):
+            task = copy.slow.task
+            self.state_writer.add_start(task)
+            self.metrics.count_start()
+            self.log_starts([(str(task.id), task.run, task.worker)])
+            log_copy(copy)
+
     def _may_move(self, now: float) -> bool:
         """Returns whether tasks may be stopped to run elsewhere.
 
--- a/lentilmount/control/metrics.py
+++ b/lentilmount/control/metrics.py
@@ -60,6 +60,10 @@
             'lentilmount_stops_without_effect_total',
             'Accepted stops after which the worker went on listing the run.',
         )
+        self._copies = self._make_counter(
+            'lentilmount_copies_total',
+            'Copies of slow tasks: started, done first or second, needless.',
+        )
         self._takeovers = self._make_counter(
             'lentilmount_takeovers_total', 'Leases on services taken.'
         )
@@ -163,6 +167,10 @@
         """Counts an accepted stop whose run the worker went on listing."""
         self._stops_without_effect.inc({})
 
+    def count_copy(self, outcome: str) -> None:
+        """Counts a copy of a task, when it starts and by how it ends."""
+        self._copies.inc({'outcome': outcome})
+
     def count_takeover(self, service: str) -> None:
         """Counts an acquired lease of a service."""
         self._takeovers.inc({'service': service})
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -13,6 +13,7 @@
 
 from lentilmount.clock import Clock
 from lentilmount.control.advice import Advice
+from lentilmount.control.copier import Copier
 from lentilmount.control.dispatcher import Dispatcher
 from lentilmount.control.gauges import refresh_gauges
 from lentilmount.control.grouped_submissions import (
@@ -55,6 +56,7 @@
     WorkerState,
 )
 from lentilmount.scheduling.start_window import make_start_window
+from lentilmount.scheduling.stragglers import Stragglers
 from lentilmount.scheduling.takeover import (
     InheritedLeases,
     UnrecordedStarts,
@@ -195,6 +197,7 @@
             self._commands,
             metrics,
         )
+        self._copier = self._make_copier()
         self._submissions = GroupedSubmissions(
             settings.service,
             clock.monotonic,
@@ -228,6 +231,19 @@
             self._wake.set,
         )
 
+    def _make_copier(self) -> Copier | None:
+        policy = self._settings.policies.copies
+        if policy is None:
+            return None
+        self.cluster.copies.is_enabled = True
+        return Copier(
+            self.cluster,
+            Stragglers(policy, self.cluster, self._interference_model),
+            self._metrics,
+            self._commands.stop,
+            self._task_controller.stop,
+        )
+
     @property
     def lost_reason(self) -> str:
         """Why the lease was lost, or '' while it is held."""
@@ -281,6 +297,7 @@
             self._wake,
             self._task_controller.stop,
             self._placement_log.log_starts,
+            self._copier,
         )
         log.info(
             'Loaded {} jobs of {}.',
@@ -537,12 +554,17 @@
         self._task_controller.handle_poll_result(
             worker, result, self._clock.monotonic()
         )
+        self._settle_copies()
         if worker.is_reported_unreachable:
             self._state_writer.request_write()
         if result.ended or result.adopted or result.expired:
             self._wake.set()
             self._state_writer.request_write()
 
+    def _settle_copies(self) -> None:
+        if self._copier is not None:
+            self._copier.settle()
+
     def refresh_metrics(self) -> None:
         """Updates the gauges."""
         refresh_gauges(self.cluster, self._metrics)
@@ -553,6 +575,7 @@
                 await asyncio.sleep(CHECK_SECONDS)
                 self.cluster.create_due_tasks(self._clock.wall())
                 self._task_controller.check(self._clock.monotonic())
+                self._settle_copies()
                 self._placement_log.flush()
         finally:
             self._placement_log.flush()
--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -31,6 +31,7 @@
     PlatformTable,
 )
 from lentilmount.platform.workers import WorkerClient
+from lentilmount.policies import Policies
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import JobState, TaskPhase
 from lentilmount.scheduling.specs import JobSpec, TaskId
@@ -83,6 +84,10 @@
 
 FINISH_SECONDS = 30.0
 
+COPY_LIMIT_SECONDS = 1.0
+"""Time after the acknowledged end of a task that may be copied within which
+another run of it may still begin."""
+
 LATE_SECONDS = 1.0
 """Time from sending a start after which it was carried out late; no owner can
 take it back."""
@@ -150,6 +155,7 @@
       metrics: Metrics of all owners.
       processes: Processes that compete for the service, in the order of their
         starts.
+      policies: Optional policies of all owners.
       keeps_ids: Whether a worker that a task has crashed is back under its id;
         if not, another one has its address.
     """
@@ -170,6 +176,7 @@
     choose_work: ChooseWork = choose_work
     metrics: ControlMetrics = attrs.Factory(ControlMetrics)
     processes: list[_Process] = attrs.Factory(list)
+    policies: Policies = attrs.Factory(Policies)
     keeps_ids: bool = True
     _all_workers: dict[str, ModelWorker] = attrs.Factory(dict)
     _final_states: dict[str, JobState] = attrs.Factory(dict)
@@ -361,6 +368,7 @@
             rate,
             SHRINK_SECONDS,
             CORDON_SECONDS,
+            self.policies,
         )
 
     def _make_table(self) -> PlatformTable:
@@ -537,9 +545,19 @@
         job, _, step, _ = task.split('.')
         return self.jobs[job].steps[int(step)].reserved.cores
 
+    def _may_have_copies(self, task: str) -> bool:
+        """Returns whether two runs of a task may go on at a time."""
+        job, _, step, _ = task.split('.')
+        is_allowed = self.jobs[job].steps[int(step)].duplicates
+        return is_allowed and self.policies.copies is not None
+
     def _check_pair(self, earlier: Execution, later: Execution) -> None:
         is_beside = earlier.ended_at > later.started_at
         is_after_done = earlier.kind == 'done' and earlier.is_acknowledged
+        if self._may_have_copies(earlier.task):
+            is_beside = False
+            last_start = earlier.acknowledged_at + COPY_LIMIT_SECONDS
+            is_after_done &= later.started_at > last_start
         if not is_beside and not is_after_done:
             return
         if not self._is_unavoidable(earlier, later):
@@ -733,6 +751,8 @@
         done = [e for e in self.record if e.task == task and e.kind == 'done']
         if state is JobState.COMPLETED and not done:
             return 'was never done'
+        if self._may_have_copies(task):
+            return ''
         noted = [e for e in done if e.is_acknowledged]
         extra = [e for e in noted if not self._is_unavoidable(noted[0], e)]
         return 'was done more than once' if len(extra) > 1 else ''
--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -69,6 +69,7 @@
       number: Number of its end; 0 until then.
       is_acknowledged: Whether a poll sent to that incarnation acknowledged its
         end before the worker's lease had expired.
+      acknowledged_at: Time in seconds of that poll; infinity if there was none.
     """
 
     worker: str
@@ -83,6 +84,7 @@
     kind: str = ''
     number: int = 0
     is_acknowledged: bool = False
+    acknowledged_at: float = math.inf
 
 
 ChooseWork = Callable[[str, int, str], tuple[float, str]]
@@ -329,6 +331,7 @@
             is_in_time = self.lapsed < execution.number <= seen
             if is_in_time and not is_late and not execution.is_acknowledged:
                 execution.is_acknowledged = True
+                execution.acknowledged_at = _now()
                 self.on_change(execution)
         self.ended = [e for e in self.ended if e.number > seen]
 
