Count a run that a copy has beaten against its worker

Cause: a worker's slowdown is learned from runs that are done. On a slow worker the copies of its tasks are done first and its own runs are stopped, so that it would never be found slow and would go on getting tasks.

--- a/lentilmount/control/copier.py
+++ b/lentilmount/control/copier.py
@@ -11,6 +11,7 @@
 from lentilmount.scheduling.candidates import IsAllowed
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.copies import CopyOutcome
+from lentilmount.scheduling.health import WorkerHealth
 from lentilmount.scheduling.model import Task
 from lentilmount.scheduling.start_window import StartWindow
 from lentilmount.scheduling.stragglers import CopyDecision, Stragglers
@@ -25,6 +26,7 @@
     Attributes:
       cluster: Jobs, tasks and workers.
       stragglers: Decides on copies.
+      health: Learns from the runs on slow workers.
       metrics: Metrics of the daemon.
       send_stop: Sends the stop of a run in phase STOPPING.
       stop: Stops a task for a given reason.
@@ -32,6 +34,7 @@
 
     cluster: ClusterState
     stragglers: Stragglers
+    health: WorkerHealth
     metrics: ControlMetrics
     send_stop: Callable[[Task], None]
     stop: Callable[[Task, str], None]
@@ -58,11 +61,14 @@
             self.metrics.count_copy('started')
         return decisions
 
-    def settle(self) -> None:
+    def settle(self, now: float) -> None:
         """Stops the runs that lost against others, and logs who won."""
         for outcome in self.cluster.copies.take_outcomes():
             self.metrics.count_copy('first' if outcome.is_copy else 'second')
             _log_outcome(outcome)
+            worker = self.cluster.workers.get(outcome.other.worker)
+            if outcome.is_copy and worker is not None:
+                self.health.record_beaten(worker, outcome.other, now)
         for run in self.cluster.copies.take_stops():
             self.send_stop(run)
 
@@ -88,9 +94,9 @@
     log.info(
         'Copied: the {} was done before run {}.',
         'copy' if outcome.is_copy else 'first run',
-        outcome.other_run,
+        outcome.other.run,
         extra={
-            'task': outcome.task,
+            'task': str(outcome.other.id),
             'run': outcome.run,
             'worker': outcome.worker,
         },
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -239,6 +239,7 @@
         return Copier(
             self.cluster,
             Stragglers(policy, self.cluster, self._interference_model),
+            self._task_controller.health,
             self._metrics,
             self._commands.stop,
             self._task_controller.stop,
@@ -563,7 +564,7 @@
 
     def _settle_copies(self) -> None:
         if self._copier is not None:
-            self._copier.settle()
+            self._copier.settle(self._clock.monotonic())
 
     def refresh_metrics(self) -> None:
         """Updates the gauges."""
--- a/lentilmount/scheduling/copies.py
+++ b/lentilmount/scheduling/copies.py
@@ -29,17 +29,15 @@
     """Which of two runs of a task was done first.
 
     Attributes:
-      task: Formatted id of the task.
       run: Number of the run that was done.
       worker: Id of its worker.
-      other_run: Number of the other run.
+      other: The other run, which is being stopped.
       is_copy: Whether the copy was first.
     """
 
-    task: str
     run: int
     worker: str
-    other_run: int
+    other: Task
     is_copy: bool
 
 
@@ -73,15 +71,9 @@
         if task.older is None:
             self.run_times.record(task, now)
             return
-        other_run = task.older.run
+        is_copy = task.run > task.older.run
         self.outcomes.append(
-            CopyOutcome(
-                str(task.id),
-                task.run,
-                task.worker,
-                other_run,
-                task.run > other_run,
-            )
+            CopyOutcome(task.run, task.worker, task.older, is_copy)
         )
 
     def take_outcomes(self) -> list[CopyOutcome]:
--- a/lentilmount/scheduling/health.py
+++ b/lentilmount/scheduling/health.py
@@ -79,6 +79,13 @@
         self.quarantine(worker, now)
         return True
 
+    def record_beaten(self, worker: Worker, task: Task, now: float) -> None:
+        """Records that a copy of a running task was done before it.
+
+        Its run is stopped, so that no end tells how slow the worker is.
+        """
+        self._update_slowdown(worker, task, now)
+
     def quarantine(self, worker: Worker, now: float) -> None:
         """Stops placing tasks on a worker until it is tested with one."""
         worker.quarantined_until = now + QUARANTINE_SECONDS
--- a/lentilmount/scheduling/stragglers.py
+++ b/lentilmount/scheduling/stragglers.py
@@ -27,7 +27,12 @@
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.ranking import is_restart_overdue
 from lentilmount.scheduling.run_times import measure_run_seconds
-from lentilmount.scheduling.views import WorkerView, WorkerViews, get_step_key
+from lentilmount.scheduling.views import (
+    StepKey,
+    WorkerView,
+    WorkerViews,
+    get_step_key,
+)
 
 REVIEW_SECONDS = 0.3
 """Interval between reviews of all running tasks: a fraction of the run time of
@@ -104,10 +109,15 @@
 
     def list_slow(self, now: float) -> list[SlowTask]:
         """Lists the slow tasks that may be copied, the slowest first."""
+        find_usual = self.cluster.copies.run_times.find_usual
+        usual_by_step: dict[StepKey, float | None] = {}
         found = []
         for task in self._list_copyable():
             seconds = measure_run_seconds(task, now)
-            usual = self.cluster.copies.run_times.find_usual(task)
+            step_key = get_step_key(task)
+            if step_key not in usual_by_step:
+                usual_by_step[step_key] = find_usual(task)
+            usual = usual_by_step[step_key]
             if seconds is None or not usual:
                 continue
             if seconds > self.policy.slowness * usual:
--- a/tests/test_copier.py
+++ b/tests/test_copier.py
@@ -4,11 +4,13 @@
 
 import attrs
 import logbook
+import pytest
 from aioprometheus.renderer import render
 
 from lentilmount.cli.placements import PlacementTracer
 from lentilmount.control.copier import Copier, log_copy
 from lentilmount.control.metrics import ControlMetrics
+from lentilmount.scheduling.health import WorkerHealth
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.scheduling.reports import EndKind
 from lentilmount.scheduling.start_window import StartWindow
@@ -51,6 +53,7 @@
     copier = Copier(
         scene.cluster,
         scene.stragglers,
+        WorkerHealth(),
         metrics,
         lambda run: sent.append((run.run, run.worker)),
         lambda task, reason: stopped.append((task, reason)),
@@ -94,8 +97,8 @@
     made = make_copier()
     task = made.scene.copy()
     made.scene.report('w1', 4.0, ended=((task, 2, EndKind.DONE),))
-    made.copier.settle()
-    made.copier.settle()
+    made.copier.settle(4.0)
+    made.copier.settle(4.0)
     assert made.sent == [(1, 'w0')]
     assert made.count('first')
 
@@ -104,11 +107,24 @@
     made = make_copier()
     task = made.scene.copy()
     made.scene.report('w0', 4.0, ended=((task, 1, EndKind.DONE),))
-    made.copier.settle()
+    made.copier.settle(4.0)
     assert made.sent == [(2, 'w1')]
     assert made.count('second')
 
 
+@pytest.mark.parametrize('is_copy', [True, False])
+def test_a_worker_whose_runs_are_beaten_is_slow(is_copy: bool) -> None:
+    """Load: a slow worker. It kept getting tasks, as none of them ended."""
+    made = make_copier()
+    task = made.scene.copy()
+    worker, run = ('w1', 2) if is_copy else ('w0', 1)
+    made.scene.report(worker, 4.0, ended=((task, run, EndKind.DONE),))
+    made.copier.settle(4.0)
+    workers = made.scene.cluster.workers
+    assert (workers['w0'].slowdown > 1.5) == is_copy
+    assert workers['w1'].slowdown == 1.0
+
+
 def test_a_trace_shows_the_copy_and_the_winner() -> None:
     """Nobody could tell a copy from a second run by mistake."""
     made = make_copier()
@@ -120,7 +136,7 @@
         log_copy(decision)
         task.start_sent_at = 3.0
         made.scene.report('w1', 4.0, ended=((task, 2, EndKind.DONE),))
-        made.copier.settle()
+        made.copier.settle(4.0)
     tracer.add_line({'message': 'Starting.', 'starts': [[name, 1, 'w0']]}, 'd')
     tracer.add_line({'message': 'Starting.', 'starts': [[name, 2, 'w1']]}, 'd')
     for record in handler.records:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lentilmount.scheduling.cluster import ClusterState
-from lentilmount.scheduling.copies import CopyOutcome
+from lentilmount.scheduling.copies import find_run
 from lentilmount.scheduling.model import JobState, Task, TaskPhase
 from lentilmount.scheduling.reports import EndKind, StaleRun
 from lentilmount.scheduling.rows import encode_state
@@ -38,6 +38,14 @@
     return [(t.run, t.worker) for t in scene.cluster.copies.take_stops()]
 
 
+def take_outcomes(scene: CopyScene) -> list[tuple[int, str, int, bool]]:
+    """Returns who was done first, the other run, and if it was the copy."""
+    return [
+        (o.run, o.worker, o.other.run, o.is_copy)
+        for o in scene.cluster.copies.take_outcomes()
+    ]
+
+
 def test_both_runs_take_room_from_the_start_on() -> None:
     """Tasks were started beyond the capacity, between two reports."""
     scene = make_scene()
@@ -69,8 +77,7 @@
     assert task.job.state is JobState.COMPLETED
     assert take_stops(scene) == [(1, 'w0')]
     assert list_used(scene.cluster) == {'w0': CORES, 'w1': 0.0, 'w2': 0.0}
-    expected = CopyOutcome(str(task.id), 2, 'w1', 1, True)
-    assert scene.cluster.copies.take_outcomes() == [expected]
+    assert take_outcomes(scene) == [(2, 'w1', 1, True)]
     result = scene.report('w0', 4.2, ((task, 1),))
     assert result.stale_runs == []
     scene.report('w0', 4.5, ended=((task, 1, EndKind.STOPPED),))
@@ -87,8 +94,7 @@
     assert task.job.state is JobState.COMPLETED
     assert take_stops(scene) == [(2, 'w1')]
     assert list_used(scene.cluster) == {'w0': 0.0, 'w1': CORES, 'w2': 0.0}
-    expected = CopyOutcome(str(task.id), 1, 'w0', 2, False)
-    assert scene.cluster.copies.take_outcomes() == [expected]
+    assert take_outcomes(scene) == [(1, 'w0', 2, False)]
     scene.report('w1', 4.5, ended=((task, 2, EndKind.STOPPED),))
     assert list_used(scene.cluster)['w1'] == 0.0
 
@@ -114,6 +120,26 @@
     assert task.older is None
 
 
+def test_an_even_older_run_is_done() -> None:
+    """Of two runs one was stopped; the other went on after its task."""
+    scene = make_scene()
+    task = scene.copy()
+    result = scene.report('w2', 4.0, ended=((task, 0, EndKind.DONE),))
+    assert result.stale_runs == [StaleRun('w1', str(task.id), 2)]
+    assert take_stops(scene) == [(1, 'w0')]
+
+
+def test_a_worker_speaks_of_its_own_runs() -> None:
+    """A newer run was taken for the older one of its worker."""
+    scene = make_scene()
+    task = scene.copy()
+    assert find_run(task, 'w0', 1) is task.older
+    assert find_run(task, 'w0', 0) is task.older
+    assert find_run(task, 'w0', 3) is task
+    assert find_run(task, 'w1', 2) is task
+    assert find_run(task, 'w2', 1) is task
+
+
 def test_a_first_run_is_done_before_the_start_of_its_copy_is_sent() -> None:
     """A copy was started of a task that was done."""
     scene = make_scene()
--- a/tests/test_copy_schedules.py
+++ b/tests/test_copy_schedules.py
@@ -39,6 +39,9 @@
 """The same in random schedules, so that more happens beside a copy. It is
 shorter than the time after which a task counts as hanging."""
 
+LINK_SECONDS = 0.02
+"""Time within which a report and then a command arrive."""
+
 MADE_LONG = ('longer', 'failing', 'crashing')
 """Payloads of jobs that get long tasks in their place."""
 
@@ -128,6 +131,15 @@
         ]
         return found
 
+    def get_stop_time(self, execution: Execution) -> float:
+        """Returns the time in seconds at which a run was first stopped."""
+        (worker,) = [w for w in self.site.workers if w.id == execution.worker]
+        return min(
+            at
+            for at, task, run in worker.stops
+            if (task, run) == (execution.task, execution.run)
+        )
+
     def crash(self, execution: Execution) -> None:
         """Crashes the worker of a run for good."""
         for position, worker in enumerate(self.site.workers):
@@ -193,6 +205,7 @@
         assert scene.get_state(spec.id) is JobState.COMPLETED
         await asyncio.sleep(1.0)
         assert (first.kind, copy.kind) == ('stopped', 'done')
+        assert scene.get_stop_time(first) - copy.ended_at < LINK_SECONDS
 
     scene = play(work)
     text = scene.render_metrics()
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -52,6 +52,32 @@
     assert usual == pytest.approx(1.0)
 
 
+def test_ends_of_tasks_are_learned() -> None:
+    scene = make_scene()
+    (worker,) = scene.add_workers(1)
+    scene.run_step(worker, image='x')
+    usual = scene.cluster.copies.run_times.find_usual(
+        make_task('b', make_step(image='x'))
+    )
+    assert usual == pytest.approx(1.0)
+
+
+def test_nothing_is_learned_while_copies_are_off() -> None:
+    scene = make_scene()
+    scene.cluster.copies.is_enabled = False
+    scene.run_step(scene.add_workers(1)[0], image='x')
+    task = make_task('b', make_step(image='x'))
+    assert scene.cluster.copies.run_times.find_usual(task) is None
+
+
+def test_a_run_that_lost_against_another_tells_nothing() -> None:
+    scene = make_scene()
+    (worker,) = scene.add_workers(1)
+    task = scene.run_step(worker, count=STEP_SAMPLES + 1)
+    find_task(scene.cluster, 'a').is_done_elsewhere = True
+    assert scene.cluster.copies.run_times.find_usual(task) is None
+
+
 def test_too_few_tasks_of_a_step_tell_nothing() -> None:
     scene = make_scene()
     (worker,) = scene.add_workers(1)
