Keep a finished job until the older runs of its tasks have ended

A run that lost against its copy is still being stopped when its job is over. With a short `status_seconds` and a worker that cannot be reached, the job would be forgotten before, and the run be one of an unknown job, which closes its worker to new tasks.

--- a/lentilmount/control/retention.py
+++ b/lentilmount/control/retention.py
@@ -11,7 +11,7 @@
 )
 from lentilmount.coordination.table import Delete, Operation
 from lentilmount.scheduling.cluster import ClusterState
-from lentilmount.scheduling.model import Job
+from lentilmount.scheduling.model import Job, Task
 
 MARGIN_SECONDS = 30.0
 """Added to the retention time that the platform requires, as clocks of hosts
@@ -43,7 +43,7 @@
         for job in self.cluster.jobs.values():
             if not job.state.is_final or now - job.ended_at <= keep:
                 continue
-            if not any(t.phase.is_placed for t in job.tasks.values()):
+            if not any(map(_has_runs, job.tasks.values())):
                 expired.append(job)
             if len(expired) == MAX_REMOVALS:
                 break
@@ -75,3 +75,8 @@
         for job in jobs:
             self.cluster.jobs.pop(job.spec.id, None)
             job.tasks.clear()
+
+
+def _has_runs(task: Task) -> bool:
+    """Returns whether a worker may be running a task, or an older run."""
+    return task.phase.is_placed or task.older is not None
