Bound the time of a review of slow tasks

Cause: where a rack becomes slow with all it runs, a review compared each of its tasks with every worker.

Change: a review searches workers for the ten slowest tasks, among a sample of the workers as a placement does.

--- a/lentilmount/scheduling/stragglers.py
+++ b/lentilmount/scheduling/stragglers.py
@@ -27,6 +27,7 @@
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.ranking import is_restart_overdue
 from lentilmount.scheduling.run_times import measure_run_seconds
+from lentilmount.scheduling.sampling import WorkerSampler
 from lentilmount.scheduling.views import (
     StepKey,
     WorkerView,
@@ -42,6 +43,10 @@
 """Number of steps that wait above which nothing is copied: there is no room to
 spare then, and each step is compared with each worker."""
 
+MAX_SEARCHES = 10
+"""Number of slow tasks for which a review searches a worker, the slowest ones.
+Each is compared with hundreds of workers, which takes some milliseconds."""
+
 
 @attrs.frozen
 class SlowTask:
@@ -93,6 +98,7 @@
     interference_model: InterferenceModel
     _views: WorkerViews = attrs.field(init=False)
     _costs: CostModel = attrs.field(init=False)
+    _sampler: WorkerSampler = attrs.Factory(WorkerSampler)
     _reviewed_at: float = -math.inf
 
     def __attrs_post_init__(self) -> None:
@@ -142,7 +148,7 @@
         cores_left = self._measure_cores_left()
         if cores_left <= 0:
             return []
-        slow_tasks = self.list_slow(now)
+        slow_tasks = self.list_slow(now)[:MAX_SEARCHES]
         views = self._list_spare(now) if slow_tasks else []
         chosen = []
         for slow in slow_tasks:
@@ -193,6 +199,8 @@
     ) -> WorkerView | None:
         cost_function = self._costs.make_cost_function(task)
         excluded = {task.worker, *task.failed_on}
+        if self._sampler.is_needed(views):
+            views = self._sampler.choose(views, task)
         fitting = (
             view
             for view in views
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -11,7 +11,10 @@
 from lentilmount.resources import Room
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import EndKind, WorkerState
+from lentilmount.scheduling.run_times import STEP_SAMPLES
+from lentilmount.scheduling.sampling import MAX_COMPARED_WORKERS
 from lentilmount.scheduling.stragglers import (
+    MAX_SEARCHES,
     MAX_WAITING_STEPS,
     REVIEW_SECONDS,
 )
@@ -28,6 +31,7 @@
     make_job,
     make_policy,
     make_step,
+    record_checks,
 )
 
 
@@ -251,6 +255,35 @@
     assert len(scene.choose(5.5)) == 1
 
 
+def test_a_review_is_bounded() -> None:
+    """Load: a rack becomes slow with hundreds of tasks.
+
+    A review that copied all of them took longer than the timeout of a call.
+    """
+    scene = make_scene(CopyPolicy(max_share=1.0))
+    workers = scene.add_workers(2, cores=200.0)
+    step = make_copyable_step(count=2 * MAX_SEARCHES)
+    admit(scene.cluster, make_job('a', step, policy=make_policy()))
+    tasks = [find_task(scene.cluster, 'a', index=i) for i in range(step.count)]
+    for task in tasks:
+        start(scene.cluster, task, workers[0])
+    for task in tasks[:STEP_SAMPLES]:
+        scene.cluster.end_run(task, EndKind.DONE, 1.0)
+    assert len(scene.choose(3.0)) == MAX_SEARCHES
+    assert len(scene.choose(3.5)) == MAX_SEARCHES - STEP_SAMPLES
+
+
+def test_a_slow_task_is_compared_with_a_sample_of_many_workers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load: a slow task among a thousand workers."""
+    scene = make_scene()
+    scene.run_step(scene.add_workers(2 * MAX_COMPARED_WORKERS)[0])
+    checks = record_checks(monkeypatch, 'can_start')
+    assert len(scene.choose(3.0)) == 1
+    assert len(checks) <= MAX_COMPARED_WORKERS
+
+
 def test_reviews_are_not_more_often_than_they_need_be() -> None:
     scene = make_scene()
     assert scene.stragglers.is_due(1.0)
