--- a/lentilmount/control/dispatcher.py
+++ b/lentilmount/control/dispatcher.py
@@ -168,7 +168,7 @@
             log_copy(copy)
 
     def _may_move(self, now: float) -> bool:
-        """Returns whether tasks may be stopped to run elsewhere.
+        """Returns whether tasks may be stopped to run elsewhere, or be copied.
 
         While starts wait for answers, each move would add to what waits, and
         choosing them takes as long as a pass.
