--- a/stand_ins/model_checks.py
+++ b/stand_ins/model_checks.py
@@ -9,6 +9,7 @@
 import attrs
 
 from lentilmount.clock import ManualClock
+from lentilmount.policies import Policies
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import JobState, TaskPhase
 from lentilmount.scheduling.specs import JobSpec
@@ -37,6 +38,10 @@
 """Time within which a worker that is up, registered and not cut off is reached,
 so that a late start is stopped."""
 
+COPY_LIMIT_SECONDS = 1.0
+"""Time after the acknowledged end of a task that may be copied within which
+another run of it may still begin."""
+
 LATE_SECONDS = 1.0
 """Time from sending a start after which it was carried out late; no owner can
 take it back."""
@@ -73,6 +78,7 @@
     cordons: list[Cordon]
     violations: list[str]
     processes: list[Process]
+    policies: Policies
     all_workers: dict[str, ModelWorker]
     registered_at: dict[str, float]
 
@@ -160,9 +166,19 @@
         job, _, step, _ = task.split('.')
         return self.site.jobs[job].steps[int(step)].reserved.cores
 
+    def _may_have_copies(self, task: str) -> bool:
+        """Returns whether two runs of a task may go on at a time."""
+        job, _, step, _ = task.split('.')
+        is_allowed = self.site.jobs[job].steps[int(step)].duplicates
+        return is_allowed and self.site.policies.copies is not None
+
     def _check_pair(self, earlier: Execution, later: Execution) -> None:
         is_beside = earlier.ended_at > later.started_at
         is_after_done = earlier.kind == 'done' and earlier.is_acknowledged
+        if self._may_have_copies(earlier.task):
+            is_beside = False
+            last_start = earlier.acknowledged_at + COPY_LIMIT_SECONDS
+            is_after_done &= later.started_at > last_start
         if not is_beside and not is_after_done:
             return
         if not self._is_unavoidable(earlier, later):
@@ -327,6 +343,8 @@
         ]
         if state is JobState.COMPLETED and not done:
             return 'was never done'
+        if self._may_have_copies(task):
+            return ''
         noted = [e for e in done if e.is_acknowledged]
         extra = [e for e in noted if not self._is_unavoidable(noted[0], e)]
         return 'was done more than once' if len(extra) > 1 else ''
--- a/stand_ins/model_owners.py
+++ b/stand_ins/model_owners.py
@@ -18,6 +18,7 @@
 from lentilmount.platform.host_settings import Capacity
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerClient
+from lentilmount.policies import Policies
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.version_times import VersionTimes
 from stand_ins.host_link import HostLink, StoreCalls
@@ -65,6 +66,7 @@
       metrics: Metrics of all owners.
       processes: Processes that compete for the service, in the order of their
         starts.
+      policies: Optional policies of all owners.
     """
 
     clock: ManualClock
@@ -75,6 +77,7 @@
     host_link: HostLink | None = None
     metrics: ControlMetrics = attrs.Factory(ControlMetrics)
     processes: list[Process] = attrs.Factory(list)
+    policies: Policies = attrs.Factory(Policies)
     _store_down_until: float = -math.inf
 
     def start_owner(self) -> None:
@@ -109,6 +112,7 @@
             rate,
             SHRINK_SECONDS,
             CORDON_SECONDS,
+            self.policies,
         )
 
     def _make_table(self) -> PlatformTable:
