--- a/tests/test_copier.py
+++ b/tests/test_copier.py
@@ -118,8 +118,8 @@
     made = make_copier()
     task = made.scene.copy()
     worker, run = ('w1', 2) if is_copy else ('w0', 1)
-    made.scene.report(worker, 4.0, ended=((task, run, EndKind.DONE),))
-    made.copier.settle(4.0)
+    made.scene.report(worker, 5.5, ended=((task, run, EndKind.DONE),))
+    made.copier.settle(5.5)
     workers = made.scene.cluster.workers
     assert (workers['w0'].slowdown > 1.5) == is_copy
     assert workers['w1'].slowdown == 1.0
