Judge jobs by how long steps take, where operators ask for it

Cause: the owner's objectives come from declared estimates, which are off by half or more, and know one duration a step however wide it is. An urgent task that counts as late loses its turn before long-running tasks, and all jobs that count as late are ordered behind those that do not.

Change: `scheduling/durations.py` learns by queue the ratio of the longest task of finished steps to their estimate; the objective and the critical path of a job follow it. Off unless `durations` is among the policies. Never tighter than the estimates, at most `max_ratio`; runs that were throttled, resumed or inherited tell nothing; a new owner learns anew.

Ruled out: learning by image (urgent steps have none); the run times of single tasks (a step ends with its longest).

--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -143,6 +143,9 @@
         list_relays: Callable[[], Sequence[str]] = tuple,
     ):
         self.cluster = ClusterState()
+        durations = settings.policies.durations
+        if durations is not None:
+            self.cluster.durations.max_ratio = durations.max_ratio
         self.sessions: dict[str, WorkerSession] = {}
         self.loaded = asyncio.Event()
         self._settings = settings
--- a/lentilmount/policies.py
+++ b/lentilmount/policies.py
@@ -55,6 +55,20 @@
     )
 
 
+@attrs.frozen
+class DurationPolicy:
+    """Objectives by how long steps take, in place of their estimates alone.
+
+    Attributes:
+      max_ratio: Largest ratio of the learned durations of a queue's steps to
+        their estimates that counts.
+    """
+
+    max_ratio: float = attrs.field(
+        default=3.0, validator=attrs.validators.gt(1)
+    )
+
+
 @attrs.frozen
 class Policies:
     """The optional policies; None for one that is off.
@@ -62,7 +76,9 @@
     Attributes:
       admission: See `AdmissionPolicy`.
       copies: See `CopyPolicy`.
+      durations: See `DurationPolicy`.
     """
 
     admission: AdmissionPolicy | None = None
     copies: CopyPolicy | None = None
+    durations: DurationPolicy | None = None
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -15,6 +15,7 @@
     list_suspects,
     record_start,
 )
+from lentilmount.scheduling.durations import StepDurations
 from lentilmount.scheduling.history import (
     ChangeKind,
     ChangeReason,
@@ -90,6 +91,7 @@
       jobs_as_of: Monotonic time up to which all rows of jobs are known.
       history: Changes of placements, to be logged.
       suspects: Tasks that may have crashed workers.
+      durations: Learned durations of steps.
     """
 
     def __init__(self) -> None:
@@ -101,6 +103,7 @@
         self.jobs_as_of = -math.inf
         self.history = PlacementHistory()
         self.suspects = CrashSuspects(self.jobs, self.workers, self.dirty)
+        self.durations = StepDurations()
 
     # Jobs.
 
@@ -128,10 +131,7 @@
         age = age_bounds.clamp(age)
         job = Job(spec, accepted_at=now - age)
         job.critical_paths = measure_critical_paths(spec)
-        critical_path = max(job.critical_paths, default=0.0)
-        job.objective = (
-            spec.queue.stretch * critical_path + spec.queue.target_seconds
-        )
+        job.durations = self.durations.get_ratio(spec.queue.name)
         self.jobs[spec.id] = job
         self.create_due_occurrences(job, wall_time)
         return job
@@ -432,6 +432,8 @@
         """
         worker = task.worker
         task.last_ended_at = now
+        if kind is EndKind.DONE and not task.spec.lasting:
+            self.durations.record(task, now)
         if task.spec.fills and worker in self.workers:
             share = measure_intensity(task) * task.cpu_percent / 100
             ended = EndedTask(task.spec.image, share, now)
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -204,6 +204,17 @@
     return QUIET_INTENSITY + position * (1 - QUIET_INTENSITY)
 
 
+@attrs.define
+class DurationRatio:
+    """How long steps of a queue take relative to their estimates.
+
+    Attributes:
+      value: The ratio; 1 while nothing is known.
+    """
+
+    value: float = 1.0
+
+
 @attrs.define(eq=False)
 class Job:
     """State of a job and its tasks.
@@ -214,9 +225,9 @@
       state: State shown to clients.
       tasks: Tasks of the occurrences created so far, by id.
       occurrences: Number of occurrences whose tasks exist.
-      objective: Time in seconds within which the job should complete.
       critical_paths: For each step, the length in seconds of the longest path
-        of steps that starts with it.
+        of steps that starts with it, by the declared estimates.
+      durations: How long its steps are expected to take beside that.
       version: Version of the job's state row; 0 before the first write.
       row_version: Version of the job's own row.
       cancel_version: Version of the row that requests its cancellation, if any.
@@ -234,8 +245,8 @@
     state: JobState = JobState.QUEUED
     tasks: dict[TaskId, Task] = attrs.Factory(dict)
     occurrences: int = 0
-    objective: float = math.inf
     critical_paths: tuple[float, ...] = ()
+    durations: DurationRatio = attrs.Factory(DurationRatio)
     version: int = 0
     row_version: int = 0
     cancel_version: int = 0
@@ -246,6 +257,18 @@
     first_placed_at: float = math.inf
     is_end_logged: bool = False
 
+    @property
+    def objective(self) -> float:
+        """Time in seconds within which the job should complete."""
+        queue = self.spec.queue
+        critical_path = max(self.critical_paths, default=0.0)
+        duration = self.durations.value * critical_path
+        return queue.stretch * duration + queue.target_seconds
+
+    def get_critical_path(self, step: int) -> float:
+        """Returns the expected seconds from the start of a step to the end."""
+        return self.durations.value * self.critical_paths[step]
+
 
 @attrs.define
 class FinishedRun:
--- a/lentilmount/scheduling/ranking.py
+++ b/lentilmount/scheduling/ranking.py
@@ -115,7 +115,7 @@
     latest_start = (
         _get_release_time(task)
         + job.objective
-        - job.critical_paths[task.id.step]
+        - job.get_critical_path(task.id.step)
     )
     if is_urgent(task) and timeliness is Timeliness.IN_TIME:
         return PriorityClass.URGENT, (latest_start,)
@@ -158,7 +158,8 @@
 def predict_timeliness(task: Task, now: float) -> Timeliness:
     """Returns whether a task's job can be in time if the task starts now."""
     objective = task.job.objective
-    end = now + task.job.critical_paths[task.id.step] - _get_release_time(task)
+    critical_path = task.job.get_critical_path(task.id.step)
+    end = now + critical_path - _get_release_time(task)
     if end <= objective:
         return Timeliness.IN_TIME
     if end <= MAX_USEFUL_MULTIPLE * objective:
