--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -16,6 +16,7 @@
     list_suspects,
     record_start,
 )
+from lentilmount.scheduling.durations import StepDurations
 from lentilmount.scheduling.history import (
     ChangeKind,
     ChangeReason,
@@ -92,6 +93,7 @@
       history: Changes of placements, to be logged.
       suspects: Tasks that may have crashed workers.
       copies: Second runs of tasks.
+      durations: Learned durations of steps.
     """
 
     def __init__(self) -> None:
@@ -104,6 +106,7 @@
         self.history = PlacementHistory()
         self.suspects = CrashSuspects(self.jobs, self.workers, self.dirty)
         self.copies = Copies(self.workers)
+        self.durations = StepDurations()
 
     # Jobs.
 
@@ -131,10 +134,7 @@
         age = age_bounds.clamp(age)
         job = Job(spec, accepted_at=now - age)
         job.critical_paths = measure_critical_paths(spec)
-        critical_path = max(job.critical_paths, default=0.0)
-        job.objective = (
-            spec.queue.stretch * critical_path + spec.queue.target_seconds
-        )
+        job.durations = self.durations.get_ratio(spec.queue.name)
         self.jobs[spec.id] = job
         self.create_due_occurrences(job, wall_time)
         return job
@@ -464,6 +464,8 @@
         if kind is EndKind.DONE and not task.job.state.is_final:
             self.copies.record_done(task, now)
             task.is_done_elsewhere |= task.older is not None
+        if kind is EndKind.DONE and not task.spec.lasting:
+            self.durations.record(task, now)
         if task.spec.fills and worker in self.workers:
             share = measure_intensity(task) * task.cpu_percent / 100
             ended = EndedTask(task.spec.image, share, now)
