Estimate how long new work of a queue waits

What callers saw: nothing was refused at arrival.

Cause: nobody knew how long new work waits, so no daemon could refuse it.

Ruled out: the number of jobs that have not begun as the signal (no signal where jobs wait between their tasks); the rate of ends as the capacity (too few in half a second, unknown after a takeover); counting work that can no longer be of use (it yields to new work in the ranking).

--- a/lentilmount/control/lease_data.py
+++ b/lentilmount/control/lease_data.py
@@ -8,6 +8,11 @@
 
 import attrs
 
+from lentilmount.scheduling.admission import (
+    Estimates,
+    QueueEstimate,
+    WorkKind,
+)
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.takeover import (
     UnrecordedStarts,
@@ -28,6 +33,11 @@
 """Key: epoch of the owner that wrote the seconds left of leases."""
 
 
+WAITS = 'waits'
+"""Key: estimates of the wait of new work, by queue and kind of work. A new
+owner writes none at first."""
+
+
 def has_unrecorded_starts(data: Mapping[str, Any]) -> bool:
     """Returns whether tasks may run that are in no row, from lease data."""
     return bool(data.get(HAS_UNRECORDED_STARTS))
@@ -129,5 +139,38 @@
     )
 
 
+def encode_estimates(estimates: Estimates) -> dict[str, Any]:
+    """Encodes estimates as further data of a lease row."""
+    if not estimates:
+        return {}
+    return {
+        WAITS: {
+            queue: {
+                kind.value: [
+                    round(estimate.wait_seconds, 2),
+                    round(estimate.rate, 3),
+                ]
+                for kind, estimate in by_kind.items()
+            }
+            for queue, by_kind in estimates.items()
+        }
+    }
+
+
+def decode_estimates(data: Mapping[str, Any]) -> Estimates:
+    """Decodes the estimates in the data of a lease row.
+
+    Kinds and figures that only later versions write are passed over.
+    """
+    return {
+        queue: {
+            kind: QueueEstimate(*by_kind[kind.value][:2])
+            for kind in WorkKind
+            if kind.value in by_kind
+        }
+        for queue, by_kind in data.get(WAITS, {}).items()
+    }
+
+
 def _round_up(seconds: float) -> float:
     return math.ceil(100 * seconds) / 100
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -129,9 +129,7 @@
         job = Job(spec, accepted_at=now - age)
         job.critical_paths = measure_critical_paths(spec)
         critical_path = max(job.critical_paths, default=0.0)
-        job.objective = (
-            spec.queue.stretch * critical_path + spec.queue.target_seconds
-        )
+        job.objective = spec.queue.get_objective(critical_path)
         self.jobs[spec.id] = job
         self.create_due_occurrences(job, wall_time)
         return job
--- a/lentilmount/scheduling/ranking.py
+++ b/lentilmount/scheduling/ranking.py
@@ -113,7 +113,7 @@
         )
     timeliness = predict_timeliness(task, now)
     latest_start = (
-        _get_release_time(task)
+        get_release_time(job, task.id.occurrence)
         + job.objective
         - job.critical_paths[task.id.step]
     )
@@ -146,19 +146,20 @@
     return is_short and task.job.spec.queue.priority <= URGENT_PRIORITY
 
 
-def _get_release_time(task: Task) -> float:
-    """Returns the monotonic time from which the objective of a task counts."""
-    spec = task.job.spec
+def get_release_time(job: Job, occurrence: int) -> float:
+    """Returns the monotonic time from which an objective counts."""
+    spec = job.spec
     if not spec.occurrences:
-        return task.job.accepted_at
-    delay = spec.get_due(task.id.occurrence) - spec.accepted
-    return task.job.accepted_at + max(0.0, delay)
+        return job.accepted_at
+    delay = spec.get_due(occurrence) - spec.accepted
+    return job.accepted_at + max(0.0, delay)
 
 
 def predict_timeliness(task: Task, now: float) -> Timeliness:
     """Returns whether a task's job can be in time if the task starts now."""
     objective = task.job.objective
-    end = now + task.job.critical_paths[task.id.step] - _get_release_time(task)
+    released_at = get_release_time(task.job, task.id.occurrence)
+    end = now + task.job.critical_paths[task.id.step] - released_at
     if end <= objective:
         return Timeliness.IN_TIME
     if end <= MAX_USEFUL_MULTIPLE * objective:
--- a/lentilmount/scheduling/specs.py
+++ b/lentilmount/scheduling/specs.py
@@ -92,6 +92,14 @@
     target_seconds: float = 0.0
     advised: bool = False
 
+    def get_objective(self, critical_path: float) -> float:
+        """Returns the time within which a job should complete.
+
+        Args:
+          critical_path: Length of its longest path of steps in seconds.
+        """
+        return self.stretch * critical_path + self.target_seconds
+
 
 @attrs.frozen
 class JobSpec:
