Publish the owner's waiting times in its lease row

The owner writes its lease row, and every daemon reads it, each half second already: the estimates need no further call and no further row.

`LeaseKeeper.get_row` returns what its last read found. The owner logs when a queue begins to wait and when it does not any more, and sets the gauge lentilmount_admission_wait_seconds.

Off unless the policies of a daemon hold `admission`.

--- a/lentilmount/control/election.py
+++ b/lentilmount/control/election.py
@@ -16,7 +16,11 @@
 from lentilmount.clock import Clock
 from lentilmount.control.candidates import Candidates
 from lentilmount.control.keys import make_owner_key
-from lentilmount.control.lease_data import LeaseData, decode_lease_data
+from lentilmount.control.lease_data import (
+    LeaseData,
+    decode_estimates,
+    decode_lease_data,
+)
 from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.owner import (
     RENEW_WITHOUT_STORE_SECONDS,
@@ -34,10 +38,11 @@
     LeaseKeeper,
     LeaseRecord,
 )
-from lentilmount.coordination.table import UnavailableError
+from lentilmount.coordination.table import ABSENT, Key, UnavailableError
 from lentilmount.platform.advice import AdviceClient
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerClient
+from lentilmount.scheduling.admission import AdmissionGate
 from lentilmount.scheduling.takeover import InheritedLeases
 from lentilmount.waiting import wait_with_timeout
 
@@ -112,6 +117,8 @@
       metrics: Metrics of the daemon.
       candidates: Hosts that may own the service.
       may_own: Asks the daemon at an address whether it could own the service.
+      gate: Judges the jobs that arrive at this daemon, or None if all jobs are
+        accepted.
       owner: The owner running in this process, or None.
       owner_host: Name of the host of another process that holds the lease, or
         ''.
@@ -127,6 +134,7 @@
     metrics: ControlMetrics
     candidates: Candidates
     may_own: Callable[[str], Awaitable[bool]]
+    gate: AdmissionGate | None = None
     owner: Owner | None = None
     owner_host: str = ''
     _stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -159,6 +167,7 @@
         )
         key = make_owner_key(self.settings.service)
         while not self._stopping.is_set():
+            read_at = self.clock.monotonic()
             try:
                 lease = await keeper.try_acquire(
                     key,
@@ -168,6 +177,8 @@
             except UnavailableError as error:
                 log.warning('Cannot read the lease: {}', error)
                 lease = None
+            else:
+                self._observe_estimates(keeper, key, read_at)
             holder = '' if lease else keeper.get_holder(key)
             self.owner_host = get_host(holder)
             self._watch.watch(holder)
@@ -185,6 +196,19 @@
             )
             self._watch.has_ended.clear()
 
+    def _observe_estimates(
+        self, keeper: LeaseKeeper, key: Key, read_at: float
+    ) -> None:
+        """Passes the estimates in a lease row on; none if nobody holds it."""
+        row = keeper.get_row(key)
+        if self.gate is None:
+            return
+        if row is None or not row.body['holder']:
+            self.gate.observe(ABSENT, {}, read_at)
+            return
+        estimates = decode_estimates(row.body['data'])
+        self.gate.observe(row.version, estimates, read_at)
+
     def _has_ended(self, holder: str) -> bool:
         """Returns whether the process of a holder is known to have ended.
 
@@ -260,6 +284,7 @@
             self.metrics,
             self._inherited,
             self.candidates.list_largest,
+            self.gate,
         )
         self.owner = owner
         handover = asyncio.create_task(self._hand_over(owner, lease))
--- a/lentilmount/control/metrics.py
+++ b/lentilmount/control/metrics.py
@@ -34,6 +34,10 @@
             'lentilmount_request_seconds',
             'Time from a whole request to its answer, in seconds.',
         )
+        self._refusals = self._make_counter(
+            'lentilmount_refused_jobs_total',
+            'Jobs that were not accepted, by queue and kind of error.',
+        )
         self._store_calls = self._make_counter(
             'lentilmount_store_calls_total',
             'Calls to the table service, by HTTP status; 599 for none.',
@@ -99,6 +103,10 @@
                     'lentilmount_configuration_age_seconds',
                     'Since when a newer configuration may have been written.',
                 ),
+                (
+                    'lentilmount_admission_wait_seconds',
+                    'Estimated wait of new work, by queue.',
+                ),
                 ('lentilmount_waiting_tasks', 'Tasks ready, by priority.'),
                 ('lentilmount_calls_in_flight', 'Calls in flight, by kind.'),
                 (
@@ -135,6 +143,10 @@
         self._requests.inc({'method': method, 'status': str(status)})
         self._request_seconds.observe({'method': method}, seconds)
 
+    def count_refusal(self, queue: str, kind: str) -> None:
+        """Counts a job that was not accepted, by kind of error."""
+        self._refusals.inc({'queue': queue, 'kind': kind})
+
     def count_store_call(self, status: int) -> None:
         """Counts a call to the table service."""
         self._store_calls.inc({'status': str(status)})
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -23,6 +23,7 @@
 from lentilmount.control.job_loader import JobLoader
 from lentilmount.control.loop_lag import LoopLag
 from lentilmount.control.metrics import ControlMetrics
+from lentilmount.control.owner_admission import OwnerAdmission
 from lentilmount.control.owner_load import OwnerLoad
 from lentilmount.control.placement_log import PlacementLog, log_restored
 from lentilmount.control.registry import poll_workers
@@ -38,6 +39,7 @@
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerClient
 from lentilmount.policies import Policies
+from lentilmount.scheduling.admission import AdmissionGate
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.health import WorkerHealth
 from lentilmount.scheduling.interference import InterferenceModel
@@ -61,6 +63,7 @@
     apply_lease_seconds,
     list_lease_seconds,
 )
+from lentilmount.scheduling.waiting_times import WaitingTimes
 from lentilmount.version_times import AgeBounds
 
 log = logbook.Logger('owner')
@@ -124,6 +127,8 @@
       inherited: Worker leases as the previous owner recorded them.
       list_relays: Lists the daemons that may send starts for this one, those
         with the most capacity first.
+      gate: Judges the jobs that arrive at this daemon, or None if all jobs are
+        accepted.
     """
 
     def __init__(
@@ -141,6 +146,7 @@
         metrics: ControlMetrics,
         inherited: InheritedLeases,
         list_relays: Callable[[], Sequence[str]] = tuple,
+        gate: AdmissionGate | None = None,
     ):
         self.cluster = ClusterState()
         self.sessions: dict[str, WorkerSession] = {}
@@ -195,6 +201,7 @@
             self._commands,
             metrics,
         )
+        self._admission = self._make_admission(gate)
         self._submissions = GroupedSubmissions(
             settings.service,
             clock.monotonic,
@@ -218,6 +225,7 @@
             self._submissions,
             self._admit_submission,
             settings.link_bytes_per_second,
+            self._make_lease_data,
         )
         self._job_loader = JobLoader(
             settings.service,
@@ -228,6 +236,25 @@
             self._wake.set,
         )
 
+    def _make_admission(
+        self, gate: AdmissionGate | None
+    ) -> OwnerAdmission | None:
+        if gate is None:
+            return None
+        return OwnerAdmission(
+            self._settings.service,
+            WaitingTimes(self.cluster, gate.policy),
+            gate,
+            self._metrics,
+        )
+
+    def _make_lease_data(self, now: float) -> dict[str, Any]:
+        if self._admission is None:
+            return {}
+        unrecorded = self._state_writer.unrecorded_starts
+        may_place = unrecorded is not None and not unrecorded.may_exist(now)
+        return self._admission.make_lease_data(now, may_place)
+
     @property
     def lost_reason(self) -> str:
         """Why the lease was lost, or '' while it is held."""
@@ -534,9 +561,10 @@
         self, worker: Worker, result: ReconcileResult
     ) -> None:
         """See `SessionListener`."""
-        self._task_controller.handle_poll_result(
-            worker, result, self._clock.monotonic()
-        )
+        now = self._clock.monotonic()
+        self._task_controller.handle_poll_result(worker, result, now)
+        if self._admission is not None:
+            self._admission.record_ends(result.ended, now)
         if worker.is_reported_unreachable:
             self._state_writer.request_write()
         if result.ended or result.adopted or result.expired:
@@ -546,6 +574,8 @@
     def refresh_metrics(self) -> None:
         """Updates the gauges."""
         refresh_gauges(self.cluster, self._metrics)
+        if self._admission is not None:
+            self._admission.refresh_metrics()
 
     async def _run_periodic_checks(self) -> None:
         try:
--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -6,6 +6,7 @@
 import collections
 import math
 from collections.abc import Callable, Mapping
+from typing import Any
 
 import attrs
 import logbook
@@ -131,6 +132,7 @@
       submissions: Jobs to be accepted with the next writes.
       admit: Called with each job that was accepted so.
       link_bytes_per_second: Rate of the host's network link.
+      make_lease_data: Returns further data of the lease row.
       unrecorded_starts: Starts by the previous owner that may be in no row.
     """
 
@@ -150,6 +152,7 @@
     submissions: GroupedSubmissions
     admit: Callable[[Submission], None]
     link_bytes_per_second: float = math.inf
+    make_lease_data: Callable[[float], dict[str, Any]] = lambda now: {}
     unrecorded_starts: UnrecordedStarts | None = None
     _write_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     _is_closing: bool = False
@@ -331,7 +334,10 @@
         )
         for worker_id in data.remaining:
             self.cluster.workers[worker_id].is_reported_unreachable = True
-        self.lease.data = data.encode(self.lease.epoch)
+        self.lease.data = {
+            **data.encode(self.lease.epoch),
+            **self.make_lease_data(now),
+        }
         return data.remaining
 
     def _acknowledge_ends(
--- a/lentilmount/coordination/leases.py
+++ b/lentilmount/coordination/leases.py
@@ -144,7 +144,7 @@
         self._has_ended = has_ended
         self._observed: dict[Key, tuple[int, float]] = {}
         self._with_observed_writes: set[Key] = set()
-        self._holders: dict[Key, str] = {}
+        self._rows: dict[Key, Row | None] = {}
 
     async def try_acquire(
         self, key: Key, update_data: UpdateData = copy_data, delay: float = 0.0
@@ -186,7 +186,7 @@
         delay: float = 0.0,
     ) -> Lease | None:
         """Acquires a lease whose row was just read; see `try_acquire`."""
-        self._holders[key] = row.body['holder'] if row is not None else ''
+        self._rows[key] = row
         if not self._is_free(key, row, delay):
             return None
         lease = Lease(
@@ -218,7 +218,12 @@
 
     def get_holder(self, key: Key) -> str:
         """Returns the holder that the newest read found, or ''."""
-        return self._holders.get(key, '')
+        row = self._rows.get(key)
+        return row.body['holder'] if row is not None else ''
+
+    def get_row(self, key: Key) -> Row | None:
+        """Returns the row that the newest read found, or None."""
+        return self._rows.get(key)
 
     def has_observed_last_write(self, key: Key) -> bool:
         """Returns whether the last holder's writes were observed to the end.
