Refuse jobs that cannot be in time, and spread when callers return

What callers saw: all who were refused came back after the same second, however many they were.

Change: with the policy `admission`, a job that would be completed too late is refused before a row is written (503, kind overloaded, not run). One read comes first: a job that a row holds was accepted before, and its caller only lost the answer. It is not refused either if that read fails, if a write of it is under way here or ended with an unknown outcome, or while the table is slow.

`retry_schedule` gives refused callers turns of their own, by queue, in the order in which they were refused, no later than coming back is of use. It takes the place of the constant for submissions that the store refused, too, for everyone: 1 s as before while few are refused, up to 5 s where more are refused than the table could write when they come back (100 of 160 transactions a second over all daemons). Other calls keep the constant. Nothing can be held for these callers: a job is accepted only once it is written.

The log line of a refusal has its retry seconds and, for these, job, queue, wait and age of the estimate; lentilmount_refused_jobs_total counts by queue and kind.

--- a/lentilmount/control/frontend.py
+++ b/lentilmount/control/frontend.py
@@ -151,6 +151,8 @@
                 'path': self.request.path,
                 'method': self.request.method,
                 'kind': error.kind.value,
+                'retry_seconds': error.retry_after,
+                **error.extra,
             },
         )
         self.set_status(error.answer.http)
--- a/lentilmount/control/lifecycle.py
+++ b/lentilmount/control/lifecycle.py
@@ -58,6 +58,7 @@
 )
 from lentilmount.platform.workers import WorkerClient
 from lentilmount.policies import Policies
+from lentilmount.scheduling.admission import AdmissionGate
 from lentilmount.upstream.http import HttpClient
 from lentilmount.version_times import VersionTimes
 
@@ -181,6 +182,7 @@
             self.find_outage_detector('').outage_until,
         )
         self.elections: dict[str, ServiceElection] = {}
+        self._gates: dict[str, AdmissionGate] = {}
         self.name = make_name(settings.name)
 
     def find_outage_detector(self, part: str) -> OutageDetector:
@@ -195,6 +197,16 @@
             self.outage_detectors[part] = detector
         return detector
 
+    def find_gate(self, service: str) -> AdmissionGate | None:
+        """Returns the gate of a service; None if all jobs are accepted."""
+        policy = self._policies.admission
+        if policy is not None and service not in self._gates:
+            self._gates[service] = AdmissionGate(policy, self._count_daemons)
+        return self._gates.get(service)
+
+    def _count_daemons(self) -> int:
+        return max(1, len(self._peers.known))
+
     def _observe_store(
         self, part: str, status: int, is_answered: bool, took: float
     ) -> None:
@@ -276,6 +288,9 @@
             self._clock,
             self.find_outage_detector,
             submission_relay.submit,
+            self.find_gate,
+            self._count_daemons,
+            self.metrics.count_refusal,
         )
         frontend = make_frontend(
             submissions, self.routes, self.traffic, self.metrics
@@ -419,6 +434,7 @@
             self.metrics,
             self._candidates,
             self.find_outage_detector(service).may_own,
+            self.find_gate(service),
         )
 
 
--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -18,6 +18,7 @@
     make_job_key,
     make_state_key,
 )
+from lentilmount.control.retry_schedule import RetrySchedule
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.store_health import FindOutageDetector
 from lentilmount.control.submission_relay import Submit
@@ -31,7 +32,9 @@
 )
 from lentilmount.coordination.transactions import make_token
 from lentilmount.errors import (
+    ErrorKind,
     GoneError,
+    LentilmountError,
     StoreError,
     UnknownOutcomeError,
 )
@@ -41,7 +44,10 @@
     encode_job_row,
 )
 from lentilmount.platform.store import RefusedError
+from lentilmount.scheduling.admission import AdmissionGate, Refusal
+from lentilmount.scheduling.cluster import measure_critical_paths
 from lentilmount.scheduling.model import JobState
+from lentilmount.scheduling.specs import JobSpec
 
 log = logbook.Logger('submissions')
 
@@ -53,6 +59,20 @@
 """Retry delay given to a caller after the store refused a call: about the time
 that the store takes to answer again after a short outage."""
 
+STORE_RETURNS_PER_SECOND = 100.0
+"""Refused submissions of a service that all daemons together ask to come back
+in a second. The store carries out some 160 of its transactions in a second."""
+
+MAX_STORE_RETRY_SECONDS = 5.0
+"""Longest retry delay after the store refused a submission. Its outages are
+short, and a caller that stays away for longer than one gains nothing."""
+
+MAX_ADMISSION_RETRY_SECONDS = 30.0
+"""Longest retry delay of a job for which there is no room: estimates do not
+reach further."""
+
+MAX_UNSETTLED = 1_000
+"""Number of jobs that are remembered as their writes may take effect later."""
 
 RETRY_WINDOW_SECONDS = 0.3
 """Time during which a write whose answer was lost is retried. A broken
@@ -70,6 +90,14 @@
     """Asks no owner to accept a job."""
 
 
+def accept_all(service: str) -> None:
+    """Returns no gate: all jobs of the service are accepted."""
+
+
+def count_nothing(queue: str, kind: str) -> None:
+    """Counts no refused job."""
+
+
 @attrs.frozen
 class _Outcome:
     """Outcome of calls about a job's rows in several services.
@@ -121,6 +149,11 @@
       find_outage_detector: Returns the outage detector of the table for a
         service.
       submit_to_owner: Submits a job through the owner of its service.
+      find_gate: Returns the gate that judges the jobs of a service, or None if
+        all are accepted.
+      count_daemons: Returns the number of daemons that accept jobs.
+      count_refusal: Counts a job that was not accepted, by queue and kind of
+        error.
     """
 
     table: Table
@@ -128,7 +161,21 @@
     clock: Clock
     find_outage_detector: FindOutageDetector
     submit_to_owner: Submit = submit_to_nobody
+    find_gate: Callable[[str], AdmissionGate | None] = accept_all
+    count_daemons: Callable[[], int] = lambda: 1
+    count_refusal: Callable[[str, str], None] = count_nothing
     _counts: dict[str, tuple[float, dict[str, int]]] = attrs.Factory(dict)
+    _unsettled: dict[str, None] = attrs.Factory(dict)
+    _store_returns: RetrySchedule = attrs.field(init=False)
+    _admission_returns: RetrySchedule = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Creates the schedules of refused callers."""
+        monotonic = self.clock.monotonic
+        self._store_returns = RetrySchedule(monotonic, MAX_STORE_RETRY_SECONDS)
+        self._admission_returns = RetrySchedule(
+            monotonic, MAX_ADMISSION_RETRY_SECONDS
+        )
 
     def is_cut_off(self, route: Route) -> bool:
         """Returns whether this daemon alone cannot reach the table."""
@@ -169,19 +216,26 @@
         """
         policy = route.policy
         spec = decode_submission(job_id, body, policy, self.clock.wall())
-        key = make_job_key(policy.service, job_id)
-        put = Put(key, encode_job_row(spec), ABSENT)
         try:
             with self._translate_store_errors(route):
                 if await self._is_held_elsewhere(route, job_id):
                     _log_known(job_id)
                     return
-                if not await self._accept_by_owner(policy.service, put):
-                    await self._write(put)
+                await self._check_admission(spec)
+                await self._accept(spec)
         except ConflictError:
             # An earlier copy of this request has created the row.
             _log_known(job_id)
             return
+        except StoreError as error:
+            if error.kind is ErrorKind.STORE_UNAVAILABLE:
+                error.retry_after = self._store_returns.add(
+                    policy.service,
+                    CALLER_RETRY_SECONDS,
+                    self.count_daemons() / STORE_RETURNS_PER_SECOND,
+                )
+                self.count_refusal(policy.name, error.kind.value)
+            raise
         log.info(
             'Accepted.',
             extra={
@@ -191,6 +245,89 @@
             },
         )
 
+    async def _accept(self, spec: JobSpec) -> None:
+        """Writes a job's row, or has it written.
+
+        Raises:
+          ConflictError: The row exists.
+          RefusedError: Nothing was written.
+          UnavailableError: The row may be written, also later.
+        """
+        service = spec.queue.service
+        key = make_job_key(service, spec.id)
+        put = Put(key, encode_job_row(spec), ABSENT)
+        was_unsettled = spec.id in self._unsettled
+        self._unsettled[spec.id] = None
+        if len(self._unsettled) > MAX_UNSETTLED:
+            self._unsettled.pop(next(iter(self._unsettled)))
+        try:
+            if not await self._accept_by_owner(service, put):
+                await self._write(put)
+        except RefusedError:
+            if not was_unsettled:
+                self._unsettled.pop(spec.id, None)
+            raise
+        except ConflictError:
+            self._unsettled.pop(spec.id, None)
+            raise
+        self._unsettled.pop(spec.id, None)
+
+    async def _check_admission(self, spec: JobSpec) -> None:
+        """Refuses a job that could not be completed while it is of use.
+
+        Raises:
+          LentilmountError: Of kind OVERLOADED; the job has not run.
+        """
+        gate = self.find_gate(spec.queue.service)
+        if gate is None:
+            return
+        critical_path = max(measure_critical_paths(spec), default=0.0)
+        now = self.clock.monotonic()
+        refusal = gate.judge(spec, critical_path, now)
+        if refusal is not None and not await self._may_be_accepted(spec):
+            self.count_refusal(spec.queue.name, ErrorKind.OVERLOADED.value)
+            raise self._make_overload_error(spec, refusal)
+        gate.count_accepted(spec, now)
+
+    async def _may_be_accepted(self, spec: JobSpec) -> bool:
+        """Returns whether an earlier copy of a request may be accepted.
+
+        The caller sends a job again if it got no answer, and must not be told
+        then that the job has not run. A write of the earlier copy may still be
+        under way while the table is slow.
+        """
+        service = spec.queue.service
+        is_slow = self.find_outage_detector(service).health.is_slow
+        if is_slow or spec.id in self._unsettled:
+            return True
+        try:
+            return await self._find_job(service, spec.id) is not None
+        except UnavailableError as error:
+            log.info('Cannot tell whether a job is known: {}', error)
+            return True
+
+    def _make_overload_error(
+        self, spec: JobSpec, refusal: Refusal
+    ) -> LentilmountError:
+        queue = spec.queue
+        return LentilmountError(
+            f'there is no room in time for a job of queue {queue.name}',
+            kind=ErrorKind.OVERLOADED,
+            retry_after=self._admission_returns.add(
+                f'{queue.service}/{queue.name}',
+                refusal.delay_seconds,
+                refusal.turn_seconds,
+                refusal.useful_seconds,
+            ),
+            extra={
+                'job': spec.id,
+                'queue': queue.name,
+                'wait_seconds': round(refusal.wait_seconds, 2),
+                'useful_wait_seconds': round(refusal.useful_wait_seconds, 2),
+                'estimate_age_seconds': round(refusal.age_seconds, 2),
+            },
+        )
+
     async def _accept_by_owner(self, service: str, put: Put) -> bool:
         """Submits a job to its owner; returns False if it was not asked.
 
