--- a/lentilmount/cli/definition.py
+++ b/lentilmount/cli/definition.py
@@ -252,7 +252,8 @@
     ),
     Command(
         'check',
-        "check a host's settings (YAML) or a deploy file (TOML)",
+        "check a host's settings (YAML), a deploy file (TOML) or policies "
+        '(JSON)',
         'lentilmount check deploy/system.toml',
         (_option('file', metavar='FILE', help='the file'),),
     ),
--- a/lentilmount/cli/traces.py
+++ b/lentilmount/cli/traces.py
@@ -15,6 +15,7 @@
 from lentilmount.cli.session import Session
 from lentilmount.errors import FieldProblem, InvalidError, NotFoundError
 from lentilmount.platform.host_settings import decode_host_settings
+from lentilmount.policyfile import parse_policies
 from lentilmount.status import ExitStatus
 
 PREFIX_KEYS = ('time', 'level', 'part', 'message')
@@ -142,11 +143,13 @@
 
 
 async def check(session: Session) -> ExitStatus:
-    """Checks a host settings file (YAML) or a deploy file (TOML)."""
+    """Checks host settings (YAML), a deploy file (TOML) or policies (JSON)."""
     name = session.options.file
     text = _read(name)
     if name.endswith('.toml'):
         _check_deploy_file(text)
+    elif name.endswith('.json'):
+        parse_policies(text, name)
     else:
         _check_host_settings(text)
     print(f'{name}: valid', file=session.env.stdout)
--- a/tests/test_diagnostic_logs.py
+++ b/tests/test_diagnostic_logs.py
@@ -315,6 +315,12 @@
     assert 'valid' in out
 
 
+def test_the_example_of_policies_is_valid() -> None:
+    status, out, _ = run_tool('check', 'examples/policies.json')
+    assert status is ExitStatus.OK
+    assert 'valid' in out
+
+
 @pytest.mark.parametrize(
     ('name', 'text', 'named'),
     [
@@ -323,6 +329,8 @@
         ('x.toml', '= 1', 'TOML'),
         ('x.yaml', 'zone: [', 'YAML'),
         ('x.yaml', 'zone: north', 'platform.address'),
+        ('x.json', '{"admission": {"weights": 1}}', 'admission.weights'),
+        ('x.json', '{"admissions": {}}', 'admissions'),
     ],
 )
 def test_wrong_files_name_their_fields(
