Test that an owner publishes its waits, and a release clears them

The wiring of the estimates through the owner's writes had no test: an owner with a worker and a waiting job has them in its lease row, and its daemon's gate knows them; the row that a release leaves has none.

--- a/tests/test_admission_of_submissions.py
+++ b/tests/test_admission_of_submissions.py
@@ -11,7 +11,10 @@
 from lentilmount.clock import ManualClock, SystemClock
 from lentilmount.control.candidates import Candidates
 from lentilmount.control.keys import make_job_key, make_owner_key
-from lentilmount.control.lease_data import encode_estimates
+from lentilmount.control.lease_data import (
+    decode_estimates,
+    encode_estimates,
+)
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.store_health import (
     OutageDetector,
@@ -29,10 +32,12 @@
     UnknownOutcomeError,
 )
 from lentilmount.platform.documents import RoutingConfiguration
-from lentilmount.platform.store import RefusedError
+from lentilmount.platform.store import PlatformTable, RefusedError
 from lentilmount.policies import AdmissionPolicy
+from lentilmount.scheduling import waiting_times
 from lentilmount.scheduling.admission import (
     AdmissionGate,
+    Estimates,
     QueueEstimate,
     WorkKind,
 )
@@ -40,7 +45,7 @@
 from tests.admission_fixtures import make_queue_job
 from tests.helpers import run
 from tests.platform_fixtures import make_election, open_table
-from tests.scheduling_fixtures import SERVICE
+from tests.scheduling_fixtures import SERVICE, add_worker
 from tests.test_handover_to_larger_host import LARGE_HOST
 from tests.test_submissions import (
     BODY,
@@ -300,3 +305,42 @@
 def _is_refused(gate: AdmissionGate, now: float) -> bool:
     spec = make_queue_job('a', 'queue')
     return gate.judge(spec, 1.0, now) is not None
+
+
+def test_an_owner_publishes_in_its_lease_row_and_a_release_clears_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Daemons went by the estimates of an owner that had released."""
+    monkeypatch.setattr(waiting_times, 'WARM_UP_SECONDS', 0.0)
+
+    async def scenario() -> tuple[bool, bool]:
+        async with open_table() as (_, table):
+            gate = AdmissionGate(AdmissionPolicy(), lambda: 1)
+            candidates = Candidates(LARGE_HOST)
+            candidates.update({}, True)
+            election = attrs.evolve(make_election(table, candidates), gate=gate)
+            running = asyncio.create_task(election.run())
+            async with asyncio.timeout(10):
+                while (
+                    election.owner is None or not election.owner.loaded.is_set()
+                ):
+                    await asyncio.sleep(0.01)
+                cluster = election.owner.cluster
+                add_worker(cluster, 'w1')
+                now = SystemClock().monotonic()
+                cluster.admit(make_queue_job('a', 'queue'), now, 0.0)
+                while not (published := await _read_waits(table)):
+                    await asyncio.sleep(0.05)
+            gate_knows = bool(gate._estimates)  # noqa: SLF001
+            election.stop()
+            await running
+            is_published = published.keys() == {'queue'} and gate_knows
+            return is_published, bool(await _read_waits(table))
+
+    assert run(scenario()) == (True, False)
+
+
+async def _read_waits(table: PlatformTable) -> Estimates:
+    key = make_owner_key(SERVICE)
+    row = (await table.read([key]))[key]
+    return decode_estimates(row.body['data'])
