--- a/tests/test_admission_of_submissions.py
+++ b/tests/test_admission_of_submissions.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import attrs
+import logbook
 import pytest
 
 from lentilmount.clock import ManualClock, SystemClock
 from lentilmount.control.candidates import Candidates
+from lentilmount.control.frontend import Traffic, make_frontend
 from lentilmount.control.keys import make_job_key, make_owner_key
 from lentilmount.control.lease_data import (
     decode_estimates,
     encode_estimates,
 )
+from lentilmount.control.metrics import ControlMetrics
 from lentilmount.control.routes import RouteTable
 from lentilmount.control.store_health import (
     OutageDetector,
@@ -32,7 +37,7 @@
     UnknownOutcomeError,
 )
 from lentilmount.platform.documents import RoutingConfiguration
-from lentilmount.platform.store import PlatformTable, RefusedError
+from lentilmount.platform.store import PlatformTable, RawRow, RefusedError
 from lentilmount.policies import AdmissionPolicy
 from lentilmount.scheduling import waiting_times
 from lentilmount.scheduling.admission import (
@@ -41,10 +46,16 @@
     QueueEstimate,
     WorkKind,
 )
-from lentilmount.upstream.http import HttpClient
+from lentilmount.upstream.http import HttpClient, HttpResponse
 from tests.admission_fixtures import make_queue_job
 from tests.helpers import run
-from tests.platform_fixtures import make_election, open_table
+from tests.platform_fixtures import (
+    PREFIX,
+    listen,
+    make_configuration,
+    make_election,
+    open_table,
+)
 from tests.scheduling_fixtures import SERVICE, add_worker
 from tests.test_handover_to_larger_host import LARGE_HOST
 from tests.test_submissions import (
@@ -265,6 +276,47 @@
     play(scenario)
 
 
+def test_a_caller_gets_the_refusal_and_a_log_line_explains_it() -> None:
+    """Callers learned neither that a job had not run nor when to come back."""
+
+    async def scenario() -> tuple[HttpResponse, dict[str, Any]]:
+        scene = Scene()
+        routes = scene.submissions.routes
+        routes.apply_row(RawRow('config', make_configuration(1), 1))
+        routes.confirm(scene.clock.monotonic())
+        route, _ = routes.find('desk.example', f'{PREFIX}{JOB}') or (None, '')
+        assert route is not None
+        estimates = {route.policy.name: LONG_WAIT['queue']}
+        scene.gate.observe_own(estimates, scene.clock.now)
+        app = make_frontend(
+            scene.submissions, routes, Traffic(), ControlMetrics()
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            handler = stack.enter_context(logbook.TestHandler())
+            http_client = HttpClient(f'http://{listen(app, stack)}')
+            stack.callback(http_client.close)
+            answer = await http_client.call(
+                'POST', f'{PREFIX}{JOB}', BODY, headers={'Host': 'desk.example'}
+            )
+            line = next(
+                record.extra
+                for record in handler.records
+                if record.message.startswith('Refused: ')
+            )
+            return answer, dict(line)
+
+    answer, line = run(scenario())
+    assert answer.status == 503
+    headers = {name.lower(): text for name, text in answer.headers.items()}
+    assert headers['lentilmount-ran'] == 'no'
+    assert int(headers['retry-after']) >= 1
+    assert line['kind'] == 'overloaded'
+    assert line['job'] == JOB
+    assert line['retry_seconds'] == int(headers['retry-after'])
+    assert line['wait_seconds'] == 30
+    assert line['estimate_age_seconds'] == 0
+
+
 def test_a_daemon_follows_the_estimates_in_the_lease_row() -> None:
     """Also those of a new owner, who has published none yet."""
 
