--- a/lentilmount/control/frontend.py
+++ b/lentilmount/control/frontend.py
@@ -158,6 +158,8 @@
                 'method': self.request.method,
                 'kind': error.kind.value,
                 'queue': self._queue,
+                'retry_seconds': error.retry_after,
+                **error.extra,
             },
         )
         self.set_status(error.answer.http)
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -37,7 +37,11 @@
     StaleRun,
     WorkerEntry,
 )
-from lentilmount.scheduling.specs import JobSpec, TaskId
+from lentilmount.scheduling.specs import (
+    JobSpec,
+    TaskId,
+    measure_critical_paths,
+)
 from lentilmount.scheduling.suspects import CrashSuspects
 from lentilmount.version_times import AgeBounds
 
@@ -58,22 +62,6 @@
 UNKNOWN_AGE = AgeBounds()
 
 
-def measure_critical_paths(spec: JobSpec) -> tuple[float, ...]:
-    """Returns for each step the length in seconds of its critical path.
-
-    That is the longest path of dependent steps that starts with the step.
-    """
-    path_seconds = [step.estimated_seconds for step in spec.steps]
-    for number in reversed(range(len(spec.steps))):
-        step = spec.steps[number]
-        for predecessor in step.after:
-            seconds = (
-                spec.steps[predecessor].estimated_seconds + path_seconds[number]
-            )
-            path_seconds[predecessor] = max(path_seconds[predecessor], seconds)
-    return tuple(path_seconds)
-
-
 def _is_unsent(task: Task) -> bool:
     """Returns whether a task is placed and its start was not sent yet."""
     is_sent = task.start_sent_at < math.inf
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -266,10 +266,10 @@
     @property
     def objective(self) -> float:
         """Time in seconds within which the job should complete."""
-        queue = self.spec.queue
         critical_path = max(self.critical_paths, default=0.0)
-        duration = self.durations.value * critical_path
-        return queue.stretch * duration + queue.target_seconds
+        return self.spec.queue.get_objective(
+            self.durations.value * critical_path
+        )
 
     def get_critical_path(self, step: int) -> float:
         """Returns the expected seconds from the start of a step to the end."""
--- a/lentilmount/scheduling/specs.py
+++ b/lentilmount/scheduling/specs.py
@@ -92,6 +92,14 @@
     target_seconds: float = 0.0
     advised: bool = False
 
+    def get_objective(self, critical_path: float) -> float:
+        """Returns the time within which a job should complete.
+
+        Args:
+          critical_path: Length of its longest path of steps in seconds.
+        """
+        return self.stretch * critical_path + self.target_seconds
+
 
 @attrs.frozen
 class JobSpec:
@@ -133,6 +141,22 @@
         return self.first + occurrence * self.interval
 
 
+def measure_critical_paths(spec: JobSpec) -> tuple[float, ...]:
+    """Returns for each step the length in seconds of its critical path.
+
+    That is the longest path of dependent steps that starts with the step.
+    """
+    path_seconds = [step.estimated_seconds for step in spec.steps]
+    for number in reversed(range(len(spec.steps))):
+        step = spec.steps[number]
+        for predecessor in step.after:
+            seconds = (
+                spec.steps[predecessor].estimated_seconds + path_seconds[number]
+            )
+            path_seconds[predecessor] = max(path_seconds[predecessor], seconds)
+    return tuple(path_seconds)
+
+
 @attrs.frozen(order=True)
 class TaskId:
     """Identifies a task by job, occurrence, step and index."""
