--- a/lentilmount/scheduling/waiting_times.py
+++ b/lentilmount/scheduling/waiting_times.py
@@ -6,6 +6,10 @@
 the cores at work on that kind and those that are free for it. A job whose
 completion is of no use any more yields to a new one (see `ranking`), so its
 work does not count.
+
+The cores are shared by weighted max-min fairness over the queues: what one of
+them leaves unused goes to the others. Source: Bertsekas and Gallager, "Data
+Networks", 1992.
 """
 
 from __future__ import annotations
@@ -25,7 +29,6 @@
     find_kind,
     measure_task_work,
 )
-from lentilmount.scheduling.backlogs import divide, measure_excess
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
 from lentilmount.scheduling.ranking import get_release_time
@@ -53,27 +56,6 @@
 MAX_WAIT_SECONDS = 60.0
 """Longest wait that is estimated."""
 
-
-@attrs.define
-class _PlacedStep:
-    """Placed tasks of a step.
-
-    Attributes:
-      count: Number of the tasks.
-      placed_at: Monotonic time at which the last of them was placed.
-    """
-
-    count: int = 0
-    placed_at: float = 0.0
-
-    def add(self, task: Task) -> None:
-        """Adds a task."""
-        self.count += 1
-        self.placed_at = max(self.placed_at, task.placed_at)
-
-
-_NONE = _PlacedStep()
-
 QueueKind = tuple[str, WorkKind]
 """Name of a queue and kind of work."""
 
@@ -105,15 +87,37 @@
         return taken / (self._declared + PRIOR_CORE_SECONDS)
 
 
+def divide(
+    work: Mapping[str, float], weights: Mapping[str, float], rate: float
+) -> dict[str, float]:
+    """Returns the seconds after which the work of each queue is begun.
+
+    Args:
+      work: Core-seconds that wait, by queue; above 0.
+      weights: Weights by queue; 1 for a queue that is not listed.
+      rate: Cores that are at work on all queues together.
+    """
+
+    def measure_level(queue: str) -> float:
+        return work[queue] / weights.get(queue, 1.0)
+
+    active = sum(weights.get(queue, 1.0) for queue in work)
+    level = elapsed = 0.0
+    waits = {}
+    for queue in sorted(work, key=measure_level):
+        elapsed += (measure_level(queue) - level) * active / rate
+        level = measure_level(queue)
+        active -= weights.get(queue, 1.0)
+        waits[queue] = elapsed
+    return waits
+
+
 @attrs.define
 class _Sums:
     """Sums over all jobs and workers at one time.
 
     Attributes:
       work: Core-seconds that wait, by queue and kind.
-      later: Seconds until that work becomes ready, and its core-seconds, by
-        kind.
-      left: Core-seconds that are left of the placed tasks, by kind.
       queues: Queues and kinds of the jobs that are not over.
       running: Cores at work, by kind.
       free: Cores that are free for tasks that wait, by kind.
@@ -121,8 +125,6 @@
     """
 
     work: dict[QueueKind, float]
-    later: dict[WorkKind, list[tuple[float, float]]]
-    left: dict[WorkKind, float]
     queues: set[QueueKind]
     running: dict[WorkKind, float]
     free: dict[WorkKind, float]
@@ -215,7 +217,11 @@
             return
         work = {}
         if is_waiting:
-            work = self._scale_to_excess(kind, sums, rate)
+            work = {
+                queue: seconds
+                for (queue, k), seconds in sums.work.items()
+                if k is kind and seconds > 0
+            }
         waits = divide(work, self.policy.weights, rate)
         total = sum(map(self._get_weight, work))
         for queue, queue_kind in sums.queues:
@@ -229,32 +235,18 @@
                 share / self._ratios[queue, kind].value,
             )
 
-    def _scale_to_excess(
-        self, kind: WorkKind, sums: _Sums, rate: float
-    ) -> dict[str, float]:
-        """Returns the core-seconds that wait for room, by queue."""
-        excess = measure_excess(sums.left[kind], sums.later[kind], rate)
-        total = sum(work for (_, k), work in sums.work.items() if k is kind)
-        return {
-            queue: work * excess / total
-            for (queue, k), work in sums.work.items()
-            if k is kind and work * excess > 0
-        }
-
     def _get_weight(self, queue: str) -> float:
         return self.policy.weights.get(queue, 1.0)
 
     def _sum(self, now: float) -> _Sums:
         sums = _Sums(
             collections.defaultdict(float),
-            {kind: [] for kind in WorkKind},
-            dict.fromkeys(WorkKind, 0.0),
             set(),
             dict.fromkeys(WorkKind, 0.0),
             dict.fromkeys(WorkKind, 0.0),
             {kind: {} for kind in WorkKind},
         )
-        placed: dict[StepKey, _PlacedStep] = {}
+        placed: collections.Counter[StepKey] = collections.Counter()
         spares = [
             (worker, self._add_worker(worker, placed, sums))
             for worker in self.cluster.workers.values()
@@ -264,7 +256,7 @@
         for job in self.cluster.jobs.values():
             if not job.state.is_final:
                 useful[job] = self._list_useful_occurrences(job, now)
-                self._add_job(job, useful[job], placed, now, sums)
+                self._add_job(job, useful[job], placed, sums)
         for task in self.cluster.ready.values():
             kind = find_kind(task.spec)
             is_useful = task.id.occurrence in useful.get(task.job, ())
@@ -293,13 +285,11 @@
         self,
         job: Job,
         useful: set[int],
-        placed: Mapping[StepKey, _PlacedStep],
-        now: float,
+        placed: Mapping[StepKey, int],
         sums: _Sums,
     ) -> None:
-        """Adds the work of a job."""
+        """Adds the work of the tasks of a job that are not placed."""
         queue = job.spec.queue.name
-        ends: dict[tuple[int, int], float] = {}
         for (occurrence, number), count in job.remaining.items():
             step = job.spec.steps[number]
             kind = find_kind(step)
@@ -307,27 +297,15 @@
                 continue
             key = (queue, kind)
             sums.queues.add(key)
-            if not count or occurrence not in useful:
-                continue
-            ratio = self._ratios[key].value
-            seconds = step.estimated_seconds * ratio
-            ready_in = max(
-                (ends.get((occurrence, before), 0.0) for before in step.after),
-                default=0.0,
-            )
-            running = placed.get((job.spec.id, occurrence, number), _NONE)
-            waiting = max(0, count - running.count)
-            left = max(0.0, running.placed_at + seconds - now)
-            sums.left[kind] += running.count * left * step.demand.cores
-            ends[occurrence, number] = ready_in + (seconds if waiting else left)
-            work = waiting * measure_task_work(step) * ratio
-            sums.work[key] += work
-            sums.later[kind].append((ready_in, work))
+            if count and occurrence in useful:
+                waiting = count - placed[job.spec.id, occurrence, number]
+                work = waiting * measure_task_work(step)
+                sums.work[key] += work * self._ratios[key].value
 
     def _add_worker(
         self,
         worker: Worker,
-        placed: dict[StepKey, _PlacedStep],
+        placed: collections.Counter[StepKey],
         sums: _Sums,
     ) -> float:
         """Adds the tasks of a worker; returns its best-effort cores."""
@@ -336,7 +314,7 @@
             spec = task.spec
             if spec.lasting or task.phase is TaskPhase.STOPPING:
                 continue
-            placed.setdefault(get_step_key(task), _PlacedStep()).add(task)
+            placed[get_step_key(task)] += 1
             if spec.fills:
                 best_effort += spec.demand.cores
             else:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -22,10 +22,9 @@
     QueueEstimate,
     WorkKind,
 )
-from lentilmount.scheduling.backlogs import divide, measure_excess
 from lentilmount.scheduling.cluster import measure_critical_paths
 from lentilmount.scheduling.reports import EndKind
-from lentilmount.scheduling.waiting_times import WARM_UP_SECONDS
+from lentilmount.scheduling.waiting_times import WARM_UP_SECONDS, divide
 from tests.admission_fixtures import Scene, make_queue_job
 from tests.scheduling_fixtures import make_job
 
@@ -264,30 +263,6 @@
     assert scene.get_wait(queue) > 12 * 40 * 2 / 32
 
 
-def test_steps_that_wait_for_others_only_do_not_count() -> None:
-    """Jobs whose first steps ran seemed to wait as long as they take."""
-    assert measure_excess(20.0, [(0.0, 0.0), (1.0, 8.0), (2.0, 8.0)], 20.0) == 0
-    scene = Scene()
-    step = make_queue_job('a', 'bulk', seconds=4.0).steps[0]
-    for number in range(5):
-        spec = make_job(
-            f'{number:016x}', step, attrs.evolve(step, after=(0,), count=1)
-        )
-        scene.cluster.admit(spec, scene.clock.now, 0.0)
-        scene.run_ready(8.0)
-        scene.clock.advance(0.5)
-    scene.settle()
-    # The job that has not begun waits; the later steps follow tasks that run.
-    first_step = 4 * 4.0 * 2.0
-    assert first_step / 32 <= scene.get_wait(spec.queue.name) < 1.4
-
-
-def test_steps_that_become_ready_all_at_once_count() -> None:
-    """A burst was taken for harmless until its second steps were ready."""
-    assert measure_excess(20.0, [(0.0, 0.0), (1.0, 60.0)], 20.0) == 40
-    assert measure_excess(20.0, [(0.0, 30.0), (1.0, 60.0)], 20.0) == 70
-
-
 def test_work_that_is_of_no_use_any_more_does_not_count() -> None:
     """Late jobs, which yield to new ones, kept new ones out."""
     scene = Scene()
--- a/tests/test_admission_mutations.py
+++ b/tests/test_admission_mutations.py
@@ -13,9 +13,12 @@
 from lentilmount.errors import LentilmountError
 from lentilmount.scheduling import admission, waiting_times
 from lentilmount.scheduling.admission import AdmissionGate, Refusal, WorkKind
-from lentilmount.scheduling.backlogs import divide
 from lentilmount.scheduling.specs import JobSpec
-from lentilmount.scheduling.waiting_times import RunTimeRatio, WaitingTimes
+from lentilmount.scheduling.waiting_times import (
+    RunTimeRatio,
+    WaitingTimes,
+    divide,
+)
 from tests import test_admission as loads
 from tests import test_admission_of_submissions as submissions
 from tests import test_retry_schedule as returns
@@ -104,24 +107,6 @@
     )
 
 
-def _count_steps_that_are_not_ready(patch: Patch) -> None:
-    def add_up(
-        running: float, later: list[tuple[float, float]], rate: float
-    ) -> float:
-        return sum(work for _, work in later)
-
-    patch.setattr(waiting_times, 'measure_excess', add_up)
-
-
-def _ignore_later_steps(patch: Patch) -> None:
-    def add_up(
-        running: float, later: list[tuple[float, float]], rate: float
-    ) -> float:
-        return sum(work for at, work in later if not at)
-
-    patch.setattr(waiting_times, 'measure_excess', add_up)
-
-
 def _take_new_work_for_waiting(patch: Patch) -> None:
     patch.setattr(
         WaitingTimes,
@@ -196,11 +181,6 @@
         _count_late_work,
         loads.test_work_that_is_of_no_use_any_more_does_not_count,
     ),
-    (
-        _count_steps_that_are_not_ready,
-        loads.test_steps_that_wait_for_others_only_do_not_count,
-    ),
-    (_ignore_later_steps, loads.test_later_steps_of_accepted_jobs_count),
     (
         _take_new_work_for_waiting,
         loads.test_work_that_arrived_just_now_does_not_wait,
