--- a/tests/test_admission_mutations.py
+++ b/tests/test_admission_mutations.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+import attrs
 import pytest
 
 from lentilmount.control.retry_schedule import RetrySchedule
@@ -13,6 +14,7 @@
 from lentilmount.errors import LentilmountError
 from lentilmount.scheduling import admission, waiting_times
 from lentilmount.scheduling.admission import AdmissionGate, Refusal, WorkKind
+from lentilmount.scheduling.model import Job
 from lentilmount.scheduling.specs import JobSpec
 from lentilmount.scheduling.waiting_times import (
     RunTimeRatio,
@@ -107,6 +109,21 @@
     )
 
 
+def _ignore_later_steps(patch: Patch) -> None:
+    def add_first_steps(self: WaitingTimes, job: Job, *arguments: Any) -> None:
+        first = {
+            (occurrence, step): count
+            for (occurrence, step), count in job.remaining.items()
+            if not job.spec.steps[step].after
+        }
+        _ADD_JOB(self, attrs.evolve(job, remaining=first), *arguments)
+
+    patch.setattr(WaitingTimes, '_add_job', add_first_steps)
+
+
+_ADD_JOB = WaitingTimes._add_job  # noqa: SLF001
+
+
 def _take_new_work_for_waiting(patch: Patch) -> None:
     patch.setattr(
         WaitingTimes,
@@ -181,6 +198,7 @@
         _count_late_work,
         loads.test_work_that_is_of_no_use_any_more_does_not_count,
     ),
+    (_ignore_later_steps, loads.test_later_steps_of_accepted_jobs_count),
     (
         _take_new_work_for_waiting,
         loads.test_work_that_arrived_just_now_does_not_wait,
