Read a lease in time after the modules of an owner were loaded

Cause: a host that loaded ahead of an expiring lease read it next a whole pause after the loading, so it took the lease later by the time that loading took, some 0.1 s where no byte code is kept.

Change: the pause is shortened by that time.

A test gives the loading a second and fails without the change.

--- a/lentilmount/control/election.py
+++ b/lentilmount/control/election.py
@@ -183,13 +183,13 @@
                 await keeper.release(lease)
             elif lease is not None:
                 await self._run_owner(keeper, lease)
-            if self._may_own_soon(keeper, delay):
-                load_owner()
+            # The next read is due as if nothing had been loaded.
+            took = load_owner() if self._may_own_soon(keeper, delay) else 0.0
             is_complete = self.candidates.is_complete
             pause = POLL_SECONDS if is_complete else FIRST_POLL_SECONDS
             await wait_with_timeout(
                 self._watch.has_ended,
-                pause + random.uniform(0, JITTER_SECONDS),
+                max(0.0, pause + random.uniform(0, JITTER_SECONDS) - took),
             )
             self._watch.has_ended.clear()
 
--- a/lentilmount/control/owner_modules.py
+++ b/lentilmount/control/owner_modules.py
@@ -28,10 +28,14 @@
     return OWNER_MODULE in sys.modules
 
 
-def load_owner() -> None:
-    """Loads the modules of an owner, if they are not loaded yet."""
+def load_owner() -> float:
+    """Loads the modules of an owner, if they are not loaded yet.
+
+    Returns:
+      Seconds that it took.
+    """
     if is_owner_loaded():
-        return
+        return 0.0
     began_at = time.monotonic()
     importlib.import_module(OWNER_MODULE)
     # As at the start of the daemon: full collections need not visit them.
@@ -39,3 +43,4 @@
     gc.set_threshold(*GC_THRESHOLDS)
     took = time.monotonic() - began_at
     log.info('Loaded the owner.', extra={'took': round(took, 3)})
+    return took
--- a/tests/test_small_daemons.py
+++ b/tests/test_small_daemons.py
@@ -42,6 +42,9 @@
 HOLDER = f'{OWNER}.0a'
 STORE = '127.0.0.1:1'
 
+LONG_LOAD_SECONDS = 1.0
+"""Longer than the interval between two reads of a lease."""
+
 MESSAGES = ['Loaded the owner.', 'Taken: desk.']
 
 OWNER_ONLY = (
@@ -141,15 +144,17 @@
 
 
 class _Loads:
-    """Counts the loads of an owner's modules."""
+    """Counts the loads of an owner's modules, each of which takes a while."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch):
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, seconds: float = 0.0):
         self.count = 0
+        self._seconds = seconds
         monkeypatch.setattr(elections, 'is_owner_loaded', lambda: False)
         monkeypatch.setattr(elections, 'load_owner', self.load)
 
-    def load(self) -> None:
+    def load(self) -> float:
         self.count += 1
+        return self._seconds
 
 
 async def _read_lease(
@@ -265,6 +270,40 @@
     run(play())
 
 
+def test_loading_the_owner_delays_no_read_of_the_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A host that loaded ahead of a lease took it a tenth of a second later."""
+    loads = _Loads(monkeypatch, seconds=LONG_LOAD_SECONDS)
+    pauses: list[float] = []
+
+    async def record(event: asyncio.Event, seconds: float) -> None:
+        del event
+        pauses.append(seconds)
+        await asyncio.sleep(0)
+
+    monkeypatch.setattr(elections, 'wait_with_timeout', record)
+
+    async def play() -> None:
+        async with open_table() as (_, table):
+            other = LeaseKeeper(table, HOLDER, 60.0, ManualClock().monotonic)
+            assert await other.try_acquire(KEY) is not None
+            candidates = make_candidates(find_standbys()[0])
+            others = {**HOSTS}
+            candidates.update(others, True, {name: name for name in others})
+            election = make_election(table, candidates)
+            running = asyncio.create_task(election.run())
+            async with asyncio.timeout(10):
+                while len(pauses) < 3:
+                    await asyncio.sleep(0.01)
+            election.stop()
+            await running
+
+    run(play())
+    assert loads.count >= 3
+    assert set(pauses) == {0.0}
+
+
 def test_the_standby_of_a_killed_owner_had_loaded_what_it_needs(
     tmp_path: pathlib.Path,
 ) -> None:
