Compare thresholds with those of the same interpreter

The test took the defaults from the process of the tests, in which an earlier test may have loaded an owner and raised them: it failed after test_handover_to_larger_host.py, which it follows here in one run. It now takes them from the process that it starts, before anything is imported.

--- a/tests/test_small_daemons.py
+++ b/tests/test_small_daemons.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import json
 import pathlib
 import signal
@@ -326,6 +325,7 @@
 
 THRESHOLDS = """
 import gc
+print(*gc.get_threshold())
 from lentilmount.control import __main__
 from lentilmount.control.owner_modules import load_owner
 print(*gc.get_threshold())
@@ -342,7 +342,7 @@
         check=True,
         text=True,
     )
-    idle, owner = found.stdout.splitlines()[:2]
-    assert idle == ' '.join(map(str, gc.get_threshold()))
+    default, idle, owner = found.stdout.splitlines()[:3]
+    assert idle == default
     assert owner == ' '.join(map(str, GC_THRESHOLDS))
     assert idle != owner
