Say that a daemon is ready once it knows the upstreams

Cause, read from the code: a new daemon was ready when its configuration was in force. The same poll of the table goes on to read the slices, four at a time, and until then the daemon knows no upstream and refuses its requests.

Ruled out: waiting in the first request, whose deadline would pay; all slices of the settings, as those of a new site have no rows, and those that peers report while the table is out are all that can be known.

Change: `/readyz` and the status also ask whether the daemon has ever known the upstreams of all slices. Polls look first at slices not looked at yet.

--- a/lentilmount/daemon/follower.py
+++ b/lentilmount/daemon/follower.py
@@ -63,6 +63,8 @@
 
     Attributes:
       store_up: Whether the last poll of the table succeeded.
+      knows_upstreams: Whether this daemon has ever known the upstreams of all
+        slices that were known to exist, of the newest configuration.
       logs: The services of each slice, and the positions of their logs.
     """
 
@@ -79,6 +81,7 @@
         announce: Callable[[], None],
     ):
         self.store_up = False
+        self.knows_upstreams = False
         self.logs = SliceLogs(table, directory)
         self._table = table
         self._configuration = configuration
@@ -93,6 +96,9 @@
         self._newest_report = VersionReport()
         self._origins: dict[str, str] = {}
         self._peer_sequences: dict[str, tuple[int, str]] = {}
+        self._reported_slices: set[str] = set()
+        self._missing_slices: set[str] = set()
+        self._has_polled = False
         self._wake = asyncio.Event()
         self._peer_ahead = asyncio.Event()
 
@@ -110,6 +116,7 @@
         for name, sequence in report.sequences.items():
             if self.logs.update_head(name, sequence):
                 self._origins[name] = report.zone
+        self._reported_slices.update(report.services)
         for name, sequence in report.services.items():
             if sequence >= self._peer_sequences.get(name, (0, ''))[0]:
                 self._peer_sequences[name] = (sequence, report.sender)
@@ -147,7 +154,26 @@
             await self.fetch_from_peers()
             self._announce_changes()
 
+    def _check_upstreams(self) -> None:
+        if not self.knows_upstreams and self._configuration.is_ready:
+            self.knows_upstreams = self._has_polled and not self._list_unread()
+
+    def _list_unread(self) -> list[str]:
+        """Lists the slices whose upstreams this daemon does not know yet.
+
+        Without the table only those count that peers have reported.
+        """
+        expected = self._slices if self.store_up else self._reported_slices
+        return [
+            name
+            for name in expected
+            if name in self._slices
+            and name not in self._missing_slices
+            and self.logs.get_sequence(name) < 0
+        ]
+
     def _announce_changes(self) -> None:
+        self._check_upstreams()
         report = (self._configuration.revision, self.logs.list_services())
         if report != self._announced:
             self._announced = report
@@ -162,6 +188,7 @@
             self._record_store_state(True)
         except UnavailableError:
             self._record_store_state(False)
+        self._has_polled = True
 
     def _record_store_state(self, up: bool) -> None:
         if up == self.store_up:
@@ -184,7 +211,9 @@
             await self._follow_configuration(rows[REVISION_KEY])
         for name, key in zip(names, keys, strict=True):
             if key not in rows:
+                self._missing_slices.add(name)
                 continue
+            self._missing_slices.discard(name)
             head = int(rows[key].body['data'].get('sequence', 0))
             if self.logs.update_head(name, head):
                 self._origins.pop(name, None)
@@ -193,7 +222,10 @@
     def _choose_slices(self) -> list[str]:
         read_here = [name for name in self._slices if self._is_reader(name)]
         rest = [name for name in self._slices if name not in read_here]
-        unknown = [n for n in rest if self.logs.get_sequence(n) < 0]
+        unknown = sorted(
+            (n for n in rest if self.logs.get_sequence(n) < 0),
+            key=self._missing_slices.__contains__,
+        )
         # Peers report changes of the rest. Polling one of them in turn covers
         # slices whose reader has failed.
         next_in_turn = [
--- a/lentilmount/daemon/lifecycle.py
+++ b/lentilmount/daemon/lifecycle.py
@@ -278,6 +278,8 @@
                 f'revision {self.configuration.known} of the configuration '
                 f'is not in force yet'
             )
+        if not self._control.follower.knows_upstreams:
+            return 'the upstreams of some slices are not known yet'
         return ''
 
     def set_duration(self, name: str, seconds: float) -> None:
