--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -11,7 +11,6 @@
 
 from lentilmount.clock import Clock
 from lentilmount.control.advice import Advice
-from lentilmount.control.copier import Copier
 from lentilmount.control.dispatcher import Dispatcher
 from lentilmount.control.gauges import refresh_gauges
 from lentilmount.control.grouped_submissions import (
@@ -22,8 +21,8 @@
 from lentilmount.control.job_loader import JobLoader
 from lentilmount.control.loop_lag import LoopLag
 from lentilmount.control.metrics import ControlMetrics
-from lentilmount.control.owner_admission import OwnerAdmission
 from lentilmount.control.owner_load import OwnerLoad
+from lentilmount.control.owner_policies import apply_policies
 from lentilmount.control.owner_settings import (
     RENEW_WITHOUT_STORE_SECONDS,
     OwnerSettings,
@@ -59,14 +58,12 @@
     WorkerState,
 )
 from lentilmount.scheduling.start_window import make_start_window
-from lentilmount.scheduling.stragglers import Stragglers
 from lentilmount.scheduling.takeover import (
     InheritedLeases,
     UnrecordedStarts,
     apply_lease_seconds,
     list_lease_seconds,
 )
-from lentilmount.scheduling.waiting_times import WaitingTimes
 from lentilmount.version_times import AgeBounds
 
 log = logbook.Logger('owner')
@@ -121,9 +118,6 @@
         gate: AdmissionGate | None = None,
     ):
         self.cluster = ClusterState()
-        durations = settings.policies.durations
-        if durations is not None:
-            self.cluster.durations.max_ratio = durations.max_ratio
         self.sessions: dict[str, WorkerSession] = {}
         self.loaded = asyncio.Event()
         self._settings = settings
@@ -176,8 +170,15 @@
             self._commands,
             metrics,
         )
-        self._copier = self._make_copier()
-        self._admission = self._make_admission(gate)
+        self._policies = apply_policies(
+            settings,
+            self.cluster,
+            interference_model,
+            self._task_controller,
+            self._commands.stop,
+            gate,
+            metrics,
+        )
         self._submissions = GroupedSubmissions(
             settings.service,
             clock.monotonic,
@@ -212,38 +213,9 @@
             self._wake.set,
         )
 
-    def _make_copier(self) -> Copier | None:
-        policy = self._settings.policies.copies
-        if policy is None:
-            return None
-        self.cluster.copies.is_enabled = True
-        return Copier(
-            self.cluster,
-            Stragglers(policy, self.cluster, self._interference_model),
-            self._task_controller.health,
-            self._metrics,
-            self._commands.stop,
-            self._task_controller.stop,
-        )
-
-    def _make_admission(
-        self, gate: AdmissionGate | None
-    ) -> OwnerAdmission | None:
-        if gate is None:
-            return None
-        return OwnerAdmission(
-            self._settings.service,
-            WaitingTimes(self.cluster, gate.policy),
-            gate,
-            self._metrics,
-        )
-
     def _make_lease_data(self, now: float) -> dict[str, Any]:
-        if self._admission is None:
-            return {}
         unrecorded = self._state_writer.unrecorded_starts
-        may_place = unrecorded is not None and not unrecorded.may_exist(now)
-        return self._admission.make_lease_data(now, may_place)
+        return self._policies.make_lease_data(unrecorded, now)
 
     @property
     def lost_reason(self) -> str:
@@ -298,7 +270,7 @@
             self._wake,
             self._task_controller.stop,
             self._placement_log.log_starts,
-            self._copier,
+            self._policies.copier,
         )
         log.info(
             'Loaded {} jobs of {}.',
@@ -554,24 +526,17 @@
         """See `SessionListener`."""
         now = self._clock.monotonic()
         self._task_controller.handle_poll_result(worker, result, now)
-        self._settle_copies()
-        if self._admission is not None:
-            self._admission.record_ends(result.ended, now)
+        self._policies.handle_poll_result(result, now)
         if worker.is_reported_unreachable:
             self._state_writer.request_write()
         if result.ended or result.adopted or result.expired:
             self._wake.set()
             self._state_writer.request_write()
 
-    def _settle_copies(self) -> None:
-        if self._copier is not None:
-            self._copier.settle(self._clock.monotonic())
-
     def refresh_metrics(self) -> None:
         """Updates the gauges."""
         refresh_gauges(self.cluster, self._metrics)
-        if self._admission is not None:
-            self._admission.refresh_metrics()
+        self._policies.refresh_metrics()
 
     async def _run_periodic_checks(self) -> None:
         try:
@@ -579,7 +544,7 @@
                 await asyncio.sleep(CHECK_SECONDS)
                 self.cluster.create_due_tasks(self._clock.wall())
                 self._task_controller.check(self._clock.monotonic())
-                self._settle_copies()
+                self._policies.settle_copies(self._clock.monotonic())
                 self._placement_log.flush()
         finally:
             self._placement_log.flush()
