--- a/lentilmount/policyfile.py
+++ b/lentilmount/policyfile.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-import pathlib
-
 from lentilmount.codec import structure
-from lentilmount.errors import InvalidError, SettingsError
+from lentilmount.errors import InvalidError
 from lentilmount.policies import Policies
-from lentilmount.settingsfile import make_settings_error, parse_document
+from lentilmount.settingsfile import (
+    make_settings_error,
+    parse_document,
+    read_text,
+)
 
 
 def read_policies(path: str) -> Policies:
@@ -16,11 +18,7 @@
     Raises:
       SettingsError: The file is invalid; lists every invalid field.
     """
-    try:
-        text = pathlib.Path(path).read_text('utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f'{path}: {error}') from error
-    return parse_policies(text, path)
+    return parse_policies(read_text(path), path)
 
 
 def parse_policies(text: str, path: str = 'policies') -> Policies:
--- a/lentilmount/scheduling/candidates.py
+++ b/lentilmount/scheduling/candidates.py
@@ -80,9 +80,8 @@
 
     def evaluate(self, views: list[WorkerView]) -> None:
         """Computes the costs of some workers, in place of those before."""
-        task = self.task
-        fitting = [view for view in views if view.can_start(task)]
-        self._views = [v for v in fitting if self.is_allowed(task, v.worker)]
+        fitting = [view for view in views if view.can_start(self.task)]
+        self._views = _list_allowed(self.task, fitting, self.is_allowed)
         self.has_excluded_workers = len(self._views) < len(fitting)
         self._costs = [self.cost_function(view) for view in self._views]
         self._heap = [
@@ -159,9 +158,8 @@
 
     def evaluate(self, views: list[WorkerView]) -> None:
         """Computes the costs of some workers, in place of those before."""
-        task = self.task
-        fitting = [view for view in views if view.can_start(task)]
-        self._views = [v for v in fitting if self.is_allowed(task, v.worker)]
+        fitting = [view for view in views if view.can_start(self.task)]
+        self._views = _list_allowed(self.task, fitting, self.is_allowed)
         self.has_excluded_workers = len(self._views) < len(fitting)
         self._costs = [self.cost_function(view) for view in self._views]
         self._order = sorted(
@@ -196,3 +194,9 @@
         is_found = best[0] < math.inf
         self.has_headroom_only = not is_found and bool(self._order)
         return self._views[best[1]] if is_found else None
+
+
+def _list_allowed(
+    task: Task, views: list[WorkerView], is_allowed: IsAllowed
+) -> list[WorkerView]:
+    return [view for view in views if is_allowed(task, view.worker)]
--- a/lentilmount/settingsfile.py
+++ b/lentilmount/settingsfile.py
@@ -35,11 +35,19 @@
     Raises:
       SettingsError: The file is invalid; lists every invalid field.
     """
+    return parse_settings(read_text(path), path)
+
+
+def read_text(path: str) -> str:
+    """Returns the text of a file.
+
+    Raises:
+      SettingsError: The file cannot be read.
+    """
     try:
-        text = pathlib.Path(path).read_text('utf-8')
+        return pathlib.Path(path).read_text('utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f'{path}: {error}') from error
-    return parse_settings(text, path)
 
 
 def parse_settings(text: str, path: str = 'settings') -> Settings:
