Keep reserved workers out of the samples of a pass

Cause: since the sampler indexes the workers of a pass by image and rack at its start; a worker reserved later in the pass left the pass's list and not the index. So with over 500 workers a small task near its data, or a long-running one of the same image, could take the worker that is kept for an interrupted task. Before the sample was drawn from the list and did not hold it.

Change: a reservation drops the worker from the index as well. Fleets of up to 500 workers are not sampled and behave as before.

Test: test_a_reserved_worker_is_in_no_sample fails without the change. Run after it: lost zones, reservations, idle workers, placements and their scale, stragglers, structure.

--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -212,6 +212,7 @@
         view = self._reservations.reserve(task, self._views, self._now)
         if view is not None:
             self._views.remove(view)
+            self._sampler.remove(view)
 
     def _place_step(self, step: list[Task]) -> tuple[list[Placement], bool]:
         """Places tasks of a step; returns them and whether all were placed."""
--- a/lentilmount/scheduling/sampling.py
+++ b/lentilmount/scheduling/sampling.py
@@ -44,6 +44,11 @@
             self._by_image.setdefault(image, {})[view] = None
         self._by_rack.setdefault(view.worker.rack, {})[view] = None
 
+    def remove(self, view: WorkerView) -> None:
+        """Drops a worker that is no longer among those of the pass."""
+        for suitable in (*self._by_image.values(), *self._by_rack.values()):
+            suitable.pop(view, None)
+
     def is_needed(self, views: list[WorkerView]) -> bool:
         """Returns whether there are too many workers to compare all."""
         return len(views) > MAX_COMPARED_WORKERS
--- a/tests/test_lost_zones.py
+++ b/tests/test_lost_zones.py
@@ -195,3 +195,25 @@
     allowed.clear()
     assert candidates.find_cheapest(task) is None
     assert candidates.has_headroom_only
+
+
+def test_a_reserved_worker_is_in_no_sample() -> None:
+    """Among thousands, small tasks near their data took a reserved worker."""
+    cluster = ClusterState()
+    for number in range(WORKERS):
+        add_worker(cluster, f'w{number:04}', capacity=Room(1.0, 16_000))
+    large = add_worker(
+        cluster, 'large', capacity=Room(8.0, 64_000), labels=('a', 'data')
+    )
+    gone = add_worker(cluster, 'gone', capacity=Room(8.0, 64_000))
+    admit(cluster, make_job('short', make_step(demand=Room(7.0, 1000))))
+    run_task(cluster, find_task(cluster, 'short'), large)
+    admit(cluster, make_job('watch', make_watch(count=1)))
+    run_task(cluster, find_task(cluster, 'watch'), gone)
+    cluster.end_worker_tasks(gone, LOST_AT)
+    gone.reachable = False
+    near_data = make_step(demand=Room(0.5, 1000), rack='data')
+    admit(cluster, make_job('small', near_data))
+    placed = run_pass(Placer(cluster, InterferenceModel()), OVERDUE_AT)
+    assert [task.job.spec.id for task, _ in placed] == ['small']
+    assert placed[0][1] is not large
