--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,4 +1,4 @@
-"""A gang that wants one rack, after a worker was lost: is it still done?"""
+"""A job that takes longer than declared: is it ever done?"""
 
 from __future__ import annotations
 
@@ -7,47 +7,48 @@
 import sys
 import time
 
-from review.common.gangs import Gangs
 from review.common.site import Site, run_case
 
-WORKERS = 32
-CORES = 32
-RACK_SIZE = 8
-LOST = (3, 12, 21, 30)  # one of each rack, 12.5% of the workers
-MEMBERS = 8
-MEMBER_CPU = 20000
+TIMES_AS_LONG = 6.5
+DECLARED_MS = 1700
+SPECIAL_WORKER = 5
+SPECIAL_KIND = 'b'
 TRAFFIC_SECONDS = 30
-SMALL_EVERY = 0.5
+JOB_EVERY = 1.0
 FINISH_SECONDS = 14
+OBSERVED_SECONDS = 20
 STALL_SECONDS = 3
-GANG_PATH = f'/season/{0xabc:016x}'
+LONG_ID = f'{0x1076:016x}'
+LONG_PATH = f'/season/{LONG_ID}'
 
 
-def make_gang() -> dict[str, object]:
+def make_job(times: float, label: str = '') -> dict[str, object]:
     step = {
-        'count': MEMBERS,
-        'cpu': MEMBER_CPU,
-        'memMb': 6400,
-        'estimatedMs': 2000,
-        'gang': True,
-        'sameRack': True,
+        'count': 2,
+        'cpu': 1800,
+        'memMb': 3200,
+        'estimatedMs': DECLARED_MS,
     }
-    return {'spec': f'gang {MEMBERS} 2000', 'steps': [step]}
+    if label:
+        step['requirements'] = label
+    return {'spec': str(times * DECLARED_MS / 1000), 'steps': [step]}
 
 
-def make_small() -> dict[str, object]:
-    step = {'count': 2, 'cpu': 500, 'memMb': 64, 'estimatedMs': 300}
-    return {'spec': '300', 'steps': [step]}
+def work(task: str, run: int, payload: str) -> tuple[float, str]:
+    return float(payload), 'done'
 
 
 async def play(folder: pathlib.Path) -> int:
-    site = Site(folder, 4, WORKERS, CORES, RACK_SIZE)
-    gangs = Gangs()
+    site = Site(folder, daemons=4, workers=24)
     routes = [
-        {'name': 'draft', 'pathPrefix': '/draft/', 'priority': 0,
-         'maxAttempts': 2, 'stretch': 1.5, 'targetLatencyMs': 250},
-        {'name': 'season', 'pathPrefix': '/season/', 'priority': 2,
-         'maxAttempts': 4, 'stretch': 2.0, 'targetLatencyMs': 1000},
+        {
+            'name': 'season',
+            'pathPrefix': '/season/',
+            'priority': 2,
+            'maxAttempts': 4,
+            'stretch': 2.0,
+            'targetLatencyMs': 1000,
+        },
     ]
     accepted: list[str] = []
 
@@ -56,52 +57,45 @@
             accepted.append(path)
 
     try:
-        await site.open(routes, gangs.choose_work)
-        for worker in site.workers:
-            gangs.watch(worker)
+        await site.open(routes, work)
+        site.workers[SPECIAL_WORKER].kind = SPECIAL_KIND
+        await asyncio.sleep(2)
         began = time.monotonic()
-        if site.has_trouble:
-            for number in LOST:
-                site.workers[number].lose()
+        times = TIMES_AS_LONG if site.has_trouble else 1.0
+        site.spawn(submit(LONG_PATH, make_job(times, SPECIAL_KIND)))
         number = 0
-        is_sent = False
         while time.monotonic() - began < TRAFFIC_SECONDS:
             number += 1
-            site.spawn(submit(f'/draft/{number:016x}', make_small()))
-            if not is_sent and time.monotonic() - began > 10:
-                is_sent = True
-                site.spawn(submit(GANG_PATH, make_gang()))
-            await asyncio.sleep(SMALL_EVERY)
+            site.spawn(
+                submit(f'/season/{0xABC0000 + number:016x}', make_job(1))
+            )
+            await asyncio.sleep(JOB_EVERY)
         await asyncio.sleep(FINISH_SECONDS)
-        used = site.running
-        await asyncio.sleep(STALL_SECONDS)
-        unfinished = []
-        for path in accepted:
-            status, document = await site.client.call('GET', path)
-            state = document.get('state', status)
-            if state != 'completed':
-                unfinished.append((path, state))
-        up = [w for w in site.workers if w.model.is_up]
-        racks: dict[str, int] = {}
-        for worker in up:
-            racks[worker.rack] = racks.get(worker.rack, 0) + 1
+        unfinished = await site.ask_all(accepted)
+        longest = 0.0
+        if unfinished:
+            longest = await site.watch_idle(OBSERVED_SECONDS, LONG_ID)
+        runs = [
+            (e.task, e.run, e.kind, round(e.ended_at - e.started_at, 1))
+            for e in site.workers[SPECIAL_WORKER].model.record
+            if e.task.startswith(LONG_ID)
+        ]
         site.record.note(
-            f'{len(accepted)} jobs accepted, not completed '
-            f'{FINISH_SECONDS} s after the traffic: {unfinished}'
+            f'{len(accepted)} jobs accepted; {FINISH_SECONDS} s after the '
+            f'traffic these are not completed: {unfinished}'
         )
         site.record.note(
-            f'tasks running then: {used}, and {STALL_SECONDS} s later: '
-            f'{site.running}; workers of {CORES} cores by rack: {racks}; a member '
-            f'of the gang of {MEMBERS} takes {MEMBER_CPU // 1000} cores'
+            f'the tasks take {times * DECLARED_MS / 1000:.2f} s; runs of the '
+            f'job, and their seconds: {runs}'
         )
-        if unfinished and not used and not site.running:
-            site.record.note('LOST is broken')
-            return 1
-        if unfinished or GANG_PATH not in accepted:
-            site.record.note('jobs are not finished, but some work went on')
+        site.record.note(
+            f'after that, nothing of the job ran for {longest:.1f} s on end, '
+            f'while its worker ran nothing else; tasks running on all '
+            f'workers: {site.count_running()}'
+        )
+        if LONG_PATH not in accepted:
             return 2
-        site.record.note('LOST holds')
-        return 0
+        return site.judge_lost(bool(unfinished), longest > STALL_SECONDS)
     finally:
         await site.close()
 
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import pathlib
@@ -15,6 +16,8 @@
 import sys
 import tempfile
 import time
+import zlib
+from collections.abc import Iterable
 from typing import Any
 
 import orjson
@@ -24,8 +27,13 @@
 from tornado.web import Application, RequestHandler
 
 from stand_ins.entry_hosts import serve
-from stand_ins.model_worker import POLL_PATH, Execution, ModelWorker
+from stand_ins.model_worker import (
+    POLL_PATH,
+    Execution,
+    ModelWorker,
+)
 from stand_ins.rowstore import (
+    Change,
     RowStore,
     StoreListener,
     _FeedHandler,
@@ -39,6 +47,7 @@
 ROW_BYTES = 65536
 TRANSACTION_SECONDS = 0.006
 HEARTBEAT_SECONDS = 1.5
+_PARENT_DEATH_SIGNAL = 1
 BOUNDS = {
     'contactMs': 3000,
     'graceS': 6,
@@ -98,11 +107,27 @@
         super().post()
 
 
+class _Rows(RowStore):
+    """Rows whose feed misses no change that comes as a wait runs out.
+
+    `RowStore.follow` returns nothing then, and the handler answers with the
+    version of that change: the daemon would skip it.
+    """
+
+    async def follow(
+        self, table: str, after: int, wait: float
+    ) -> list[Change] | None:
+        found = await super().follow(table, after, wait)
+        return found or (
+            None if found is None else self._list_changes(table, after)
+        )
+
+
 class Store:
     """The platform's table service, with its limit on the size of rows."""
 
     def __init__(self, record: Record):
-        self.rows = RowStore(max_changes=200_000)
+        self.rows = _Rows(max_changes=200_000)
         _LimitedTransactHandler.record = record
         arguments = {'store': self.rows, 'listener': StoreListener()}
         app = Application(
@@ -163,10 +188,12 @@
     ):
         self.rack = f'r{number // rack_size}'
         self.cores = cores
+        self.kind = 'a'
         self.store = store
         self.record = record
         self.zone = ZONES[number % len(ZONES)]
-        self.model = ModelWorker(f'w-{number:02d}', '', [], zone=self.zone)
+        worker_id = f'i-{zlib.crc32(str(number).encode()):08x}'
+        self.model = ModelWorker(worker_id, '', [], zone=self.zone)
         self.model.choose_work = work
         self.model.on_change = self._note
         self.model.boot()
@@ -203,7 +230,7 @@
             document = orjson.loads(self.model.describe(SERVICE))
             document.update(
                 capacity={'cpu': 1000 * self.cores, 'memMb': 4000 * self.cores},
-                labels=['a', self.rack],
+                labels=[self.kind, self.rack],
                 version='1.0',
                 slots=8,
                 coldRemainingMs=0,
@@ -216,6 +243,10 @@
         self.store.drop('servers', self.model.id)
 
 
+def _end_with_parent() -> None:
+    ctypes.CDLL(None).prctl(_PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
 class Daemon:
     """One daemon process, started with the command of the deploy file."""
 
@@ -269,6 +300,7 @@
                 env=environment,
                 stdout=log,
                 stderr=log,
+                preexec_fn=_end_with_parent,
             )
         deadline = time.monotonic() + 15
         while time.monotonic() < deadline and not self.frontend:
@@ -279,8 +311,15 @@
         if not self.frontend:
             raise RuntimeError(f'{self.name} does not start')
 
-    def read_log(self) -> list[str]:
-        return self._log.read_text('utf-8', 'replace').splitlines()
+    def read_warnings(self, count: int) -> list[str]:
+        """Returns the last warnings of the daemon."""
+        found = []
+        for line in self._log.read_bytes().splitlines():
+            with contextlib.suppress(ValueError):
+                entry = orjson.loads(line)
+                if entry['level'] in ('warning', 'error'):
+                    found.append(f'{entry["time"]} {entry["message"]}')
+        return found[-count:]
 
     async def close(self) -> None:
         if self.process is None or self.process.returncode is not None:
@@ -418,10 +457,49 @@
         # The pages let traffic start 12 s after the machines.
         await asyncio.sleep(6)
 
-    @property
-    def running(self) -> int:
-        """Number of tasks that run on all workers."""
-        return sum(len(w.model.running) for w in self.workers)
+    def count_running(self, job_id: str = '') -> int:
+        """Returns the number of tasks of a job that run, or of all jobs."""
+        return sum(
+            task.startswith(job_id)
+            for worker in self.workers
+            for task, _ in worker.model.running
+        )
+
+    async def watch_idle(self, seconds: float, job_id: str = '') -> float:
+        """Returns the longest time without a run of a job, or of any job."""
+        end = time.monotonic() + seconds
+        idle_since = time.monotonic()
+        longest = 0.0
+        while (now := time.monotonic()) < end:
+            if self.count_running(job_id):
+                idle_since = now
+            longest = max(longest, now - idle_since)
+            await asyncio.sleep(0.05)
+        return longest
+
+    async def ask_all(self, paths: Iterable[str]) -> list[tuple[str, Any]]:
+        """Asks for jobs; returns those that are not completed."""
+        unfinished = []
+        for path in paths:
+            for _ in range(3):
+                status, document = await self.client.call('GET', path)
+                if status == 200:
+                    break
+            state = document.get('state', status)
+            if state != 'completed':
+                unfinished.append((path, state))
+        return unfinished
+
+    def judge_lost(self, has_unfinished: bool, is_stalled: bool) -> int:
+        """Returns the exit status of a case about the rule LOST."""
+        if has_unfinished and is_stalled:
+            self.record.note('LOST is broken')
+            return 1
+        if has_unfinished:
+            self.record.note('jobs are not completed, but some work went on')
+            return 2
+        self.record.note('LOST holds')
+        return 0
 
     async def close(self) -> None:
         for task in self._tasks:
@@ -431,6 +509,9 @@
 
 async def run_case(play: Any, folder: pathlib.Path) -> int:
     """Runs a case; returns 1 if a rule was broken, 0 if not, 2 on failure."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         async with asyncio.timeout(115):
             return await play(folder)
