Log on what evidence a run is stopped as hanging

The line "Stopping: it stands still." had the usage alone, so it could not tell that limit from a wrong reading of the usage, nor from a lapsed lease.

The line now has the run time, the estimate, for how long the run was idle, and its progress. Where a run hangs is a module of its own, `scheduling/hangs.py`; `measure_run_seconds` replaces its twin in `health.py`. No decision changes.

Ruled out: a run taken for idle, an expired lease (no line "Ended: lapsed.").

--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 
 import attrs
 import logbook
@@ -11,7 +12,8 @@
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.crashes import is_given_up
-from lentilmount.scheduling.health import WorkerHealth, list_hanging
+from lentilmount.scheduling.hangs import describe_hang, list_hanging
+from lentilmount.scheduling.health import WorkerHealth
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import (
     Job,
@@ -231,8 +233,14 @@
                 self._suspended_since.pop(task, None)
             self.commands.throttle(task, cpu_percent)
 
-    def stop(self, task: Task, reason: str) -> None:
-        """Stops a task; it is placed again unless its job is over."""
+    def stop(self, task: Task, reason: str, **evidence: Any) -> None:
+        """Stops a task; it is placed again unless its job is over.
+
+        Args:
+          task: The task.
+          reason: Why, for the log line.
+          **evidence: Further fields of that line.
+        """
         if task.phase not in (TaskPhase.STARTING, TaskPhase.RUNNING):
             return
         log.info(
@@ -243,6 +251,7 @@
                 'run': task.run,
                 'worker': task.worker,
                 'usage': task.usage,
+                **evidence,
             },
         )
         self.cluster.begin_stop(task)
@@ -296,7 +305,7 @@
             if self.health.may_quarantine(workers, now):
                 self.health.quarantine(worker, now)
             for task in hanging:
-                self.stop(task, 'it stands still')
+                self.stop(task, 'it stands still', **describe_hang(task, now))
 
 
 def _may_be_moved(task: Task) -> bool:
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -272,8 +272,7 @@
         task.start_expired_at = math.inf
         task.stopped_at = math.inf
         task.cpu_percent = task.previous_cpu_percent = 100
-        task.usage = None
-        task.idle_since = math.inf
+        task.forget_reports()
         if task.is_watched:
             record_start(task, worker)
         worker.add(task)
--- a/lentilmount/scheduling/health.py
+++ b/lentilmount/scheduling/health.py
@@ -13,6 +13,7 @@
 
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import EndKind
+from lentilmount.scheduling.run_times import measure_run_seconds
 
 MAX_FAILED_JOBS = 3
 """Number of different jobs that fail on a worker, without a success in between,
@@ -27,16 +28,6 @@
 """Run time in seconds after which a test task clears its worker. It is longer
 than a broken worker takes to fail a task and a hanging one to be detected."""
 
-HANG_SECONDS = 1.5
-"""Time without CPU usage after which a task hangs, in seconds: three
-measurements of half a second."""
-
-OVERDUE_FACTOR = 4.0
-OVERDUE_SECONDS = 3.0
-"""A run is overdue after this multiple of its estimate plus these seconds.
-Estimates are usually off by a fifth; remote data makes a task three times as
-long."""
-
 STOP_TIMEOUT_SECONDS = 3.0
 """Time in seconds without an answer to stops after which the leases of a worker
 are no longer renewed. Otherwise the tasks of cancelled jobs would never end
@@ -131,10 +122,11 @@
         return stopped_renewals, resumed_renewals
 
     def _update_slowdown(self, worker: Worker, task: Task, now: float) -> None:
+        seconds = measure_run_seconds(task, now)
         estimate = task.spec.estimated_seconds
-        if task.spec.fills or not estimate or not task.placed_at:
+        if task.spec.fills or not estimate or seconds is None:
             return
-        slowdown = (now - _get_begin(task)) / estimate
+        slowdown = seconds / estimate
         slowdown = min(MAX_SLOWDOWN, max(1.0, slowdown))
         worker.slowdown += SLOWDOWN_WEIGHT * (slowdown - worker.slowdown)
 
@@ -156,30 +148,3 @@
     if not worker.has_stale_runs and not any(stopping):
         worker.stop_unanswered_since = math.inf
     return now - worker.stop_unanswered_since > STOP_TIMEOUT_SECONDS
-
-
-def list_hanging(worker: Worker, now: float) -> list[Task]:
-    """Lists the tasks of a worker that are idle or overdue."""
-    return [
-        task
-        for task in worker.tasks.values()
-        if task.phase is TaskPhase.RUNNING
-        and (now - task.idle_since > HANG_SECONDS or _is_overdue(task, now))
-    ]
-
-
-def _get_begin(task: Task) -> float:
-    """Returns the monotonic time from which a task may have been running.
-
-    Its start may have waited at the owner since it was placed.
-    """
-    if math.isinf(task.start_sent_at):
-        return task.placed_at
-    return task.start_sent_at
-
-
-def _is_overdue(task: Task, now: float) -> bool:
-    if task.spec.lasting or task.spec.fills or not task.placed_at:
-        return False
-    limit = OVERDUE_FACTOR * task.spec.estimated_seconds + OVERDUE_SECONDS
-    return now - _get_begin(task) > limit
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -112,6 +112,10 @@
         millicores in use.
       idle_since: Monotonic time since which it has used no processor time;
         infinity if it is not idle.
+      progress: Highest progress of its run that was reported, in percent; None
+        before the first report.
+      progressed_at: Monotonic time of the newest report that showed progress of
+        its run; 0 if there is none.
       last_ended_at: Monotonic time at which its last run ended. A long-running
         task must run again soon after.
       older: An older run of it that goes on beside this one; see `copies`.
@@ -148,6 +152,8 @@
     throttled_at: float = 0.0
     usage: float | None = None
     idle_since: float = math.inf
+    progress: int | None = None
+    progressed_at: float = 0.0
     last_ended_at: float = 0.0
     older: Task | None = None
     newer: Task | None = None
@@ -163,6 +169,13 @@
         """Number of failed runs that count against the job."""
         return len(self.failed_runs)
 
+    def forget_reports(self) -> None:
+        """Drops what was reported on an earlier run."""
+        self.usage = None
+        self.idle_since = math.inf
+        self.progress = None
+        self.progressed_at = 0.0
+
 
 @attrs.frozen
 class PlacedRun:
--- a/lentilmount/scheduling/reconciliation.py
+++ b/lentilmount/scheduling/reconciliation.py
@@ -11,6 +11,7 @@
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.copies import find_ended, find_run
 from lentilmount.scheduling.crashes import is_cleared, record_start
+from lentilmount.scheduling.hangs import observe_run
 from lentilmount.scheduling.history import ChangeKind, ChangeReason
 from lentilmount.scheduling.model import FinishedRun, Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import (
@@ -22,9 +23,6 @@
 )
 from lentilmount.scheduling.specs import TaskId
 
-IDLE_CPU_SHARE = 0.02
-"""Share of its allowed CPU usage below which a task counts as idle."""
-
 STOP_EFFECT_SECONDS = 1.2
 """Time in seconds from the acceptance of a stop until no report lists its run:
 0.9 s for the longest stop of the platform, and 0.3 s for the report."""
@@ -367,6 +365,7 @@
         task.confirmed_at = now
         task.start_sent_at = -math.inf
         task.stopped_at = math.inf
+        task.forget_reports()
         if task.is_watched:
             record_start(task, worker)
         worker.add(task)
@@ -385,16 +384,4 @@
         self._cluster.confirm_start(task, run_report.run, now)
         if is_cleared(task, requested_at):
             self._cluster.suspects.clear_task(task)
-        if run_report.checkpoint:
-            task.checkpoint = run_report.checkpoint
-        task.usage = run_report.usage
-        if self._is_idle(task):
-            task.idle_since = min(task.idle_since, now)
-        else:
-            task.idle_since = math.inf
-
-    def _is_idle(self, task: Task) -> bool:
-        if task.is_serving or task.usage is None or task.cpu_percent == 0:
-            return False
-        allowed = 1000 * task.spec.demand.cores * task.cpu_percent / 100
-        return task.usage < IDLE_CPU_SHARE * allowed
+        observe_run(task, run_report, now)
--- a/tests/test_own_slowness.py
+++ b/tests/test_own_slowness.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from lentilmount.scheduling.cluster import ClusterState
-from lentilmount.scheduling.health import (
+from lentilmount.scheduling.hangs import (
     OVERDUE_FACTOR,
     OVERDUE_SECONDS,
-    WorkerHealth,
     list_hanging,
 )
+from lentilmount.scheduling.health import WorkerHealth
 from lentilmount.scheduling.reports import EndKind
 from tests.scheduling_fixtures import (
     add_worker,
--- a/tests/test_task_placement.py
+++ b/tests/test_task_placement.py
@@ -8,13 +8,12 @@
 
 from lentilmount.resources import Room
 from lentilmount.scheduling.cluster import ClusterState
+from lentilmount.scheduling.hangs import HANG_SECONDS, list_hanging
 from lentilmount.scheduling.health import (
-    HANG_SECONDS,
     MAX_FAILED_JOBS,
     PROBATION_SECONDS,
     QUARANTINE_SECONDS,
     WorkerHealth,
-    list_hanging,
 )
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
