Take a run for hanging only if it makes no progress

Cause: `_is_overdue` went by the declared run time alone, which is a rough estimate, while the reports of the worker said that the run was working.

Change: an overdue run hangs only if it also shows no progress: no higher percentage and no new checkpoint for 1.5 s and for ten of its usual intervals between two such signs, so that the time is in proportion to how long the run takes. A report that lists 100 percent cannot show more; there the use of the processor counts. An idle run hangs after 1.5 s as before, unless it makes progress: a task that declared 100 times its size was stopped again and again as well. A run without progress is found at the same time as before.

Ruled out: a longer limit (a longer job breaks it again); the use of the processor alone (the hangs of the trial would never be found).

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -273,6 +273,7 @@
         task.stopped_at = math.inf
         task.cpu_percent = task.previous_cpu_percent = 100
         task.forget_reports()
+        task.progress = None if task.checkpoint else 0
         if task.is_watched:
             record_start(task, worker)
         worker.add(task)
--- a/lentilmount/scheduling/copies.py
+++ b/lentilmount/scheduling/copies.py
@@ -19,7 +19,8 @@
     *('start_follows_answer', 'start_sent_at', 'start_deadline_ms'),
     *('start_expired_at', 'stopped_at', 'stop_accepted_at', 'is_stop_overdue'),
     *('cpu_percent', 'previous_cpu_percent', 'throttled_at', 'usage'),
-    *('idle_since', 'progress', 'progressed_at'),
+    *('idle_since', 'reported_at', 'progress', 'progress_signs'),
+    'progressed_at',
 )
 """Fields of a task that tell of its placement."""
 
--- a/lentilmount/scheduling/hangs.py
+++ b/lentilmount/scheduling/hangs.py
@@ -1,4 +1,11 @@
-"""Detection of runs that hang, from the reports of their workers."""
+"""Detection of runs that hang, from the reports of their workers.
+
+Declared run times are rough, so a run that takes longer than declared hangs
+only if it also shows no progress. Progress is a higher percentage or a new
+checkpoint. Where the percentage tells nothing more, as it is 100 already, the
+use of the processor counts. Below 100 it does not: a run in an endless loop
+uses the processor as well.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +14,10 @@
 
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import RunReport
-from lentilmount.scheduling.run_times import measure_run_seconds
+from lentilmount.scheduling.run_times import (
+    get_begin,
+    measure_run_seconds,
+)
 
 HANG_SECONDS = 1.5
 """Time without CPU usage after which a task hangs, in seconds: three
@@ -15,9 +25,16 @@
 
 OVERDUE_FACTOR = 4.0
 OVERDUE_SECONDS = 3.0
-"""A run is overdue after this multiple of its estimate plus these seconds.
-Estimates are usually off by a fifth; remote data makes a task three times as
-long."""
+"""A run is overdue after this multiple of its estimate plus these seconds: then
+it hangs unless it makes progress."""
+
+MAX_MISSED_INTERVALS = 10
+"""Number of usual intervals between two signs of progress after which an
+overdue run without a further sign hangs. A slow worker takes several times as
+long for each."""
+
+FULL_PROGRESS = 100
+"""Progress in percent that a report cannot exceed."""
 
 IDLE_CPU_SHARE = 0.02
 """Share of its allowed CPU usage below which a task counts as idle."""
@@ -25,24 +42,73 @@
 
 def observe_run(task: Task, report: RunReport, now: float) -> None:
     """Records what the worker of a task reports on its current run."""
-    if task.progress is not None and report.progress > task.progress:
-        task.progressed_at = now
-    task.progress = max(task.progress or 0, report.progress)
+    task.reported_at = now
     task.usage = report.usage
     if _is_idle(task):
         task.idle_since = min(task.idle_since, now)
     else:
         task.idle_since = math.inf
+    signs = _count_signs(task, report)
+    if signs or task.progress is None:
+        task.progress_signs += signs
+        task.progressed_at = now
+    task.progress = max(task.progress or 0, report.progress)
+    if report.checkpoint:
+        task.checkpoint = report.checkpoint
+
+
+def _count_signs(task: Task, report: RunReport) -> int:
+    """Returns the number of signs of progress that a report adds."""
+    if report.progress >= FULL_PROGRESS:
+        uses_cpu = report.usage is not None and math.isinf(task.idle_since)
+        return int(uses_cpu)
+    if task.progress is None:
+        return 0
+    is_saved = report.checkpoint not in ('', task.checkpoint)
+    return max(0, report.progress - task.progress) + is_saved
 
 
 def list_hanging(worker: Worker, now: float) -> list[Task]:
-    """Lists the tasks of a worker that are idle or overdue."""
-    return [
-        task
-        for task in worker.tasks.values()
-        if task.phase is TaskPhase.RUNNING
-        and (now - task.idle_since > HANG_SECONDS or _is_overdue(task, now))
-    ]
+    """Lists the tasks of a worker that are idle or overdue without progress."""
+    return [task for task in worker.tasks.values() if _is_hanging(task, now)]
+
+
+def _is_hanging(task: Task, now: float) -> bool:
+    if task.phase is not TaskPhase.RUNNING:
+        return False
+    if task.progressed_at >= task.idle_since:
+        # It makes progress although it uses hardly any processor time.
+        return _is_stalled(task, now)
+    if now - task.idle_since > HANG_SECONDS:
+        return True
+    return _is_overdue(task, now) and _is_stalled(task, now)
+
+
+def _is_stalled(task: Task, now: float) -> bool:
+    """Returns whether a run has shown no progress for too long."""
+    max_stall = HANG_SECONDS
+    if task.progress_signs:
+        seconds = task.progressed_at - _get_begin(task)
+        usual_interval = seconds / task.progress_signs
+        max_stall = max(max_stall, MAX_MISSED_INTERVALS * usual_interval)
+    return _measure_stall(task, now) > max_stall
+
+
+def _measure_stall(task: Task, now: float) -> float:
+    """Returns the seconds for which a run has shown no progress.
+
+    They are 0 until a report shows none: reports may be late.
+    """
+    has_progressed = math.isfinite(task.progressed_at)
+    if has_progressed and task.reported_at <= task.progressed_at:
+        return 0.0
+    return now - max(task.progressed_at, _get_begin(task))
+
+
+def _get_begin(task: Task) -> float:
+    """Returns the monotonic time since which this owner has known a run."""
+    begin = get_begin(task)
+    return task.confirmed_at if begin is None else begin
 
 
 def describe_hang(task: Task, now: float) -> dict[str, Any]:
@@ -55,7 +121,7 @@
         'estimate': task.spec.estimated_seconds,
         'idle': _measure_since(task.idle_since, now),
         'progress': task.progress,
-        'progressed': _measure_since(task.progressed_at or math.inf, now),
+        'stalled': _round(_measure_stall(task, now)),
     }
 
 
--- a/lentilmount/scheduling/run_times.py
+++ b/lentilmount/scheduling/run_times.py
@@ -35,13 +35,23 @@
 def measure_run_seconds(task: Task, now: float) -> float | None:
     """Returns for how many seconds the run of a task may have been running.
 
+    Returns:
+      The time, or None if the run was started by an earlier owner.
+    """
+    begin = get_begin(task)
+    return None if begin is None else now - begin
+
+
+def get_begin(task: Task) -> float | None:
+    """Returns the monotonic time from which a run may have been running.
+
     Returns:
       The time, or None if the run was started by an earlier owner.
     """
     if not task.placed_at:
         return None
     is_sent = math.isfinite(task.start_sent_at)
-    return now - (task.start_sent_at if is_sent else task.placed_at)
+    return task.start_sent_at if is_sent else task.placed_at
 
 
 @attrs.define
