Stop no run for hanging at the same point again

Callers would see a task never end whose work shows no progress within the limits: one without estimate that takes over 300 s is still at 0 percent after 3 s, one that waits for something uses no processor time for 1.5 s, one that declared far too much seems idle. It was stopped there, started anew and stopped there again; each time its worker got no other task for 4 s. The members of a gang were stopped in turn, and a new owner knew nothing of the stops.

Where the reports hold no evidence the decision is a guess by time, and nothing remembered that it had been made before.

Change: when a run is stopped as hanging, the next runs of its task, and of all members of its gang, may stall for twice as long. The first such stop of a task quarantines its worker as before; later ones speak against the task and do not. A long-running task that has been at work has no such tolerance: it does not pause, and each hang in its life would delay the finding of the next.

Ruled out: a longer limit for the whole step, as a hanging worker would then delay the finding of the next one.

--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from typing import Any
 
@@ -12,7 +13,11 @@
 from lentilmount.control.worker_commands import CommandSender
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.crashes import is_given_up
-from lentilmount.scheduling.hangs import describe_hang, list_hanging
+from lentilmount.scheduling.hangs import (
+    describe_hang,
+    list_hanging,
+    record_hang,
+)
 from lentilmount.scheduling.health import WorkerHealth
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import (
@@ -298,14 +303,27 @@
 
     def _stop_hanging(self, now: float) -> None:
         workers = list(self.cluster.workers.values())
-        for worker in workers:
-            hanging = list_hanging(worker, now) if worker.reachable else []
-            if not hanging:
-                continue
-            if self.health.may_quarantine(workers, now):
+        hanging = {
+            worker: list_hanging(worker, now)
+            for worker in workers
+            if worker.reachable
+        }
+        for worker, tasks in hanging.items():
+            # A task that was stopped before is suspected itself.
+            is_suspect = any(not task.tolerated_stall for task in tasks)
+            if is_suspect and self.health.may_quarantine(workers, now):
                 self.health.quarantine(worker, now)
-            for task in hanging:
-                self.stop(task, 'it stands still', **describe_hang(task, now))
+        for task in itertools.chain.from_iterable(hanging.values()):
+            evidence = describe_hang(task, now)
+            record_hang(task, self._list_members(task), now)
+            self.stop(task, 'it stands still', **evidence)
+
+    def _list_members(self, run: Task) -> list[Task]:
+        """Lists the tasks that start together with the task of a run."""
+        task = run.newer or run
+        if task.spec.gang:
+            return self.cluster.list_step_tasks(task)
+        return [task]
 
 
 def _may_be_moved(task: Task) -> bool:
--- a/lentilmount/scheduling/hangs.py
+++ b/lentilmount/scheduling/hangs.py
@@ -33,6 +33,11 @@
 overdue run without a further sign hangs. A slow worker takes several times as
 long for each."""
 
+TOLERANCE_FACTOR = 2.0
+"""Ratio of the stall that is tolerated in a run to the one for which an earlier
+run of the task was stopped. Work that takes any finite time is done after a few
+runs."""
+
 FULL_PROGRESS = 100
 """Progress in percent that a report cannot exceed."""
 
@@ -76,6 +81,8 @@
 def _is_hanging(task: Task, now: float) -> bool:
     if task.phase is not TaskPhase.RUNNING:
         return False
+    if _measure_stall(task, now) <= _get_tolerated_stall(task):
+        return False
     if task.progressed_at >= task.idle_since:
         # It makes progress although it uses hardly any processor time.
         return _is_stalled(task, now)
@@ -84,6 +91,29 @@
     return _is_overdue(task, now) and _is_stalled(task, now)
 
 
+def record_hang(run: Task, members: list[Task], now: float) -> None:
+    """Has longer stalls tolerated in the next runs, before this one is stopped.
+
+    The work of a task may show no progress for longer than the limits. Without
+    this, each run of it would be stopped at the same point.
+
+    Args:
+      run: The run that is taken for hanging.
+      members: The tasks that start together with its task, and the task.
+      now: Monotonic time.
+    """
+    seconds = TOLERANCE_FACTOR * _measure_stall(run, now)
+    for task in members:
+        task.tolerated_stall = max(task.tolerated_stall, round(seconds, 1))
+
+
+def _get_tolerated_stall(task: Task) -> float:
+    # Long-running tasks that have been at work do not pause.
+    if task.spec.lasting and task.progress_signs:
+        return 0.0
+    return task.tolerated_stall
+
+
 def _is_stalled(task: Task, now: float) -> bool:
     """Returns whether a run has shown no progress for too long."""
     max_stall = HANG_SECONDS
@@ -122,6 +152,7 @@
         'idle': _measure_since(task.idle_since, now),
         'progress': task.progress,
         'stalled': _round(_measure_stall(task, now)),
+        'tolerated': task.tolerated_stall,
     }
 
 
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -120,6 +120,8 @@
         and new checkpoints; see `hangs`.
       progressed_at: Monotonic time of the report with the newest of them, or of
         the first one if its progress may be older; minus infinity before it.
+      tolerated_stall: Time in seconds without progress for which a run of it is
+        not taken for hanging; 0 unless an earlier one was. See `hangs`.
       last_ended_at: Monotonic time at which its last run ended. A long-running
         task must run again soon after.
       older: An older run of it that goes on beside this one; see `copies`.
@@ -160,6 +162,7 @@
     progress: int | None = None
     progress_signs: int = 0
     progressed_at: float = -math.inf
+    tolerated_stall: float = 0.0
     last_ended_at: float = 0.0
     older: Task | None = None
     newer: Task | None = None
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -29,10 +29,11 @@
 REQUIRED_FIELDS = 2
 """Number of fields that each task entry has: run and worker."""
 
-DEFAULT_FIELDS: tuple[Any, ...] = (0, '', (), '', (), 0, ())
+DEFAULT_FIELDS: tuple[Any, ...] = (0, '', (), '', (), 0, (), 0.0)
 """Defaults of the fields of a task entry: run, worker, failed runs, checkpoint,
-runs that have crashed their workers, 1 if the task is watched, and the watched
-starts, each with its run, worker, address and start of the incarnation."""
+runs that have crashed their workers, 1 if the task is watched, the watched
+starts, each with its run, worker, address and start of the incarnation, and the
+tolerated stall in seconds."""
 
 WATCHED_START_FIELDS = 3
 """Number of fields of a watched start in a row, beside its run."""
@@ -84,6 +85,7 @@
             (run, start.worker, start.address, start.started_ms)
             for run, start in task.watched_starts.items()
         ],
+        task.tolerated_stall,
     ]
     while len(entry) > REQUIRED_FIELDS and not entry[-1]:
         entry.pop()
@@ -186,11 +188,13 @@
     # Later versions may append fields.
     known = entry[: len(DEFAULT_FIELDS)]
     fields = [*known, *DEFAULT_FIELDS[len(known) :]]
-    run, worker, failed_runs, checkpoint, crashed_runs, watched, starts = fields
+    run, worker, failed_runs, checkpoint, *others = fields
+    crashed_runs, watched, starts, tolerated_stall = others
     task.failed_runs = set(failed_runs)
     task.checkpoint = checkpoint
     task.crashed_runs = set(crashed_runs)
     task.is_watched = bool(watched or crashed_runs)
+    task.tolerated_stall = tolerated_stall
     task.job.has_started |= bool(failed_runs or checkpoint)
     task.run = run
     task.skipped = RUN_NUMBER_MARGIN
--- a/tests/test_hangs.py
+++ b/tests/test_hangs.py
@@ -2,120 +2,26 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 
-import attrs
 import pytest
 
-from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.hangs import (
     HANG_SECONDS,
-    OVERDUE_FACTOR,
     OVERDUE_SECONDS,
     list_hanging,
 )
-from lentilmount.scheduling.model import Task, Worker
-from lentilmount.scheduling.reconciliation import Reconciler
-from lentilmount.scheduling.reports import EndKind, RunReport
-from tests.scheduling_fixtures import (
-    add_worker,
-    admit,
-    find_task,
-    make_job,
-    make_report,
-    make_running,
-    make_step,
-    run_task,
+from tests.hang_fixtures import (
+    BUSY_USAGE,
+    ESTIMATE,
+    LIMIT,
+    POLL_SECONDS,
+    REVIEW_SECONDS,
+    STARTED_AT,
+    Shown,
+    make_scene,
 )
 
-CORES = 2.0
-BUSY_USAGE = 1000 * CORES
-ESTIMATE = 1.7
-LIMIT = OVERDUE_FACTOR * ESTIMATE + OVERDUE_SECONDS
-REVIEW_SECONDS = 0.1
-POLL_SECONDS = 0.5
-STARTED_AT = 100.0
-
-
-@attrs.frozen
-class Shown:
-    """What a worker reports on a run.
-
-    Attributes:
-      progress: Progress in percent.
-      usage: Used thousandths of a core, or None if it does not measure them.
-      checkpoint: Newest checkpoint, or ''.
-    """
-
-    progress: int = 0
-    usage: float | None = BUSY_USAGE
-    checkpoint: str = ''
-
-
-@attrs.define
-class Scene:
-    """A task that runs on the only worker."""
-
-    cluster: ClusterState
-    worker: Worker
-    task: Task
-
-    def report(self, shown: Shown, now: float) -> None:
-        """Applies a report on the run."""
-        self.apply(
-            make_running(
-                self.task,
-                self.task.run,
-                shown.usage,
-                shown.progress,
-                shown.checkpoint,
-            ),
-            now,
-        )
-
-    def apply(self, run: RunReport, now: float) -> None:
-        """Applies a report of the worker that lists one run."""
-        Reconciler(self.cluster).reconcile(
-            self.worker, make_report((run,)), now, now
-        )
-
-    def find_hang(
-        self,
-        show: Callable[[float], Shown],
-        until: float,
-        poll_seconds: float = POLL_SECONDS,
-    ) -> float | None:
-        """Returns the run time at which the run is found to hang, or None.
-
-        Args:
-          show: Returns what the worker reports, by the run time in seconds.
-          until: Run time at which the run ends.
-          poll_seconds: Time between two reports.
-        """
-        polled = 0
-        for review in range(math.ceil(until / REVIEW_SECONDS)):
-            seconds = review * REVIEW_SECONDS
-            if seconds >= (polled + 1) * poll_seconds:
-                polled += 1
-                self.report(show(seconds), STARTED_AT + seconds)
-            if list_hanging(self.worker, STARTED_AT + seconds):
-                return seconds
-        return None
-
-
-def make_scene(**fields: object) -> Scene:
-    """Starts a task of a step on a worker."""
-    cluster = ClusterState()
-    worker = add_worker(cluster, 'w')
-    admit(
-        cluster,
-        make_job('a', make_step(**{'estimated_seconds': 1.7, **fields})),
-    )
-    task = find_task(cluster, 'a')
-    run_task(cluster, task, worker, STARTED_AT)
-    return Scene(cluster, worker, task)
-
 
 def make_progress(duration: float) -> Callable[[float], Shown]:
     """Returns what is reported on a run that makes progress all the time."""
@@ -158,9 +64,8 @@
 ) -> None:
     """The progress that the first report shows is not of this run."""
     scene = make_scene(estimated_seconds=0.0)
-    scene.cluster.end_run(scene.task, EndKind.STOPPED, STARTED_AT)
     scene.task.checkpoint = 'c'
-    run_task(scene.cluster, scene.task, scene.worker, STARTED_AT)
+    scene.place_again(scene.worker)
 
     def show(seconds: float) -> Shown:
         return Shown(50 + int(seconds))
