Find inherited runs that hang while they use the processor

Callers would see a job never end whose task hung, in an endless loop, as the owner of its service was replaced.

Cause: `_is_overdue` left out runs that an earlier owner had started, as their age is not known. Without it only a run that uses no processor time is found.

Change: such a run counts from the first report that lists it. That it makes progress protects it as any other; progress before that report does not count.

Evidence: test_an_inherited_run_without_progress_is_found failed before (never found in 30 s) and passes: found after its limit of 9.8 s. The tests beside it, of inherited runs that make progress or are not listed yet, passed before and pass.

--- a/lentilmount/scheduling/hangs.py
+++ b/lentilmount/scheduling/hangs.py
@@ -136,7 +136,10 @@
 
 
 def _get_begin(task: Task) -> float:
-    """Returns the monotonic time since which this owner has known a run."""
+    """Returns the monotonic time since which this owner has known a run.
+
+    The age of an inherited run is not known.
+    """
     begin = get_begin(task)
     return task.confirmed_at if begin is None else begin
 
@@ -164,11 +167,11 @@
 
 
 def _is_overdue(task: Task, now: float) -> bool:
-    seconds = measure_run_seconds(task, now)
-    if task.spec.lasting or task.spec.fills or seconds is None:
+    is_listed = task.confirmed_at > 0.0
+    if task.spec.lasting or task.spec.fills or not is_listed:
         return False
     limit = OVERDUE_FACTOR * task.spec.estimated_seconds + OVERDUE_SECONDS
-    return seconds > limit
+    return now - _get_begin(task) > limit
 
 
 def _measure_since(at: float, now: float) -> float | None:
--- a/tests/test_hangs.py
+++ b/tests/test_hangs.py
@@ -18,9 +18,11 @@
     POLL_SECONDS,
     REVIEW_SECONDS,
     STARTED_AT,
+    Scene,
     Shown,
     make_scene,
 )
+from tests.scheduling_fixtures import find_task, hand_over
 
 
 def make_progress(duration: float) -> Callable[[float], Shown]:
@@ -165,3 +167,41 @@
     assert list_hanging(scene.worker, STARTED_AT + 2 * LIMIT) == []
     scene.report(show(2 * LIMIT), STARTED_AT + 2 * LIMIT)
     assert list_hanging(scene.worker, STARTED_AT + 2 * LIMIT + 1.0) == []
+
+
+def make_inherited_scene(**fields: object) -> Scene:
+    """Returns a task that runs, as the next owner has restored it."""
+    cluster = hand_over(make_scene(**fields).cluster)
+    return Scene(cluster, cluster.workers['w'], find_task(cluster, 'a'))
+
+
+@pytest.mark.parametrize('poll_seconds', [POLL_SECONDS, 1.6])
+def test_an_inherited_run_without_progress_is_found(
+    poll_seconds: float,
+) -> None:
+    """A run that hung as its owner was replaced was never found."""
+    scene = make_inherited_scene()
+    found_at = scene.find_hang(lambda seconds: Shown(40), 30.0, poll_seconds)
+    assert found_at == pytest.approx(
+        poll_seconds + LIMIT, abs=2 * REVIEW_SECONDS
+    )
+
+
+def test_an_inherited_run_that_is_not_listed_yet_does_not_hang() -> None:
+    scene = make_inherited_scene()
+    assert list_hanging(scene.worker, STARTED_AT + 10 * LIMIT) == []
+
+
+@pytest.mark.parametrize('times', [6.5, 50.0])
+@pytest.mark.parametrize('poll_seconds', [POLL_SECONDS, 1.6])
+def test_an_inherited_run_that_makes_progress_does_not_hang(
+    times: float, poll_seconds: float
+) -> None:
+    """The progress that the first report shows was made under another owner."""
+    scene = make_inherited_scene()
+    duration = times * ESTIMATE
+
+    def show(seconds: float) -> Shown:
+        return Shown(50 + int(50 * seconds / duration))
+
+    assert scene.find_hang(show, duration, poll_seconds) is None
