Draw run times far off their estimates in the soak

Jobs now declare none, 0.03, 0.9 or 9 s a task; 2% of the tasks take 4 to 9 s; in some jobs a task hangs in its first run, using the processor without progress. Workers report the progress of runs. The check that no accepted job is lost covers both sides: working tasks that are stopped without end, and hanging ones that are not found. The model worker reports full progress as before unless told otherwise.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -24,6 +24,14 @@
 
 TASKS_PER_STEP = (6, 9)
 TASK_SECONDS = (0.3, 1.5)
+LONG_TASK_SECONDS = (4.0, 9.0)
+LONG_TASKS_SHARE = 0.02
+ESTIMATES_MS = (0, 30, 900, 9000)
+"""Declared run times of tasks in milliseconds; 0 for none."""
+
+MAX_HANGING_ESTIMATE_MS = 900
+"""Longest estimate of a task that hangs: it must be found, and run again, in
+the time after the last fault."""
 
 
 class FaultKind(enum.Enum):
@@ -108,6 +116,7 @@
       steps: Work of the tasks of each step; each step follows the one before.
       is_resent: Whether it is sent again after it was accepted.
       cancel_after: Seconds from then until it is cancelled; 0 for never.
+      estimated_ms: Declared run time of its tasks in milliseconds; 0 for none.
     """
 
     at: float
@@ -116,6 +125,7 @@
     steps: tuple[tuple[Work, ...], ...]
     is_resent: bool = False
     cancel_after: float = 0.0
+    estimated_ms: int = 900
 
     @property
     def is_lasting(self) -> bool:
@@ -139,8 +149,9 @@
                 'count': len(step),
                 'cpu': int(1000 * TASK_CORES),
                 'memMb': 500,
-                'estimatedMs': 900,
             }
+            if self.estimated_ms:
+                document['estimatedMs'] = self.estimated_ms
             if number:
                 document['after'] = [number - 1]
             if self.is_lasting:
@@ -199,6 +210,7 @@
                 'job': job.id,
                 'at': job.at,
                 'cancel_after': job.cancel_after,
+                'estimated_ms': job.estimated_ms,
                 'spec': encode_payload(job.steps),
             }
             for job in self.jobs
@@ -228,6 +240,7 @@
 
 
 def _make_job(rng: random.Random, at: float, size: Size) -> Job:
+    estimated_ms = rng.choice(ESTIMATES_MS)
     if rng.random() < 0.03:
         steps: tuple[tuple[Work, ...], ...] = (
             (Work(WorkKind.LASTING, math.inf),),
@@ -237,7 +250,10 @@
         count = rng.choice((1, 2, 2, 3))
         steps = tuple(_make_step(rng) for _ in range(count))
         if rng.random() < 0.07:
-            steps = _add_crash(rng, steps)
+            kind = rng.choice(sorted(CRASHING, key=lambda kind: kind.value))
+            steps = _add_task(steps, Work(kind, 1.0))
+        elif rng.random() < 0.1 and estimated_ms <= MAX_HANGING_ESTIMATE_MS:
+            steps = _add_task(steps, Work(WorkKind.HANGING_ONCE, 1.0))
         is_cancelled = rng.random() < 0.1
         cancel_after = rng.uniform(0.0, 3.0) if is_cancelled else 0.0
     return Job(
@@ -247,6 +263,7 @@
         steps,
         rng.random() < 0.1,
         round(cancel_after, 3),
+        estimated_ms,
     )
 
 
@@ -254,19 +271,23 @@
     return tuple(
         Work(
             WorkKind.FAILED_ONCE if rng.random() < 0.02 else WorkKind.DONE,
-            round(rng.uniform(*TASK_SECONDS), 3),
+            round(rng.uniform(*_choose_bounds(rng)), 3),
         )
         for _ in range(rng.randint(*TASKS_PER_STEP))
     )
 
 
-def _add_crash(
-    rng: random.Random, steps: tuple[tuple[Work, ...], ...]
+def _choose_bounds(rng: random.Random) -> tuple[float, float]:
+    is_long = rng.random() < LONG_TASKS_SHARE
+    return LONG_TASK_SECONDS if is_long else TASK_SECONDS
+
+
+def _add_task(
+    steps: tuple[tuple[Work, ...], ...], work: Work
 ) -> tuple[tuple[Work, ...], ...]:
-    """Lets one task of the last step crash its workers."""
+    """Returns steps of whose last one the first task does some other work."""
     *first, last = steps
-    kind = rng.choice((WorkKind.CRASH_UNANSWERED, WorkKind.CRASH_ANSWERED))
-    return (*first, (Work(kind, 1.0), *last[1:]))
+    return (*first, (work, *last[1:]))
 
 
 _Pick = Callable[[random.Random, Size], str]
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -17,7 +17,7 @@
 from tornado.web import Application, RequestHandler
 
 from soak.events import Event, EventKind, EventLog, get_time
-from soak.work import WorkKind, read_work
+from soak.work import Work, WorkKind, read_work
 from stand_ins.entry_hosts import SERVICE, serve
 from stand_ins.model_worker import (
     CLOCK_RATE,
@@ -53,10 +53,12 @@
     model: ModelWorker
     log: EventLog
     is_doomed: bool = False
+    _works: dict[str, Work] = attrs.Factory(dict)
 
     def open(self) -> None:
         """Starts the only incarnation of this process."""
         self.model.choose_work = self._choose_work
+        self.model.measure_progress = self._measure_progress
         self.model.on_change = self._note_change
         self.model.boot()
 
@@ -90,10 +92,14 @@
             is_late=execution.is_late,
         )
 
+    def _measure_progress(self, execution: Execution, seconds: float) -> int:
+        work = self._works[execution.task]
+        return work.measure_progress(execution.run, seconds)
+
     def _choose_work(
         self, task: str, run: int, payload: str
     ) -> tuple[float, str]:
-        work = read_work(payload, task)
+        work = self._works[task] = read_work(payload, task)
         if work.kind is WorkKind.CRASH_UNANSWERED:
             self.crash()
         self.is_doomed = work.kind is WorkKind.CRASH_ANSWERED
--- a/stand_ins/model_worker.py
+++ b/stand_ins/model_worker.py
@@ -28,6 +28,9 @@
 START_PATH = '/run-start'
 STOP_PATH = '/run-stop'
 
+USED_MILLICORES = 2000
+"""CPU usage of each run."""
+
 PAYLOADS: dict[str, tuple[float, str]] = {
     'short': (0.4, 'done'),
     'longer': (3.0, 'done'),
@@ -96,6 +99,15 @@
     return PAYLOADS[payload]
 
 
+MeasureProgress = Callable[[Execution, float], int]
+"""Returns the progress of a run in percent, by its seconds until now."""
+
+
+def show_full_progress(execution: Execution, seconds: float) -> int:
+    """Returns 100, as of a worker that does not measure progress."""
+    return 100
+
+
 def _ignore(execution: Execution) -> None:
     pass
 
@@ -128,6 +140,7 @@
       ineffective_at: Time in seconds at which it last accepted such a stop.
       stops: Time in seconds, task and run of each stop that it has accepted.
       choose_work: See `ChooseWork`.
+      measure_progress: See `MeasureProgress`.
       on_change: Called when a run has started, ended or been acknowledged.
     """
 
@@ -154,6 +167,7 @@
     ineffective_at: float = -math.inf
     stops: list[tuple[float, str, int]] = attrs.Factory(list)
     choose_work: ChooseWork = choose_work
+    measure_progress: MeasureProgress = show_full_progress
     on_change: Callable[[Execution], None] = _ignore
     _numbers: int = 0
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -350,14 +364,17 @@
         return {
             **self._answer(),
             'born': int(1000 * self.booted_at),
-            'running': [
-                [e.task, e.run, '', 100, 2000] for e in self.running.values()
-            ],
+            'running': [self._list_run(e) for e in self.running.values()],
             'ended': [
                 [e.number, e.task, e.run, e.kind, ''] for e in self.ended
             ],
         }
 
+    def _list_run(self, execution: Execution) -> list[Any]:
+        seconds = _now() - execution.started_at
+        progress = self.measure_progress(execution, seconds)
+        return [execution.task, execution.run, '', progress, USED_MILLICORES]
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -404,6 +404,30 @@
     }
 
 
+def test_run_times_in_the_plan_are_far_off_their_estimates() -> None:
+    """With estimates that hold no working task is ever taken for hanging."""
+    jobs = make_plan(5, SIZE).jobs
+    works = [
+        (job.estimated_ms / 1000, work)
+        for job in jobs
+        for step in job.steps
+        for work in step
+        if work.kind is WorkKind.DONE
+    ]
+    assert any(not estimate for estimate, _ in works)
+    assert any(work.seconds > 100 * estimate > 0 for estimate, work in works)
+    assert any(estimate > 6 * work.seconds for estimate, work in works)
+    assert any(job.has_work({WorkKind.HANGING_ONCE.value}) for job in jobs)
+
+
+def test_only_the_first_run_of_a_hanging_task_shows_no_progress() -> None:
+    work = Work(WorkKind.HANGING_ONCE, 1.0)
+    assert work.measure_progress(1, 0.5) == work.measure_progress(1, 60.0)
+    assert work.choose_end(1) == ''
+    assert work.measure_progress(2, 0.1) < work.measure_progress(2, 0.9) < 100
+    assert work.choose_end(2) == 'done'
+
+
 @pytest.mark.parametrize(
     ('kind', 'event_kind'),
     [
