--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -36,8 +36,10 @@
     CRASHING_PAYLOADS,
     ChooseWork,
     Execution,
+    MeasureProgress,
     ModelWorker,
     choose_work,
+    show_full_progress,
 )
 from stand_ins.rowstore import Address
 
@@ -68,6 +70,7 @@
       cordons: Cordons of zones, in the order of their times.
       violations: What was found wrong.
       choose_work: See `ModelWorker`.
+      measure_progress: See `ModelWorker`.
       keeps_ids: Whether a worker that a task has crashed is back under its id;
         if not, another one has its address.
       all_workers: All workers that ever were, by id.
@@ -83,6 +86,7 @@
     cordons: list[Cordon] = attrs.Factory(list)
     violations: list[str] = attrs.Factory(list)
     choose_work: ChooseWork = choose_work
+    measure_progress: MeasureProgress = show_full_progress
     keeps_ids: bool = True
     all_workers: dict[str, ModelWorker] = attrs.Factory(dict)
     registered_at: dict[str, float] = attrs.Factory(dict)
@@ -113,6 +117,7 @@
             self.record,
             incarnation=replaced.incarnation if replaced else 0,
             choose_work=self.choose_work,
+            measure_progress=self.measure_progress,
         )
         if replaced is not None:
             worker.zone = replaced.zone
--- a/tests/test_copy_schedules.py
+++ b/tests/test_copy_schedules.py
@@ -25,7 +25,7 @@
 from stand_ins.model_worker import Execution, choose_work
 from stand_ins.virtual_time import VirtualLoop
 from tests.scheduling_fixtures import make_job, make_policy, make_step
-from tests.test_random_schedules import Schedule
+from tests.test_random_schedules import Schedule, play_range
 from tests.test_session_state_machine import SessionMachine, make_spec
 
 SEEDS = range(1, 13)
@@ -310,15 +310,5 @@
     assert play_schedule(seed) == []
 
 
-def _play_range(first: int, count: int) -> None:
-    found = 0
-    for seed in range(first, first + count):
-        violations = play_schedule(seed)
-        found += bool(violations)
-        for violation in violations:
-            print(seed, violation, flush=True)
-    print(f'{count} schedules from {first}, {found} with violations.')
-
-
 if __name__ == '__main__':
-    _play_range(*map(int, sys.argv[1:]))
+    play_range(play_schedule, *map(int, sys.argv[1:]))
--- a/tests/test_random_schedules.py
+++ b/tests/test_random_schedules.py
@@ -201,10 +201,13 @@
     assert play(seed) == []
 
 
-def _play_range(first: int, count: int) -> None:
+def play_range(
+    play_seed: Callable[[int], list[str]], first: int, count: int
+) -> None:
+    """Plays the schedules of some seeds and prints their violations."""
     found = 0
     for seed in range(first, first + count):
-        violations = play(seed)
+        violations = play_seed(seed)
         found += bool(violations)
         for violation in violations:
             print(seed, violation, flush=True)
@@ -212,4 +215,4 @@
 
 
 if __name__ == '__main__':
-    _play_range(*map(int, sys.argv[1:]))
+    play_range(play, *map(int, sys.argv[1:]))
