Look at the stall of idle and overdue runs only

Each review measured the stall of all running tasks, thousands at the largest size, though few are idle or overdue. Those are picked first now; the decision is the same, as each of its rules asks for one of the two. `measure_since` had a twin in control/task_control.py, and the run time in the log line is now known for inherited runs too.

--- a/lentilmount/control/task_control.py
+++ b/lentilmount/control/task_control.py
@@ -29,6 +29,7 @@
 )
 from lentilmount.scheduling.reconciliation import ReconcileResult
 from lentilmount.scheduling.reports import EndKind, WorkerState
+from lentilmount.scheduling.run_times import measure_since
 from lentilmount.scheduling.throttling import Throttler, runs_unthrottled
 
 log = logbook.Logger('steering')
@@ -105,7 +106,7 @@
                 'task': str(task.id),
                 'run': task.run,
                 'worker': task.worker,
-                'accepted': _measure_since(task.stop_accepted_at, now),
+                'accepted': measure_since(task.stop_accepted_at, now),
             },
         )
         self.commands.stop(task)
@@ -129,7 +130,7 @@
                     'worker': worker.id,
                     'ended': round(now - task.job.ended_at, 3),
                     'phase': task.phase.value,
-                    'accepted': _measure_since(accepted_at, now),
+                    'accepted': measure_since(accepted_at, now),
                 },
             )
 
@@ -329,8 +330,3 @@
 def _may_be_moved(task: Task) -> bool:
     """Returns whether a task loses little if it is stopped on a worker."""
     return task.spec.lasting or task.spec.checkpointing
-
-
-def _measure_since(at: float, now: float) -> float | None:
-    """Returns the seconds since a time, None if that is infinity."""
-    return None if math.isinf(at) else round(now - at, 3)
--- a/lentilmount/scheduling/hangs.py
+++ b/lentilmount/scheduling/hangs.py
@@ -14,10 +14,7 @@
 
 from lentilmount.scheduling.model import Task, TaskPhase, Worker
 from lentilmount.scheduling.reports import RunReport
-from lentilmount.scheduling.run_times import (
-    get_begin,
-    measure_run_seconds,
-)
+from lentilmount.scheduling.run_times import get_begin, measure_since
 
 HANG_SECONDS = 1.5
 """Time without CPU usage after which a task hangs, in seconds: three
@@ -81,6 +78,9 @@
 def _is_hanging(task: Task, now: float) -> bool:
     if task.phase is not TaskPhase.RUNNING:
         return False
+    is_idle = math.isfinite(task.idle_since)
+    if not is_idle and not _is_overdue(task, now):
+        return False
     if _measure_stall(task, now) <= _get_tolerated_stall(task):
         return False
     if task.progressed_at >= task.idle_since:
@@ -147,14 +147,14 @@
 def describe_hang(task: Task, now: float) -> dict[str, Any]:
     """Returns the evidence on a run that hangs, for a log line.
 
-    Times are in seconds; None stands for a time that is not known.
+    Times are in seconds; the idle one is None unless the run is idle.
     """
     return {
-        'ran': _round(measure_run_seconds(task, now)),
+        'ran': measure_since(_get_begin(task), now),
         'estimate': task.spec.estimated_seconds,
-        'idle': _measure_since(task.idle_since, now),
+        'idle': measure_since(task.idle_since, now),
         'progress': task.progress,
-        'stalled': _round(_measure_stall(task, now)),
+        'stalled': round(_measure_stall(task, now), 3),
         'tolerated': task.tolerated_stall,
     }
 
@@ -172,11 +172,3 @@
         return False
     limit = OVERDUE_FACTOR * task.spec.estimated_seconds + OVERDUE_SECONDS
     return now - _get_begin(task) > limit
-
-
-def _measure_since(at: float, now: float) -> float | None:
-    return None if math.isinf(at) else _round(now - at)
-
-
-def _round(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds, 3)
--- a/lentilmount/scheduling/run_times.py
+++ b/lentilmount/scheduling/run_times.py
@@ -54,6 +54,11 @@
     return task.start_sent_at if is_sent else task.placed_at
 
 
+def measure_since(at: float, now: float) -> float | None:
+    """Returns the rounded seconds since a time, None if that is infinity."""
+    return None if math.isinf(at) else round(now - at, 3)
+
+
 @attrs.define
 class _Samples:
     """Newest values by name.
--- a/tests/hang_fixtures.py
+++ b/tests/hang_fixtures.py
@@ -15,7 +15,7 @@
 )
 from lentilmount.scheduling.model import Task, Worker
 from lentilmount.scheduling.reconciliation import Reconciler
-from lentilmount.scheduling.reports import EndKind, RunReport
+from lentilmount.scheduling.reports import EndKind
 from tests.scheduling_fixtures import (
     add_worker,
     admit,
@@ -61,19 +61,13 @@
 
     def report(self, shown: Shown, now: float) -> None:
         """Applies a report on the run."""
-        self.apply(
-            make_running(
-                self.task,
-                self.task.run,
-                shown.usage,
-                shown.progress,
-                shown.checkpoint,
-            ),
-            now,
+        run = make_running(
+            self.task,
+            self.task.run,
+            shown.usage,
+            shown.progress,
+            shown.checkpoint,
         )
-
-    def apply(self, run: RunReport, now: float) -> None:
-        """Applies a report of the worker that lists one run."""
         Reconciler(self.cluster).reconcile(
             self.worker, make_report((run,)), now, now
         )
