--- a/lentilmount/scheduling/hangs.py
+++ b/lentilmount/scheduling/hangs.py
@@ -32,8 +32,8 @@
 
 TOLERANCE_FACTOR = 2.0
 """Ratio of the stall that is tolerated in a run to the one for which an earlier
-run of the task was stopped. Work that takes any finite time is done after a few
-runs."""
+run of the task was stopped. It doubles with each run, so that work of any
+length is done after a few of them."""
 
 FULL_PROGRESS = 100
 """Progress in percent that a report cannot exceed."""
@@ -92,10 +92,10 @@
 
 
 def record_hang(run: Task, members: list[Task], now: float) -> None:
-    """Has longer stalls tolerated in the next runs, before this one is stopped.
+    """Allows longer stalls in the next runs of a task that is to be stopped.
 
-    The work of a task may show no progress for longer than the limits. Without
-    this, each run of it would be stopped at the same point.
+    Its work may show no progress for longer than the limits. Each run of it
+    would be stopped at the same point otherwise.
 
     Args:
       run: The run that is taken for hanging.
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -251,9 +251,9 @@
         steps = tuple(_make_step(rng) for _ in range(count))
         if rng.random() < 0.07:
             kind = rng.choice(sorted(CRASHING, key=lambda kind: kind.value))
-            steps = _add_task(steps, Work(kind, 1.0))
+            steps = _replace_task(steps, Work(kind, 1.0))
         elif rng.random() < 0.1 and estimated_ms <= MAX_HANGING_ESTIMATE_MS:
-            steps = _add_task(steps, Work(WorkKind.HANGING_ONCE, 1.0))
+            steps = _replace_task(steps, Work(WorkKind.HANGING_ONCE, 1.0))
         is_cancelled = rng.random() < 0.1
         cancel_after = rng.uniform(0.0, 3.0) if is_cancelled else 0.0
     return Job(
@@ -282,10 +282,10 @@
     return LONG_TASK_SECONDS if is_long else TASK_SECONDS
 
 
-def _add_task(
+def _replace_task(
     steps: tuple[tuple[Work, ...], ...], work: Work
 ) -> tuple[tuple[Work, ...], ...]:
-    """Returns steps of whose last one the first task does some other work."""
+    """Returns the steps with other work for the first task of the last one."""
     *first, last = steps
     return (*first, (work, *last[1:]))
 
