--- a/review/common_2/site.py
+++ b/review/common_2/site.py
@@ -197,7 +197,11 @@
             [('.*', _WorkerHandler, {'worker': self})],
             log_function=lambda handler: None,
         )
-        self.server, self.model.address = serve(app, self.port)
+        try:
+            self.server, self.model.address = serve(app, self.port)
+        except OSError:
+            # Another process may have taken the port while it was down.
+            self.server, self.model.address = serve(app)
         self.port = int(self.model.address.rpartition(':')[2])
         self._beat = asyncio.create_task(self._register())
 
