--- a/review/common_2/site.py
+++ b/review/common_2/site.py
@@ -37,7 +37,9 @@
     ModelWorker,
 )
 from stand_ins.rowstore import (
+    Change,
     RowStore,
+    read_address,
     make_row_service,
 )
 
@@ -112,12 +114,49 @@
 
 
 class LimitedStore(RowStore):
-    """A table service that enforces the sizes that the platform states."""
+    """A table service that enforces the sizes that the platform states.
+
+    It loses no change that comes as the wait of a feed runs out.
+
+    Attributes:
+      late_seconds: Time after which a write is carried out that gets no answer,
+        by the key of a row in it.
+      carried_out_at: Time of the event loop at which one was carried out last.
+    """
 
     def __init__(self, record: Record):
         super().__init__(transaction_seconds=0.006)
         self.record = record
         self.refused = 0
+        self.late_seconds: dict[str, float] = {}
+        self.carried_out_at = -math.inf
+
+    async def follow(
+        self, table: str, after: int, wait: float
+    ) -> list[Change] | None:
+        """See `RowStore`."""
+        found = await super().follow(table, after, wait)
+        return self._list_changes(table, after) if found == [] else found
+
+    def take_late_seconds(self, body: dict[str, Any]) -> float | None:
+        """Returns when a write without an answer is carried out, or None."""
+        for row in body['writes']:
+            seconds = self.late_seconds.pop(row['key'], None)
+            if seconds is not None:
+                return seconds
+        return None
+
+    def carry_out(self, body: dict[str, Any]) -> None:
+        """Carries out a transaction if its conditions still hold."""
+        refused = self.transact(
+            {read_address(row): row['ver'] for row in body['precondition']},
+            {
+                read_address(row): base64.b64decode(row['value'])
+                for row in body['writes']
+            },
+        )
+        self.carried_out_at = asyncio.get_running_loop().time()
+        self.record.write('store carries out late', refused=bool(refused))
 
     def find_excess(self, body: dict[str, Any], size: int) -> str:
         """Returns which limit a transaction exceeds, or ''."""
@@ -155,6 +194,15 @@
             if wait is None:
                 self.respond({'error': 'busy'}, 429)
                 return
+            late_seconds = self.store.take_late_seconds(body)
+            if late_seconds is not None:
+                self.store.record.write('store does not answer')
+                loop = asyncio.get_running_loop()
+                loop.call_later(late_seconds, self.store.carry_out, body)
+                await asyncio.sleep(late_seconds)
+                self._auto_finish = False
+                self.request.connection.detach().close()
+                return
             await asyncio.sleep(wait)
             super().post()
 
