--- a/review/common_2/site.py
+++ b/review/common_2/site.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -606,7 +607,12 @@
 
 def main(folder: pathlib.Path, choose_work: Work, play: Play) -> int:
     """Runs a case; returns 1 if the rule was broken, 0 if not, else 2."""
-    return asyncio.run(_main(folder, choose_work, play))
+    try:
+        return asyncio.run(_main(folder, choose_work, play))
+    except Exception:
+        # The interpreter would exit with 1, which means a broken rule.
+        traceback.print_exc()
+        return 2
 
 
 async def _main(folder: pathlib.Path, choose_work: Work, play: Play) -> int:
