Open the occurrences of a job as there is room for their tasks

Cause: `create_due_occurrences` created the tasks of every due occurrence at once, on each admission and each takeover, and kept those that were done. Each owner in turn exceeded its memory and was killed. The state row listed each done occurrence by itself, and a placement pass sorted all waiting tasks.

Ruled out: the size of the job's own row (one step, a number); the loading of rows (the owner that accepted the job was killed as well).

Change: what is due is a number. Tasks exist for open steps only (`scheduling/occurrences.py`): the next occurrence is opened, in order, while fewer than 100 tasks of its first steps wait and the state row has room; steps that are done are dropped when another occurrence is opened. Finished occurrences are ranges in memory and in the row. A task that only an earlier owner had opened is found when a worker lists it; a late run of a dropped step is stopped. Gangs of one job that do not fit are tried once a pass. An occurrence counts as late from its due time, also if that is before the job was accepted; new jobs waited for a backlog that seemed to be in time.

--- a/lentilmount/control/dispatcher.py
+++ b/lentilmount/control/dispatcher.py
@@ -132,6 +132,7 @@
 
     def _place(self) -> None:
         now = self.monotonic()
+        self.cluster.occurrences.open_backlog()
         newly_started: set[Job] = set()
         can_start = self.advice.allows
         if self.unrecorded_starts.may_exist(now):
@@ -144,6 +145,8 @@
                 newly_started.add(task.job)
             starts.append((str(task.id), task.run, worker.id))
         self.log_starts(starts)
+        if starts and self.cluster.occurrences.backlog:
+            self.wake.set()
         self._start_copies(now)
         self._log_window(now)
         if self._may_move(now):
--- a/lentilmount/control/gauges.py
+++ b/lentilmount/control/gauges.py
@@ -13,6 +13,7 @@
     waiting: collections.Counter[str] = collections.Counter()
     for task in cluster.ready.values():
         waiting[str(task.job.spec.queue.priority)] += 1
+    held = sum(map(cluster.occurrences.count_held, cluster.jobs.values()))
     workers: collections.Counter[str] = collections.Counter()
     cordoned: collections.Counter[str] = collections.Counter()
     tails: dict[str, float] = {}
@@ -29,6 +30,7 @@
                 tails[image] = max(tails.get(image, 0.0), ratio)
     for name, values, label in (
         ('lentilmount_waiting_tasks', waiting, 'priority'),
+        ('lentilmount_held_occurrences', {'': held}, ''),
         ('lentilmount_workers', workers, 'answers'),
         ('lentilmount_cordoned_workers', cordoned, 'zone'),
         ('lentilmount_running_tasks', {'': running}, ''),
--- a/lentilmount/control/metrics.py
+++ b/lentilmount/control/metrics.py
@@ -112,6 +112,10 @@
                     'Estimated wait of new work, by queue.',
                 ),
                 ('lentilmount_waiting_tasks', 'Tasks ready, by priority.'),
+                (
+                    'lentilmount_held_occurrences',
+                    'Due occurrences of jobs that are not open yet.',
+                ),
                 ('lentilmount_calls_in_flight', 'Calls in flight, by kind.'),
                 (
                     'lentilmount_call_bytes_in_flight',
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -11,6 +11,7 @@
 
 from lentilmount.clock import Clock
 from lentilmount.control.advice import Advice
+from lentilmount.control.backlog_log import BacklogLog
 from lentilmount.control.dispatcher import Dispatcher
 from lentilmount.control.gauges import refresh_gauges
 from lentilmount.control.grouped_submissions import (
@@ -140,6 +141,9 @@
         self._placement_log = PlacementLog(
             settings.service, self.cluster.history, metrics
         )
+        self._backlog_log = BacklogLog(
+            settings.service, self.cluster.occurrences
+        )
         interference_model = self._interference_model = InterferenceModel()
         self._advice = Advice(
             self.cluster, advice, clock.monotonic, self._wake.set
@@ -542,7 +546,8 @@
         try:
             while True:
                 await asyncio.sleep(CHECK_SECONDS)
-                self.cluster.create_due_tasks(self._clock.wall())
+                self.cluster.occurrences.open_due(self._clock.wall())
+                self._backlog_log.update()
                 self._task_controller.check(self._clock.monotonic())
                 self._policies.settle_copies(self._clock.monotonic())
                 self._placement_log.flush()
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -32,6 +32,7 @@
     Worker,
     measure_intensity,
 )
+from lentilmount.scheduling.occurrences import Occurrences
 from lentilmount.scheduling.reports import (
     EndKind,
     StaleRun,
@@ -82,6 +83,7 @@
       suspects: Tasks that may have crashed workers.
       copies: Second runs of tasks.
       durations: Learned durations of steps.
+      occurrences: Opens the occurrences of jobs and the steps in them.
     """
 
     def __init__(self) -> None:
@@ -95,6 +97,7 @@
         self.suspects = CrashSuspects(self.jobs, self.workers, self.dirty)
         self.copies = Copies(self.workers)
         self.durations = StepDurations()
+        self.occurrences = Occurrences(self.jobs, self.ready)
 
     # Jobs.
 
@@ -105,7 +108,7 @@
         wall_time: float,
         age_bounds: AgeBounds = UNKNOWN_AGE,
     ) -> Job:
-        """Adds a job and creates its due tasks, unless it is known already.
+        """Adds a job and opens what is due, unless it is known already.
 
         Args:
           spec: The job.
@@ -124,61 +127,28 @@
         job.critical_paths = measure_critical_paths(spec)
         job.durations = self.durations.get_ratio(spec.queue.name)
         self.jobs[spec.id] = job
-        self.create_due_occurrences(job, wall_time)
+        self.occurrences.open_first(job, wall_time)
         return job
 
-    def create_due_tasks(self, wall_time: float) -> None:
-        """Creates the tasks of all due occurrences of all jobs."""
-        for job in self.jobs.values():
-            if job.spec.occurrences > job.occurrences:
-                self.create_due_occurrences(job, wall_time)
-
-    def create_due_occurrences(self, job: Job, wall_time: float) -> None:
-        """Creates the tasks of the due occurrences of a job."""
-        spec = job.spec
-        total = max(1, spec.occurrences)
-        while job.occurrences < total and not job.state.is_final:
-            if spec.occurrences and wall_time < spec.get_due(job.occurrences):
-                return
-            self.create_occurrences_until(job, job.occurrences + 1)
-
-    def create_occurrences_until(self, job: Job, occurrences: int) -> None:
-        """Creates the tasks of the first occurrences, whether due or not."""
-        while job.occurrences < occurrences:
-            self._create_occurrence(job, job.occurrences)
-            job.occurrences += 1
-
-    def _create_occurrence(self, job: Job, occurrence: int) -> None:
-        for number, step in enumerate(job.spec.steps):
-            job.remaining[occurrence, number] = step.count
-            for index in range(step.count):
-                task_id = TaskId(job.spec.id, occurrence, number, index)
-                job.tasks[task_id] = Task(task_id, step, job)
-        for number, step in enumerate(job.spec.steps):
-            if not step.after:
-                self._mark_step_ready(job, occurrence, number)
-
-    def _mark_step_ready(self, job: Job, occurrence: int, number: int) -> None:
-        """Adds the waiting tasks of a step to the ready tasks."""
-        for index in range(job.spec.steps[number].count):
-            task = job.tasks[TaskId(job.spec.id, occurrence, number, index)]
-            if task.phase is TaskPhase.WAITING:
-                self.ready[task.id] = task
-
     def find_task(self, name: str) -> Task | None:
-        """Returns the task with a formatted id, or None if it is not known."""
+        """Returns the task with a formatted id, or None if it is not known.
+
+        Its step is opened if it is due; see `Occurrences.find_task`.
+        """
         task_id = TaskId.parse(name)
         if task_id is None:
             return None
         job = self.jobs.get(task_id.job)
-        return job.tasks.get(task_id) if job is not None else None
+        if job is None:
+            return None
+        return self.occurrences.find_task(job, task_id)
 
     def is_needless(self, name: str, listed_at: float) -> bool:
         """Returns whether the run of an unknown task must certainly be stopped.
 
-        That is if its job is over, or no row held the job when the run was
-        there already: the row of a job is written before any of its tasks is
-        started.
+        That is if its job is over, its step is done, or no row held the job
+        when the run was there already: the row of a job is written before any
+        of its tasks is started.
 
         Args:
           name: Formatted id of the task.
@@ -189,13 +159,14 @@
             return False
         job = self.jobs.get(task_id.job)
         if job is not None:
-            return job.state.is_final
+            is_done = job.is_step_done(task_id.occurrence, task_id.step)
+            return job.state.is_final or is_done
         return listed_at < self.jobs_as_of
 
     def are_predecessors_done(self, task: Task) -> bool:
         """Returns whether all steps that a task depends on are done."""
         return all(
-            task.job.remaining[task.id.occurrence, predecessor] == 0
+            task.job.is_step_done(task.id.occurrence, predecessor)
             for predecessor in task.spec.after
         )
 
@@ -422,8 +393,8 @@
 
     def _is_gang_done(self, task: Task) -> bool:
         """Returns whether a task belongs to a gang with a done member."""
-        step_key = (task.id.occurrence, task.id.step)
-        is_any_done = task.job.remaining[step_key] < task.spec.count
+        left = task.job.count_remaining(task.id.occurrence, task.id.step)
+        is_any_done = left < task.spec.count
         return task.spec.gang and is_any_done
 
     def end_run(
@@ -565,24 +536,27 @@
         step_key = (task.id.occurrence, task.id.step)
         job.remaining[step_key] -= 1
         self.dirty[job.spec.id] = None
-        if job.remaining[step_key]:
-            return
-        self._mark_successors_ready(job, *step_key)
-        if job.occurrences >= max(1, job.spec.occurrences) and not any(
-            job.remaining.values()
-        ):
-            job.state = JobState.COMPLETED
-            job.ended_at = now
+        if not job.remaining[step_key]:
+            self._finish_step(job, *step_key, now)
 
-    def _mark_successors_ready(
-        self, job: Job, occurrence: int, done_step: int
+    def _finish_step(
+        self, job: Job, occurrence: int, done_step: int, now: float
     ) -> None:
+        """Begins what a step that is done was the last predecessor of."""
+        job.done_steps.append((occurrence, done_step))
         for number, step in enumerate(job.spec.steps):
             if done_step in step.after and all(
-                job.remaining[occurrence, predecessor] == 0
+                job.is_step_done(occurrence, predecessor)
                 for predecessor in step.after
             ):
-                self._mark_step_ready(job, occurrence, number)
+                self.occurrences.begin_step(job, occurrence, number)
+        steps = range(len(job.spec.steps))
+        if any(job.remaining[occurrence, number] for number in steps):
+            return
+        job.finished.add(occurrence)
+        if job.finished.count == max(1, job.spec.occurrences):
+            job.state = JobState.COMPLETED
+            job.ended_at = now
 
     def restore_done(self, task: Task, now: float) -> None:
         """Restores from a state row that a task is done."""
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lentilmount.resources import Room
+from lentilmount.scheduling.ranges import Ranges
 from lentilmount.scheduling.reports import WorkerEntry, WorkerState
 from lentilmount.scheduling.specs import JobSpec, StepSpec, TaskId
 
@@ -253,8 +254,14 @@
       spec: Specification as accepted.
       accepted_at: Estimated monotonic time of acceptance in seconds.
       state: State shown to clients.
-      tasks: Tasks of the occurrences created so far, by id.
-      occurrences: Number of occurrences whose tasks exist.
+      tasks: Tasks of the open steps, by id; those of steps that are done until
+        another occurrence is opened.
+      occurrences: Number of the first occurrence that may not be open yet.
+      finished: Occurrences of which all steps are done.
+      done_steps: Steps that are done and not dropped yet, each with its
+        occurrence first.
+      held_steps: Steps whose predecessors are done and that are not open, as
+        enough tasks wait; each with its occurrence first.
       critical_paths: For each step, the length in seconds of the longest path
         of steps that starts with it, by the declared estimates.
       durations: How long its steps are expected to take beside that.
@@ -262,7 +269,8 @@
       row_version: Version of the job's own row.
       cancel_version: Version of the row that requests its cancellation, if any.
       ended_at: Estimated monotonic time at which the job ended.
-      remaining: Number of unfinished tasks by (occurrence, step).
+      remaining: Number of unfinished tasks by (occurrence, step), of the open
+        occurrences and those that are not dropped yet.
       was_placed: Whether any task was ever placed.
       has_started: Whether a worker has certainly started any task.
       first_placed_at: Monotonic time of the first placement by this owner.
@@ -275,6 +283,9 @@
     state: JobState = JobState.QUEUED
     tasks: dict[TaskId, Task] = attrs.Factory(dict)
     occurrences: int = 0
+    finished: Ranges = attrs.Factory(Ranges)
+    done_steps: list[tuple[int, int]] = attrs.Factory(list)
+    held_steps: list[tuple[int, int]] = attrs.Factory(list)
     critical_paths: tuple[float, ...] = ()
     durations: DurationRatio = attrs.Factory(DurationRatio)
     version: int = 0
@@ -299,6 +310,16 @@
         """Returns the expected seconds from the start of a step to the end."""
         return self.durations.value * self.critical_paths[step]
 
+    def count_remaining(self, occurrence: int, step: int) -> int:
+        """Returns the number of unfinished tasks of a step that was open."""
+        return self.remaining.get((occurrence, step), 0)
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Returns whether all tasks of a step are done."""
+        if occurrence in self.finished:
+            return True
+        return self.remaining.get((occurrence, step)) == 0
+
 
 @attrs.define
 class FinishedRun:
--- a/lentilmount/scheduling/placement.py
+++ b/lentilmount/scheduling/placement.py
@@ -27,7 +27,7 @@
 from lentilmount.scheduling.demand import BestEffortDemand
 from lentilmount.scheduling.headroom import Headroom
 from lentilmount.scheduling.interference import InterferenceModel
-from lentilmount.scheduling.model import Task, TaskPhase, Worker
+from lentilmount.scheduling.model import Job, Task, TaskPhase, Worker
 from lentilmount.scheduling.ranking import (
     has_never_run,
     is_coalescing,
@@ -162,6 +162,7 @@
         self._long_running_left = MAX_LONG_RUNNING_STARTS
         self._infeasible: dict[StepShape, list[Room]] = {}
         self._infeasible_for_new: dict[StepShape, list[Room]] = {}
+        self._failed_gangs: set[tuple[Job, int]] = set()
         self._views = views
         headroom.begin_pass(views)
         sampler.begin_pass(views)
@@ -199,6 +200,8 @@
         """Returns whether to search for a worker for a step in this pass."""
         if self._is_infeasible(step[0].spec):
             return False
+        if (step[0].job, step[0].id.step) in self._failed_gangs:
+            return False
         is_new = kind is TaskKind.LONG_RUNNING and has_never_run(step[0])
         return not is_new or not self._exceeds(
             step[0].spec, self._infeasible_for_new
@@ -232,6 +235,7 @@
                     self._window.add(member)
                 placed += members
                 if not members:
+                    self._record_failed_gang(step)
                     return placed, False
                 continue
             if candidates is None and _shares_step_costs(task):
@@ -257,6 +261,18 @@
             return False
         return not (task.is_watched and awaits_proof(task, self._now))
 
+    def _record_failed_gang(self, step: list[Task]) -> None:
+        """Records that a gang does not fit, nor those of other occurrences.
+
+        Members that failed on a worker, or may have crashed one, need another
+        worker than those of other occurrences do.
+        """
+        has_other_limits = step[0].spec.most_per_worker or any(
+            task.failed_on or task.is_watched for task in step
+        )
+        if not has_other_limits:
+            self._failed_gangs.add((step[0].job, step[0].id.step))
+
     def _find_candidates(self, task: Task) -> Candidates:
         """Evaluates workers for the step that a task represents.
 
--- a/lentilmount/scheduling/ranking.py
+++ b/lentilmount/scheduling/ranking.py
@@ -124,18 +124,18 @@
         return PriorityClass.OTHER, (
             *order,
             not job.was_placed,
-            estimate_remaining_work(job),
+            estimate_remaining_work(job, task.id.occurrence),
         )
     return PriorityClass.OTHER, (*order, False, latest_start)
 
 
-def estimate_remaining_work(job: Job) -> float:
-    """Returns the unfinished work of a job in core-seconds, as declared."""
+def estimate_remaining_work(job: Job, occurrence: int) -> float:
+    """Returns the unfinished core-seconds of an occurrence, as declared."""
     return sum(
-        count
-        * job.spec.steps[step].estimated_seconds
-        * job.spec.steps[step].demand.cores
-        for (_, step), count in job.remaining.items()
+        job.count_remaining(occurrence, number)
+        * step.estimated_seconds
+        * step.demand.cores
+        for number, step in enumerate(job.spec.steps)
     )
 
 
@@ -147,12 +147,15 @@
 
 
 def get_release_time(job: Job, occurrence: int) -> float:
-    """Returns the monotonic time from which an objective counts."""
+    """Returns the monotonic time from which an objective counts.
+
+    That is the due time of an occurrence, also if it is before the job was
+    accepted: what is long overdue does not go before jobs that can be in time.
+    """
     spec = job.spec
     if not spec.occurrences:
         return job.accepted_at
-    delay = spec.get_due(occurrence) - spec.accepted
-    return job.accepted_at + max(0.0, delay)
+    return job.accepted_at + spec.get_due(occurrence) - spec.accepted
 
 
 def predict_timeliness(task: Task, now: float) -> Timeliness:
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -26,6 +26,11 @@
 the service; if they ignored it, they would run the tasks again. In rows of
 those versions, it is the entry of a done task."""
 
+FINISHED = 'occurrences'
+"""Key of the ranges of finished occurrences among those of done tasks.
+
+Versions that do not know it fail to parse it as a step, as above."""
+
 REQUIRED_FIELDS = 2
 """Number of fields that each task entry has: run and worker."""
 
@@ -45,26 +50,42 @@
     The row is written at each change of any task, and without the following
     rules such rows were over a third of the bytes sent by an owner. Tasks that
     were never started are omitted, and so are all tasks of a finished job that
-    has none to stop. Done tasks are stored as index ranges by step. Trailing
-    default values of a task's entry are omitted.
+    has none to stop. Done tasks are stored as index ranges by step, and the
+    finished occurrences of a schedule as ranges. Trailing default values of a
+    task's entry are omitted.
     """
     body: dict[str, Any] = {'state': job.state.value}
     if job.state.is_final and not _is_stopping(job):
         return body
     tasks: dict[str, Any] = {}
-    done: dict[str, list[int]] = {}
+    done = _encode_done_steps(job)
     for task in job.tasks.values():
+        step = _format_step_key(task.id.occurrence, task.id.step)
         if task.phase is TaskPhase.DONE or task.is_done_elsewhere:
-            step = f'{task.id.occurrence}.{task.id.step}'
-            _append_to_ranges(done.setdefault(step, []), task.id.index)
+            if job.count_remaining(task.id.occurrence, task.id.step):
+                _append_to_ranges(done.setdefault(step, []), task.id.index)
         elif task.run:
-            tasks[_format_task_key(task)] = _encode_task(task)
+            tasks[f'{step}.{task.id.index}'] = _encode_task(task)
     if done:
         tasks[DONE] = done
     body['tasks'] = tasks
     return body
 
 
+def _encode_done_steps(job: Job) -> dict[str, list[int]]:
+    """Encodes the steps that are done, and the finished occurrences."""
+    done: dict[str, list[int]] = {}
+    is_scheduled = bool(job.spec.occurrences)
+    if is_scheduled and job.finished.count:
+        done[FINISHED] = job.finished.encode()
+    for (occurrence, number), count in job.remaining.items():
+        is_listed = is_scheduled and occurrence in job.finished
+        if not count and not is_listed:
+            step = _format_step_key(occurrence, number)
+            done[step] = [0, job.spec.steps[number].count - 1]
+    return done
+
+
 def _append_to_ranges(ranges: list[int], index: int) -> None:
     """Appends an index to a flat list of ranges: first, last, first, last."""
     if ranges and ranges[-1] == index - 1:
@@ -96,8 +117,8 @@
     return any(task.phase.is_placed for task in job.tasks.values())
 
 
-def _format_task_key(task: Task) -> str:
-    return f'{task.id.occurrence}.{task.id.step}.{task.id.index}'
+def _format_step_key(occurrence: int, number: int) -> str:
+    return f'{occurrence}.{number}'
 
 
 def restore_state(
@@ -119,19 +140,18 @@
     """
     state = JobState(body['state'])
     entries = dict(body.get('tasks', {}))
-    done = [
-        _parse_task_key(job, name) for name in _list_done(entries.pop(DONE, {}))
-    ]
+    ranges = dict(entries.pop(DONE, {}))
+    cluster.occurrences.restore_finished(job, ranges.pop(FINISHED, []))
+    done = [_parse_task_key(job, name) for name in _list_done(ranges)]
     others = {
         _parse_task_key(job, name): entry for name, entry in entries.items()
     }
-    _create_recorded_occurrences(cluster, job, [*done, *others])
     for task_id in done:
-        task = job.tasks.get(task_id)
+        task = _open_task(cluster, job, task_id)
         if task is not None:
             cluster.restore_done(task, now)
     for task_id, entry in others.items():
-        task = job.tasks.get(task_id)
+        task = _open_task(cluster, job, task_id)
         if task is not None:
             _restore_task(cluster, task, entry, leases_expire_at, now)
     if state.is_final:
@@ -149,18 +169,16 @@
         cluster.complete_restored_gangs(job, now)
 
 
-def _create_recorded_occurrences(
-    cluster: ClusterState, job: Job, recorded: list[TaskId]
-) -> None:
-    """Creates the tasks of occurrences that the previous owner had created.
+def _open_task(cluster: ClusterState, job: Job, task_id: TaskId) -> Task | None:
+    """Returns a task whose occurrence the previous owner had opened.
 
-    They may not be due yet by a slower clock. Without this, their recorded
-    state would be dropped and done tasks would run again.
+    The occurrence may not be due yet by a slower clock. Without this, its
+    recorded state would be dropped and done tasks would run again.
     """
-    last = max((task_id.occurrence for task_id in recorded), default=-1)
-    cluster.create_occurrences_until(
-        job, min(last + 1, max(1, job.spec.occurrences))
-    )
+    total = max(1, job.spec.occurrences)
+    if task_id.occurrence < total and task_id.occurrence not in job.finished:
+        cluster.occurrences.open_occurrence(job, task_id.occurrence)
+    return cluster.occurrences.find_task(job, task_id)
 
 
 def _list_done(done: dict[str, list[int]]) -> Iterator[str]:
--- a/lentilmount/scheduling/run_times.py
+++ b/lentilmount/scheduling/run_times.py
@@ -138,7 +138,7 @@
 def _list_step_seconds(task: Task) -> list[float]:
     """Lists the run times in seconds of the finished tasks of a step."""
     job, step_key = task.job, (task.id.occurrence, task.id.step)
-    if task.spec.count - job.remaining[step_key] < STEP_SAMPLES:
+    if task.spec.count - job.count_remaining(*step_key) < STEP_SAMPLES:
         return []
     done = (
         other
--- a/lentilmount/scheduling/specs.py
+++ b/lentilmount/scheduling/specs.py
@@ -125,6 +125,11 @@
     first: float = 0.0
     interval: float = 0.0
 
+    @functools.cached_property
+    def first_steps(self) -> tuple[int, ...]:
+        """Indexes of the steps that depend on no other."""
+        return tuple(n for n, step in enumerate(self.steps) if not step.after)
+
     @property
     def core_seconds(self) -> float:
         """Declared work of all its occurrences; 0 if no run time is."""
--- a/tests/scheduling_fixtures.py
+++ b/tests/scheduling_fixtures.py
@@ -77,8 +77,9 @@
     cluster: ClusterState, job_id: str, step: int = 0, index: int = 0
 ) -> Task:
     """Returns a task of the first occurrence of a job."""
-    job = cluster.jobs[job_id]
-    return job.tasks[TaskId(job_id, 0, step, index)]
+    task = cluster.find_task(str(TaskId(job_id, 0, step, index)))
+    assert task is not None
+    return task
 
 
 def run_task(
--- a/tests/test_restoring.py
+++ b/tests/test_restoring.py
@@ -71,7 +71,7 @@
     after = ClusterState()
     restored = after.admit(spec, 0.0, 99.9)
     restore_state(after, restored, encode_state(job), 7.4, 0.0)
-    after.create_due_tasks(100.2)
+    after.occurrences.open_due(100.2)
     assert TaskId('a', 0, 0, 0) not in after.ready
 
 
