Keep a cancelled job from being created by a late write

Cause: a cancellation looked for the job first and wrote nothing if it was not there. The store carries out a write without an answer seconds later if its condition still holds, and the condition was only that the job has no row.

Ruled out: the owner (it had no row that tells it of the cancellation; it applies one that comes before its job, and did so before); the daemon that had lost the answer (the same with a single daemon).

Change: the row of the cancellation is written first, then the job is looked for. A job's row is created on condition that it has no cancellation, by daemons and by owners that write for others. So a late write, or a copy of the request, fails with a conflict and is answered with 410. Cancellations of jobs that never came are deleted by the owner after the retention time of jobs, ten a write also when writes are full. GET does not answer 410 for a job whose write through this daemon may still come.

--- a/lentilmount/control/grouped_submissions.py
+++ b/lentilmount/control/grouped_submissions.py
@@ -19,13 +19,19 @@
 import attrs
 import orjson
 
-from lentilmount.control.keys import make_job_key
-from lentilmount.coordination.table import ABSENT, Key, Operation, Put
+from lentilmount.control.keys import make_cancel_key, make_job_key
+from lentilmount.coordination.table import (
+    ABSENT,
+    Check,
+    Key,
+    Operation,
+    Put,
+)
 from lentilmount.platform.documents import decode_job_row
 from lentilmount.scheduling.specs import JobSpec
 
 MAX_ROWS = 20
-"""Maximum number of jobs in a write; each takes two of its 100 entries."""
+"""Maximum number of jobs in a write; each takes three of its 100 entries."""
 
 BYTES_SHARE = 0.5
 """Share of the bytes of a write for submissions, where bytes limit it."""
@@ -38,11 +44,27 @@
     """Outcome of a submission.
 
     REFUSED ones are certainly not written; UNKNOWN ones may be, also later.
+    CANCELLED ones are not written either, as the job was cancelled before.
     """
 
     ACCEPTED = 'accepted'
     REFUSED = 'refused'
     UNKNOWN = 'unknown'
+    CANCELLED = 'cancelled'
+
+
+def make_job_operations(
+    service: str, job_id: str, body: dict[str, Any]
+) -> list[Operation]:
+    """Returns what creates a job's row unless the job is known or cancelled.
+
+    A write without an answer may be carried out seconds later. With the
+    condition it has no effect then if the job was cancelled meanwhile.
+    """
+    return [
+        Put(make_job_key(service, job_id), body, ABSENT),
+        Check(make_cancel_key(service, job_id), ABSENT),
+    ]
 
 
 @attrs.frozen(eq=False)
@@ -131,8 +153,11 @@
                 break
             self._in_write[job_id] = self._waiting.pop(job_id)
         return [
-            Put(make_job_key(self.service, job_id), submission.body, ABSENT)
+            operation
             for job_id, submission in self._in_write.items()
+            for operation in make_job_operations(
+                self.service, job_id, submission.body
+            )
         ]
 
     def end_write(self) -> list[Submission]:
@@ -150,18 +175,20 @@
 
         Returns:
           Whether there are conflicts, and all with jobs that were accepted
-          before.
+          or cancelled before.
         """
         left, self._in_write = self._in_write, {}
-        known = [
-            job_id
-            for job_id in left
-            if make_job_key(self.service, job_id) in conflicts
-        ]
-        for job_id in known:
-            left.pop(job_id).settle(Outcome.ACCEPTED)
+        unexplained = set(conflicts)
+        for job_id in list(left):
+            job_key = make_job_key(self.service, job_id)
+            cancel_key = make_cancel_key(self.service, job_id)
+            if job_key in conflicts:
+                left.pop(job_id).settle(Outcome.ACCEPTED)
+            elif cancel_key in conflicts:
+                left.pop(job_id).settle(Outcome.CANCELLED)
+            unexplained -= {job_key, cancel_key}
         self._waiting = {**left, **self._waiting}
-        return bool(known) and len(known) == len(conflicts)
+        return bool(conflicts) and not unexplained
 
     def close(self) -> None:
         """Settles all submissions at the end of the owner."""
--- a/lentilmount/control/job_loader.py
+++ b/lentilmount/control/job_loader.py
@@ -9,6 +9,7 @@
 import logbook
 
 from lentilmount.clock import Clock
+from lentilmount.control.cancellations import Cancellation, Cancellations
 from lentilmount.control.keys import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
@@ -47,6 +48,7 @@
       clock: Wall and monotonic clocks.
       cancel: Cancels the job with an id.
       wake: Called when there may be tasks to place.
+      early: Cancellations whose jobs are not known.
     """
 
     service: str
@@ -55,8 +57,8 @@
     clock: Clock
     cancel: Callable[[str], None]
     wake: Callable[[], None]
+    early: Cancellations = attrs.Factory(Cancellations)
     _feed: TableFeed = attrs.field(init=False)
-    _early_cancellations: dict[str, int] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Creates the feed of the jobs table."""
@@ -118,22 +120,28 @@
             is_cancellation = job_id != row.key
             if row.removed:
                 if is_cancellation:
-                    self._early_cancellations.pop(job_id, None)
+                    self.early.pop(job_id)
                 else:
                     self.cluster.unreadable_jobs.discard(job_id)
                 continue
             if is_cancellation:
-                self._early_cancellations[job_id] = row.version
+                self.early.add(self._date_cancellation(job_id, row.version))
             else:
                 self._admit(row)
-            if job_id not in self._early_cancellations:
+            if job_id not in self.early:
                 continue
             cancelled.append(job_id)
             if job_id in self.cluster.jobs:
-                version = self._early_cancellations.pop(job_id)
-                self.cluster.jobs[job_id].cancel_version = version
+                cancellation = self.early.pop(job_id)
+                if cancellation is not None:
+                    job = self.cluster.jobs[job_id]
+                    job.cancel_version = cancellation.version
         return cancelled
 
+    def _date_cancellation(self, job_id: str, version: int) -> Cancellation:
+        age = self.table.version_times.bound_age(version).least
+        return Cancellation(job_id, version, self.clock.monotonic() - age)
+
     def _log_without_effect(self, cancelled: list[str]) -> None:
         """Logs the cancellations that change nothing, many to a line."""
         unknown = []
@@ -186,7 +194,7 @@
             rows = await self._feed.read()
             if self._feed.is_listed:
                 # Those that were removed meanwhile are in no answer.
-                self._early_cancellations.clear()
+                self.early.clear()
             cancelled = self._apply_rows(rows)
             self.cluster.jobs_as_of = self._feed.as_of
             self._log_without_effect(cancelled)
--- a/lentilmount/control/keys.py
+++ b/lentilmount/control/keys.py
@@ -30,6 +30,11 @@
     return make_job_key(service, job_id + CANCEL_SUFFIX)
 
 
+def is_cancel_key(key: Key) -> bool:
+    """Returns whether a key is that of a cancellation."""
+    return key.sort.endswith(CANCEL_SUFFIX)
+
+
 def make_state_key(service: str, job_id: str) -> Key:
     """Returns the key of a job's state, which its owner writes."""
     return Key(make_partition(STATES_TABLE, service), job_id)
--- a/lentilmount/control/owner.py
+++ b/lentilmount/control/owner.py
@@ -12,6 +12,7 @@
 from lentilmount.clock import Clock
 from lentilmount.control.advice import Advice
 from lentilmount.control.backlog_log import BacklogLog
+from lentilmount.control.cancellations import Cancellations
 from lentilmount.control.dispatcher import Dispatcher
 from lentilmount.control.gauges import refresh_gauges
 from lentilmount.control.grouped_submissions import (
@@ -189,6 +190,7 @@
             self.cluster.jobs.__contains__,
             self._request_write,
         )
+        early_cancellations = Cancellations()
         self._state_writer = StateWriter(
             settings.service,
             table,
@@ -200,7 +202,12 @@
             clock,
             self._commands.start,
             self.handle_lease_lost,
-            Retention(settings.service, self.cluster, settings.status_seconds),
+            Retention(
+                settings.service,
+                self.cluster,
+                settings.status_seconds,
+                early_cancellations,
+            ),
             self._forget_jobs,
             table.version_times,
             self._submissions,
@@ -215,6 +222,7 @@
             clock,
             self._cancel,
             self._wake.set,
+            early_cancellations,
         )
 
     def _make_lease_data(self, now: float) -> dict[str, Any]:
--- a/lentilmount/control/retention.py
+++ b/lentilmount/control/retention.py
@@ -1,15 +1,20 @@
-"""Deletes finished jobs after their retention time."""
+"""Deletes finished jobs, and cancellations of unknown ones, after a time."""
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import attrs
 
+from lentilmount.control.cancellations import Cancellation, Cancellations
 from lentilmount.control.keys import (
+    CANCEL_SUFFIX,
+    is_cancel_key,
     make_cancel_key,
     make_job_key,
     make_state_key,
 )
-from lentilmount.coordination.table import Delete, Operation
+from lentilmount.coordination.table import Delete, Key, Operation
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.model import Job, Task
 
@@ -30,18 +35,55 @@
       service: Name of the service.
       cluster: State of jobs, tasks and workers.
       seconds: How long a finished job is kept.
+      early: Cancellations whose jobs are not known, kept for as long.
     """
 
     service: str
     cluster: ClusterState
     seconds: float
+    early: Cancellations = attrs.Factory(Cancellations)
+
+    def list_expired_cancellations(
+        self, now: float, most: int
+    ) -> list[Cancellation]:
+        """Lists cancellations of unknown jobs that can be deleted."""
+        return self.early.list_older(now - self._keep_seconds, most)
+
+    def make_cancellation_removals(
+        self, cancellations: list[Cancellation]
+    ) -> list[Operation]:
+        """Builds the deletion of the rows of cancellations."""
+        return [
+            Delete(make_cancel_key(self.service, c.job), c.version)
+            for c in cancellations
+        ]
+
+    def forget_cancellations(self, cancellations: list[Cancellation]) -> None:
+        """Removes cancellations whose rows are deleted."""
+        for cancellation in cancellations:
+            self.early.pop(cancellation.job)
+
+    def forget_changed_cancellations(self, changed: Collection[Key]) -> None:
+        """Removes cancellations whose rows have another version by now.
+
+        Args:
+          changed: Keys of changed rows, of any kind.
+        """
+        for key in changed:
+            if is_cancel_key(key):
+                self.early.pop(key.sort.removesuffix(CANCEL_SUFFIX))
+
+    @property
+    def _keep_seconds(self) -> float:
+        return self.seconds + MARGIN_SECONDS
 
     def list_expired(self, now: float) -> list[Job]:
         """Lists up to `MAX_REMOVALS` jobs whose rows can be deleted."""
-        keep = self.seconds + MARGIN_SECONDS
         expired = []
         for job in self.cluster.jobs.values():
-            if not job.state.is_final or now - job.ended_at <= keep:
+            if not job.state.is_final or (
+                now - job.ended_at <= self._keep_seconds
+            ):
                 continue
             if not any(map(_has_runs, job.tasks.values())):
                 expired.append(job)
--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -12,11 +12,13 @@
 import logbook
 
 from lentilmount.clock import Clock
+from lentilmount.control.cancellations import Cancellation
 from lentilmount.control.grouped_submissions import (
     GroupedSubmissions,
     Submission,
 )
 from lentilmount.control.keys import (
+    make_cancel_key,
     make_counts_key,
     make_model_key,
     make_state_key,
@@ -36,6 +38,7 @@
     Row,
     Table,
     UnavailableError,
+    count_entries,
 )
 from lentilmount.coordination.transactions import make_token
 from lentilmount.scheduling.cluster import ClusterState
@@ -64,6 +67,10 @@
 """Maximum number of jobs in a write. A transaction takes 100 entries, and each
 row uses two, one for its condition; the lease and two more rows use six."""
 
+MAX_CANCELLATION_REMOVALS = 10
+"""Maximum number of cancellations of unknown jobs deleted in a write, also in
+one that is full: more than clients can add between two writes."""
+
 MAX_WRITE_SECONDS = 0.1
 """Longest time that a write takes on an otherwise idle link. The lease is
 renewed with each write, and a call to the store times out after 0.6 s."""
@@ -258,7 +265,14 @@
             for session in self.sessions.values()
         ]
         submitted = self.submissions.begin_write(self._max_bytes)
-        jobs = self._select_jobs(COMMIT_ROWS - len(submitted))
+        cancellations = self._list_expired_cancellations(submitted)
+        others = [
+            *submitted,
+            *self.retention.make_cancellation_removals(cancellations),
+        ]
+        jobs = self._select_jobs(
+            COMMIT_ROWS - math.ceil(count_entries(others) / 2)
+        )
         self._starts_in_flight, self._pending_starts = self._pending_starts, []
         pending = _PendingAck(last_ends, set(self.cluster.dirty))
         counts = self._make_counts(jobs)
@@ -266,11 +280,11 @@
         states = [self._make_state(job) for job in jobs]
         expired_jobs = (
             []
-            if jobs or submitted
+            if jobs or others
             else self.retention.list_expired(self.clock.monotonic())
         )
         removals = self.retention.make_removals(expired_jobs)
-        operations = [*states, *counts, *model, *removals, *submitted]
+        operations = [*states, *counts, *model, *removals, *others]
         unreachable = self._update_lease_data(bool(pending.unwritten_jobs))
         is_written = await self._write(operations, [*jobs, *expired_jobs])
         placed, self._starts_in_flight = self._starts_in_flight, []
@@ -281,6 +295,7 @@
             worker.is_reported_unreachable = worker.id in unreachable
         for submission in self.submissions.end_write():
             self.admit(submission)
+        self.retention.forget_cancellations(cancellations)
         self.retention.forget(expired_jobs)
         self.forget(expired_jobs)
         for job in jobs:
@@ -291,12 +306,27 @@
             self._model_version = self.lease.version
         self._log_ended(jobs)
         self._send_starts(placed, set(jobs))
-        if self.cluster.dirty or self.submissions.is_waiting:
+        is_more_expired = len(cancellations) == MAX_CANCELLATION_REMOVALS
+        if self.cluster.dirty or self.submissions.is_waiting or is_more_expired:
             self._write_requested.set()
         if not self.cluster.dirty:
             self._has_sent_unrecorded = False
         self._acknowledge_ends(pending, {job.spec.id for job in jobs})
 
+    def _list_expired_cancellations(
+        self, submitted: list[Operation]
+    ) -> list[Cancellation]:
+        """Lists cancellations to delete, but none that a submission checks."""
+        checked = {operation.key for operation in submitted}
+        expired = self.retention.list_expired_cancellations(
+            self.clock.monotonic(), MAX_CANCELLATION_REMOVALS
+        )
+        return [
+            cancellation
+            for cancellation in expired
+            if make_cancel_key(self.service, cancellation.job) not in checked
+        ]
+
     def _log_ended(self, jobs: list[Job]) -> None:
         """Logs each finished job once, with its duration."""
         for job in jobs:
@@ -373,6 +403,7 @@
             except ConflictError as error:
                 if not self.submissions.abandon_write(error.keys):
                     log.error('A row of this service was changed: {}', error)
+                    self.retention.forget_changed_cancellations(error.keys)
                     await self.read_versions(jobs)
                 for job in jobs:
                     self.cluster.dirty[job.spec.id] = None
--- a/lentilmount/control/submission_relay.py
+++ b/lentilmount/control/submission_relay.py
@@ -27,6 +27,7 @@
 
 OUTCOMES = {
     200: Outcome.ACCEPTED,
+    410: Outcome.CANCELLED,
     429: Outcome.REFUSED,
     504: Outcome.UNKNOWN,
 }
--- a/lentilmount/control/submissions.py
+++ b/lentilmount/control/submissions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -11,8 +12,12 @@
 import logbook
 
 from lentilmount.clock import Clock
-from lentilmount.control.grouped_submissions import Outcome
+from lentilmount.control.grouped_submissions import (
+    Outcome,
+    make_job_operations,
+)
 from lentilmount.control.keys import (
+    is_cancel_key,
     make_cancel_key,
     make_counts_key,
     make_job_key,
@@ -25,6 +30,7 @@
 from lentilmount.coordination.table import (
     ABSENT,
     ConflictError,
+    Operation,
     Put,
     Row,
     Table,
@@ -70,6 +76,10 @@
 """Longest retry delay of a job for which there is no room: estimates do not
 reach further."""
 
+UNSETTLED_SECONDS = 15.0
+"""Time after which a write without an answer is assumed to have no effect any
+more. The table carries such writes out seconds later."""
+
 MAX_UNSETTLED = 1_000
 """Number of jobs that are remembered as their writes may take effect later."""
 
@@ -131,6 +141,10 @@
     return _Outcome(True in results, failures[0] if failures else None)
 
 
+def _make_cancelled_error(job_id: str) -> GoneError:
+    return GoneError(f'job {job_id} was cancelled before it was accepted')
+
+
 def _log_known(job_id: str) -> None:
     log.info(
         'Known already; the job was accepted before.', extra={'job': job_id}
@@ -164,7 +178,7 @@
     count_daemons: Callable[[], int] = lambda: 1
     count_refusal: Callable[[str, str], None] = count_nothing
     _counts: dict[str, tuple[float, dict[str, int]]] = attrs.Factory(dict)
-    _unsettled: dict[str, None] = attrs.Factory(dict)
+    _unsettled: dict[str, float] = attrs.Factory(dict)
     _store_returns: RetrySchedule = attrs.field(init=False)
     _admission_returns: RetrySchedule = attrs.field(init=False)
 
@@ -210,6 +224,7 @@
 
         Raises:
           InvalidError: The job is not valid.
+          GoneError: The job was cancelled before it was accepted.
           StoreError: The job was not accepted and never runs.
           UnknownOutcomeError: The job may have been accepted.
         """
@@ -222,7 +237,9 @@
                     return
                 await self._check_admission(spec)
                 await self._accept(spec)
-        except ConflictError:
+        except ConflictError as error:
+            if error.keys and all(map(is_cancel_key, error.keys)):
+                raise _make_cancelled_error(job_id) from error
             # An earlier copy of this request has created the row.
             _log_known(job_id)
             return
@@ -249,25 +266,25 @@
         """Writes a job's row, or has it written.
 
         Raises:
-          ConflictError: The row exists.
+          ConflictError: The row exists, or a cancellation of the job.
+          GoneError: The owner has found a cancellation of the job.
           RefusedError: Nothing was written.
           UnavailableError: The row may be written, also later.
         """
         service = spec.queue.service
-        key = make_job_key(service, spec.id)
-        put = Put(key, encode_job_row(spec), ABSENT)
+        row = encode_job_row(spec)
         was_unsettled = spec.id in self._unsettled
-        self._unsettled[spec.id] = None
+        self._unsettled[spec.id] = self.clock.monotonic()
         if len(self._unsettled) > MAX_UNSETTLED:
             self._unsettled.pop(next(iter(self._unsettled)))
         try:
-            if not await self._accept_by_owner(service, put):
-                await self._write(put)
+            if not await self._accept_by_owner(service, spec.id, row):
+                await self._write(make_job_operations(service, spec.id, row))
         except RefusedError:
             if not was_unsettled:
                 self._unsettled.pop(spec.id, None)
             raise
-        except ConflictError:
+        except (ConflictError, GoneError):
             self._unsettled.pop(spec.id, None)
             raise
         self._unsettled.pop(spec.id, None)
@@ -328,14 +345,19 @@
             },
         )
 
-    async def _accept_by_owner(self, service: str, put: Put) -> bool:
+    async def _accept_by_owner(
+        self, service: str, job_id: str, row: dict[str, Any]
+    ) -> bool:
         """Submits a job to its owner; returns False if it was not asked.
 
         Raises:
+          GoneError: The job was cancelled before.
           RefusedError: Nothing was written.
           UnavailableError: The row may be written, also later.
         """
-        outcome = await self.submit_to_owner(service, put.key.sort, put.body)
+        outcome = await self.submit_to_owner(service, job_id, row)
+        if outcome is Outcome.CANCELLED:
+            raise _make_cancelled_error(job_id)
         if outcome is Outcome.REFUSED:
             raise RefusedError('the owner has too many submissions')
         if outcome is Outcome.UNKNOWN:
@@ -373,14 +395,14 @@
             raise RefusedError(NO_ANSWER)
         return await self._find_job(service, job_id) is not None
 
-    async def _write(self, put: Put) -> None:
+    async def _write(self, operations: list[Operation]) -> None:
         """Creates a row, retrying until the outcome is known or time runs out.
 
         A caller that gets no answer would only send the same job again later.
         Retried here, the write either takes effect or finds the row.
 
         Raises:
-          ConflictError: The row exists.
+          ConflictError: The row exists, or a condition does not hold.
           RefusedError: Nothing was written.
           UnavailableError: The row may be written, also later.
         """
@@ -388,7 +410,7 @@
         lost_answer: UnavailableError | None = None
         while True:
             try:
-                await self.table.transact(make_token(), [put])
+                await self.table.transact(make_token(), operations)
                 return
             except RefusedError:
                 if lost_answer is not None:
@@ -405,18 +427,36 @@
 
         Raises:
           GoneError: There is no such job.
-          UnknownOutcomeError: The store does not answer.
+          UnknownOutcomeError: The store does not answer, or the outcome of a
+            submission through this daemon is not known yet.
         """
         with self._translate_store_errors(route):
-            for service in self._list_services(route):
+            services = self._list_services(route)
+            for service in services:
                 state_key = make_state_key(service, job_id)
                 row = (await self.table.read([state_key])).get(state_key)
                 if row is not None:
                     return JobState(row.body['state'])
                 if await self._find_job(service, job_id) is not None:
                     return JobState.QUEUED
+            if await self._may_be_written(services, job_id):
+                raise UnknownOutcomeError(
+                    f'the write of job {job_id} has no answer yet'
+                )
         raise GoneError(f'there is no job {job_id}')
 
+    async def _may_be_written(self, services: list[str], job_id: str) -> bool:
+        """Returns whether a job that is not there may still come.
+
+        Its submission through this daemon got no answer, and no cancellation
+        keeps the write from taking effect.
+        """
+        sent_at = self._unsettled.get(job_id, -math.inf)
+        if self.clock.monotonic() - sent_at > UNSETTLED_SECONDS:
+            return False
+        keys = [make_cancel_key(service, job_id) for service in services]
+        return len(await self.table.read(keys)) < len(keys)
+
     async def _find_job(self, service: str, job_id: str) -> Row | None:
         key = make_job_key(service, job_id)
         return (await self.table.read([key])).get(key)
@@ -433,11 +473,13 @@
     async def cancel(self, route: Route, job_id: str) -> None:
         """Cancels a job; its owner stops the running tasks.
 
-        Copies of the job in other services are cancelled as well.
+        Copies of the job in other services are cancelled as well. A job that
+        is not there does not run either if its submission is still on its way.
 
         Raises:
-          GoneError: There is no such job.
-          StoreError: Nothing was written.
+          GoneError: There is no such job, and the request to submit it has no
+            effect if it is still on its way.
+          StoreError: No copy of the job was cancelled.
           UnknownOutcomeError: The job may have been cancelled, or only some
             copies of it.
         """
@@ -454,14 +496,21 @@
             raise GoneError(f'there is no job {job_id}')
 
     async def _cancel_in(self, service: str, job_id: str) -> bool:
-        """Cancels a job if a service holds it; returns whether it does."""
-        if await self._find_job(service, job_id) is None:
-            return False
+        """Cancels a job in a service; returns whether the service holds it.
+
+        The row of the cancellation comes first. Once it is there, a write of
+        the job has no effect, so a job that is not found then never will be.
+        """
         put = Put(make_cancel_key(service, job_id), {}, ABSENT)
+        is_new = False
         with contextlib.suppress(ConflictError):
-            await self._write(put)
-            log.info('Cancelled.', extra={'job': job_id})
-        return True
+            await self._write([put])
+            is_new = True
+        is_held = await self._find_job(service, job_id) is not None
+        if is_new:
+            text = 'Cancelled.' if is_held else 'Cancelled before it came.'
+            log.info(text, extra={'job': job_id, 'service': service})
+        return is_held
 
     async def count_pending(self, route: Route) -> int:
         """Returns the number of jobs of a queue that have not started.
--- a/lentilmount/coordination/table.py
+++ b/lentilmount/coordination/table.py
@@ -88,6 +88,11 @@
 Operation = Put | Delete | Check
 
 
+def count_entries(operations: list[Operation]) -> int:
+    """Returns the entries of a transaction; what is written takes two."""
+    return sum(1 if isinstance(op, Check) else 2 for op in operations)
+
+
 class Table(Protocol):
     """The platform's table service."""
 
