Close the connections that tests and the soak's links open

Cause: servers of tests returned from a handler without closing its connection, 701 of them in test_polls_of_all_workers_leave_room_for_commands. A connection that is collected after its loop was closed raises; the report of that parses sources, and so does hypothesis at its first test. Which test is hit depends on the collector.

Change: one server for tests, `serve_connections`, ends its handlers and closes their connections; `SocketServer` uses it. A link of the soak closes its server, and what it leaves open to the target.

No test or bound is relaxed. The entry of TestBudgets stays: the same cause is not shown for it.

--- a/soak/links.py
+++ b/soak/links.py
@@ -102,16 +102,35 @@
     change_answer: Callable[[bytes], bytes] = bytes
     _writers: set[asyncio.StreamWriter] = attrs.Factory(set)
     _tasks: set[asyncio.Task[Any]] = attrs.Factory(set)
+    _left: set[asyncio.StreamWriter] = attrs.Factory(set)
+    _server: asyncio.Server | None = None
 
     async def open(self) -> None:
         """Starts to listen."""
-        server = await asyncio.start_server(self._serve, LOOPBACK, 0)
-        self.address = f'{LOOPBACK}:{server.sockets[0].getsockname()[1]}'
-
-    def close(self) -> None:
-        """Ends all calls."""
-        for task in self._tasks:
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'{LOOPBACK}:{port}'
+
+    async def close(self) -> None:
+        """Ends all calls and closes all connections."""
+        if self._server is not None:
+            self._server.close()
+        tasks = tuple(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks)
+        for writer in self._left:
+            writer.close()
+
+    def leave_open(self, writer: asyncio.StreamWriter) -> None:
+        """Closes a connection to the target a little later."""
+
+        def close() -> None:
+            self._left.discard(writer)
+            writer.close()
+
+        self._left.add(writer)
+        asyncio.get_running_loop().call_later(ANSWER_SECONDS, close)
 
     def reset_connections(self) -> None:
         """Resets all connections of callers."""
@@ -283,9 +302,7 @@
         """Lets the target finish a call whose caller is gone."""
         self._is_left = True
         assert self._writer is not None
-        asyncio.get_running_loop().call_later(
-            ANSWER_SECONDS, self._writer.close
-        )
+        self.link.leave_open(self._writer)
 
     def close(self) -> None:
         """Closes the connection, unless the target is to finish a call."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -131,7 +131,7 @@
         link = Link(name, log, target)
         await link.open()
         self.links[name] = link
-        self.stack.callback(link.close)
+        self.stack.push_async_callback(link.close)
         return link
 
     def start_task(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,9 +9,13 @@
 import pytest
 
 from stand_ins.site import Site, open_site
+from tests.open_connections import OpenConnections
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 MAX_ENTRY_CHARACTERS = 300
+
+open_connections = OpenConnections()
+open_connections.record()
 ISSUE = re.compile(r'issue \d+')
 
 
@@ -51,6 +55,14 @@
         terminalreporter.write_line(f'KNOWN RED: {test}: {why}')
 
 
+@pytest.fixture(autouse=True)
+def check_connections() -> Iterator[None]:
+    """Fails a test that leaves connections open as its loop is closed."""
+    yield
+    left = open_connections.take_left()
+    assert not left, f'{len(left)} connections were left open: {left[:3]}'
+
+
 @pytest.fixture(scope='module')
 def site() -> Iterator[Site]:
     # One site per module: its daemons and workers run in a thread of this
--- a/tests/socket_fixtures.py
+++ b/tests/socket_fixtures.py
@@ -1,4 +1,4 @@
-"""Fixtures: an HTTP server on real sockets that may reset connections."""
+"""Fixtures: servers on real sockets, one for HTTP that resets connections."""
 
 from __future__ import annotations
 
@@ -16,6 +16,57 @@
 """Value of SO_LINGER with which closing a socket resets its connection."""
 
 
+ServeConnection = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+"""Serves one connection."""
+
+
+@asynccontextmanager
+async def serve_connections(
+    serve: ServeConnection, backlog: int = 100
+) -> AsyncIterator[str]:
+    """Serves connections on loopback; all of them are closed at the end.
+
+    Args:
+      serve: Serves one connection. Its connection is closed when it returns,
+        and when the client closes it.
+      backlog: Number of connections that may wait to be accepted.
+
+    Yields:
+      The address.
+    """
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def run(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        tasks.add(task)
+        try:
+            await serve(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass  # The client has closed the connection.
+        except asyncio.CancelledError:
+            pass  # The server is being stopped.
+        finally:
+            writer.close()
+            tasks.discard(task)
+
+    listener = await asyncio.start_server(run, '127.0.0.1', 0, backlog=backlog)
+    try:
+        yield f'127.0.0.1:{listener.sockets[0].getsockname()[1]}'
+    finally:
+        listener.close()
+        # Connections that were just accepted have no task yet.
+        await asyncio.sleep(0)
+        running = tuple(tasks)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running)
+
+
 class Ending(enum.Enum):
     """How a connection goes on after a response."""
 
@@ -80,26 +131,14 @@
     requests: list[Request] = attrs.Factory(list)
     connections: int = 0
     address: str = ''
-    _tasks: set[asyncio.Task[None]] = attrs.Factory(set)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection."""
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
         connection = self.connections
         self.connections += 1
-        try:
-            await self._serve_requests(reader, writer, connection)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass  # The client has closed the connection.
-        except asyncio.CancelledError:
-            pass  # The server is being stopped.
-        finally:
-            writer.close()
-            self._tasks.discard(task)
+        await self._serve_requests(reader, writer, connection)
 
     async def _serve_requests(
         self,
@@ -132,23 +171,11 @@
             if response.ending is not Ending.KEEP:
                 return
 
-    async def stop(self) -> None:
-        """Closes all connections."""
-        tasks = tuple(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks)
-
 
 @asynccontextmanager
 async def open_server(handle: Handle) -> AsyncIterator[SocketServer]:
     """Opens a server on a free port of the loopback interface."""
     server = SocketServer(handle)
-    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
-    port = listener.sockets[0].getsockname()[1]
-    server.address = f'127.0.0.1:{port}'
-    try:
+    async with serve_connections(server.serve) as address:
+        server.address = address
         yield server
-    finally:
-        listener.close()
-        await server.stop()
--- a/tests/test_concurrent_calls.py
+++ b/tests/test_concurrent_calls.py
@@ -14,6 +14,7 @@
 from lentilmount.control.lifecycle import MAX_WORKER_CALLS
 from lentilmount.upstream.http import HttpClient
 from tests.helpers import run
+from tests.socket_fixtures import serve_connections
 
 WORKERS = 700
 """Workers whose polls wait; the deployments that are planned have 690."""
@@ -33,24 +34,17 @@
     async def answer(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(
-            asyncio.IncompleteReadError, ConnectionResetError
-        ):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                path = head.split()[1].decode()
-                arrived.append(path)
-                if path == '/poll':
-                    await reader.read()
-                    return
-                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
-
-    server = await asyncio.start_server(answer, '127.0.0.1', 0, backlog=WORKERS)
-    port = server.sockets[0].getsockname()[1]
-    try:
-        yield f'http://127.0.0.1:{port}', arrived
-    finally:
-        server.close()
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            path = head.split()[1].decode()
+            arrived.append(path)
+            if path == '/poll':
+                await reader.read()
+                return
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+    async with serve_connections(answer, backlog=WORKERS) as address:
+        yield f'http://{address}', arrived
 
 
 def test_polls_of_all_workers_leave_room_for_commands() -> None:
--- a/tests/test_http_calls.py
+++ b/tests/test_http_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import re
 
 import pytest
@@ -12,6 +13,7 @@
 from lentilmount.scheduling.reports import WorkerEntry, WorkerState
 from lentilmount.upstream.http import CURL_ERROR, HttpClient
 from tests.helpers import run
+from tests.socket_fixtures import serve_connections
 
 MAX_POLL_BYTES = 210
 """Size of a poll: request line, body and the headers that a worker reads."""
@@ -26,23 +28,20 @@
     ) -> None:
         received.extend(await reader.readuntil(b'}'))
         writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
-        writer.close()
-
-    server = await asyncio.start_server(answer, '127.0.0.1', 0)
-    port = server.sockets[0].getsockname()[1]
-    caller = HttpClient('')
-    entry = WorkerEntry(
-        'i-40bb3c7090',
-        1,
-        f'127.0.0.1:{port}',
-        'desk',
-        'north',
-        WorkerState.READY,
-        Room(),
-    )
-    await WorkerClient(caller, 1, 1.0).poll(entry, 33, 482113, 1.5)
-    caller.close()
-    server.close()
+
+    async with serve_connections(answer) as address:
+        caller = HttpClient('')
+        entry = WorkerEntry(
+            'i-40bb3c7090',
+            1,
+            address,
+            'desk',
+            'north',
+            WorkerState.READY,
+            Room(),
+        )
+        await WorkerClient(caller, 1, 1.0).poll(entry, 33, 482113, 1.5)
+        caller.close()
     return bytes(received)
 
 
@@ -72,17 +71,14 @@
                 b'HTTP/1.1 201 Created\r\nX-Name: value\r\n'
                 b'Content-Length: 2\r\n\r\nok'
             )
-            writer.close()
 
-        server = await asyncio.start_server(answer, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
-        client = HttpClient(f'http://127.0.0.1:{port}')
-        body = b'{"a":1}' if method in ('POST', 'PUT') else None
-        response = await client.call(
-            method, '/path', body, {'X-A': 'b'}, reads_headers=reads_headers
-        )
-        client.close()
-        server.close()
+        async with serve_connections(answer) as address:
+            client = HttpClient(f'http://{address}')
+            body = b'{"a":1}' if method in ('POST', 'PUT') else None
+            response = await client.call(
+                method, '/path', body, {'X-A': 'b'}, reads_headers=reads_headers
+            )
+            client.close()
         assert (response.status, response.body) == (201, b'ok')
         expected = 'value' if reads_headers else None
         assert response.headers.get('X-Name') == expected
@@ -115,7 +111,6 @@
         await reader.readuntil(b'body')
         if number < answers:
             writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
-    writer.close()
 
 
 @pytest.mark.parametrize('answers', [0, 1])
@@ -123,18 +118,13 @@
     """A start was sent directly after another daemon had got it."""
 
     async def scenario() -> bool:
-        server = await asyncio.start_server(
-            lambda reader, writer: _serve(reader, writer, answers),
-            '127.0.0.1',
-            0,
-        )
-        port = server.sockets[0].getsockname()[1]
-        caller = HttpClient(f'http://127.0.0.1:{port}')
-        for _ in range(answers):
-            assert (await caller.call('POST', '/', b'body')).status == 200
-        response = await caller.call('POST', '/', b'body')
-        caller.close()
-        server.close()
+        serve = functools.partial(_serve, answers=answers)
+        async with serve_connections(serve) as address:
+            caller = HttpClient(f'http://{address}')
+            for _ in range(answers):
+                assert (await caller.call('POST', '/', b'body')).status == 200
+            response = await caller.call('POST', '/', b'body')
+            caller.close()
         assert response.status == CURL_ERROR
         return response.was_sent
 
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
 
 import orjson
 import pytest
@@ -74,6 +73,7 @@
     make_job,
     run_pass,
 )
+from tests.socket_fixtures import serve_connections
 from tests.test_submissions import JOB
 from tests.test_worker_session import LEASE_SECONDS, IgnoringListener
 
@@ -709,12 +709,10 @@
 def test_a_delivered_call_is_not_repeated_by_the_http_client() -> None:
     """A call that was delivered before a reset was sent again unnoticed."""
     bodies: list[bytes] = []
-    connections: list[asyncio.Task[Any] | None] = []
 
     async def answer(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        connections.append(asyncio.current_task())
         while head := await _read_head(reader):
             length = int(head.lower().split(b'content-length: ')[1].split()[0])
             bodies.append(await reader.readexactly(length))
@@ -724,14 +722,11 @@
         writer.transport.abort()
 
     async def work() -> None:
-        server = await asyncio.start_server(answer, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
-        client = HttpClient(f'http://127.0.0.1:{port}')
-        for body in (b'first', b'second'):
-            await client.call('POST', '/run-start', body)
-        client.close()
-        server.close()
-        await asyncio.gather(*filter(None, connections))
+        async with serve_connections(answer) as address:
+            client = HttpClient(f'http://{address}')
+            for body in (b'first', b'second'):
+                await client.call('POST', '/run-start', body)
+            client.close()
 
     run(work())
     assert bodies == [b'first', b'second']
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -35,6 +35,7 @@
     make_configuration,
     open_store,
 )
+from tests.socket_fixtures import serve_connections
 
 CALL_SECONDS = 0.2
 """Timeout of a call: longest time without any data."""
@@ -59,19 +60,17 @@
     async def answer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
-            await reader.readuntil(b'\r\n\r\n')
-            self.calls += 1
-            body = _make_answer()
-            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
-            writer.write(head.encode())
-            size = len(body) // PIECES + 1
-            for number in range(min(PIECES, self.stops_after)):
-                writer.write(body[number * size : (number + 1) * size])
-                await writer.drain()
-                await asyncio.sleep(PIECE_SECONDS)
-            await reader.read()
-        writer.close()
+        await reader.readuntil(b'\r\n\r\n')
+        self.calls += 1
+        body = _make_answer()
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        writer.write(head.encode())
+        size = len(body) // PIECES + 1
+        for number in range(min(PIECES, self.stops_after)):
+            writer.write(body[number * size : (number + 1) * size])
+            await writer.drain()
+            await asyncio.sleep(PIECE_SECONDS)
+        await reader.read()
 
 
 def _make_answer() -> bytes:
@@ -83,10 +82,10 @@
 @contextlib.asynccontextmanager
 async def _open_table(slow_server: _SlowServer) -> AsyncIterator[PlatformTable]:
     async with contextlib.AsyncExitStack() as stack:
-        server = await asyncio.start_server(slow_server.answer, '127.0.0.1', 0)
-        stack.callback(server.close)
-        port = server.sockets[0].getsockname()[1]
-        http_client = HttpClient(f'http://127.0.0.1:{port}')
+        address = await stack.enter_async_context(
+            serve_connections(slow_server.answer)
+        )
+        http_client = HttpClient(f'http://{address}')
         stack.callback(http_client.close)
         yield PlatformTable(http_client, CALL_SECONDS)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import io
 import math
 import pathlib
@@ -45,6 +46,7 @@
 from stand_ins.limits import CORDON_SECONDS, SHRINK_SECONDS
 from stand_ins.model_worker import START_PATH, ModelWorker
 from tests.helpers import run
+from tests.socket_fixtures import serve_connections
 
 WORK = Work(WorkKind.DONE, 1.0)
 JOB = Job(0.0, 'a', 0, ((WORK,), (WORK,)))
@@ -450,27 +452,26 @@
             length = int(head.lower().split(b'content-length: ')[1].split()[0])
             bodies.append(await reader.readexactly(length))
             writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}')
-        writer.close()
 
     async def play() -> int:
-        server = await asyncio.start_server(answer, '127.0.0.1', 0)
-        port = server.sockets[0].getsockname()[1]
-        log = EventLog(tmp_path / 'links.jsonl')
-        link = Link('worker-0', log, f'127.0.0.1:{port}')
-        await link.open()
-        client = HttpClient(f'http://{link.address}', 1.0)
-        body = b'{"task":"a.0.0.0","run":1}'
-        first = await client.call('POST', START_PATH, body)
-        assert first.status == 200
-        link.set_fault(Fault(0.0, kind, link.name, START_PATH))
-        # A client that does not repeat calls gets no answer to either.
-        link.set_fault(Fault(0.0, FaultKind.LOSE_ANSWER, link.name, START_PATH))
-        second = await client.call('POST', START_PATH, body)
-        client.close()
-        link.close()
-        server.close()
-        log.close()
-        return second.status
+        async with contextlib.AsyncExitStack() as stack:
+            address = await stack.enter_async_context(serve_connections(answer))
+            log = EventLog(tmp_path / 'links.jsonl')
+            stack.callback(log.close)
+            link = Link('worker-0', log, address)
+            await link.open()
+            stack.push_async_callback(link.close)
+            client = HttpClient(f'http://{link.address}', 1.0)
+            stack.callback(client.close)
+            body = b'{"task":"a.0.0.0","run":1}'
+            first = await client.call('POST', START_PATH, body)
+            assert first.status == 200
+            link.set_fault(Fault(0.0, kind, link.name, START_PATH))
+            # A client that does not repeat calls gets no answer to either.
+            link.set_fault(
+                Fault(0.0, FaultKind.LOSE_ANSWER, link.name, START_PATH)
+            )
+            return (await client.call('POST', START_PATH, body)).status
 
     assert run(play()) == CURL_ERROR
     assert len(bodies) >= 2
@@ -519,7 +520,7 @@
             statuses.append(answer.status)
             link.set_fault(unhealthy)
         client.close()
-        link.close()
+        await link.close()
         server.stop()
         log.close()
         return statuses
