Play late submissions in the session state machine and full writes

The session state machine submits jobs whose writes are carried out up to 8 s later, some of them cancelled meanwhile; a model site writes them with the conditions of the product. A test of the state writer deletes 25 cancellations of unknown jobs while 180 rows wait, in transactions of at most 100 entries.

--- a/stand_ins/model_site.py
+++ b/stand_ins/model_site.py
@@ -12,9 +12,13 @@
 import attrs
 import orjson
 
-from lentilmount.control.grouped_submissions import Outcome
+from lentilmount.control.grouped_submissions import (
+    Outcome,
+    make_job_operations,
+)
 from lentilmount.control.keys import CANCEL_SUFFIX, JOBS_TABLE
 from lentilmount.control.submission_relay import SUBMIT_SECONDS
+from lentilmount.coordination.table import ABSENT
 from lentilmount.platform.documents import encode_job_row
 from lentilmount.platform.store import (
     CONFIGURATION_TABLE,
@@ -273,6 +277,22 @@
             self.uncertain.add(spec.id)
         return outcome
 
+    def submit_late(self, spec: JobSpec, seconds: float) -> None:
+        """Writes a job as daemons do; the write is carried out after a time.
+
+        It has no effect if the job is cancelled by then.
+        """
+        operations = make_job_operations(SERVICE, spec.id, encode_job_row(spec))
+        addresses = [(JOBS_TABLE, SERVICE, op.key.sort) for op in operations]
+        value = orjson.dumps(['token', encode_job_row(spec)])
+
+        def carry_out() -> None:
+            conditions = dict.fromkeys(addresses, ABSENT)
+            if self.store.transact(conditions, {addresses[0]: value}) is None:
+                self.jobs[spec.id] = spec
+
+        asyncio.get_running_loop().call_later(seconds, carry_out)
+
     def cancel(self, job_id: str) -> None:
         """Writes the row that cancels a job."""
         self.cancelled.add(job_id)
--- a/tests/test_session_state_machine.py
+++ b/tests/test_session_state_machine.py
@@ -90,6 +90,8 @@
     'always-crashing-at-once': 0.4,
 }
 PAYLOADS = strategies.sampled_from(list(ESTIMATES))
+FIRST_LATE_JOB = 1_000_000
+"""Number of the first job whose write is late; others count from 0."""
 
 
 def make_spec(number: int, payload: str, has_two_steps: bool) -> JobSpec:
@@ -116,6 +118,7 @@
         )
         self.site = ModelSite(self.clock)
         self.watch: asyncio.Task[None] | None = None
+        self.late_jobs = 0
 
     def run_coroutine(self, work: Coroutine[Any, Any, Any]) -> Any:
         """Runs a coroutine on the site's loop."""
@@ -216,6 +219,30 @@
             self.run_coroutine(self.site.submit_to_owner(spec))
             self.act(lambda: None, seconds)
 
+    @rule(
+        payload=PAYLOADS,
+        late_seconds=DOWN_SECONDS,
+        cancel_seconds=strategies.sampled_from([0.0, 0.3, 2.0, 8.0]),
+        is_cancelled=SWITCH,
+        seconds=PAUSES,
+    )
+    def submit_late(
+        self,
+        payload: str,
+        late_seconds: float,
+        cancel_seconds: float,
+        is_cancelled: bool,
+        seconds: float,
+    ) -> None:
+        """Submits a job whose write is late, and may cancel it meanwhile."""
+        self.late_jobs += 1
+        spec = make_spec(FIRST_LATE_JOB + self.late_jobs, payload, False)
+        self.act(
+            lambda: self.site.submit_late(spec, late_seconds), cancel_seconds
+        )
+        if is_cancelled:
+            self.act(lambda: self.site.cancel(spec.id), seconds)
+
     @rule(number=strategies.integers(0, 9), seconds=PAUSES)
     def cancel(self, number: int, seconds: float) -> None:
         """Cancels a job that was not cancelled before."""
--- a/tests/test_state_writer.py
+++ b/tests/test_state_writer.py
@@ -11,12 +11,20 @@
 
 from lentilmount.clock import ManualClock
 from lentilmount.control import state_writer as state_writer_module
+from lentilmount.control.cancellations import Cancellation, Cancellations
 from lentilmount.control.lease_data import has_unrecorded_starts
 from lentilmount.control.retention import Retention
 from lentilmount.control.state_writer import COMMIT_ROWS, StateWriter
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.coordination.leases import Lease, LeaseKeeper
-from lentilmount.coordination.table import Key, Operation, Put
+from lentilmount.coordination.table import (
+    MAX_OPERATIONS,
+    Delete,
+    Key,
+    Operation,
+    Put,
+    count_entries,
+)
 from lentilmount.platform.store import PlatformTable
 from lentilmount.platform.workers import WorkerClient
 from lentilmount.resources import Room
@@ -37,6 +45,9 @@
 )
 from tests.test_worker_session import IgnoringListener
 
+CANCELLATIONS = 25
+WAIT_SECONDS = 5.0
+
 WRITES = 6
 """Three writes hold every job once; three more those that changed meanwhile."""
 
@@ -50,6 +61,7 @@
         self.write_started = asyncio.Event()
         self.version = 0
         self.bodies: dict[Key, dict[str, Any]] = {}
+        self.writes: list[list[Operation]] = []
 
     async def read(self, keys: list[Key]) -> dict[Key, Any]:
         return {}
@@ -58,6 +70,7 @@
         self.write_started.set()
         await self.gate.wait()
         self.version += 1
+        self.writes.append(operations)
         for operation in operations:
             if isinstance(operation, Put):
                 self.bodies[operation.key] = operation.body
@@ -71,6 +84,7 @@
     cluster: ClusterState,
     sessions: dict[str, WorkerSession],
     send: Callable[[Task], None],
+    early: Cancellations | None = None,
 ) -> StateWriter:
     return StateWriter(
         'desk',
@@ -83,7 +97,7 @@
         ManualClock(),
         send,
         print,
-        Retention('desk', cluster, 120.0),
+        Retention('desk', cluster, 120.0, early or Cancellations()),
         lambda jobs: None,
         VersionTimes(ManualClock().monotonic),
         make_submissions('desk'),
@@ -120,6 +134,45 @@
     ]
 
 
+def test_full_writes_delete_cancellations_of_unknown_jobs() -> None:
+    """Cancellations of jobs that never came filled the table for good."""
+
+    async def play() -> list[list[Operation]]:
+        slow = _SlowTable()
+        table = cast(PlatformTable, slow)
+        keeper = LeaseKeeper(table, 'a', 2.0, ManualClock().monotonic)
+        lease = await keeper.try_acquire(Key('owners/desk', 'owner'))
+        assert lease is not None
+        cluster = ClusterState()
+        early = Cancellations()
+        for number in range(CANCELLATIONS):
+            early.add(Cancellation(f'{number:016x}', number + 1, -1e6))
+        state_writer = _make_state_writer(
+            table, keeper, lease, cluster, {}, print, early
+        )
+        for number in range(4 * COMMIT_ROWS):
+            job = admit(cluster, make_job(f'job-{number}'))
+            cluster.dirty[job.spec.id] = None
+        state_writer.request_write()
+        running = asyncio.create_task(state_writer.run())
+        async with asyncio.timeout(WAIT_SECONDS):
+            while early:
+                await asyncio.sleep(0.01)
+        assert cluster.dirty
+        running.cancel()
+        return slow.writes
+
+    writes = run(play())
+    deleted = [
+        operation.key.sort
+        for operations in writes
+        for operation in operations
+        if isinstance(operation, Delete)
+    ]
+    assert len(deleted) == len(set(deleted)) == CANCELLATIONS
+    assert max(map(count_entries, writes)) <= MAX_OPERATIONS
+
+
 def test_a_start_placed_during_a_write_waits_for_the_next() -> None:
     """A start that was in no row ran twice after a takeover."""
 
