Leave room in the row of a schedule for tasks that are watched

A watched task with a checkpoint takes some 130 bytes in a state row, over twice the estimate, and hundreds may be watched after the loss of a zone: with 540 runs at once the row of a schedule would not have fitted the store.

--- a/lentilmount/scheduling/occurrences.py
+++ b/lentilmount/scheduling/occurrences.py
@@ -25,10 +25,10 @@
 on no more are opened. A pass must find enough of them for all free workers; it
 opens more for the next one."""
 
-MAX_ROW_BYTES = 32_768
+MAX_ROW_BYTES = 24_576
 """Size of a job's state row in bytes from which on no more occurrences are
-opened, by a rough estimate: half of what the table takes. Checkpoints and the
-tasks of the last occurrence that was opened come on top of it."""
+opened, by a rough estimate. The table takes 64 KB; a task with a checkpoint
+that may have crashed its worker takes over twice the usual bytes."""
 
 TASK_BYTES = 60
 """Bytes of a task in an encoded state row, without its checkpoint."""
