Bound the open steps of a schedule by what its row holds

Nor was the estimate right: each done step of an open occurrence took an entry of the row, and a wide later step was opened in any number of occurrences.

Done steps are dropped before it is judged whether there is room. An open occurrence has one entry with the ranges of its done steps. Occurrences and later steps are opened while fewer than 300 tasks of the job are unfinished, and occurrences while fewer than 800 are open.

--- a/lentilmount/control/state_writer.py
+++ b/lentilmount/control/state_writer.py
@@ -44,7 +44,6 @@
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import Job, PlacedRun, Task
-from lentilmount.scheduling.occurrences import TASK_BYTES
 from lentilmount.scheduling.rows import encode_state
 from lentilmount.scheduling.takeover import UnrecordedStarts
 from lentilmount.version_times import VersionTimes
@@ -75,6 +74,9 @@
 """Longest time that a write takes on an otherwise idle link. The lease is
 renewed with each write, and a call to the store times out after 0.6 s."""
 
+TASK_BYTES = 60
+"""Bytes of a task in an encoded state row, without its checkpoint."""
+
 MODEL_SECONDS = 3.0
 """Interval between writes of the interference model: a few KB. Estimates lost
 in a takeover are learned again within about the same time."""
--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -545,10 +545,11 @@
         """Begins what a step that is done was the last predecessor of."""
         job.done_steps.append((occurrence, done_step))
         for number, step in enumerate(job.spec.steps):
-            if done_step in step.after and all(
-                job.is_step_done(occurrence, predecessor)
-                for predecessor in step.after
-            ):
+            if done_step not in step.after:
+                continue
+            if job.is_step_done(occurrence, number):
+                continue
+            if all(job.is_step_done(occurrence, p) for p in step.after):
                 self.occurrences.begin_step(job, occurrence, number)
         steps = range(len(job.spec.steps))
         if any(job.remaining[occurrence, number] for number in steps):
@@ -563,6 +564,18 @@
         task.job.has_started = True
         self._mark_done(task, now)
 
+    def restore_done_steps(
+        self, job: Job, occurrence: int, numbers: Iterable[int], now: float
+    ) -> None:
+        """Restores from a state row that steps of an occurrence are done."""
+        job.has_started = True
+        self.occurrences.open_occurrence(job, occurrence)
+        done = [n for n in numbers if job.remaining[occurrence, n]]
+        for number in done:
+            self.occurrences.skip_step(job, occurrence, number)
+        for number in done:
+            self._finish_step(job, occurrence, number, now)
+
     def complete_restored_gangs(self, job: Job, now: float) -> None:
         """Ends the members of gangs that were restored with a done member.
 
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -255,7 +255,7 @@
       accepted_at: Estimated monotonic time of acceptance in seconds.
       state: State shown to clients.
       tasks: Tasks of the open steps, by id; those of steps that are done until
-        another occurrence is opened.
+        another occurrence, or a held step, is opened.
       occurrences: Number of the first occurrence that may not be open yet.
       finished: Occurrences of which all steps are done.
       done_steps: Steps that are done and not dropped yet, each with its
--- a/lentilmount/scheduling/occurrences.py
+++ b/lentilmount/scheduling/occurrences.py
@@ -25,16 +25,14 @@
 on no more are opened. A pass must find enough of them for all free workers; it
 opens more for the next one."""
 
-MAX_ROW_BYTES = 24_576
-"""Size of a job's state row in bytes from which on no more occurrences are
-opened, by a rough estimate. The table takes 64 KB; a task with a checkpoint
-that may have crashed its worker takes over twice the usual bytes."""
+MAX_OPEN_TASKS = 300
+"""Number of unfinished tasks, over all occurrences of a job, from which on no
+more steps are opened. All of them are in its state row, of 64 KB at most; a
+task with a checkpoint that may have crashed its worker takes 130 bytes."""
 
-TASK_BYTES = 60
-"""Bytes of a task in an encoded state row, without its checkpoint."""
-
-RANGE_BYTES = 20
-"""Bytes of a step that is done in an encoded state row."""
+MAX_OPEN_OCCURRENCES = 800
+"""Number of open occurrences of a job from which on no more are opened. The
+steps of each that are done take some 20 bytes of the state row."""
 
 
 def count_due(spec: JobSpec, wall_time: float) -> int:
@@ -51,37 +49,42 @@
 
     Attributes:
       waiting: Number of waiting tasks by number of the step.
-      row_bytes: Estimated size of its state row.
+      unfinished: Number of tasks that are not done.
+      occurrences: Number of open occurrences.
     """
 
     waiting: collections.Counter[int]
-    row_bytes: int
+    unfinished: int
+    occurrences: int
 
-    def is_full(self, number: int) -> bool:
-        """Returns whether enough tasks of a step wait for workers."""
-        return self.waiting[number] >= MAX_WAITING_TASKS
+    def admits_step(self, number: int) -> bool:
+        """Returns whether a step may be opened in one more occurrence."""
+        is_short = self.waiting[number] < MAX_WAITING_TASKS
+        return is_short and self.unfinished < MAX_OPEN_TASKS
 
     def admits_occurrence(self, job: Job) -> bool:
         """Returns whether the next occurrence of a job may be opened."""
-        if self.row_bytes >= MAX_ROW_BYTES:
-            return False
-        return not any(map(self.is_full, job.spec.first_steps))
+        is_below_limit = self.occurrences < MAX_OPEN_OCCURRENCES
+        return is_below_limit and all(
+            map(self.admits_step, job.spec.first_steps)
+        )
 
     def add(self, job: Job, number: int) -> None:
         """Adds the tasks of a step that was opened."""
         count = job.spec.steps[number].count
         self.waiting[number] += count
-        self.row_bytes += TASK_BYTES * count
+        self.unfinished += count
 
 
 def _measure_load(job: Job) -> _Load:
     waiting: collections.Counter[int] = collections.Counter()
-    row_bytes = RANGE_BYTES * sum(not n for n in job.remaining.values())
+    unfinished = 0
     for task in job.tasks.values():
         if task.phase is not TaskPhase.DONE:
-            row_bytes += TASK_BYTES
+            unfinished += 1
             waiting[task.id.step] += task.phase is TaskPhase.WAITING
-    return _Load(waiting, row_bytes)
+    occurrences = len(job.remaining) // len(job.spec.steps)
+    return _Load(waiting, unfinished, occurrences)
 
 
 @attrs.define
@@ -134,35 +137,37 @@
         self.backlog.pop(job.spec.id, None)
         if job.state.is_final:
             return
+        occurrence = self._find_due(job)
+        if occurrence is not None or job.held_steps:
+            self._drop_done(job)
         load = _measure_load(job)
         self._open_held_steps(job, load)
-        total = max(1, job.spec.occurrences)
-        while True:
-            job.occurrences = job.finished.find_missing(job.occurrences)
-            if job.occurrences >= total or not self._is_due(job):
-                break
-            if not load.admits_occurrence(job):
-                self.backlog[job.spec.id] = job
-                break
-            self._drop_done(job)
-            self.open_occurrence(job, job.occurrences)
+        while occurrence is not None and load.admits_occurrence(job):
+            self.open_occurrence(job, occurrence)
             for number in job.spec.first_steps:
                 load.add(job, number)
-            job.occurrences += 1
-        if job.held_steps:
+            load.occurrences += 1
+            job.occurrences = occurrence + 1
+            occurrence = self._find_due(job)
+        if occurrence is not None or job.held_steps:
             self.backlog[job.spec.id] = job
 
-    def _is_due(self, job: Job, occurrence: int | None = None) -> bool:
-        """Returns whether an occurrence, or else the next one, is due."""
+    def _find_due(self, job: Job) -> int | None:
+        """Returns the next occurrence to be opened, None if none is due."""
+        occurrence = job.finished.find_missing(job.occurrences)
+        if occurrence >= max(1, job.spec.occurrences):
+            return None
+        return occurrence if self._is_due(job, occurrence) else None
+
+    def _is_due(self, job: Job, occurrence: int) -> bool:
         if not job.spec.occurrences:
             return True
-        number = job.occurrences if occurrence is None else occurrence
-        return self._wall_time >= job.spec.get_due(number)
+        return self._wall_time >= job.spec.get_due(occurrence)
 
     def _open_held_steps(self, job: Job, load: _Load) -> None:
         still_held = []
         for occurrence, number in sorted(job.held_steps):
-            if load.is_full(number):
+            if not load.admits_step(number):
                 still_held.append((occurrence, number))
                 continue
             self._mark_ready(job, occurrence, number)
@@ -184,7 +189,7 @@
     def begin_step(self, job: Job, occurrence: int, number: int) -> None:
         """Opens a step whose predecessors are done, once there is room."""
         is_shared = len(job.remaining) > len(job.spec.steps)
-        if is_shared and _measure_load(job).is_full(number):
+        if is_shared and not _measure_load(job).admits_step(number):
             job.held_steps.append((occurrence, number))
             self.backlog[job.spec.id] = job
             return
@@ -241,6 +246,14 @@
             return True
         return not job.state.is_final and self._is_due(job, task_id.occurrence)
 
+    def skip_step(self, job: Job, occurrence: int, number: int) -> None:
+        """Drops the tasks of a step of which it is known that it is done."""
+        job.remaining[occurrence, number] = 0
+        for index in range(job.spec.steps[number].count):
+            task_id = TaskId(job.spec.id, occurrence, number, index)
+            self.ready.pop(task_id, None)
+            job.tasks.pop(task_id, None)
+
     def restore_finished(self, job: Job, finished: list[int]) -> None:
         """Restores from a state row which occurrences are finished.
 
@@ -263,13 +276,17 @@
         A step of which an older run goes on is kept.
         """
         done, job.done_steps = job.done_steps, []
-        for key in done:
-            tasks = self._open_step(job, *key)
+        for occurrence, number in done:
+            ids = [
+                TaskId(job.spec.id, occurrence, number, index)
+                for index in range(job.spec.steps[number].count)
+            ]
+            tasks = filter(None, map(job.tasks.get, ids))
             if any(task.older is not None for task in tasks):
-                job.done_steps.append(key)
+                job.done_steps.append((occurrence, number))
                 continue
-            for task in tasks:
-                del job.tasks[task.id]
+            for task_id in ids:
+                job.tasks.pop(task_id, None)
         kept = {occurrence for occurrence, _ in job.done_steps}
         for occurrence in {occurrence for occurrence, _ in done} - kept:
             if occurrence in job.finished:
--- a/lentilmount/scheduling/rows.py
+++ b/lentilmount/scheduling/rows.py
@@ -17,6 +17,7 @@
     WatchedStart,
     make_unregistered_worker,
 )
+from lentilmount.scheduling.ranges import Ranges
 from lentilmount.scheduling.specs import TaskId
 
 DONE = 'done'
@@ -29,7 +30,8 @@
 FINISHED = 'occurrences'
 """Key of the ranges of finished occurrences among those of done tasks.
 
-Versions that do not know it fail to parse it as a step, as above."""
+Versions that do not know it fail to parse it as a step, as above. The same
+holds for the key of an occurrence, its number."""
 
 REQUIRED_FIELDS = 2
 """Number of fields that each task entry has: run and worker."""
@@ -50,9 +52,9 @@
     The row is written at each change of any task, and without the following
     rules such rows were over a third of the bytes sent by an owner. Tasks that
     were never started are omitted, and so are all tasks of a finished job that
-    has none to stop. Done tasks are stored as index ranges by step, and the
-    finished occurrences of a schedule as ranges. Trailing default values of a
-    task's entry are omitted.
+    has none to stop. Done tasks are stored as index ranges by step; those of a
+    schedule also as ranges of steps by occurrence, and as ranges of finished
+    occurrences. Trailing default values of a task's entry are omitted.
     """
     body: dict[str, Any] = {'state': job.state.value}
     if job.state.is_final and not _is_stopping(job):
@@ -75,14 +77,16 @@
 def _encode_done_steps(job: Job) -> dict[str, list[int]]:
     """Encodes the steps that are done, and the finished occurrences."""
     done: dict[str, list[int]] = {}
-    is_scheduled = bool(job.spec.occurrences)
-    if is_scheduled and job.finished.count:
+    if job.spec.occurrences and job.finished.count:
         done[FINISHED] = job.finished.encode()
     for (occurrence, number), count in job.remaining.items():
-        is_listed = is_scheduled and occurrence in job.finished
-        if not count and not is_listed:
+        if count:
+            continue
+        if not job.spec.occurrences:
             step = _format_step_key(occurrence, number)
             done[step] = [0, job.spec.steps[number].count - 1]
+        elif occurrence not in job.finished:
+            _append_to_ranges(done.setdefault(str(occurrence), []), number)
     return done
 
 
@@ -142,6 +146,9 @@
     entries = dict(body.get('tasks', {}))
     ranges = dict(entries.pop(DONE, {}))
     cluster.occurrences.restore_finished(job, ranges.pop(FINISHED, []))
+    for name in [name for name in ranges if name.isdigit()]:
+        steps = Ranges.decode(ranges.pop(name))
+        cluster.restore_done_steps(job, int(name), steps, now)
     done = [_parse_task_key(job, name) for name in _list_done(ranges)]
     others = {
         _parse_task_key(job, name): entry for name, entry in entries.items()
--- a/tests/test_occurrences.py
+++ b/tests/test_occurrences.py
@@ -19,7 +19,10 @@
 from lentilmount.scheduling.crashes import record_start
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import Job, JobState, Task, TaskPhase
-from lentilmount.scheduling.occurrences import MAX_WAITING_TASKS
+from lentilmount.scheduling.occurrences import (
+    MAX_OPEN_TASKS,
+    MAX_WAITING_TASKS,
+)
 from lentilmount.scheduling.placement import Placer
 from lentilmount.scheduling.reconciliation import Reconciler
 from lentilmount.scheduling.reports import EndKind, RunReport, StaleRun
@@ -263,6 +266,40 @@
     assert play.most_bytes < ROW_BYTES
 
 
+def test_finished_occurrences_of_many_steps_make_room_for_others() -> None:
+    """The next occurrence waited for a row that finished ones had filled."""
+    cluster = make_cluster()
+    steps = tuple(
+        make_small_step(after=(n - 1,) if n else ()) for n in range(20)
+    )
+    job = submit(cluster, make_schedule('a', *steps, times=500))
+    play = Play(cluster)
+    while not play.is_over:
+        play.run_pass()
+        assert play.passes < 2_000
+        play.end_runs()
+    assert job.state is JobState.COMPLETED
+    assert len(play.done) == 20 * 500
+    assert play.most_bytes < ROW_BYTES
+
+
+def test_wide_later_steps_fit_into_the_row() -> None:
+    """Hundreds of occurrences came to their wide second step at once."""
+    cluster = ClusterState()
+    for number in range(100):
+        add_worker(cluster, f'worker-{number:04d}', capacity=Room(40, 64_000))
+    steps = (make_small_step(), make_small_step(count=50, after=(0,)))
+    job = submit(cluster, make_schedule('a', *steps, times=400))
+    play = Play(cluster)
+    while not play.is_over:
+        play.run_pass()
+        assert play.passes < 2_000
+        assert len(job.tasks) <= 2 * (MAX_OPEN_TASKS + 50)
+        play.end_runs()
+    assert len(play.done) == 400 * 51
+    assert play.most_bytes < ROW_BYTES
+
+
 def test_many_runs_at_once_fit_into_the_row() -> None:
     """The store refused the row of a schedule on hosts with much room."""
     cluster = ClusterState()
@@ -275,7 +312,7 @@
         play.run_pass()
     workers = cluster.workers.values()
     placed = [(task, w) for w in workers for task in w.tasks.values()]
-    assert len(placed) > 300
+    assert len(placed) == MAX_OPEN_TASKS
     assert play.most_bytes < ROW_BYTES
     for task, worker in placed:
         task.checkpoint = '0' * 16
--- a/tests/test_state_writer.py
+++ b/tests/test_state_writer.py
@@ -14,7 +14,11 @@
 from lentilmount.control.cancellations import Cancellation, Cancellations
 from lentilmount.control.lease_data import has_unrecorded_starts
 from lentilmount.control.retention import Retention
-from lentilmount.control.state_writer import COMMIT_ROWS, StateWriter
+from lentilmount.control.state_writer import (
+    COMMIT_ROWS,
+    TASK_BYTES,
+    StateWriter,
+)
 from lentilmount.control.worker_session import WorkerSession
 from lentilmount.coordination.leases import Lease, LeaseKeeper
 from lentilmount.coordination.table import (
@@ -31,7 +35,6 @@
 from lentilmount.scheduling.cluster import ClusterState
 from lentilmount.scheduling.interference import InterferenceModel
 from lentilmount.scheduling.model import JobState, Task
-from lentilmount.scheduling.occurrences import TASK_BYTES
 from lentilmount.upstream.http import HttpClient
 from lentilmount.version_times import VersionTimes
 from tests.helpers import run
