Load the ranges of occurrences only where a service is owned

test_a_daemon_starts_without_the_modules_of_an_owner failed in the first run of all tests: every daemon knows the class of a job, which imported the ranges of finished occurrences. The owner passes them in now.

--- a/lentilmount/scheduling/cluster.py
+++ b/lentilmount/scheduling/cluster.py
@@ -33,6 +33,7 @@
     measure_intensity,
 )
 from lentilmount.scheduling.occurrences import Occurrences
+from lentilmount.scheduling.ranges import Ranges
 from lentilmount.scheduling.reports import (
     EndKind,
     StaleRun,
@@ -123,7 +124,7 @@
             return existing
         age = min(max(0.0, wall_time - spec.accepted), MAX_AGE_SECONDS)
         age = age_bounds.clamp(age)
-        job = Job(spec, accepted_at=now - age)
+        job = Job(spec, accepted_at=now - age, finished=Ranges())
         job.critical_paths = measure_critical_paths(spec)
         job.durations = self.durations.get_ratio(spec.queue.name)
         self.jobs[spec.id] = job
--- a/lentilmount/scheduling/model.py
+++ b/lentilmount/scheduling/model.py
@@ -4,14 +4,18 @@
 
 import enum
 import math
+from typing import TYPE_CHECKING
 
 import attrs
 
 from lentilmount.resources import Room
-from lentilmount.scheduling.ranges import Ranges
 from lentilmount.scheduling.reports import WorkerEntry, WorkerState
 from lentilmount.scheduling.specs import JobSpec, StepSpec, TaskId
 
+if TYPE_CHECKING:
+    # Only owners need it.
+    from lentilmount.scheduling.ranges import Ranges
+
 
 class JobState(enum.Enum):
     """State of a job as shown to clients."""
@@ -253,11 +257,11 @@
     Attributes:
       spec: Specification as accepted.
       accepted_at: Estimated monotonic time of acceptance in seconds.
+      finished: Occurrences of which all steps are done.
       state: State shown to clients.
       tasks: Tasks of the open steps, by id; those of steps that are done until
         another occurrence, or a held step, is opened.
       occurrences: Number of the first occurrence that may not be open yet.
-      finished: Occurrences of which all steps are done.
       done_steps: Steps that are done and not dropped yet, each with its
         occurrence first.
       held_steps: Steps whose predecessors are done and that are not open, as
@@ -280,10 +284,10 @@
 
     spec: JobSpec
     accepted_at: float
+    finished: Ranges
     state: JobState = JobState.QUEUED
     tasks: dict[TaskId, Task] = attrs.Factory(dict)
     occurrences: int = 0
-    finished: Ranges = attrs.Factory(Ranges)
     done_steps: list[tuple[int, int]] = attrs.Factory(list)
     held_steps: list[tuple[int, int]] = attrs.Factory(list)
     critical_paths: tuple[float, ...] = ()
