Make the test of gangs without room fail without its fix

The last read found that test_gangs_of_many_occurrences_do_not_end_a_pass passed also with gangs tried again for each occurrence: its gang of two found room once, and the rest were left out by size. A gang of three on two workers finds none. No product code is changed.

--- a/tests/test_occurrences.py
+++ b/tests/test_occurrences.py
@@ -339,16 +339,14 @@
 def test_gangs_of_many_occurrences_do_not_end_a_pass() -> None:
     """Gangs without room kept a pass from a queue of lower priority."""
     cluster = make_cluster()
-    gang = make_step(count=2, gang=True, demand=Room(7.0, 1000))
+    # A worker holds one member, and there are two workers.
+    gang = make_step(count=3, gang=True, demand=Room(7.0, 1000))
     for name in 'abcd':
         submit(cluster, make_schedule(name, gang))
     play = Play(cluster)
-    play.run_pass()
-    low = make_job('low', policy=make_policy(priority=5))
+    assert play.run_pass() == []
+    low = make_job('low', make_small_step(), policy=make_policy(priority=5))
     small = submit(cluster, low)
-    cluster.jobs['low'].tasks[TaskId('low', 0, 0, 0)].spec = make_step(
-        demand=Room(1.0, 1000)
-    )
     play.run_pass()
     assert small.was_placed
 
